--- /dev/null
+++ b/src/include/Rattandeck/digest.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "Rattandeck/types.h"
+
+#include <span>
+#include <string_view>
+
+namespace Rattandeck {
+
+/// SHA-256 of the parts, each preceded by its length, so that parts can't be moved across their borders.
+Digest digestOf(std::span<const std::string_view> parts);
+
+/// Head of a history after one more turn.
+Digest chainDigest(const Digest& headBefore, TurnNumber turn, std::string_view input, std::string_view output);
+
+/// Seeded 64-bit hash (XXH3) for shards, rendezvous choices and fingerprints; not for safety against forgery.
+std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
+
+}
--- /dev/null
+++ b/src/include/RattandeckNet/address.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <tl/expected.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace RattandeckNet {
+
+/// An IP number and a port. Port 0, when listening, asks for any free one.
+struct Address {
+    std::string host;
+    std::uint16_t port = 0;
+};
+
+enum class NetError {
+    BadAddress,
+    ConnectFailed,
+    /// Nothing of the request was sent.
+    NotSent,
+    /// The connection broke after the request was sent, wholly or in part.
+    Broken,
+    TimedOut,
+    Malformed,
+    TooLarge,
+    AddressInUse,
+};
+
+tl::expected<Address, NetError> parseAddress(std::string_view text);
+std::string toString(const Address&);
+std::string_view describe(NetError);
+
+}
--- /dev/null
+++ b/src/include/RattandeckNet/http.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "RattandeckNet/address.h"
+#include "RattandeckNet/eventloop.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+/// HTTP/1.1 server and client over Boost.Beast, without Beast in the header.
+namespace RattandeckNet {
+
+/// Header names are lower case.
+using HttpHeaders = std::map<std::string, std::string>;
+
+struct HttpRequest {
+    std::string method = "GET";
+    /// Path without query.
+    std::string path;
+    std::map<std::string, std::string> query;
+    HttpHeaders headers;
+    std::string body;
+};
+
+struct HttpResponse {
+    int status = 200;
+    HttpHeaders headers;
+    std::string body;
+};
+
+/// Bounds on what one peer can make the server hold. A request beyond them gets 413, 431, 408 or 503 and is closed.
+struct HttpLimits {
+    std::size_t maxHeaderBytes = 16 * 1024;
+    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::chrono::seconds readTimeout { 30 };
+    std::size_t maxConnections = 1024;
+    /// Unsent bytes of a streamed answer beyond which a slow reader is cut off.
+    std::size_t maxUnsentBytes = 8 * 1024 * 1024;
+};
+
+/// Answers one request. Copyable handle; the request is answered by `send`, or by `begin`, `write`..., `end`. Calls
+/// after the end or after the peer left are ignored.
+class HttpResponder {
+public:
+    void send(HttpResponse response) const;
+    /// Starts a streamed answer (chunked transfer).
+    void begin(int status, HttpHeaders headers) const;
+    void write(std::string chunk) const;
+    void end() const;
+    /// Breaks the connection off, so that the peer sees an incomplete answer.
+    void abort() const;
+    /// Called once if the peer goes away before the answer is complete.
+    void onClosed(std::function<void()> handler) const;
+
+    struct Impl;
+    explicit HttpResponder(std::shared_ptr<Impl> shared)
+        : impl(std::move(shared))
+    {
+    }
+
+private:
+    std::shared_ptr<Impl> impl;
+};
+
+class HttpServer {
+public:
+    using Handler = std::function<void(HttpRequest, HttpResponder)>;
+
+    HttpServer(EventLoop& loop, HttpLimits limits, Handler handler);
+    ~HttpServer();
+
+    /// Listens and accepts. Errors: `BadAddress`, `AddressInUse`.
+    tl::expected<void, NetError> listen(const Address& address);
+    /// The bound port; differs from the requested one if that was 0.
+    std::uint16_t port() const;
+    /// Accepts no more connections and closes idle ones; requests in flight are answered with `Connection: close`.
+    void stopAccepting();
+    /// Requests that have not been answered yet.
+    std::size_t inFlight() const;
+
+    struct Impl;
+
+private:
+    std::shared_ptr<Impl> impl;
+};
+
+struct HttpCallbacks {
+    std::function<void(int status, const HttpHeaders&)> onHead;
+    std::function<void(std::string_view chunk)> onData;
+    /// Called exactly once, unless the call was cancelled.
+    std::function<void(tl::expected<void, NetError>)> onEnd;
+};
+
+/// Calls one server over kept-alive connections. Never repeats a request by itself.
+class HttpClient {
+public:
+    using CallId = std::uint64_t;
+
+    HttpClient(EventLoop& loop, Address server, std::size_t maxConnections = 64);
+    ~HttpClient();
+
+    /// Streams the answer to `callbacks`. `timeout` bounds the whole call.
+    CallId start(HttpRequest request, std::chrono::milliseconds timeout, HttpCallbacks callbacks);
+    /// Collects the whole answer, up to `maxBody` bytes.
+    CallId fetch(HttpRequest request, std::chrono::milliseconds timeout,
+        std::function<void(tl::expected<HttpResponse, NetError>)> done, std::size_t maxBody = 16 * 1024 * 1024);
+    /// Breaks the call off; no more callbacks for it.
+    void cancel(CallId call);
+
+    struct Impl;
+
+private:
+    std::shared_ptr<Impl> impl;
+};
+
+}
--- /dev/null
+++ b/src/librattandeck/timer.cpp
@@ -0,0 +1,74 @@
+#include "Rattandeck/timer.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace Rattandeck {
+
+struct TimerService::Impl {
+    // The id breaks ties, so that subscribers of one instant are called in order.
+    using Key = std::pair<TimePoint, TimerId>;
+
+    TimePoint now {};
+    std::uint64_t lastId = 0;
+    std::map<Key, std::function<void()>> subscriptions;
+    std::unordered_map<TimerId, TimePoint> dueTimes;
+};
+
+TimerService::TimerService()
+    : impl(std::make_unique<Impl>())
+{
+}
+
+TimerService::~TimerService() = default;
+
+TimePoint TimerService::now() const { return this->impl->now; }
+
+TimerId TimerService::subscribeAt(TimePoint when, std::function<void()> callback)
+{
+    const TimerId id { ++this->impl->lastId };
+    this->impl->subscriptions.emplace(Impl::Key { when, id }, std::move(callback));
+    this->impl->dueTimes.emplace(id, when);
+    return id;
+}
+
+TimerId TimerService::subscribeAfter(Duration delay, std::function<void()> callback)
+{
+    return this->subscribeAt(this->impl->now + delay, std::move(callback));
+}
+
+void TimerService::cancel(TimerId id)
+{
+    const auto found = this->impl->dueTimes.find(id);
+    if (found == this->impl->dueTimes.end())
+        return;
+    this->impl->subscriptions.erase({ found->second, id });
+    this->impl->dueTimes.erase(found);
+}
+
+std::optional<TimePoint> TimerService::nextDue() const
+{
+    if (this->impl->subscriptions.empty())
+        return std::nullopt;
+    return this->impl->subscriptions.begin()->first.first;
+}
+
+void TimerService::advanceTo(TimePoint time)
+{
+    while (!this->impl->subscriptions.empty()) {
+        const auto first = this->impl->subscriptions.begin();
+        const auto [due, id] = first->first;
+        if (due > time)
+            break;
+        const auto callback = std::move(first->second);
+        this->impl->subscriptions.erase(first);
+        this->impl->dueTimes.erase(id);
+        this->impl->now = std::max(this->impl->now, due);
+        callback();
+    }
+    this->impl->now = std::max(this->impl->now, time);
+}
+
+void TimerService::observe(TimePoint time) { this->impl->now = std::max(this->impl->now, time); }
+
+}
--- /dev/null
+++ b/src/librattandeckapp/version.cpp
@@ -0,0 +1,7 @@
+#include "RattandeckApp/version.h"
+
+namespace RattandeckApp {
+
+std::string_view version() { return RATTANDECK_VERSION; }
+
+}
