Add the interfaces of the policies with baseline bodies

Cause: entry, sidecar and trial use the same decisions and are written in parallel. Conclusion: baselines only; to be replaced by measured policies.

--- /dev/null
+++ b/src/include/Rattandeck/cachepolicy.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "Rattandeck/types.h"
+
+/// What becomes of a program's cached prefix: pure functions.
+namespace Rattandeck {
+
+enum class PrefixAction { Keep, Export, Drop };
+
+struct PausedPrefix {
+    TokenCount tokens;
+    Duration expectedPause { 0 };
+    /// Time to prefill the prefix again.
+    Duration rebuildTime { 0 };
+    /// Time to export and import it.
+    Duration moveTime { 0 };
+};
+
+/// Memory of one engine.
+struct CachePressure {
+    TokenCount capacity;
+    TokenCount used;
+    /// Tokens of prefixes that waiting calls will need.
+    TokenCount wanted;
+};
+
+/// Decides at a tool pause.
+PrefixAction atPause(const PausedPrefix& prefix, const CachePressure& pressure);
+
+/// Cost of losing the prefix: the prefix with the lowest value is evicted first.
+double evictionValue(const PausedPrefix& prefix);
+
+}
--- /dev/null
+++ b/src/include/Rattandeck/placement.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "Rattandeck/entry.h"
+#include "Rattandeck/messages.h"
+
+#include <span>
+
+/// Where a call goes: pure functions over what the home knows.
+namespace Rattandeck {
+
+/// What a home knows of one sidecar: its last report, corrected for what the home itself has placed since.
+struct SidecarView {
+    NodeId node;
+    FailureDomain domain;
+    /// The last report, or defaults before the first one.
+    LoadReport report;
+    /// Credits of live grants that are not spent yet.
+    std::uint32_t creditsLeft = 0;
+    /// Own orders sent that the report does not account for, and their prompt and output tokens.
+    std::uint32_t placedSinceReport = 0;
+    TokenCount tokensPlacedSinceReport;
+    /// Prefix of this program that the sidecar is believed to hold.
+    TokenCount heldTokens;
+    /// Recent failures or timeouts; 0 for a healthy one.
+    double suspicion = 0;
+};
+
+/// The call to be placed.
+struct CallShape {
+    ProgramId program;
+    TurnNumber turn;
+    TokenCount promptTokens;
+    TokenCount expectedOutputTokens;
+    Milliseconds timeLeft { 0 };
+};
+
+/// Set by label: an organisation that feels wasted cache more gives `missingPrefixWeight` a higher value.
+struct PlacementSettings {
+    FailureDomain ownDomain;
+    double waitWeight = 1.0;
+    double missingPrefixWeight = 1.0;
+    double transferWeight = 1.0;
+    /// One-way delay between failure domains.
+    Milliseconds domainDelay { 4 };
+    /// Sidecars looked at per decision, beside the one that holds the prefix.
+    std::uint32_t candidateCount = 8;
+};
+
+/// Chooses among `sidecars`; `choice` is empty when none has a credit left. `seed` varies the sample of candidates.
+/// Looks at `candidateCount` sidecars and those with `heldTokens`, however many there are.
+///
+/// Precondition: all `sidecars` serve the call's service and none is leaving.
+PlacementDecision choosePlacement(std::span<const SidecarView> sidecars, const CallShape& call,
+    const PlacementSettings& settings, std::uint64_t seed);
+
+}
--- /dev/null
+++ b/src/librattandeck/cachepolicy.cpp
@@ -0,0 +1,9 @@
+#include "Rattandeck/cachepolicy.h"
+
+namespace Rattandeck {
+
+PrefixAction atPause(const PausedPrefix& /*prefix*/, const CachePressure& /*pressure*/) { return PrefixAction::Keep; }
+
+double evictionValue(const PausedPrefix& prefix) { return std::chrono::duration<double>(prefix.rebuildTime).count(); }
+
+}
