Add the policy trial: engine model, workloads, baselines, table

Cause: the policies have to be judged on program latency and wasted cache before they are tuned. Change: rattandeck-bench drives the core's policy functions under virtual time against a fluid engine model with continuous batching, a bounded prefix cache, late reports and gapped cache events; three entries place on their own.

--- a/src/include/Rattandeck/messages.h
+++ b/src/include/Rattandeck/messages.h
@@ -196,7 +196,7 @@
     std::uint32_t limit = 0;
     /// Prompt and output tokens of waiting calls.
     TokenCount waitingTokens;
-    /// Measured speeds; 0 while unknown.
+    /// Measured speeds, of prefill for the engine and of decoding for one call in the present batch; 0 while unknown.
     double prefillTokensPerSecond = 0;
     double decodeTokensPerSecond = 0;
     TokenCount cacheCapacity;
--- a/src/include/Rattandeck/placement.h
+++ b/src/include/Rattandeck/placement.h
@@ -46,10 +46,21 @@
     std::uint32_t candidateCount = 8;
 };
 
+/// A sidecar, by its place among the views, that is believed to hold a prefix of the program.
+struct HeldAt {
+    std::uint32_t index = 0;
+    TokenCount tokens;
+};
+
 /// Chooses among `sidecars`; `choice` is empty when none has a credit left. `seed` varies the sample of candidates.
-/// Looks at `candidateCount` sidecars and those with `heldTokens`, however many there are.
+/// Looks at `holders` and at `candidateCount` others, however many there are; `heldTokens` of the views isn't read.
+/// Only when none of these has a credit does it look further.
 ///
-/// Precondition: all `sidecars` serve the call's service and none is leaving.
+/// Precondition: all `sidecars` serve the call's service and none is leaving; the holders' indices are within them.
+PlacementDecision choosePlacement(std::span<const SidecarView> sidecars, const CallShape& call,
+    const PlacementSettings& settings, std::uint64_t seed, std::span<const HeldAt> holders);
+
+/// As above; takes the holders from `heldTokens`, for which it looks at every view.
 PlacementDecision choosePlacement(std::span<const SidecarView> sidecars, const CallShape& call,
     const PlacementSettings& settings, std::uint64_t seed);
 
--- /dev/null
+++ b/src/librattandeck/fairness.cpp
@@ -0,0 +1,47 @@
+#include "Rattandeck/fairness.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace Rattandeck {
+
+std::vector<double> fairShares(std::span<const double> demands, double capacity)
+{
+    std::vector<std::size_t> order(demands.size());
+    std::iota(order.begin(), order.end(), 0);
+    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return demands[a] < demands[b]; });
+
+    std::vector<double> shares(demands.size());
+    double left = std::max(0.0, capacity);
+    std::size_t unserved = demands.size();
+    for (const std::size_t index : order) {
+        shares[index] = std::min(demands[index], left / static_cast<double>(unserved));
+        left -= shares[index];
+        --unserved;
+    }
+    return shares;
+}
+
+double organisationShare(std::span<const OrganisationUse> uses, std::size_t which)
+{
+    std::vector<double> demands;
+    demands.reserve(uses.size());
+    double given = 0;
+    for (const OrganisationUse& use : uses) {
+        demands.push_back(use.asked);
+        given += use.given;
+    }
+    const double fair = fairShares(demands, given)[which];
+    if (fair <= 0)
+        return uses[which].given > 0 ? 1 : 0;
+    return uses[which].given / fair;
+}
+
+OrganisationUse decayed(OrganisationUse use, double seconds, double halfLifeSeconds)
+{
+    const double factor = std::exp2(-seconds / halfLifeSeconds);
+    return { use.asked * factor, use.given * factor };
+}
+
+}
--- a/src/librattandeck/placement.cpp
+++ b/src/librattandeck/placement.cpp
@@ -1,23 +1,143 @@
 #include "Rattandeck/placement.h"
 
+#include <algorithm>
+
 namespace Rattandeck {
 
+namespace {
+
+    // Stand in for speeds that no report has told yet.
+    constexpr double usualDecodeTokensPerSecond = 50;
+    constexpr double usualPrefillTokensPerSecond = 5000;
+    // A batch at its limit decodes about half as fast as an empty one.
+    constexpr double batchSlowdown = 0.5;
+    // Each recent failure counts as so much waiting.
+    constexpr double suspicionSeconds = 2;
+
+    // SplitMix64: one step gives one well-mixed number.
+    std::uint64_t nextRandom(std::uint64_t& state)
+    {
+        state += 0x9e3779b97f4a7c15U;
+        std::uint64_t mixed = state;
+        mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9U;
+        mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebU;
+        return mixed ^ (mixed >> 31U);
+    }
+
+    double callSeconds(const SidecarView& sidecar, const CallShape& call)
+    {
+        const double reported = sidecar.report.decodeTokensPerSecond;
+        const double speed = reported > 0 ? reported : usualDecodeTokensPerSecond;
+        return static_cast<double>(std::max<std::int64_t>(1, call.expectedOutputTokens.value)) / speed;
+    }
+
+    double waitSeconds(const SidecarView& sidecar, const CallShape& call)
+    {
+        const LoadReport& report = sidecar.report;
+        const double limit = std::max<double>(1, report.limit);
+        const double ahead = report.running + report.waiting + sidecar.placedSinceReport;
+        const double queued = std::max(0.0, ahead + 1 - limit);
+        const double perCall = callSeconds(sidecar, call);
+        const double batch = std::min(1.0, ahead / limit);
+        return perCall * (queued / limit + batchSlowdown * batch) + suspicionSeconds * sidecar.suspicion;
+    }
+
+    double prefillSeconds(const SidecarView& sidecar, const CallShape& call, TokenCount held)
+    {
+        const double reported = sidecar.report.prefillTokensPerSecond;
+        const double speed = reported > 0 ? reported : usualPrefillTokensPerSecond;
+        const std::int64_t missing = std::max<std::int64_t>(0, call.promptTokens.value - held.value);
+        return static_cast<double>(missing) / speed;
+    }
+
+    PlacementCandidate weigh(
+        const SidecarView& sidecar, const CallShape& call, const PlacementSettings& settings, TokenCount held)
+    {
+        PlacementCandidate candidate { sidecar.node };
+        candidate.waitSeconds = waitSeconds(sidecar, call);
+        candidate.prefillSeconds = prefillSeconds(sidecar, call, held);
+        if (sidecar.domain != settings.ownDomain)
+            candidate.transferSeconds = 2 * std::chrono::duration<double>(settings.domainDelay).count();
+        candidate.score = settings.waitWeight * candidate.waitSeconds
+            + settings.missingPrefixWeight * candidate.prefillSeconds
+            + settings.transferWeight * candidate.transferSeconds;
+        return candidate;
+    }
+
+    // Collects the candidates of one decision and the best of them.
+    struct Weighing {
+        std::span<const SidecarView> sidecars;
+        const CallShape& call;
+        const PlacementSettings& settings;
+        std::vector<std::size_t> seen;
+        PlacementDecision decision;
+        double bestScore = 0;
+
+        void add(std::size_t index, TokenCount held)
+        {
+            if (this->sidecars[index].creditsLeft == 0 || std::ranges::find(this->seen, index) != this->seen.end())
+                return;
+            this->seen.push_back(index);
+            PlacementCandidate candidate = weigh(this->sidecars[index], this->call, this->settings, held);
+            if (this->decision.choice.value.empty() || candidate.score < this->bestScore) {
+                this->decision.choice = candidate.sidecar;
+                this->bestScore = candidate.score;
+            }
+            this->decision.candidates.push_back(std::move(candidate));
+        }
+    };
+
+    void addSample(Weighing& weighing, std::uint64_t seed)
+    {
+        const std::size_t count = weighing.sidecars.size();
+        const std::size_t wanted = weighing.seen.size() + weighing.settings.candidateCount;
+        if (count <= wanted) {
+            // The start varies, so that equal scores don't all go to the first.
+            const std::size_t start = nextRandom(seed) % count;
+            for (std::size_t i = 0; i < count; ++i)
+                weighing.add((start + i) % count, TokenCount(0));
+            return;
+        }
+        // Sidecars without credit aren't candidates, so some draws are in vain.
+        constexpr std::size_t drawsPerCandidate = 4;
+        const std::size_t draws = drawsPerCandidate * weighing.settings.candidateCount;
+        for (std::size_t i = 0; i < draws && weighing.seen.size() < wanted; ++i)
+            weighing.add(nextRandom(seed) % count, TokenCount(0));
+        if (!weighing.seen.empty())
+            return;
+        const std::size_t start = nextRandom(seed) % count;
+        for (std::size_t i = 0; i < count && weighing.seen.empty(); ++i)
+            weighing.add((start + i) % count, TokenCount(0));
+    }
+
+}
+
 PlacementDecision choosePlacement(std::span<const SidecarView> sidecars, const CallShape& call,
-    const PlacementSettings& /*settings*/, std::uint64_t /*seed*/)
+    const PlacementSettings& settings, std::uint64_t seed, std::span<const HeldAt> holders)
 {
-    PlacementDecision decision { call.program, call.turn, {}, "least-load", {}, {} };
-    double best = 0;
-    for (const SidecarView& sidecar : sidecars) {
-        if (sidecar.creditsLeft == 0)
-            continue;
-        const double load = sidecar.report.running + sidecar.report.waiting + sidecar.placedSinceReport;
-        decision.candidates.push_back({ sidecar.node, load, 0, 0, load });
-        if (decision.choice.value.empty() || load < best) {
-            decision.choice = sidecar.node;
-            best = load;
-        }
+    Weighing weighing { sidecars, call, settings, {}, {}, 0 };
+    weighing.decision.program = call.program;
+    weighing.decision.turn = call.turn;
+    weighing.decision.policy = "expected-wait";
+    if (sidecars.empty())
+        return weighing.decision;
+    weighing.seen.reserve(holders.size() + settings.candidateCount);
+    weighing.decision.candidates.reserve(holders.size() + settings.candidateCount);
+    for (const HeldAt& holder : holders)
+        weighing.add(holder.index, holder.tokens);
+    addSample(weighing, seed);
+    return std::move(weighing.decision);
+}
+
+PlacementDecision choosePlacement(
+    std::span<const SidecarView> sidecars, const CallShape& call, const PlacementSettings& settings, std::uint64_t seed)
+{
+    std::vector<HeldAt> holders;
+    for (std::size_t i = 0; i < sidecars.size(); ++i) {
+        if (sidecars[i].heldTokens.value > 0)
+            holders.push_back({ static_cast<std::uint32_t>(i), sidecars[i].heldTokens });
     }
-    return decision;
+    return choosePlacement(sidecars, call, settings, seed, holders);
 }
 
 }
--- /dev/null
+++ b/src/rattandeck-bench/runner.cpp
@@ -0,0 +1,184 @@
+#include "runner.h"
+
+#include "Rattandeck/cachepolicy.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace Rattandeck;
+
+namespace RattandeckBench {
+
+namespace {
+
+    // Calls that may wait at a sidecar, over its concurrency limit.
+    constexpr double queueAllowance = 1.0;
+    // An engine that dies under a call is back after this.
+    constexpr double restartSeconds = 15;
+    // Aim at an import rather than a rebuild only for exports that fit the host: see `atPause`.
+    double secondsOf(TimePoint time) { return toSeconds(time.time_since_epoch()); }
+
+    PausedPrefix pausedPrefix(const EngineModel& model, std::int64_t tokens, double pauseSeconds)
+    {
+        PausedPrefix prefix;
+        prefix.tokens = TokenCount(tokens);
+        prefix.expectedPause = fromSeconds(pauseSeconds);
+        prefix.rebuildTime = fromSeconds(static_cast<double>(tokens) / model.prefillTokensPerSecond);
+        prefix.moveTime = fromSeconds(static_cast<double>(tokens) / model.importTokensPerSecond);
+        return prefix;
+    }
+
+    EvictionRule evictionRule(const EngineModel& model, const TrialPolicy& policy)
+    {
+        if (!policy.evictByValue)
+            return [](const IdlePrefix& prefix, double /*now*/) { return prefix.idleSince; };
+        return [&model](const IdlePrefix& prefix, double now) {
+            // A pause that lasts longer than expected is likely to last as long again.
+            const double idle = now - prefix.idleSince;
+            const double left = std::max(prefix.expectedPauseSeconds - idle, idle);
+            return evictionValue(pausedPrefix(model, prefix.tokens, left));
+        };
+    }
+
+}
+
+Runner::Runner(const EngineModel& engineModel, const TrialPolicy& trialPolicy, TimerService& timerService,
+    RunnerEvents runnerEvents)
+    : model(engineModel)
+    , policy(trialPolicy)
+    , timers(timerService)
+    , events(std::move(runnerEvents))
+    , engineState(engineModel, timerService, evictionRule(engineModel, trialPolicy),
+          [this](const EngineFinish& finish) { this->onFinished(finish); })
+{
+    this->concurrency.maximum = this->model.maxCalls;
+    this->concurrency.limit = this->model.maxCalls;
+}
+
+void Runner::arrive(RunnerCall call)
+{
+    if (!this->alive)
+        return;
+    call.arrivedAt = secondsOf(this->timers.now());
+    this->accounted[call.entry] = std::max(this->accounted[call.entry], call.id);
+    // The prefix is wanted now.
+    this->engineState.setPause(call.program, 0);
+    this->queue.push_back(call);
+    this->pump();
+}
+
+std::size_t Runner::nextInQueue() const
+{
+    if (!this->policy.programOrder)
+        return 0;
+    const double now = secondsOf(this->timers.now());
+    std::vector<QueuedCall> waiting;
+    waiting.reserve(this->queue.size());
+    for (const RunnerCall& call : this->queue) {
+        const Duration waited = fromSeconds(now - call.arrivedAt);
+        waiting.push_back({ call.priority, waited, {}, TokenCount(call.promptTokens + call.outputTokens) });
+    }
+    return *nextCall(waiting, {});
+}
+
+void Runner::pump()
+{
+    // A call that ends within `start` comes back here.
+    if (this->pumping || !this->alive)
+        return;
+    this->pumping = true;
+    while (!this->queue.empty() && this->engineState.running() < std::floor(this->concurrency.limit)) {
+        const std::size_t index = this->nextInQueue();
+        const RunnerCall call = this->queue[index];
+        if (call.crashesEngine) {
+            this->pumping = false;
+            this->crash();
+            this->timers.subscribeAfter(fromSeconds(restartSeconds), [this] { this->restart(); });
+            this->events.crashed();
+            return;
+        }
+        if (!this->engineState.start({ call.id, call.program, call.promptTokens, call.outputTokens }))
+            break;
+        this->running.emplace(call.id, call);
+        this->queue.erase(this->queue.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    this->pumping = false;
+}
+
+void Runner::onFinished(const EngineFinish& finish)
+{
+    const auto found = this->running.find(finish.id);
+    const RunnerCall call = found->second;
+    this->running.erase(found);
+    const auto together = static_cast<std::uint32_t>(this->running.size() + 1);
+    ConcurrencyLimit after = afterCall(this->concurrency, finish.secondsPerToken, together);
+    if (!this->policy.adaptiveLimit)
+        after.limit = this->concurrency.limit;
+    this->concurrency = after;
+    this->events.finished(call, finish);
+    this->pump();
+}
+
+void Runner::cancel(std::uint64_t id)
+{
+    std::erase_if(this->queue, [id](const RunnerCall& call) { return call.id == id; });
+    if (this->running.erase(id) == 0)
+        return;
+    this->engineState.cancel(id);
+    this->pump();
+}
+
+void Runner::crash()
+{
+    this->alive = false;
+    this->queue.clear();
+    this->running.clear();
+    this->engineState.crash();
+}
+
+void Runner::pause(std::uint32_t program, double expectedSeconds)
+{
+    this->engineState.setPause(program, expectedSeconds);
+    if (!this->policy.actAtPause)
+        return;
+    const std::int64_t tokens = this->engineState.heldTokens(program);
+    std::int64_t wanted = 0;
+    for (const RunnerCall& call : this->queue)
+        wanted += call.promptTokens + call.outputTokens;
+    const CachePressure pressure { TokenCount(this->model.memoryTokens), TokenCount(this->engineState.usedTokens()),
+        TokenCount(wanted) };
+    const PrefixAction action = atPause(pausedPrefix(this->model, tokens, expectedSeconds), pressure);
+    if (action == PrefixAction::Export)
+        this->engineState.exportPrefix(program);
+    if (action == PrefixAction::Drop)
+        this->engineState.drop(program);
+}
+
+std::uint32_t Runner::inSystem() const
+{
+    return static_cast<std::uint32_t>(this->engineState.running() + this->queue.size());
+}
+
+LoadReport Runner::report(std::uint32_t entry)
+{
+    LoadReport report;
+    report.sequence = ++this->reports;
+    report.running = static_cast<std::uint32_t>(this->engineState.running());
+    report.waiting = static_cast<std::uint32_t>(this->queue.size());
+    report.limit = static_cast<std::uint32_t>(this->concurrency.limit);
+    std::int64_t waiting = 0;
+    for (const RunnerCall& call : this->queue)
+        waiting += call.promptTokens + call.outputTokens;
+    report.waitingTokens = TokenCount(waiting);
+    const double perToken = this->concurrency.currentSeconds;
+    report.decodeTokensPerSecond = perToken > 0 ? 1 / perToken : 0;
+    report.prefillTokensPerSecond = this->model.prefillTokensPerSecond;
+    report.cacheCapacity = TokenCount(this->model.memoryTokens);
+    report.cacheUsed = TokenCount(this->engineState.usedTokens());
+    report.accountedOrder = OrderId(this->accounted[entry]);
+    const double room = this->concurrency.limit * (1 + queueAllowance) - this->inSystem();
+    report.credits.count = static_cast<std::uint32_t>(std::max(0.0, room) / entryCount);
+    return report;
+}
+
+}
--- /dev/null
+++ b/src/rattandeck-bench/runner.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "engine.h"
+#include "Rattandeck/limits.h"
+#include "Rattandeck/messages.h"
+#include "trial.h"
+
+#include <array>
+
+namespace RattandeckBench {
+
+/// A call as a runner gets it.
+struct RunnerCall {
+    /// Also the order id.
+    std::uint64_t id = 0;
+    std::uint32_t program = 0;
+    std::uint32_t entry = 0;
+    std::int64_t promptTokens = 0;
+    std::int64_t outputTokens = 0;
+    double priority = 0;
+    double arrivedAt = 0;
+    bool crashesEngine = false;
+};
+
+struct RunnerEvents {
+    std::function<void(const RunnerCall&, const EngineFinish&)> finished;
+    std::function<void()> crashed;
+};
+
+/// An engine with the decisions of its sidecar: queue, order, limit, eviction, credits.
+class Runner {
+public:
+    Runner(const EngineModel& model, const TrialPolicy& policy, Rattandeck::TimerService& timers, RunnerEvents events);
+
+    void arrive(RunnerCall call);
+    void cancel(std::uint64_t id);
+    /// Loses everything; arrivals are ignored until `restart`.
+    void crash();
+    void restart() { this->alive = true; }
+    bool isAlive() const { return this->alive; }
+    /// The program pauses; acts on its prefix as the policy says.
+    void pause(std::uint32_t program, double expectedSeconds);
+
+    Rattandeck::LoadReport report(std::uint32_t entry);
+    /// Calls running and waiting.
+    std::uint32_t inSystem() const;
+    double limit() const { return this->concurrency.limit; }
+    Engine& engine() { return this->engineState; }
+
+private:
+    void pump();
+    std::size_t nextInQueue() const;
+    void onFinished(const EngineFinish& finish);
+
+    const EngineModel& model;
+    const TrialPolicy& policy;
+    Rattandeck::TimerService& timers;
+    RunnerEvents events;
+    Engine engineState;
+    Rattandeck::ConcurrencyLimit concurrency;
+    std::vector<RunnerCall> queue;
+    std::unordered_map<std::uint64_t, RunnerCall> running;
+    std::array<std::uint64_t, entryCount> accounted {};
+    std::uint64_t reports = 0;
+    bool alive = true;
+    bool pumping = false;
+};
+
+}
--- /dev/null
+++ b/src/rattandeck-bench/simulation.cpp
@@ -0,0 +1,294 @@
+#include "simulation.h"
+
+#include <algorithm>
+#include <cmath>
+
+using namespace Rattandeck;
+
+namespace RattandeckBench {
+
+namespace {
+
+    constexpr double sameDomainSeconds = 0.0005;
+    constexpr double crossDomainSeconds = 0.004;
+    constexpr double jitterSeconds = 0.001;
+    constexpr double lossShare = 0.005;
+    constexpr double retransmitSeconds = 0.2;
+    /// A lost link is noticed after this.
+    constexpr double linkDownSeconds = 1.0;
+
+    constexpr double faultAt = 120;
+    constexpr double deathSeconds = 60;
+    constexpr double cutSeconds = 30;
+    constexpr double slowness = 3;
+    constexpr std::size_t crashingPrograms = 3;
+
+    double quantile(const std::vector<double>& sorted, double share)
+    {
+        if (sorted.empty())
+            return 0;
+        const auto rank = static_cast<std::size_t>(std::ceil(share * static_cast<double>(sorted.size())));
+        return sorted[std::max<std::size_t>(rank, 1) - 1];
+    }
+
+}
+
+Simulation::Simulation(const TrialSpec& trialSpec)
+    : spec(trialSpec)
+    , random(trialSpec.seed * 7919 + 13)
+    , plans(makePrograms(trialSpec.shape, trialSpec.programsPerSecond, trialSpec.seconds, trialSpec.seed))
+{
+    this->services[1].model = plainServiceModel();
+    this->addService(this->services[0], 0, this->spec.shape.runners);
+    this->addService(this->services[1], 1, this->spec.shape.plainInstances);
+    this->addEntries();
+
+    this->programs.resize(this->plans.size());
+    for (std::uint32_t i = 0; i < this->plans.size(); ++i) {
+        Program& program = this->programs[i];
+        program.plan = &this->plans[i];
+        program.root = i;
+        std::normal_distribution<double> blur(0, this->spec.policy.aimBlur + 1e-9);
+        program.aimSeen = program.plan->aimSeconds * std::exp(blur(this->random));
+    }
+    for (std::uint32_t i = 0; i < this->plans.size(); ++i) {
+        for (const Turn& turn : this->plans[i].turns) {
+            for (const std::uint32_t child : turn.subAgents) {
+                this->programs[child].root = i;
+                this->programs[child].parent = i;
+            }
+        }
+    }
+}
+
+void Simulation::addService(Service& service, std::size_t index, std::uint32_t count)
+{
+    service.lastReported.resize(count);
+    for (std::uint32_t i = 0; i < count; ++i) {
+        service.domains.push_back(this->spec.shape.domains[i % this->spec.shape.domains.size()]);
+        RunnerEvents events;
+        events.finished = [this, index, i](const RunnerCall& call, const EngineFinish& finish) {
+            const double seconds = this->delay(call.entry, index, i);
+            this->after(seconds, [this, id = call.id, finish] { this->callDone(id, finish.cachedTokens); });
+        };
+        events.crashed = [this, index, i] { this->runnerCrashed(index, i); };
+        service.runners.push_back(std::make_unique<Runner>(service.model, this->spec.policy, this->timers, events));
+    }
+}
+
+void Simulation::addEntries()
+{
+    for (std::uint32_t i = 0; i < entryCount; ++i) {
+        Entry entry;
+        entry.domain = this->spec.shape.domains[i % this->spec.shape.domains.size()];
+        entry.organisations.resize(this->spec.shape.organisations);
+        for (std::size_t s = 0; s < this->services.size(); ++s) {
+            const Service& service = this->services[s];
+            ServiceView& view = entry.services[s];
+            view.sidecars.resize(service.runners.size());
+            view.unaccounted.resize(service.runners.size());
+            view.accounted.resize(service.runners.size());
+            view.linkUp.assign(service.runners.size(), true);
+            for (std::size_t r = 0; r < service.runners.size(); ++r) {
+                view.sidecars[r].node = NodeId(std::to_string(r));
+                view.sidecars[r].domain = FailureDomain(service.domains[r]);
+            }
+        }
+        this->entries.push_back(std::move(entry));
+    }
+}
+
+double Simulation::now() const { return toSeconds(this->timers.now().time_since_epoch()); }
+
+void Simulation::after(double seconds, std::function<void()> action)
+{
+    this->timers.subscribeAfter(fromSeconds(seconds), std::move(action));
+}
+
+double Simulation::delay(std::uint32_t entry, std::size_t service, std::uint32_t runner)
+{
+    const std::string& from = this->entries[entry].domain;
+    const std::string& to = this->services[service].domains[runner];
+    if (from == to)
+        return sameDomainSeconds;
+    double seconds = crossDomainSeconds - jitterSeconds * std::log(1 - this->uniform());
+    if (this->uniform() < lossShare)
+        seconds += retransmitSeconds;
+    // Messages wait out a cut, as TCP does.
+    if (this->now() < this->cutEnds && (from == this->cutDomain || to == this->cutDomain))
+        seconds += this->cutEnds - this->now();
+    return seconds;
+}
+
+// Faults -------------------------------------------------------------------------------------------------------------
+
+void Simulation::setLinks(const std::function<bool(std::uint32_t, std::uint32_t, std::size_t)>& up)
+{
+    for (std::uint32_t e = 0; e < entryCount; ++e) {
+        for (std::size_t s = 0; s < this->services.size(); ++s) {
+            for (std::uint32_t r = 0; r < this->services[s].runners.size(); ++r)
+                this->onLink(e, s, r, up(e, r, s));
+        }
+    }
+}
+
+void Simulation::planFaults()
+{
+    const auto allUp = [](std::uint32_t, std::uint32_t, std::size_t) { return true; };
+    if (this->spec.fault == Fault::RunnerDies) {
+        this->after(faultAt, [this] { this->services[0].runners[0]->crash(); });
+        this->after(faultAt + linkDownSeconds,
+            [this] { this->setLinks([](std::uint32_t, std::uint32_t r, std::size_t s) { return s != 0 || r != 0; }); });
+        this->after(faultAt + deathSeconds, [this, allUp] {
+            this->services[0].runners[0]->restart();
+            this->setLinks(allUp);
+        });
+    }
+    if (this->spec.fault == Fault::SlowRunner)
+        this->after(faultAt, [this] { this->services[0].runners[0]->engine().setSlowness(slowness); });
+    if (this->spec.fault == Fault::CutDomain) {
+        this->after(faultAt, [this] {
+            this->cutDomain = this->spec.shape.domains[1];
+            this->cutEnds = faultAt + cutSeconds;
+        });
+        this->after(faultAt + linkDownSeconds, [this] {
+            this->setLinks([this](std::uint32_t e, std::uint32_t r, std::size_t s) {
+                const bool entryInside = this->entries[e].domain == this->cutDomain;
+                return entryInside == (this->services[s].domains[r] == this->cutDomain);
+            });
+        });
+        this->after(faultAt + cutSeconds, [this, allUp] { this->setLinks(allUp); });
+    }
+    if (this->spec.fault != Fault::CrashingRequest)
+        return;
+    std::size_t marked = 0;
+    for (ProgramPlan& plan : this->plans) {
+        if (plan.isSubAgent || plan.arrivalSeconds < faultAt || plan.turns.size() < 2 || marked == crashingPrograms)
+            continue;
+        plan.crashesEngine = true;
+        ++marked;
+    }
+}
+
+// Run and measure ----------------------------------------------------------------------------------------------------
+
+TrialResult Simulation::run()
+{
+    this->planFaults();
+    this->startReports();
+    for (std::uint32_t i = 0; i < this->plans.size(); ++i) {
+        if (!this->plans[i].isSubAgent)
+            this->after(this->plans[i].arrivalSeconds, [this, i] { this->arrive(i); });
+    }
+    // Reports go on for ever; the programs end.
+    constexpr double stepSeconds = 10;
+    const auto isOver = [](const Program& program) {
+        return program.plan->isSubAgent
+            || (program.state != ProgramState::Waiting && program.state != ProgramState::Open);
+    };
+    for (double until = stepSeconds; until < this->spec.seconds || !std::ranges::all_of(this->programs, isOver);
+         until += stepSeconds)
+        this->timers.advanceTo(TimePoint(fromSeconds(until)));
+    return this->measure();
+}
+
+TrialResult Simulation::measure()
+{
+    std::vector<double> latencies;
+    double overBoundSum = 0;
+    double within = 0;
+    std::vector<double> offered(this->spec.shape.organisations);
+    std::vector<double> served(this->spec.shape.organisations);
+    std::vector<std::uint32_t> counts(this->spec.shape.organisations);
+    for (const Program& program : this->programs) {
+        const ProgramPlan& plan = *program.plan;
+        if (plan.isSubAgent || plan.arrivalSeconds < this->spec.warmUpSeconds || plan.crashesEngine)
+            continue;
+        ++this->result.programs;
+        offered[plan.organisation] += plan.workSeconds;
+        ++counts[plan.organisation];
+        if (program.state == ProgramState::Refused) {
+            ++this->result.refused;
+            continue;
+        }
+        // An abandoned program counts with the time after which its caller left.
+        const double latency = program.endedAt - plan.arrivalSeconds;
+        latencies.push_back(latency);
+        overBoundSum += latency / plan.boundSeconds;
+        if (program.state == ProgramState::Abandoned) {
+            ++this->result.abandoned;
+            continue;
+        }
+        ++this->result.completed;
+        served[plan.organisation] += plan.workSeconds;
+        if (latency <= plan.aimSeconds)
+            within += 1;
+    }
+    std::sort(latencies.begin(), latencies.end());
+    this->result.p50 = quantile(latencies, 0.50);
+    this->result.p95 = quantile(latencies, 0.95);
+    this->result.p99 = quantile(latencies, 0.99);
+    this->result.overBound = latencies.empty() ? 0 : overBoundSum / static_cast<double>(latencies.size());
+    this->result.withinAim = within / std::max<double>(1, static_cast<double>(this->result.programs));
+    this->result.goodputPerSecond = within / (this->spec.seconds - this->spec.warmUpSeconds);
+
+    double servedSum = 0;
+    for (const double work : served)
+        servedSum += work;
+    const std::vector<double> fair = fairShares(offered, servedSum);
+    this->result.leastFairShare = 1e9;
+    // A handful of programs says nothing about a share.
+    constexpr std::uint32_t fewestPrograms = 20;
+    for (std::size_t i = 0; i < fair.size(); ++i) {
+        if (counts[i] >= fewestPrograms && fair[i] > 0)
+            this->result.leastFairShare = std::min(this->result.leastFairShare, served[i] / fair[i]);
+    }
+    for (const auto& runner : this->services[0].runners) {
+        runner->engine().finishCounting();
+        this->result.unusedTokenSeconds += runner->engine().counters().unusedTokenSeconds;
+        this->result.imports += runner->engine().counters().imports;
+    }
+    const EngineModel& model = this->services[0].model;
+    this->result.wastedEngineSeconds = this->result.refilledTokens / model.prefillTokensPerSecond
+        + this->result.unusedTokenSeconds / static_cast<double>(model.memoryTokens);
+    return this->result;
+}
+
+TrialResult runTrial(const TrialSpec& spec) { return Simulation(spec).run(); }
+
+std::string toString(Fault fault)
+{
+    switch (fault) {
+    case Fault::None:
+        return "none";
+    case Fault::RunnerDies:
+        return "runner-dies";
+    case Fault::SlowRunner:
+        return "slow-runner";
+    case Fault::CutDomain:
+        return "cut-domain";
+    case Fault::LaggingReports:
+        return "lagging-reports";
+    case Fault::CrashingRequest:
+        return "crashing-request";
+    }
+    return "";
+}
+
+TrialPolicy baseline(const std::string& name, PlacementRule placement)
+{
+    TrialPolicy policy;
+    policy.name = name;
+    policy.placement = placement;
+    policy.programOrder = false;
+    policy.adaptiveLimit = false;
+    policy.evictByValue = false;
+    policy.actAtPause = false;
+    policy.releaseAtEnd = false;
+    policy.earlyRefusal = false;
+    policy.fairness = false;
+    policy.quarantine = false;
+    return policy;
+}
+
+}
