Weigh the harm of a prefill to the batch; refuse openings early

Cause: calls without credit at their runner moved on and had their prefixes built again, which fed the overload; at 3x load openings were let in until engines thrashed. Change: a missing prefix costs its prefill times one plus the calls that it holds up; grants allow for the sidecar's queue; openings are refused by the load of the fleet and by the memory that open programs take, later for organisations below their fair share; the sidecar's limit follows service time and the engine's room.

--- a/src/include/Rattandeck/admission.h
+++ b/src/include/Rattandeck/admission.h
@@ -7,17 +7,22 @@
 /// Early refusal of new programs: a pure function. Programs that were let in are carried on; only openings are refused.
 namespace Rattandeck {
 
+/// Pressures up to which every opening is let in (`open`), and from which on even an organisation that has had nothing
+/// is refused (`closed`).
 struct AdmissionSettings {
-    /// Calls in the fleet, over its concurrency limit, up to which everyone is let in.
-    double openPressure = 1.0;
-    /// From here on even an organisation that has had nothing is refused.
-    double closedPressure = 1.6;
+    double openLoad = 0.7;
+    double closedLoad = 1.0;
+    double openCache = 0.8;
+    double closedCache = 0.95;
 };
 
 /// What an entry knows when a program asks to be opened.
 struct AdmissionView {
     /// Calls running, waiting and placed at the service's sidecars, over the sum of their concurrency limits.
-    double pressure = 0;
+    double loadPressure = 0;
+    /// Memory that running calls and held prefixes take at the service's engines, over what they have. Programs that
+    /// were let in still grow.
+    double cachePressure = 0;
     /// Use of the organisation over its fair share: see `organisationShare`.
     double organisationShare = 1;
     /// Time until a waiting call is served, as things stand.
--- a/src/include/Rattandeck/limits.h
+++ b/src/include/Rattandeck/limits.h
@@ -16,9 +16,17 @@
     double currentSeconds = 0;
 };
 
+/// Share of the limit from which on it binds, and may grow.
+constexpr double bindingShare = 0.8;
+/// A call may take this multiple of the base time before the limit falls.
+constexpr double serviceTimeTolerance = 5;
+
 /// The limit after one more call took `seconds` (per token, or per call) while `running` calls ran.
 ConcurrencyLimit afterCall(ConcurrencyLimit limit, double seconds, std::uint32_t running);
 
+/// The limit after the endpoint had no room for a call beside `running` others, for want of memory or batch slots.
+ConcurrencyLimit afterNoRoom(ConcurrencyLimit limit, std::uint32_t running);
+
 /// Allows repeats as a share of first attempts, so that a fault can't feed an overload.
 struct RetryBudget {
     double ratio = 0.1;
--- a/src/librattandeck/admission.cpp
+++ b/src/librattandeck/admission.cpp
@@ -3,6 +3,7 @@
 #include "Rattandeck/limits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Rattandeck {
 
@@ -10,9 +11,10 @@
     const AdmissionView& view, const AdmissionSettings& settings, std::uint64_t seed)
 {
     // Those below their share are refused last, those above it first.
-    const double room = settings.closedPressure - settings.openPressure;
-    const double limit = settings.openPressure + room * std::clamp(2 * (1 - view.organisationShare), 0.0, 1.0);
-    if (view.pressure < limit)
+    const double lenience = std::clamp(2 * (1 - view.organisationShare), 0.0, 1.0);
+    const double loadLimit = std::lerp(settings.openLoad, settings.closedLoad, lenience);
+    const double cacheLimit = std::lerp(settings.openCache, settings.closedCache, lenience);
+    if (view.loadPressure < loadLimit && view.cachePressure < cacheLimit)
         return std::nullopt;
     return retryAfter(view.expectedWaitSeconds, seed);
 }
--- a/src/librattandeck/limits.cpp
+++ b/src/librattandeck/limits.cpp
@@ -4,7 +4,40 @@
 
 namespace Rattandeck {
 
-ConcurrencyLimit afterCall(ConcurrencyLimit limit, double /*seconds*/, std::uint32_t /*running*/) { return limit; }
+namespace {
+
+    // Weight of one call in the smoothed service time, and in the slow rise of the base.
+    constexpr double currentGain = 0.1;
+    constexpr double baseGain = 0.001;
+    // Change of the limit per call.
+    constexpr double growth = 0.5;
+    constexpr double shrinkage = 0.02;
+
+}
+
+ConcurrencyLimit afterCall(ConcurrencyLimit limit, double seconds, std::uint32_t running)
+{
+    if (limit.baseSeconds <= 0) {
+        limit.baseSeconds = seconds;
+        limit.currentSeconds = seconds;
+    }
+    // The base rises slowly, so that a lasting change of the endpoint becomes the new normal.
+    limit.baseSeconds = std::min(seconds, limit.baseSeconds + baseGain * (seconds - limit.baseSeconds));
+    limit.currentSeconds += currentGain * (seconds - limit.currentSeconds);
+
+    if (limit.currentSeconds > serviceTimeTolerance * limit.baseSeconds)
+        limit.limit *= 1 - shrinkage;
+    else if (running >= bindingShare * limit.limit)
+        limit.limit += growth;
+    limit.limit = std::clamp(limit.limit, limit.minimum, limit.maximum);
+    return limit;
+}
+
+ConcurrencyLimit afterNoRoom(ConcurrencyLimit limit, std::uint32_t running)
+{
+    limit.limit = std::clamp(static_cast<double>(running), limit.minimum, limit.maximum);
+    return limit;
+}
 
 void noteFirstAttempt(RetryBudget& budget) { budget.tokens = std::min(budget.ceiling, budget.tokens + budget.ratio); }
 
--- a/src/librattandeck/placement.cpp
+++ b/src/librattandeck/placement.cpp
@@ -9,10 +9,12 @@
     // Stand in for speeds that no report has told yet.
     constexpr double usualDecodeTokensPerSecond = 50;
     constexpr double usualPrefillTokensPerSecond = 5000;
-    // A batch at its limit decodes about half as fast as an empty one.
-    constexpr double batchSlowdown = 0.5;
+    // Each call in a batch slows the others down by this share.
+    constexpr double callSlowdown = 0.03;
     // Each recent failure counts as so much waiting.
     constexpr double suspicionSeconds = 2;
+    // A prefill holds up each call of the batch for this share of its time.
+    constexpr double prefillHarm = 1;
 
     // SplitMix64: one step gives one well-mixed number.
     std::uint64_t nextRandom(std::uint64_t& state)
@@ -38,8 +40,8 @@
         const double ahead = report.running + report.waiting + sidecar.placedSinceReport;
         const double queued = std::max(0.0, ahead + 1 - limit);
         const double perCall = callSeconds(sidecar, call);
-        const double batch = std::min(1.0, ahead / limit);
-        return perCall * (queued / limit + batchSlowdown * batch) + suspicionSeconds * sidecar.suspicion;
+        const double together = std::min(ahead, limit);
+        return perCall * (queued / limit + callSlowdown * together) + suspicionSeconds * sidecar.suspicion;
     }
 
     double prefillSeconds(const SidecarView& sidecar, const CallShape& call, TokenCount held)
@@ -59,7 +61,7 @@
         if (sidecar.domain != settings.ownDomain)
             candidate.transferSeconds = 2 * std::chrono::duration<double>(settings.domainDelay).count();
         candidate.score = settings.waitWeight * candidate.waitSeconds
-            + settings.missingPrefixWeight * candidate.prefillSeconds
+            + settings.missingPrefixWeight * candidate.prefillSeconds * (1 + prefillHarm * sidecar.report.running)
             + settings.transferWeight * candidate.transferSeconds;
         return candidate;
     }
--- a/src/rattandeck-bench/entries.cpp
+++ b/src/rattandeck-bench/entries.cpp
@@ -179,7 +179,7 @@
 
 // Reports ------------------------------------------------------------------------------------------------------------
 
-double Simulation::pressure(const ServiceView& view) const
+double Simulation::loadPressure(const ServiceView& view)
 {
     double load = 0;
     double limit = 0;
@@ -192,6 +192,19 @@
     return load / std::max(1.0, limit);
 }
 
+double Simulation::cachePressure(const ServiceView& view)
+{
+    double used = 0;
+    double capacity = 0;
+    for (std::size_t r = 0; r < view.sidecars.size(); ++r) {
+        if (!view.linkUp[r])
+            continue;
+        used += static_cast<double>(view.sidecars[r].report.cacheUsed.value);
+        capacity += static_cast<double>(view.sidecars[r].report.cacheCapacity.value);
+    }
+    return used / std::max(1.0, capacity);
+}
+
 void Simulation::startReports()
 {
     const bool lagging = this->spec.fault == Fault::LaggingReports;
--- a/src/rattandeck-bench/programs.cpp
+++ b/src/rattandeck-bench/programs.cpp
@@ -38,9 +38,10 @@
         entry.organisations[organisation].asked += 1;
 
     AdmissionView view;
-    view.pressure = this->pressure(entry.services[0]);
+    view.loadPressure = Simulation::loadPressure(entry.services[0]);
+    view.cachePressure = Simulation::cachePressure(entry.services[0]);
     view.organisationShare = this->spec.policy.fairness ? organisationShare(entry.organisations, organisation) : 1;
-    view.expectedWaitSeconds = 5 * view.pressure;
+    view.expectedWaitSeconds = 5 * view.loadPressure;
     auto refused = this->spec.policy.earlyRefusal ? refuseOpening(view, {}, this->random()) : std::nullopt;
     if (!refused)
         entry.organisations[organisation].given += 1;
--- a/src/rattandeck-bench/rattandeck-bench.cpp
+++ b/src/rattandeck-bench/rattandeck-bench.cpp
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <iostream>
 
 using namespace RattandeckBench;
@@ -28,6 +29,67 @@
     return policy;
 }
 
+/// The whole policy without one of its parts each.
+std::vector<TrialPolicy> ablations()
+{
+    std::vector<TrialPolicy> policies;
+    const auto without = [&policies](const std::string& part, const std::function<void(TrialPolicy&)>& takeOut) {
+        TrialPolicy policy = wholePolicy();
+        policy.name = "no-" + part;
+        takeOut(policy);
+        policies.push_back(policy);
+    };
+    without("program-order", [](TrialPolicy& p) { p.programOrder = false; });
+    without("adaptive-limit", [](TrialPolicy& p) { p.adaptiveLimit = false; });
+    without("value-eviction", [](TrialPolicy& p) { p.evictByValue = false; });
+    without("pause-action", [](TrialPolicy& p) { p.actAtPause = false; });
+    without("release", [](TrialPolicy& p) { p.releaseAtEnd = false; });
+    without("early-refusal", [](TrialPolicy& p) { p.earlyRefusal = false; });
+    without("fairness", [](TrialPolicy& p) { p.fairness = false; });
+    without("quarantine", [](TrialPolicy& p) { p.quarantine = false; });
+    without("own-correction", [](TrialPolicy& p) { p.ownCorrection = false; });
+    without("wait-term", [](TrialPolicy& p) { p.waitWeight = 0; });
+    without("prefix-term", [](TrialPolicy& p) { p.missingPrefixFactor = 0; });
+    without("transfer-term", [](TrialPolicy& p) { p.transferWeight = 0; });
+    without("exact-aim", [](TrialPolicy& p) { p.aimBlur = 0.5; });
+    return policies;
+}
+
+std::vector<Cell> plannedCells(const std::string& only)
+{
+    std::vector<TrialPolicy> policies = baselines();
+    policies.push_back(wholePolicy());
+    std::vector<Cell> cells;
+    for (const WorkloadShape& shape : { vadodara(), mizani() }) {
+        const double full = fullLoadShare * measureCapacity(shape, capacitySeed);
+        std::cout << shape.name << ": full load is " << full << " programs/s\n";
+        const auto add = [&](const TrialPolicy& policy, double load, Fault fault) {
+            cells.push_back({ { shape, policy, fault, load, full * load }, {} });
+        };
+        if (only.empty() || only == "loads") {
+            for (const double load : { 0.4, 1.0, 1.5, 3.0 }) {
+                for (const TrialPolicy& policy : policies)
+                    add(policy, load, Fault::None);
+            }
+        }
+        if (only.empty() || only == "faults") {
+            for (const Fault fault : { Fault::RunnerDies, Fault::SlowRunner, Fault::CutDomain, Fault::LaggingReports,
+                     Fault::CrashingRequest }) {
+                for (const TrialPolicy& policy : policies)
+                    add(policy, 1, fault);
+            }
+        }
+        if (only.empty() || only == "ablations") {
+            for (const double load : { 0.4, 1.0, 3.0 }) {
+                add(wholePolicy(), load, Fault::None);
+                for (const TrialPolicy& policy : ablations())
+                    add(policy, load, Fault::None);
+            }
+        }
+    }
+    return cells;
+}
+
 }
 
 int main(int argc, char** argv)
@@ -35,10 +97,12 @@
     std::string output = "build/bench";
     unsigned threads = 4;
     unsigned seedCount = 3;
+    std::string only;
     Options::options_description described("Options");
-    described.add_options()("help", "print this")("output", Options::value(&output),
-        "folder for the CSV and the table")("threads", Options::value(&threads), "runs at once")(
-        "seeds", Options::value(&seedCount), "seeds per cell")("quick", "few short runs");
+    described.add_options()("help", "print this")(
+        "output", Options::value(&output), "folder for the CSV and the table")(
+        "threads", Options::value(&threads), "runs at once")("seeds", Options::value(&seedCount), "seeds per cell")(
+        "quick", "few short runs")("only", Options::value(&only), "kind of runs: loads, ablations or faults");
     Options::variables_map given;
     Options::store(Options::parse_command_line(argc, argv, described), given);
     Options::notify(given);
@@ -50,19 +114,7 @@
     std::vector<std::uint64_t> seeds;
     for (unsigned i = 1; i <= seedCount; ++i)
         seeds.push_back(i);
-    std::vector<TrialPolicy> policies = baselines();
-    policies.push_back(wholePolicy());
-    std::vector<Cell> cells;
-    for (const WorkloadShape& shape : { vadodara(), mizani() }) {
-        const double full = fullLoadShare * measureCapacity(shape, capacitySeed);
-        std::cout << shape.name << ": full load is " << full << " programs/s\n";
-        for (const double load : { 0.4, 1.0, 1.5, 3.0 }) {
-            for (const TrialPolicy& policy : policies) {
-                TrialSpec spec { shape, policy, Fault::None, load, full * load };
-                cells.push_back({ spec, {} });
-            }
-        }
-    }
+    std::vector<Cell> cells = plannedCells(only);
     runCells(cells, seeds, threads);
     std::filesystem::create_directories(output);
     std::ofstream csv(output + "/results.csv");
--- a/src/rattandeck-bench/runner.cpp
+++ b/src/rattandeck-bench/runner.cpp
@@ -3,7 +3,6 @@
 #include "Rattandeck/cachepolicy.h"
 
 #include <algorithm>
-#include <cmath>
 
 using namespace Rattandeck;
 
@@ -11,8 +10,8 @@
 
 namespace {
 
-    // Calls that may wait at a sidecar, over its concurrency limit.
-    constexpr double queueAllowance = 1.0;
+    // Calls that may wait at a sidecar: see `SidecarSettings::queueLimit`.
+    constexpr double queueLimit = 64;
     // An engine that dies under a call is back after this.
     constexpr double restartSeconds = 15;
     // Aim at an import rather than a rebuild only for exports that fit the host: see `atPause`.
@@ -51,8 +50,8 @@
     , engineState(engineModel, timerService, evictionRule(engineModel, trialPolicy),
           [this](const EngineFinish& finish) { this->onFinished(finish); })
 {
-    this->concurrency.maximum = this->model.maxCalls;
-    this->concurrency.limit = this->model.maxCalls;
+    if (!this->policy.adaptiveLimit)
+        this->concurrency.limit = this->model.maxCalls;
 }
 
 void Runner::arrive(RunnerCall call)
@@ -87,7 +86,8 @@
     if (this->pumping || !this->alive)
         return;
     this->pumping = true;
-    while (!this->queue.empty() && this->engineState.running() < std::floor(this->concurrency.limit)) {
+    const auto room = [this] { return static_cast<double>(this->engineState.running()) < this->concurrency.limit; };
+    while (!this->queue.empty() && room()) {
         const std::size_t index = this->nextInQueue();
         const RunnerCall call = this->queue[index];
         if (call.crashesEngine) {
@@ -97,8 +97,12 @@
             this->events.crashed();
             return;
         }
-        if (!this->engineState.start({ call.id, call.program, call.promptTokens, call.outputTokens }))
+        if (!this->engineState.start({ call.id, call.program, call.promptTokens, call.outputTokens })) {
+            if (this->policy.adaptiveLimit)
+                this->concurrency
+                    = afterNoRoom(this->concurrency, static_cast<std::uint32_t>(this->engineState.running()));
             break;
+        }
         this->running.emplace(call.id, call);
         this->queue.erase(this->queue.begin() + static_cast<std::ptrdiff_t>(index));
     }
@@ -176,7 +180,7 @@
     report.cacheCapacity = TokenCount(this->model.memoryTokens);
     report.cacheUsed = TokenCount(this->engineState.usedTokens());
     report.accountedOrder = OrderId(this->accounted[entry]);
-    const double room = this->concurrency.limit * (1 + queueAllowance) - this->inSystem();
+    const double room = this->concurrency.limit + queueLimit - this->inSystem();
     report.credits.count = static_cast<std::uint32_t>(std::max(0.0, room) / entryCount);
     return report;
 }
--- a/src/rattandeck-bench/simulation.h
+++ b/src/rattandeck-bench/simulation.h
@@ -114,7 +114,8 @@
     std::uint32_t chooseByBaseline(const Call& call);
     void send(Call& call, std::uint32_t runner);
     double priorityOf(const Program& program) const;
-    double pressure(const ServiceView& view) const;
+    static double loadPressure(const ServiceView& view);
+    static double cachePressure(const ServiceView& view);
     void startReports();
     void sendReport(std::size_t service, std::uint32_t runner);
     void onReport(std::uint32_t entry, std::size_t service, std::uint32_t runner, const Rattandeck::LoadReport& report,
