--- a/src/include/Rattandeck/messages.h
+++ b/src/include/Rattandeck/messages.h
@@ -200,6 +200,7 @@
     double prefillTokensPerSecond = 0;
     double decodeTokensPerSecond = 0;
     TokenCount cacheCapacity;
+    /// Memory of running calls and of prefixes held for open programs; what ended programs left behind doesn't count.
     TokenCount cacheUsed;
     /// Highest order id of this entry that the report accounts for.
     OrderId accountedOrder;
--- a/src/include/Rattandeck/ordering.h
+++ b/src/include/Rattandeck/ordering.h
@@ -21,11 +21,12 @@
 };
 
 struct OrderingSettings {
-    /// A queued call gains on every other one with time, so that none waits for ever.
+    /// A call that has waited this long runs before all that haven't, so that none waits for ever.
     std::chrono::milliseconds starvationLimit { 20000 };
 };
 
-/// Priority that the home gives to a program's next call; smaller runs first.
+/// Priority that the home gives to a program's next call: the share of its aim that is left, below 0 when it is late.
+/// Smaller runs first.
 double callPriority(const ProgramProgress& progress, const OrderingSettings& settings);
 
 struct QueuedCall {
@@ -35,7 +36,8 @@
     TokenCount tokens;
 };
 
-/// Index of the call to start next, or nothing when `queue` is empty.
+/// Index of the call to start next, or nothing when `queue` is empty. Calls that starve run in the order of their
+/// waiting, the others by priority; among equals the first of `queue` runs.
 std::optional<std::size_t> nextCall(std::span<const QueuedCall> queue, const OrderingSettings& settings);
 
 }
--- a/src/include/Rattandeck/placement.h
+++ b/src/include/Rattandeck/placement.h
@@ -54,9 +54,10 @@
     TokenCount tokens;
 };
 
-/// Chooses among `sidecars`; `choice` is empty when none has a credit left. `seed` varies the sample of candidates.
-/// Looks at `holders` and at `candidateCount` others, however many there are; `heldTokens` of the views isn't read.
-/// Only when none of these has a credit does it look further.
+/// Chooses among `sidecars` that have a credit left; `choice` is empty when none was found. `seed` varies the sample of
+/// candidates. Looks at `holders` and at `candidateCount` others, however many there are; `heldTokens` of the views
+/// isn't read. When none of these has a credit it looks at some hundred more, which is all of a small fleet; in a large
+/// one a later decision with another seed may find a credit that this one missed.
 ///
 /// Precondition: all `sidecars` serve the call's service and none is leaving; the holders' indices are within them.
 PlacementDecision choosePlacement(std::span<const SidecarView> sidecars, const CallShape& call,
--- a/src/librattandeck/limits.cpp
+++ b/src/librattandeck/limits.cpp
@@ -10,7 +10,7 @@
     constexpr double currentGain = 0.1;
     constexpr double baseGain = 0.001;
     // Change of the limit per call.
-    constexpr double growth = 0.5;
+    constexpr double growth = 1;
     constexpr double shrinkage = 0.02;
 
 }
--- /dev/null
+++ b/src/librattandeck/limits_test.cpp
@@ -0,0 +1,68 @@
+#include "Rattandeck/limits.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+using namespace Rattandeck;
+
+class LimitsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(LimitsTest);
+    CPPUNIT_TEST(limitStaysWithinItsBounds);
+    CPPUNIT_TEST(limitGrowsOnlyWhileItBinds);
+    CPPUNIT_TEST(limitFallsWhenCallsTakeMuchLonger);
+    CPPUNIT_TEST(retriesStayWithinTheirShare);
+    CPPUNIT_TEST(retryAfterIsSpreadAndNeverZero);
+    CPPUNIT_TEST_SUITE_END();
+
+    void limitStaysWithinItsBounds()
+    {
+        CPPUNIT_ASSERT(rc::check("minimum <= limit <= maximum", [] {
+            ConcurrencyLimit limit;
+            const auto milliseconds = *rc::gen::container<std::vector<int>>(rc::gen::inRange(1, 5000));
+            for (const int taken : milliseconds) {
+                limit = *rc::gen::arbitrary<bool>() ? afterCall(limit, taken / 1000.0, *rc::gen::inRange(0U, 100U))
+                                                    : afterNoRoom(limit, *rc::gen::inRange(0U, 100U));
+                RC_ASSERT(limit.limit >= limit.minimum);
+                RC_ASSERT(limit.limit <= limit.maximum);
+            }
+        }));
+    }
+
+    void limitGrowsOnlyWhileItBinds()
+    {
+        const ConcurrencyLimit start;
+        CPPUNIT_ASSERT_EQUAL(start.limit, afterCall(start, 0.02, 1).limit);
+        CPPUNIT_ASSERT(afterCall(start, 0.02, 8).limit > start.limit);
+    }
+
+    void limitFallsWhenCallsTakeMuchLonger()
+    {
+        ConcurrencyLimit limit = afterCall({}, 0.02, 8);
+        const double before = limit.limit;
+        for (int i = 0; i < 50; ++i)
+            limit = afterCall(limit, 0.02 * 2 * serviceTimeTolerance, 8);
+        CPPUNIT_ASSERT(limit.limit < before);
+    }
+
+    void retriesStayWithinTheirShare()
+    {
+        RetryBudget budget;
+        int retries = 0;
+        constexpr int firstAttempts = 1000;
+        for (int i = 0; i < firstAttempts; ++i) {
+            noteFirstAttempt(budget);
+            while (takeRetry(budget))
+                ++retries;
+        }
+        CPPUNIT_ASSERT(retries <= budget.ceiling + budget.ratio * firstAttempts);
+        CPPUNIT_ASSERT(retries >= budget.ratio * firstAttempts);
+    }
+
+    void retryAfterIsSpreadAndNeverZero()
+    {
+        CPPUNIT_ASSERT(retryAfter(0, 0) > Milliseconds(0));
+        CPPUNIT_ASSERT(retryAfter(10, 1) != retryAfter(10, 700));
+        CPPUNIT_ASSERT(retryAfter(10, 1) > retryAfter(1, 1));
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(LimitsTest);
--- a/src/librattandeck/ordering.cpp
+++ b/src/librattandeck/ordering.cpp
@@ -1,20 +1,33 @@
 #include "Rattandeck/ordering.h"
 
+#include <algorithm>
+
 namespace Rattandeck {
 
 double callPriority(const ProgramProgress& progress, const OrderingSettings& /*settings*/)
 {
-    return std::chrono::duration<double>(progress.aim - progress.sinceOpening).count();
+    const double aim = std::chrono::duration<double>(progress.aim).count();
+    const double elapsed = std::chrono::duration<double>(progress.sinceOpening).count();
+    // Share of the aim that is left: programs of different lengths are late in proportion.
+    constexpr double leastAimSeconds = 0.001;
+    return 1 - elapsed / std::max(leastAimSeconds, aim);
 }
 
-std::optional<std::size_t> nextCall(std::span<const QueuedCall> queue, const OrderingSettings& /*settings*/)
+std::optional<std::size_t> nextCall(std::span<const QueuedCall> queue, const OrderingSettings& settings)
 {
-    std::optional<std::size_t> best;
-    for (std::size_t i = 0; i < queue.size(); ++i) {
-        if (!best || queue[i].priority < queue[*best].priority)
-            best = i;
-    }
-    return best;
+    const auto runsBefore = [&settings](const QueuedCall& a, const QueuedCall& b) {
+        const bool aStarves = a.waited >= settings.starvationLimit;
+        const bool bStarves = b.waited >= settings.starvationLimit;
+        if (aStarves != bStarves)
+            return aStarves;
+        if (aStarves)
+            return a.waited > b.waited;
+        return a.priority < b.priority;
+    };
+    const auto best = std::ranges::min_element(queue, runsBefore);
+    if (best == queue.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(best - queue.begin());
 }
 
 }
--- a/src/librattandeck/placement.cpp
+++ b/src/librattandeck/placement.cpp
@@ -13,6 +13,8 @@
     constexpr double callSlowdown = 0.005;
     // Each recent failure counts as so much waiting.
     constexpr double suspicionSeconds = 2;
+    // Views looked at when the sample has no credit; bounds the time of a decision.
+    constexpr std::size_t mostLookedAt = 768;
     // A prefill holds up each call of the batch for this share of its time.
     constexpr double prefillHarm = 0.5;
 
@@ -120,7 +122,8 @@
         if (!weighing.seen.empty())
             return;
         const std::size_t start = nextRandom(seed) % count;
-        for (std::size_t i = 0; i < count && weighing.seen.empty(); ++i)
+        const std::size_t further = std::min(count, mostLookedAt);
+        for (std::size_t i = 0; i < further && weighing.seen.empty(); ++i)
             weighing.add((start + i) % count, TokenCount(0));
     }
 
--- a/src/rattandeck-bench/engine.cpp
+++ b/src/rattandeck-bench/engine.cpp
@@ -60,7 +60,6 @@
         started.cachedTokens = std::min(found->second, call.promptTokens);
         importTokens = static_cast<double>(started.cachedTokens);
         this->exported.erase(found);
-        ++this->counted.imports;
     }
     started.prefillLeft = static_cast<double>(call.promptTokens - started.cachedTokens)
         + importTokens * this->model.prefillTokensPerSecond / this->model.importTokensPerSecond;
--- a/src/rattandeck-bench/engine.h
+++ b/src/rattandeck-bench/engine.h
@@ -38,7 +38,6 @@
     /// Held prefixes that went away unused, times how long they were held.
     double unusedTokenSeconds = 0;
     std::uint64_t evictions = 0;
-    std::uint64_t imports = 0;
 };
 
 /// Value of an idle prefix; the lowest is evicted first.
--- a/src/rattandeck-bench/entries.cpp
+++ b/src/rattandeck-bench/entries.cpp
@@ -144,6 +144,9 @@
     }
     if (sidecar.creditsLeft > 0)
         --sidecar.creditsLeft;
+    ++this->result.orders;
+    if (sidecar.domain.value != this->entries[entryIndex].domain)
+        ++this->result.ordersAcrossDomains;
 
     RunnerCall order { id, sent.program, entryIndex, sent.promptTokens, sent.outputTokens, this->priorityOf(program), 0,
         sent.crashesEngine };
--- a/src/rattandeck-bench/rattandeck-bench.cpp
+++ b/src/rattandeck-bench/rattandeck-bench.cpp
@@ -1,3 +1,4 @@
+#include "decision.h"
 #include "table.h"
 
 #include <boost/program_options.hpp>
@@ -39,10 +40,9 @@
         takeOut(policy);
         policies.push_back(policy);
     };
-    without("program-order", [](TrialPolicy& p) { p.programOrder = false; });
+    without("order", [](TrialPolicy& p) { p.programOrder = false; });
     without("adaptive-limit", [](TrialPolicy& p) { p.adaptiveLimit = false; });
     without("value-eviction", [](TrialPolicy& p) { p.evictByValue = false; });
-    without("pause-action", [](TrialPolicy& p) { p.actAtPause = false; });
     without("release", [](TrialPolicy& p) { p.releaseAtEnd = false; });
     without("early-refusal", [](TrialPolicy& p) { p.earlyRefusal = false; });
     without("fairness", [](TrialPolicy& p) { p.fairness = false; });
@@ -51,6 +51,7 @@
     without("wait-term", [](TrialPolicy& p) { p.waitWeight = 0; });
     without("prefix-term", [](TrialPolicy& p) { p.missingPrefixFactor = 0; });
     without("transfer-term", [](TrialPolicy& p) { p.transferWeight = 0; });
+    without("refusal-or-order", [](TrialPolicy& p) { p.earlyRefusal = p.programOrder = false; });
     without("exact-aim", [](TrialPolicy& p) { p.aimBlur = 0.5; });
     return policies;
 }
@@ -66,10 +67,17 @@
         const auto add = [&](const TrialPolicy& policy, double load, Fault fault) {
             cells.push_back({ { shape, policy, fault, load, full * load }, {} });
         };
-        if (only.empty() || only == "loads" || only == "over") {
+        const auto addShort = [&](const TrialPolicy& policy) {
+            add(policy, 1, Fault::None);
+            cells.back().spec.seconds = 60;
+            cells.back().spec.warmUpSeconds = 20;
+        };
+        if (only == "quick") {
+            for (const TrialPolicy& policy : policies)
+                addShort(policy);
+        }
+        if (only.empty() || only == "loads") {
             for (const double load : { 0.4, 1.0, 1.5, 3.0 }) {
-                if (only == "over" && load < 1.2)
-                    continue;
                 for (const TrialPolicy& policy : policies)
                     add(policy, load, Fault::None);
             }
@@ -82,10 +90,13 @@
             }
         }
         if (only.empty() || only == "ablations") {
-            for (const double load : { 0.4, 1.0, 3.0 }) {
-                add(wholePolicy(), load, Fault::None);
-                for (const TrialPolicy& policy : ablations())
+            std::vector<TrialPolicy> parts = ablations();
+            parts.insert(parts.begin(), wholePolicy());
+            for (const TrialPolicy& policy : parts) {
+                for (const double load : { 1.0, 1.5, 3.0 })
                     add(policy, load, Fault::None);
+                for (const Fault fault : { Fault::SlowRunner, Fault::LaggingReports, Fault::CrashingRequest })
+                    add(policy, 1, fault);
             }
         }
     }
@@ -101,10 +112,14 @@
     unsigned seedCount = 3;
     std::string only;
     Options::options_description described("Options");
-    described.add_options()("help", "print this")(
-        "output", Options::value(&output), "folder for the CSV and the table")(
-        "threads", Options::value(&threads), "runs at once")("seeds", Options::value(&seedCount), "seeds per cell")(
-        "quick", "few short runs")("only", Options::value(&only), "kind of runs: loads, ablations or faults");
+    auto add = described.add_options();
+    add("help", "print this");
+    add("output", Options::value(&output), "folder for the CSV and the table");
+    add("threads", Options::value(&threads), "runs at once");
+    add("seeds", Options::value(&seedCount), "seeds per cell");
+    add("quick", "few short runs, for a check that the trial works");
+    add("decision", "time of one placement decision, by size of the fleet");
+    add("only", Options::value(&only), "kind of runs: loads, ablations or faults");
     Options::variables_map given;
     Options::store(Options::parse_command_line(argc, argv, described), given);
     Options::notify(given);
@@ -112,11 +127,15 @@
         std::cout << described;
         return 0;
     }
+    if (given.contains("decision")) {
+        printDecisionTimes(std::cout);
+        return 0;
+    }
 
     std::vector<std::uint64_t> seeds;
     for (unsigned i = 1; i <= seedCount; ++i)
         seeds.push_back(i);
-    std::vector<Cell> cells = plannedCells(only);
+    std::vector<Cell> cells = plannedCells(given.contains("quick") ? "quick" : only);
     runCells(cells, seeds, threads);
     std::filesystem::create_directories(output);
     std::ofstream csv(output + "/results.csv");
--- a/src/rattandeck-bench/runner.cpp
+++ b/src/rattandeck-bench/runner.cpp
@@ -20,7 +20,6 @@
         prefix.tokens = TokenCount(tokens);
         prefix.expectedPause = fromSeconds(pauseSeconds);
         prefix.rebuildTime = fromSeconds(static_cast<double>(tokens) / model.prefillTokensPerSecond);
-        prefix.moveTime = fromSeconds(static_cast<double>(tokens) / model.importTokensPerSecond);
         return prefix;
     }
 
@@ -139,19 +138,6 @@
 void Runner::pause(std::uint32_t program, double expectedSeconds)
 {
     this->engineState.setPause(program, expectedSeconds);
-    if (!this->policy.actAtPause)
-        return;
-    const std::int64_t tokens = this->engineState.heldTokens(program);
-    std::int64_t wanted = 0;
-    for (const RunnerCall& call : this->queue)
-        wanted += call.promptTokens + call.outputTokens;
-    const CachePressure pressure { TokenCount(this->model.memoryTokens), TokenCount(this->engineState.usedTokens()),
-        TokenCount(wanted) };
-    const PrefixAction action = atPause(pausedPrefix(this->model, tokens, expectedSeconds), pressure);
-    if (action == PrefixAction::Export)
-        this->engineState.exportPrefix(program);
-    if (action == PrefixAction::Drop)
-        this->engineState.drop(program);
 }
 
 std::uint32_t Runner::inSystem() const
--- a/src/rattandeck-bench/runner.h
+++ b/src/rattandeck-bench/runner.h
@@ -38,7 +38,7 @@
     void crash();
     void restart() { this->alive = true; }
     bool isAlive() const { return this->alive; }
-    /// The program pauses; acts on its prefix as the policy says.
+    /// The program pauses, as its home expects for so long.
     void pause(std::uint32_t program, double expectedSeconds);
 
     Rattandeck::LoadReport report(std::uint32_t entry);
--- a/src/rattandeck-bench/simulation.cpp
+++ b/src/rattandeck-bench/simulation.cpp
@@ -245,7 +245,6 @@
     for (const auto& runner : this->services[0].runners) {
         runner->engine().finishCounting();
         this->result.unusedTokenSeconds += runner->engine().counters().unusedTokenSeconds;
-        this->result.imports += runner->engine().counters().imports;
     }
     const EngineModel& model = this->services[0].model;
     this->result.wastedEngineSeconds = this->result.refilledTokens / model.prefillTokensPerSecond
@@ -293,7 +292,6 @@
     policy.programOrder = false;
     policy.adaptiveLimit = false;
     policy.evictByValue = false;
-    policy.actAtPause = false;
     policy.releaseAtEnd = false;
     policy.earlyRefusal = false;
     policy.fairness = false;
--- a/src/rattandeck-bench/table.cpp
+++ b/src/rattandeck-bench/table.cpp
@@ -52,7 +52,7 @@
 {
     out << "workload,load,fault,policy,seed,programs,completed,refused,abandoned,p50_s,p95_s,p99_s,within_aim,"
            "over_bound,goodput_per_s,refilled_tokens,unused_token_s,wasted_engine_s,least_fair_share,moves,resent,"
-           "crashes,imports\n";
+           "crashes,orders,orders_across_domains\n";
 }
 
 void writeCsv(std::ostream& out, const Cell& cell)
@@ -64,7 +64,7 @@
             << ',' << r.abandoned << ',' << r.p50 << ',' << r.p95 << ',' << r.p99 << ',' << r.withinAim << ','
             << r.overBound << ',' << r.goodputPerSecond << ',' << r.refilledTokens << ',' << r.unusedTokenSeconds << ','
             << r.wastedEngineSeconds << ',' << r.leastFairShare << ',' << r.moves << ',' << r.resent << ',' << r.crashes
-            << ',' << r.imports << '\n';
+            << ',' << r.orders << ',' << r.ordersAcrossDomains << '\n';
     }
 }
 
--- a/src/rattandeck-bench/trial.h
+++ b/src/rattandeck-bench/trial.h
@@ -20,7 +20,6 @@
     bool programOrder = true;
     bool adaptiveLimit = true;
     bool evictByValue = true;
-    bool actAtPause = true;
     bool releaseAtEnd = true;
     bool earlyRefusal = true;
     bool fairness = true;
@@ -76,7 +75,8 @@
     std::uint64_t moves = 0;
     std::uint64_t resent = 0;
     std::uint64_t crashes = 0;
-    std::uint64_t imports = 0;
+    std::uint64_t orders = 0;
+    std::uint64_t ordersAcrossDomains = 0;
 };
 
 /// Least share that an organisation has been served, over its max-min fair share.
