--- a/src/include/RattandeckNet/address.h
+++ b/src/include/RattandeckNet/address.h
@@ -17,7 +17,7 @@
 enum class NetError {
     BadAddress,
     ConnectFailed,
-    /// Nothing of the request was sent.
+    /// No byte of the request was sent.
     NotSent,
     /// The connection broke after the request was sent, wholly or in part.
     Broken,
--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 /// HTTP/1.1 server and client over Boost.Beast, without Beast in the header.
 namespace RattandeckNet {
@@ -40,7 +41,8 @@
 };
 
 /// Answers one request. Copyable handle; the request is answered by `send`, or by `begin`, `write`..., `end`. Calls
-/// after the end or after the peer left are ignored.
+/// after the end or after the peer left are ignored. When the last handle goes away without an answer, the request is
+/// answered with 500, or broken off if its answer had begun.
 class HttpResponder {
 public:
     void send(HttpResponse response) const;
@@ -63,6 +65,9 @@
     std::shared_ptr<Impl> impl;
 };
 
+/// Accepts connections and hands their requests to one handler.
+///
+/// Thread safety: use from the loop's thread. Precondition: the loop outlives this object.
 class HttpServer {
 public:
     using Handler = std::function<void(HttpRequest, HttpResponder)>;
@@ -74,10 +79,13 @@
     tl::expected<void, NetError> listen(const Address& address);
     /// The bound port; differs from the requested one if that was 0.
     std::uint16_t port() const;
-    /// Accepts no more connections and closes idle ones; requests in flight are answered with `Connection: close`.
+    /// Accepts no more connections. Requests in flight are answered, with `Connection: close`; idle connections close
+    /// after a short grace, since a request may be on its way.
     void stopAccepting();
-    /// Requests that have not been answered yet.
+    /// Requests whose answer has not been written out yet.
     std::size_t inFlight() const;
+    /// Connections not closed yet; a process that exits when this is 0 after `stopAccepting` cuts nobody off.
+    std::size_t openConnections() const;
 
     struct Impl;
 
@@ -93,6 +101,12 @@
 };
 
 /// Calls one server over kept-alive connections. Never repeats a request by itself.
+///
+/// Errors: `BadAddress`, `ConnectFailed` and `NotSent` mean that no byte of the request was sent, also when the time ran
+/// out or a kept-alive connection turned out to be closed. `TimedOut`, `Broken`, `Malformed` and `TooLarge` leave open
+/// whether the server acted on it.
+///
+/// Thread safety: use from the loop's thread. Precondition: the loop outlives this object.
 class HttpClient {
 public:
     using CallId = std::uint64_t;
@@ -100,7 +114,7 @@
     HttpClient(EventLoop& loop, Address server, std::size_t maxConnections = 64);
     ~HttpClient();
 
-    /// Streams the answer to `callbacks`. `timeout` bounds the whole call.
+    /// Streams the answer to `callbacks`, never from within this call. `timeout` bounds the whole call.
     CallId start(HttpRequest request, std::chrono::milliseconds timeout, HttpCallbacks callbacks);
     /// Collects the whole answer, up to `maxBody` bytes.
     CallId fetch(HttpRequest request, std::chrono::milliseconds timeout,
--- /dev/null
+++ b/src/librattandecknet/httpclient.cpp
@@ -0,0 +1,513 @@
+#include "httpcommon.h"
+#include "loopimpl.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_set>
+
+namespace RattandeckNet {
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+
+constexpr std::size_t readSize = 16 * 1024;
+constexpr std::size_t maxHeaderBytes = 64 * 1024;
+
+namespace {
+
+    struct Call {
+        HttpClient::CallId id = 0;
+        std::string bytes;
+        bool isHead = false;
+        HttpCallbacks callbacks;
+        Rattandeck::TimerId timer;
+        /// A write has been tried; only its outcome can tell that nothing was sent.
+        bool mayBeSent = false;
+        bool isEnded = false;
+        bool isCancelled = false;
+    };
+
+    class Connection;
+
+}
+
+struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
+    Impl(EventLoop& owner, Address server, std::size_t maxConnections);
+
+    EventLoop::Impl& loop;
+    Address server;
+    tl::expected<Tcp::endpoint, NetError> endpoint;
+    std::size_t maxConnections;
+    CallId lastId = 0;
+    std::map<CallId, std::shared_ptr<Call>> calls;
+    std::map<CallId, std::shared_ptr<Connection>> running;
+    std::deque<std::shared_ptr<Call>> waiting;
+    std::vector<std::shared_ptr<Connection>> idle;
+    std::unordered_set<std::shared_ptr<Connection>> connections;
+
+    std::string serialise(const HttpRequest& request) const;
+    void startCall(const std::shared_ptr<Call>& call);
+    void startWaiting();
+    void end(const std::shared_ptr<Call>& call, tl::expected<void, NetError> outcome);
+    void expire(CallId id);
+    void cancel(CallId id);
+    void shutdown();
+};
+
+// Connection --------------------------------------------------------------------------------------------------------
+
+namespace {
+
+    using ClientImpl = HttpClient::Impl;
+
+    /// One connection to the server; runs one call at a time and then waits among the idle ones.
+    class Connection : public std::enable_shared_from_this<Connection> {
+    public:
+        explicit Connection(std::shared_ptr<ClientImpl> client)
+            : client(std::move(client))
+            , loop(this->client->loop)
+            , socket(this->loop.context.get_executor())
+            , buffer(maxHeaderBytes + 2 * readSize)
+        {
+        }
+
+        void connect(std::shared_ptr<Call> first);
+        void run(std::shared_ptr<Call> next);
+        /// Whether an idle connection is still open and silent.
+        bool isUsable();
+        void close();
+
+    private:
+        using Parser = Http::response_parser<PartialBody>;
+
+        void resetParser();
+        void write();
+        void onWritten(const ErrorCode& error, std::size_t size);
+        void read();
+        void onRead(const ErrorCode& error, std::size_t size);
+        void parse();
+        bool deliver();
+        void onPeerClosed(const ErrorCode& error);
+        void finish();
+        void fail(NetError error);
+        void waitIdle();
+
+        std::shared_ptr<ClientImpl> client;
+        EventLoop::Impl& loop;
+        Socket socket;
+        boost::beast::flat_buffer buffer;
+        std::optional<Parser> parser;
+        std::shared_ptr<Call> call;
+        std::size_t written = 0;
+        std::uint64_t useCount = 0;
+        bool isReadPending = false;
+        bool isHeadDelivered = false;
+        bool isClosed = false;
+    };
+
+    void Connection::connect(std::shared_ptr<Call> first)
+    {
+        this->call = std::move(first);
+        auto onConnect = [self = this->shared_from_this()](const ErrorCode& error) {
+            if (self->isClosed)
+                return;
+            if (error) {
+                self->fail(NetError::ConnectFailed);
+                return;
+            }
+            ErrorCode ignored;
+            self->socket.set_option(Tcp::no_delay(true), ignored);
+            self->socket.non_blocking(true, ignored);
+            self->run(std::move(self->call));
+        };
+        this->socket.async_connect(*this->client->endpoint, this->loop.bind(std::move(onConnect)));
+    }
+
+    void Connection::run(std::shared_ptr<Call> next)
+    {
+        ++this->useCount;
+        this->call = std::move(next);
+        this->written = 0;
+        this->buffer.clear();
+        this->resetParser();
+        this->call->mayBeSent = true;
+        this->write();
+        this->read();
+    }
+
+    bool Connection::isUsable()
+    {
+        char byte = 0;
+        ErrorCode error;
+        this->socket.receive(Asio::buffer(&byte, 1), Socket::message_peek, error);
+        return error == Asio::error::would_block;
+    }
+
+    void Connection::resetParser()
+    {
+        this->parser.emplace();
+        this->parser->eager(true);
+        this->parser->header_limit(maxHeaderBytes);
+        this->parser->body_limit(boost::none);
+        this->parser->skip(this->call->isHead);
+        this->isHeadDelivered = false;
+    }
+
+    // Request ------------------------------------------------------------------------------------------------------
+
+    void Connection::write()
+    {
+        const auto rest = Asio::buffer(this->call->bytes) + this->written;
+        // The call owns the bytes and has to outlive the write, also when it is cancelled.
+        this->socket.async_write_some(rest,
+            this->loop.bind([self = this->shared_from_this(), call = this->call](
+                                const ErrorCode& error, std::size_t size) {
+                if (!self->isClosed && self->call == call)
+                    self->onWritten(error, size);
+            }));
+    }
+
+    void Connection::onWritten(const ErrorCode& error, std::size_t size)
+    {
+        this->written += size;
+        if (error && this->written == 0) {
+            this->call->mayBeSent = false;
+            this->fail(NetError::NotSent);
+            return;
+        }
+        // After a failed write the server's early answer, or its reset, is still to be read.
+        if (!error && this->written < this->call->bytes.size())
+            this->write();
+    }
+
+    // Response -----------------------------------------------------------------------------------------------------
+
+    void Connection::read()
+    {
+        if (this->isReadPending || this->isClosed)
+            return;
+        this->isReadPending = true;
+        this->socket.async_read_some(this->buffer.prepare(readSize),
+            this->loop.bind([self = this->shared_from_this()](const ErrorCode& error, std::size_t size) {
+                self->isReadPending = false;
+                if (!self->isClosed)
+                    self->onRead(error, size);
+            }));
+    }
+
+    void Connection::onRead(const ErrorCode& error, std::size_t size)
+    {
+        if (error) {
+            this->onPeerClosed(error);
+            return;
+        }
+        this->buffer.commit(size);
+        this->parse();
+    }
+
+    void Connection::parse()
+    {
+        const auto current = this->call;
+        while (this->buffer.size() > 0) {
+            ErrorCode error;
+            const std::size_t used = this->parser->put(this->buffer.data(), error);
+            this->buffer.consume(used);
+            if (error && error != Http::error::need_more) {
+                this->fail(NetError::Malformed);
+                return;
+            }
+            if (!this->deliver())
+                return;
+            if (this->parser->is_done()) {
+                this->finish();
+                return;
+            }
+            if (used == 0)
+                break;
+        }
+        if (this->buffer.size() > maxHeaderBytes + readSize) {
+            this->fail(NetError::Malformed);
+            return;
+        }
+        this->read();
+    }
+
+    /// Hands on what the parser has read. Returns false when that ended the call or the response isn't the final one.
+    bool Connection::deliver()
+    {
+        const auto current = this->call;
+        if (!this->parser->is_header_done())
+            return true;
+        const int status = this->parser->get().result_int();
+        if (status >= 100 && status < 200 && this->parser->is_done()) {
+            this->resetParser();
+            this->parse();
+            return false;
+        }
+        if (!this->isHeadDelivered) {
+            this->isHeadDelivered = true;
+            if (current->callbacks.onHead)
+                current->callbacks.onHead(status, toHeaders(this->parser->get()));
+        }
+        if (this->isClosed || this->call != current)
+            return false;
+        const std::string chunk = std::move(this->parser->get().body());
+        this->parser->get().body().clear();
+        if (!chunk.empty() && current->callbacks.onData)
+            current->callbacks.onData(chunk);
+        return !this->isClosed && this->call == current;
+    }
+
+    void Connection::onPeerClosed(const ErrorCode& error)
+    {
+        if (error != Asio::error::eof || !this->parser->got_some()) {
+            this->fail(NetError::Broken);
+            return;
+        }
+        // A response without a length ends with the connection.
+        ErrorCode parseError;
+        this->parser->put_eof(parseError);
+        if (parseError || !this->parser->is_done())
+            this->fail(NetError::Broken);
+        else if (this->deliver())
+            this->finish();
+    }
+
+    // End of a call --------------------------------------------------------------------------------------------------
+
+    void Connection::finish()
+    {
+        const auto self = this->shared_from_this();
+        const auto owner = this->client;
+        const auto ended = std::move(this->call);
+        const bool isReusable = this->parser->keep_alive() && this->buffer.size() == 0
+            && this->written == ended->bytes.size();
+        this->parser.reset();
+        if (isReusable) {
+            owner->idle.push_back(self);
+            this->waitIdle();
+        } else {
+            this->close();
+        }
+        owner->end(ended, {});
+    }
+
+    void Connection::fail(NetError error)
+    {
+        const auto self = this->shared_from_this();
+        const auto owner = this->client;
+        const auto ended = std::move(this->call);
+        this->close();
+        owner->end(ended, tl::unexpected(error));
+    }
+
+    void Connection::waitIdle()
+    {
+        // Waits without reading: bytes that come now must not be taken for the answer to a later request.
+        this->socket.async_wait(Socket::wait_read,
+            this->loop.bind([self = this->shared_from_this(), use = this->useCount](const ErrorCode&) {
+                if (!self->isClosed && self->useCount == use && !self->call)
+                    self->close();
+            }));
+    }
+
+    void Connection::close()
+    {
+        if (this->isClosed)
+            return;
+        const auto self = this->shared_from_this();
+        this->isClosed = true;
+        this->call = nullptr;
+        ErrorCode ignored;
+        this->socket.close(ignored);
+        std::erase(this->client->idle, self);
+        this->client->connections.erase(self);
+    }
+
+}
+
+// Client -------------------------------------------------------------------------------------------------------------
+
+HttpClient::Impl::Impl(EventLoop& owner, Address server, std::size_t maxConnections)
+    : loop(owner.internals())
+    , server(std::move(server))
+    , endpoint(toEndpoint(this->server))
+    , maxConnections(std::max<std::size_t>(maxConnections, 1))
+{
+}
+
+std::string HttpClient::Impl::serialise(const HttpRequest& request) const
+{
+    HttpHeaders headers = request.headers;
+    headers.erase("transfer-encoding");
+    headers.try_emplace("host", toString(this->server));
+    if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD"))
+        headers["content-length"] = std::to_string(request.body.size());
+    std::string bytes = request.method + " " + writeTarget(request) + " HTTP/1.1\r\n";
+    appendHeaders(bytes, headers);
+    bytes += "\r\n";
+    bytes += request.body;
+    return bytes;
+}
+
+void HttpClient::Impl::startCall(const std::shared_ptr<Call>& call)
+{
+    if (!this->endpoint) {
+        Asio::post(this->loop.context, this->loop.bind([self = this->shared_from_this(), call] {
+            self->end(call, tl::unexpected(self->endpoint.error()));
+        }));
+        return;
+    }
+    while (!this->idle.empty()) {
+        const auto connection = this->idle.back();
+        if (connection->isUsable()) {
+            this->idle.pop_back();
+            this->running[call->id] = connection;
+            connection->run(call);
+            return;
+        }
+        connection->close();
+    }
+    if (this->connections.size() >= this->maxConnections) {
+        this->waiting.push_back(call);
+        return;
+    }
+    const auto connection = std::make_shared<Connection>(this->shared_from_this());
+    this->connections.insert(connection);
+    this->running[call->id] = connection;
+    connection->connect(call);
+}
+
+void HttpClient::Impl::startWaiting()
+{
+    while (!this->waiting.empty() && (!this->idle.empty() || this->connections.size() < this->maxConnections)) {
+        const auto call = this->waiting.front();
+        this->waiting.pop_front();
+        if (!call->isEnded)
+            this->startCall(call);
+    }
+}
+
+void HttpClient::Impl::end(const std::shared_ptr<Call>& call, tl::expected<void, NetError> outcome)
+{
+    if (call->isEnded)
+        return;
+    const auto self = this->shared_from_this();
+    call->isEnded = true;
+    this->loop.timers.cancel(call->timer);
+    this->calls.erase(call->id);
+    this->running.erase(call->id);
+    this->startWaiting();
+    if (call->callbacks.onEnd && !call->isCancelled)
+        call->callbacks.onEnd(outcome);
+}
+
+void HttpClient::Impl::expire(CallId id)
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end())
+        return;
+    const auto call = found->second;
+    const auto connection = this->running.find(id);
+    if (connection != this->running.end())
+        connection->second->close();
+    this->end(call, tl::unexpected(call->mayBeSent ? NetError::TimedOut : NetError::NotSent));
+}
+
+void HttpClient::Impl::cancel(CallId id)
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end())
+        return;
+    // The callbacks stay alive with the call, which may be cancelled from one of them.
+    found->second->isCancelled = true;
+    this->expire(id);
+}
+
+void HttpClient::Impl::shutdown()
+{
+    this->waiting.clear();
+    for (const auto& [id, call] : this->calls) {
+        call->isEnded = true;
+        this->loop.timers.cancel(call->timer);
+    }
+    this->calls.clear();
+    this->running.clear();
+    const auto open = this->connections;
+    for (const auto& connection : open)
+        connection->close();
+}
+
+HttpClient::HttpClient(EventLoop& loop, Address server, std::size_t maxConnections)
+    : impl(std::make_shared<Impl>(loop, std::move(server), maxConnections))
+{
+}
+
+HttpClient::~HttpClient() { this->impl->shutdown(); }
+
+HttpClient::CallId HttpClient::start(HttpRequest request, std::chrono::milliseconds timeout, HttpCallbacks callbacks)
+{
+    const auto call = std::make_shared<Call>();
+    call->id = ++this->impl->lastId;
+    call->bytes = this->impl->serialise(request);
+    call->isHead = request.method == "HEAD";
+    call->callbacks = std::move(callbacks);
+    const std::weak_ptr<Impl> weak = this->impl;
+    call->timer = this->impl->loop.timers.subscribeAfter(timeout, [weak, id = call->id] {
+        if (const auto client = weak.lock())
+            client->expire(id);
+    });
+    this->impl->calls.emplace(call->id, call);
+    this->impl->startCall(call);
+    return call->id;
+}
+
+// A call whose whole answer is collected.
+namespace {
+
+    struct Collector {
+        HttpClient::CallId id = 0;
+        HttpResponse response;
+        std::function<void(tl::expected<HttpResponse, NetError>)> done;
+    };
+
+}
+
+HttpClient::CallId HttpClient::fetch(HttpRequest request, std::chrono::milliseconds timeout,
+    std::function<void(tl::expected<HttpResponse, NetError>)> done, std::size_t maxBody)
+{
+    const auto collector = std::make_shared<Collector>();
+    collector->done = std::move(done);
+    HttpCallbacks callbacks;
+    callbacks.onHead = [collector](int status, const HttpHeaders& headers) {
+        collector->response.status = status;
+        collector->response.headers = headers;
+    };
+    callbacks.onData = [collector, maxBody, weak = std::weak_ptr<Impl>(this->impl)](std::string_view chunk) {
+        if (collector->response.body.size() + chunk.size() <= maxBody) {
+            collector->response.body += chunk;
+            return;
+        }
+        if (const auto client = weak.lock())
+            client->cancel(collector->id);
+        collector->done(tl::unexpected(NetError::TooLarge));
+    };
+    callbacks.onEnd = [collector](tl::expected<void, NetError> outcome) {
+        if (outcome)
+            collector->done(std::move(collector->response));
+        else
+            collector->done(tl::unexpected(outcome.error()));
+    };
+    collector->id = this->start(std::move(request), timeout, std::move(callbacks));
+    return collector->id;
+}
+
+void HttpClient::cancel(CallId call) { this->impl->cancel(call); }
+
+}
--- /dev/null
+++ b/src/librattandecknet/httpserver.cpp
@@ -0,0 +1,142 @@
+#include "serverconnection.h"
+
+#include <boost/asio/post.hpp>
+
+namespace RattandeckNet {
+
+/// Connections beyond the limit that are still told so with 503; more than these are closed at once.
+constexpr std::size_t maxRefusedConnections = 64;
+constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
+
+// HttpResponder ---------------------------------------------------------------------------------------------------
+
+HttpResponder::Impl::~Impl()
+{
+    if (const auto connection = this->connection.lock())
+        connection->abandon(this->request);
+}
+
+void HttpResponder::send(HttpResponse response) const
+{
+    if (const auto connection = this->impl->connection.lock())
+        connection->send(this->impl->request, std::move(response));
+}
+
+void HttpResponder::begin(int status, HttpHeaders headers) const
+{
+    if (const auto connection = this->impl->connection.lock())
+        connection->begin(this->impl->request, status, std::move(headers));
+}
+
+void HttpResponder::write(std::string chunk) const
+{
+    if (const auto connection = this->impl->connection.lock())
+        connection->write(this->impl->request, chunk);
+}
+
+void HttpResponder::end() const
+{
+    if (const auto connection = this->impl->connection.lock())
+        connection->end(this->impl->request);
+}
+
+void HttpResponder::abort() const
+{
+    if (const auto connection = this->impl->connection.lock())
+        connection->abort(this->impl->request);
+}
+
+void HttpResponder::onClosed(std::function<void()> handler) const
+{
+    if (const auto connection = this->impl->connection.lock())
+        connection->setOnClosed(this->impl->request, std::move(handler));
+}
+
+// HttpServer ------------------------------------------------------------------------------------------------------
+
+HttpServer::Impl::Impl(EventLoop& owner, HttpLimits limits, Handler handler)
+    : owner(owner)
+    , loop(owner.internals())
+    , limits(limits)
+    , handler(std::move(handler))
+    , acceptor(this->loop.context.get_executor())
+{
+}
+
+void HttpServer::Impl::accept()
+{
+    auto onAccept = [self = this->shared_from_this()](const ErrorCode& error, Socket socket) {
+        if (self->stopping || self->closed)
+            return;
+        if (!error) {
+            self->addConnection(std::move(socket));
+            self->accept();
+            return;
+        }
+        // Out of descriptors, most likely: trying again at once would spin.
+        self->loop.timers.subscribeAfter(acceptRetryDelay, [weak = std::weak_ptr<Impl>(self)] {
+            const auto self = weak.lock();
+            if (self && !self->stopping && !self->closed)
+                self->accept();
+        });
+    };
+    this->acceptor.async_accept(this->loop.bind(std::move(onAccept)));
+}
+
+void HttpServer::Impl::addConnection(Socket socket)
+{
+    const std::size_t count = this->connections.size();
+    if (count >= this->limits.maxConnections + maxRefusedConnections)
+        return;
+    auto connection = std::make_shared<ServerConnection>(this->shared_from_this(), std::move(socket));
+    this->connections.insert(connection);
+    if (count < this->limits.maxConnections)
+        connection->start();
+    else
+        connection->refuse();
+}
+
+void HttpServer::Impl::closeAll()
+{
+    this->closed = true;
+    ErrorCode ignored;
+    this->acceptor.close(ignored);
+    const auto current = std::move(this->connections);
+    this->connections.clear();
+    for (const auto& connection : current)
+        connection->close();
+}
+
+HttpServer::HttpServer(EventLoop& loop, HttpLimits limits, Handler handler)
+    : impl(std::make_shared<Impl>(loop, limits, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() { this->impl->closeAll(); }
+
+tl::expected<void, NetError> HttpServer::listen(const Address& address)
+{
+    const auto outcome = listenOn(this->impl->acceptor, address);
+    if (!outcome)
+        return outcome;
+    this->impl->port = this->impl->acceptor.local_endpoint().port();
+    this->impl->accept();
+    return {};
+}
+
+std::uint16_t HttpServer::port() const { return this->impl->port; }
+
+void HttpServer::stopAccepting()
+{
+    this->impl->stopping = true;
+    ErrorCode ignored;
+    this->impl->acceptor.close(ignored);
+    for (const auto& connection : this->impl->connections)
+        connection->stopWhenIdle();
+}
+
+std::size_t HttpServer::inFlight() const { return this->impl->inFlight; }
+
+std::size_t HttpServer::openConnections() const { return this->impl->connections.size(); }
+
+}
--- /dev/null
+++ b/src/librattandecknet/serverconnection.cpp
@@ -0,0 +1,421 @@
+#include "serverconnection.h"
+
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/status.hpp>
+
+#include <boost/asio/post.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace RattandeckNet {
+
+namespace Asio = boost::asio;
+namespace Http = boost::beast::http;
+
+constexpr std::size_t readSize = 16 * 1024;
+/// How long a closing connection is read on, so that the peer gets the last answer and not a reset.
+constexpr std::chrono::seconds lingerTime { 1 };
+/// How long an idle connection is kept after the server has stopped accepting.
+constexpr std::chrono::milliseconds idleGrace { 200 };
+
+ServerConnection::ServerConnection(std::shared_ptr<HttpServer::Impl> server, Socket socket)
+    : server(std::move(server))
+    , loop(this->server->loop)
+    , socket(std::move(socket))
+    // A whole header and a read beyond it must fit; bodies are taken out as they come.
+    , buffer(this->server->limits.maxHeaderBytes + 2 * readSize)
+{
+}
+
+// Reading --------------------------------------------------------------------------------------------------------
+
+void ServerConnection::start()
+{
+    ErrorCode ignored;
+    this->socket.set_option(Tcp::no_delay(true), ignored);
+    this->startReading();
+}
+
+void ServerConnection::refuse()
+{
+    this->startReading();
+    this->reject(503);
+}
+
+void ServerConnection::startReading()
+{
+    this->state = State::Reading;
+    this->hasSentContinue = false;
+    this->parser.emplace();
+    this->parser->eager(true);
+    this->parser->header_limit(static_cast<std::uint32_t>(this->server->limits.maxHeaderBytes));
+    this->parser->body_limit(this->server->limits.maxBodyBytes);
+    this->setDeadline(this->server->limits.readTimeout);
+    if (this->buffer.size() > 0)
+        this->parse();
+    else
+        this->read();
+}
+
+void ServerConnection::read()
+{
+    if (this->isReadPending || this->state == State::Closed)
+        return;
+    this->isReadPending = true;
+    this->socket.async_read_some(this->buffer.prepare(readSize),
+        this->loop.bind([self = this->shared_from_this()](
+                            const ErrorCode& error, std::size_t size) { self->onRead(error, size); }));
+}
+
+void ServerConnection::onRead(const ErrorCode& error, std::size_t size)
+{
+    this->isReadPending = false;
+    if (this->state == State::Closed)
+        return;
+    if (error) {
+        this->peerGone();
+        return;
+    }
+    if (this->state == State::Lingering) {
+        this->read();
+        return;
+    }
+    const bool isFirst = this->buffer.size() == 0 && this->parser && !this->parser->got_some();
+    this->buffer.commit(size);
+    // What comes during an answer is the next request; it waits, and so does any further reading.
+    if (this->state != State::Reading)
+        return;
+    if (isFirst)
+        this->setDeadline(this->server->limits.readTimeout);
+    this->parse();
+}
+
+static int statusFor(const ErrorCode& error)
+{
+    if (error == Http::error::header_limit || error == Http::error::buffer_overflow)
+        return 431;
+    if (error == Http::error::body_limit)
+        return 413;
+    return 400;
+}
+
+void ServerConnection::parse()
+{
+    ErrorCode error;
+    const std::size_t used = this->parser->put(this->buffer.data(), error);
+    this->buffer.consume(used);
+    if (error && error != Http::error::need_more) {
+        this->reject(statusFor(error));
+        return;
+    }
+    if (this->parser->is_done()) {
+        this->dispatch();
+        return;
+    }
+    // The parser bounds the header but not the length of a chunk extension.
+    if (this->buffer.size() > this->server->limits.maxHeaderBytes + readSize) {
+        this->reject(431);
+        return;
+    }
+    this->acceptExpectation();
+    this->read();
+}
+
+void ServerConnection::acceptExpectation()
+{
+    if (this->hasSentContinue || !this->parser->is_header_done())
+        return;
+    if (!boost::beast::iequals(this->parser->get()[Http::field::expect], "100-continue"))
+        return;
+    this->hasSentContinue = true;
+    this->queued += "HTTP/1.1 100 Continue\r\n\r\n";
+    this->flush();
+}
+
+void ServerConnection::dispatch()
+{
+    this->loop.timers.cancel(this->deadline);
+    auto message = this->parser->release();
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    readTarget(std::string_view(message.target().data(), message.target().size()), request);
+    request.headers = toHeaders(message);
+    request.body = std::move(message.body());
+
+    this->state = State::Answering;
+    this->isCounted = true;
+    ++this->server->inFlight;
+    ++this->requestNumber;
+    this->isHead = message.method() == Http::verb::head;
+    this->isChunked = message.version() >= 11;
+    this->keepAlive = message.keep_alive();
+    this->hasBegun = false;
+    this->isAnswerComplete = false;
+
+    const auto server = this->server;
+    HttpResponder responder(std::make_shared<HttpResponder::Impl>(this->shared_from_this(), this->requestNumber));
+    const std::uint64_t current = this->requestNumber;
+    server->handler(std::move(request), std::move(responder));
+    // Reading on shows when the peer goes away.
+    if (this->isAnswering(current) && this->buffer.size() == 0)
+        this->read();
+}
+
+void ServerConnection::reject(int status)
+{
+    this->state = State::Answering;
+    ++this->requestNumber;
+    this->isHead = false;
+    this->keepAlive = false;
+    this->hasBegun = false;
+    this->isAnswerComplete = false;
+    this->send(this->requestNumber, HttpResponse { status, {}, {} });
+}
+
+// Answering --------------------------------------------------------------------------------------------------------
+
+bool ServerConnection::isAnswering(std::uint64_t request) const
+{
+    return this->state == State::Answering && request == this->requestNumber && !this->isAnswerComplete;
+}
+
+void ServerConnection::appendHead(int status, HttpHeaders headers, std::optional<std::size_t> length)
+{
+    this->keepAlive = this->keepAlive && !this->server->stopping && (length || this->isChunked);
+    headers.erase("content-length");
+    headers.erase("transfer-encoding");
+    headers["connection"] = this->keepAlive ? "keep-alive" : "close";
+    if (length)
+        headers["content-length"] = std::to_string(*length);
+    else if (this->isChunked)
+        headers["transfer-encoding"] = "chunked";
+
+    const auto reason = Http::obsolete_reason(Http::int_to_status(static_cast<unsigned>(status)));
+    this->queued += "HTTP/1.1 " + std::to_string(status) + " ";
+    this->queued.append(reason.data(), reason.size());
+    this->queued += "\r\n";
+    appendHeaders(this->queued, headers);
+    this->queued += "\r\n";
+    this->hasBegun = true;
+}
+
+void ServerConnection::send(std::uint64_t request, HttpResponse response)
+{
+    if (!this->isAnswering(request) || this->hasBegun)
+        return;
+    this->appendHead(response.status, std::move(response.headers), response.body.size());
+    if (!this->isHead)
+        this->queued += response.body;
+    this->isAnswerComplete = true;
+    this->flush();
+}
+
+void ServerConnection::begin(std::uint64_t request, int status, HttpHeaders headers)
+{
+    if (!this->isAnswering(request) || this->hasBegun)
+        return;
+    this->appendHead(status, std::move(headers), std::nullopt);
+    this->flush();
+}
+
+static void appendChunk(std::string& output, std::string_view chunk)
+{
+    std::array<char, 2 * sizeof(std::size_t)> digits {};
+    const auto [end, error] = std::to_chars(digits.data(), digits.data() + digits.size(), chunk.size(), 16);
+    output.append(digits.data(), end);
+    output += "\r\n";
+    output += chunk;
+    output += "\r\n";
+}
+
+void ServerConnection::write(std::uint64_t request, std::string_view chunk)
+{
+    // An empty chunk would end the answer.
+    if (!this->isAnswering(request) || !this->hasBegun || chunk.empty() || this->isHead)
+        return;
+    if (this->isChunked)
+        appendChunk(this->queued, chunk);
+    else
+        this->queued += chunk;
+    if (this->unsentBytes() > this->server->limits.maxUnsentBytes) {
+        this->peerGone();
+        return;
+    }
+    this->flush();
+}
+
+void ServerConnection::end(std::uint64_t request)
+{
+    if (!this->isAnswering(request) || !this->hasBegun)
+        return;
+    if (this->isChunked && !this->isHead)
+        this->queued += "0\r\n\r\n";
+    this->isAnswerComplete = true;
+    this->flush();
+}
+
+void ServerConnection::abort(std::uint64_t request)
+{
+    if (!this->isAnswering(request))
+        return;
+    // A reset, since an orderly end would complete an answer that has no length.
+    ErrorCode ignored;
+    this->socket.set_option(Asio::socket_base::linger(true, 0), ignored);
+    this->close();
+}
+
+void ServerConnection::abandon(std::uint64_t request)
+{
+    if (this->hasBegun)
+        this->abort(request);
+    else
+        this->send(request, HttpResponse { 500, {}, {} });
+}
+
+void ServerConnection::setOnClosed(std::uint64_t request, std::function<void()> handler)
+{
+    if (request != this->requestNumber || this->isAnswerComplete)
+        return;
+    if (this->state == State::Answering)
+        this->onClosed = std::move(handler);
+    else
+        Asio::post(this->loop.context, this->loop.bind(std::move(handler)));
+}
+
+// Writing --------------------------------------------------------------------------------------------------------
+
+void ServerConnection::flush()
+{
+    if (this->state == State::Closed)
+        return;
+    if (this->written == this->writing.size()) {
+        this->writing.clear();
+        this->written = 0;
+        std::swap(this->writing, this->queued);
+        if (this->writing.empty())
+            return;
+        if (this->state == State::Answering)
+            this->setDeadline(this->server->limits.readTimeout);
+    } else {
+        return;
+    }
+    this->socket.async_write_some(Asio::buffer(this->writing),
+        this->loop.bind([self = this->shared_from_this()](
+                            const ErrorCode& error, std::size_t size) { self->onWritten(error, size); }));
+}
+
+void ServerConnection::onWritten(const ErrorCode& error, std::size_t size)
+{
+    if (this->state == State::Closed)
+        return;
+    if (error) {
+        this->peerGone();
+        return;
+    }
+    this->written += size;
+    if (this->written < this->writing.size()) {
+        // The deadline is for a reader that takes nothing at all.
+        if (this->state == State::Answering)
+            this->setDeadline(this->server->limits.readTimeout);
+        this->socket.async_write_some(Asio::buffer(this->writing) + this->written,
+            this->loop.bind([self = this->shared_from_this()](
+                                const ErrorCode& error, std::size_t size) { self->onWritten(error, size); }));
+        return;
+    }
+    if (!this->queued.empty()) {
+        this->flush();
+        return;
+    }
+    if (this->state != State::Answering)
+        return;
+    this->loop.timers.cancel(this->deadline);
+    if (this->isAnswerComplete)
+        this->finishAnswer();
+}
+
+void ServerConnection::finishAnswer()
+{
+    this->onClosed = nullptr;
+    if (this->isCounted) {
+        this->isCounted = false;
+        --this->server->inFlight;
+    }
+    if (!this->keepAlive) {
+        this->linger();
+        return;
+    }
+    this->startReading();
+    if (this->server->stopping)
+        this->stopWhenIdle();
+}
+
+// Closing --------------------------------------------------------------------------------------------------------
+
+void ServerConnection::linger()
+{
+    this->state = State::Lingering;
+    ErrorCode ignored;
+    this->socket.shutdown(Socket::shutdown_send, ignored);
+    this->setDeadline(lingerTime);
+    if (!this->isReadPending)
+        this->buffer.clear();
+    this->read();
+}
+
+void ServerConnection::stopWhenIdle()
+{
+    const bool isIdle = this->state == State::Reading && this->buffer.size() == 0 && !this->parser->got_some();
+    if (isIdle)
+        this->setDeadline(idleGrace);
+}
+
+void ServerConnection::setDeadline(Rattandeck::Duration delay)
+{
+    this->loop.timers.cancel(this->deadline);
+    this->deadline = this->loop.timers.subscribeAfter(delay, [weak = this->weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->onDeadline();
+    });
+}
+
+void ServerConnection::onDeadline()
+{
+    const bool isHalfRead = this->state == State::Reading && (this->buffer.size() > 0 || this->parser->got_some());
+    if (isHalfRead)
+        this->reject(408);
+    else if (this->state == State::Answering)
+        this->peerGone();
+    else
+        this->close();
+}
+
+void ServerConnection::peerGone()
+{
+    if (this->state == State::Closed)
+        return;
+    const bool isIncomplete = this->state == State::Answering && !this->isAnswerComplete;
+    std::function<void()> handler = std::move(this->onClosed);
+    this->close();
+    // Posted, since this may be a consequence of what the handler's owner is doing.
+    if (isIncomplete && handler)
+        Asio::post(this->loop.context, this->loop.bind(std::move(handler)));
+}
+
+void ServerConnection::close()
+{
+    if (this->state == State::Closed)
+        return;
+    const auto self = this->shared_from_this();
+    this->state = State::Closed;
+    this->loop.timers.cancel(this->deadline);
+    ErrorCode ignored;
+    this->socket.close(ignored);
+    this->onClosed = nullptr;
+    if (this->isCounted)
+        --this->server->inFlight;
+    this->isCounted = false;
+    this->server->connections.erase(self);
+}
+
+}
