--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -32,12 +32,12 @@
 
 /// Bounds on what one peer can make the server hold. A request beyond them gets 413, 431, 408 or 503 and is closed.
 struct HttpLimits {
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxHeaderBytes = 16UL * 1024;
+    std::size_t maxBodyBytes = 4UL * 1024 * 1024;
     std::chrono::seconds readTimeout { 30 };
     std::size_t maxConnections = 1024;
     /// Unsent bytes of a streamed answer beyond which a slow reader is cut off.
-    std::size_t maxUnsentBytes = 8 * 1024 * 1024;
+    std::size_t maxUnsentBytes = 8UL * 1024 * 1024;
 };
 
 /// Answers one request. Copyable handle; the request is answered by `send`, or by `begin`, `write`..., `end`. Calls
@@ -102,9 +102,9 @@
 
 /// Calls one server over kept-alive connections. Never repeats a request by itself.
 ///
-/// Errors: `BadAddress`, `ConnectFailed` and `NotSent` mean that no byte of the request was sent, also when the time ran
-/// out or a kept-alive connection turned out to be closed. `TimedOut`, `Broken`, `Malformed` and `TooLarge` leave open
-/// whether the server acted on it.
+/// Errors: `BadAddress`, `ConnectFailed` and `NotSent` mean that no byte of the request was sent, also when the time
+/// ran out or a kept-alive connection turned out to be closed. `TimedOut`, `Broken`, `Malformed` and `TooLarge` leave
+/// open whether the server acted on it.
 ///
 /// Thread safety: use from the loop's thread. Precondition: the loop outlives this object.
 class HttpClient {
@@ -118,7 +118,7 @@
     CallId start(HttpRequest request, std::chrono::milliseconds timeout, HttpCallbacks callbacks);
     /// Collects the whole answer, up to `maxBody` bytes.
     CallId fetch(HttpRequest request, std::chrono::milliseconds timeout,
-        std::function<void(tl::expected<HttpResponse, NetError>)> done, std::size_t maxBody = 16 * 1024 * 1024);
+        std::function<void(tl::expected<HttpResponse, NetError>)> done, std::size_t maxBody = 16UL * 1024 * 1024);
     /// Breaks the call off; no more callbacks for it.
     void cancel(CallId call);
 
--- a/src/include/RattandeckNet/peer.h
+++ b/src/include/RattandeckNet/peer.h
@@ -12,9 +12,9 @@
 
 struct PeerLimits {
     /// Longest message; a longer one breaks the link.
-    std::size_t maxMessageBytes = 16 * 1024 * 1024;
+    std::size_t maxMessageBytes = 16UL * 1024 * 1024;
     /// Unsent bytes beyond which a link to a stuck peer is broken.
-    std::size_t maxUnsentBytes = 64 * 1024 * 1024;
+    std::size_t maxUnsentBytes = 64UL * 1024 * 1024;
     std::chrono::milliseconds pingInterval { 1000 };
     /// A link that has been silent for this long is broken.
     std::chrono::milliseconds silenceLimit { 4000 };
@@ -31,6 +31,13 @@
 /// Links to other processes of the system: one HTTP/2 connection (nghttp2) each, with one long-lived bidirectional
 /// stream that carries length-prefixed messages in order. Undecodable messages break the link; unknown kinds are
 /// skipped.
+///
+/// Both ends may dial. Of two links between the same nodes both ends keep the same one: that of the later incarnation,
+/// else the one dialled by the smaller node id, else the later one. A message whose `send` returned true arrives, or
+/// the link goes down at this end.
+///
+/// Thread safety: use from the loop's thread. Handlers are called from the loop, never from within a call of this
+/// class, and may call it. Precondition: the loop outlives this object.
 class PeerNetwork {
 public:
     /// `self` is sent as the first message on each link.
@@ -45,11 +52,15 @@
     /// Keeps a link to each of these addresses, redialled after `reconnectDelay`; drops dialled links to others.
     void keepLinksTo(const std::vector<Address>& addresses);
 
-    /// Queues a message. Returns false when no link with `to` is up (nothing is sent then).
+    /// Queues a message. Returns false when no link with `to` is up, or when a limit is reached (the link breaks then);
+    /// nothing is sent then.
     bool send(const Rattandeck::NodeId& to, const Rattandeck::Message& message);
     bool isUp(const Rattandeck::NodeId& node) const;
-    /// Writes out what is queued, as far as peers take it, then closes every link.
+    /// Writes out what is queued, as far as peers take it within a second, then closes every link. No handler is called
+    /// any more.
     void close();
+    /// After `close`: every link is closed.
+    bool isClosed() const;
 
     struct Impl;
 
--- /dev/null
+++ b/src/librattandecknet/http_test.cpp
@@ -0,0 +1,380 @@
+#include "RattandeckNet/http.h"
+
+#include "testloop.h"
+
+#include <ctime>
+#include <vector>
+
+using namespace RattandeckNet;
+
+using Outcome = std::optional<tl::expected<HttpResponse, NetError>>;
+
+constexpr std::chrono::milliseconds longTime { 15000 };
+
+class HttpTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HttpTest);
+    CPPUNIT_TEST(handlerSeesTheTimeAfterAPause);
+    CPPUNIT_TEST(answersOverOneConnection);
+    CPPUNIT_TEST(streamsAnAnswer);
+    CPPUNIT_TEST(abortedAnswerIsBroken);
+    CPPUNIT_TEST(droppedResponderAnswers500);
+    CPPUNIT_TEST(limitsAreAnswered);
+    CPPUNIT_TEST(halfRequestTimesOut);
+    CPPUNIT_TEST(tooManyConnectionsGet503);
+    CPPUNIT_TEST(cancelReachesTheServer);
+    CPPUNIT_TEST(slowReaderIsCutOff);
+    CPPUNIT_TEST(tellsWhetherAnythingWasSent);
+    CPPUNIT_TEST(closedIdleConnectionIsReplaced);
+    CPPUNIT_TEST(unaskedAnswerIsNotTakenForALaterOne);
+    CPPUNIT_TEST(malformedAndTooLargeAnswers);
+    CPPUNIT_TEST(stopFinishesWhatIsInFlight);
+    CPPUNIT_TEST_SUITE_END();
+
+    TestLoop test;
+    std::unique_ptr<HttpServer> server;
+
+    std::uint16_t serve(HttpServer::Handler handler, HttpLimits limits = {}, std::uint16_t port = 0)
+    {
+        this->server = std::make_unique<HttpServer>(this->test.loop, limits, std::move(handler));
+        CPPUNIT_ASSERT(this->server->listen({ "127.0.0.1", port }).has_value());
+        return this->server->port();
+    }
+
+    tl::expected<HttpResponse, NetError> fetch(HttpClient& client, HttpRequest request,
+        std::chrono::milliseconds timeout = longTime, std::size_t maxBody = 1 << 20U)
+    {
+        Outcome outcome;
+        client.fetch(
+            std::move(request), timeout, [&](auto result) { outcome = std::move(result); }, maxBody);
+        CPPUNIT_ASSERT(!outcome);
+        this->test.runUntil("the call ends", [&] { return outcome.has_value(); });
+        return *outcome;
+    }
+
+    static HttpRequest post(std::string path, std::string body)
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.path = std::move(path);
+        request.body = std::move(body);
+        return request;
+    }
+
+    void handlerSeesTheTimeAfterAPause()
+    {
+        const auto clock = [] {
+            timespec time {};
+            clock_gettime(CLOCK_BOOTTIME, &time);
+            return Rattandeck::TimePoint(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+        };
+        Rattandeck::TimePoint end;
+        Rattandeck::TimePoint seen;
+        this->test.loop.post([&] {
+            const auto begin = clock();
+            while (clock() - begin < std::chrono::milliseconds(2)) { }
+            end = clock();
+            this->test.loop.post([&] { seen = this->test.loop.timers().now(); });
+        });
+        this->test.runUntil("the task runs", [&] { return seen != Rattandeck::TimePoint(); });
+        CPPUNIT_ASSERT(seen >= end);
+    }
+
+    void answersOverOneConnection()
+    {
+        HttpRequest seen;
+        const auto port = this->serve([&](const HttpRequest& request, const HttpResponder& responder) {
+            seen = request;
+            responder.send({ 201, { { "x-answer", "a\r\nb" } }, request.body + "!" });
+        });
+        HttpClient client(this->test.loop, { "127.0.0.1", port });
+        HttpRequest request = post("/a b/c", std::string(100000, 'x'));
+        request.query["q"] = "1&2=ü";
+        request.headers["X-Test"] = "yes";
+        for (int i = 0; i < 3; ++i) {
+            const auto response = this->fetch(client, request);
+            CPPUNIT_ASSERT(response.has_value());
+            CPPUNIT_ASSERT_EQUAL(201, response->status);
+            CPPUNIT_ASSERT_EQUAL(std::string("ab"), response->headers.at("x-answer"));
+            CPPUNIT_ASSERT(response->body == request.body + "!");
+        }
+        CPPUNIT_ASSERT_EQUAL(request.path, seen.path);
+        CPPUNIT_ASSERT_EQUAL(request.query["q"], seen.query["q"]);
+        CPPUNIT_ASSERT_EQUAL(std::string("yes"), seen.headers["x-test"]);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->server->openConnections());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->server->inFlight());
+    }
+
+    void streamsAnAnswer()
+    {
+        std::optional<HttpResponder> streaming;
+        const auto port = this->serve([&](const HttpRequest&, const HttpResponder& responder) {
+            responder.begin(200, { { "content-type", "text/plain" } });
+            responder.write("one");
+            streaming = responder;
+        });
+        HttpClient client(this->test.loop, { "127.0.0.1", port });
+        std::string body;
+        std::optional<tl::expected<void, NetError>> end;
+        HttpCallbacks callbacks;
+        callbacks.onData = [&](std::string_view chunk) { body += chunk; };
+        callbacks.onEnd = [&](auto outcome) { end = outcome; };
+        client.start({}, longTime, std::move(callbacks));
+        this->test.runUntil("the first part comes alone", [&] { return body == "one"; });
+        CPPUNIT_ASSERT(!end);
+        streaming->write("");
+        streaming->write("two");
+        streaming->end();
+        streaming->write("ignored");
+        this->test.runUntil("the answer ends", [&] { return end.has_value(); });
+        CPPUNIT_ASSERT(end->has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("onetwo"), body);
+    }
+
+    void abortedAnswerIsBroken()
+    {
+        const auto port = this->serve([&](const HttpRequest& request, const HttpResponder& responder) {
+            if (request.path == "/half") {
+                responder.begin(200, {});
+                responder.write("part");
+            }
+            responder.abort();
+        });
+        HttpClient client(this->test.loop, { "127.0.0.1", port });
+        CPPUNIT_ASSERT(this->fetch(client, post("/half", "")).error() == NetError::Broken);
+        CPPUNIT_ASSERT(this->fetch(client, post("/none", "")).error() == NetError::Broken);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->server->inFlight());
+    }
+
+    void droppedResponderAnswers500()
+    {
+        const auto port = this->serve([](const HttpRequest&, const HttpResponder&) {});
+        HttpClient client(this->test.loop, { "127.0.0.1", port });
+        CPPUNIT_ASSERT_EQUAL(500, this->fetch(client, {})->status);
+    }
+
+    void limitsAreAnswered()
+    {
+        HttpLimits limits;
+        limits.maxHeaderBytes = 2048;
+        limits.maxBodyBytes = 1000;
+        int handled = 0;
+        const auto port = this->serve(
+            [&](const HttpRequest&, const HttpResponder& responder) {
+                ++handled;
+                responder.send({});
+            },
+            limits);
+        HttpClient client(this->test.loop, { "127.0.0.1", port });
+        HttpRequest longHeader;
+        longHeader.headers["x-long"] = std::string(5000, 'a');
+        CPPUNIT_ASSERT_EQUAL(431, this->fetch(client, longHeader)->status);
+        CPPUNIT_ASSERT_EQUAL(413, this->fetch(client, post("/", std::string(1001, 'a')))->status);
+        CPPUNIT_ASSERT_EQUAL(0, handled);
+        CPPUNIT_ASSERT_EQUAL(200, this->fetch(client, post("/", std::string(1000, 'a')))->status);
+
+        const std::string chunked = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+        this->expectRawAnswer(port, "no such thing\r\n\r\n", "HTTP/1.1 400");
+        this->expectRawAnswer(port, chunked + "1;" + std::string(60000, 'e'), "HTTP/1.1 431");
+        this->expectRawAnswer(port, chunked + "ffffffffffffffff\r\n", "HTTP/1.1 413");
+        this->expectRawAnswer(port, "POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n", "HTTP/1.1 413");
+        CPPUNIT_ASSERT_EQUAL(1, handled);
+    }
+
+    void expectRawAnswer(std::uint16_t port, const std::string& request, const std::string& answer)
+    {
+        RawSocket socket(port);
+        socket.write(request);
+        this->test.runUntil("the server closes", [&] { return socket.readUntilClosed(); });
+        CPPUNIT_ASSERT_EQUAL(answer, socket.received.substr(0, answer.size()));
+    }
+
+    void halfRequestTimesOut()
+    {
+        HttpLimits limits;
+        limits.readTimeout = std::chrono::seconds(1);
+        const auto port
+            = this->serve([](const HttpRequest&, const HttpResponder& responder) { responder.send({}); }, limits);
+        this->expectRawAnswer(port, "GET / HTT", "HTTP/1.1 408");
+        this->test.runUntil("the connection is gone", [&] { return this->server->openConnections() == 0; });
+    }
+
+    void tooManyConnectionsGet503()
+    {
+        HttpLimits limits;
+        limits.maxConnections = 1;
+        const auto port
+            = this->serve([](const HttpRequest&, const HttpResponder& responder) { responder.send({}); }, limits);
+        RawSocket first(port);
+        this->test.runUntil("the first is accepted", [&] { return this->server->openConnections() == 1; });
+        this->expectRawAnswer(port, "GET / HTTP/1.1\r\n\r\n", "HTTP/1.1 503");
+        first.write("GET / HTTP/1.1\r\n\r\n");
+        this->test.runUntil("the first is served", [&] {
+            first.readUntilClosed();
+            return first.received.starts_with("HTTP/1.1 200");
+        });
+    }
+
+    void cancelReachesTheServer()
+    {
+        std::optional<HttpResponder> open;
+        bool isGone = false;
+        const auto port = this->serve([&](const HttpRequest&, const HttpResponder& responder) {
+            open = responder;
+            responder.onClosed([&] { isGone = true; });
+        });
+        HttpClient client(this->test.loop, { "127.0.0.1", port });
+        bool isEnded = false;
+        HttpCallbacks callbacks;
+        callbacks.onEnd = [&](auto) { isEnded = true; };
+        const auto call = client.start({}, longTime, std::move(callbacks));
+        this->test.runUntil("the request arrives", [&] { return open.has_value(); });
+        client.cancel(call);
+        this->test.runUntil("the server notices", [&] { return isGone; });
+        CPPUNIT_ASSERT(!isEnded);
+        open->send({});
+    }
+
+    void slowReaderIsCutOff()
+    {
+        HttpLimits limits;
+        limits.maxUnsentBytes = 1 << 20U;
+        bool isGone = false;
+        std::size_t written = 0;
+        const auto port = this->serve(
+            [&](const HttpRequest&, const HttpResponder& responder) {
+                responder.begin(200, {});
+                responder.onClosed([&] { isGone = true; });
+                // Far more than socket buffers take.
+                for (int i = 0; i < 1000; ++i) {
+                    responder.write(std::string(1 << 16U, 'x'));
+                    written += 1 << 16U;
+                }
+            },
+            limits);
+        RawSocket socket(port, 4096);
+        socket.write("GET / HTTP/1.1\r\n\r\n");
+        this->test.runUntil("the reader is cut off", [&] { return isGone; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->server->openConnections());
+    }
+
+    void tellsWhetherAnythingWasSent()
+    {
+        std::vector<HttpResponder> unanswered;
+        const auto port
+            = this->serve([&](const HttpRequest&, const HttpResponder& responder) { unanswered.push_back(responder); });
+        HttpClient client(this->test.loop, { "127.0.0.1", port }, 1);
+        Outcome first;
+        Outcome second;
+        client.fetch({}, std::chrono::milliseconds(200), [&](auto result) { first = result; });
+        client.fetch({}, std::chrono::milliseconds(100), [&](auto result) { second = result; });
+        this->test.runUntil("both end", [&] { return first && second; });
+        CPPUNIT_ASSERT(first->error() == NetError::TimedOut);
+        CPPUNIT_ASSERT(second->error() == NetError::NotSent);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), unanswered.size());
+
+        this->server.reset();
+        CPPUNIT_ASSERT(this->fetch(client, {}).error() == NetError::ConnectFailed);
+        HttpClient nowhere(this->test.loop, { "not-a-number", 1 });
+        CPPUNIT_ASSERT(this->fetch(nowhere, {}).error() == NetError::BadAddress);
+    }
+
+    void closedIdleConnectionIsReplaced()
+    {
+        const auto answer = [](const HttpRequest&, const HttpResponder& responder) { responder.send({}); };
+        const auto port = this->serve(answer);
+        HttpClient client(this->test.loop, { "127.0.0.1", port });
+        CPPUNIT_ASSERT_EQUAL(200, this->fetch(client, {})->status);
+        // The loop doesn't run between the close and the next call, so that the client has to look by itself.
+        this->server.reset();
+        this->serve(answer, {}, port);
+        CPPUNIT_ASSERT_EQUAL(200, this->fetch(client, {})->status);
+    }
+
+    /// Waits for a request on the next connection to `listener` and answers it with `bytes`.
+    std::unique_ptr<RawSocket> answerRaw(const RawListener& listener, std::string_view bytes)
+    {
+        std::unique_ptr<RawSocket> socket;
+        this->test.runUntil("a connection comes", [&] {
+            socket = listener.accept();
+            return socket != nullptr;
+        });
+        this->test.runUntil("a request comes", [&] {
+            socket->readUntilClosed();
+            return socket->received.ends_with("\r\n\r\n");
+        });
+        socket->write(bytes);
+        return socket;
+    }
+
+    void unaskedAnswerIsNotTakenForALaterOne()
+    {
+        const RawListener listener;
+        HttpClient client(this->test.loop, { "127.0.0.1", listener.port });
+        Outcome first;
+        client.fetch({}, longTime, [&](auto result) { first = result; });
+        const auto socket = this->answerRaw(listener, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none");
+        this->test.runUntil("the first ends", [&] { return first.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("one"), first.value()->body);
+
+        // The client's loop doesn't run between the unasked answer and the next call.
+        socket->write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+        Outcome second;
+        client.fetch({}, longTime, [&](auto result) { second = result; });
+        const auto next = this->answerRaw(
+            listener, "HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo");
+        this->test.runUntil("the second ends", [&] { return second.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("two"), second.value()->body);
+    }
+
+    void malformedAndTooLargeAnswers()
+    {
+        const RawListener listener;
+        HttpClient raw(this->test.loop, { "127.0.0.1", listener.port });
+        const auto expect = [&](std::string_view answer, NetError error) {
+            Outcome outcome;
+            raw.fetch({}, longTime, [&](auto result) { outcome = result; });
+            // The connection closes after the answer.
+            this->answerRaw(listener, answer).reset();
+            this->test.runUntil("the call ends", [&] { return outcome.has_value(); });
+            CPPUNIT_ASSERT(outcome->error() == error);
+        };
+        expect("SMTP ready\r\n\r\n", NetError::Malformed);
+        expect("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", NetError::Malformed);
+        expect("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", NetError::Broken);
+        expect("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n", NetError::Broken);
+        expect("", NetError::Broken);
+
+        const auto port = this->serve([](const HttpRequest&, const HttpResponder& responder) {
+            responder.send({ 200, {}, std::string(5000, 'x') });
+        });
+        HttpClient client(this->test.loop, { "127.0.0.1", port });
+        CPPUNIT_ASSERT(this->fetch(client, {}, longTime, 4999).error() == NetError::TooLarge);
+        CPPUNIT_ASSERT_EQUAL(200, this->fetch(client, {}, longTime, 5000)->status);
+    }
+
+    void stopFinishesWhatIsInFlight()
+    {
+        std::optional<HttpResponder> open;
+        const auto port = this->serve([&](const HttpRequest& request, const HttpResponder& responder) {
+            if (request.path == "/slow")
+                open = responder;
+            else
+                responder.send({});
+        });
+        HttpClient client(this->test.loop, { "127.0.0.1", port });
+        Outcome slow;
+        client.fetch(post("/slow", ""), longTime, [&](auto result) { slow = result; });
+        CPPUNIT_ASSERT_EQUAL(200, this->fetch(client, {})->status);
+        this->test.runUntil("the slow one arrives", [&] { return open.has_value(); });
+        this->server->stopAccepting();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->server->inFlight());
+        this->test.runUntil("idle ones close", [&] { return this->server->openConnections() == 1; });
+        CPPUNIT_ASSERT(this->fetch(client, {}).error() == NetError::ConnectFailed);
+        open->send({});
+        this->test.runUntil("the slow one ends", [&] { return slow.has_value(); });
+        CPPUNIT_ASSERT_EQUAL(200, slow.value()->status);
+        CPPUNIT_ASSERT_EQUAL(std::string("close"), slow.value()->headers.at("connection"));
+        this->test.runUntil("all are closed", [&] { return this->server->openConnections() == 0; });
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(HttpTest);
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -16,8 +16,8 @@
 namespace Asio = boost::asio;
 namespace Http = boost::beast::http;
 
-constexpr std::size_t readSize = 16 * 1024;
-constexpr std::size_t maxHeaderBytes = 64 * 1024;
+constexpr std::size_t readSize = 16UL * 1024;
+constexpr std::size_t maxHeaderBytes = 64UL * 1024;
 
 namespace {
 
@@ -166,11 +166,11 @@
         const auto rest = Asio::buffer(this->call->bytes) + this->written;
         // The call owns the bytes and has to outlive the write, also when it is cancelled.
         this->socket.async_write_some(rest,
-            this->loop.bind([self = this->shared_from_this(), call = this->call](
-                                const ErrorCode& error, std::size_t size) {
-                if (!self->isClosed && self->call == call)
-                    self->onWritten(error, size);
-            }));
+            this->loop.bind(
+                [self = this->shared_from_this(), call = this->call](const ErrorCode& error, std::size_t size) {
+                    if (!self->isClosed && self->call == call)
+                        self->onWritten(error, size);
+                }));
     }
 
     void Connection::onWritten(const ErrorCode& error, std::size_t size)
@@ -286,8 +286,8 @@
         const auto self = this->shared_from_this();
         const auto owner = this->client;
         const auto ended = std::move(this->call);
-        const bool isReusable = this->parser->keep_alive() && this->buffer.size() == 0
-            && this->written == ended->bytes.size();
+        const bool isReusable
+            = this->parser->keep_alive() && this->buffer.size() == 0 && this->written == ended->bytes.size();
         this->parser.reset();
         if (isReusable) {
             owner->idle.push_back(self);
--- a/src/librattandecknet/httpcommon.cpp
+++ b/src/librattandecknet/httpcommon.cpp
@@ -51,8 +51,8 @@
 {
     std::string decoded;
     for (std::size_t i = 0; i < text.size(); ++i) {
-        const bool escaped = text[i] == '%' && i + 2 < text.size() && hexValue(text[i + 1]) >= 0
-            && hexValue(text[i + 2]) >= 0;
+        const bool escaped
+            = text[i] == '%' && i + 2 < text.size() && hexValue(text[i + 1]) >= 0 && hexValue(text[i + 2]) >= 0;
         if (!escaped) {
             decoded += text[i];
             continue;
--- /dev/null
+++ b/src/librattandecknet/peer.cpp
@@ -0,0 +1,561 @@
+#include "RattandeckNet/peer.h"
+
+#include "loopimpl.h"
+#include "peersession.h"
+#include "Rattandeck/wire.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include <map>
+#include <optional>
+#include <unordered_set>
+
+namespace RattandeckNet {
+
+namespace Asio = boost::asio;
+using namespace Rattandeck;
+
+constexpr std::size_t readSize = 64UL * 1024;
+/// Bytes handed to the socket in one write.
+constexpr std::size_t writeSize = 256UL * 1024;
+constexpr std::size_t maxLinks = 4096;
+/// How long a closing link may take to write out its queue.
+constexpr std::chrono::seconds drainTime { 1 };
+constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
+
+namespace {
+
+    class PeerLink;
+
+    /// An address that a link is kept to.
+    struct Target {
+        Address address;
+        std::shared_ptr<PeerLink> link;
+        TimerId redial;
+        /// The node there is linked with over another connection (or is this one), so that dialling waits.
+        NodeId duplicateOf;
+    };
+
+}
+
+struct PeerNetwork::Impl : std::enable_shared_from_this<PeerNetwork::Impl> {
+    Impl(EventLoop& owner, Hello self, PeerLimits limits, PeerHandlers handlers);
+
+    EventLoop::Impl& loop;
+    Hello self;
+    PeerLimits limits;
+    PeerHandlers handlers;
+    Acceptor acceptor;
+    std::uint16_t port = 0;
+    bool isClosing = false;
+    std::uint64_t lastLinkNumber = 0;
+    std::unordered_set<std::shared_ptr<PeerLink>> links;
+    std::map<NodeId, std::shared_ptr<PeerLink>> up;
+    /// By "host:port".
+    std::map<std::string, Target> targets;
+
+    void accept();
+    void dial(const std::string& name);
+    bool needsNoDial(const std::string& name, const Target& target) const;
+    void scheduleDial(const std::string& name, Duration delay);
+    void onHello(const std::shared_ptr<PeerLink>& link, const Hello& hello);
+    bool isPreferred(const PeerLink& later, const PeerLink& earlier) const;
+    void markDuplicate(const PeerLink& link, const NodeId& node);
+    void forget(const std::shared_ptr<PeerLink>& link);
+    void beginClose();
+    void closeNow();
+};
+
+// Link ---------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+    using NetworkImpl = PeerNetwork::Impl;
+
+    class PeerLink : public std::enable_shared_from_this<PeerLink> {
+    public:
+        enum class State { Connecting, Greeting, Up, Draining, Closed };
+
+        PeerLink(std::shared_ptr<NetworkImpl> network, Socket socket, PeerSession::Side side, std::uint64_t number)
+            : network(std::move(network))
+            , loop(this->network->loop)
+            , socket(std::move(socket))
+            , side(side)
+            , session(side, number, this->network->limits.maxMessageBytes)
+            , input(readSize, '\0')
+        {
+        }
+
+        /// Name of the dialled target; empty for an accepted link.
+        std::string target;
+        Hello hello;
+        State state = State::Connecting;
+
+        bool isDialled() const { return this->side == PeerSession::Side::Dialler; }
+        std::uint64_t number() const { return this->session.linkNumber(); }
+
+        void connect(const Tcp::endpoint& endpoint);
+        void start();
+        bool send(const Message& message);
+        /// Writes out the queue, then closes.
+        void drain();
+        /// Closes at once and reports a link that was up as down.
+        void close();
+
+    private:
+        void scheduleTick();
+        void onTick(TimePoint expected);
+        void read();
+        void onRead(const ErrorCode& error, std::size_t size);
+        void deliver(const Message& message);
+        void postFlush();
+        void flush();
+        void onDrained();
+        std::size_t unsentBytes() const { return this->session.queuedBytes() + this->writing.size(); }
+
+        std::shared_ptr<NetworkImpl> network;
+        EventLoop::Impl& loop;
+        Socket socket;
+        PeerSession::Side side;
+        PeerSession session;
+        std::string input;
+        std::string writing;
+        bool isWriting = false;
+        bool isFlushPosted = false;
+        TimePoint lastHeard;
+        TimerId tick;
+    };
+
+    void PeerLink::connect(const Tcp::endpoint& endpoint)
+    {
+        this->lastHeard = this->loop.timers.now();
+        this->scheduleTick();
+        auto onConnect = [self = this->shared_from_this()](const ErrorCode& error) {
+            if (self->state == State::Closed)
+                return;
+            if (error)
+                self->close();
+            else
+                self->start();
+        };
+        this->socket.async_connect(endpoint, this->loop.bind(std::move(onConnect)));
+    }
+
+    void PeerLink::start()
+    {
+        this->state = State::Greeting;
+        this->lastHeard = this->loop.timers.now();
+        if (this->tick.value == 0)
+            this->scheduleTick();
+        ErrorCode ignored;
+        this->socket.set_option(Tcp::no_delay(true), ignored);
+        this->session.queue(encode(this->network->self));
+        this->flush();
+        this->read();
+    }
+
+    // Supervision --------------------------------------------------------------------------------------------------
+
+    void PeerLink::scheduleTick()
+    {
+        const TimePoint when = this->loop.timers.now() + this->network->limits.pingInterval;
+        this->tick = this->loop.timers.subscribeAt(when, [weak = this->weak_from_this(), when] {
+            if (const auto self = weak.lock())
+                self->onTick(when);
+        });
+    }
+
+    void PeerLink::onTick(TimePoint expected)
+    {
+        const TimePoint now = this->loop.timers.now();
+        // After a pause of this process, what the peer has sent meanwhile is still to be read.
+        const bool isLate = now - expected > this->network->limits.pingInterval;
+        if (!isLate && now - this->lastHeard > this->network->limits.silenceLimit) {
+            this->close();
+            return;
+        }
+        this->scheduleTick();
+        if (this->state == State::Connecting)
+            return;
+        this->session.ping();
+        this->flush();
+    }
+
+    // Receiving ----------------------------------------------------------------------------------------------------
+
+    void PeerLink::read()
+    {
+        this->socket.async_read_some(Asio::buffer(this->input),
+            this->loop.bind([self = this->shared_from_this()](const ErrorCode& error, std::size_t size) {
+                if (self->state != State::Closed)
+                    self->onRead(error, size);
+            }));
+    }
+
+    void PeerLink::onRead(const ErrorCode& error, std::size_t size)
+    {
+        if (error) {
+            this->close();
+            return;
+        }
+        // A peer that pings but never says who it is doesn't keep its connection.
+        if (this->state != State::Greeting)
+            this->lastHeard = this->loop.timers.now();
+        bool isIntact = this->session.receive(std::string_view(this->input).substr(0, size));
+        std::string bytes;
+        auto next = this->session.nextMessage(bytes);
+        for (; next == PeerSession::Next::Message; next = this->session.nextMessage(bytes)) {
+            const auto message = decode(bytes);
+            if (!message && message.error() == WireError::UnknownKind)
+                continue;
+            if (!message) {
+                isIntact = false;
+                break;
+            }
+            this->deliver(*message);
+            if (this->state == State::Closed)
+                return;
+        }
+        if (!isIntact || next == PeerSession::Next::TooLong) {
+            this->close();
+            return;
+        }
+        this->flush();
+        if (this->state != State::Closed)
+            this->read();
+    }
+
+    void PeerLink::deliver(const Message& message)
+    {
+        if (this->state == State::Up) {
+            if (!std::holds_alternative<Hello>(message))
+                this->network->handlers.onMessage(this->hello.node, message);
+            return;
+        }
+        if (this->state != State::Greeting)
+            return;
+        if (const auto* greeting = std::get_if<Hello>(&message))
+            this->network->onHello(this->shared_from_this(), *greeting);
+        else
+            this->close();
+    }
+
+    // Sending ------------------------------------------------------------------------------------------------------
+
+    bool PeerLink::send(const Message& message)
+    {
+        const std::string bytes = encode(message);
+        const auto& limits = this->network->limits;
+        if (bytes.size() > limits.maxMessageBytes || this->unsentBytes() + bytes.size() > limits.maxUnsentBytes) {
+            // Later, since the sender may be in the middle of something.
+            Asio::post(this->loop.context, this->loop.bind([self = this->shared_from_this()] { self->close(); }));
+            return false;
+        }
+        this->session.queue(bytes);
+        this->postFlush();
+        return true;
+    }
+
+    void PeerLink::postFlush()
+    {
+        // Messages sent from one handler go out in one write.
+        if (this->isFlushPosted)
+            return;
+        this->isFlushPosted = true;
+        Asio::post(this->loop.context, this->loop.bind([self = this->shared_from_this()] {
+            self->isFlushPosted = false;
+            self->flush();
+        }));
+    }
+
+    void PeerLink::flush()
+    {
+        if (this->isWriting || this->state == State::Closed || this->state == State::Connecting)
+            return;
+        this->writing.clear();
+        if (!this->session.takeOutput(this->writing, writeSize)) {
+            this->close();
+            return;
+        }
+        if (this->writing.empty()) {
+            this->onDrained();
+            return;
+        }
+        this->isWriting = true;
+        Asio::async_write(this->socket, Asio::buffer(this->writing),
+            this->loop.bind([self = this->shared_from_this()](const ErrorCode& error, std::size_t) {
+                self->isWriting = false;
+                if (error)
+                    self->close();
+                else
+                    self->flush();
+            }));
+    }
+
+    void PeerLink::drain()
+    {
+        this->state = State::Draining;
+        this->session.finish();
+        this->loop.timers.subscribeAfter(drainTime, [weak = this->weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->close();
+        });
+        this->flush();
+    }
+
+    void PeerLink::onDrained()
+    {
+        // The peer may still have to open its windows for what is queued.
+        if (this->state != State::Draining || this->session.queuedBytes() > 0)
+            return;
+        ErrorCode ignored;
+        this->socket.shutdown(Socket::shutdown_send, ignored);
+    }
+
+    void PeerLink::close()
+    {
+        if (this->state == State::Closed)
+            return;
+        const auto self = this->shared_from_this();
+        this->state = State::Closed;
+        this->loop.timers.cancel(this->tick);
+        ErrorCode ignored;
+        this->socket.close(ignored);
+        this->network->forget(self);
+    }
+
+}
+
+// Network --------------------------------------------------------------------------------------------------------
+
+PeerNetwork::Impl::Impl(EventLoop& owner, Hello self, PeerLimits limits, PeerHandlers handlers)
+    : loop(owner.internals())
+    , self(std::move(self))
+    , limits(limits)
+    , handlers(std::move(handlers))
+    , acceptor(this->loop.context.get_executor())
+{
+}
+
+void PeerNetwork::Impl::accept()
+{
+    auto onAccept = [self = this->shared_from_this()](const ErrorCode& error, Socket socket) {
+        if (self->isClosing)
+            return;
+        if (error) {
+            // Out of descriptors, most likely: trying again at once would spin.
+            self->loop.timers.subscribeAfter(acceptRetryDelay, [weak = std::weak_ptr<Impl>(self)] {
+                const auto self = weak.lock();
+                if (self && !self->isClosing)
+                    self->accept();
+            });
+            return;
+        }
+        if (self->links.size() < maxLinks) {
+            auto link = std::make_shared<PeerLink>(self, std::move(socket), PeerSession::Side::Acceptor, 0);
+            self->links.insert(link);
+            link->start();
+        }
+        self->accept();
+    };
+    this->acceptor.async_accept(this->loop.bind(std::move(onAccept)));
+}
+
+// Dialling -------------------------------------------------------------------------------------------------------
+
+void PeerNetwork::Impl::scheduleDial(const std::string& name, Duration delay)
+{
+    const auto found = this->targets.find(name);
+    if (found == this->targets.end() || this->isClosing)
+        return;
+    this->loop.timers.cancel(found->second.redial);
+    found->second.redial = this->loop.timers.subscribeAfter(delay, [weak = this->weak_from_this(), name] {
+        if (const auto self = weak.lock())
+            self->dial(name);
+    });
+}
+
+bool PeerNetwork::Impl::needsNoDial(const std::string& name, const Target& target) const
+{
+    if (name == this->self.address || target.duplicateOf == this->self.node || this->up.contains(target.duplicateOf))
+        return true;
+    for (const auto& [node, link] : this->up) {
+        if (link->hello.address == name)
+            return true;
+    }
+    return false;
+}
+
+void PeerNetwork::Impl::dial(const std::string& name)
+{
+    const auto found = this->targets.find(name);
+    if (found == this->targets.end() || found->second.link || this->isClosing)
+        return;
+    Target& target = found->second;
+    const auto endpoint = toEndpoint(target.address);
+    if (!endpoint)
+        return;
+    // Looked at again later: the link that makes this one needless may go down.
+    if (this->needsNoDial(name, target)) {
+        this->scheduleDial(name, this->limits.reconnectDelay);
+        return;
+    }
+    target.duplicateOf = NodeId();
+    auto link = std::make_shared<PeerLink>(this->shared_from_this(), Socket(this->loop.context.get_executor()),
+        PeerSession::Side::Dialler, ++this->lastLinkNumber);
+    link->target = name;
+    target.link = link;
+    this->links.insert(link);
+    link->connect(*endpoint);
+}
+
+// Links up and down ----------------------------------------------------------------------------------------------
+
+/// Which of two links with one node stays. Both ends decide alike, as each knows the incarnations, who dialled, and the
+/// dialler's link numbers.
+bool PeerNetwork::Impl::isPreferred(const PeerLink& later, const PeerLink& earlier) const
+{
+    if (later.hello.incarnation != earlier.hello.incarnation)
+        return later.hello.incarnation > earlier.hello.incarnation;
+    if (later.isDialled() == earlier.isDialled())
+        return later.number() > earlier.number();
+    return later.isDialled() == (this->self.node < later.hello.node);
+}
+
+void PeerNetwork::Impl::markDuplicate(const PeerLink& link, const NodeId& node)
+{
+    const auto found = this->targets.find(link.target);
+    if (found != this->targets.end())
+        found->second.duplicateOf = node;
+}
+
+void PeerNetwork::Impl::onHello(const std::shared_ptr<PeerLink>& link, const Hello& hello)
+{
+    link->hello = hello;
+    const auto found = this->up.find(hello.node);
+    const auto earlier = found == this->up.end() ? nullptr : found->second;
+    if (hello.node == this->self.node || (earlier && !this->isPreferred(*link, *earlier))) {
+        this->markDuplicate(*link, hello.node);
+        link->close();
+        return;
+    }
+    if (earlier) {
+        this->markDuplicate(*earlier, hello.node);
+        earlier->close();
+    }
+    if (link->state != PeerLink::State::Greeting)
+        return;
+    link->state = PeerLink::State::Up;
+    this->up[hello.node] = link;
+    this->handlers.onUp(hello);
+}
+
+void PeerNetwork::Impl::forget(const std::shared_ptr<PeerLink>& link)
+{
+    this->links.erase(link);
+    const auto target = this->targets.find(link->target);
+    if (target != this->targets.end() && target->second.link == link) {
+        target->second.link = nullptr;
+        this->scheduleDial(link->target, this->limits.reconnectDelay);
+    }
+    const auto found = this->up.find(link->hello.node);
+    if (found == this->up.end() || found->second != link)
+        return;
+    this->up.erase(found);
+    if (!this->isClosing)
+        this->handlers.onDown(link->hello.node);
+}
+
+void PeerNetwork::Impl::beginClose()
+{
+    this->isClosing = true;
+    ErrorCode ignored;
+    this->acceptor.close(ignored);
+    for (auto& [name, target] : this->targets)
+        this->loop.timers.cancel(target.redial);
+    this->targets.clear();
+    this->up.clear();
+    const auto open = this->links;
+    for (const auto& link : open) {
+        if (link->state == PeerLink::State::Up)
+            link->drain();
+        else
+            link->close();
+    }
+}
+
+void PeerNetwork::Impl::closeNow()
+{
+    this->isClosing = true;
+    ErrorCode ignored;
+    this->acceptor.close(ignored);
+    for (auto& [name, target] : this->targets)
+        this->loop.timers.cancel(target.redial);
+    this->targets.clear();
+    const auto open = this->links;
+    for (const auto& link : open)
+        link->close();
+}
+
+PeerNetwork::PeerNetwork(EventLoop& loop, Hello self, PeerLimits limits, PeerHandlers handlers)
+    : impl(std::make_shared<Impl>(loop, std::move(self), limits, std::move(handlers)))
+{
+}
+
+PeerNetwork::~PeerNetwork() { this->impl->closeNow(); }
+
+tl::expected<void, NetError> PeerNetwork::listen(const Address& address)
+{
+    const auto outcome = listenOn(this->impl->acceptor, address);
+    if (!outcome)
+        return outcome;
+    this->impl->port = this->impl->acceptor.local_endpoint().port();
+    this->impl->accept();
+    return {};
+}
+
+std::uint16_t PeerNetwork::port() const { return this->impl->port; }
+
+void PeerNetwork::setSelf(Hello self) { this->impl->self = std::move(self); }
+
+void PeerNetwork::keepLinksTo(const std::vector<Address>& addresses)
+{
+    if (this->impl->isClosing)
+        return;
+    std::map<std::string, Target> dropped = std::move(this->impl->targets);
+    this->impl->targets.clear();
+    for (const Address& address : addresses) {
+        const std::string name = toString(address);
+        if (auto known = dropped.extract(name)) {
+            this->impl->targets.insert(std::move(known));
+            continue;
+        }
+        if (this->impl->targets.try_emplace(name, Target { address, nullptr, {}, {} }).second)
+            this->impl->scheduleDial(name, Duration(0));
+    }
+    for (auto& [name, target] : dropped) {
+        this->impl->loop.timers.cancel(target.redial);
+        // Later, so that no handler is called from within this call.
+        if (target.link)
+            Asio::post(this->impl->loop.context, this->impl->loop.bind([link = target.link] { link->close(); }));
+    }
+}
+
+bool PeerNetwork::send(const NodeId& to, const Message& message)
+{
+    const auto found = this->impl->up.find(to);
+    return found != this->impl->up.end() && found->second->send(message);
+}
+
+bool PeerNetwork::isUp(const NodeId& node) const { return this->impl->up.contains(node); }
+
+void PeerNetwork::close()
+{
+    if (!this->impl->isClosing)
+        this->impl->beginClose();
+}
+
+bool PeerNetwork::isClosed() const { return this->impl->isClosing && this->impl->links.empty(); }
+
+}
--- /dev/null
+++ b/src/librattandecknet/peer_test.cpp
@@ -0,0 +1,279 @@
+#include "RattandeckNet/peer.h"
+
+#include "peersession.h"
+#include "Rattandeck/wire.h"
+#include "testloop.h"
+
+#include <vector>
+
+using namespace RattandeckNet;
+using namespace Rattandeck;
+
+/// One process's end of the network, with what its handlers saw.
+struct Peer {
+    Hello self;
+    std::vector<std::string> events;
+    std::vector<OrderTokens> received;
+    std::unique_ptr<PeerNetwork> network;
+
+    Peer(EventLoop& loop, const std::string& node, std::uint64_t incarnation, PeerLimits limits, std::uint16_t port = 0)
+    {
+        this->self.node = NodeId(node);
+        this->self.incarnation = Incarnation(incarnation);
+        PeerHandlers handlers;
+        handlers.onUp = [this](const Hello& hello) { this->events.push_back("up " + hello.node.value); };
+        handlers.onDown = [this](const NodeId& node) { this->events.push_back("down " + node.value); };
+        handlers.onMessage = [this](const NodeId&, const Message& message) {
+            this->received.push_back(std::get<OrderTokens>(message));
+        };
+        this->network = std::make_unique<PeerNetwork>(loop, this->self, limits, std::move(handlers));
+        CPPUNIT_ASSERT(this->network->listen({ "127.0.0.1", port }).has_value());
+        this->self.address = toString(this->address());
+        this->network->setSelf(this->self);
+    }
+
+    Address address() const { return { "127.0.0.1", this->network->port() }; }
+    bool isUp(const Peer& other) const { return this->network->isUp(other.self.node); }
+    bool send(const Peer& to, std::uint32_t part, std::string text = {}) const
+    {
+        return this->network->send(to.self.node, OrderTokens { OrderId(1), part, std::move(text), {} });
+    }
+};
+
+class PeerTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(PeerTest);
+    CPPUNIT_TEST(messagesArriveInOrder);
+    CPPUNIT_TEST(oneLinkStaysWhenBothDial);
+    CPPUNIT_TEST(downAtBothEndsAndRedial);
+    CPPUNIT_TEST(closeWritesOutTheQueue);
+    CPPUNIT_TEST(ownAddressAndSecondAddressAreNotLinked);
+    CPPUNIT_TEST(garbageBreaksOnlyItsConnection);
+    CPPUNIT_TEST(unknownKindsAreSkipped);
+    CPPUNIT_TEST(hugeLengthBreaksTheLink);
+    CPPUNIT_TEST(malformedMessageBreaksTheLink);
+    CPPUNIT_TEST(silentPeerGoesDown);
+    CPPUNIT_TEST(stuckPeerGoesDown);
+    CPPUNIT_TEST_SUITE_END();
+
+    TestLoop test;
+    PeerLimits limits;
+
+public:
+    void setUp() override { this->limits.reconnectDelay = std::chrono::milliseconds(5); }
+
+private:
+    void messagesArriveInOrder()
+    {
+        Peer a(this->test.loop, "a", 1, this->limits);
+        Peer b(this->test.loop, "b", 1, this->limits);
+        a.network->keepLinksTo({ b.address() });
+        this->test.runUntil("up", [&] { return a.isUp(b) && b.isUp(a); });
+        constexpr std::uint32_t count = 2000;
+        const std::string large(5 << 20U, 'x');
+        for (std::uint32_t i = 0; i < count; ++i) {
+            CPPUNIT_ASSERT(a.send(b, i, i == count / 2 ? large : "t"));
+            CPPUNIT_ASSERT(b.send(a, i));
+        }
+        this->test.runUntil("all arrive", [&] { return a.received.size() == count && b.received.size() == count; });
+        for (std::uint32_t i = 0; i < count; ++i) {
+            CPPUNIT_ASSERT_EQUAL(i, a.received[i].part);
+            CPPUNIT_ASSERT_EQUAL(i, b.received[i].part);
+        }
+        CPPUNIT_ASSERT(b.received[count / 2].text == large);
+        CPPUNIT_ASSERT(!a.network->send(NodeId("c"), CancelOrder {}));
+    }
+
+    void oneLinkStaysWhenBothDial()
+    {
+        Peer a(this->test.loop, "a", 1, this->limits);
+        Peer b(this->test.loop, "b", 1, this->limits);
+        a.network->keepLinksTo({ b.address() });
+        b.network->keepLinksTo({ a.address() });
+        this->test.runUntil("up", [&] { return a.isUp(b) && b.isUp(a); });
+        // Each end says "last up" in turn once the surplus link is gone; messages on the link that stays arrive.
+        const auto balance = [](const Peer& peer) {
+            int links = 0;
+            for (const std::string& event : peer.events)
+                links += event.starts_with("up") ? 1 : -1;
+            return links;
+        };
+        std::uint32_t part = 0;
+        for (int round = 0; round < 20; ++round) {
+            const std::size_t before = b.received.size();
+            this->test.runUntil("a message arrives", [&] {
+                if (a.isUp(b))
+                    a.send(b, part++);
+                return b.received.size() > before;
+            });
+        }
+        CPPUNIT_ASSERT_EQUAL(1, balance(a));
+        CPPUNIT_ASSERT_EQUAL(1, balance(b));
+        CPPUNIT_ASSERT(a.events.size() <= 3 && b.events.size() <= 3);
+    }
+
+    void downAtBothEndsAndRedial()
+    {
+        Peer a(this->test.loop, "a", 1, this->limits);
+        auto b = std::make_unique<Peer>(this->test.loop, "b", 1, this->limits);
+        const std::uint16_t port = b->network->port();
+        a.network->keepLinksTo({ b->address() });
+        this->test.runUntil("up", [&] { return a.isUp(*b) && b->isUp(a); });
+        a.network->keepLinksTo({});
+        this->test.runUntil("down at both ends", [&] { return !a.isUp(*b) && !b->isUp(a); });
+        CPPUNIT_ASSERT_EQUAL(std::string("down b"), a.events.back());
+        CPPUNIT_ASSERT_EQUAL(std::string("down a"), b->events.back());
+
+        a.network->keepLinksTo({ b->address() });
+        this->test.runUntil("up again", [&] { return a.isUp(*b) && b->isUp(a); });
+        b.reset();
+        this->test.runUntil("down", [&] { return !a.network->isUp(NodeId("b")); });
+        Peer next(this->test.loop, "b", 2, this->limits, port);
+        this->test.runUntil("up with the next life", [&] { return a.isUp(next) && next.isUp(a); });
+        const std::vector<std::string> expected { "up b", "down b", "up b", "down b", "up b" };
+        CPPUNIT_ASSERT(expected == a.events);
+    }
+
+    void closeWritesOutTheQueue()
+    {
+        Peer a(this->test.loop, "a", 1, this->limits);
+        Peer b(this->test.loop, "b", 1, this->limits);
+        a.network->keepLinksTo({ b.address() });
+        this->test.runUntil("up", [&] { return a.isUp(b) && b.isUp(a); });
+        constexpr std::uint32_t count = 500;
+        for (std::uint32_t i = 0; i < count; ++i)
+            a.send(b, i, std::string(20000, 'x'));
+        a.network->close();
+        CPPUNIT_ASSERT(!a.send(b, 0));
+        this->test.runUntil("closed", [&] { return a.network->isClosed() && !b.isUp(a); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(count), b.received.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("up b"), a.events.back());
+    }
+
+    void ownAddressAndSecondAddressAreNotLinked()
+    {
+        Peer a(this->test.loop, "a", 1, this->limits);
+        Peer b(this->test.loop, "b", 1, this->limits);
+        // Another writing of the same address, which can only be known by what answers there.
+        const auto alias = [](Address address) {
+            address.host = "::ffff:" + address.host;
+            return address;
+        };
+        a.network->keepLinksTo({ alias(a.address()), b.address(), alias(b.address()) });
+        this->test.runUntil("up", [&] { return a.isUp(b) && b.isUp(a); });
+        std::uint32_t part = 0;
+        this->test.runUntil("messages arrive after the surplus link has gone", [&] {
+            if (a.isUp(b))
+                a.send(b, part++);
+            return b.received.size() >= 50;
+        });
+        CPPUNIT_ASSERT(!a.network->isUp(a.self.node));
+        // One link, or two of which the later replaced the earlier; then no more.
+        CPPUNIT_ASSERT(a.events.size() == 1 || a.events.size() == 3);
+        CPPUNIT_ASSERT_EQUAL(std::string("up b"), a.events.back());
+    }
+
+    void garbageBreaksOnlyItsConnection()
+    {
+        Peer a(this->test.loop, "a", 1, this->limits);
+        Peer b(this->test.loop, "b", 1, this->limits);
+        a.network->keepLinksTo({ b.address() });
+        this->test.runUntil("up", [&] { return a.isUp(b) && b.isUp(a); });
+        RawSocket raw(b.network->port());
+        raw.write("GET / HTTP/1.1\r\n\r\n" + std::string(1000, '\xff'));
+        this->test.runUntil("the garbage is cut off", [&] { return raw.readUntilClosed(); });
+        CPPUNIT_ASSERT(a.isUp(b) && b.isUp(a));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), b.events.size());
+    }
+
+    /// Links a hand-driven session to `peer`; returns when that is up.
+    void greet(Peer& peer, RawSocket& raw, PeerSession& session)
+    {
+        Hello hello;
+        hello.node = NodeId("raw");
+        session.queue(encode(hello));
+        this->flush(raw, session);
+        this->test.runUntil("up", [&] { return peer.network->isUp(hello.node); });
+    }
+
+    static void flush(const RawSocket& raw, PeerSession& session)
+    {
+        std::string bytes;
+        CPPUNIT_ASSERT(session.takeOutput(bytes, 1 << 20U));
+        raw.write(bytes);
+    }
+
+    void expectDown(Peer& peer)
+    {
+        this->test.runUntil("down", [&] { return !peer.network->isUp(NodeId("raw")); });
+        CPPUNIT_ASSERT_EQUAL(std::string("down raw"), peer.events.back());
+    }
+
+    void unknownKindsAreSkipped()
+    {
+        Peer a(this->test.loop, "a", 1, this->limits);
+        RawSocket raw(a.network->port());
+        PeerSession session(PeerSession::Side::Dialler, 1, 1000);
+        this->greet(a, raw, session);
+        // MessagePack of ["later", {}].
+        const std::string unknown = "\x92\xa5later\x80";
+        CPPUNIT_ASSERT(decode(unknown).error() == WireError::UnknownKind);
+        session.queue(unknown);
+        session.queue(encode(OrderTokens { OrderId(1), 7, {}, {} }));
+        this->flush(raw, session);
+        this->test.runUntil("the known one arrives", [&] { return a.received.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(7U, a.received[0].part);
+    }
+
+    void hugeLengthBreaksTheLink()
+    {
+        this->limits.maxMessageBytes = 1000;
+        Peer a(this->test.loop, "a", 1, this->limits);
+        RawSocket raw(a.network->port());
+        PeerSession session(PeerSession::Side::Dialler, 1, 1000);
+        this->greet(a, raw, session);
+        session.queue(std::string(1001, 'x'));
+        this->flush(raw, session);
+        this->expectDown(a);
+        CPPUNIT_ASSERT(a.received.empty());
+    }
+
+    void malformedMessageBreaksTheLink()
+    {
+        Peer a(this->test.loop, "a", 1, this->limits);
+        RawSocket raw(a.network->port());
+        PeerSession session(PeerSession::Side::Dialler, 1, 1000);
+        this->greet(a, raw, session);
+        session.queue("\xc1");
+        this->flush(raw, session);
+        this->expectDown(a);
+    }
+
+    void silentPeerGoesDown()
+    {
+        this->limits.pingInterval = std::chrono::milliseconds(10);
+        this->limits.silenceLimit = std::chrono::milliseconds(50);
+        Peer a(this->test.loop, "a", 1, this->limits);
+        RawSocket raw(a.network->port());
+        PeerSession session(PeerSession::Side::Dialler, 1, 1000);
+        this->greet(a, raw, session);
+        this->expectDown(a);
+        // Neither is a connection kept that never says who it is.
+        RawSocket mute(a.network->port());
+        this->test.runUntil("the mute one is closed", [&] { return mute.readUntilClosed(); });
+    }
+
+    void stuckPeerGoesDown()
+    {
+        this->limits.maxUnsentBytes = 1 << 20U;
+        Peer a(this->test.loop, "a", 1, this->limits);
+        RawSocket raw(a.network->port());
+        PeerSession session(PeerSession::Side::Dialler, 1, 1000);
+        this->greet(a, raw, session);
+        std::size_t sent = 0;
+        const OrderTokens part { OrderId(1), 0, std::string(10000, 'x'), {} };
+        while (a.network->send(NodeId("raw"), part))
+            CPPUNIT_ASSERT(++sent < 200);
+        this->expectDown(a);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerTest);
--- a/src/librattandecknet/peersession.cpp
+++ b/src/librattandecknet/peersession.cpp
@@ -12,7 +12,7 @@
 constexpr std::int32_t windowBytes = 16 * 1024 * 1024;
 constexpr std::size_t prefixBytes = 4;
 /// Consumed bytes at the front of a buffer beyond which they are cut off.
-constexpr std::size_t compactBytes = 1024 * 1024;
+constexpr std::size_t compactBytes = 1024UL * 1024;
 constexpr std::string_view linkPath = "/rattandeck/link";
 constexpr std::string_view linkNumberHeader = "rattandeck-link-number";
 
@@ -28,7 +28,8 @@
         void take(std::size_t count)
         {
             this->taken += count;
-            if (this->taken == this->bytes.size() || this->taken > compactBytes) {
+            // At most as many bytes are moved as have been taken since the last time.
+            if (this->taken >= this->size() && (this->size() == 0 || this->taken > compactBytes)) {
                 this->bytes.erase(0, this->taken);
                 this->taken = 0;
             }
@@ -72,8 +73,8 @@
     return static_cast<ssize_t>(count);
 }
 
-static int onData(nghttp2_session*, std::uint8_t, std::int32_t stream, const std::uint8_t* data, std::size_t length,
-    void* userData)
+static int onData(
+    nghttp2_session*, std::uint8_t, std::int32_t stream, const std::uint8_t* data, std::size_t length, void* userData)
 {
     PeerSession::Impl& link = toImpl(userData);
     if (stream == link.stream)
--- a/src/librattandecknet/serverconnection.cpp
+++ b/src/librattandecknet/serverconnection.cpp
@@ -13,7 +13,7 @@
 namespace Asio = boost::asio;
 namespace Http = boost::beast::http;
 
-constexpr std::size_t readSize = 16 * 1024;
+constexpr std::size_t readSize = 16UL * 1024;
 /// How long a closing connection is read on, so that the peer gets the last answer and not a reset.
 constexpr std::chrono::seconds lingerTime { 1 };
 /// How long an idle connection is kept after the server has stopped accepting.
