Make the network library lint-clean

Cause: destructors reached calls that may throw. Change: a network that is destroyed closes its links without reports; a few parameters are taken by reference.

--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -48,7 +48,7 @@
     void send(HttpResponse response) const;
     /// Starts a streamed answer (chunked transfer).
     void begin(int status, HttpHeaders headers) const;
-    void write(std::string chunk) const;
+    void write(std::string_view chunk) const;
     void end() const;
     /// Breaks the connection off, so that the peer sees an incomplete answer.
     void abort() const;
@@ -115,9 +115,9 @@
     ~HttpClient();
 
     /// Streams the answer to `callbacks`, never from within this call. `timeout` bounds the whole call.
-    CallId start(HttpRequest request, std::chrono::milliseconds timeout, HttpCallbacks callbacks);
+    CallId start(const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallbacks callbacks);
     /// Collects the whole answer, up to `maxBody` bytes.
-    CallId fetch(HttpRequest request, std::chrono::milliseconds timeout,
+    CallId fetch(const HttpRequest& request, std::chrono::milliseconds timeout,
         std::function<void(tl::expected<HttpResponse, NetError>)> done, std::size_t maxBody = 16UL * 1024 * 1024);
     /// Breaks the call off; no more callbacks for it.
     void cancel(CallId call);
--- a/src/librattandecknet/http_test.cpp
+++ b/src/librattandecknet/http_test.cpp
@@ -40,12 +40,12 @@
         return this->server->port();
     }
 
-    tl::expected<HttpResponse, NetError> fetch(HttpClient& client, HttpRequest request,
+    tl::expected<HttpResponse, NetError> fetch(HttpClient& client, const HttpRequest& request,
         std::chrono::milliseconds timeout = longTime, std::size_t maxBody = 1 << 20U)
     {
         Outcome outcome;
         client.fetch(
-            std::move(request), timeout, [&](auto result) { outcome = std::move(result); }, maxBody);
+            request, timeout, [&](auto result) { outcome = std::move(result); }, maxBody);
         CPPUNIT_ASSERT(!outcome);
         this->test.runUntil("the call ends", [&] { return outcome.has_value(); });
         return *outcome;
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -244,7 +244,7 @@
         const auto current = this->call;
         if (!this->parser->is_header_done())
             return true;
-        const int status = this->parser->get().result_int();
+        const auto status = static_cast<int>(this->parser->get().result_int());
         if (status >= 100 && status < 200 && this->parser->is_done()) {
             this->resetParser();
             this->parse();
@@ -321,7 +321,7 @@
     {
         if (this->isClosed)
             return;
-        const auto self = this->shared_from_this();
+        const auto self = this->weak_from_this().lock();
         this->isClosed = true;
         this->call = nullptr;
         ErrorCode ignored;
@@ -439,7 +439,8 @@
     }
     this->calls.clear();
     this->running.clear();
-    const auto open = this->connections;
+    const auto open = std::move(this->connections);
+    this->connections.clear();
     for (const auto& connection : open)
         connection->close();
 }
@@ -451,7 +452,8 @@
 
 HttpClient::~HttpClient() { this->impl->shutdown(); }
 
-HttpClient::CallId HttpClient::start(HttpRequest request, std::chrono::milliseconds timeout, HttpCallbacks callbacks)
+HttpClient::CallId HttpClient::start(
+    const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallbacks callbacks)
 {
     const auto call = std::make_shared<Call>();
     call->id = ++this->impl->lastId;
@@ -479,7 +481,7 @@
 
 }
 
-HttpClient::CallId HttpClient::fetch(HttpRequest request, std::chrono::milliseconds timeout,
+HttpClient::CallId HttpClient::fetch(const HttpRequest& request, std::chrono::milliseconds timeout,
     std::function<void(tl::expected<HttpResponse, NetError>)> done, std::size_t maxBody)
 {
     const auto collector = std::make_shared<Collector>();
@@ -504,7 +506,7 @@
         else
             collector->done(tl::unexpected(outcome.error()));
     };
-    collector->id = this->start(std::move(request), timeout, std::move(callbacks));
+    collector->id = this->start(request, timeout, std::move(callbacks));
     return collector->id;
 }
 
--- a/src/librattandecknet/httpserver.cpp
+++ b/src/librattandecknet/httpserver.cpp
@@ -28,7 +28,7 @@
         connection->begin(this->impl->request, status, std::move(headers));
 }
 
-void HttpResponder::write(std::string chunk) const
+void HttpResponder::write(std::string_view chunk) const
 {
     if (const auto connection = this->impl->connection.lock())
         connection->write(this->impl->request, chunk);
--- a/src/librattandecknet/peer.cpp
+++ b/src/librattandecknet/peer.cpp
@@ -102,6 +102,8 @@
         void drain();
         /// Closes at once and reports a link that was up as down.
         void close();
+        /// Closes at once without a report.
+        void shutdown();
 
     private:
         void scheduleTick();
@@ -318,11 +320,16 @@
         if (this->state == State::Closed)
             return;
         const auto self = this->shared_from_this();
+        this->shutdown();
+        this->network->forget(self);
+    }
+
+    void PeerLink::shutdown()
+    {
         this->state = State::Closed;
         this->loop.timers.cancel(this->tick);
         ErrorCode ignored;
         this->socket.close(ignored);
-        this->network->forget(self);
     }
 
 }
@@ -493,9 +500,11 @@
     for (auto& [name, target] : this->targets)
         this->loop.timers.cancel(target.redial);
     this->targets.clear();
-    const auto open = this->links;
+    this->up.clear();
+    const auto open = std::move(this->links);
+    this->links.clear();
     for (const auto& link : open)
-        link->close();
+        link->shutdown();
 }
 
 PeerNetwork::PeerNetwork(EventLoop& loop, Hello self, PeerLimits limits, PeerHandlers handlers)
