Add checked settings, command line, logs and metrics

Cause: every program needs them, and each should report all mistakes in its settings at once. Change: a schema bound to variables (toml++), common options (Boost.Program_options), decision lines (spdlog, text or JSON), metrics (Boost.Accumulators) in the scrapers' text format.

--- /dev/null
+++ b/src/include/RattandeckApp/commandline.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "RattandeckApp/settings.h"
+
+#include <optional>
+#include <string>
+
+namespace RattandeckApp {
+
+/// Exit codes of every program.
+enum ExitCode {
+    ExitSuccess = 0,
+    /// The program ran and failed.
+    ExitFailure = 1,
+    /// The command line can't be understood.
+    ExitUsage = 2,
+    /// The settings are wrong; nothing was started.
+    ExitSettings = 3,
+    /// An address can't be listened on or reached.
+    ExitUnavailable = 4,
+    /// The object has another version than the one given; nothing was changed.
+    ExitConflict = 5,
+};
+
+struct ProgramInfo {
+    std::string name;
+    /// What the program does, in a sentence.
+    std::string summary;
+};
+
+/// Handles the options that every daemon has (`--settings FILE`, `--set KEY=VALUE`, `--check`, `--print-settings`,
+/// `--help`, `--version`) and loads the settings into `schema`'s variables. Returns the exit code when the program has
+/// nothing more to do.
+std::optional<int> readCommandLine(int argc, char** argv, const ProgramInfo& program, SettingsSchema& schema);
+
+}
--- /dev/null
+++ b/src/librattandeckapp/commandline.cpp
@@ -0,0 +1,82 @@
+#include "RattandeckApp/commandline.h"
+
+#include "RattandeckApp/version.h"
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+
+namespace RattandeckApp {
+
+namespace Options = boost::program_options;
+
+namespace {
+
+    constexpr const char* exitCodeHelp
+        = "Exit codes: 0 success, 1 failure, 2 usage, 3 settings, 4 unavailable, 5 conflict.";
+
+    // Reports the errors. Returns the program's exit code if there are any.
+    std::optional<int> report(const tl::expected<void, std::vector<SettingsError>>& result)
+    {
+        if (result)
+            return std::nullopt;
+        for (const SettingsError& error : result.error())
+            std::cerr << describe(error) << '\n';
+        return ExitSettings;
+    }
+
+}
+
+std::optional<int> readCommandLine(int argc, char** argv, const ProgramInfo& program, SettingsSchema& schema)
+{
+    std::string path;
+    std::vector<std::string> overrides;
+    Options::options_description described("Options");
+    auto add = described.add_options();
+    add("settings", Options::value(&path)->value_name("FILE"), "read settings from a TOML file");
+    add("set", Options::value(&overrides)->value_name("KEY=VALUE"), "a setting as TOML, such as log.level='\"debug\"'");
+    add("check", "check the settings and exit");
+    add("print-settings", "print the settings in force, with their meaning, and exit");
+    add("version", "print the version and exit");
+    add("help", "print this text and exit");
+
+    Options::variables_map given;
+    try {
+        Options::store(Options::parse_command_line(argc, argv, described), given);
+        Options::notify(given);
+    } catch (const Options::error& error) {
+        std::cerr << program.name << ": " << error.what() << "; see --help\n";
+        return ExitUsage;
+    }
+    if (given.contains("help")) {
+        std::cout << program.name << ": " << program.summary << "\n\n" << described << '\n' << exitCodeHelp << '\n';
+        return ExitSuccess;
+    }
+    if (given.contains("version")) {
+        std::cout << program.name << ' ' << version() << '\n';
+        return ExitSuccess;
+    }
+
+    // Printing the defaults needs no file, although some keys have none.
+    const bool printing = given.contains("print-settings");
+    if (!path.empty() || !printing) {
+        const auto loaded = path.empty() ? schema.load("", "(no settings file)") : schema.loadFile(path);
+        if (const auto code = report(loaded))
+            return code;
+    }
+    for (const std::string& line : overrides) {
+        if (const auto code = report(schema.override(line)))
+            return code;
+    }
+    if (printing) {
+        std::cout << schema.print();
+        return ExitSuccess;
+    }
+    if (given.contains("check")) {
+        std::cout << "settings are valid\n";
+        return ExitSuccess;
+    }
+    return std::nullopt;
+}
+
+}
--- /dev/null
+++ b/src/librattandeckapp/log.cpp
@@ -0,0 +1,132 @@
+#include "RattandeckApp/log.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/sinks/basic_file_sink.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <chrono>
+
+namespace RattandeckApp {
+
+using namespace Rattandeck;
+using Json = nlohmann::ordered_json;
+
+// Setting up ---------------------------------------------------------------------------------------------------------
+
+namespace {
+
+    // True once `startLog` was told to write JSON lines.
+    bool writesJson = false;
+
+    spdlog::level::level_enum levelOf(const std::string& name)
+    {
+        const spdlog::level::level_enum level = spdlog::level::from_str(name);
+        return level == spdlog::level::off ? spdlog::level::info : level;
+    }
+
+    // A line of the structured form: time in milliseconds since 1970, then the fields.
+    void writeLine(spdlog::level::level_enum level, const std::string& event, const Json& fields)
+    {
+        if (!spdlog::should_log(level))
+            return;
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        Json line = { { "time_ms", std::chrono::duration_cast<Milliseconds>(now).count() },
+            { "process", spdlog::default_logger()->name() },
+            { "level", std::string(spdlog::level::to_string_view(level).data()) }, { "event", event } };
+        line.update(fields);
+        spdlog::log(level, "{}", line.dump(-1, ' ', false, Json::error_handler_t::replace));
+    }
+
+}
+
+bool startLog(const LogSettings& settings, const std::string& process)
+{
+    std::shared_ptr<spdlog::sinks::sink> sink;
+    try {
+        if (settings.file.empty())
+            sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
+        else
+            sink = std::make_shared<spdlog::sinks::basic_file_sink_st>(settings.file);
+    } catch (const spdlog::spdlog_ex&) {
+        return false;
+    }
+    auto logger = std::make_shared<spdlog::logger>(process, sink);
+    logger->set_level(levelOf(settings.level));
+    logger->flush_on(spdlog::level::info);
+    writesJson = settings.format == "json";
+    logger->set_pattern(writesJson ? "%v" : "%Y-%m-%dT%H:%M:%S.%e %n %l %v");
+    spdlog::set_default_logger(logger);
+    return true;
+}
+
+// Decisions ----------------------------------------------------------------------------------------------------------
+
+namespace {
+
+    Json placementFields(const PlacementDecision& decision)
+    {
+        Json candidates = Json::array();
+        for (const PlacementCandidate& candidate : decision.candidates) {
+            candidates.push_back({ { "endpoint", candidate.sidecar.value }, { "wait_s", candidate.waitSeconds },
+                { "prefill_s", candidate.prefillSeconds }, { "transfer_s", candidate.transferSeconds },
+                { "score", candidate.score } });
+        }
+        return { { "program", toString(decision.program) }, { "turn", decision.turn.value },
+            { "order", decision.order.value }, { "policy", decision.policy }, { "choice", decision.choice.value },
+            { "candidates", candidates } };
+    }
+
+}
+
+std::string toJson(const PlacementDecision& decision)
+{
+    return placementFields(decision).dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+void logPlacement(const PlacementDecision& decision)
+{
+    if (writesJson) {
+        writeLine(spdlog::level::info, "placement", placementFields(decision));
+        return;
+    }
+    std::string candidates;
+    for (const PlacementCandidate& candidate : decision.candidates) {
+        candidates += fmt::format(" {}={:.4f}(wait {:.4f}, prefill {:.4f}, transfer {:.4f})", candidate.sidecar.value,
+            candidate.score, candidate.waitSeconds, candidate.prefillSeconds, candidate.transferSeconds);
+    }
+    spdlog::info("placement program={} turn={} order={} policy={} choice={} candidates:{}", toString(decision.program),
+        decision.turn.value, decision.order.value, decision.policy, decision.choice.value, candidates);
+}
+
+void logAdmission(const AdmissionDecision& decision)
+{
+    if (writesJson) {
+        writeLine(spdlog::level::info, "admission",
+            { { "program", toString(decision.program) }, { "turn", decision.turn.value },
+                { "order", decision.order.value }, { "choice", decision.choice }, { "running", decision.running },
+                { "waiting", decision.waiting }, { "limit", decision.limit }, { "priority", decision.priority } });
+        return;
+    }
+    spdlog::info("admission program={} turn={} order={} choice=\"{}\" running={} waiting={} limit={} priority={:.3f}",
+        toString(decision.program), decision.turn.value, decision.order.value, decision.choice, decision.running,
+        decision.waiting, decision.limit, decision.priority);
+}
+
+void logEvent(const std::string& event, const std::string& detail)
+{
+    if (writesJson)
+        writeLine(spdlog::level::info, event, { { "detail", detail } });
+    else
+        spdlog::info("{}: {}", event, detail);
+}
+
+void logError(const std::string& event, const std::string& detail)
+{
+    if (writesJson)
+        writeLine(spdlog::level::err, event, { { "detail", detail } });
+    else
+        spdlog::error("{}: {}", event, detail);
+}
+
+}
