--- a/src/librattandeckapp/metrics.cpp
+++ b/src/librattandeckapp/metrics.cpp
@@ -64,9 +64,9 @@
         out << "# TYPE " << name << ' ' << provided.kind << '\n' << name << ' ' << provided.read() << '\n';
     for (const auto& [name, summary] : this->impl->summaries) {
         out << "# TYPE " << name << " summary\n";
-        for (std::size_t i = 0; i < quantiles.size(); ++i) {
-            out << name << "{quantile=\"" << quantiles[i] << "\"} " << Accumulators::extended_p_square(summary)[i]
-                << '\n';
+        for (std::ptrdiff_t i = 0; i < std::ssize(quantiles); ++i) {
+            out << name << "{quantile=\"" << quantiles[static_cast<std::size_t>(i)] << "\"} "
+                << Accumulators::extended_p_square(summary)[i] << '\n';
         }
         out << name << "_sum " << Accumulators::sum(summary) << '\n';
         out << name << "_count " << Accumulators::count(summary) << '\n';
