--- a/src/include/Rattandeck/policy.h
+++ b/src/include/Rattandeck/policy.h
@@ -39,6 +39,8 @@
 public:
     PolicySet();
     ~PolicySet();
+    PolicySet(PolicySet&&) noexcept;
+    PolicySet& operator=(PolicySet&&) noexcept;
 
     /// Replaces or removes one object. Malformed objects are ignored (the previous value stays in force).
     void apply(const ConfigObject& object);
--- a/src/librattandeck/policy.cpp
+++ b/src/librattandeck/policy.cpp
@@ -218,6 +218,8 @@
 }
 
 PolicySet::~PolicySet() = default;
+PolicySet::PolicySet(PolicySet&&) noexcept = default;
+PolicySet& PolicySet::operator=(PolicySet&&) noexcept = default;
 
 void PolicySet::apply(const ConfigObject& object)
 {
--- /dev/null
+++ b/src/rattandeck-entry/daemon.cpp
@@ -0,0 +1,334 @@
+#include "daemon.h"
+
+#include "callerapi.h"
+#include "decisions.h"
+#include "RattandeckApp/commandline.h"
+#include "RattandeckApp/metrics.h"
+#include "RattandeckApp/objectclient.h"
+#include "RattandeckNet/peer.h"
+
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <set>
+
+using namespace Rattandeck;
+using namespace RattandeckApp;
+using namespace RattandeckNet;
+
+// Settings -----------------------------------------------------------------------------------------------------------
+
+void bindSettings(SettingsSchema& schema, DaemonSettings& s)
+{
+    schema.addRequiredString("node", s.node, "name of this instance, unique in the system");
+    schema.addRequiredString("domain", s.domain, "failure domain of this instance");
+
+    schema.addAddress("callers.listen", s.callersListen, "address for callers (HTTP)");
+    schema.addInteger("callers.max_connections", s.maxConnections, 1, 100000, "open connections of callers");
+    schema.addInteger("callers.max_body_bytes", s.maxBodyBytes, 1024, 64 << 20, "largest body of a request");
+    schema.addAddress("admin.listen", s.adminListen, "address for health, metrics and explain (HTTP)");
+    schema.addInteger("admin.decisions_kept", s.decisionsKept, 0, 1000000, "placement decisions kept for explain");
+    schema.addAddress("peers.listen", s.peersListen, "address for entries and sidecars (HTTP/2)");
+    schema.addAddress("peers.advertise", s.peersAdvertise, "address that others dial, if it differs");
+
+    schema.addAddress("platform.object_api", s.objectApi, "address of the object API");
+    schema.addAddress("platform.instance_list", s.instanceList, "address of the instance list");
+    schema.addMilliseconds("platform.instance_list_interval_ms", s.instanceListInterval, Milliseconds(100),
+        Milliseconds(60000), "time between two reads of the instance list");
+    schema.addMilliseconds("platform.call_timeout_ms", s.core.objectCallTimeout, Milliseconds(50), Milliseconds(30000),
+        "longest wait for an answer of the object API");
+
+    schema.addInteger("shards.count", s.shardCount, 1, 4096, "shards of the system; the same everywhere");
+    schema.addMilliseconds("lease.duration_ms", s.core.leaseDuration, Milliseconds(300), Milliseconds(120000),
+        "lease of an entry, renewed at a third of it");
+    schema.addMilliseconds("lease.clock_margin_ms", s.core.clockMargin, Milliseconds(0), Milliseconds(10000),
+        "added by observers of a lease");
+    schema.addMilliseconds("lease.promise_life_ms", s.core.promiseLife, Milliseconds(100), Milliseconds(60000),
+        "life of guarantors' promises in an outage of the object API");
+    schema.addMilliseconds("lease.credit_life_ms", s.core.creditLife, Milliseconds(100), Milliseconds(60000),
+        "life of sidecars' credits; at least what they use");
+    schema.addMilliseconds("lease.census_timeout_ms", s.core.censusTimeout, Milliseconds(50), Milliseconds(60000),
+        "wait for silent members at a takeover");
+
+    schema.addNumber("calls.retry_ratio", s.core.retryBudget, 0, 1, "repeats allowed per first attempt");
+    schema.addInteger("calls.crash_limit", s.crashLimit, 1, 100, "endpoint crashes after which a request is held");
+    schema.addMilliseconds("calls.queue_limit_ms", s.core.queueLimit, Milliseconds(0), Milliseconds(600000),
+        "longest wait for capacity before a call is refused");
+    schema.addInteger("seed", s.seed, 0, INT64_MAX, "seed of placement's samples");
+
+    schema.addChoice("log.level", s.log.level, { "debug", "info", "warning", "error" }, "lowest level written");
+    schema.addChoice("log.format", s.log.format, { "text", "json" }, "form of the lines");
+    schema.addString("log.file", s.log.file, "file to append to; empty is standard error");
+}
+
+// The parts of a running entry ---------------------------------------------------------------------------------------
+
+namespace {
+
+constexpr Milliseconds drainCheckInterval { 50 };
+
+EntrySettings coreSettings(const DaemonSettings& settings)
+{
+    EntrySettings core = settings.core;
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    core.node = NodeId(settings.node);
+    core.domain = FailureDomain(settings.domain);
+    // Grows from one start to the next, also on another machine with a roughly right clock.
+    core.incarnation = Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count()));
+    core.shardCount = static_cast<std::uint32_t>(settings.shardCount);
+    core.crashLimit = static_cast<std::uint32_t>(settings.crashLimit);
+    core.seed = static_cast<std::uint64_t>(settings.seed);
+    return core;
+}
+
+class Daemon {
+public:
+    explicit Daemon(const DaemonSettings& daemonSettings)
+        : settings(daemonSettings)
+        , coreConfiguration(coreSettings(daemonSettings))
+        , decisions(static_cast<std::size_t>(daemonSettings.decisionsKept))
+        , callers(this->loop, this->httpLimits(), this->metrics)
+        , admin(this->loop, {},
+              [this](const HttpRequest& request, const HttpResponder& responder) { this->onAdmin(request, responder); })
+        , peers(this->loop, this->hello(), {}, this->peerHandlers())
+    {
+    }
+
+    int run()
+    {
+        if (!this->listen())
+            return ExitUnavailable;
+        this->startCore();
+        this->loop.onSignal(SIGTERM, [this] { this->onTerminate(); });
+        this->loop.onSignal(SIGINT, [this] { this->loop.stop(); });
+        std::cout << "ready callers=" << this->boundAddress(this->settings.callersListen, this->callers.port())
+                  << " admin=" << this->boundAddress(this->settings.adminListen, this->admin.port())
+                  << " peers=" << this->peersAddress() << std::endl;
+        this->loop.run();
+        return ExitSuccess;
+    }
+
+private:
+    // Listening --------------------------------------------------------------------------------------------------
+
+    HttpLimits httpLimits() const
+    {
+        HttpLimits limits;
+        limits.maxConnections = static_cast<std::size_t>(this->settings.maxConnections);
+        limits.maxBodyBytes = static_cast<std::size_t>(this->settings.maxBodyBytes);
+        return limits;
+    }
+
+    Hello hello() const
+    {
+        Hello self;
+        self.node = this->coreConfiguration.node;
+        self.role = Role::Entry;
+        self.incarnation = this->coreConfiguration.incarnation;
+        self.domain = this->coreConfiguration.domain;
+        self.address = this->coreConfiguration.address;
+        return self;
+    }
+
+    static std::string boundAddress(const std::string& requested, std::uint16_t port)
+    {
+        Address address = parseAddress(requested).value_or(Address {});
+        address.port = port;
+        return toString(address);
+    }
+
+    std::string peersAddress() const
+    {
+        if (!this->settings.peersAdvertise.empty())
+            return this->settings.peersAdvertise;
+        return boundAddress(this->settings.peersListen, this->peers.port());
+    }
+
+    template <typename Listener> static bool listenOn(Listener& listener, const std::string& text)
+    {
+        const auto address = parseAddress(text);
+        const auto result = address ? listener.listen(*address) : tl::unexpected(address.error());
+        if (!result)
+            logError("listen", text + ": " + std::string(describe(result.error())));
+        return result.has_value();
+    }
+
+    bool listen()
+    {
+        this->callers.onRequest = [this](CallerTicket ticket, CallerRequest request) {
+            this->core->onCallerRequest(ticket, std::move(request));
+        };
+        this->callers.onGone = [this](CallerTicket ticket) { this->core->onCallerGone(ticket); };
+        if (!listenOn(this->callers, this->settings.callersListen) || !listenOn(this->admin, this->settings.adminListen)
+            || !listenOn(this->peers, this->settings.peersListen))
+            return false;
+        this->coreConfiguration.address = this->peersAddress();
+        this->peers.setSelf(this->hello());
+        return true;
+    }
+
+    // The core and the platform ------------------------------------------------------------------------------------
+
+    void startCore()
+    {
+        EntryEffects effects;
+        effects.send = [this](const NodeId& to, const Message& message) { this->peers.send(to, message); };
+        effects.reply = [this](CallerTicket ticket, const CallerEvent& event) { this->callers.reply(ticket, event); };
+        effects.callObjects
+            = [this](std::uint64_t id, const ObjectRequest& request) { this->callObjects(id, request); };
+        effects.logPlacement = [this](const PlacementDecision& decision) {
+            logPlacement(decision);
+            this->decisions.add(decision);
+        };
+        effects.logEvent = [](const std::string& event, const std::string& detail) { logEvent(event, detail); };
+        this->core = std::make_unique<EntryCore>(this->coreConfiguration, this->loop.timers(), std::move(effects));
+        this->provideMetrics();
+
+        if (const auto address = parseAddress(this->settings.objectApi)) {
+            this->objects
+                = std::make_unique<ObjectClient>(this->loop, *address, this->coreConfiguration.objectCallTimeout);
+            this->objects->watch(ObjectVersion(0), [this](const StoredObject& object, ObjectVersion revision) {
+                this->core->onObjectChanged(object, revision);
+            });
+        }
+        if (const auto address = parseAddress(this->settings.instanceList)) {
+            this->instances
+                = std::make_unique<InstanceListClient>(this->loop, *address, this->settings.instanceListInterval,
+                    [this](const std::vector<ListedInstance>& listed) { this->onInstanceList(listed); });
+        }
+        this->core->start();
+    }
+
+    void callObjects(std::uint64_t id, const ObjectRequest& request)
+    {
+        if (!this->objects) {
+            this->loop.post([this, id] { this->core->onObjectOutcome(id, tl::unexpected(ObjectError::Unavailable)); });
+            return;
+        }
+        this->objects->call(
+            request, [this, id](const ObjectOutcome& outcome) { this->core->onObjectOutcome(id, outcome); });
+    }
+
+    // Entries dial every sidecar, and those entries whose names come later: one link for each pair.
+    void onInstanceList(const std::vector<ListedInstance>& listed)
+    {
+        std::vector<Address> dialled;
+        for (const ListedInstance& instance : listed) {
+            const bool isSidecar = !instance.service.value.empty();
+            const auto address = parseAddress(instance.address);
+            if (address && (isSidecar || instance.node > this->coreConfiguration.node))
+                dialled.push_back(*address);
+        }
+        this->peers.keepLinksTo(dialled);
+        this->core->onInstanceList(listed);
+    }
+
+    PeerHandlers peerHandlers()
+    {
+        PeerHandlers handlers;
+        handlers.onUp = [this](const Hello& hello) {
+            logEvent("link up", hello.node.value);
+            this->core->onLinkUp(hello);
+        };
+        handlers.onDown = [this](const NodeId& node) {
+            logEvent("link down", node.value);
+            this->core->onLinkDown(node);
+        };
+        handlers.onMessage
+            = [this](const NodeId& from, const Message& message) { this->core->onMessage(from, message); };
+        return handlers;
+    }
+
+    // Operators ------------------------------------------------------------------------------------------------------
+
+    void provideMetrics()
+    {
+        const auto provide = [this](const char* name, const char* kind, auto read) {
+            this->metrics.provide(name, kind, [this, read] { return static_cast<double>(read(this->core->status())); });
+        };
+        provide("rattandeck_entry_serving", "gauge", [](const EntryStatus& s) { return s.serving ? 1 : 0; });
+        provide("rattandeck_entry_on_promises", "gauge", [](const EntryStatus& s) { return s.onPromises ? 1 : 0; });
+        provide("rattandeck_entry_owned_shards", "gauge", [](const EntryStatus& s) { return s.ownedShards; });
+        provide("rattandeck_entry_open_programs", "gauge", [](const EntryStatus& s) { return s.openPrograms; });
+        provide("rattandeck_entry_orders_total", "counter", [](const EntryStatus& s) { return s.ordersSent; });
+        provide("rattandeck_entry_retries_total", "counter", [](const EntryStatus& s) { return s.ordersRetried; });
+        provide("rattandeck_entry_refused_total", "counter", [](const EntryStatus& s) { return s.ordersRefused; });
+        provide("rattandeck_entry_takeovers_total", "counter", [](const EntryStatus& s) { return s.takeovers; });
+        provide("rattandeck_entry_object_calls_total", "counter", [](const EntryStatus& s) { return s.objectCalls; });
+        provide("rattandeck_entry_gaps_total", "counter", [](const EntryStatus& s) { return s.gaps; });
+        provide(
+            "rattandeck_entry_config_revision", "gauge", [](const EntryStatus& s) { return s.configRevision.value; });
+    }
+
+    void onAdmin(const HttpRequest& request, const HttpResponder& responder)
+    {
+        const HttpHeaders text { { "content-type", "text/plain; version=0.0.4" } };
+        if (request.path == "/healthz")
+            return responder.send({ 200, text, "ok\n" });
+        if (request.path == "/readyz") {
+            const bool ready = this->core->status().serving && !this->terminating;
+            return responder.send({ ready ? 200 : 503, text, ready ? "ready\n" : "not ready\n" });
+        }
+        if (request.path == "/metrics")
+            return responder.send({ 200, text, this->metrics.render() });
+        if (request.path == "/v1/decisions")
+            return this->onExplain(request, responder);
+        responder.send({ 404, text, "no such page\n" });
+    }
+
+    void onExplain(const HttpRequest& request, const HttpResponder& responder)
+    {
+        ProgramId program;
+        const auto asked = request.query.find("program");
+        if (asked == request.query.end() || !parseProgramId(asked->second, program))
+            return responder.send({ 400, {}, "a program id is needed\n" });
+        responder.send({ 200, { { "content-type", "application/json" } }, this->decisions.toJson(program) });
+    }
+
+    // Stopping -------------------------------------------------------------------------------------------------------
+
+    void onTerminate()
+    {
+        if (this->terminating)
+            return this->loop.stop();
+        this->terminating = true;
+        logEvent("stopping", "finishing requests in flight");
+        this->core->beginShutdown();
+        this->checkDrained();
+    }
+
+    void checkDrained()
+    {
+        if (this->core->isDrained() && this->callers.inFlight() == 0) {
+            this->callers.stopAccepting();
+            this->peers.close();
+            this->loop.post([this] { this->loop.stop(); });
+            return;
+        }
+        this->loop.timers().subscribeAfter(drainCheckInterval, [this] { this->checkDrained(); });
+    }
+
+    const DaemonSettings& settings;
+    EntrySettings coreConfiguration;
+    EventLoop loop;
+    Metrics metrics;
+    DecisionHistory decisions;
+    CallerApi callers;
+    HttpServer admin;
+    PeerNetwork peers;
+    std::unique_ptr<EntryCore> core;
+    std::unique_ptr<ObjectClient> objects;
+    std::unique_ptr<InstanceListClient> instances;
+    bool terminating = false;
+};
+
+}
+
+int runDaemon(const DaemonSettings& settings)
+{
+    if (!startLog(settings.log, settings.node)) {
+        std::cerr << settings.log.file << ": can't be opened\n";
+        return ExitSettings;
+    }
+    return Daemon(settings).run();
+}
--- /dev/null
+++ b/src/rattandeck-entry/daemon.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "Rattandeck/entry.h"
+#include "RattandeckApp/log.h"
+#include "RattandeckApp/settings.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+/// Settings of `rattandeck-entry` as read from its file.
+struct DaemonSettings {
+    Rattandeck::EntrySettings core;
+    std::string node;
+    std::string domain;
+    std::string callersListen = "127.0.0.1:0";
+    std::string peersListen = "127.0.0.1:0";
+    std::string adminListen = "127.0.0.1:0";
+    /// What other processes dial; empty is the address listened on.
+    std::string peersAdvertise;
+    std::string objectApi;
+    std::string instanceList;
+    Rattandeck::Milliseconds instanceListInterval { 1000 };
+    std::int64_t shardCount = 64;
+    std::int64_t crashLimit = 2;
+    std::int64_t seed = 1;
+    std::int64_t maxConnections = 1024;
+    std::int64_t maxBodyBytes = 4194304;
+    std::int64_t decisionsKept = 1000;
+    RattandeckApp::LogSettings log;
+};
+
+/// Binds the keys of the settings file to `settings`. Precondition: `settings` outlives `schema`.
+void bindSettings(RattandeckApp::SettingsSchema& schema, DaemonSettings& settings);
+
+/// Runs an entry until it is told to stop. Returns the program's exit code.
+int runDaemon(const DaemonSettings& settings);
--- /dev/null
+++ b/src/rattandeck-entry/decisions.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "Rattandeck/entry.h"
+
+#include <cstddef>
+#include <deque>
+#include <string>
+
+/// The last placement decisions, for `rattandeckctl explain`.
+///
+/// Thread safety: not synchronised.
+class DecisionHistory {
+public:
+    explicit DecisionHistory(std::size_t limit)
+        : limit(limit)
+    {
+    }
+
+    /// Forgets the oldest decision when there are more than the limit.
+    void add(Rattandeck::PlacementDecision decision);
+
+    /// JSON list of the decisions kept for `program`, oldest first.
+    std::string toJson(const Rattandeck::ProgramId& program) const;
+
+private:
+    std::size_t limit;
+    std::deque<Rattandeck::PlacementDecision> decisions;
+};
--- /dev/null
+++ b/src/rattandeckctl/rattandeckctl.cpp
@@ -0,0 +1,131 @@
+// Operators' command line: configuration objects, drains, and the reasons of placements.
+
+#include "RattandeckApp/commandline.h"
+#include "RattandeckApp/version.h"
+#include "commands.h"
+
+#include <boost/program_options.hpp>
+
+#include <iostream>
+
+namespace Options = boost::program_options;
+using RattandeckApp::ExitSuccess;
+using RattandeckApp::ExitUsage;
+
+namespace {
+
+constexpr const char* usage = R"(Usage: rattandeckctl [options] COMMAND [ARGUMENTS]
+
+  check              check the objects of --file, offline
+  diff               show how --file differs from what is stored
+  apply              store the objects of --file; an object that another operator has changed
+                     since its "version" was read is a conflict, and is left alone
+  get KIND [NAME]    print objects with their versions, as apply reads them
+  delete KIND NAME   delete an object of version --version-read
+  watch [KIND]       print changes until interrupted
+  explain PROGRAM    tell why a program's calls went where they went (--entry)
+  drain NODE         keep new work off an endpoint instance
+  undrain NODE       let it have new work again
+)";
+
+int reportUsage(const std::string& text)
+{
+    std::cerr << "rattandeckctl: " << text << "; see --help\n";
+    return ExitUsage;
+}
+
+struct Command {
+    std::string name;
+    std::vector<std::string> arguments;
+
+    std::string argument(std::size_t index) const
+    {
+        return index < this->arguments.size() ? this->arguments[index] : std::string();
+    }
+};
+
+int run(const Command& command, const CommandOptions& options)
+{
+    if (command.name == "check")
+        return checkFile(options);
+    if (command.name == "explain") {
+        if (!options.entryAdmin || command.arguments.size() != 1)
+            return reportUsage("explain needs --entry and a program id");
+        return explainProgram(options, command.argument(0));
+    }
+    if (!options.objectApi)
+        return reportUsage("--objects is needed, the address of the object API");
+    if (command.name == "apply")
+        return applyFile(options);
+    if (command.name == "diff")
+        return diffFile(options);
+    if (command.name == "watch")
+        return watchObjects(options, command.argument(0));
+    if (command.name == "get" && !command.arguments.empty())
+        return getObjects(options, command.argument(0), command.argument(1));
+    if (command.name == "delete" && command.arguments.size() == 2)
+        return deleteObject(options, command.argument(0), command.argument(1));
+    if ((command.name == "drain" || command.name == "undrain") && command.arguments.size() == 1)
+        return drainEndpoint(options, command.argument(0), command.name == "undrain");
+    return reportUsage("unknown command or missing argument");
+}
+
+// Takes an address over. Returns false when the text is none.
+bool takeAddress(const std::string& text, std::optional<RattandeckNet::Address>& address)
+{
+    if (text.empty())
+        return true;
+    const auto parsed = RattandeckNet::parseAddress(text);
+    if (parsed)
+        address = *parsed;
+    return parsed.has_value();
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    CommandOptions options;
+    Command command;
+    std::string objects;
+    std::string instances;
+    std::string entry;
+    Options::options_description described("Options");
+    auto add = described.add_options();
+    add("objects", Options::value(&objects)->value_name("HOST:PORT"), "the object API");
+    add("instances", Options::value(&instances)->value_name("HOST:PORT"), "the instance list, for dry runs");
+    add("entry", Options::value(&entry)->value_name("HOST:PORT"), "admin address of an entry");
+    add("file,f", Options::value(&options.file)->value_name("FILE"), "objects in TOML");
+    add("dry-run", Options::bool_switch(&options.dryRun), "apply: say what would change and which endpoints match");
+    add("overwrite", Options::bool_switch(&options.overwrite), "apply: replace whatever version is stored");
+    add("version-read", Options::value(&options.version.value)->value_name("N"), "delete: the version as last read");
+    add("version", "print the version");
+    add("help", "print this text");
+    Options::options_description hidden;
+    hidden.add_options()("command", Options::value(&command.name))("arguments", Options::value(&command.arguments));
+    Options::positional_options_description positions;
+    positions.add("command", 1).add("arguments", -1);
+
+    Options::options_description all;
+    all.add(described).add(hidden);
+    Options::variables_map given;
+    try {
+        Options::store(Options::command_line_parser(argc, argv).options(all).positional(positions).run(), given);
+        Options::notify(given);
+    } catch (const Options::error& error) {
+        return reportUsage(error.what());
+    }
+    if (given.contains("help")) {
+        std::cout << usage << '\n' << described << "\nExit codes: 0 success, 1 failure, 2 usage, 3 settings, "
+                  << "4 unavailable, 5 conflict.\n";
+        return ExitSuccess;
+    }
+    if (given.contains("version")) {
+        std::cout << "rattandeckctl " << RattandeckApp::version() << '\n';
+        return ExitSuccess;
+    }
+    if (!takeAddress(objects, options.objectApi) || !takeAddress(instances, options.instanceList)
+        || !takeAddress(entry, options.entryAdmin))
+        return reportUsage("an address must look like 127.0.0.1:8080");
+    return run(command, options);
+}
