--- /dev/null
+++ b/testsuite/harness.py
@@ -0,0 +1,241 @@
+"""Starts stand-ins, sidecars and entries as processes on loopback, for the demo and the end-to-end cases.
+
+Every wait is bounded and polls for a condition; nothing depends on how fast the machine is. Processes are ended by their
+own ids only.
+"""
+
+import json
+import os
+import pathlib
+import select
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.error
+import urllib.request
+
+START_LIMIT_S = 60
+STOP_LIMIT_S = 60
+
+
+class CaseFailed(Exception):
+    """An expectation of a case does not hold."""
+
+
+def wait_until(condition, what, limit_s=START_LIMIT_S):
+    """Polls until `condition` returns something true, and returns that."""
+    deadline = time.monotonic() + limit_s
+    while time.monotonic() < deadline:
+        result = condition()
+        if result:
+            return result
+        time.sleep(0.02)
+    raise CaseFailed(f"waited {limit_s} s in vain: {what}")
+
+
+def http(method, address, path, body=None, headers=None, limit_s=30):
+    """Sends one request. Returns (status, headers, body text); raises OSError when there is no answer."""
+    data = body.encode() if isinstance(body, str) else (None if body is None else json.dumps(body).encode())
+    request = urllib.request.Request(f"http://{address}{path}", data=data, method=method, headers=headers or {})
+    try:
+        with urllib.request.urlopen(request, timeout=limit_s) as response:
+            return response.status, dict(response.headers), response.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, dict(error.headers), error.read().decode()
+    except urllib.error.URLError as error:
+        raise OSError(str(error)) from error
+
+
+class Process:
+    """One process of the system or a stand-in, with the addresses that it prints when it is ready."""
+
+    def __init__(self, name, command, log_path):
+        self.name = name
+        self.command = command
+        self.log = open(log_path, "ab")
+        self.popen = subprocess.Popen(command, stdout=subprocess.PIPE, stderr=self.log)
+        self.ready = self._read_ready_line()
+
+    def _read_ready_line(self):
+        deadline = time.monotonic() + START_LIMIT_S
+        line = b""
+        while not line.endswith(b"\n"):
+            remaining = deadline - time.monotonic()
+            if remaining <= 0 or not select.select([self.popen.stdout], [], [], remaining)[0]:
+                raise CaseFailed(f"{self.name} did not become ready")
+            chunk = os.read(self.popen.stdout.fileno(), 1)
+            if not chunk:
+                raise CaseFailed(f"{self.name} ended before it was ready; see {self.log.name}")
+            line += chunk
+        return line.decode().strip()
+
+    def field(self, name):
+        """Value of `name=...` in the ready line."""
+        for word in self.ready.split():
+            if word.startswith(name + "="):
+                return word[len(name) + 1:]
+        raise CaseFailed(f"{self.name} printed no {name}: {self.ready}")
+
+    def listening(self):
+        """Address of a stand-in, from "listening HOST:PORT"."""
+        return self.ready.split()[1]
+
+    def running(self):
+        return self.popen.poll() is None
+
+    def signal(self, number):
+        if self.running():
+            os.kill(self.popen.pid, number)
+
+    def kill(self):
+        self.signal(signal.SIGKILL)
+        self.popen.wait(STOP_LIMIT_S)
+
+    def terminate(self, limit_s=STOP_LIMIT_S):
+        """Asks for a planned stop and returns the exit code."""
+        self.signal(signal.SIGTERM)
+        try:
+            return self.popen.wait(limit_s)
+        except subprocess.TimeoutExpired as error:
+            raise CaseFailed(f"{self.name} did not stop within {limit_s} s of SIGTERM") from error
+
+    def close(self):
+        if self.running():
+            self.signal(signal.SIGCONT)
+            self.kill()
+        self.popen.stdout.close()
+        self.log.close()
+
+
+class System:
+    """A small rattandeck system: the platform's stand-ins, entries, and endpoints with their sidecars."""
+
+    def __init__(self, build, shards=16, lease_ms=1500):
+        self.programs = pathlib.Path(build) / "src"
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rattandeck-"))
+        self.shards = shards
+        self.lease_ms = lease_ms
+        self.processes = []
+        self.entries = {}
+        self.sidecars = {}
+        self.endpoints = {}
+        self.instances = {}
+        self.objects = None
+        self.list = None
+
+    def __enter__(self):
+        self.objects = self.start_stand_in("objects", "objects")
+        self.list = self.start_stand_in("instances", "instances", "--lag-ms", "200")
+        return self
+
+    def __exit__(self, kind, error, trace):
+        for process in reversed(self.processes):
+            process.close()
+        if kind is None:
+            shutil.rmtree(self.folder, ignore_errors=True)
+        else:
+            print(f"logs are kept in {self.folder}", file=sys.stderr)
+
+    def start(self, name, program, arguments):
+        process = Process(name, [str(self.programs / program), *arguments], self.folder / f"{name}.log")
+        self.processes.append(process)
+        return process
+
+    def start_stand_in(self, name, mode, *options):
+        return self.start(name, "rattandeck-standin", [mode, "--listen", "127.0.0.1:0", *options])
+
+    def write_settings(self, name, text):
+        path = self.folder / f"{name}.toml"
+        path.write_text(text)
+        return str(path)
+
+    def start_entry(self, name, domain):
+        settings = self.write_settings(name, f"""
+node = "{name}"
+domain = "{domain}"
+[platform]
+object_api = "{self.objects.listening()}"
+instance_list = "{self.list.listening()}"
+instance_list_interval_ms = 200
+[shards]
+count = {self.shards}
+[lease]
+duration_ms = {self.lease_ms}
+""")
+        entry = self.start(name, "rattandeck-entry", ["--settings", settings])
+        self.entries[name] = entry
+        self.list_instance(name, entry.field("peers"), domain, "")
+        return entry
+
+    def start_endpoint(self, name, domain, service, model, *options):
+        """Starts an endpoint's stand-in and the sidecar beside it."""
+        mode = ["engine"] if model else ["service", "--ledger", str(self.folder / f"{name}.ledger")]
+        endpoint = self.start_stand_in(f"{name}-endpoint", *mode, *options)
+        self.endpoints[name] = endpoint
+        self.start_sidecar(name, domain, service, model)
+        return endpoint
+
+    def start_sidecar(self, name, domain, service, model):
+        settings = self.write_settings(name, f"""
+node = "{name}"
+domain = "{domain}"
+service = "{service}"
+[endpoint]
+kind = "{'engine' if model else 'service'}"
+address = "{self.endpoints[name].listening()}"
+""")
+        sidecar = self.start(name, "rattandeck-sidecar", ["--settings", settings])
+        self.sidecars[name] = sidecar
+        self.list_instance(name, sidecar.field("peers"), domain, service)
+        return sidecar
+
+    def list_instance(self, name, address, domain, service, leaving=False):
+        """Puts an instance on the platform's list."""
+        self.instances[name] = {
+            "node": name, "address": address, "domain": domain, "service": service, "leaving": leaving}
+        self.publish_instances()
+
+    def unlist_instance(self, name):
+        del self.instances[name]
+        self.publish_instances()
+
+    def publish_instances(self):
+        http("PUT", self.list.listening(), "/instances", list(self.instances.values()))
+
+    def wait_ready(self):
+        """Waits until every entry serves."""
+        for name, entry in self.entries.items():
+            wait_until(lambda e=entry: self.is_ready(e), f"{name} is ready")
+
+    @staticmethod
+    def is_ready(entry):
+        try:
+            return http("GET", entry.field("admin"), "/readyz")[0] == 200
+        except OSError:
+            return False
+
+    def metric(self, process, name):
+        text = http("GET", process.field("admin"), "/metrics")[2]
+        for line in text.splitlines():
+            if line.startswith(name + " "):
+                return float(line.split()[1])
+        raise CaseFailed(f"{process.name} has no metric {name}")
+
+    def callers(self):
+        return [entry.field("callers") for entry in self.entries.values() if entry.running()]
+
+    def ledger(self):
+        """Every call that the plain services have executed: a list of {"key", "body"}."""
+        calls = []
+        for name, endpoint in self.endpoints.items():
+            if (self.folder / f"{name}.ledger").exists() and endpoint.running():
+                calls += json.loads(http("GET", endpoint.listening(), "/ledger")[2])
+        return calls
+
+
+def expect(condition, what):
+    if not condition:
+        raise CaseFailed(what)
