--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 /// HTTP/1.1 server and client over Boost.Beast, without Beast in the header.
 namespace RattandeckNet {
@@ -31,16 +32,17 @@
 
 /// Bounds on what one peer can make the server hold. A request beyond them gets 413, 431, 408 or 503 and is closed.
 struct HttpLimits {
-    std::size_t maxHeaderBytes = 16 * 1024;
-    std::size_t maxBodyBytes = 4 * 1024 * 1024;
+    std::size_t maxHeaderBytes = 16UL * 1024;
+    std::size_t maxBodyBytes = 4UL * 1024 * 1024;
     std::chrono::seconds readTimeout { 30 };
     std::size_t maxConnections = 1024;
     /// Unsent bytes of a streamed answer beyond which a slow reader is cut off.
-    std::size_t maxUnsentBytes = 8 * 1024 * 1024;
+    std::size_t maxUnsentBytes = 8UL * 1024 * 1024;
 };
 
 /// Answers one request. Copyable handle; the request is answered by `send`, or by `begin`, `write`..., `end`. Calls
-/// after the end or after the peer left are ignored.
+/// after the end or after the peer left are ignored. When the last handle goes away without an answer, the request is
+/// answered with 500, or broken off if its answer had begun.
 class HttpResponder {
 public:
     void send(HttpResponse response) const;
@@ -63,6 +65,9 @@
     std::shared_ptr<Impl> impl;
 };
 
+/// Accepts connections and hands their requests to one handler.
+///
+/// Thread safety: use from the loop's thread. Precondition: the loop outlives this object.
 class HttpServer {
 public:
     using Handler = std::function<void(HttpRequest, HttpResponder)>;
@@ -74,10 +79,13 @@
     tl::expected<void, NetError> listen(const Address& address);
     /// The bound port; differs from the requested one if that was 0.
     std::uint16_t port() const;
-    /// Accepts no more connections and closes idle ones; requests in flight are answered with `Connection: close`.
+    /// Accepts no more connections. Requests in flight are answered, with `Connection: close`; idle connections close
+    /// after a short grace, since a request may be on its way.
     void stopAccepting();
-    /// Requests that have not been answered yet.
+    /// Requests whose answer has not been written out yet.
     std::size_t inFlight() const;
+    /// Connections not closed yet; a process that exits when this is 0 after `stopAccepting` cuts nobody off.
+    std::size_t openConnections() const;
 
     struct Impl;
 
@@ -93,6 +101,12 @@
 };
 
 /// Calls one server over kept-alive connections. Never repeats a request by itself.
+///
+/// Errors: `BadAddress`, `ConnectFailed` and `NotSent` mean that no byte of the request was sent, also when the time
+/// ran out or a kept-alive connection turned out to be closed. `TimedOut`, `Broken`, `Malformed` and `TooLarge` leave
+/// open whether the server acted on it.
+///
+/// Thread safety: use from the loop's thread. Precondition: the loop outlives this object.
 class HttpClient {
 public:
     using CallId = std::uint64_t;
@@ -100,11 +114,11 @@
     HttpClient(EventLoop& loop, Address server, std::size_t maxConnections = 64);
     ~HttpClient();
 
-    /// Streams the answer to `callbacks`. `timeout` bounds the whole call.
+    /// Streams the answer to `callbacks`, never from within this call. `timeout` bounds the whole call.
     CallId start(HttpRequest request, std::chrono::milliseconds timeout, HttpCallbacks callbacks);
     /// Collects the whole answer, up to `maxBody` bytes.
     CallId fetch(HttpRequest request, std::chrono::milliseconds timeout,
-        std::function<void(tl::expected<HttpResponse, NetError>)> done, std::size_t maxBody = 16 * 1024 * 1024);
+        std::function<void(tl::expected<HttpResponse, NetError>)> done, std::size_t maxBody = 16UL * 1024 * 1024);
     /// Breaks the call off; no more callbacks for it.
     void cancel(CallId call);
 
