--- a/src/rattandeckctl/commands.cpp
+++ b/src/rattandeckctl/commands.cpp
@@ -1,8 +1,8 @@
 #include "commands.h"
 
+#include "objectfile.h"
 #include "Rattandeck/policy.h"
 #include "RattandeckApp/commandline.h"
-#include "objectfile.h"
 #include "session.h"
 
 #include <nlohmann/json.hpp>
@@ -112,7 +112,7 @@
         for (const StoredObject& object : outcome->objects)
             policies.apply({ object.key.kind, object.key.name, object.version, object.deleted, object.value });
     }
-    return policies;
+    return { std::move(policies) };
 }
 
 void printMatches(const Json& instances, const PolicySet& policies, const FileObject& object)
--- a/src/rattandeckctl/objectfile.cpp
+++ b/src/rattandeckctl/objectfile.cpp
@@ -44,8 +44,8 @@
 }
 
 // Reads one `[[object]]`. Adds to `errors` instead when it is wrong.
-void readObject(const toml::table& table, const std::string& file, std::vector<FileObject>& objects,
-    std::vector<FileError>& errors)
+void readObject(
+    const toml::table& table, const std::string& file, std::vector<FileObject>& objects, std::vector<FileError>& errors)
 {
     const SourcePosition position = positionOf(table.source(), file);
     for (const auto& [key, node] : table) {
--- a/src/rattandeckctl/rattandeckctl.cpp
+++ b/src/rattandeckctl/rattandeckctl.cpp
@@ -1,8 +1,8 @@
 // Operators' command line: configuration objects, drains, and the reasons of placements.
 
+#include "commands.h"
 #include "RattandeckApp/commandline.h"
 #include "RattandeckApp/version.h"
-#include "commands.h"
 
 #include <boost/program_options.hpp>
 
@@ -116,7 +116,8 @@
         return reportUsage(error.what());
     }
     if (given.contains("help")) {
-        std::cout << usage << '\n' << described << "\nExit codes: 0 success, 1 failure, 2 usage, 3 settings, "
+        std::cout << usage << '\n'
+                  << described << "\nExit codes: 0 success, 1 failure, 2 usage, 3 settings, "
                   << "4 unavailable, 5 conflict.\n";
         return ExitSuccess;
     }
--- a/src/rattandeckctl/session.h
+++ b/src/rattandeckctl/session.h
@@ -15,8 +15,8 @@
 
     /// Calls the object API at `server`.
     Rattandeck::ObjectOutcome call(const RattandeckNet::Address& server, const Rattandeck::ObjectRequest& request);
-    Rattandeck::ObjectOutcome remove(const RattandeckNet::Address& server, const Rattandeck::ObjectKey& key,
-        Rattandeck::ObjectVersion expected);
+    Rattandeck::ObjectOutcome remove(
+        const RattandeckNet::Address& server, const Rattandeck::ObjectKey& key, Rattandeck::ObjectVersion expected);
 
     /// GETs `path` with one query parameter from `server`; an empty name means none.
     tl::expected<RattandeckNet::HttpResponse, RattandeckNet::NetError> get(const RattandeckNet::Address& server,
