Split the wire's field lists from its codec

Change: wire_fields.h holds the fields, tags and enum ranges. Trials on mutants: without the bound on nesting deepNestingIsMalformed crashes; with one field left out of the list everyMessageComesBackEqual fails.

--- /dev/null
+++ b/src/librattandeck/wire_fields.h
@@ -0,0 +1,327 @@
+#pragma once
+
+#include "Rattandeck/messages.h"
+
+/// Names on the wire: fields, tags and the range of enums. One list of fields serves writing and reading.
+namespace Rattandeck::Wire {
+
+// Enums ------------------------------------------------------------------------------------------------------
+
+template <typename Enum> inline constexpr Enum lastValue {};
+template <> inline constexpr Role lastValue<Role> = Role::Sidecar;
+template <> inline constexpr RecordState lastValue<RecordState> = RecordState::Unknown;
+template <> inline constexpr RefusalReason lastValue<RefusalReason> = RefusalReason::HistoryMismatch;
+template <> inline constexpr CallKind lastValue<CallKind> = CallKind::GetProgram;
+template <> inline constexpr Ran lastValue<Ran> = Ran::Unknown;
+template <> inline constexpr ProblemKind lastValue<ProblemKind> = ProblemKind::ShuttingDown;
+
+// Fields of each struct: one list serves writing and reading -------------------------------------------------
+
+template <typename Visitor> void visitFields(Visitor& visit, Hello& m)
+{
+    visit("protocol", m.protocol);
+    visit("node", m.node);
+    visit("role", m.role);
+    visit("incarnation", m.incarnation);
+    visit("domain", m.domain);
+    visit("service", m.service);
+    visit("address", m.address);
+    visit("configRevision", m.configRevision);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, ProgramHeader& m)
+{
+    visit("id", m.id);
+    visit("root", m.root);
+    visit("organisation", m.organisation);
+    visit("service", m.service);
+    visit("aim", m.aim);
+    visit("budget", m.budget);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, TurnRecord& m)
+{
+    visit("program", m.program);
+    visit("turn", m.turn);
+    visit("attempt", m.attempt);
+    visit("epoch", m.epoch);
+    visit("service", m.service);
+    visit("key", m.key);
+    visit("idempotent", m.idempotent);
+    visit("state", m.state);
+    visit("request", m.request);
+    visit("input", m.input);
+    visit("output", m.output);
+    visit("charged", m.charged);
+    visit("headBefore", m.headBefore);
+    visit("headAfter", m.headAfter);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, Order& m)
+{
+    visit("id", m.id);
+    visit("shard", m.shard);
+    visit("epoch", m.epoch);
+    visit("program", m.program);
+    visit("turn", m.turn);
+    visit("attempt", m.attempt);
+    visit("service", m.service);
+    visit("key", m.key);
+    visit("idempotent", m.idempotent);
+    visit("credit", m.credit);
+    visit("timeLeft", m.timeLeft);
+    visit("priority", m.priority);
+    visit("request", m.request);
+    visit("headBefore", m.headBefore);
+    visit("history", m.history);
+    visit("historyTokens", m.historyTokens);
+    visit("input", m.input);
+    visit("inputTokens", m.inputTokens);
+    visit("maxOutputTokens", m.maxOutputTokens);
+    visit("reserved", m.reserved);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, OrderRefused& m)
+{
+    visit("id", m.id);
+    visit("reason", m.reason);
+    visit("retryAfter", m.retryAfter);
+}
+
+// Sent for each token: short names.
+template <typename Visitor> void visitFields(Visitor& visit, OrderTokens& m)
+{
+    visit("i", m.id);
+    visit("p", m.part);
+    visit("t", m.text);
+    visit("n", m.tokens);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, OrderEnded& m)
+{
+    visit("id", m.id);
+    visit("record", m.record);
+    visit("cachedTokens", m.cachedTokens);
+    visit("prefilledTokens", m.prefilledTokens);
+    visit("endpointCrashed", m.endpointCrashed);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, CancelOrder& m) { visit("id", m.id); }
+
+template <typename Visitor> void visitFields(Visitor& visit, ReleaseProgram& m)
+{
+    visit("shard", m.shard);
+    visit("epoch", m.epoch);
+    visit("program", m.program);
+    visit("ended", m.ended);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, HoldPrefix& m)
+{
+    visit("program", m.program);
+    visit("expectedPause", m.expectedPause);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, CreditGrant& m)
+{
+    visit("id", m.id);
+    visit("count", m.count);
+    visit("life", m.life);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, HeldPrefix& m)
+{
+    visit("program", m.program);
+    visit("tokens", m.tokens);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, LoadReport& m)
+{
+    visit("sequence", m.sequence);
+    visit("service", m.service);
+    visit("leaving", m.leaving);
+    visit("running", m.running);
+    visit("waiting", m.waiting);
+    visit("limit", m.limit);
+    visit("waitingTokens", m.waitingTokens);
+    visit("prefillSpeed", m.prefillTokensPerSecond);
+    visit("decodeSpeed", m.decodeTokensPerSecond);
+    visit("cacheCapacity", m.cacheCapacity);
+    visit("cacheUsed", m.cacheUsed);
+    visit("accountedOrder", m.accountedOrder);
+    visit("credits", m.credits);
+    visit("held", m.heldPrefixes);
+    visit("dropped", m.droppedPrefixes);
+    visit("complete", m.prefixesComplete);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, CensusRequest& m)
+{
+    visit("shard", m.shard);
+    visit("epoch", m.epoch);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, RunningOrder& m)
+{
+    visit("order", m.order);
+    visit("record", m.record);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, CensusAnswer& m)
+{
+    visit("shard", m.shard);
+    visit("epoch", m.epoch);
+    visit("incarnation", m.incarnation);
+    visit("refused", m.refused);
+    visit("programs", m.programs);
+    visit("ended", m.endedPrograms);
+    visit("records", m.records);
+    visit("running", m.running);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, CopyRecords& m)
+{
+    visit("copy", m.copy);
+    visit("shard", m.shard);
+    visit("epoch", m.epoch);
+    visit("programs", m.programs);
+    visit("ended", m.endedPrograms);
+    visit("records", m.records);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, CopyAnswer& m)
+{
+    visit("copy", m.copy);
+    visit("refused", m.refused);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, PromiseRequest& m)
+{
+    visit("request", m.request);
+    visit("incarnation", m.incarnation);
+    visit("leaseVersion", m.leaseVersion);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, PromiseAnswer& m)
+{
+    visit("request", m.request);
+    visit("granted", m.granted);
+    visit("life", m.life);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, ReleaseRequest& m)
+{
+    visit("request", m.request);
+    visit("holder", m.holder);
+    visit("leaseVersion", m.leaseVersion);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, ReleaseAnswer& m)
+{
+    visit("request", m.request);
+    visit("released", m.released);
+    visit("retryAfter", m.retryAfter);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, ConfigObject& m)
+{
+    visit("kind", m.kind);
+    visit("name", m.name);
+    visit("version", m.version);
+    visit("deleted", m.deleted);
+    visit("value", m.value);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, ConfigUpdate& m)
+{
+    visit("revision", m.revision);
+    visit("objects", m.objects);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, CallerRequest& m)
+{
+    visit("kind", m.kind);
+    visit("organisation", m.organisation);
+    visit("program", m.program);
+    visit("service", m.service);
+    visit("aim", m.aim);
+    visit("budget", m.budget);
+    visit("turn", m.turn);
+    visit("key", m.key);
+    visit("idempotent", m.idempotent);
+    visit("head", m.head);
+    visit("input", m.input);
+    visit("maxOutputTokens", m.maxOutputTokens);
+    visit("timeLeft", m.timeLeft);
+    visit("expectedPause", m.expectedPause);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, Problem& m)
+{
+    visit("kind", m.kind);
+    visit("ran", m.ran);
+    visit("retryAfter", m.retryAfter);
+    visit("detail", m.detail);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, AnswerTokens& m)
+{
+    visit("t", m.text);
+    visit("n", m.tokens);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, AnswerDone& m)
+{
+    visit("program", m.program);
+    visit("turn", m.turn);
+    visit("head", m.head);
+    visit("output", m.output);
+    visit("charged", m.charged);
+    visit("budgetLeft", m.budgetLeft);
+    visit("cachedTokens", m.cachedTokens);
+    visit("prefilledTokens", m.prefilledTokens);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, ForwardRequest& m)
+{
+    visit("ticket", m.ticket);
+    visit("request", m.request);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, ForwardCancel& m) { visit("ticket", m.ticket); }
+
+template <typename Visitor> void visitFields(Visitor& visit, ForwardEvent& m)
+{
+    visit("i", m.ticket);
+    visit("e", m.event);
+}
+
+// Tags ---------------------------------------------------------------------------------------------------------
+
+template <typename Alternative> inline constexpr const char* tag = nullptr;
+template <> inline constexpr const char* tag<Hello> = "hello";
+template <> inline constexpr const char* tag<Order> = "order";
+template <> inline constexpr const char* tag<OrderRefused> = "refused";
+template <> inline constexpr const char* tag<OrderTokens> = "tok";
+template <> inline constexpr const char* tag<OrderEnded> = "ended";
+template <> inline constexpr const char* tag<CancelOrder> = "cancel";
+template <> inline constexpr const char* tag<ReleaseProgram> = "release";
+template <> inline constexpr const char* tag<HoldPrefix> = "hold";
+template <> inline constexpr const char* tag<LoadReport> = "load";
+template <> inline constexpr const char* tag<CensusRequest> = "census";
+template <> inline constexpr const char* tag<CensusAnswer> = "censusAnswer";
+template <> inline constexpr const char* tag<CopyRecords> = "copy";
+template <> inline constexpr const char* tag<CopyAnswer> = "copyAnswer";
+template <> inline constexpr const char* tag<PromiseRequest> = "promise";
+template <> inline constexpr const char* tag<PromiseAnswer> = "promiseAnswer";
+template <> inline constexpr const char* tag<ReleaseRequest> = "leaseRelease";
+template <> inline constexpr const char* tag<ReleaseAnswer> = "leaseReleased";
+template <> inline constexpr const char* tag<ConfigUpdate> = "config";
+template <> inline constexpr const char* tag<ForwardRequest> = "fwd";
+template <> inline constexpr const char* tag<ForwardCancel> = "fwdCancel";
+template <> inline constexpr const char* tag<ForwardEvent> = "fwdEvent";
+template <> inline constexpr const char* tag<AnswerTokens> = "tok";
+template <> inline constexpr const char* tag<AnswerDone> = "done";
+template <> inline constexpr const char* tag<Problem> = "problem";
+
+}
--- a/src/librattandeck/wire_test.cpp
+++ b/src/librattandeck/wire_test.cpp
@@ -126,7 +126,7 @@
 
     void deepNestingIsMalformed()
     {
-        constexpr std::size_t depth = 4U * 1024 * 1024;
+        constexpr std::size_t depth = 4'000'000;
         const std::string arraysOfOne(depth, '\x91');
         CPPUNIT_ASSERT(decode(arraysOfOne).error() == WireError::Malformed);
     }
