Add the sidecar's core

Cause: the sidecar is the fence, the admission and the record keeper of its endpoint. Change: SidecarCore in parts with one job each: fence, credits, records, prefixes, orders, endpoint events, facts for takeovers, links and reports.

--- a/src/include/Rattandeck/sidecar.h
+++ b/src/include/Rattandeck/sidecar.h
@@ -28,10 +28,14 @@
     Milliseconds keyRetention { 3600000 };
     std::uint32_t crashLimit = 2;
     TokenCount cacheCapacity { 100000 };
+    /// An idempotent call is cancelled when nobody who awaits it has been linked for this long. Longer than a takeover
+    /// takes, so that a new home finds the call running.
+    Milliseconds homeAbsence { 12000 };
 };
 
 /// A call as the endpoint gets it.
 struct EndpointCall {
+    /// Given by the sidecar and unique within its life: orders of different entries may have the same id.
     OrderId order;
     ProgramId program;
     IdempotencyKey key;
--- /dev/null
+++ b/src/librattandeck/sidecarcredits.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "Rattandeck/messages.h"
+
+#include <deque>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+/// Credits that a sidecar hands out. All times are on the sidecar's own clock.
+namespace Rattandeck {
+
+struct IssuedGrant {
+    CreditId id;
+    NodeId holder;
+    std::uint32_t left = 0;
+    TimePoint expires {};
+};
+
+struct CreditBook {
+    /// Ids grow, so that the holder can tell a later grant from a repeated one.
+    CreditId lastId;
+    /// In the order of issue, which is that of expiry, too.
+    std::deque<IssuedGrant> grants;
+};
+
+/// Credits that can still be spent, of all holders.
+std::uint32_t liveCredits(CreditBook& book, TimePoint now);
+std::unordered_map<NodeId, std::uint32_t> liveCreditsByHolder(CreditBook& book, TimePoint now);
+/// Precondition: `life` is the same for all grants of a book.
+CreditGrant issueCredits(CreditBook& book, const NodeId& holder, std::uint32_t count, Milliseconds life, TimePoint now);
+/// Takes one credit. Returns false when the grant isn't live, is used up, or was given to another node.
+bool spendCredit(CreditBook& book, CreditId id, const NodeId& holder, TimePoint now);
+void revokeCredits(CreditBook& book, const NodeId& holder);
+
+struct CreditClaim {
+    /// Share relative to the other claims.
+    double weight = 1;
+    /// Live credits that the claimant has already.
+    std::uint32_t held = 0;
+};
+
+/// Divides `room` further credits among the claims by weight. The sum of the result is at most `room`. Credits left
+/// over go one each to claimants that have none, beginning at index `first`.
+std::vector<std::uint32_t> divideCredits(std::uint32_t room, std::span<const CreditClaim> claims, std::size_t first);
+
+}
