--- /dev/null
+++ b/src/include/Rattandeck/describe.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include "Rattandeck/messages.h"
+#include "Rattandeck/objects.h"
+
+#include <string_view>
+
+/// Texts of enumerations for logs and status pages.
+namespace Rattandeck {
+
+std::string_view describe(ProblemKind kind);
+std::string_view describe(RefusalReason reason);
+std::string_view describe(RecordState state);
+std::string_view describe(Ran ran);
+std::string_view describe(ObjectError error);
+
+}
--- a/src/include/Rattandeck/objects.h
+++ b/src/include/Rattandeck/objects.h
@@ -21,6 +21,7 @@
 
 struct StoredObject {
     ObjectKey key;
+    /// Revision of the store at the object's last write, so that the versions of different objects can be compared.
     ObjectVersion version;
     bool deleted = false;
     /// JSON text.
@@ -54,8 +55,9 @@
 using ObjectRequest = std::variant<ObjectGet, ObjectList, ObjectPut>;
 
 struct ObjectResult {
-    /// Revision of the whole store at the answer.
+    /// Revision of the whole store at the answer. An `ObjectList` shows every change up to it.
     ObjectVersion revision;
+    /// The object read; all of a kind; the object as written.
     std::vector<StoredObject> objects;
 };
 using ObjectOutcome = tl::expected<ObjectResult, ObjectError>;
--- /dev/null
+++ b/src/librattandeck/entry.cpp
@@ -0,0 +1,331 @@
+#include "entryimpl.h"
+
+#include "Rattandeck/digest.h"
+
+#include <type_traits>
+
+namespace Rattandeck {
+
+// Basics -----------------------------------------------------------------------------------------------------------
+
+namespace {
+
+    // Order ids of different entries and lives don't meet: the upper bits name the life, the lower ones count.
+    constexpr unsigned orderCountBits = 40;
+
+    std::uint64_t orderBaseOf(const EntrySettings& settings)
+    {
+        const std::uint64_t life = hash64(settings.node.value, settings.incarnation.value);
+        return life << orderCountBits;
+    }
+
+    bool isFinal(const CallerEvent& event) { return !std::holds_alternative<AnswerTokens>(event); }
+
+}
+
+Ran ranIfRefused(const CallerRequest& request)
+{
+    const bool mayBeRepeat = !request.key.value.empty() || request.turn.value != 0;
+    return mayBeRepeat ? Ran::Unknown : Ran::No;
+}
+
+EntryCore::Impl::Impl(EntrySettings settings, TimerService& timers, EntryEffects effects)
+    : settings(std::move(settings))
+    , timers(timers)
+    , effects(std::move(effects))
+    , promises(timers.now(), this->settings.promiseLife)
+    , orderBase(orderBaseOf(this->settings))
+{
+    this->retries.ratio = this->settings.retryBudget;
+}
+
+void EntryCore::Impl::after(Duration delay, std::function<void()> callback)
+{
+    this->timers.subscribeAfter(
+        delay, [guard = std::weak_ptr<int>(this->alive), callback = std::move(callback)] {
+            if (!guard.expired())
+                callback();
+        });
+}
+
+std::uint64_t EntryCore::Impl::nextSeed()
+{
+    return hash64(this->settings.node.value, this->settings.seed + ++this->seeds);
+}
+
+void EntryCore::Impl::send(const NodeId& to, const Message& message)
+{
+    const auto found = this->nodes.find(to);
+    if (found != this->nodes.end() && found->second.linked)
+        this->effects.send(to, message);
+}
+
+void EntryCore::Impl::reply(const Caller& caller, const CallerEvent& event)
+{
+    if (isFinal(event))
+        this->callers.erase(caller);
+    if (!caller.via.value.empty()) {
+        this->send(caller.via, ForwardEvent { caller.ticket, event });
+        return;
+    }
+    if (!this->tickets.contains(caller.ticket))
+        return;
+    if (isFinal(event))
+        this->tickets.erase(caller.ticket);
+    this->effects.reply(caller.ticket, event);
+}
+
+void EntryCore::Impl::replyAll(const std::vector<Caller>& callers, const CallerEvent& event)
+{
+    // A reply may bring the next request, which may change the list.
+    const std::vector<Caller> copy = callers;
+    for (const Caller& caller : copy)
+        this->reply(caller, event);
+}
+
+void EntryCore::Impl::refuse(
+    const Caller& caller, ProblemKind kind, Ran ran, Milliseconds retryAfter, const std::string& detail)
+{
+    this->reply(caller, Problem { kind, ran, retryAfter, detail });
+}
+
+void EntryCore::Impl::review()
+{
+    this->after(reviewInterval, [this] { this->review(); });
+    this->renewLease();
+    this->askPromises();
+    this->reviewMembers();
+    this->reviewCopies();
+    this->reviewShards();
+    if (this->now() >= this->configListedAt + listInterval || !this->configListed)
+        this->readConfig();
+    this->releaseLease();
+    this->purgeCopies();
+    for (auto& [shard, home] : this->shards)
+        this->purgeEnded(home);
+    for (auto& [service, queue] : this->queues) {
+        const double perSecond = queue.placedInInterval / std::chrono::duration<double>(reviewInterval).count();
+        queue.placedPerSecond = (queue.placedPerSecond + perSecond) / 2;
+        queue.placedInInterval = 0;
+    }
+}
+
+// Messages ---------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::dispatch(const NodeId& from, const Message& message)
+{
+    std::visit(
+        [&](const auto& body) {
+            using Body = std::decay_t<decltype(body)>;
+            if constexpr (std::is_same_v<Body, OrderTokens>)
+                this->onOrderTokens(from, body);
+            else if constexpr (std::is_same_v<Body, OrderEnded>)
+                this->onOrderEnded(from, body);
+            else if constexpr (std::is_same_v<Body, OrderRefused>)
+                this->onOrderRefused(from, body);
+            else if constexpr (std::is_same_v<Body, LoadReport>)
+                this->onLoadReport(from, body);
+            else if constexpr (std::is_same_v<Body, CensusRequest>)
+                this->onCensusRequest(from, body);
+            else if constexpr (std::is_same_v<Body, CensusAnswer>)
+                this->onCensusAnswer(from, body);
+            else if constexpr (std::is_same_v<Body, CopyRecords>)
+                this->onCopyRecords(from, body);
+            else if constexpr (std::is_same_v<Body, CopyAnswer>)
+                this->onCopyAnswer(from, body);
+            else if constexpr (std::is_same_v<Body, ReleaseProgram>)
+                this->onReleaseProgram(body);
+            else if constexpr (std::is_same_v<Body, PromiseRequest>)
+                this->onPromiseRequest(from, body);
+            else if constexpr (std::is_same_v<Body, PromiseAnswer>)
+                this->onPromiseAnswer(from, body);
+            else if constexpr (std::is_same_v<Body, ReleaseRequest>)
+                this->onReleaseRequest(from, body);
+            else if constexpr (std::is_same_v<Body, ReleaseAnswer>)
+                this->onReleaseAnswer(from, body);
+            else if constexpr (std::is_same_v<Body, ConfigUpdate>)
+                this->configChanged(this->config.applyUpdate(body), from);
+            else if constexpr (std::is_same_v<Body, ForwardRequest>)
+                this->route({ from, body.ticket }, body.request, true);
+            else if constexpr (std::is_same_v<Body, ForwardCancel>)
+                this->callerGone({ from, body.ticket });
+            else if constexpr (std::is_same_v<Body, ForwardEvent>) {
+                const auto found = this->forwarded.find(body.ticket);
+                if (found == this->forwarded.end() || found->second.home != from)
+                    return;
+                if (isFinal(body.event))
+                    this->forwarded.erase(found);
+                this->reply({ {}, body.ticket }, body.event);
+            }
+            // The others go to sidecars, or come before the link is up.
+        },
+        message);
+}
+
+// Links ------------------------------------------------------------------------------------------------------------
+
+void EntryCore::onLinkUp(const Hello& hello)
+{
+    Impl& entry = *this->impl;
+    Impl::Node& node = entry.nodes[hello.node];
+    if (node.linked)
+        this->onLinkDown(hello.node);
+    const bool known = node.hello.node == hello.node;
+    const bool sameLife = known && node.hello.incarnation == hello.incarnation;
+    if (known && !sameLife)
+        entry.loseLife(node.life);
+    node.hello = hello;
+    node.linked = true;
+    node.life = entry.lifeOf(hello.node, hello.incarnation, hello.domain);
+    entry.lives[node.life.value].lost = false;
+
+    if (hello.configRevision != entry.config.revision())
+        entry.sendConfig(hello.node, entry.config.all());
+    if (hello.role == Role::Sidecar) {
+        entry.fleet.onLinkUp(hello);
+        entry.registerSidecar(hello.node);
+        entry.onSidecarLinked(hello.node, sameLife);
+    }
+    for (const auto& [shard, census] : entry.censuses)
+        entry.send(hello.node, CensusRequest { shard, census.epoch });
+    for (const auto& [shard, nodes] : entry.missed) {
+        const auto home = entry.shards.find(shard);
+        if (home != entry.shards.end() && nodes.contains(hello.node))
+            entry.send(hello.node, CensusRequest { shard, home->second.epoch });
+    }
+    for (const ReleaseProgram& release : entry.unsentReleases[hello.node])
+        entry.send(hello.node, release);
+    entry.unsentReleases.erase(hello.node);
+}
+
+void EntryCore::onLinkDown(const NodeId& node)
+{
+    Impl& entry = *this->impl;
+    const auto found = entry.nodes.find(node);
+    if (found == entry.nodes.end() || !found->second.linked)
+        return;
+    found->second.linked = false;
+    found->second.downSince = entry.now();
+    const LifeIndex life = found->second.life;
+    entry.after(reconnectTime, [&entry, node, life] {
+        const Impl::Node& later = entry.nodes.at(node);
+        if (!later.linked && later.life == life)
+            entry.loseLife(life);
+    });
+    entry.fleet.onLinkDown(node);
+    entry.onSidecarUnlinked(node);
+
+    std::vector<CallerTicket> lost;
+    for (const auto& [ticket, passed] : entry.forwarded) {
+        if (passed.home == node)
+            lost.push_back(ticket);
+    }
+    for (const CallerTicket ticket : lost) {
+        const CallerRequest request = std::move(entry.forwarded.at(ticket).request);
+        entry.forwarded.erase(ticket);
+        const Ran ran = request.kind == CallKind::Call ? Ran::Unknown : ranIfRefused(request);
+        entry.refuse({ {}, ticket }, ProblemKind::NotServing, ran, takeoverRetry, "the program's home was lost");
+    }
+    std::vector<Caller> gone;
+    for (const auto& [caller, program] : entry.callers) {
+        if (caller.via == node)
+            gone.push_back(caller);
+    }
+    for (const Caller& caller : gone)
+        entry.callerGone(caller);
+}
+
+// Public class -----------------------------------------------------------------------------------------------------
+
+EntryCore::EntryCore(EntrySettings settings, TimerService& timers, EntryEffects effects)
+    : impl(std::make_unique<Impl>(std::move(settings), timers, std::move(effects)))
+{
+}
+
+EntryCore::~EntryCore() = default;
+
+void EntryCore::start()
+{
+    Impl& entry = *this->impl;
+    entry.started = true;
+    entry.startedAt = entry.now();
+    entry.promises = PromiseBook(entry.now(), entry.settings.promiseLife);
+    entry.review();
+}
+
+void EntryCore::onCallerRequest(CallerTicket ticket, CallerRequest request)
+{
+    this->impl->tickets.insert(ticket);
+    this->impl->route({ {}, ticket }, std::move(request), false);
+}
+
+void EntryCore::onCallerGone(CallerTicket ticket)
+{
+    Impl& entry = *this->impl;
+    entry.tickets.erase(ticket);
+    const auto found = entry.forwarded.find(ticket);
+    if (found == entry.forwarded.end()) {
+        entry.callerGone({ {}, ticket });
+        return;
+    }
+    entry.send(found->second.home, ForwardCancel { ticket });
+    entry.forwarded.erase(found);
+}
+
+void EntryCore::onMessage(const NodeId& from, const Message& message) { this->impl->dispatch(from, message); }
+
+void EntryCore::onObjectOutcome(std::uint64_t request, const ObjectOutcome& outcome)
+{
+    this->impl->finishObjectCall(request, outcome);
+}
+
+void EntryCore::onObjectChanged(const StoredObject& object, ObjectVersion /*revision*/)
+{
+    this->impl->onObjectChanged(object);
+}
+
+void EntryCore::onInstanceList(const std::vector<ListedInstance>& instances)
+{
+    Impl& entry = *this->impl;
+    std::set<NodeId> leaving;
+    entry.listedNodes.clear();
+    for (const ListedInstance& instance : instances) {
+        entry.listedNodes.insert(instance.node);
+        if (instance.leaving)
+            leaving.insert(instance.node);
+    }
+    entry.instancesListed = true;
+    entry.fleet.setListedLeaving(std::move(leaving));
+}
+
+void EntryCore::beginShutdown()
+{
+    this->impl->shuttingDown = true;
+    this->impl->log("shutdown begins", "new requests are refused");
+    this->impl->releaseLease();
+}
+
+bool EntryCore::isDrained() const
+{
+    const Impl& entry = *this->impl;
+    return entry.shuttingDown && entry.leaseReleased && entry.tickets.empty();
+}
+
+EntryStatus EntryCore::status() const
+{
+    const Impl& entry = *this->impl;
+    EntryStatus status = entry.counters;
+    status.serving = entry.hasAuthority();
+    status.onPromises = status.serving && entry.lease.onPromises(entry.now());
+    status.ownedShards = 0;
+    status.openPrograms = 0;
+    for (const auto& [shard, home] : entry.shards) {
+        if (home.serving)
+            ++status.ownedShards;
+        status.openPrograms += static_cast<std::uint32_t>(home.programs.size() - home.ended.size());
+    }
+    status.configRevision = std::max(entry.config.revision(), entry.config.highestVersion());
+    return status;
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/entrycalls.cpp
@@ -0,0 +1,434 @@
+#include "entryimpl.h"
+
+#include <algorithm>
+
+namespace Rattandeck {
+
+namespace {
+
+    constexpr std::uint32_t openingAttempts = 3;
+    constexpr std::uint32_t unlimitedAttempts = ~0U;
+
+    bool isOneCall(const CallerRequest& request) { return request.kind == CallKind::Call && request.program.serial == 0; }
+
+    AnswerDone stateOf(const HomeProgram& program, TokenCount budgetLeft)
+    {
+        AnswerDone done;
+        done.program = program.header.id;
+        done.turn = program.lastTurn;
+        done.head = program.head;
+        done.budgetLeft = budgetLeft;
+        return done;
+    }
+
+}
+
+// Routing ----------------------------------------------------------------------------------------------------------
+
+HomeShard* EntryCore::Impl::anyOwnShard()
+{
+    const std::size_t count = this->map.slots.size();
+    for (std::size_t i = 0; i < count; ++i) {
+        const ShardId shard(static_cast<std::uint32_t>(++this->nextOwnShard % count));
+        if (HomeShard* home = this->servedShard(shard))
+            return home;
+    }
+    return nullptr;
+}
+
+std::optional<NodeId> EntryCore::Impl::anyOtherHome()
+{
+    std::vector<NodeId> homes;
+    for (const auto& [id, node] : this->nodes) {
+        if (node.linked && node.hello.role == Role::Entry)
+            homes.push_back(id);
+    }
+    std::erase_if(homes, [&](const NodeId& id) {
+        return std::none_of(this->map.slots.begin(), this->map.slots.end(),
+            [&](const ShardSlot& slot) { return slot.home == id && slot.next.value.empty(); });
+    });
+    if (homes.empty())
+        return std::nullopt;
+    return homes[this->nextSeed() % homes.size()];
+}
+
+void EntryCore::Impl::route(const Caller& caller, CallerRequest request, bool forwarded)
+{
+    if (request.timeLeft.count() <= 0)
+        request.timeLeft = defaultTimeLeft;
+    if (this->shuttingDown && !forwarded)
+        return this->refuse(
+            caller, ProblemKind::ShuttingDown, ranIfRefused(request), otherEntryRetry, "this entry is leaving");
+    if (this->map.slots.empty())
+        return this->refuse(
+            caller, ProblemKind::NotServing, ranIfRefused(request), takeoverRetry, "the shard map is not known yet");
+
+    const bool rootOpening = request.kind == CallKind::OpenProgram && request.program.serial == 0;
+    if (rootOpening) {
+        if (!this->shuttingDown && this->anyOwnShard())
+            return this->openProgram(caller, request);
+        const std::optional<NodeId> other = forwarded ? std::nullopt : this->anyOtherHome();
+        if (other)
+            return this->forward(caller, *other, request);
+        return this->refuse(caller, ProblemKind::NotServing, Ran::No, takeoverRetry, "no shard is served here");
+    }
+    if (isOneCall(request)) {
+        if (request.key.value.empty())
+            return this->refuse(
+                caller, ProblemKind::BadRequest, Ran::No, {}, "a call without a program needs an idempotency key");
+        const auto count = static_cast<std::uint32_t>(this->map.slots.size());
+        request.program.shard = shardOfKey(request.organisation, request.key, count);
+        request.program.openedIn = Epoch(0);
+    }
+    const ShardId shard = request.program.shard;
+    if (shard.value >= this->map.slots.size())
+        return this->refuse(caller, ProblemKind::UnknownProgram, Ran::No, {}, "no such shard");
+    const NodeId home = this->map.slots[shard.value].home;
+    if (home == this->settings.node)
+        return this->atHome(caller, std::move(request));
+    const auto node = this->nodes.find(home);
+    const bool linked = node != this->nodes.end() && node->second.linked;
+    if (forwarded || !linked)
+        return this->refuse(caller, ProblemKind::NotServing, ranIfRefused(request), takeoverRetry,
+            forwarded ? "this entry is not the program's home" : "the program's home can't be reached");
+    this->forward(caller, home, request);
+}
+
+void EntryCore::Impl::forward(const Caller& caller, const NodeId& home, const CallerRequest& request)
+{
+    this->forwarded[caller.ticket] = { home, request };
+    this->after(request.timeLeft + forwardSlack, [this, ticket = caller.ticket] {
+        const auto open = this->forwarded.find(ticket);
+        if (open == this->forwarded.end())
+            return;
+        this->send(open->second.home, ForwardCancel { ticket });
+        this->forwarded.erase(open);
+        this->refuse({ {}, ticket }, ProblemKind::DeadlineExceeded, Ran::Unknown, {}, "the home has not answered");
+    });
+    this->send(home, ForwardRequest { caller.ticket, request });
+}
+
+void EntryCore::Impl::callerGone(const Caller& caller)
+{
+    const auto found = this->callers.find(caller);
+    if (found == this->callers.end())
+        return;
+    const ProgramId id = found->second;
+    this->callers.erase(found);
+    const auto shard = this->shards.find(id.shard);
+    HomeProgram* program = shard == this->shards.end() ? nullptr : shard->second.find(id);
+    if (!program)
+        return;
+    std::erase(program->endCallers, caller);
+    for (auto waiting = program->queue.begin(); waiting != program->queue.end(); ++waiting) {
+        std::erase((*waiting)->callers, caller);
+        if ((*waiting)->callers.empty()) {
+            program->queue.erase(waiting);
+            return;
+        }
+    }
+    if (!program->current)
+        return;
+    ProgramCall& call = *program->current;
+    std::erase(call.streaming, caller);
+    if (std::erase(call.callers, caller) == 0 || !call.callers.empty())
+        return;
+    if (call.stage == CallStage::Ordered)
+        this->send(call.sidecar, CancelOrder { call.order->id });
+    else if (call.stage == CallStage::Waiting)
+        this->failCall(shard->second, *program, Problem { ProblemKind::DeadlineExceeded, Ran::No, {}, "the caller left" });
+}
+
+// At home ----------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::refuseMissing(const Caller& caller, const HomeShard& shard, const CallerRequest& request)
+{
+    if (shard.doubtful(request.program, this->now()))
+        return this->refuse(caller, ProblemKind::HistoryLost, Ran::Unknown, {}, "records of this program may be lost");
+    this->refuse(caller, ProblemKind::UnknownProgram, ranIfRefused(request), {}, "no such program");
+}
+
+void EntryCore::Impl::atHome(const Caller& caller, CallerRequest request)
+{
+    HomeShard* shard = this->servedShard(request.program.shard);
+    if (!shard)
+        return this->refuse(caller, ProblemKind::NotServing, ranIfRefused(request), takeoverRetry,
+            "the shard is being taken over, or the lease has lapsed");
+    if (isOneCall(request)) {
+        request.program.serial = serialOfKey(request.organisation, request.key);
+        if (request.service.value.empty())
+            return this->refuse(caller, ProblemKind::BadRequest, Ran::No, {}, "a call without a program needs a service");
+        HomeProgram& program = shard->programs[request.program];
+        if (program.header.id.serial == 0) {
+            program.header.id = request.program;
+            program.header.root = request.program;
+            program.header.organisation = request.organisation;
+            program.header.service = request.service;
+            program.header.budget = TokenCount(maxTokensPerCall);
+            program.openedAt = this->now();
+        }
+    }
+    HomeProgram* program = shard->find(request.program);
+    if (!program || program->header.organisation != request.organisation)
+        return this->refuseMissing(caller, *shard, request);
+    switch (request.kind) {
+    case CallKind::OpenProgram:
+        return this->openSubAgent(caller, request);
+    case CallKind::Call:
+        return this->callProgram(caller, *shard, *program, std::move(request));
+    case CallKind::EndProgram:
+        return this->endProgram(caller, *shard, *program);
+    case CallKind::GetProgram:
+        return this->getProgram(caller, *shard, *program);
+    }
+}
+
+void EntryCore::Impl::getProgram(const Caller& caller, HomeShard& shard, HomeProgram& program)
+{
+    AnswerDone done = stateOf(program, shard.account(program.header).left());
+    // The record that is being copied can't be told yet.
+    if (program.current && program.current->stage == CallStage::Copying) {
+        const HeldRecord& last = program.records.at(program.current->turn);
+        done.turn = TurnNumber(last.record.turn.value - 1);
+        done.head = last.record.headBefore;
+    }
+    this->reply(caller, done);
+}
+
+// Opening ----------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::openProgram(const Caller& caller, const CallerRequest& request)
+{
+    const bool valid = !request.organisation.value.empty() && !request.service.value.empty() && request.budget.value > 0;
+    if (!valid)
+        return this->refuse(
+            caller, ProblemKind::BadRequest, Ran::No, {}, "a program needs an organisation, a service and a budget");
+    HomeShard& shard = *this->anyOwnShard();
+    const ProgramId id { shard.shard, shard.epoch, ++shard.lastSerial };
+    HomeProgram& program = shard.programs[id];
+    program.header = { id, id, request.organisation, request.service, request.aim, request.budget };
+    this->announceOpening(caller, shard, id);
+}
+
+void EntryCore::Impl::openSubAgent(const Caller& caller, const CallerRequest& request)
+{
+    HomeShard& shard = this->shards.at(request.program.shard);
+    const HomeProgram& parent = *shard.find(request.program);
+    if (this->shuttingDown)
+        return this->refuse(caller, ProblemKind::ShuttingDown, Ran::No, otherEntryRetry, "this entry is leaving");
+    if (parent.ended || parent.ending)
+        return this->refuse(caller, ProblemKind::ProgramEnded, Ran::No, {}, "the parent has ended");
+    const ProgramHeader parentHeader = parent.header;
+    const ProgramId id { shard.shard, shard.epoch, ++shard.lastSerial };
+    HomeProgram& program = shard.programs[id];
+    program.header = parentHeader;
+    program.header.id = id;
+    if (!request.service.value.empty())
+        program.header.service = request.service;
+    if (request.aim.count() > 0)
+        program.header.aim = request.aim;
+    this->announceOpening(caller, shard, id);
+}
+
+void EntryCore::Impl::announceOpening(const Caller& caller, HomeShard& shard, const ProgramId& id)
+{
+    HomeProgram& program = shard.programs.at(id);
+    program.openedAt = this->now();
+    CopyRecords facts;
+    facts.shard = shard.shard;
+    facts.epoch = shard.epoch;
+    facts.programs.push_back(program.header);
+    this->callers[caller] = id;
+    const Epoch epoch = shard.epoch;
+    this->copyFacts(facts, openingAttempts, {}, [this, caller, id, epoch](std::optional<LifeIndex> holder) {
+        const auto owned = this->shards.find(id.shard);
+        const bool still = owned != this->shards.end() && owned->second.epoch == epoch && this->hasAuthority();
+        HomeProgram* opened = still ? owned->second.find(id) : nullptr;
+        if (!opened || (!holder && this->otherDomainKnown())) {
+            if (opened)
+                owned->second.programs.erase(id);
+            return this->refuse(caller, ProblemKind::NotServing, Ran::No, takeoverRetry, "the opening can't be kept");
+        }
+        if (holder)
+            opened->headerHolders.push_back(*holder);
+        this->reply(caller, stateOf(*opened, owned->second.account(opened->header).left()));
+    });
+}
+
+// Ending -----------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::endProgram(const Caller& caller, HomeShard& shard, HomeProgram& program)
+{
+    if (program.ended)
+        return this->reply(caller, stateOf(program, shard.account(program.header).left()));
+    program.endCallers.push_back(caller);
+    this->callers[caller] = program.header.id;
+    if (program.ending)
+        return;
+    program.ending = true;
+    std::deque<std::unique_ptr<ProgramCall>> waiting;
+    waiting.swap(program.queue);
+    if (program.current && program.current->stage == CallStage::Ordered)
+        this->send(program.current->sidecar, CancelOrder { program.current->order->id });
+    if (program.current && program.current->stage == CallStage::Waiting)
+        this->failCall(shard, program, Problem { ProblemKind::ProgramEnded, Ran::No, {}, "the program is ending" });
+    else if (!program.current)
+        this->finishEnd(shard, program);
+    for (const auto& call : waiting)
+        this->replyAll(call->callers, Problem { ProblemKind::ProgramEnded, Ran::No, {}, "the program is ending" });
+}
+
+// The end is copied before engines and holders are told to forget: records that are gone without it would look like a
+// program that has just been opened.
+void EntryCore::Impl::finishEnd(HomeShard& shard, HomeProgram& program)
+{
+    CopyRecords facts;
+    facts.shard = shard.shard;
+    facts.epoch = shard.epoch;
+    facts.endedPrograms.push_back(program.header.id);
+    const ProgramId id = program.header.id;
+    const Epoch epoch = shard.epoch;
+    this->copyFacts(std::move(facts), unlimitedAttempts, {}, [this, id, epoch](std::optional<LifeIndex>) {
+        const auto owned = this->shards.find(id.shard);
+        const bool still = owned != this->shards.end() && owned->second.epoch == epoch;
+        HomeProgram* ended = still ? owned->second.find(id) : nullptr;
+        if (!ended || ended->ended)
+            return;
+        this->recordEnd(owned->second, *ended);
+        const std::vector<Caller> callers = std::move(ended->endCallers);
+        ended->endCallers.clear();
+        const AnswerDone done = stateOf(*ended, owned->second.account(ended->header).left());
+        if (this->hasAuthority())
+            return this->replyAll(callers, done);
+        this->replyAll(
+            callers, Problem { ProblemKind::NotServing, Ran::Unknown, takeoverRetry, "the lease has lapsed" });
+    });
+}
+
+void EntryCore::Impl::recordEnd(HomeShard& shard, HomeProgram& program)
+{
+    program.ended = true;
+    program.endedAt = this->now();
+    shard.ended.push_back(program.header.id);
+    this->releaseEngines(shard, program, true);
+    // What stays is what a repeated key needs.
+    std::erase_if(program.records, [](const auto& item) { return item.second.record.key.value.empty(); });
+}
+
+void EntryCore::Impl::releaseEngines(HomeShard& shard, HomeProgram& program, bool ended)
+{
+    std::set<NodeId> holders;
+    for (const HeldAt& prefix : program.prefixes)
+        holders.insert(prefix.sidecar);
+    if (ended) {
+        for (const LifeIndex life : program.headerHolders)
+            holders.insert(this->lives[life.value].node);
+        for (const auto& [turn, held] : program.records) {
+            for (const LifeIndex life : held.holders)
+                holders.insert(this->lives[life.value].node);
+        }
+    }
+    holders.erase(this->settings.node);
+    const ReleaseProgram release { shard.shard, shard.epoch, program.header.id, ended };
+    for (const NodeId& holder : holders) {
+        const auto node = this->nodes.find(holder);
+        if (node != this->nodes.end() && node->second.linked)
+            this->send(holder, release);
+        else
+            this->unsentReleases[holder].push_back(release);
+    }
+    program.prefixes.clear();
+}
+
+void EntryCore::Impl::purgeEnded(HomeShard& shard)
+{
+    while (!shard.ended.empty()) {
+        const ProgramId id = shard.ended.front();
+        const HomeProgram* program = shard.find(id);
+        if (program && this->now() < program->endedAt + keyRetention)
+            return;
+        shard.ended.pop_front();
+        shard.programs.erase(id);
+        shard.accounts.erase(id);
+    }
+}
+
+// Calling ----------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::callProgram(const Caller& caller, HomeShard& shard, HomeProgram& program, CallerRequest request)
+{
+    if (request.service.value.empty())
+        request.service = program.header.service;
+    if (reservationFor(request).value > maxTokensPerCall || request.maxOutputTokens.value < 0)
+        return this->refuse(caller, ProblemKind::BadRequest, Ran::No, {}, "the call is larger than any may be");
+    const Digest digest = requestDigest(request);
+    const bool doubtful = shard.doubtful(program.header.id, this->now());
+    const CallJudgement judgement = judgeCall(program, request, digest, doubtful);
+    if (const auto* problem = std::get_if<Problem>(&judgement)) {
+        forgetIfEmpty(shard, program.header.id);
+        this->reply(caller, *problem);
+        return;
+    }
+    if (const auto* repeated = std::get_if<RepeatedCall>(&judgement))
+        return this->answerRepeat(caller, shard, program, repeated->record->record.turn);
+    if (const auto* same = std::get_if<SameCall>(&judgement)) {
+        same->call->callers.push_back(caller);
+        if (same->call->nextPart == 0)
+            same->call->streaming.push_back(caller);
+        this->callers[caller] = program.header.id;
+        return;
+    }
+    if (this->shuttingDown)
+        return this->refuse(caller, ProblemKind::ShuttingDown, Ran::No, takeoverRetry, "the program's home is leaving");
+    auto call = std::make_unique<ProgramCall>();
+    call->serial = ++this->lastCall;
+    call->callers.push_back(caller);
+    call->streaming.push_back(caller);
+    call->digest = digest;
+    call->fingerprint = crashFingerprint(request);
+    call->arrived = this->now();
+    call->deadline = this->now() + request.timeLeft;
+    call->turn = request.turn;
+    call->request = std::move(request);
+    this->callers[caller] = program.header.id;
+    this->armDeadline(program.header.id, *call);
+    program.queue.push_back(std::move(call));
+    this->startNext(shard, program);
+}
+
+void EntryCore::Impl::answerRepeat(const Caller& caller, HomeShard& shard, HomeProgram& program, TurnNumber turn)
+{
+    if (program.current && program.current->turn == turn) {
+        program.current->callers.push_back(caller);
+        this->callers[caller] = program.header.id;
+        return;
+    }
+    const HeldRecord& held = program.records.at(turn);
+    const CallerEvent answer = answerOf(held, shard.account(program.header).left());
+    if (this->stands(held.holders) || held.record.state == RecordState::Unknown) {
+        this->reply(caller, answer);
+        return;
+    }
+    CopyRecords facts;
+    facts.shard = shard.shard;
+    facts.epoch = shard.epoch;
+    facts.programs.push_back(program.header);
+    facts.records.push_back(held.record);
+    this->callers[caller] = program.header.id;
+    const ProgramId id = program.header.id;
+    const auto answered = [this, caller, id, turn, answer](std::optional<LifeIndex> holder) {
+        HomeShard* owned = this->servedShard(id.shard);
+        HomeProgram* known = owned ? owned->find(id) : nullptr;
+        const bool kept = holder || !this->otherDomainKnown();
+        if (!known || !kept)
+            return this->refuse(
+                caller, ProblemKind::NotServing, Ran::Unknown, takeoverRetry, "the answer can't be kept in two places");
+        const auto record = known->records.find(turn);
+        if (holder && record != known->records.end())
+            record->second.holders.push_back(*holder);
+        this->reply(caller, answer);
+    };
+    this->copyFacts(std::move(facts), openingAttempts, {}, answered);
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/entrycensus.cpp
@@ -0,0 +1,318 @@
+#include "entryimpl.h"
+
+namespace Rattandeck {
+
+// Asking -----------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::beginCensus(const Claim& claim)
+{
+    this->listMembers([this, claim](std::optional<ObjectVersion> revision) {
+        const auto isOurs = [&](ShardId shard) {
+            const auto home = this->shards.find(shard);
+            return home != this->shards.end() && home->second.epoch.value == claim.base.slot(shard).epoch.value + 1;
+        };
+        if (!revision) {
+            this->after(reviewInterval, [this, claim] { this->beginCensus(claim); });
+            return;
+        }
+        // What the former home held stands elsewhere, too.
+        std::vector<Member> others;
+        for (const auto& [id, member] : this->members) {
+            if (id != claim.holder)
+                others.push_back(member);
+        }
+        const CensusRoll roll = censusRoll(others, claim.completeThrough);
+        for (const ShardId shard : claim.shards) {
+            if (isOurs(shard) && !this->shards.at(shard).serving)
+                this->startCensus(shard, roll, claim.holder);
+        }
+    });
+}
+
+void EntryCore::Impl::startCensus(ShardId shard, const CensusRoll& roll, const NodeId& formerHome)
+{
+    Census& census = this->censuses[shard];
+    census = Census {};
+    census.shard = shard;
+    census.epoch = this->shards.at(shard).epoch;
+    census.lifeLost = roll.lifeLost;
+    census.serial = ++this->lastCensus;
+    for (const Member& member : roll.mustHear) {
+        const bool self = member.node == this->settings.node && member.incarnation == this->settings.incarnation;
+        if (!self)
+            census.awaited[member.node] = member.incarnation;
+    }
+    const auto former = this->nodes.find(formerHome);
+    if (former != this->nodes.end() && former->second.linked) {
+        census.awaited[formerHome] = former->second.hello.incarnation;
+        census.welcome.insert(formerHome);
+    }
+    const LifeIndex ownLife = this->lifeOf(this->settings.node, this->settings.incarnation, this->settings.domain);
+    census.answers.push_back({ ownLife, this->settings.node, this->ownAnswer(shard, census.epoch) });
+
+    this->after(this->settings.censusTimeout, [this, shard, serial = census.serial] {
+        const auto open = this->censuses.find(shard);
+        if (open != this->censuses.end() && open->second.serial == serial)
+            this->finishCensus(shard);
+    });
+    if (census.awaited.empty())
+        return this->finishCensus(shard);
+    for (const auto& [id, node] : this->nodes)
+        this->send(id, CensusRequest { shard, census.epoch });
+}
+
+void EntryCore::Impl::onCensusAnswer(const NodeId& from, const CensusAnswer& answer)
+{
+    const auto home = this->shards.find(answer.shard);
+    if (home == this->shards.end() || home->second.epoch != answer.epoch)
+        return;
+    if (answer.refused) {
+        this->dropShard(answer.shard);
+        this->readMap([](bool) {});
+        return;
+    }
+    const LifeIndex life = this->lifeOf(from, answer.incarnation, this->nodes.at(from).hello.domain);
+    const auto open = this->censuses.find(answer.shard);
+    if (open == this->censuses.end()) {
+        auto& missing = this->missed[answer.shard];
+        const auto late = missing.find(from);
+        if (late == missing.end())
+            return;
+        if (late->second == answer.incarnation)
+            missing.erase(late);
+        return this->mergeLate(home->second, { life, from, answer });
+    }
+    Census& census = open->second;
+    census.answers.push_back({ life, from, answer });
+    const auto awaited = census.awaited.find(from);
+    if (awaited != census.awaited.end() && awaited->second == answer.incarnation)
+        census.awaited.erase(awaited);
+    if (census.awaited.empty())
+        this->finishCensus(answer.shard);
+}
+
+// Merging ----------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::finishCensus(ShardId shard)
+{
+    Census census = std::move(this->censuses.at(shard));
+    this->censuses.erase(shard);
+    HomeShard& home = this->shards.at(shard);
+    for (const NodeId& node : census.welcome)
+        census.awaited.erase(node);
+    const bool complete = census.awaited.empty() && !census.lifeLost;
+    if (!complete) {
+        home.gap = home.epoch;
+        home.gapSince = this->now();
+        ++this->counters.gaps;
+        this->gapsUnwritten.insert(shard);
+        this->log("gap",
+            "shard " + std::to_string(shard.value) + ": " + std::to_string(census.awaited.size())
+                + " members not heard" + (census.lifeLost ? ", a life lost" : ""));
+    }
+    if (!census.awaited.empty()) {
+        // An order that the former home sent just before its end can start until its credit has run out.
+        home.nonIdempotentFrom = this->now() + this->settings.creditLife + this->settings.clockMargin;
+        this->missed[shard] = census.awaited;
+    }
+    this->installMerged(home, mergeAnswers(census.answers, complete));
+    this->recopyWanted = true;
+    this->serveShard(shard);
+}
+
+void EntryCore::Impl::installMerged(HomeShard& shard, MergedShard merged)
+{
+    for (auto& [id, program] : merged.programs)
+        this->installProgram(shard, std::move(program));
+}
+
+void EntryCore::Impl::installProgram(HomeShard& shard, MergedProgram merged)
+{
+    const ProgramId id = merged.program.header.id;
+    HomeProgram& program = shard.programs[id];
+    program = std::move(merged.program);
+    program.openedAt = this->now();
+    const bool doubtful = shard.doubtful(id, this->now());
+    BudgetAccount& account = shard.account(program.header);
+    account.spent.value += chargedTokens(program, doubtful && !program.ended).value;
+    if (program.ended) {
+        program.endedAt = this->now();
+        shard.ended.push_back(id);
+    }
+    if (merged.running)
+        this->adopt(shard, program, *merged.running);
+}
+
+void EntryCore::Impl::adopt(HomeShard& shard, HomeProgram& program, const AdoptedCall& running)
+{
+    const TurnRecord& record = running.record;
+    auto call = std::make_unique<ProgramCall>();
+    call->serial = ++this->lastCall;
+    call->request.organisation = program.header.organisation;
+    call->request.program = program.header.id;
+    call->request.service = record.service;
+    call->request.key = record.key;
+    call->request.idempotent = record.idempotent;
+    call->request.input = record.input;
+    call->request.turn = record.turn;
+    call->digest = record.request;
+    call->fingerprint = crashFingerprint(call->request);
+    call->turn = record.turn;
+    call->attempt = record.attempt;
+    call->arrived = this->now();
+    call->sentAt = this->now();
+    call->deadline = this->now() + defaultTimeLeft;
+    call->stage = CallStage::Ordered;
+    call->mayHaveRun = true;
+    call->reserved = record.charged;
+    call->sidecar = running.sidecar;
+    call->life = running.life;
+    call->tried.push_back(running.sidecar);
+    Order order;
+    order.id = running.order;
+    order.shard = shard.shard;
+    order.epoch = shard.epoch;
+    order.program = program.header;
+    order.turn = record.turn;
+    order.attempt = record.attempt;
+    order.service = record.service;
+    order.key = record.key;
+    order.idempotent = record.idempotent;
+    order.request = record.request;
+    order.headBefore = record.headBefore;
+    order.input = record.input;
+    order.reserved = record.charged;
+    call->order = std::move(order);
+    shard.account(program.header).reserved.value += record.charged.value;
+    this->orders[running.order] = program.header.id;
+    ++this->runningTotal;
+    ++this->runningOf[program.header.organisation];
+    program.current = std::move(call);
+    this->armDeadline(program.header.id, *program.current);
+}
+
+// An answer that came after the shard was served again: what it tells is kept for repeats, and for the budget.
+void EntryCore::Impl::mergeLate(HomeShard& shard, const HeardAnswer& heard)
+{
+    MergedShard late = mergeAnswers({ heard }, false);
+    for (auto& [id, merged] : late.programs) {
+        HomeProgram* known = shard.find(id);
+        if (!known) {
+            this->installProgram(shard, std::move(merged));
+            continue;
+        }
+        for (auto& [turn, held] : merged.program.records) {
+            if (held.record.state != RecordState::Unknown)
+                this->lateRecord(heard.node, held.record);
+        }
+    }
+    this->recopyWanted = true;
+}
+
+void EntryCore::Impl::writeGap(ShardId shard)
+{
+    const auto home = this->shards.find(shard);
+    if (this->gapWriteOpen || home == this->shards.end())
+        return;
+    this->gapWriteOpen = true;
+    ShardMap changed = this->map;
+    changed.writer = this->writerName();
+    std::vector<ShardId> written;
+    for (const ShardId id : this->gapsUnwritten) {
+        changed.slots[id.value].gap = this->shards.at(id).gap;
+        written.push_back(id);
+    }
+    const ObjectPut put { { "shardmap", "main" }, this->map.version, formatShardMap(changed) };
+    this->callObjects(put, [this, written](const ObjectOutcome& outcome) {
+        this->gapWriteOpen = false;
+        if (!outcome) {
+            this->readMap([](bool) {});
+            return;
+        }
+        for (const StoredObject& object : outcome->objects)
+            this->onObjectChanged(object);
+        for (const ShardId id : written) {
+            const auto owned = this->shards.find(id);
+            if (owned != this->shards.end() && this->map.slot(id).gap == owned->second.gap)
+                this->gapsUnwritten.erase(id);
+        }
+    });
+}
+
+// Being asked ------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::onCensusRequest(const NodeId& from, const CensusRequest& request)
+{
+    Epoch& fence = this->fences[request.shard];
+    if (request.epoch < fence) {
+        CensusAnswer refusal;
+        refusal.shard = request.shard;
+        refusal.epoch = request.epoch;
+        refusal.incarnation = this->settings.incarnation;
+        refusal.refused = true;
+        this->send(from, refusal);
+        return;
+    }
+    fence = request.epoch;
+    const auto home = this->shards.find(request.shard);
+    if (home != this->shards.end() && home->second.epoch < request.epoch) {
+        this->dropShard(request.shard);
+        this->readMap([](bool) {});
+    }
+    this->send(from, this->ownAnswer(request.shard, request.epoch));
+}
+
+CensusAnswer EntryCore::Impl::ownAnswer(ShardId shard, Epoch epoch) const
+{
+    CensusAnswer answer;
+    answer.shard = shard;
+    answer.epoch = epoch;
+    answer.incarnation = this->settings.incarnation;
+    const auto store = this->copyStores.find(shard);
+    if (store == this->copyStores.end())
+        return answer;
+    for (const auto& [id, header] : store->second.programs)
+        answer.programs.push_back(header);
+    answer.endedPrograms.assign(store->second.ended.begin(), store->second.ended.end());
+    for (const auto& [key, record] : store->second.records)
+        answer.records.push_back(record);
+    return answer;
+}
+
+// A former home keeps what it knew as a holder of copies, so that the new one can ask for it.
+void EntryCore::Impl::storeOwnFacts(const HomeShard& shard)
+{
+    CopyStore& store = this->copyStores[shard.shard];
+    const auto storeRecord = [&](const TurnRecord& record) {
+        store.records[{ record.program, record.turn, record.attempt }] = record;
+    };
+    for (const auto& [id, program] : shard.programs) {
+        store.programs[id] = program.header;
+        if (program.ended && store.ended.insert(id).second)
+            store.endedAt.emplace_back(this->now(), id);
+        for (const auto& [turn, held] : program.records) {
+            storeRecord(held.record);
+            for (const TurnRecord& other : held.otherAttempts)
+                storeRecord(other);
+        }
+        const bool ordered = program.current && program.current->order && program.current->stage == CallStage::Ordered;
+        if (!ordered)
+            continue;
+        const ProgramCall& call = *program.current;
+        TurnRecord open;
+        open.program = id;
+        open.turn = call.turn;
+        open.attempt = call.attempt;
+        open.epoch = call.order->epoch;
+        open.service = call.order->service;
+        open.key = call.order->key;
+        open.idempotent = call.order->idempotent;
+        open.request = call.digest;
+        open.input = call.order->input;
+        open.charged = call.reserved;
+        open.headBefore = call.order->headBefore;
+        storeRecord(open);
+    }
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/entrycopies.cpp
@@ -0,0 +1,263 @@
+#include "entryimpl.h"
+
+#include <algorithm>
+
+namespace Rattandeck {
+
+namespace {
+
+    // Programs copied at a time after a holder was lost.
+    constexpr std::uint32_t recopyLimit = 64;
+    constexpr std::uint32_t unlimitedAttempts = ~0U;
+
+    template <typename Container> bool contains(const Container& container, const NodeId& node)
+    {
+        return std::find(container.begin(), container.end(), node) != container.end();
+    }
+
+}
+
+// Holders ----------------------------------------------------------------------------------------------------------
+
+bool EntryCore::Impl::otherDomainKnown() const
+{
+    for (const auto& [entry, lease] : this->observed) {
+        const bool live = !lease.lapsed(this->now(), this->settings.clockMargin);
+        if (live && lease.lease.domain != this->settings.domain)
+            return true;
+    }
+    return std::any_of(this->nodes.begin(), this->nodes.end(), [&](const auto& item) {
+        return item.second.linked && item.second.hello.domain != this->settings.domain;
+    });
+}
+
+bool EntryCore::Impl::isElsewhere(LifeIndex life) const
+{
+    const Life& holder = this->lives[life.value];
+    return !holder.lost && holder.domain != this->settings.domain;
+}
+
+bool EntryCore::Impl::stands(const std::vector<LifeIndex>& holders) const
+{
+    const auto elsewhere = [&](LifeIndex life) { return this->isElsewhere(life); };
+    if (std::any_of(holders.begin(), holders.end(), elsewhere))
+        return true;
+    const auto alive = [&](LifeIndex life) {
+        const Life& holder = this->lives[life.value];
+        return !holder.lost && holder.node != this->settings.node;
+    };
+    return std::any_of(holders.begin(), holders.end(), alive) && !this->otherDomainKnown();
+}
+
+std::optional<NodeId> EntryCore::Impl::pickHolder(ShardId shard, const std::vector<NodeId>& excluded) const
+{
+    const bool elsewhere = this->otherDomainKnown();
+    std::vector<NodeId> entries;
+    std::vector<NodeId> sidecars;
+    for (const auto& [id, node] : this->nodes) {
+        const bool usable = node.linked && this->isRegistered(id, node.hello.incarnation) && !contains(excluded, id);
+        if (!usable || (elsewhere && node.hello.domain == this->settings.domain))
+            continue;
+        if (node.hello.role == Role::Entry)
+            entries.push_back(id);
+        else if (this->fleet.mayBeUsed(id))
+            sidecars.push_back(id);
+    }
+    const std::vector<NodeId>& candidates = entries.empty() ? sidecars : entries;
+    for (const NodeId& candidate : candidates) {
+        if (successorRank(shard, candidate, candidates) == 0)
+            return candidate;
+    }
+    return std::nullopt;
+}
+
+// Copying ----------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::copyFacts(
+    CopyRecords facts, std::uint32_t attempts, std::vector<NodeId> excluded, CopiedCallback done)
+{
+    const auto owned = this->shards.find(facts.shard);
+    if (attempts == 0 || owned == this->shards.end() || owned->second.epoch != facts.epoch)
+        return done(std::nullopt);
+    const std::optional<NodeId> holder = this->pickHolder(facts.shard, excluded);
+    const std::uint32_t left = attempts == unlimitedAttempts ? attempts : attempts - 1;
+    if (!holder) {
+        if (excluded.empty() && !this->otherDomainKnown())
+            return done(std::nullopt);
+        this->after(copyRetryDelay, [this, facts = std::move(facts), left, done = std::move(done)] {
+            this->copyFacts(facts, left, {}, done);
+        });
+        return;
+    }
+    const std::uint64_t id = ++this->lastCopy;
+    facts.copy = id;
+    const LifeIndex life = this->nodes.at(*holder).life;
+    const CopyRecords message = facts;
+    excluded.push_back(*holder);
+    this->copies[id] = { *holder, life,
+        [this, facts = std::move(facts), left, excluded = std::move(excluded), life, done = std::move(done)](
+            bool accepted) {
+            if (accepted)
+                return done(life);
+            this->copyFacts(facts, left, excluded, done);
+        } };
+    this->after(copyTimeout, [this, id] {
+        const auto open = this->copies.find(id);
+        if (open == this->copies.end())
+            return;
+        const auto retry = std::move(open->second.done);
+        this->copies.erase(open);
+        retry(false);
+    });
+    this->send(*holder, message);
+}
+
+void EntryCore::Impl::onCopyAnswer(const NodeId& from, const CopyAnswer& answer)
+{
+    const auto open = this->copies.find(answer.copy);
+    if (open == this->copies.end() || open->second.node != from)
+        return;
+    const PendingCopy copy = std::move(open->second);
+    this->copies.erase(open);
+    if (answer.refused)
+        this->readMap([](bool) {});
+    // A holder that has forgotten the copy since doesn't count.
+    const bool sameLife = this->nodes.at(from).life == copy.life;
+    copy.done(!answer.refused && sameLife);
+}
+
+void EntryCore::Impl::copyProgram(HomeShard& shard, HomeProgram& program)
+{
+    CopyRecords facts;
+    facts.shard = shard.shard;
+    facts.epoch = shard.epoch;
+    facts.programs.push_back(program.header);
+    if (program.ended)
+        facts.endedPrograms.push_back(program.header.id);
+    std::vector<TurnNumber> turns;
+    for (const auto& [turn, held] : program.records) {
+        facts.records.push_back(held.record);
+        facts.records.insert(facts.records.end(), held.otherAttempts.begin(), held.otherAttempts.end());
+        turns.push_back(turn);
+    }
+    ++this->recopiesOpen;
+    const ProgramId id = program.header.id;
+    this->copyFacts(std::move(facts), 3, {}, [this, id, turns](std::optional<LifeIndex> holder) {
+        --this->recopiesOpen;
+        const auto home = this->shards.find(id.shard);
+        HomeProgram* copied = home == this->shards.end() ? nullptr : home->second.find(id);
+        if (!holder || !copied)
+            return;
+        copied->headerHolders.push_back(*holder);
+        for (const TurnNumber turn : turns) {
+            const auto record = copied->records.find(turn);
+            if (record != copied->records.end())
+                record->second.holders.push_back(*holder);
+        }
+    });
+}
+
+// Copies whatever has lost its other holder, and says in the lease up to where that is done.
+void EntryCore::Impl::reviewCopies()
+{
+    const bool settled = !this->claim && this->censuses.empty() && this->gapsUnwritten.empty();
+    if (!this->hasAuthority() || !settled || this->recopiesOpen > 0)
+        return;
+    if (this->membersChanged && this->membersListed && !this->throughListOpen) {
+        this->membersChanged = false;
+        this->throughListOpen = true;
+        this->listMembers([this](std::optional<ObjectVersion> revision) {
+            this->throughListOpen = false;
+            this->membersChanged = !revision;
+            if (revision)
+                this->throughWanted = revision;
+            this->recopyWanted = true;
+        });
+        return;
+    }
+    bool allStand = true;
+    if (this->recopyWanted) {
+        for (auto& [shardId, shard] : this->shards) {
+            for (auto& [id, program] : shard.programs) {
+                const bool recordsStand = std::all_of(program.records.begin(), program.records.end(),
+                    [&](const auto& item) { return this->stands(item.second.holders); });
+                if (recordsStand && (this->stands(program.headerHolders) || program.ended))
+                    continue;
+                allStand = false;
+                if (this->recopiesOpen < recopyLimit)
+                    this->copyProgram(shard, program);
+            }
+        }
+    }
+    if (!allStand)
+        return;
+    this->recopyWanted = false;
+    const bool homesKnown = std::none_of(this->map.slots.begin(), this->map.slots.end(), [&](const ShardSlot& slot) {
+        const auto index = static_cast<std::uint32_t>(&slot - this->map.slots.data());
+        return slot.home == this->settings.node && !this->shards.contains(ShardId(index));
+    });
+    if (!this->throughWanted || this->throughListOpen || !homesKnown || this->map.version <= this->claimInDoubt)
+        return;
+    this->completeThrough = std::max(this->completeThrough, *this->throughWanted);
+    this->completeThroughLimit.reset();
+    this->throughWanted.reset();
+}
+
+// Holding copies for other homes -----------------------------------------------------------------------------------
+
+void EntryCore::Impl::onCopyRecords(const NodeId& from, const CopyRecords& copy)
+{
+    Epoch& fence = this->fences[copy.shard];
+    if (copy.epoch < fence) {
+        this->send(from, CopyAnswer { copy.copy, true });
+        return;
+    }
+    fence = copy.epoch;
+    const auto home = this->shards.find(copy.shard);
+    if (home != this->shards.end() && home->second.epoch < copy.epoch) {
+        this->dropShard(copy.shard);
+        this->readMap([](bool) {});
+    }
+    CopyStore& store = this->copyStores[copy.shard];
+    for (const ProgramHeader& header : copy.programs)
+        store.programs[header.id] = header;
+    for (const TurnRecord& record : copy.records)
+        store.records[{ record.program, record.turn, record.attempt }] = record;
+    for (const ProgramId& id : copy.endedPrograms) {
+        if (store.ended.insert(id).second)
+            store.endedAt.emplace_back(this->now(), id);
+    }
+    this->send(from, CopyAnswer { copy.copy, false });
+}
+
+void EntryCore::Impl::onReleaseProgram(const ReleaseProgram& release)
+{
+    if (release.epoch < this->fences[release.shard] || !release.ended)
+        return;
+    CopyStore& store = this->copyStores[release.shard];
+    if (store.ended.insert(release.program).second)
+        store.endedAt.emplace_back(this->now(), release.program);
+    // Keys stay for the retention time.
+    std::erase_if(store.records, [&](const auto& item) {
+        return std::get<0>(item.first) == release.program && item.second.key.value.empty();
+    });
+}
+
+void EntryCore::Impl::purgeCopies()
+{
+    for (auto& [shard, store] : this->copyStores) {
+        while (!store.endedAt.empty() && store.endedAt.front().first + keyRetention < this->now()) {
+            const ProgramId id = store.endedAt.front().second;
+            store.endedAt.pop_front();
+            store.ended.erase(id);
+            store.programs.erase(id);
+            const auto first = store.records.lower_bound({ id, TurnNumber(0), 0 });
+            auto last = first;
+            while (last != store.records.end() && std::get<0>(last->first) == id)
+                ++last;
+            store.records.erase(first, last);
+        }
+    }
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/entrylease.cpp
@@ -0,0 +1,300 @@
+#include "entryimpl.h"
+
+#include <algorithm>
+
+namespace Rattandeck {
+
+namespace {
+
+    constexpr std::size_t maxGuarantors = 3;
+    // Renewals per lease, so that two may fail before it lapses.
+    constexpr int renewalsPerLease = 3;
+
+    bool sameGuarantors(const std::vector<NamedGuarantor>& a, const std::vector<NamedGuarantor>& b)
+    {
+        return std::equal(a.begin(), a.end(), b.begin(), b.end(), [](const auto& left, const auto& right) {
+            return left.node == right.node && left.incarnation == right.incarnation;
+        });
+    }
+
+    bool isMissing(const ObjectOutcome& outcome)
+    {
+        if (!outcome)
+            return outcome.error() == ObjectError::NotFound;
+        return outcome->objects.empty() || outcome->objects.front().deleted;
+    }
+
+}
+
+// Holder -----------------------------------------------------------------------------------------------------------
+
+bool EntryCore::Impl::hasAuthority() const
+{
+    const bool proven = this->touchesDone == this->touchesWanted;
+    return proven && !this->superseded && !this->releaseWanted && this->lease.holds(this->now());
+}
+
+void EntryCore::Impl::renewLease()
+{
+    if (this->superseded || this->leaseReleased || this->leaseCallOpen)
+        return;
+    const Duration interval = this->settings.leaseDuration / renewalsPerLease;
+    const bool wanted = !this->afterRenewal.empty() || this->leaseInDoubt || this->releaseWanted;
+    if (!wanted && this->now() < this->leaseTriedAt + interval && this->storeReachable)
+        return;
+    this->leaseTriedAt = this->now();
+    if (this->leaseInDoubt)
+        this->readLeaseBack();
+    else
+        this->writeLease();
+}
+
+void EntryCore::Impl::readLeaseBack()
+{
+    this->leaseCallOpen = true;
+    const ObjectKey key { "lease", this->settings.node.value };
+    this->callObjects(ObjectGet { key }, [this](const ObjectOutcome& outcome) {
+        this->leaseCallOpen = false;
+        if (isMissing(outcome)) {
+            this->lease.version = ObjectVersion(0);
+            this->leaseInDoubt = false;
+            return this->writeLease();
+        }
+        if (!outcome)
+            return;
+        const StoredObject& stored = outcome->objects.front();
+        const auto value = parseLease(stored.value);
+        if (value && value->incarnation > this->settings.incarnation) {
+            this->superseded = true;
+            this->log("lease lost", "a later incarnation of this entry holds it");
+            while (!this->shards.empty())
+                this->dropShard(this->shards.begin()->first);
+            return;
+        }
+        if (value && value->incarnation < this->settings.incarnation) {
+            this->formerLease = ObservedLease { stored.version, *value, this->now() };
+            this->completeThroughLimit = value->completeThrough;
+        }
+        this->lease.version = stored.version;
+        this->leaseInDoubt = false;
+        this->writeLease();
+    });
+}
+
+std::vector<NamedGuarantor> EntryCore::Impl::chooseGuarantors() const
+{
+    // A set that may stand in the store already must not be replaced by a third one.
+    if (this->lease.guarantorsInDoubt)
+        return *this->lease.guarantorsInDoubt;
+    std::vector<NamedGuarantor> chosen;
+    std::set<FailureDomain> domains { this->settings.domain };
+    const auto consider = [&](const NodeId& id, bool anyDomain) {
+        const auto found = this->nodes.find(id);
+        if (chosen.size() >= maxGuarantors || found == this->nodes.end() || !found->second.linked)
+            return;
+        const Hello& hello = found->second.hello;
+        const bool taken = std::any_of(chosen.begin(), chosen.end(), [&](const auto& named) { return named.node == id; });
+        const bool usable = hello.role == Role::Entry && hello.domain != this->settings.domain && !taken;
+        if (!usable || (!anyDomain && domains.contains(hello.domain)))
+            return;
+        domains.insert(hello.domain);
+        chosen.push_back({ id, hello.incarnation });
+    };
+    // Those named already stay, so that the set seldom changes.
+    for (const NamedGuarantor& named : this->lease.guarantors)
+        consider(named.node, true);
+    for (const auto& [id, lease] : this->observed)
+        consider(id, false);
+    for (const auto& [id, lease] : this->observed)
+        consider(id, true);
+    return chosen;
+}
+
+void EntryCore::Impl::writeLease()
+{
+    const std::vector<NamedGuarantor> named = this->chooseGuarantors();
+    LeaseObject value;
+    value.entry = this->settings.node;
+    value.incarnation = this->settings.incarnation;
+    value.duration = this->settings.leaseDuration;
+    value.domain = this->settings.domain;
+    value.address = this->settings.address;
+    for (const NamedGuarantor& guarantor : named)
+        value.guarantors.push_back(guarantor.node);
+    value.completeThrough = this->completeThrough;
+    if (this->completeThroughLimit)
+        value.completeThrough = std::min(value.completeThrough, *this->completeThroughLimit);
+    value.renewal = ++this->leaseRenewals;
+    value.released = this->releaseWanted;
+
+    const TimePoint begun = this->now();
+    if (!sameGuarantors(named, this->lease.guarantors))
+        this->lease.guarantorsInDoubt = named;
+    this->leaseCallOpen = true;
+    const ObjectPut put { { "lease", this->settings.node.value }, this->lease.version, formatLease(value) };
+    this->callObjects(put, [this, begun, named, released = value.released](const ObjectOutcome& outcome) {
+        this->leaseCallOpen = false;
+        if (outcome && released)
+            this->leaseReleased = true;
+        this->onLeaseWritten(outcome, begun, named);
+    });
+}
+
+void EntryCore::Impl::onLeaseWritten(const ObjectOutcome& outcome, TimePoint begun, std::vector<NamedGuarantor> named)
+{
+    std::vector<std::function<void(bool)>> callbacks;
+    callbacks.swap(this->afterRenewal);
+    const bool written = outcome && !outcome->objects.empty();
+    if (written) {
+        const bool lapsed = !this->lease.holds(this->now());
+        this->lease.onWritten(outcome->objects.front().version, begun, this->settings.leaseDuration, std::move(named));
+        if (!this->leaseFirstHeld)
+            this->leaseFirstHeld = this->now();
+        if (lapsed && !this->shards.empty()) {
+            ++this->touchesWanted;
+            this->log("lease regained", "the shard map is asked whether the shards are still held");
+        }
+        if (this->touchesDone != this->touchesWanted)
+            this->touchMap();
+    } else {
+        this->leaseInDoubt = true;
+        // A conflict has an answer to be had at once; without the store there is none.
+        if (outcome || outcome.error() == ObjectError::Conflict)
+            this->readLeaseBack();
+    }
+    for (const auto& callback : callbacks)
+        callback(written);
+}
+
+void EntryCore::Impl::touchMap()
+{
+    if (this->touchOpen)
+        return;
+    this->touchOpen = true;
+    const std::uint64_t wanted = this->touchesWanted;
+    this->readMap([this, wanted](bool read) {
+        if (!read) {
+            this->touchOpen = false;
+            return;
+        }
+        ShardMap touched = this->map;
+        touched.writer = this->settings.node.value + "#" + std::to_string(this->settings.incarnation.value) + "#"
+            + std::to_string(++this->mapWrites);
+        const ObjectPut put { { "shardmap", "main" }, this->map.version, formatShardMap(touched) };
+        this->callObjects(put, [this, wanted](const ObjectOutcome& outcome) {
+            this->touchOpen = false;
+            if (!outcome)
+                return;
+            for (const StoredObject& object : outcome->objects)
+                this->onObjectChanged(object);
+            this->touchesDone = wanted;
+        });
+    });
+}
+
+void EntryCore::Impl::releaseLease()
+{
+    if (!this->shuttingDown || this->leaseReleased)
+        return;
+    const auto isBusy = [](const auto& item) {
+        const HomeProgram& program = item.second;
+        return program.current || !program.queue.empty() || !program.endCallers.empty();
+    };
+    for (const auto& [id, shard] : this->shards) {
+        if (std::any_of(shard.programs.begin(), shard.programs.end(), isBusy))
+            return;
+    }
+    if (!this->tickets.empty() || !this->callers.empty())
+        return;
+    this->releaseWanted = true;
+    this->renewLease();
+    // Without the store the lease can only lapse.
+    if (!this->storeReachable && !this->lease.holds(this->now()))
+        this->leaseReleased = true;
+}
+
+// Promises ---------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::askPromises()
+{
+    const bool overdue = this->now() + this->settings.leaseDuration / 2 > this->lease.validUntil;
+    const bool due = this->now() >= this->promisesAskedAt + this->settings.promiseLife / 3;
+    if (this->shards.empty() || this->storeReachable || !overdue || !due || this->superseded)
+        return;
+    this->promisesAskedAt = this->now();
+    const std::uint64_t request = ++this->lastPromiseRequest;
+    this->promiseRequests[request] = this->now();
+    std::erase_if(this->promiseRequests,
+        [&](const auto& asked) { return asked.second + this->settings.promiseLife < this->now(); });
+    std::set<NodeId> guarantors;
+    for (const NamedGuarantor& named : this->lease.guarantors)
+        guarantors.insert(named.node);
+    if (this->lease.guarantorsInDoubt) {
+        for (const NamedGuarantor& named : *this->lease.guarantorsInDoubt)
+            guarantors.insert(named.node);
+    }
+    for (const NodeId& guarantor : guarantors)
+        this->send(guarantor, PromiseRequest { request, this->settings.incarnation, this->lease.version });
+}
+
+void EntryCore::Impl::onPromiseRequest(const NodeId& from, const PromiseRequest& request)
+{
+    const auto answer = [this, from, request] {
+        const bool granted = !this->storeReachable && this->promises.promise(from, request.leaseVersion, this->now());
+        this->send(from, PromiseAnswer { request.request, granted, this->settings.promiseLife });
+    };
+    if (!this->storeReachable)
+        return answer();
+    // The last call may have been a while ago: try the store before saying that it can be reached.
+    const ObjectKey key { "lease", this->settings.node.value };
+    this->callObjects(ObjectGet { key }, [answer](const ObjectOutcome&) { answer(); });
+}
+
+void EntryCore::Impl::onPromiseAnswer(const NodeId& from, const PromiseAnswer& answer)
+{
+    const auto asked = this->promiseRequests.find(answer.request);
+    if (!answer.granted || asked == this->promiseRequests.end())
+        return;
+    const bool before = this->lease.onPromises(this->now());
+    const Milliseconds life = std::min(answer.life, this->settings.promiseLife);
+    this->lease.onPromise(from, this->nodes.at(from).hello.incarnation, asked->second + life);
+    if (!before && this->lease.onPromises(this->now()))
+        this->log("on promises", "the object API can't be reached; guarantors stand in for the lease");
+}
+
+void EntryCore::Impl::onReleaseRequest(const NodeId& from, const ReleaseRequest& request)
+{
+    const Milliseconds left = this->promises.release(request.holder, request.leaseVersion, this->now());
+    this->send(from, ReleaseAnswer { request.request, left.count() == 0, left });
+}
+
+// Observer ---------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::observeLease(const StoredObject& object)
+{
+    const NodeId entry(object.key.name);
+    const auto value = parseLease(object.value);
+    if (object.deleted || !value)
+        return;
+    if (entry == this->settings.node) {
+        // Only a write of another incarnation says anything new.
+        if (value->incarnation > this->settings.incarnation)
+            this->leaseInDoubt = true;
+        return;
+    }
+    const bool newer = this->observed[entry].onSeen(object.version, *value, this->now());
+    if (newer && value->released)
+        this->reviewShards();
+}
+
+void EntryCore::Impl::listLeases()
+{
+    this->callObjects(ObjectList { "lease" }, [this](const ObjectOutcome& outcome) {
+        if (!outcome)
+            return;
+        for (const StoredObject& object : outcome->objects)
+            this->observeLease(object);
+    });
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/entrymembers.cpp
@@ -0,0 +1,194 @@
+#include "entryimpl.h"
+
+namespace Rattandeck {
+
+namespace {
+
+    // Spread of the registrations of one sidecar by the entries that see it.
+    constexpr std::uint64_t registrationSpreadMs = 200;
+
+}
+
+// Lives ------------------------------------------------------------------------------------------------------------
+
+LifeIndex EntryCore::Impl::lifeOf(const NodeId& node, Incarnation incarnation, const FailureDomain& domain)
+{
+    const LifeIndex next(static_cast<std::uint32_t>(this->lives.size()));
+    const auto [found, created] = this->lifeIndexes.try_emplace({ node, incarnation }, next);
+    if (created)
+        this->lives.push_back({ node, incarnation, domain, false });
+    return found->second;
+}
+
+void EntryCore::Impl::loseLife(LifeIndex life)
+{
+    Life& lost = this->lives[life.value];
+    if (lost.lost)
+        return;
+    lost.lost = true;
+    this->recopyWanted = true;
+    this->membersChanged = true;
+}
+
+bool EntryCore::Impl::isRegistered(const NodeId& node, Incarnation incarnation) const
+{
+    const auto found = this->members.find(node);
+    return found != this->members.end() && found->second.incarnation == incarnation && !found->second.gone;
+}
+
+// Registration -----------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::memberSeen(const StoredObject& object)
+{
+    const auto member = parseMember(object.value, object.version);
+    if (!member || object.deleted)
+        return;
+    Member& known = this->members[member->node];
+    if (member->changed <= known.changed)
+        return;
+    known = *member;
+    this->membersChanged = true;
+    if (member->node == this->settings.node) {
+        this->selfRegistered = this->isRegistered(this->settings.node, this->settings.incarnation);
+        return;
+    }
+    const auto node = this->nodes.find(member->node);
+    if (!member->gone && member->role == Role::Sidecar)
+        this->fleet.onRegistered(member->node, member->incarnation);
+    if (member->gone)
+        this->fleet.onRegistered(member->node, Incarnation(0));
+    const bool otherLife = node != this->nodes.end() && node->second.hello.incarnation < member->incarnation;
+    if (otherLife)
+        this->loseLife(node->second.life);
+    const bool wrongly = node != this->nodes.end() && node->second.linked && !otherLife
+        && !this->isRegistered(member->node, node->second.hello.incarnation);
+    if (wrongly && node->second.hello.role == Role::Sidecar)
+        this->registerSidecar(member->node);
+    if (node != this->nodes.end() && node->second.linked)
+        this->pump(node->second.hello.service);
+}
+
+void EntryCore::Impl::putMember(const Member& member, ObjectVersion expected, std::function<void(bool)> done)
+{
+    this->memberPutsOpen.insert(member.node);
+    const ObjectPut put { { "member", member.node.value }, expected, formatMember(member) };
+    this->callObjects(put, [this, node = member.node, done = std::move(done)](const ObjectOutcome& outcome) {
+        this->memberPutsOpen.erase(node);
+        if (outcome) {
+            for (const StoredObject& object : outcome->objects)
+                this->memberSeen(object);
+        }
+        done(outcome.has_value());
+    });
+}
+
+void EntryCore::Impl::registerSelf()
+{
+    if (this->memberPutsOpen.contains(this->settings.node))
+        return;
+    this->memberPutsOpen.insert(this->settings.node);
+    const ObjectKey key { "member", this->settings.node.value };
+    this->callObjects(ObjectGet { key }, [this](const ObjectOutcome& outcome) {
+        this->memberPutsOpen.erase(this->settings.node);
+        if (!outcome && outcome.error() != ObjectError::NotFound)
+            return;
+        if (outcome) {
+            for (const StoredObject& object : outcome->objects)
+                this->memberSeen(object);
+        }
+        const Member known = this->members[this->settings.node];
+        if (this->selfRegistered || known.incarnation > this->settings.incarnation)
+            return;
+        Member self { this->settings.node, this->settings.incarnation, this->settings.domain, {},
+            this->settings.address, Role::Entry, known.incarnation, false, {} };
+        if (known.incarnation == this->settings.incarnation)
+            self.former = known.former;
+        this->putMember(self, known.changed, [](bool) {});
+    });
+}
+
+void EntryCore::Impl::registerSidecar(const NodeId& node)
+{
+    const std::uint64_t delay = 1 + this->nextSeed() % registrationSpreadMs;
+    this->after(Milliseconds(delay), [this, node] {
+        const Node& known = this->nodes.at(node);
+        const Hello& hello = known.hello;
+        if (!known.linked || this->isRegistered(node, hello.incarnation) || this->memberPutsOpen.contains(node))
+            return;
+        const auto again = [this, node] {
+            this->after(reviewInterval, [this, node] { this->registerSidecar(node); });
+        };
+        this->memberPutsOpen.insert(node);
+        this->callObjects(
+            ObjectGet { { "member", node.value } }, [this, node, hello, again](const ObjectOutcome& outcome) {
+                this->memberPutsOpen.erase(node);
+                if (!outcome && outcome.error() != ObjectError::NotFound)
+                    return again();
+                if (outcome) {
+                    for (const StoredObject& object : outcome->objects)
+                        this->memberSeen(object);
+                }
+                const Member stored = this->members[node];
+                if (this->isRegistered(node, hello.incarnation) || stored.incarnation > hello.incarnation)
+                    return;
+                const bool sameLife = stored.incarnation == hello.incarnation;
+                const Incarnation former = sameLife ? stored.former : stored.incarnation;
+                const Member member { node, hello.incarnation, hello.domain, hello.service, hello.address,
+                    Role::Sidecar, former, false, {} };
+                this->putMember(member, stored.changed, [again](bool written) {
+                    if (!written)
+                        again();
+                });
+            });
+    });
+}
+
+void EntryCore::Impl::listMembers(std::function<void(std::optional<ObjectVersion>)> done)
+{
+    this->callObjects(ObjectList { "member" }, [this, done = std::move(done)](const ObjectOutcome& outcome) {
+        if (!outcome)
+            return done(std::nullopt);
+        for (const StoredObject& object : outcome->objects)
+            this->memberSeen(object);
+        done(outcome->revision);
+    });
+}
+
+// Review -----------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::reviewMembers()
+{
+    if (!this->selfRegistered)
+        this->registerSelf();
+    if (!this->membersListed && !this->membersListOpen) {
+        this->membersListOpen = true;
+        this->listLeases();
+        this->listMembers([this](std::optional<ObjectVersion> revision) {
+            this->membersListOpen = false;
+            if (!revision)
+                return;
+            this->membersListed = true;
+            // Nothing is held yet, so nothing can have been lost.
+            if (this->shards.empty())
+                this->completeThrough = *revision;
+        });
+        return;
+    }
+    if (!this->storeReachable || !this->instancesListed || this->now() < this->startedAt + goneAfter)
+        return;
+    std::vector<Member> lost;
+    for (const auto& [id, member] : this->members) {
+        const auto node = this->nodes.find(id);
+        const bool known = node != this->nodes.end();
+        const bool reachable = known && (node->second.linked || this->now() < node->second.downSince + goneAfter);
+        const bool own = id == this->settings.node;
+        if (!member.gone && !own && !reachable && !this->listedNodes.contains(id) && !this->memberPutsOpen.contains(id))
+            lost.push_back(member);
+    }
+    for (Member& member : lost) {
+        member.gone = true;
+        this->putMember(member, member.changed, [](bool) {});
+    }
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/entryrecords.cpp
@@ -0,0 +1,391 @@
+#include "entryimpl.h"
+
+#include "Rattandeck/cachepolicy.h"
+
+#include <algorithm>
+
+namespace Rattandeck {
+
+namespace {
+
+    constexpr std::uint32_t unlimitedAttempts = ~0U;
+
+}
+
+// What a sidecar says about an order -------------------------------------------------------------------------------
+
+void EntryCore::Impl::onOrderTokens(const NodeId& from, const OrderTokens& tokens)
+{
+    const auto order = this->orders.find(tokens.id);
+    if (order == this->orders.end() || !this->hasAuthority())
+        return;
+    HomeProgram* program = this->shards.at(order->second.shard).find(order->second);
+    ProgramCall& call = *program->current;
+    // A part that was sent before, or after a gap, is left out; the whole answer comes at the end.
+    if (call.sidecar != from || tokens.part != call.nextPart)
+        return;
+    ++call.nextPart;
+    this->replyAll(call.streaming, AnswerTokens { tokens.text, tokens.tokens });
+}
+
+// Takes a call back from its sidecar; the order is open no more.
+void EntryCore::Impl::takeBack(HomeProgram& program, ProgramCall& call)
+{
+    this->orders.erase(call.order->id);
+    this->fleet.noteOrderDone(call.sidecar, call.order->id);
+    --this->runningTotal;
+    std::uint32_t& running = this->runningOf[program.header.organisation];
+    if (--running == 0)
+        this->runningOf.erase(program.header.organisation);
+    call.stage = CallStage::Waiting;
+    call.linkDownSince.reset();
+}
+
+void EntryCore::Impl::onOrderRefused(const NodeId& from, const OrderRefused& refused)
+{
+    const auto found = this->orders.find(refused.id);
+    if (found == this->orders.end())
+        return;
+    const ProgramId id = found->second;
+    HomeShard& shard = this->shards.at(id.shard);
+    HomeProgram& program = *shard.find(id);
+    ProgramCall& call = *program.current;
+    if (call.sidecar != from)
+        return;
+    ++this->counters.ordersRefused;
+    this->takeBack(program, call);
+    const auto fail = [&](ProblemKind kind, const std::string& detail) {
+        this->failCall(shard, program, Problem { kind, Ran::No, refused.retryAfter, detail });
+    };
+    switch (refused.reason) {
+    case RefusalReason::StaleEpoch: {
+        const ShardId lost = id.shard;
+        this->dropShard(lost);
+        this->readMap([](bool) {});
+        return;
+    }
+    case RefusalReason::TooLate:
+        return fail(ProblemKind::DeadlineExceeded, "the endpoint can't meet the deadline");
+    case RefusalReason::Quarantined:
+        this->quarantined.insert(call.fingerprint);
+        return fail(ProblemKind::Quarantined, "requests like this one have crashed endpoints");
+    case RefusalReason::Conflict: {
+        const bool keyed = !call.request.key.value.empty();
+        return fail(keyed ? ProblemKind::KeyReused : ProblemKind::OutOfOrder, "the endpoint has another record");
+    }
+    case RefusalReason::HistoryMismatch:
+        return fail(ProblemKind::HistoryMismatch, "the endpoint has another history");
+    case RefusalReason::NoCredit:
+    case RefusalReason::Overloaded:
+    case RefusalReason::Leaving:
+        break;
+    }
+    this->fleet.dropCredits(from);
+    if (call.callers.empty())
+        return fail(ProblemKind::DeadlineExceeded, "nobody waits for the answer");
+    if (!takeRetry(this->retries))
+        return fail(ProblemKind::Overloaded, "the endpoints are overloaded");
+    this->placeCall(shard, program);
+}
+
+void EntryCore::Impl::onOrderEnded(const NodeId& from, const OrderEnded& ended)
+{
+    const auto found = this->orders.find(ended.id);
+    if (found == this->orders.end())
+        return this->lateRecord(from, ended.record);
+    const ProgramId id = found->second;
+    HomeShard& shard = this->shards.at(id.shard);
+    HomeProgram& program = *shard.find(id);
+    ProgramCall& call = *program.current;
+    const TurnRecord& record = ended.record;
+    const bool ours = call.sidecar == from && record.program == id && record.turn == call.turn
+        && record.request == call.digest && isWhole(record) && record.state != RecordState::Started;
+    if (!ours) {
+        this->log("record ignored", "order " + std::to_string(ended.id.value) + " of " + from.value);
+        return;
+    }
+    if (ended.endpointCrashed)
+        this->noteCrash(call.fingerprint, call.request.service);
+    if (record.state == RecordState::Finished)
+        this->fleet.noteSuccess(from);
+    else
+        this->fleet.noteFailure(from);
+
+    this->takeBack(program, call);
+    if (record.state == RecordState::NotRun) {
+        call.tried.push_back(from);
+        const bool wanted = !call.callers.empty() && takeRetry(this->retries);
+        if (wanted)
+            return this->placeCall(shard, program);
+        const Problem problem { ProblemKind::NoCapacity, Ran::No, takeoverRetry, "the endpoint did not start the call" };
+        return this->failCall(shard, program, problem);
+    }
+    const bool mayRunAgain = record.state == RecordState::Failed && ended.endpointCrashed;
+    if (mayRunAgain) {
+        call.otherAttempts.push_back(record);
+        if (this->retryElsewhere(shard, program))
+            return;
+        call.otherAttempts.pop_back();
+    }
+    call.cachedTokens = ended.cachedTokens;
+    call.prefilledTokens = ended.prefilledTokens;
+    const LifeIndex life = this->nodes.at(from).life;
+    this->settle(shard, program, { record, { life }, false, {} }, &ended);
+}
+
+// Lost sidecars ----------------------------------------------------------------------------------------------------
+
+std::vector<std::pair<ProgramId, std::uint64_t>> EntryCore::Impl::callsAt(const NodeId& sidecar)
+{
+    std::vector<std::pair<ProgramId, std::uint64_t>> calls;
+    for (const auto& [order, id] : this->orders) {
+        const ProgramCall& call = *this->shards.at(id.shard).find(id)->current;
+        if (call.sidecar == sidecar)
+            calls.emplace_back(id, call.serial);
+    }
+    return calls;
+}
+
+void EntryCore::Impl::onSidecarUnlinked(const NodeId& node)
+{
+    for (const auto& [id, serial] : this->callsAt(node)) {
+        HomeShard* shard = nullptr;
+        HomeProgram* program = nullptr;
+        this->findCall(id, serial, &shard, &program)->linkDownSince = this->now();
+        this->after(reconnectTime, [this, id = id, serial = serial, since = this->now()] {
+            HomeShard* later = nullptr;
+            HomeProgram* lost = nullptr;
+            const ProgramCall* call = this->findCall(id, serial, &later, &lost);
+            if (call && call->linkDownSince == since)
+                this->sidecarLost(id, serial, false);
+        });
+    }
+}
+
+void EntryCore::Impl::onSidecarLinked(const NodeId& node, bool sameLife)
+{
+    for (const auto& [id, serial] : this->callsAt(node)) {
+        if (!sameLife) {
+            this->sidecarLost(id, serial, true);
+            continue;
+        }
+        HomeShard* shard = nullptr;
+        HomeProgram* program = nullptr;
+        ProgramCall* call = this->findCall(id, serial, &shard, &program);
+        if (!call || !this->hasAuthority())
+            continue;
+        // Asks for the record. The sidecar runs an order id once at most, and only while its credit lives.
+        call->linkDownSince.reset();
+        call->order->timeLeft = std::chrono::duration_cast<Milliseconds>(call->deadline - this->now());
+        this->send(node, *call->order);
+    }
+}
+
+void EntryCore::Impl::sidecarLost(const ProgramId& id, std::uint64_t serial, bool forGood)
+{
+    HomeShard* shard = nullptr;
+    HomeProgram* program = nullptr;
+    ProgramCall* call = this->findCall(id, serial, &shard, &program);
+    if (!call || call->stage != CallStage::Ordered)
+        return;
+    this->fleet.noteFailure(call->sidecar);
+    if (call->request.idempotent && !call->callers.empty()) {
+        const TurnRecord attempt = this->openRecord(*program, *call);
+        const OrderId order = call->order->id;
+        const std::optional<TimePoint> since = call->linkDownSince;
+        this->takeBack(*program, *call);
+        call->otherAttempts.push_back(attempt);
+        if (this->retryElsewhere(*shard, *program))
+            return;
+        // It stays where it was, in case the sidecar comes back.
+        call->otherAttempts.pop_back();
+        call->stage = CallStage::Ordered;
+        call->linkDownSince = since;
+        this->orders[order] = id;
+        ++this->runningTotal;
+        ++this->runningOf[program->header.organisation];
+    }
+    if (forGood)
+        this->settleUnknown(*shard, *program);
+}
+
+// Precondition: the call was taken back, and its last attempt is the last of `otherAttempts`.
+bool EntryCore::Impl::retryElsewhere(HomeShard& shard, HomeProgram& program)
+{
+    ProgramCall& call = *program.current;
+    BudgetAccount& account = shard.account(program.header);
+    const TokenCount charged = call.otherAttempts.back().charged;
+    const bool affordable = charged.value <= account.left().value;
+    // A caller that has part of one answer can't be given the rest of another.
+    const bool allowed = call.request.idempotent && !call.callers.empty() && call.nextPart == 0
+        && call.deadline > this->now() && affordable && !this->isQuarantined(call.fingerprint) && this->hasAuthority();
+    if (!allowed || !takeRetry(this->retries))
+        return false;
+    account.spent.value += charged.value;
+    call.mayHaveRun = true;
+    call.tried.push_back(call.sidecar);
+    ++this->counters.ordersRetried;
+    this->placeCall(shard, program);
+    return true;
+}
+
+TurnRecord EntryCore::Impl::openRecord(const HomeProgram& program, const ProgramCall& call) const
+{
+    const Order& order = *call.order;
+    TurnRecord record;
+    record.program = program.header.id;
+    record.turn = order.turn;
+    record.attempt = order.attempt;
+    record.epoch = order.epoch;
+    record.service = order.service;
+    record.key = order.key;
+    record.idempotent = order.idempotent;
+    record.state = RecordState::Unknown;
+    record.request = call.digest;
+    record.input = order.input;
+    record.charged = call.reserved;
+    record.headBefore = order.headBefore;
+    return record;
+}
+
+// Settling ---------------------------------------------------------------------------------------------------------
+
+void EntryCore::Impl::releaseReservation(
+    HomeShard& shard, HomeProgram& program, ProgramCall& call, TokenCount charged)
+{
+    BudgetAccount& account = shard.account(program.header);
+    account.reserved.value -= call.reserved.value;
+    account.spent.value += charged.value;
+    call.reserved = TokenCount(0);
+}
+
+void EntryCore::Impl::failCall(HomeShard& shard, HomeProgram& program, const Problem& problem)
+{
+    if (program.current->mayHaveRun)
+        return this->settleUnknown(shard, program);
+    const std::unique_ptr<ProgramCall> call = std::move(program.current);
+    this->releaseReservation(shard, program, *call, TokenCount(0));
+    const ProgramId id = program.header.id;
+    this->startNext(shard, program);
+    forgetIfEmpty(shard, id);
+    this->replyAll(call->callers, problem);
+}
+
+// The turn counts as taken, and its reservation as spent.
+void EntryCore::Impl::settleUnknown(HomeShard& shard, HomeProgram& program)
+{
+    ProgramCall& call = *program.current;
+    TurnRecord record;
+    if (call.stage == CallStage::Ordered) {
+        record = this->openRecord(program, call);
+        this->takeBack(program, call);
+    } else {
+        // The last attempt has been charged already, when its place was taken by another one.
+        record = call.otherAttempts.back();
+        call.otherAttempts.pop_back();
+        shard.account(program.header).spent.value -= record.charged.value;
+    }
+    this->settle(shard, program, { record, {}, false, {} }, nullptr);
+}
+
+void EntryCore::Impl::settle(HomeShard& shard, HomeProgram& program, HeldRecord held, const OrderEnded* /*ended*/)
+{
+    ProgramCall& call = *program.current;
+    this->releaseReservation(shard, program, call, held.record.charged);
+    program.attainedService += this->now() - call.sentAt;
+    call.stage = CallStage::Copying;
+    call.turn = held.record.turn;
+    held.onChain = extendsChain(program, held.record);
+    held.otherAttempts = call.otherAttempts;
+    for (const LifeIndex holder : held.holders)
+        program.headerHolders.push_back(holder);
+    const HeldRecord& stored = addRecord(program, std::move(held));
+    const ProgramId id = program.header.id;
+    const std::uint64_t serial = call.serial;
+    if (this->stands(stored.holders) && stored.otherAttempts.empty())
+        return this->finishCall(id, serial);
+
+    CopyRecords facts;
+    facts.shard = shard.shard;
+    facts.epoch = shard.epoch;
+    facts.programs.push_back(program.header);
+    facts.records.push_back(stored.record);
+    facts.records.insert(facts.records.end(), stored.otherAttempts.begin(), stored.otherAttempts.end());
+    this->copyFacts(std::move(facts), unlimitedAttempts, {}, [this, id, serial](std::optional<LifeIndex> holder) {
+        HomeShard* owned = nullptr;
+        HomeProgram* known = nullptr;
+        const ProgramCall* open = this->findCall(id, serial, &owned, &known);
+        if (!open)
+            return;
+        if (holder)
+            known->records.at(open->turn).holders.push_back(*holder);
+        this->finishCall(id, serial);
+    });
+}
+
+void EntryCore::Impl::finishCall(const ProgramId& id, std::uint64_t serial)
+{
+    HomeShard* shard = nullptr;
+    HomeProgram* program = nullptr;
+    if (!this->findCall(id, serial, &shard, &program))
+        return;
+    const std::unique_ptr<ProgramCall> call = std::move(program->current);
+    const HeldRecord& held = program->records.at(call->turn);
+    CallerEvent answer = answerOf(held, shard->account(program->header).left());
+    if (auto* done = std::get_if<AnswerDone>(&answer)) {
+        done->cachedTokens = call->cachedTokens;
+        done->prefilledTokens = call->prefilledTokens;
+    }
+    if (this->isQuarantined(call->fingerprint) && held.record.state == RecordState::Failed)
+        answer = Problem { ProblemKind::Quarantined, Ran::Unknown, {}, "requests like this one have crashed endpoints" };
+    if (!this->hasAuthority())
+        answer = Problem { ProblemKind::NotServing, Ran::Unknown, takeoverRetry, "the lease has lapsed" };
+    this->pausePrefix(*shard, *program, *call);
+    const bool oneCall = id.openedIn == Epoch(0);
+    this->startNext(*shard, *program);
+    if (oneCall && !program->current && !program->ended)
+        this->recordEnd(*shard, *program);
+    this->replyAll(call->callers, answer);
+}
+
+void EntryCore::Impl::pausePrefix(HomeShard& shard, HomeProgram& program, const ProgramCall& call)
+{
+    if (call.request.expectedPause.count() <= 0 || program.prefixes.empty())
+        return;
+    PausedPrefix prefix;
+    prefix.tokens = program.historyTokens;
+    prefix.expectedPause = call.request.expectedPause;
+    if (atPause(prefix, {}) == PrefixAction::Drop)
+        return this->releaseEngines(shard, program, false);
+    for (const HeldAt& held : program.prefixes)
+        this->send(held.sidecar, HoldPrefix { program.header.id, call.request.expectedPause });
+}
+
+// A record whose order nobody awaits any more: kept for repeats, and for the budget.
+void EntryCore::Impl::lateRecord(const NodeId& from, const TurnRecord& record)
+{
+    const auto owned = this->shards.find(record.program.shard);
+    HomeProgram* program = owned == this->shards.end() ? nullptr : owned->second.find(record.program);
+    const bool certain = record.state == RecordState::Finished || record.state == RecordState::Failed;
+    if (!program || !certain || !isWhole(record) || program->ended)
+        return;
+    const bool taken = program->current && program->current->turn == record.turn
+        && program->current->stage != CallStage::Waiting;
+    const auto known = program->records.find(record.turn);
+    const bool open = known == program->records.end() || known->second.record.state == RecordState::Unknown;
+    if (taken || !open)
+        return;
+    HeldRecord held { record, { this->nodes.at(from).life }, extendsChain(*program, record), {} };
+    BudgetAccount& account = owned->second.account(program->header);
+    if (known != program->records.end()) {
+        if (known->second.record.request != record.request)
+            return;
+        account.spent.value -= known->second.record.charged.value;
+        held.otherAttempts = known->second.otherAttempts;
+    }
+    account.spent.value += record.charged.value;
+    addRecord(*program, std::move(held));
+    this->recopyWanted = true;
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/fleet.cpp
@@ -0,0 +1,256 @@
+#include "fleet.h"
+
+#include <algorithm>
+
+namespace Rattandeck {
+
+namespace {
+
+    // Suspicion after each success, as a share of the one before.
+    constexpr double suspicionDecay = 0.5;
+
+}
+
+// Who may be given orders ------------------------------------------------------------------------------------------
+
+Fleet::Sidecar* Fleet::find(const NodeId& node)
+{
+    const auto found = this->sidecars.find(node);
+    return found == this->sidecars.end() ? nullptr : &found->second;
+}
+
+void Fleet::onLinkUp(const Hello& hello)
+{
+    Sidecar& sidecar = this->sidecars[hello.node];
+    sidecar.linked = false;
+    this->updateMembership(sidecar);
+    if (sidecar.incarnation != hello.incarnation) {
+        const Incarnation registered = sidecar.registered;
+        sidecar = Sidecar {};
+        sidecar.registered = registered;
+    }
+    sidecar.incarnation = hello.incarnation;
+    sidecar.service = hello.service;
+    sidecar.linked = true;
+    sidecar.listedLeaving = this->leavingNodes.contains(hello.node);
+    sidecar.view.node = hello.node;
+    sidecar.view.domain = hello.domain;
+    this->services.try_emplace(hello.service);
+    this->updateMembership(sidecar);
+}
+
+void Fleet::onLinkDown(const NodeId& node)
+{
+    Sidecar* sidecar = this->find(node);
+    if (!sidecar)
+        return;
+    sidecar->linked = false;
+    this->updateMembership(*sidecar);
+}
+
+void Fleet::onRegistered(const NodeId& node, Incarnation incarnation)
+{
+    Sidecar& sidecar = this->sidecars[node];
+    sidecar.registered = incarnation;
+    this->updateMembership(sidecar);
+}
+
+void Fleet::setListedLeaving(std::set<NodeId> nodes)
+{
+    this->leavingNodes = std::move(nodes);
+    for (auto& [node, sidecar] : this->sidecars) {
+        sidecar.listedLeaving = this->leavingNodes.contains(node);
+        this->updateMembership(sidecar);
+    }
+}
+
+void Fleet::updateMembership(Sidecar& sidecar)
+{
+    const bool usable = sidecar.linked && sidecar.registered == sidecar.incarnation && !sidecar.listedLeaving
+        && !this->currentView(sidecar).report.leaving;
+    if (usable == sidecar.position.has_value())
+        return;
+    std::vector<SidecarView>& views = this->services[sidecar.service].views;
+    if (usable) {
+        sidecar.position = views.size();
+        views.push_back(std::move(sidecar.view));
+        return;
+    }
+    const std::size_t position = *sidecar.position;
+    sidecar.view = std::move(views[position]);
+    if (position + 1 != views.size()) {
+        views[position] = std::move(views.back());
+        this->sidecars.at(views[position].node).position = position;
+    }
+    views.pop_back();
+    sidecar.position.reset();
+}
+
+SidecarView& Fleet::currentView(Sidecar& sidecar)
+{
+    if (!sidecar.position)
+        return sidecar.view;
+    return this->services.at(sidecar.service).views[*sidecar.position];
+}
+
+bool Fleet::knowsService(const ServiceName& service) const { return this->services.contains(service); }
+
+std::size_t Fleet::sidecarCount(const ServiceName& service) const
+{
+    const auto found = this->services.find(service);
+    return found == this->services.end() ? 0 : found->second.views.size();
+}
+
+bool Fleet::mayBeUsed(const NodeId& node) const
+{
+    const auto found = this->sidecars.find(node);
+    return found != this->sidecars.end() && found->second.position.has_value();
+}
+
+// Reports ----------------------------------------------------------------------------------------------------------
+
+void Fleet::onReport(const NodeId& node, const LoadReport& report, TimePoint now)
+{
+    Sidecar* sidecar = this->find(node);
+    if (!sidecar)
+        return;
+    SidecarView& view = this->currentView(*sidecar);
+    // Links keep the order, but a report of an older link may still be delivered after a newer one.
+    if (report.sequence < view.report.sequence)
+        return;
+    view.report = report;
+    view.report.heldPrefixes.clear();
+    view.report.droppedPrefixes.clear();
+
+    const CreditGrant& grant = report.credits;
+    if (grant.count > 0 && grant.id > sidecar->lastGrant) {
+        sidecar->grants.push_back({ grant.id, grant.count, now + grant.life });
+        sidecar->lastGrant = grant.id;
+    }
+    while (!sidecar->unaccounted.empty() && sidecar->unaccounted.front().order <= report.accountedOrder)
+        sidecar->unaccounted.pop_front();
+    this->refreshCredits(*sidecar, now);
+    this->refreshUnaccounted(*sidecar);
+    this->updateMembership(*sidecar);
+}
+
+void Fleet::refreshCredits(Sidecar& sidecar, TimePoint now)
+{
+    std::erase_if(sidecar.grants, [&](const Grant& grant) { return grant.left == 0 || grant.until <= now; });
+    std::uint32_t left = 0;
+    for (const Grant& grant : sidecar.grants)
+        left += grant.left;
+    this->currentView(sidecar).creditsLeft = left;
+}
+
+void Fleet::refreshUnaccounted(Sidecar& sidecar)
+{
+    SidecarView& view = this->currentView(sidecar);
+    view.placedSinceReport = static_cast<std::uint32_t>(sidecar.unaccounted.size());
+    view.tokensPlacedSinceReport = TokenCount(0);
+    for (const Unaccounted& order : sidecar.unaccounted)
+        view.tokensPlacedSinceReport.value += order.tokens.value;
+}
+
+// Placement --------------------------------------------------------------------------------------------------------
+
+TakenCredit Fleet::takeCredit(Sidecar& sidecar)
+{
+    Grant& oldest = sidecar.grants.front();
+    --oldest.left;
+    SidecarView& view = this->currentView(sidecar);
+    --view.creditsLeft;
+    const TakenCredit taken { view.node, oldest.id };
+    if (oldest.left == 0)
+        sidecar.grants.erase(sidecar.grants.begin());
+    return taken;
+}
+
+std::optional<TakenCredit> Fleet::place(const ServiceName& service, const CallShape& call,
+    const PlacementSettings& settings, std::uint64_t seed, std::span<const HeldAt> held,
+    std::span<const NodeId> excluded, TimePoint now, PlacementDecision& decision)
+{
+    const auto found = this->services.find(service);
+    if (found == this->services.end())
+        return std::nullopt;
+    std::vector<SidecarView>& views = found->second.views;
+    for (const HeldAt& prefix : held) {
+        Sidecar* sidecar = this->find(prefix.sidecar);
+        if (sidecar)
+            this->currentView(*sidecar).heldTokens = prefix.tokens;
+    }
+    for (const NodeId& node : excluded) {
+        Sidecar* sidecar = this->find(node);
+        if (sidecar)
+            this->currentView(*sidecar).creditsLeft = 0;
+    }
+
+    // A sidecar that has fallen silent is found out when it is chosen; its credits have run out by then.
+    std::optional<TakenCredit> taken;
+    while (!taken) {
+        decision = choosePlacement(views, call, settings, seed);
+        Sidecar* chosen = this->find(decision.choice);
+        if (decision.choice.value.empty() || !chosen)
+            break;
+        this->refreshCredits(*chosen, now);
+        if (this->currentView(*chosen).creditsLeft > 0)
+            taken = this->takeCredit(*chosen);
+    }
+
+    for (const NodeId& node : excluded) {
+        Sidecar* sidecar = this->find(node);
+        if (sidecar)
+            this->refreshCredits(*sidecar, now);
+    }
+    for (const HeldAt& prefix : held) {
+        Sidecar* sidecar = this->find(prefix.sidecar);
+        if (sidecar)
+            this->currentView(*sidecar).heldTokens = TokenCount(0);
+    }
+    return taken;
+}
+
+void Fleet::noteOrder(const NodeId& node, OrderId order, TokenCount tokens)
+{
+    Sidecar* sidecar = this->find(node);
+    if (!sidecar)
+        return;
+    sidecar->unaccounted.push_back({ order, tokens });
+    SidecarView& view = this->currentView(*sidecar);
+    ++view.placedSinceReport;
+    view.tokensPlacedSinceReport.value += tokens.value;
+}
+
+void Fleet::noteOrderDone(const NodeId& node, OrderId order)
+{
+    Sidecar* sidecar = this->find(node);
+    if (!sidecar)
+        return;
+    std::erase_if(sidecar->unaccounted, [&](const Unaccounted& placed) { return placed.order == order; });
+    this->refreshUnaccounted(*sidecar);
+}
+
+void Fleet::dropCredits(const NodeId& node)
+{
+    Sidecar* sidecar = this->find(node);
+    if (!sidecar)
+        return;
+    sidecar->grants.clear();
+    this->currentView(*sidecar).creditsLeft = 0;
+}
+
+void Fleet::noteFailure(const NodeId& node)
+{
+    Sidecar* sidecar = this->find(node);
+    if (sidecar)
+        this->currentView(*sidecar).suspicion += 1;
+}
+
+void Fleet::noteSuccess(const NodeId& node)
+{
+    Sidecar* sidecar = this->find(node);
+    if (sidecar)
+        this->currentView(*sidecar).suspicion *= suspicionDecay;
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/fleet.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "Rattandeck/placement.h"
+#include "Rattandeck/types.h"
+
+#include <deque>
+#include <optional>
+#include <set>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace Rattandeck {
+
+/// A prefix that a sidecar is believed to hold.
+struct HeldAt {
+    NodeId sidecar;
+    TokenCount tokens;
+};
+
+/// A credit taken for one order.
+struct TakenCredit {
+    NodeId sidecar;
+    CreditId credit;
+};
+
+/// What an entry knows of the sidecars: who may be given orders, with which credits, and how busy each is, corrected
+/// for what this entry has placed since the last report. The cost of a report does not grow with the fleet.
+class Fleet {
+public:
+    void onLinkUp(const Hello& hello);
+    void onLinkDown(const NodeId& node);
+    /// The incarnation stands in the members list, so a later census will ask it.
+    void onRegistered(const NodeId& node, Incarnation incarnation);
+    void onReport(const NodeId& node, const LoadReport& report, TimePoint now);
+    /// Nodes that the instance list shows as leaving.
+    void setListedLeaving(std::set<NodeId> nodes);
+
+    /// Services that some sidecar has been seen for, now or earlier.
+    bool knowsService(const ServiceName& service) const;
+    /// Sidecars of the service that may be given orders.
+    std::size_t sidecarCount(const ServiceName& service) const;
+    /// Linked, registered and not leaving.
+    bool mayBeUsed(const NodeId& node) const;
+
+    /// Places a call and takes a credit; nothing when no sidecar outside `excluded` has one. Fills `decision` for the
+    /// log but for its order id.
+    std::optional<TakenCredit> place(const ServiceName& service, const CallShape& call,
+        const PlacementSettings& settings, std::uint64_t seed, std::span<const HeldAt> held,
+        std::span<const NodeId> excluded, TimePoint now, PlacementDecision& decision);
+    /// Counts an order until a report accounts for it.
+    void noteOrder(const NodeId& node, OrderId order, TokenCount tokens);
+    void noteOrderDone(const NodeId& node, OrderId order);
+    /// The sidecar has refused for want of credit or room: it gets nothing until its next grant.
+    void dropCredits(const NodeId& node);
+    void noteFailure(const NodeId& node);
+    void noteSuccess(const NodeId& node);
+
+private:
+    struct Grant {
+        CreditId id;
+        std::uint32_t left = 0;
+        TimePoint until {};
+    };
+    struct Unaccounted {
+        OrderId order;
+        TokenCount tokens;
+    };
+    struct Sidecar {
+        Incarnation incarnation;
+        Incarnation registered;
+        bool linked = false;
+        bool listedLeaving = false;
+        /// What placement sees, while the sidecar may not be given orders; else it stands in `Service::views`.
+        SidecarView view;
+        std::vector<Grant> grants;
+        CreditId lastGrant;
+        std::deque<Unaccounted> unaccounted;
+        ServiceName service;
+        std::optional<std::size_t> position;
+    };
+    struct Service {
+        std::vector<SidecarView> views;
+    };
+
+    Sidecar* find(const NodeId& node);
+    void updateMembership(Sidecar& sidecar);
+    SidecarView& currentView(Sidecar& sidecar);
+    void refreshCredits(Sidecar& sidecar, TimePoint now);
+    void refreshUnaccounted(Sidecar& sidecar);
+    TakenCredit takeCredit(Sidecar& sidecar);
+
+    std::unordered_map<NodeId, Sidecar> sidecars;
+    std::unordered_map<ServiceName, Service> services;
+    std::set<NodeId> leavingNodes;
+};
+
+}
--- /dev/null
+++ b/src/librattandeck/home.cpp
@@ -0,0 +1,252 @@
+#include "home.h"
+
+#include "Rattandeck/digest.h"
+
+#include <algorithm>
+#include <array>
+
+namespace Rattandeck {
+
+// Shard ------------------------------------------------------------------------------------------------------------
+
+HomeProgram* HomeShard::find(const ProgramId& id)
+{
+    const auto found = this->programs.find(id);
+    return found == this->programs.end() ? nullptr : &found->second;
+}
+
+BudgetAccount& HomeShard::account(const ProgramHeader& header)
+{
+    const auto [found, created] = this->accounts.try_emplace(header.root);
+    if (created)
+        found->second.limit = header.budget;
+    return found->second;
+}
+
+bool HomeShard::doubtful(const ProgramId& id, TimePoint now) const
+{
+    if (id.openedIn >= this->gap)
+        return false;
+    const bool keyOnly = id.openedIn == Epoch(0);
+    return !keyOnly || now < this->gapSince + keyRetention;
+}
+
+// Requests ---------------------------------------------------------------------------------------------------------
+
+TokenCount estimateTokens(const std::string& text)
+{
+    constexpr std::size_t bytesPerToken = 4;
+    return TokenCount(static_cast<std::int64_t>((text.size() + bytesPerToken - 1) / bytesPerToken));
+}
+
+Digest requestDigest(const CallerRequest& request)
+{
+    const std::string outputTokens = std::to_string(request.maxOutputTokens.value);
+    const std::string idempotent = request.idempotent ? "idempotent" : "once";
+    const std::array<std::string_view, 5> parts { request.service.value, request.key.value, idempotent, outputTokens,
+        request.input };
+    return digestOf(parts);
+}
+
+Digest crashFingerprint(const CallerRequest& request)
+{
+    const std::array<std::string_view, 2> parts { request.service.value, request.input };
+    return digestOf(parts);
+}
+
+TokenCount reservationFor(const CallerRequest& request)
+{
+    return TokenCount(estimateTokens(request.input).value + request.maxOutputTokens.value);
+}
+
+namespace {
+
+    Problem problem(ProblemKind kind, Ran ran, std::string detail) { return { kind, ran, {}, std::move(detail) }; }
+
+    CallJudgement judgeRepeat(const HeldRecord& held, const CallerRequest& request, const Digest& digest)
+    {
+        if (held.record.request != digest) {
+            if (!request.key.value.empty() && held.record.key == request.key)
+                return problem(ProblemKind::KeyReused, Ran::No, "the key was used for another request");
+            return problem(ProblemKind::OutOfOrder, Ran::No, "another request has this turn number");
+        }
+        const bool otherHistory = !request.head.value.empty() && request.head != held.record.headBefore;
+        if (otherHistory && request.turn.value != 0)
+            return problem(ProblemKind::HistoryMismatch, Ran::No, "this turn was taken on another history");
+        return RepeatedCall { &held };
+    }
+
+    ProgramCall* findOpenCall(HomeProgram& program, const std::function<bool(const ProgramCall&)>& matches)
+    {
+        if (program.current && matches(*program.current))
+            return program.current.get();
+        for (const std::unique_ptr<ProgramCall>& waiting : program.queue) {
+            if (matches(*waiting))
+                return waiting.get();
+        }
+        return nullptr;
+    }
+
+    std::optional<CallJudgement> judgeByKey(
+        HomeProgram& program, const CallerRequest& request, const Digest& digest)
+    {
+        if (request.key.value.empty())
+            return std::nullopt;
+        const auto known = program.keys.find(request.key);
+        if (known != program.keys.end())
+            return judgeRepeat(program.records.at(known->second), request, digest);
+        ProgramCall* open
+            = findOpenCall(program, [&](const ProgramCall& call) { return call.request.key == request.key; });
+        if (!open)
+            return std::nullopt;
+        if (open->digest != digest)
+            return problem(ProblemKind::KeyReused, Ran::No, "the key is in use for another request");
+        return SameCall { open };
+    }
+
+    std::optional<CallJudgement> judgeByTurn(
+        HomeProgram& program, const CallerRequest& request, const Digest& digest)
+    {
+        if (request.turn.value == 0)
+            return std::nullopt;
+        const auto known = program.records.find(request.turn);
+        if (known != program.records.end())
+            return judgeRepeat(known->second, request, digest);
+        if (request.turn <= program.lastTurn && program.ended)
+            return problem(ProblemKind::ProgramEnded, Ran::Unknown, "the program has ended");
+        if (request.turn <= program.lastTurn)
+            return problem(ProblemKind::HistoryLost, Ran::Unknown, "the record of this turn is lost");
+        ProgramCall* open
+            = findOpenCall(program, [&](const ProgramCall& call) { return call.turn == request.turn; });
+        if (open && open->digest == digest)
+            return SameCall { open };
+        const std::size_t openCalls = program.queue.size() + (program.current ? 1 : 0);
+        if (open || request.turn.value != program.lastTurn.value + openCalls + 1)
+            return problem(ProblemKind::OutOfOrder, Ran::No, "another turn is next");
+        return std::nullopt;
+    }
+
+    // The caller shows by the head that its history ends where ours does, so a call that may run twice can run.
+    CallJudgement judgeInDoubt(const HomeProgram& program, const CallerRequest& request)
+    {
+        const bool sameHead = !request.head.value.empty() && request.head == program.head;
+        if (!request.head.value.empty() && !sameHead)
+            return problem(ProblemKind::HistoryLost, Ran::Unknown, "the end of this history is lost");
+        const bool oneCallProgram = program.header.id.openedIn == Epoch(0);
+        if (request.idempotent && (sameHead || oneCallProgram))
+            return NewCall {};
+        return problem(ProblemKind::OutcomeUnknown, Ran::Unknown, "records of this program may be lost");
+    }
+
+}
+
+CallJudgement judgeCall(HomeProgram& program, const CallerRequest& request, const Digest& digest, bool doubtful)
+{
+    if (std::optional<CallJudgement> byKey = judgeByKey(program, request, digest))
+        return *byKey;
+    if (std::optional<CallJudgement> byTurn = judgeByTurn(program, request, digest))
+        return *byTurn;
+    if (program.damaged)
+        return problem(ProblemKind::HistoryLost, Ran::Unknown, "part of this history is lost");
+    if (program.ended || program.ending)
+        return problem(ProblemKind::ProgramEnded, doubtful ? Ran::Unknown : Ran::No, "the program has ended");
+    if (doubtful && !program.current)
+        return judgeInDoubt(program, request);
+    if (program.current && program.queue.size() >= programQueueLimit)
+        return problem(ProblemKind::Overloaded, Ran::No, "too many calls of this program wait");
+    return NewCall {};
+}
+
+CallerEvent answerOf(const HeldRecord& held, TokenCount budgetLeft)
+{
+    const TurnRecord& record = held.record;
+    switch (record.state) {
+    case RecordState::Finished: {
+        AnswerDone done;
+        done.program = record.program;
+        done.turn = record.turn;
+        done.head = record.headAfter;
+        done.output = record.output;
+        done.charged = record.charged;
+        done.budgetLeft = budgetLeft;
+        return done;
+    }
+    case RecordState::Failed:
+        return problem(ProblemKind::EndpointFailed, Ran::Unknown, "the endpoint failed");
+    case RecordState::NotRun:
+        return problem(ProblemKind::EndpointFailed, Ran::No, "the call was not started");
+    case RecordState::Started:
+    case RecordState::Unknown:
+        break;
+    }
+    return problem(ProblemKind::OutcomeUnknown, Ran::Unknown, "nobody can tell whether the call ran");
+}
+
+// Records ----------------------------------------------------------------------------------------------------------
+
+void forgetIfEmpty(HomeShard& shard, const ProgramId& id)
+{
+    const HomeProgram* program = shard.find(id);
+    if (!program || id.openedIn != Epoch(0))
+        return;
+    if (program->records.empty() && program->queue.empty() && !program->current) {
+        shard.accounts.erase(id);
+        shard.programs.erase(id);
+    }
+}
+
+bool isWhole(const TurnRecord& record)
+{
+    if (record.state != RecordState::Finished)
+        return true;
+    return record.headAfter == chainDigest(record.headBefore, record.turn, record.input, record.output);
+}
+
+bool extendsChain(const HomeProgram& program, const TurnRecord& record)
+{
+    if (record.state != RecordState::Finished || record.headBefore != program.head)
+        return false;
+    const bool laterOrdered = program.current && program.current->order && program.current->turn > record.turn;
+    return record.turn >= program.lastTurn && !laterOrdered;
+}
+
+HeldRecord& addRecord(HomeProgram& program, HeldRecord held)
+{
+    const TurnRecord& record = held.record;
+    program.lastTurn = std::max(program.lastTurn, record.turn);
+    if (!record.key.value.empty())
+        program.keys[record.key] = record.turn;
+    if (held.onChain) {
+        program.head = record.headAfter;
+        program.historyTokens.value += estimateTokens(record.input).value + estimateTokens(record.output).value;
+        ++program.turnsDone;
+    }
+    HeldRecord& stored = program.records[record.turn];
+    stored = std::move(held);
+    return stored;
+}
+
+std::string historyText(const HomeProgram& program, const ServiceName& service)
+{
+    std::string text;
+    for (const auto& [turn, held] : program.records) {
+        if (held.onChain && held.record.service == service)
+            text += held.record.input + held.record.output;
+    }
+    return text;
+}
+
+TokenCount chargedTokens(const HomeProgram& program, bool doubtful)
+{
+    TokenCount charged;
+    for (const auto& [turn, held] : program.records) {
+        charged.value += held.record.charged.value;
+        for (const TurnRecord& other : held.otherAttempts)
+            charged.value += other.charged.value;
+    }
+    if (doubtful)
+        charged.value += maxTokensPerCall;
+    return charged;
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/lease.cpp
@@ -0,0 +1,150 @@
+#include "lease.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace Rattandeck {
+
+// Object -----------------------------------------------------------------------------------------------------------
+
+std::string formatLease(const LeaseObject& lease)
+{
+    nlohmann::json json { { "entry", lease.entry.value }, { "incarnation", lease.incarnation.value },
+        { "durationMs", lease.duration.count() }, { "domain", lease.domain.value }, { "address", lease.address },
+        { "completeThrough", lease.completeThrough.value }, { "renewal", lease.renewal } };
+    json["guarantors"] = nlohmann::json::array();
+    for (const NodeId& guarantor : lease.guarantors)
+        json["guarantors"].push_back(guarantor.value);
+    if (lease.released)
+        json["released"] = true;
+    return json.dump();
+}
+
+tl::expected<LeaseObject, ObjectError> parseLease(const std::string& value)
+{
+    const nlohmann::json json = nlohmann::json::parse(value, nullptr, false);
+    if (!json.is_object())
+        return tl::unexpected(ObjectError::Malformed);
+    try {
+        LeaseObject lease;
+        lease.entry = NodeId(json.at("entry").get<std::string>());
+        lease.incarnation = Incarnation(json.at("incarnation").get<std::uint64_t>());
+        lease.duration = Milliseconds(json.at("durationMs").get<std::int64_t>());
+        lease.domain = FailureDomain(json.value("domain", ""));
+        lease.address = json.value("address", "");
+        for (const nlohmann::json& guarantor : json.value("guarantors", nlohmann::json::array()))
+            lease.guarantors.emplace_back(guarantor.get<std::string>());
+        lease.completeThrough = ObjectVersion(json.value("completeThrough", std::uint64_t { 0 }));
+        lease.renewal = json.value("renewal", std::uint64_t { 0 });
+        lease.released = json.value("released", false);
+        return lease;
+    } catch (const nlohmann::json::exception&) {
+        return tl::unexpected(ObjectError::Malformed);
+    }
+}
+
+// Holder -----------------------------------------------------------------------------------------------------------
+
+std::size_t majorityOf(std::size_t guarantors) { return guarantors / 2 + 1; }
+
+namespace {
+
+    TimePoint majorityPromisedUntil(
+        const std::vector<NamedGuarantor>& guarantors, const std::map<NodeId, TimePoint>& promises)
+    {
+        std::vector<TimePoint> ends;
+        for (const NamedGuarantor& guarantor : guarantors) {
+            const auto found = promises.find(guarantor.node);
+            if (found != promises.end())
+                ends.push_back(found->second);
+        }
+        const std::size_t needed = majorityOf(guarantors.size());
+        if (guarantors.empty() || ends.size() < needed)
+            return {};
+        std::sort(ends.rbegin(), ends.rend());
+        return ends[needed - 1];
+    }
+
+    bool names(const std::vector<NamedGuarantor>& guarantors, const NodeId& node, Incarnation incarnation)
+    {
+        return std::any_of(guarantors.begin(), guarantors.end(), [&](const NamedGuarantor& guarantor) {
+            return guarantor.node == node && guarantor.incarnation == incarnation;
+        });
+    }
+
+}
+
+TimePoint HeldLease::promisedUntil() const
+{
+    const TimePoint stored = majorityPromisedUntil(this->guarantors, this->promises);
+    if (!this->guarantorsInDoubt)
+        return stored;
+    return std::min(stored, majorityPromisedUntil(*this->guarantorsInDoubt, this->promises));
+}
+
+void HeldLease::onWritten(
+    ObjectVersion written, TimePoint begun, Milliseconds duration, std::vector<NamedGuarantor> named)
+{
+    this->version = written;
+    this->validUntil = std::max(this->validUntil, begun + duration);
+    this->guarantors = std::move(named);
+    this->guarantorsInDoubt.reset();
+}
+
+void HeldLease::onPromise(const NodeId& guarantor, Incarnation incarnation, TimePoint until)
+{
+    const bool stored = names(this->guarantors, guarantor, incarnation);
+    const bool inDoubt = this->guarantorsInDoubt && names(*this->guarantorsInDoubt, guarantor, incarnation);
+    if (!stored && !inDoubt)
+        return;
+    TimePoint& end = this->promises[guarantor];
+    end = std::max(end, until);
+}
+
+// Observer ---------------------------------------------------------------------------------------------------------
+
+TimePoint ObservedLease::lapsesAt(Milliseconds margin) const
+{
+    if (this->lease.released)
+        return this->firstSeen;
+    return this->firstSeen + this->lease.duration + margin;
+}
+
+bool ObservedLease::lapsed(TimePoint now, Milliseconds margin) const { return now >= this->lapsesAt(margin); }
+
+bool ObservedLease::onSeen(ObjectVersion seen, const LeaseObject& value, TimePoint now)
+{
+    if (seen <= this->version)
+        return false;
+    this->version = seen;
+    this->lease = value;
+    this->firstSeen = now;
+    return true;
+}
+
+// Guarantor --------------------------------------------------------------------------------------------------------
+
+bool PromiseBook::promise(const NodeId& holder, ObjectVersion leaseVersion, TimePoint now)
+{
+    const auto released = this->releasedVersions.find(holder);
+    if (released != this->releasedVersions.end() && leaseVersion <= released->second)
+        return false;
+    this->promisedUntil[holder] = now + this->life;
+    return true;
+}
+
+Milliseconds PromiseBook::release(const NodeId& holder, ObjectVersion leaseVersion, TimePoint now)
+{
+    TimePoint liveUntil = this->silentUntil;
+    const auto promised = this->promisedUntil.find(holder);
+    if (promised != this->promisedUntil.end())
+        liveUntil = std::max(liveUntil, promised->second);
+    if (now < liveUntil)
+        return std::max(Milliseconds(1), std::chrono::ceil<Milliseconds>(liveUntil - now));
+    ObjectVersion& released = this->releasedVersions[holder];
+    released = std::max(released, leaseVersion);
+    return Milliseconds(0);
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/members.cpp
@@ -0,0 +1,52 @@
+#include "members.h"
+
+#include <nlohmann/json.hpp>
+
+namespace Rattandeck {
+
+std::string formatMember(const Member& member)
+{
+    nlohmann::json json { { "node", member.node.value }, { "incarnation", member.incarnation.value },
+        { "domain", member.domain.value }, { "service", member.service.value }, { "address", member.address },
+        { "role", member.role == Role::Entry ? "entry" : "sidecar" }, { "former", member.former.value } };
+    if (member.gone)
+        json["gone"] = true;
+    return json.dump();
+}
+
+tl::expected<Member, ObjectError> parseMember(const std::string& value, ObjectVersion changed)
+{
+    const nlohmann::json json = nlohmann::json::parse(value, nullptr, false);
+    if (!json.is_object())
+        return tl::unexpected(ObjectError::Malformed);
+    try {
+        Member member;
+        member.node = NodeId(json.at("node").get<std::string>());
+        member.incarnation = Incarnation(json.at("incarnation").get<std::uint64_t>());
+        member.domain = FailureDomain(json.value("domain", ""));
+        member.service = ServiceName(json.value("service", ""));
+        member.address = json.value("address", "");
+        member.role = json.value("role", "sidecar") == "entry" ? Role::Entry : Role::Sidecar;
+        member.former = Incarnation(json.value("former", std::uint64_t { 0 }));
+        member.gone = json.value("gone", false);
+        member.changed = changed;
+        return member;
+    } catch (const nlohmann::json::exception&) {
+        return tl::unexpected(ObjectError::Malformed);
+    }
+}
+
+CensusRoll censusRoll(const std::vector<Member>& members, ObjectVersion completeThrough)
+{
+    CensusRoll roll;
+    for (const Member& member : members) {
+        const bool changedSince = member.changed > completeThrough;
+        if (changedSince && (member.gone || member.former.value != 0))
+            roll.lifeLost = true;
+        if (!member.gone)
+            roll.mustHear.push_back(member);
+    }
+    return roll;
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/members.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "Rattandeck/messages.h"
+#include "Rattandeck/objects.h"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <vector>
+
+/// Registered incarnations of entries and sidecars: whom a census must hear.
+namespace Rattandeck {
+
+/// Value of the object `member/<node>`.
+struct Member {
+    NodeId node;
+    Incarnation incarnation;
+    FailureDomain domain;
+    ServiceName service;
+    std::string address;
+    Role role = Role::Sidecar;
+    /// The incarnation that this one replaced; 0: none.
+    Incarnation former;
+    /// Nobody can reach it any more, and the instance list no longer shows it.
+    bool gone = false;
+    /// Revision of the store at the last change of the object.
+    ObjectVersion changed;
+};
+
+std::string formatMember(const Member& member);
+/// Errors: `ObjectError::Malformed`.
+tl::expected<Member, ObjectError> parseMember(const std::string& value, ObjectVersion changed);
+
+/// Whom a census must hear so that it is complete.
+struct CensusRoll {
+    std::vector<Member> mustHear;
+    /// A life that may have held facts is gone for good.
+    bool lifeLost = false;
+};
+
+/// Facts of lives that ended up to `completeThrough` stand elsewhere; those that ended later may be lost.
+CensusRoll censusRoll(const std::vector<Member>& members, ObjectVersion completeThrough);
+
+}
