Break leases before takeovers, and follow the other protocol changes

Change: a successor breaks the lease at the version it watched; a broken holder drops its shards; a guarantor promises only for leases that it has read unbroken; refusals of a later life of a sidecar are ignored; the next turn waits out a late start; a gap charges one reservation for each missed life. Crash counts live in objects of kind 'crash', held fingerprints in 'quarantine'. Policies filter and weigh placements. The fleet samples views in place of scanning them.

--- a/src/include/Rattandeck/entry.h
+++ b/src/include/Rattandeck/entry.h
@@ -118,6 +118,8 @@
     bool isDrained() const;
 
     EntryStatus status() const;
+    /// Programs that this entry is the home of and that have not ended, in no order.
+    std::vector<ProgramHeader> openPrograms() const;
 
 private:
     struct Impl;
--- a/src/librattandeck/census.cpp
+++ b/src/librattandeck/census.cpp
@@ -109,8 +109,8 @@
         return &next->second.front().record.headBefore;
     }
 
-    void mergeTurn(MergedProgram& merged, const std::vector<HeldRecord>& candidates, const Digest* nextHead,
-        bool complete)
+    void mergeTurn(
+        MergedProgram& merged, const std::vector<HeldRecord>& candidates, const Digest* nextHead, bool complete)
     {
         HomeProgram& program = merged.program;
         HeldRecord chosen = chooseRecord(candidates, program.head, nextHead);
--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -41,11 +41,10 @@
 
 void EntryCore::Impl::after(Duration delay, std::function<void()> callback)
 {
-    this->timers.subscribeAfter(
-        delay, [guard = std::weak_ptr<int>(this->alive), callback = std::move(callback)] {
-            if (!guard.expired())
-                callback();
-        });
+    this->timers.subscribeAfter(delay, [guard = std::weak_ptr<int>(this->alive), callback = std::move(callback)] {
+        if (!guard.expired())
+            callback();
+    });
 }
 
 std::uint64_t EntryCore::Impl::nextSeed()
@@ -311,6 +310,18 @@
     return entry.shuttingDown && entry.leaseReleased && entry.tickets.empty();
 }
 
+std::vector<ProgramHeader> EntryCore::openPrograms() const
+{
+    std::vector<ProgramHeader> open;
+    for (const auto& [shard, home] : this->impl->shards) {
+        for (const auto& [id, program] : home.programs) {
+            if (!program.ended)
+                open.push_back(program.header);
+        }
+    }
+    return open;
+}
+
 EntryStatus EntryCore::status() const
 {
     const Impl& entry = *this->impl;
--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -9,7 +9,10 @@
     constexpr std::uint32_t openingAttempts = 3;
     constexpr std::uint32_t unlimitedAttempts = ~0U;
 
-    bool isOneCall(const CallerRequest& request) { return request.kind == CallKind::Call && request.program.serial == 0; }
+    bool isOneCall(const CallerRequest& request)
+    {
+        return request.kind == CallKind::Call && request.program.serial == 0;
+    }
 
     AnswerDone stateOf(const HomeProgram& program, TokenCount budgetLeft)
     {
@@ -136,7 +139,8 @@
     if (call.stage == CallStage::Ordered)
         this->send(call.sidecar, CancelOrder { call.order->id });
     else if (call.stage == CallStage::Waiting)
-        this->failCall(shard->second, *program, Problem { ProblemKind::DeadlineExceeded, Ran::No, {}, "the caller left" });
+        this->failCall(
+            shard->second, *program, Problem { ProblemKind::DeadlineExceeded, Ran::No, {}, "the caller left" });
 }
 
 // At home ----------------------------------------------------------------------------------------------------------
@@ -157,7 +161,8 @@
     if (isOneCall(request)) {
         request.program.serial = serialOfKey(request.organisation, request.key);
         if (request.service.value.empty())
-            return this->refuse(caller, ProblemKind::BadRequest, Ran::No, {}, "a call without a program needs a service");
+            return this->refuse(
+                caller, ProblemKind::BadRequest, Ran::No, {}, "a call without a program needs a service");
         HomeProgram& program = shard->programs[request.program];
         if (program.header.id.serial == 0) {
             program.header.id = request.program;
@@ -199,7 +204,8 @@
 
 void EntryCore::Impl::openProgram(const Caller& caller, const CallerRequest& request)
 {
-    const bool valid = !request.organisation.value.empty() && !request.service.value.empty() && request.budget.value > 0;
+    const bool valid
+        = !request.organisation.value.empty() && !request.service.value.empty() && request.budget.value > 0;
     if (!valid)
         return this->refuse(
             caller, ProblemKind::BadRequest, Ran::No, {}, "a program needs an organisation, a service and a budget");
--- a/src/librattandeck/entrycensus.cpp
+++ b/src/librattandeck/entrycensus.cpp
@@ -1,5 +1,7 @@
 #include "entryimpl.h"
 
+#include <algorithm>
+
 namespace Rattandeck {
 
 // Asking -----------------------------------------------------------------------------------------------------------
@@ -35,7 +37,7 @@
     census = Census {};
     census.shard = shard;
     census.epoch = this->shards.at(shard).epoch;
-    census.lifeLost = roll.lifeLost;
+    census.livesLost = roll.livesLost;
     census.serial = ++this->lastCensus;
     for (const Member& member : roll.mustHear) {
         const bool self = member.node == this->settings.node && member.incarnation == this->settings.incarnation;
@@ -100,22 +102,25 @@
     HomeShard& home = this->shards.at(shard);
     for (const NodeId& node : census.welcome)
         census.awaited.erase(node);
-    const bool complete = census.awaited.empty() && !census.lifeLost;
+    const bool complete = census.awaited.empty() && census.livesLost == 0;
     if (!complete) {
         home.gap = home.epoch;
         home.gapSince = this->now();
+        home.missedLives = static_cast<std::uint32_t>(census.awaited.size()) + census.livesLost;
         ++this->counters.gaps;
         this->gapsUnwritten.insert(shard);
         this->log("gap",
             "shard " + std::to_string(shard.value) + ": " + std::to_string(census.awaited.size())
-                + " members not heard" + (census.lifeLost ? ", a life lost" : ""));
+                + " members not heard, " + std::to_string(census.livesLost) + " lives lost");
     }
     if (!census.awaited.empty()) {
         // An order that the former home sent just before its end can start until its credit has run out.
-        home.nonIdempotentFrom = this->now() + this->settings.creditLife + this->settings.clockMargin;
+        home.doubtfulFrom = this->now() + this->settings.creditLife + this->settings.clockMargin;
         this->missed[shard] = census.awaited;
     }
     this->installMerged(home, mergeAnswers(census.answers, complete));
+    // What this entry held as a copy stands in the home now.
+    this->copyStores.erase(shard);
     this->recopyWanted = true;
     this->serveShard(shard);
 }
@@ -134,7 +139,8 @@
     program.openedAt = this->now();
     const bool doubtful = shard.doubtful(id, this->now());
     BudgetAccount& account = shard.account(program.header);
-    account.spent.value += chargedTokens(program, doubtful && !program.ended).value;
+    const bool charged = doubtful && !program.ended;
+    account.spent.value += chargedTokens(program, charged ? std::max(1U, shard.missedLives) : 0).value;
     if (program.ended) {
         program.endedAt = this->now();
         shard.ended.push_back(id);
@@ -298,19 +304,8 @@
         const bool ordered = program.current && program.current->order && program.current->stage == CallStage::Ordered;
         if (!ordered)
             continue;
-        const ProgramCall& call = *program.current;
-        TurnRecord open;
-        open.program = id;
-        open.turn = call.turn;
-        open.attempt = call.attempt;
-        open.epoch = call.order->epoch;
-        open.service = call.order->service;
-        open.key = call.order->key;
-        open.idempotent = call.order->idempotent;
-        open.request = call.digest;
-        open.input = call.order->input;
-        open.charged = call.reserved;
-        open.headBefore = call.order->headBefore;
+        TurnRecord open = this->openRecord(program, *program.current);
+        open.state = RecordState::Started;
         storeRecord(open);
     }
 }
--- a/src/librattandeck/entrycopies.cpp
+++ b/src/librattandeck/entrycopies.cpp
@@ -26,9 +26,8 @@
         if (live && lease.lease.domain != this->settings.domain)
             return true;
     }
-    return std::any_of(this->nodes.begin(), this->nodes.end(), [&](const auto& item) {
-        return item.second.linked && item.second.hello.domain != this->settings.domain;
-    });
+    return std::any_of(this->nodes.begin(), this->nodes.end(),
+        [&](const auto& item) { return item.second.linked && item.second.hello.domain != this->settings.domain; });
 }
 
 bool EntryCore::Impl::isElsewhere(LifeIndex life) const
@@ -84,9 +83,8 @@
     if (!holder) {
         if (excluded.empty() && !this->otherDomainKnown())
             return done(std::nullopt);
-        this->after(copyRetryDelay, [this, facts = std::move(facts), left, done = std::move(done)] {
-            this->copyFacts(facts, left, {}, done);
-        });
+        this->after(copyRetryDelay,
+            [this, facts = std::move(facts), left, done = std::move(done)] { this->copyFacts(facts, left, {}, done); });
         return;
     }
     const std::uint64_t id = ++this->lastCopy;
@@ -140,6 +138,11 @@
         facts.records.insert(facts.records.end(), held.otherAttempts.begin(), held.otherAttempts.end());
         turns.push_back(turn);
     }
+    if (program.current && program.current->stage == CallStage::Ordered) {
+        TurnRecord open = this->openRecord(program, *program.current);
+        open.state = RecordState::Started;
+        facts.records.push_back(std::move(open));
+    }
     ++this->recopiesOpen;
     const ProgramId id = program.header.id;
     this->copyFacts(std::move(facts), 3, {}, [this, id, turns](std::optional<LifeIndex> holder) {
@@ -238,9 +241,8 @@
     if (store.ended.insert(release.program).second)
         store.endedAt.emplace_back(this->now(), release.program);
     // Keys stay for the retention time.
-    std::erase_if(store.records, [&](const auto& item) {
-        return std::get<0>(item.first) == release.program && item.second.key.value.empty();
-    });
+    std::erase_if(store.records,
+        [&](const auto& item) { return std::get<0>(item.first) == release.program && item.second.key.value.empty(); });
 }
 
 void EntryCore::Impl::purgeCopies()
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -11,10 +11,12 @@
 #include "Rattandeck/describe.h"
 #include "Rattandeck/entry.h"
 #include "Rattandeck/limits.h"
+#include "Rattandeck/policy.h"
 
 #include <map>
 #include <set>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace Rattandeck {
 
@@ -77,6 +79,7 @@
     void sendConfig(const NodeId& to, const ConfigUpdate& update);
     bool isQuarantined(const Digest& fingerprint) const;
     void noteCrash(const Digest& fingerprint, const ServiceName& service);
+    void writeCrash(const Digest& fingerprint, const ServiceName& service);
     void writeQuarantine(const Digest& fingerprint, const ServiceName& service);
     bool configKnown() const;
     void onObjectChanged(const StoredObject& object);
@@ -95,8 +98,7 @@
     void onReleaseRequest(const NodeId& from, const ReleaseRequest& request);
     void observeLease(const StoredObject& object);
     void listLeases();
-    /// Proves to successors that this holder is back after its lease had lapsed.
-    void touchMap();
+    void leaveLease(const std::string& reason);
     void releaseLease();
 
     // Members (entrymembers.cpp) -------------------------------------------------------------------------------------
@@ -119,6 +121,8 @@
         std::vector<ShardId> shards;
         ObjectVersion leaseVersion;
         LeaseObject lease;
+        /// The lease of a living holder must be broken first.
+        bool mustBreak = false;
         bool mustRelease = false;
         std::set<NodeId> released;
         std::uint64_t request = 0;
@@ -137,7 +141,7 @@
         /// The former home, if it may still answer; it is not missed when it doesn't.
         std::set<NodeId> welcome;
         std::vector<HeardAnswer> answers;
-        bool lifeLost = false;
+        std::uint32_t livesLost = 0;
         std::uint64_t serial = 0;
     };
 
@@ -157,12 +161,13 @@
     ObjectVersion writtenCompleteThrough() const;
     std::string writerName();
     void beginClaim(Claim claim);
+    void breakLease();
+    void releasesNext();
     void askReleases();
     void onReleaseAnswer(const NodeId& from, const ReleaseAnswer& answer);
     void checkReleases();
     void lowerCompleteThrough();
     void readBeforeClaim();
-    void checkHolderLease();
     void writeClaim();
     void readClaimBack();
     void claimTaken();
@@ -171,6 +176,7 @@
     void dropShard(ShardId shard);
     void serveShard(ShardId shard);
     void handOver();
+    void settleHandOver(const std::vector<ShardId>& given, ObjectVersion base);
     HomeShard* servedShard(ShardId shard);
 
     // Census (entrycensus.cpp) ---------------------------------------------------------------------------------------
@@ -244,6 +250,22 @@
 
     // Orders (entryorders.cpp) ---------------------------------------------------------------------------------------
 
+    /// What the policies say about the programs of one organisation and service, for one service called.
+    struct ProgramClass {
+        OrganisationId organisation;
+        ServiceName program;
+        ServiceName called;
+        auto operator<=>(const ProgramClass&) const = default;
+    };
+    struct ClassPolicy {
+        std::uint64_t generation = 0;
+        std::uint64_t fleetGeneration = 0;
+        PlacementSettings settings;
+        /// Sidecars that the policies admit; nothing when they admit all.
+        std::optional<std::unordered_set<NodeId>> admitted;
+    };
+    ClassPolicy& policyFor(const HomeProgram& program, const ServiceName& called);
+
     struct WaitingCall {
         ProgramId program;
         std::uint64_t call = 0;
@@ -320,6 +342,7 @@
     bool configListed = false;
     TimePoint configListedAt {};
     std::map<Digest, std::uint32_t> crashCounts;
+    PolicySet policies;
     std::set<Digest> quarantined;
 
     HeldLease lease;
@@ -337,9 +360,6 @@
     ObjectVersion completeThrough;
     std::optional<ObjectVersion> completeThroughLimit;
     std::vector<std::function<void(bool)>> afterRenewal;
-    std::uint64_t touchesWanted = 0;
-    std::uint64_t touchesDone = 0;
-    bool touchOpen = false;
     std::map<NodeId, ObservedLease> observed;
     std::uint64_t lastPromiseRequest = 0;
     std::map<std::uint64_t, TimePoint> promiseRequests;
@@ -381,6 +401,7 @@
     std::map<std::pair<NodeId, Incarnation>, LifeIndex> lifeIndexes;
     Fleet fleet;
     std::unordered_map<ServiceName, ServiceQueue> queues;
+    std::map<ProgramClass, ClassPolicy> classPolicies;
     std::map<NodeId, std::vector<ReleaseProgram>> unsentReleases;
 
     std::uint64_t lastCopy = 0;
--- a/src/librattandeck/entrylease.cpp
+++ b/src/librattandeck/entrylease.cpp
@@ -30,8 +30,7 @@
 
 bool EntryCore::Impl::hasAuthority() const
 {
-    const bool proven = this->touchesDone == this->touchesWanted;
-    return proven && !this->superseded && !this->releaseWanted && this->lease.holds(this->now());
+    return !this->superseded && !this->releaseWanted && this->lease.holds(this->now());
 }
 
 void EntryCore::Impl::renewLease()
@@ -66,11 +65,10 @@
         const auto value = parseLease(stored.value);
         if (value && value->incarnation > this->settings.incarnation) {
             this->superseded = true;
-            this->log("lease lost", "a later incarnation of this entry holds it");
-            while (!this->shards.empty())
-                this->dropShard(this->shards.begin()->first);
-            return;
+            return this->leaveLease("a later incarnation of this entry holds it");
         }
+        if (value && value->broken && value->incarnation == this->settings.incarnation)
+            this->leaveLease("a successor has broken it");
         if (value && value->incarnation < this->settings.incarnation) {
             this->formerLease = ObservedLease { stored.version, *value, this->now() };
             this->completeThroughLimit = value->completeThrough;
@@ -81,6 +79,14 @@
     });
 }
 
+void EntryCore::Impl::leaveLease(const std::string& reason)
+{
+    this->log("lease lost", reason);
+    this->lease = HeldLease {};
+    while (!this->shards.empty())
+        this->dropShard(this->shards.begin()->first);
+}
+
 std::vector<NamedGuarantor> EntryCore::Impl::chooseGuarantors() const
 {
     // A set that may stand in the store already must not be replaced by a third one.
@@ -93,7 +99,8 @@
         if (chosen.size() >= maxGuarantors || found == this->nodes.end() || !found->second.linked)
             return;
         const Hello& hello = found->second.hello;
-        const bool taken = std::any_of(chosen.begin(), chosen.end(), [&](const auto& named) { return named.node == id; });
+        const bool taken
+            = std::any_of(chosen.begin(), chosen.end(), [&](const auto& named) { return named.node == id; });
         const bool usable = hello.role == Role::Entry && hello.domain != this->settings.domain && !taken;
         if (!usable || (!anyDomain && domains.contains(hello.domain)))
             return;
@@ -146,16 +153,9 @@
     callbacks.swap(this->afterRenewal);
     const bool written = outcome && !outcome->objects.empty();
     if (written) {
-        const bool lapsed = !this->lease.holds(this->now());
         this->lease.onWritten(outcome->objects.front().version, begun, this->settings.leaseDuration, std::move(named));
         if (!this->leaseFirstHeld)
             this->leaseFirstHeld = this->now();
-        if (lapsed && !this->shards.empty()) {
-            ++this->touchesWanted;
-            this->log("lease regained", "the shard map is asked whether the shards are still held");
-        }
-        if (this->touchesDone != this->touchesWanted)
-            this->touchMap();
     } else {
         this->leaseInDoubt = true;
         // A conflict has an answer to be had at once; without the store there is none.
@@ -166,32 +166,6 @@
         callback(written);
 }
 
-void EntryCore::Impl::touchMap()
-{
-    if (this->touchOpen)
-        return;
-    this->touchOpen = true;
-    const std::uint64_t wanted = this->touchesWanted;
-    this->readMap([this, wanted](bool read) {
-        if (!read) {
-            this->touchOpen = false;
-            return;
-        }
-        ShardMap touched = this->map;
-        touched.writer = this->settings.node.value + "#" + std::to_string(this->settings.incarnation.value) + "#"
-            + std::to_string(++this->mapWrites);
-        const ObjectPut put { { "shardmap", "main" }, this->map.version, formatShardMap(touched) };
-        this->callObjects(put, [this, wanted](const ObjectOutcome& outcome) {
-            this->touchOpen = false;
-            if (!outcome)
-                return;
-            for (const StoredObject& object : outcome->objects)
-                this->onObjectChanged(object);
-            this->touchesDone = wanted;
-        });
-    });
-}
-
 void EntryCore::Impl::releaseLease()
 {
     if (!this->shuttingDown || this->leaseReleased)
@@ -240,7 +214,11 @@
 void EntryCore::Impl::onPromiseRequest(const NodeId& from, const PromiseRequest& request)
 {
     const auto answer = [this, from, request] {
-        const bool granted = !this->storeReachable && this->promises.promise(from, request.leaseVersion, this->now());
+        // A former life of this guarantor may have released the lease; then it was broken before.
+        const auto read = this->observed.find(from);
+        const bool unbroken = read != this->observed.end() && !read->second.lease.broken;
+        const bool granted
+            = !this->storeReachable && unbroken && this->promises.promise(from, request.leaseVersion, this->now());
         this->send(from, PromiseAnswer { request.request, granted, this->settings.promiseLife });
     };
     if (!this->storeReachable)
@@ -278,12 +256,12 @@
         return;
     if (entry == this->settings.node) {
         // Only a write of another incarnation says anything new.
-        if (value->incarnation > this->settings.incarnation)
+        if (value->incarnation > this->settings.incarnation || value->broken)
             this->leaseInDoubt = true;
         return;
     }
     const bool newer = this->observed[entry].onSeen(object.version, *value, this->now());
-    if (newer && value->released)
+    if (newer && (value->released || value->broken))
         this->reviewShards();
 }
 
--- a/src/librattandeck/entrymembers.cpp
+++ b/src/librattandeck/entrymembers.cpp
@@ -115,9 +115,7 @@
         const Hello& hello = known.hello;
         if (!known.linked || this->isRegistered(node, hello.incarnation) || this->memberPutsOpen.contains(node))
             return;
-        const auto again = [this, node] {
-            this->after(reviewInterval, [this, node] { this->registerSidecar(node); });
-        };
+        const auto again = [this, node] { this->after(reviewInterval, [this, node] { this->registerSidecar(node); }); };
         this->memberPutsOpen.insert(node);
         this->callObjects(
             ObjectGet { { "member", node.value } }, [this, node, hello, again](const ObjectOutcome& outcome) {
--- a/src/librattandeck/entryobjects.cpp
+++ b/src/librattandeck/entryobjects.cpp
@@ -25,8 +25,8 @@
         return;
     const ObjectCallback done = std::move(found->second);
     this->objectCalls.erase(found);
-    const bool unreachable = !outcome
-        && (outcome.error() == ObjectError::Unavailable || outcome.error() == ObjectError::NoAnswer);
+    const bool unreachable
+        = !outcome && (outcome.error() == ObjectError::Unavailable || outcome.error() == ObjectError::NoAnswer);
     this->noteStore(!unreachable);
     done(outcome);
 }
@@ -81,8 +81,7 @@
         if (!outcome && outcome.error() != ObjectError::NotFound)
             return;
         if (outcome)
-            this->configChanged(
-                this->config.applyList(configKinds[kind], outcome->objects, outcome->revision), {});
+            this->configChanged(this->config.applyList(configKinds[kind], outcome->objects, outcome->revision), {});
         this->listConfig(kind + 1);
     });
 }
@@ -94,12 +93,12 @@
     if (changed.empty())
         return;
     for (const ConfigObject& object : changed) {
-        if (object.kind != "quarantine")
+        if (object.kind != "quarantine") {
+            this->policies.apply(object);
             continue;
-        const nlohmann::json json = nlohmann::json::parse(object.value, nullptr, false);
-        const std::uint64_t crashes = json.is_object() ? json.value("crashes", std::uint64_t { 0 }) : 0;
+        }
         const Digest fingerprint(object.name);
-        if (!object.deleted && crashes >= this->settings.crashLimit)
+        if (!object.deleted)
             this->quarantined.insert(fingerprint);
         else
             this->quarantined.erase(fingerprint);
@@ -119,39 +118,69 @@
 
 void EntryCore::Impl::noteCrash(const Digest& fingerprint, const ServiceName& service)
 {
-    const std::uint32_t crashes = ++this->crashCounts[fingerprint];
-    if (crashes >= this->settings.crashLimit && this->quarantined.insert(fingerprint).second)
-        this->log("request held", "fingerprint " + fingerprint.value + " crashed endpoints of " + service.value);
-    this->writeQuarantine(fingerprint, service);
+    ++this->crashCounts[fingerprint];
+    this->writeCrash(fingerprint, service);
+    if (this->crashCounts[fingerprint] >= this->settings.crashLimit)
+        this->writeQuarantine(fingerprint, service);
 }
 
-// The count lives in the store, so that crashes met by different entries add up and outlive them.
-void EntryCore::Impl::writeQuarantine(const Digest& fingerprint, const ServiceName& service)
+namespace {
+
+    std::uint64_t crashesIn(const ObjectOutcome& outcome)
+    {
+        if (!outcome || outcome->objects.empty())
+            return 0;
+        const nlohmann::json json = nlohmann::json::parse(outcome->objects.front().value, nullptr, false);
+        const bool counted = json.is_object() && json.contains("crashes") && json["crashes"].is_number_unsigned();
+        return counted ? json["crashes"].get<std::uint64_t>() : 0;
+    }
+
+}
+
+// The count lives in the store, so that crashes met by different entries add up.
+void EntryCore::Impl::writeCrash(const Digest& fingerprint, const ServiceName& service)
 {
-    const ObjectKey key { "quarantine", fingerprint.value };
+    const ObjectKey key { "crash", fingerprint.value };
     const auto again = [this, fingerprint, service] {
-        this->after(reviewInterval, [this, fingerprint, service] { this->writeQuarantine(fingerprint, service); });
+        this->after(reviewInterval, [this, fingerprint, service] { this->writeCrash(fingerprint, service); });
     };
-    this->callObjects(ObjectGet { key }, [this, key, service, again](const ObjectOutcome& found) {
+    this->callObjects(ObjectGet { key }, [this, key, fingerprint, service, again](const ObjectOutcome& found) {
         if (!found && found.error() != ObjectError::NotFound)
             return again();
-        ObjectVersion expected;
-        std::uint64_t crashes = 0;
-        if (found && !found->objects.empty()) {
-            const StoredObject& stored = found->objects.front();
-            const nlohmann::json json = nlohmann::json::parse(stored.value, nullptr, false);
-            expected = stored.version;
-            crashes = json.is_object() ? json.value("crashes", std::uint64_t { 0 }) : 0;
-        }
-        const nlohmann::json json { { "service", service.value }, { "crashes", crashes + 1 } };
-        this->callObjects(ObjectPut { key, expected, json.dump() }, [this, again](const ObjectOutcome& written) {
-            // A lost answer may count one crash twice, which only holds the request earlier.
-            if (!written)
-                return again();
-            for (const StoredObject& object : written->objects)
-                this->onObjectChanged(object);
-        });
+        const ObjectVersion expected
+            = found && !found->objects.empty() ? found->objects.front().version : ObjectVersion(0);
+        const std::uint64_t crashes = crashesIn(found) + 1;
+        const nlohmann::json json { { "service", service.value }, { "crashes", crashes } };
+        this->callObjects(ObjectPut { key, expected, json.dump() },
+            [this, fingerprint, service, crashes, again](const ObjectOutcome& written) {
+                // After a lost answer one crash may count twice, which only holds the request earlier.
+                if (!written)
+                    return again();
+                if (crashes >= this->settings.crashLimit)
+                    this->writeQuarantine(fingerprint, service);
+            });
     });
 }
 
+void EntryCore::Impl::writeQuarantine(const Digest& fingerprint, const ServiceName& service)
+{
+    if (this->quarantined.insert(fingerprint).second)
+        this->log("request held", "fingerprint " + fingerprint.value + " crashed endpoints of " + service.value);
+    const ObjectKey key { "quarantine", fingerprint.value };
+    if (this->config.find(key))
+        return;
+    const nlohmann::json json { { "service", service.value } };
+    this->callObjects(
+        ObjectPut { key, ObjectVersion(0), json.dump() }, [this, fingerprint, service](const ObjectOutcome& written) {
+            if (written) {
+                for (const StoredObject& object : written->objects)
+                    this->onObjectChanged(object);
+                return;
+            }
+            if (written.error() == ObjectError::Conflict)
+                return;
+            this->after(reviewInterval, [this, fingerprint, service] { this->writeQuarantine(fingerprint, service); });
+        });
+}
+
 }
--- a/src/librattandeck/entryorders.cpp
+++ b/src/librattandeck/entryorders.cpp
@@ -58,6 +58,11 @@
     };
     if (this->isQuarantined(call.fingerprint))
         return fail(ProblemKind::Quarantined, "requests like this one have crashed endpoints");
+    if (this->now() < program.blockedUntil) {
+        const auto left = std::chrono::ceil<Milliseconds>(program.blockedUntil - this->now());
+        const Problem problem { ProblemKind::NotServing, Ran::No, left, "an earlier call may still start" };
+        return this->failCall(shard, program, problem);
+    }
     if (!call.request.head.value.empty() && call.request.head != program.head)
         return fail(ProblemKind::HistoryMismatch, "the program's history has another head");
     BudgetAccount& account = shard.account(program.header);
@@ -79,9 +84,10 @@
     ProgramCall& call = *program.current;
     call.stage = CallStage::Waiting;
     call.waitingSince = this->now();
-    if (!call.request.idempotent && this->now() < shard.nonIdempotentFrom) {
+    const bool doubtful = shard.doubtful(program.header.id, this->now());
+    if (doubtful && this->now() < shard.doubtfulFrom) {
         const ProgramId id = program.header.id;
-        this->after(shard.nonIdempotentFrom - this->now(), [this, id, serial = call.serial] {
+        this->after(shard.doubtfulFrom - this->now(), [this, id, serial = call.serial] {
             HomeShard* later = nullptr;
             HomeProgram* waiting = nullptr;
             const ProgramCall* open = this->findCall(id, serial, &later, &waiting);
@@ -124,17 +130,50 @@
     shape.promptTokens = TokenCount(program.historyTokens.value + estimateTokens(call.request.input).value);
     shape.expectedOutputTokens = call.request.maxOutputTokens;
     shape.timeLeft = std::chrono::duration_cast<Milliseconds>(call.deadline - this->now());
-    PlacementSettings placement;
-    placement.ownDomain = this->settings.domain;
+    ClassPolicy& policy = this->policyFor(program, service);
+    if (policy.admitted && policy.admitted->empty())
+        return fail(ProblemKind::NoCapacity, takeoverRetry, "the policies admit no endpoint of " + service.value);
     PlacementDecision decision;
-    const std::optional<TakenCredit> credit = this->fleet.place(
-        service, shape, placement, this->nextSeed(), program.prefixes, call.tried, this->now(), decision);
+    PlacementQuery query { service, shape, policy.settings, this->nextSeed(), program.prefixes, call.tried };
+    if (policy.admitted)
+        query.admitted = &*policy.admitted;
+    const std::optional<TakenCredit> credit = this->fleet.place(query, this->now(), decision);
     if (!credit)
         return false;
     this->sendOrder(shard, program, *credit, std::move(decision));
     return true;
 }
 
+EntryCore::Impl::ClassPolicy& EntryCore::Impl::policyFor(const HomeProgram& program, const ServiceName& called)
+{
+    const ProgramClass key { program.header.organisation, program.header.service, called };
+    const auto [found, created] = this->classPolicies.try_emplace(key);
+    ClassPolicy& policy = found->second;
+    const std::uint64_t generation = this->policies.generation();
+    const std::uint64_t members = this->fleet.generation();
+    if (!created && policy.generation == generation && policy.fleetGeneration == members)
+        return policy;
+    policy.generation = generation;
+    policy.fleetGeneration = members;
+    const Labels labels = this->policies.programLabels(key.organisation, key.program);
+    PlacementSettings defaults;
+    defaults.ownDomain = this->settings.domain;
+    policy.settings = this->policies.placementFor(labels, defaults);
+    std::unordered_set<NodeId> admitted;
+    bool all = true;
+    for (const SidecarView& view : this->fleet.views(called)) {
+        const Labels endpoint = this->policies.endpointLabels(view.node, view.domain, called);
+        if (this->policies.admits(labels, endpoint))
+            admitted.insert(view.node);
+        else
+            all = false;
+    }
+    policy.admitted.reset();
+    if (!all)
+        policy.admitted = std::move(admitted);
+    return policy;
+}
+
 double EntryCore::Impl::priorityOf(const HomeShard& /*shard*/, const HomeProgram& program) const
 {
     ProgramProgress progress;
@@ -212,8 +251,8 @@
     const bool tooLong = saturated && waitSeconds > std::chrono::duration<double>(bound).count();
     if (tooLong || queue.calls.size() >= serviceQueueLimit) {
         const Milliseconds retry = retryAfter(waitSeconds, this->nextSeed());
-        return this->failCall(
-            shard, program, Problem { ProblemKind::Overloaded, Ran::No, retry, "too many calls wait for this service" });
+        return this->failCall(shard, program,
+            Problem { ProblemKind::Overloaded, Ran::No, retry, "too many calls wait for this service" });
     }
     if (queue.calls.empty())
         queue.saturatedSince = this->now();
--- a/src/librattandeck/entryrecords.cpp
+++ b/src/librattandeck/entryrecords.cpp
@@ -50,7 +50,8 @@
     HomeShard& shard = this->shards.at(id.shard);
     HomeProgram& program = *shard.find(id);
     ProgramCall& call = *program.current;
-    if (call.sidecar != from)
+    // A later life of the sidecar can't tell what its former one did.
+    if (call.sidecar != from || call.life != this->nodes.at(from).life)
         return;
     ++this->counters.ordersRefused;
     this->takeBack(program, call);
@@ -117,7 +118,8 @@
         const bool wanted = !call.callers.empty() && takeRetry(this->retries);
         if (wanted)
             return this->placeCall(shard, program);
-        const Problem problem { ProblemKind::NoCapacity, Ran::No, takeoverRetry, "the endpoint did not start the call" };
+        const Problem problem { ProblemKind::NoCapacity, Ran::No, takeoverRetry,
+            "the endpoint did not start the call" };
         return this->failCall(shard, program, problem);
     }
     const bool mayRunAgain = record.state == RecordState::Failed && ended.endpointCrashed;
@@ -250,8 +252,7 @@
 
 // Settling ---------------------------------------------------------------------------------------------------------
 
-void EntryCore::Impl::releaseReservation(
-    HomeShard& shard, HomeProgram& program, ProgramCall& call, TokenCount charged)
+void EntryCore::Impl::releaseReservation(HomeShard& shard, HomeProgram& program, ProgramCall& call, TokenCount charged)
 {
     BudgetAccount& account = shard.account(program.header);
     account.reserved.value -= call.reserved.value;
@@ -279,6 +280,7 @@
     if (call.stage == CallStage::Ordered) {
         record = this->openRecord(program, call);
         this->takeBack(program, call);
+        program.blockedUntil = call.deadline + this->settings.creditLife;
     } else {
         // The last attempt has been charged already, when its place was taken by another one.
         record = call.otherAttempts.back();
@@ -337,7 +339,8 @@
         done->prefilledTokens = call->prefilledTokens;
     }
     if (this->isQuarantined(call->fingerprint) && held.record.state == RecordState::Failed)
-        answer = Problem { ProblemKind::Quarantined, Ran::Unknown, {}, "requests like this one have crashed endpoints" };
+        answer
+            = Problem { ProblemKind::Quarantined, Ran::Unknown, {}, "requests like this one have crashed endpoints" };
     if (!this->hasAuthority())
         answer = Problem { ProblemKind::NotServing, Ran::Unknown, takeoverRetry, "the lease has lapsed" };
     this->pausePrefix(*shard, *program, *call);
@@ -369,8 +372,8 @@
     const bool certain = record.state == RecordState::Finished || record.state == RecordState::Failed;
     if (!program || !certain || !isWhole(record) || program->ended)
         return;
-    const bool taken = program->current && program->current->turn == record.turn
-        && program->current->stage != CallStage::Waiting;
+    const bool taken
+        = program->current && program->current->turn == record.turn && program->current->stage != CallStage::Waiting;
     const auto known = program->records.find(record.turn);
     const bool open = known == program->records.end() || known->second.record.state == RecordState::Unknown;
     if (taken || !open)
--- a/src/librattandeck/entryshards.cpp
+++ b/src/librattandeck/entryshards.cpp
@@ -48,8 +48,8 @@
         ShardMap empty;
         empty.slots.resize(this->settings.shardCount);
         empty.writer = this->writerName();
-        this->callObjects(ObjectPut { key, ObjectVersion(0), formatShardMap(empty) },
-            [this, done](const ObjectOutcome& written) {
+        this->callObjects(
+            ObjectPut { key, ObjectVersion(0), formatShardMap(empty) }, [this, done](const ObjectOutcome& written) {
                 if (written) {
                     for (const StoredObject& object : written->objects)
                         this->onObjectChanged(object);
@@ -165,6 +165,7 @@
         ground.claim.completeThrough = this->writtenCompleteThrough();
         if (!this->formerLease)
             return ground;
+        // This life's own lease has taken the place of the former one, which can't be renewed any more.
         ground.claim.lease = this->formerLease->lease;
         ground.claim.leaseVersion = this->formerLease->version;
         ground.from = this->formerLease->lapsesAt(this->settings.clockMargin);
@@ -175,11 +176,13 @@
     if (seen == this->observed.end()) {
         const TimePoint since = this->homeMissingSince.try_emplace(slot.home, this->now()).first->second;
         ground.from = since + this->settings.leaseDuration + this->settings.clockMargin;
+        ground.claim.mustBreak = true;
         return ground;
     }
     ground.claim.lease = seen->second.lease;
     ground.claim.leaseVersion = seen->second.version;
     ground.claim.completeThrough = seen->second.lease.completeThrough;
+    ground.claim.mustBreak = !seen->second.lease.released && !seen->second.lease.broken;
     ground.claim.mustRelease = !seen->second.lease.released && !seen->second.lease.guarantors.empty();
     ground.from = seen->second.lapsesAt(this->settings.clockMargin);
     return ground;
@@ -233,13 +236,48 @@
     this->claim = std::move(claim);
     this->claim->serial = ++this->lastClaim;
     this->claim->begun = this->now();
+    if (this->claim->mustBreak)
+        return this->breakLease();
+    this->releasesNext();
+}
+
+void EntryCore::Impl::abandonClaim() { this->claim.reset(); }
+
+// Writes the lease at exactly the version that was watched, so that a renewal still under way fails. After a lost
+// answer the watch, or the next read, shows whether it was written; a broken lease may be claimed by anyone.
+void EntryCore::Impl::breakLease()
+{
+    const Claim& open = *this->claim;
+    LeaseObject broken = open.lease;
+    broken.entry = open.holder;
+    broken.broken = true;
+    const ObjectKey key { "lease", open.holder.value };
+    const ObjectPut put { key, open.leaseVersion, formatLease(broken) };
+    this->callObjects(put, [this, key, serial = open.serial](const ObjectOutcome& outcome) {
+        const bool ours = this->claimIs(serial);
+        if (outcome && !outcome->objects.empty()) {
+            this->observeLease(outcome->objects.front());
+            if (!ours)
+                return;
+            this->claim->leaseVersion = outcome->objects.front().version;
+            return this->releasesNext();
+        }
+        if (ours)
+            this->abandonClaim();
+        this->callObjects(ObjectGet { key }, [this](const ObjectOutcome& found) {
+            if (found && !found->objects.empty())
+                this->observeLease(found->objects.front());
+        });
+    });
+}
+
+void EntryCore::Impl::releasesNext()
+{
     if (this->claim->mustRelease)
         return this->askReleases();
     this->lowerCompleteThrough();
 }
 
-void EntryCore::Impl::abandonClaim() { this->claim.reset(); }
-
 void EntryCore::Impl::askReleases()
 {
     Claim& open = *this->claim;
@@ -304,8 +342,6 @@
     this->renewLease();
 }
 
-// The order matters: first the map, then the holder's lease, then the update of that version of the map. A holder that
-// comes back renews its lease and then writes the map, so one of the two is seen.
 void EntryCore::Impl::readBeforeClaim()
 {
     this->readMap([this, serial = this->claim->serial](bool read) {
@@ -322,27 +358,6 @@
         });
         if (open.shards.empty())
             return this->abandonClaim();
-        this->checkHolderLease();
-    });
-}
-
-void EntryCore::Impl::checkHolderLease()
-{
-    const Claim& open = *this->claim;
-    if (open.holder.value.empty() || open.handedOver || open.holder == this->settings.node)
-        return this->writeClaim();
-    const ObjectKey key { "lease", open.holder.value };
-    this->callObjects(ObjectGet { key }, [this, serial = open.serial](const ObjectOutcome& outcome) {
-        if (!this->claimIs(serial))
-            return;
-        ObjectVersion version;
-        if (outcome && !outcome->objects.empty()) {
-            version = outcome->objects.front().version;
-            this->observeLease(outcome->objects.front());
-        } else if (!outcome && outcome.error() != ObjectError::NotFound)
-            return this->abandonClaim();
-        if (version != this->claim->leaseVersion)
-            return this->abandonClaim();
         this->writeClaim();
     });
 }
@@ -460,23 +475,41 @@
         changed.slots[id.value].through = this->writtenCompleteThrough();
     }
     this->handOverOpen = true;
-    const ObjectPut put { { "shardmap", "main" }, this->map.version, formatShardMap(changed) };
-    this->callObjects(put, [this, given](const ObjectOutcome& outcome) {
-        this->handOverOpen = false;
-        if (outcome && !outcome->objects.empty())
-            return this->onObjectChanged(outcome->objects.front());
-        const bool refused = !outcome
-            && (outcome.error() == ObjectError::Conflict || outcome.error() == ObjectError::Unavailable);
-        // A lost answer may hide a hand-over; the shards stay idle until another write of the map has settled it.
-        if (!refused)
-            ++this->touchesWanted;
-        for (const ShardId id : given) {
-            const auto found = this->shards.find(id);
-            if (found != this->shards.end())
-                found->second.serving = true;
+    const ObjectVersion base = this->map.version;
+    const ObjectPut put { { "shardmap", "main" }, base, formatShardMap(changed) };
+    this->callObjects(put, [this, given, base](const ObjectOutcome& outcome) {
+        if (outcome) {
+            this->handOverOpen = false;
+            for (const StoredObject& object : outcome->objects)
+                this->onObjectChanged(object);
+            return;
+        }
+        this->settleHandOver(given, base);
+    });
+}
+
+// A hand-over whose answer was lost may take effect until the map has a later version; the shards stay idle until then.
+void EntryCore::Impl::settleHandOver(const std::vector<ShardId>& given, ObjectVersion base)
+{
+    const auto again = [this, given, base] {
+        this->after(reviewInterval, [this, given, base] { this->settleHandOver(given, base); });
+    };
+    this->readMap([this, given, base, again](bool read) {
+        if (!read)
+            return again();
+        if (this->map.version > base) {
+            this->handOverOpen = false;
+            for (const ShardId id : given) {
+                const auto found = this->shards.find(id);
+                if (found != this->shards.end())
+                    found->second.serving = true;
+            }
+            return;
         }
-        if (!refused)
-            this->touchMap();
+        ShardMap rewritten = this->map;
+        rewritten.writer = this->writerName();
+        const ObjectPut put { { "shardmap", "main" }, base, formatShardMap(rewritten) };
+        this->callObjects(put, [again](const ObjectOutcome&) { again(); });
     });
 }
 
--- a/src/librattandeck/fleet.cpp
+++ b/src/librattandeck/fleet.cpp
@@ -70,6 +70,7 @@
         && !this->currentView(sidecar).report.leaving;
     if (usable == sidecar.position.has_value())
         return;
+    ++this->changes;
     std::vector<SidecarView>& views = this->services[sidecar.service].views;
     if (usable) {
         sidecar.position = views.size();
@@ -166,48 +167,70 @@
     return taken;
 }
 
-std::optional<TakenCredit> Fleet::place(const ServiceName& service, const CallShape& call,
-    const PlacementSettings& settings, std::uint64_t seed, std::span<const HeldAt> held,
-    std::span<const NodeId> excluded, TimePoint now, PlacementDecision& decision)
+std::span<const SidecarView> Fleet::views(const ServiceName& service) const
 {
     const auto found = this->services.find(service);
     if (found == this->services.end())
-        return std::nullopt;
-    std::vector<SidecarView>& views = found->second.views;
-    for (const HeldAt& prefix : held) {
-        Sidecar* sidecar = this->find(prefix.sidecar);
-        if (sidecar)
-            this->currentView(*sidecar).heldTokens = prefix.tokens;
-    }
-    for (const NodeId& node : excluded) {
-        Sidecar* sidecar = this->find(node);
-        if (sidecar)
-            this->currentView(*sidecar).creditsLeft = 0;
-    }
+        return {};
+    return found->second.views;
+}
 
-    // A sidecar that has fallen silent is found out when it is chosen; its credits have run out by then.
-    std::optional<TakenCredit> taken;
-    while (!taken) {
-        decision = choosePlacement(views, call, settings, seed);
-        Sidecar* chosen = this->find(decision.choice);
-        if (decision.choice.value.empty() || !chosen)
-            break;
-        this->refreshCredits(*chosen, now);
-        if (this->currentView(*chosen).creditsLeft > 0)
-            taken = this->takeCredit(*chosen);
-    }
+bool Fleet::mayServe(const PlacementQuery& query, const SidecarView& view)
+{
+    if (view.creditsLeft == 0 || (query.admitted && !query.admitted->contains(view.node)))
+        return false;
+    return std::find(query.excluded.begin(), query.excluded.end(), view.node) == query.excluded.end();
+}
 
-    for (const NodeId& node : excluded) {
-        Sidecar* sidecar = this->find(node);
-        if (sidecar)
-            this->refreshCredits(*sidecar, now);
+// The holders of the program's prefix, and a run of the others from a random place on.
+std::vector<SidecarView> Fleet::candidates(const PlacementQuery& query, TimePoint now)
+{
+    constexpr std::size_t sampleSize = 32;
+    std::vector<SidecarView> chosen;
+    std::vector<SidecarView>& views = this->services.at(query.service).views;
+    const auto heldAt = [&](const NodeId& node) -> const HeldAt* {
+        for (const HeldAt& prefix : query.held) {
+            if (prefix.sidecar == node)
+                return &prefix;
+        }
+        return nullptr;
+    };
+    const auto consider = [&](SidecarView& view) {
+        if (!this->mayServe(query, view))
+            return false;
+        // A sidecar that has fallen silent is found out here: its credits have run out.
+        this->refreshCredits(*this->find(view.node), now);
+        if (view.creditsLeft > 0)
+            chosen.push_back(view);
+        return view.creditsLeft > 0;
+    };
+    for (const HeldAt& prefix : query.held) {
+        Sidecar* holder = this->find(prefix.sidecar);
+        const bool usable = holder && holder->position && holder->service == query.service;
+        if (usable && consider(views[*holder->position]))
+            chosen.back().heldTokens = prefix.tokens;
     }
-    for (const HeldAt& prefix : held) {
-        Sidecar* sidecar = this->find(prefix.sidecar);
-        if (sidecar)
-            this->currentView(*sidecar).heldTokens = TokenCount(0);
+    const std::size_t wanted = chosen.size() + sampleSize;
+    for (std::size_t i = 0; i < views.size() && chosen.size() < wanted; ++i) {
+        SidecarView& view = views[(query.seed + i) % views.size()];
+        if (!heldAt(view.node))
+            consider(view);
     }
-    return taken;
+    return chosen;
+}
+
+std::optional<TakenCredit> Fleet::place(const PlacementQuery& query, TimePoint now, PlacementDecision& decision)
+{
+    if (!this->services.contains(query.service))
+        return std::nullopt;
+    const std::vector<SidecarView> chosen = this->candidates(query, now);
+    if (chosen.empty())
+        return std::nullopt;
+    decision = choosePlacement(chosen, query.call, query.settings, query.seed);
+    Sidecar* sidecar = this->find(decision.choice);
+    if (!sidecar || this->currentView(*sidecar).creditsLeft == 0)
+        return std::nullopt;
+    return this->takeCredit(*sidecar);
 }
 
 void Fleet::noteOrder(const NodeId& node, OrderId order, TokenCount tokens)
--- a/src/librattandeck/fleet.h
+++ b/src/librattandeck/fleet.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace Rattandeck {
@@ -18,6 +19,20 @@
     TokenCount tokens;
 };
 
+/// What a call asks of the fleet. The referenced objects outlive the query.
+struct PlacementQuery {
+    const ServiceName& service;
+    const CallShape& call;
+    const PlacementSettings& settings;
+    std::uint64_t seed = 0;
+    /// Prefixes of the program.
+    std::span<const HeldAt> held;
+    /// Sidecars that must not get the call again.
+    std::span<const NodeId> excluded;
+    /// Null: every sidecar of the service is admitted.
+    const std::unordered_set<NodeId>* admitted = nullptr;
+};
+
 /// A credit taken for one order.
 struct TakenCredit {
     NodeId sidecar;
@@ -43,11 +58,14 @@
     /// Linked, registered and not leaving.
     bool mayBeUsed(const NodeId& node) const;
 
-    /// Places a call and takes a credit; nothing when no sidecar outside `excluded` has one. Fills `decision` for the
-    /// log but for its order id.
-    std::optional<TakenCredit> place(const ServiceName& service, const CallShape& call,
-        const PlacementSettings& settings, std::uint64_t seed, std::span<const HeldAt> held,
-        std::span<const NodeId> excluded, TimePoint now, PlacementDecision& decision);
+    /// Sidecars of the service that may be given orders, in no order.
+    std::span<const SidecarView> views(const ServiceName& service) const;
+    /// Grows whenever a sidecar is added to the views or leaves them.
+    std::uint64_t generation() const { return this->changes; }
+
+    /// Places a call and takes a credit; nothing when no admitted sidecar has one. Fills `decision` for the log but for
+    /// its order id. Looks at a sample of the views, and at all of them only when the sample has no credit.
+    std::optional<TakenCredit> place(const PlacementQuery& query, TimePoint now, PlacementDecision& decision);
     /// Counts an order until a report accounts for it.
     void noteOrder(const NodeId& node, OrderId order, TokenCount tokens);
     void noteOrderDone(const NodeId& node, OrderId order);
@@ -89,10 +107,13 @@
     void refreshCredits(Sidecar& sidecar, TimePoint now);
     void refreshUnaccounted(Sidecar& sidecar);
     TakenCredit takeCredit(Sidecar& sidecar);
+    bool mayServe(const PlacementQuery& query, const SidecarView& view);
+    std::vector<SidecarView> candidates(const PlacementQuery& query, TimePoint now);
 
     std::unordered_map<NodeId, Sidecar> sidecars;
     std::unordered_map<ServiceName, Service> services;
     std::set<NodeId> leavingNodes;
+    std::uint64_t changes = 0;
 };
 
 }
--- a/src/librattandeck/home.cpp
+++ b/src/librattandeck/home.cpp
@@ -87,8 +87,7 @@
         return nullptr;
     }
 
-    std::optional<CallJudgement> judgeByKey(
-        HomeProgram& program, const CallerRequest& request, const Digest& digest)
+    std::optional<CallJudgement> judgeByKey(HomeProgram& program, const CallerRequest& request, const Digest& digest)
     {
         if (request.key.value.empty())
             return std::nullopt;
@@ -104,8 +103,7 @@
         return SameCall { open };
     }
 
-    std::optional<CallJudgement> judgeByTurn(
-        HomeProgram& program, const CallerRequest& request, const Digest& digest)
+    std::optional<CallJudgement> judgeByTurn(HomeProgram& program, const CallerRequest& request, const Digest& digest)
     {
         if (request.turn.value == 0)
             return std::nullopt;
@@ -116,8 +114,7 @@
             return problem(ProblemKind::ProgramEnded, Ran::Unknown, "the program has ended");
         if (request.turn <= program.lastTurn)
             return problem(ProblemKind::HistoryLost, Ran::Unknown, "the record of this turn is lost");
-        ProgramCall* open
-            = findOpenCall(program, [&](const ProgramCall& call) { return call.turn == request.turn; });
+        ProgramCall* open = findOpenCall(program, [&](const ProgramCall& call) { return call.turn == request.turn; });
         if (open && open->digest == digest)
             return SameCall { open };
         const std::size_t openCalls = program.queue.size() + (program.current ? 1 : 0);
@@ -236,7 +233,7 @@
     return text;
 }
 
-TokenCount chargedTokens(const HomeProgram& program, bool doubtful)
+TokenCount chargedTokens(const HomeProgram& program, std::uint32_t lostReservations)
 {
     TokenCount charged;
     for (const auto& [turn, held] : program.records) {
@@ -244,8 +241,7 @@
         for (const TurnRecord& other : held.otherAttempts)
             charged.value += other.charged.value;
     }
-    if (doubtful)
-        charged.value += maxTokensPerCall;
+    charged.value += lostReservations * maxTokensPerCall;
     return charged;
 }
 
--- a/src/librattandeck/home.h
+++ b/src/librattandeck/home.h
@@ -6,8 +6,8 @@
 #include "Rattandeck/timer.h"
 
 #include <deque>
-#include <map>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <unordered_map>
@@ -109,6 +109,8 @@
     TimePoint endedAt {};
     Duration attainedService { 0 };
     std::uint32_t turnsDone = 0;
+    /// A call with an unknown outcome may still start until then; the next one waits.
+    TimePoint blockedUntil {};
 };
 
 struct HomeShard {
@@ -119,7 +121,9 @@
     TimePoint gapSince {};
     bool serving = false;
     /// Before this, late orders of the former home may still start at a sidecar that the census didn't reach.
-    TimePoint nonIdempotentFrom {};
+    TimePoint doubtfulFrom {};
+    /// Lives that the census has missed; each may hold one open call of a program.
+    std::uint32_t missedLives = 0;
     std::uint64_t lastSerial = 0;
     std::unordered_map<ProgramId, HomeProgram> programs;
     std::unordered_map<ProgramId, BudgetAccount> accounts;
@@ -184,7 +188,7 @@
 HeldRecord& addRecord(HomeProgram& program, HeldRecord held);
 /// Text of the chain for the engine, for calls of `service`.
 std::string historyText(const HomeProgram& program, const ServiceName& service);
-/// Charge of all records, and of an open reservation for a program in doubt. Used after a census.
-TokenCount chargedTokens(const HomeProgram& program, bool doubtful);
+/// Charge of all records, and of open reservations that may have been lost. Used after a census.
+TokenCount chargedTokens(const HomeProgram& program, std::uint32_t lostReservations);
 
 }
--- a/src/librattandeck/lease.cpp
+++ b/src/librattandeck/lease.cpp
@@ -18,6 +18,8 @@
         json["guarantors"].push_back(guarantor.value);
     if (lease.released)
         json["released"] = true;
+    if (lease.broken)
+        json["broken"] = true;
     return json.dump();
 }
 
@@ -38,6 +40,7 @@
         lease.completeThrough = ObjectVersion(json.value("completeThrough", std::uint64_t { 0 }));
         lease.renewal = json.value("renewal", std::uint64_t { 0 });
         lease.released = json.value("released", false);
+        lease.broken = json.value("broken", false);
         return lease;
     } catch (const nlohmann::json::exception&) {
         return tl::unexpected(ObjectError::Malformed);
@@ -106,7 +109,7 @@
 
 TimePoint ObservedLease::lapsesAt(Milliseconds margin) const
 {
-    if (this->lease.released)
+    if (this->lease.released || this->lease.broken)
         return this->firstSeen;
     return this->firstSeen + this->lease.duration + margin;
 }
--- a/src/librattandeck/lease.h
+++ b/src/librattandeck/lease.h
@@ -28,6 +28,8 @@
     std::uint64_t renewal = 0;
     /// The holder has stopped for good.
     bool released = false;
+    /// A successor has ended the lease, so that a renewal under way can't take effect any more.
+    bool broken = false;
 };
 
 std::string formatLease(const LeaseObject& lease);
--- a/src/librattandeck/members.cpp
+++ b/src/librattandeck/members.cpp
@@ -42,7 +42,7 @@
     for (const Member& member : members) {
         const bool changedSince = member.changed > completeThrough;
         if (changedSince && (member.gone || member.former.value != 0))
-            roll.lifeLost = true;
+            ++roll.livesLost;
         if (!member.gone)
             roll.mustHear.push_back(member);
     }
--- a/src/librattandeck/members.h
+++ b/src/librattandeck/members.h
@@ -34,8 +34,8 @@
 /// Whom a census must hear so that it is complete.
 struct CensusRoll {
     std::vector<Member> mustHear;
-    /// A life that may have held facts is gone for good.
-    bool lifeLost = false;
+    /// Lives that may have held facts and are gone for good.
+    std::uint32_t livesLost = 0;
 };
 
 /// Facts of lives that ended up to `completeThrough` stand elsewhere; those that ended later may be lost.
