Accept calls that don't name their organisation

Cause: calls carry only the program's id, yet the home compared organisations: every call was answered unknown-program. Change: compared only when named (X-Organisation).

--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -174,7 +174,9 @@
         }
     }
     HomeProgram* program = shard->find(request.program);
-    if (!program || program->header.organisation != request.organisation)
+    // A caller that names its organisation can't reach another's program by a mistaken id.
+    const bool named = !request.organisation.value.empty();
+    if (!program || (named && program->header.organisation != request.organisation))
         return this->refuseMissing(caller, *shard, request);
     switch (request.kind) {
     case CallKind::OpenProgram:
