Serve the whole path; an entry is ready once the system has homes

Cause: readiness was told while the shard map was still unknown, so the first requests were refused. Change: serving needs authority and a map with homes.

--- a/src/include/Rattandeck/entry.h
+++ b/src/include/Rattandeck/entry.h
@@ -68,6 +68,7 @@
 
 /// Numbers for metrics and status pages.
 struct EntryStatus {
+    /// Holds authority, and the system has homes for programs.
     bool serving = false;
     /// Authority comes from guarantors' promises because the object API can't be reached.
     bool onPromises = false;
--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -326,7 +326,10 @@
 {
     const Impl& entry = *this->impl;
     EntryStatus status = entry.counters;
-    status.serving = entry.hasAuthority();
+    // Programs can be opened once some entry has a shard, here or elsewhere.
+    const bool anyHome = std::any_of(entry.map.slots.begin(), entry.map.slots.end(),
+        [](const ShardSlot& slot) { return !slot.home.value.empty(); });
+    status.serving = entry.hasAuthority() && anyHome;
     status.onPromises = status.serving && entry.lease.onPromises(entry.now());
     status.ownedShards = 0;
     status.openPrograms = 0;
