--- /dev/null
+++ b/src/librattandeck/entry_test.cpp
@@ -0,0 +1,289 @@
+#include "entryworld_test.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Rattandeck;
+using namespace Rattandeck::EntryWorld;
+
+/// The common path, and refusals on it.
+class EntryTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(EntryTest);
+    CPPUNIT_TEST(entriesThatStartTogetherDivideTheShards);
+    CPPUNIT_TEST(lateEntryIsGivenShards);
+    CPPUNIT_TEST(programRunsItsTurnsInOrder);
+    CPPUNIT_TEST(requestAtAnotherEntryIsForwarded);
+    CPPUNIT_TEST(repeatedTurnGetsTheStoredAnswer);
+    CPPUNIT_TEST(keyedCallRunsOnceOverTwoEntries);
+    CPPUNIT_TEST(reusedKeyIsRefused);
+    CPPUNIT_TEST(budgetIsSharedWithSubAgents);
+    CPPUNIT_TEST(wrongHeadIsRefused);
+    CPPUNIT_TEST(endReleasesTheEngines);
+    CPPUNIT_TEST(callWithoutCreditIsRefusedWithRetryAfter);
+    CPPUNIT_TEST(leavingSidecarGetsNothing);
+    CPPUNIT_TEST(plannedStopHandsTheProgramsOver);
+    CPPUNIT_TEST(configurationNeverReverts);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<World> world;
+
+    void start()
+    {
+        this->world = std::make_unique<World>();
+        this->world->addEntry("e1", "d1");
+        this->world->addEntry("e2", "d2");
+        this->world->addSidecar("s1", "d1");
+        this->world->addSidecar("s2", "d2");
+        this->world->run(Milliseconds(8000));
+    }
+
+    static CallerRequest keyed(const std::string& key, const std::string& input)
+    {
+        CallerRequest request = World::callOf({}, input);
+        request.service = ServiceName("llm");
+        request.key = IdempotencyKey(key);
+        request.idempotent = false;
+        return request;
+    }
+
+    std::uint32_t startsOf(const ProgramId& program)
+    {
+        std::uint32_t starts = 0;
+        for (const auto& [node, sidecar] : this->world->sidecars) {
+            const auto found = sidecar.starts.find(program);
+            starts += found == sidecar.starts.end() ? 0 : found->second;
+        }
+        return starts;
+    }
+
+    void entriesThatStartTogetherDivideTheShards()
+    {
+        this->start();
+        const std::uint32_t first = this->world->owned(NodeId("e1"));
+        const std::uint32_t second = this->world->owned(NodeId("e2"));
+        CPPUNIT_ASSERT_EQUAL(4U, first + second);
+        CPPUNIT_ASSERT(first > 0);
+        CPPUNIT_ASSERT(second > 0);
+    }
+
+    void lateEntryIsGivenShards()
+    {
+        this->start();
+        this->world->addEntry("e3", "d3");
+        this->world->run(Milliseconds(20000));
+        CPPUNIT_ASSERT(this->world->owned(NodeId("e3")) > 0);
+        CPPUNIT_ASSERT_EQUAL(4U,
+            this->world->owned(NodeId("e1")) + this->world->owned(NodeId("e2")) + this->world->owned(NodeId("e3")));
+    }
+
+    void programRunsItsTurnsInOrder()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(NodeId("e1"));
+        CPPUNIT_ASSERT(opened.program.serial != 0);
+        const CallerTicket first = this->world->ask(NodeId("e1"), World::callOf(opened.program, "a"));
+        const CallerTicket second = this->world->ask(NodeId("e1"), World::callOf(opened.program, "b"));
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT(this->world->done(first));
+        CPPUNIT_ASSERT(this->world->done(second));
+        CPPUNIT_ASSERT_EQUAL(std::string("<a>"), this->world->done(first)->output);
+        CPPUNIT_ASSERT_EQUAL(1U, this->world->done(first)->turn.value);
+        CPPUNIT_ASSERT_EQUAL(2U, this->world->done(second)->turn.value);
+        const Digest head = chainDigest(this->world->done(first)->head, TurnNumber(2), "b", "<b>");
+        CPPUNIT_ASSERT(head == this->world->done(second)->head);
+    }
+
+    void requestAtAnotherEntryIsForwarded()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(NodeId("e1"));
+        const CallerTicket ticket = this->world->ask(NodeId("e2"), World::callOf(opened.program, "a"));
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT(this->world->done(ticket));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->world->events[ticket].size());
+    }
+
+    void repeatedTurnGetsTheStoredAnswer()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(NodeId("e1"));
+        CallerRequest call = World::callOf(opened.program, "a");
+        call.turn = TurnNumber(1);
+        const CallerTicket first = this->world->ask(NodeId("e1"), call);
+        const CallerTicket joined = this->world->ask(NodeId("e2"), call);
+        this->world->run(Milliseconds(100));
+        const CallerTicket repeated = this->world->ask(NodeId("e2"), call);
+        call.input = "other";
+        const CallerTicket other = this->world->ask(NodeId("e1"), call);
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT(this->world->done(first)->head == this->world->done(joined)->head);
+        CPPUNIT_ASSERT(this->world->done(first)->head == this->world->done(repeated)->head);
+        CPPUNIT_ASSERT(this->world->problem(other)->kind == ProblemKind::OutOfOrder);
+        CPPUNIT_ASSERT_EQUAL(1U, this->startsOf(opened.program));
+    }
+
+    void keyedCallRunsOnceOverTwoEntries()
+    {
+        this->start();
+        const CallerTicket first = this->world->ask(NodeId("e1"), keyed("k", "invoice"));
+        const CallerTicket second = this->world->ask(NodeId("e2"), keyed("k", "invoice"));
+        this->world->run(Milliseconds(200));
+        CPPUNIT_ASSERT(this->world->done(first));
+        CPPUNIT_ASSERT(this->world->done(second));
+        CPPUNIT_ASSERT_EQUAL(1U, this->startsOf(this->world->done(first)->program));
+    }
+
+    void reusedKeyIsRefused()
+    {
+        this->start();
+        this->world->ask(NodeId("e1"), keyed("k", "invoice"));
+        this->world->run(Milliseconds(200));
+        const CallerTicket other = this->world->ask(NodeId("e2"), keyed("k", "another invoice"));
+        this->world->run(Milliseconds(200));
+        CPPUNIT_ASSERT(this->world->problem(other));
+        CPPUNIT_ASSERT(this->world->problem(other)->kind == ProblemKind::KeyReused);
+    }
+
+    void budgetIsSharedWithSubAgents()
+    {
+        this->start();
+        const AnswerDone root = this->world->open(NodeId("e1"), 20);
+        CallerRequest opening;
+        opening.kind = CallKind::OpenProgram;
+        opening.program = root.program;
+        const CallerTicket ticket = this->world->ask(NodeId("e1"), opening);
+        this->world->run(Milliseconds(50));
+        CPPUNIT_ASSERT(this->world->done(ticket));
+        const ProgramId child = this->world->done(ticket)->program;
+        for (auto& [node, sidecar] : this->world->sidecars)
+            sidecar.answers = false;
+        // Each call reserves 11 tokens of 20.
+        const CallerTicket first = this->world->ask(NodeId("e1"), World::callOf(root.program, "a"));
+        const CallerTicket second = this->world->ask(NodeId("e1"), World::callOf(child, "a"));
+        this->world->run(Milliseconds(50));
+        CPPUNIT_ASSERT(!this->world->final(first));
+        CPPUNIT_ASSERT(this->world->problem(second));
+        CPPUNIT_ASSERT(this->world->problem(second)->kind == ProblemKind::BudgetExceeded);
+        CPPUNIT_ASSERT(this->world->problem(second)->ran == Ran::No);
+    }
+
+    void wrongHeadIsRefused()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(NodeId("e1"));
+        CallerRequest call = World::callOf(opened.program, "a");
+        call.head = Digest("feed");
+        const CallerTicket ticket = this->world->ask(NodeId("e1"), call);
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT(this->world->problem(ticket));
+        CPPUNIT_ASSERT(this->world->problem(ticket)->kind == ProblemKind::HistoryMismatch);
+    }
+
+    void endReleasesTheEngines()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(NodeId("e1"));
+        this->world->ask(NodeId("e1"), World::callOf(opened.program, "a"));
+        this->world->run(Milliseconds(100));
+        CallerRequest end;
+        end.kind = CallKind::EndProgram;
+        end.program = opened.program;
+        const CallerTicket ended = this->world->ask(NodeId("e1"), end);
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT(this->world->done(ended));
+        std::size_t holders = 0;
+        std::size_t told = 0;
+        for (const auto& [node, sidecar] : this->world->sidecars) {
+            holders += sidecar.headers.count(opened.program);
+            told += sidecar.headers.count(opened.program) * sidecar.ended.count(opened.program);
+        }
+        CPPUNIT_ASSERT(holders > 0);
+        CPPUNIT_ASSERT_EQUAL(holders, told);
+        const CallerTicket late = this->world->ask(NodeId("e1"), World::callOf(opened.program, "b"));
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT(this->world->problem(late)->kind == ProblemKind::ProgramEnded);
+    }
+
+    void callWithoutCreditIsRefusedWithRetryAfter()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(NodeId("e1"));
+        for (auto& [node, sidecar] : this->world->sidecars)
+            sidecar.creditCount = 0;
+        this->world->run(Milliseconds(4000));
+        const CallerTicket ticket = this->world->ask(NodeId("e1"), World::callOf(opened.program, "a"));
+        this->world->run(Milliseconds(2100));
+        CPPUNIT_ASSERT(this->world->problem(ticket));
+        CPPUNIT_ASSERT(this->world->problem(ticket)->kind == ProblemKind::Overloaded);
+        CPPUNIT_ASSERT(this->world->problem(ticket)->ran == Ran::No);
+        CPPUNIT_ASSERT(this->world->problem(ticket)->retryAfter.count() > 0);
+        CPPUNIT_ASSERT_EQUAL(0U, this->startsOf(opened.program));
+    }
+
+    void leavingSidecarGetsNothing()
+    {
+        this->start();
+        const NodeId s1("s1");
+        ListedInstance leaving;
+        leaving.node = s1;
+        leaving.leaving = true;
+        for (auto& [node, entry] : this->world->entries)
+            entry.core->onInstanceList({ leaving });
+        const std::size_t before = this->world->sidecars.at(s1).orders.size();
+        for (int i = 0; i < 8; ++i) {
+            const AnswerDone opened = this->world->open(NodeId("e1"));
+            const CallerTicket ticket = this->world->ask(NodeId("e1"), World::callOf(opened.program, "a"));
+            this->world->run(Milliseconds(500));
+            CPPUNIT_ASSERT(this->world->done(ticket));
+        }
+        CPPUNIT_ASSERT_EQUAL(before, this->world->sidecars.at(s1).orders.size());
+    }
+
+    void plannedStopHandsTheProgramsOver()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(NodeId("e1"));
+        CallerRequest call = World::callOf(opened.program, "a");
+        for (auto& [node, sidecar] : this->world->sidecars)
+            sidecar.answers = false;
+        const CallerTicket running = this->world->ask(NodeId("e1"), call);
+        this->world->run(Milliseconds(100));
+        EntryCore& leaving = *this->world->entries.at(NodeId("e1")).core;
+        leaving.beginShutdown();
+        const CallerTicket refused = this->world->ask(NodeId("e1"), call);
+        this->world->run(Milliseconds(1000));
+        CPPUNIT_ASSERT(this->world->problem(refused)->kind == ProblemKind::ShuttingDown);
+        CPPUNIT_ASSERT(!leaving.isDrained());
+        for (auto& [node, sidecar] : this->world->sidecars) {
+            sidecar.answers = true;
+            if (!sidecar.open.empty())
+                this->world->finish(node, sidecar.open.begin()->first);
+        }
+        this->world->run(Milliseconds(2000));
+        CPPUNIT_ASSERT(this->world->done(running));
+        CPPUNIT_ASSERT(leaving.isDrained());
+        this->world->kill(NodeId("e1"));
+        this->world->run(Milliseconds(3000));
+        call.input = "b";
+        call.head = this->world->done(running)->head;
+        const CallerTicket next = this->world->ask(NodeId("e2"), call);
+        this->world->run(Milliseconds(500));
+        CPPUNIT_ASSERT(this->world->done(next));
+        CPPUNIT_ASSERT_EQUAL(2U, this->world->done(next)->turn.value);
+    }
+
+    void configurationNeverReverts()
+    {
+        this->start();
+        EntryCore& entry = *this->world->entries.at(NodeId("e1")).core;
+        const ObjectKey key { "policy", "p" };
+        entry.onObjectChanged({ key, ObjectVersion(90), false, R"({"admit":true})" }, ObjectVersion(90));
+        entry.onObjectChanged({ key, ObjectVersion(95), true, "" }, ObjectVersion(95));
+        entry.onObjectChanged({ key, ObjectVersion(90), false, R"({"admit":true})" }, ObjectVersion(90));
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(95), entry.status().configRevision.value);
+        // The peer has it by the link, not from the store.
+        const EntryCore& peer = *this->world->entries.at(NodeId("e2")).core;
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(95), peer.status().configRevision.value);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(EntryTest);
