--- a/src/librattandeck/entryshards.cpp
+++ b/src/librattandeck/entryshards.cpp
@@ -429,7 +429,8 @@
             this->serveShard(shard);
         return;
     }
-    this->counters.takeovers += taken.shards.size();
+    if (!taken.handedOver)
+        this->counters.takeovers += taken.shards.size();
     this->beginCensus(taken);
 }
 
