Bound what the entry core keeps, and resume streams whole

Cause: deadline timers and histories outlived their calls; a stream resumed after a lost link would have skipped text; a root's account went with the root although sub-agents still drew on it; holders were sought among all sidecars. Change: cancel timers, rebuild the history for a repeat, resume a stream by length, count the programs of an account, look at entries before sidecars, pass the shard map to peers; refusals of doubtful programs say 'unknown'.

--- a/src/librattandeck/census.cpp
+++ b/src/librattandeck/census.cpp
@@ -115,6 +115,11 @@
         HomeProgram& program = merged.program;
         HeldRecord chosen = chooseRecord(candidates, program.head, nextHead);
         const TurnRecord& record = chosen.record;
+        if (record.state == RecordState::NotRun && !nextHead)
+            return;
+        // Every turn is taken on the chain as it was then.
+        if (record.headBefore != program.head)
+            program.damaged = true;
         // What the next turn was taken on must be either this turn's end or the head before it.
         const Digest& reached = chosen.onChain ? record.headAfter : program.head;
         if (nextHead && *nextHead != reached)
--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -39,12 +39,13 @@
     this->retries.ratio = this->settings.retryBudget;
 }
 
-void EntryCore::Impl::after(Duration delay, std::function<void()> callback)
+TimerId EntryCore::Impl::after(Duration delay, std::function<void()> callback)
 {
-    this->timers.subscribeAfter(delay, [guard = std::weak_ptr<int>(this->alive), callback = std::move(callback)] {
-        if (!guard.expired())
-            callback();
-    });
+    return this->timers.subscribeAfter(
+        delay, [guard = std::weak_ptr<int>(this->alive), callback = std::move(callback)] {
+            if (!guard.expired())
+                callback();
+        });
 }
 
 std::uint64_t EntryCore::Impl::nextSeed()
@@ -143,7 +144,7 @@
             else if constexpr (std::is_same_v<Body, ReleaseAnswer>)
                 this->onReleaseAnswer(from, body);
             else if constexpr (std::is_same_v<Body, ConfigUpdate>)
-                this->configChanged(this->config.applyUpdate(body), from);
+                this->onConfigUpdate(from, body);
             else if constexpr (std::is_same_v<Body, ForwardRequest>)
                 this->route({ from, body.ticket }, body.request, true);
             else if constexpr (std::is_same_v<Body, ForwardCancel>)
@@ -152,8 +153,10 @@
                 const auto found = this->forwarded.find(body.ticket);
                 if (found == this->forwarded.end() || found->second.home != from)
                     return;
-                if (isFinal(body.event))
+                if (isFinal(body.event)) {
+                    this->timers.cancel(found->second.timer);
                     this->forwarded.erase(found);
+                }
                 this->reply({ {}, body.ticket }, body.event);
             }
             // The others go to sidecars, or come before the link is up.
@@ -184,7 +187,12 @@
         entry.fleet.onLinkUp(hello);
         entry.registerSidecar(hello.node);
         entry.onSidecarLinked(hello.node, sameLife);
+    } else {
+        entry.entryNodes.insert(hello.node);
+        entry.sendMap(hello.node);
     }
+    if (!sameLife)
+        entry.unsentReleases.erase(hello.node);
     for (const auto& [shard, census] : entry.censuses)
         entry.send(hello.node, CensusRequest { shard, census.epoch });
     for (const auto& [shard, nodes] : entry.missed) {
@@ -220,9 +228,9 @@
             lost.push_back(ticket);
     }
     for (const CallerTicket ticket : lost) {
-        const CallerRequest request = std::move(entry.forwarded.at(ticket).request);
+        const Ran ran = entry.forwarded.at(ticket).ranIfLost;
+        entry.timers.cancel(entry.forwarded.at(ticket).timer);
         entry.forwarded.erase(ticket);
-        const Ran ran = request.kind == CallKind::Call ? Ran::Unknown : ranIfRefused(request);
         entry.refuse({ {}, ticket }, ProblemKind::NotServing, ran, takeoverRetry, "the program's home was lost");
     }
     std::vector<Caller> gone;
@@ -267,6 +275,7 @@
         entry.callerGone({ {}, ticket });
         return;
     }
+    entry.timers.cancel(found->second.timer);
     entry.send(found->second.home, ForwardCancel { ticket });
     entry.forwarded.erase(found);
 }
--- a/src/librattandeck/entry_test.cpp
+++ b/src/librattandeck/entry_test.cpp
@@ -71,8 +71,8 @@
         this->world->addEntry("e3", "d3");
         this->world->run(Milliseconds(20000));
         CPPUNIT_ASSERT(this->world->owned(NodeId("e3")) > 0);
-        CPPUNIT_ASSERT_EQUAL(4U,
-            this->world->owned(NodeId("e1")) + this->world->owned(NodeId("e2")) + this->world->owned(NodeId("e3")));
+        CPPUNIT_ASSERT_EQUAL(
+            4U, this->world->owned(NodeId("e1")) + this->world->owned(NodeId("e2")) + this->world->owned(NodeId("e3")));
     }
 
     void programRunsItsTurnsInOrder()
--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -42,8 +42,8 @@
 std::optional<NodeId> EntryCore::Impl::anyOtherHome()
 {
     std::vector<NodeId> homes;
-    for (const auto& [id, node] : this->nodes) {
-        if (node.linked && node.hello.role == Role::Entry)
+    for (const NodeId& id : this->entryNodes) {
+        if (this->nodes.at(id).linked)
             homes.push_back(id);
     }
     std::erase_if(homes, [&](const NodeId& id) {
@@ -99,8 +99,7 @@
 
 void EntryCore::Impl::forward(const Caller& caller, const NodeId& home, const CallerRequest& request)
 {
-    this->forwarded[caller.ticket] = { home, request };
-    this->after(request.timeLeft + forwardSlack, [this, ticket = caller.ticket] {
+    const TimerId timer = this->after(request.timeLeft + forwardSlack, [this, ticket = caller.ticket] {
         const auto open = this->forwarded.find(ticket);
         if (open == this->forwarded.end())
             return;
@@ -108,6 +107,8 @@
         this->forwarded.erase(open);
         this->refuse({ {}, ticket }, ProblemKind::DeadlineExceeded, Ran::Unknown, {}, "the home has not answered");
     });
+    const Ran ranIfLost = request.kind == CallKind::Call ? Ran::Unknown : ranIfRefused(request);
+    this->forwarded[caller.ticket] = { home, ranIfLost, timer };
     this->send(home, ForwardRequest { caller.ticket, request });
 }
 
@@ -126,6 +127,7 @@
     for (auto waiting = program->queue.begin(); waiting != program->queue.end(); ++waiting) {
         std::erase((*waiting)->callers, caller);
         if ((*waiting)->callers.empty()) {
+            this->timers.cancel((*waiting)->deadlineTimer);
             program->queue.erase(waiting);
             return;
         }
@@ -171,6 +173,7 @@
             program.header.service = request.service;
             program.header.budget = TokenCount(maxTokensPerCall);
             program.openedAt = this->now();
+            shard->join(program.header);
         }
     }
     HomeProgram* program = shard->find(request.program);
@@ -240,6 +243,7 @@
 {
     HomeProgram& program = shard.programs.at(id);
     program.openedAt = this->now();
+    shard.join(program.header);
     CopyRecords facts;
     facts.shard = shard.shard;
     facts.epoch = shard.epoch;
@@ -252,7 +256,7 @@
         HomeProgram* opened = still ? owned->second.find(id) : nullptr;
         if (!opened || (!holder && this->otherDomainKnown())) {
             if (opened)
-                owned->second.programs.erase(id);
+                owned->second.forget(id);
             return this->refuse(caller, ProblemKind::NotServing, Ran::No, takeoverRetry, "the opening can't be kept");
         }
         if (holder)
@@ -280,8 +284,10 @@
         this->failCall(shard, program, Problem { ProblemKind::ProgramEnded, Ran::No, {}, "the program is ending" });
     else if (!program.current)
         this->finishEnd(shard, program);
-    for (const auto& call : waiting)
+    for (const auto& call : waiting) {
+        this->timers.cancel(call->deadlineTimer);
         this->replyAll(call->callers, Problem { ProblemKind::ProgramEnded, Ran::No, {}, "the program is ending" });
+    }
 }
 
 // The end is copied before engines and holders are told to forget: records that are gone without it would look like a
@@ -354,8 +360,7 @@
         if (program && this->now() < program->endedAt + keyRetention)
             return;
         shard.ended.pop_front();
-        shard.programs.erase(id);
-        shard.accounts.erase(id);
+        shard.forget(id);
     }
 }
 
@@ -370,9 +375,10 @@
     const Digest digest = requestDigest(request);
     const bool doubtful = shard.doubtful(program.header.id, this->now());
     const CallJudgement judgement = judgeCall(program, request, digest, doubtful);
-    if (const auto* problem = std::get_if<Problem>(&judgement)) {
+    if (const auto* found = std::get_if<Problem>(&judgement)) {
+        const Problem problem = inDoubt(*found, doubtful);
         forgetIfEmpty(shard, program.header.id);
-        this->reply(caller, *problem);
+        this->reply(caller, problem);
         return;
     }
     if (const auto* repeated = std::get_if<RepeatedCall>(&judgement))
@@ -385,7 +391,8 @@
         return;
     }
     if (this->shuttingDown)
-        return this->refuse(caller, ProblemKind::ShuttingDown, Ran::No, takeoverRetry, "the program's home is leaving");
+        return this->refuse(caller, ProblemKind::ShuttingDown, doubtful ? Ran::Unknown : Ran::No, takeoverRetry,
+            "the program's home is leaving");
     auto call = std::make_unique<ProgramCall>();
     call->serial = ++this->lastCall;
     call->callers.push_back(caller);
--- a/src/librattandeck/entrycensus.cpp
+++ b/src/librattandeck/entrycensus.cpp
@@ -114,8 +114,10 @@
                 + " members not heard, " + std::to_string(census.livesLost) + " lives lost");
     }
     if (!census.awaited.empty()) {
-        // An order that the former home sent just before its end can start until its credit has run out.
-        home.doubtfulFrom = this->now() + this->settings.creditLife + this->settings.clockMargin;
+        // An order that the former home sent just before its end can start until its credit has run out, and then
+        // wait in the sidecar's queue.
+        const Milliseconds queued = this->settings.queueLimit;
+        home.doubtfulFrom = this->now() + this->settings.creditLife + queued + this->settings.clockMargin;
         this->missed[shard] = census.awaited;
     }
     this->installMerged(home, mergeAnswers(census.answers, complete));
@@ -137,6 +139,7 @@
     HomeProgram& program = shard.programs[id];
     program = std::move(merged.program);
     program.openedAt = this->now();
+    shard.join(program.header);
     const bool doubtful = shard.doubtful(id, this->now());
     BudgetAccount& account = shard.account(program.header);
     const bool charged = doubtful && !program.ended;
--- a/src/librattandeck/entrycopies.cpp
+++ b/src/librattandeck/entrycopies.cpp
@@ -51,18 +51,21 @@
 std::optional<NodeId> EntryCore::Impl::pickHolder(ShardId shard, const std::vector<NodeId>& excluded) const
 {
     const bool elsewhere = this->otherDomainKnown();
-    std::vector<NodeId> entries;
-    std::vector<NodeId> sidecars;
-    for (const auto& [id, node] : this->nodes) {
+    std::vector<NodeId> candidates;
+    const auto consider = [&](const NodeId& id, const Node& node) {
         const bool usable = node.linked && this->isRegistered(id, node.hello.incarnation) && !contains(excluded, id);
-        if (!usable || (elsewhere && node.hello.domain == this->settings.domain))
-            continue;
-        if (node.hello.role == Role::Entry)
-            entries.push_back(id);
-        else if (this->fleet.mayBeUsed(id))
-            sidecars.push_back(id);
+        if (usable && !(elsewhere && node.hello.domain == this->settings.domain))
+            candidates.push_back(id);
+    };
+    for (const NodeId& id : this->entryNodes)
+        consider(id, this->nodes.at(id));
+    // There are many sidecars: they are looked at only where no entry is left.
+    if (candidates.empty()) {
+        for (const auto& [id, node] : this->nodes) {
+            if (node.hello.role == Role::Sidecar && this->fleet.mayBeUsed(id))
+                consider(id, node);
+        }
     }
-    const std::vector<NodeId>& candidates = entries.empty() ? sidecars : entries;
     for (const NodeId& candidate : candidates) {
         if (successorRank(shard, candidate, candidates) == 0)
             return candidate;
--- a/src/librattandeck/entryfaults_test.cpp
+++ b/src/librattandeck/entryfaults_test.cpp
@@ -215,7 +215,8 @@
         const CallerTicket second = this->world->ask(this->e2, this->callOf(opened.program, "b", &before));
         this->world->run(Milliseconds(200));
         CPPUNIT_ASSERT_EQUAL(2U, this->answered(second).turn.value);
-        const Epoch epoch { this->world->store.value("shardmap", "main")["shards"][opened.program.shard.value]["epoch"] };
+        const Epoch epoch { this->world->store.value(
+            "shardmap", "main")["shards"][opened.program.shard.value]["epoch"] };
         CPPUNIT_ASSERT(epoch > opened.program.openedIn);
     }
 
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -56,7 +56,7 @@
 
     TimePoint now() const { return this->timers.now(); }
     /// Calls back unless this object is gone by then.
-    void after(Duration delay, std::function<void()> callback);
+    TimerId after(Duration delay, std::function<void()> callback);
     std::uint64_t nextSeed();
     void log(const std::string& event, const std::string& detail) const { this->effects.logEvent(event, detail); }
     void send(const NodeId& to, const Message& message);
@@ -77,6 +77,8 @@
     void listConfig(std::size_t kind);
     void configChanged(const std::vector<ConfigObject>& changed, const NodeId& from);
     void sendConfig(const NodeId& to, const ConfigUpdate& update);
+    void onConfigUpdate(const NodeId& from, const ConfigUpdate& update);
+    void sendMap(const NodeId& to);
     bool isQuarantined(const Digest& fingerprint) const;
     void noteCrash(const Digest& fingerprint, const ServiceName& service);
     void writeCrash(const Digest& fingerprint, const ServiceName& service);
@@ -227,7 +229,8 @@
 
     struct Forwarded {
         NodeId home;
-        CallerRequest request;
+        Ran ranIfLost = Ran::Unknown;
+        TimerId timer;
     };
 
     void route(const Caller& caller, CallerRequest request, bool forwarded);
@@ -285,7 +288,7 @@
     void pump(const ServiceName& service);
     double priorityOf(const HomeShard& shard, const HomeProgram& program) const;
     void sendOrder(HomeShard& shard, HomeProgram& program, const TakenCredit& credit, PlacementDecision decision);
-    void armDeadline(const ProgramId& id, const ProgramCall& call);
+    void armDeadline(const ProgramId& id, ProgramCall& call);
     ProgramCall* findCall(const ProgramId& id, std::uint64_t call, HomeShard** shard, HomeProgram** program);
     /// Ends the current call without a record: it has never run, or nobody waits for it.
     void failCall(HomeShard& shard, HomeProgram& program, const Problem& problem);
@@ -378,6 +381,7 @@
     ShardMap map;
     bool mapReadOpen = false;
     std::uint64_t mapWrites = 0;
+    std::string mapText;
     std::unordered_map<ShardId, HomeShard> shards;
     std::unordered_map<ShardId, Epoch> fences;
     std::optional<Claim> claim;
@@ -397,6 +401,8 @@
     std::uint32_t nextOwnShard = 0;
 
     std::unordered_map<NodeId, Node> nodes;
+    /// Those of `nodes` that are entries.
+    std::set<NodeId> entryNodes;
     std::vector<Life> lives;
     std::map<std::pair<NodeId, Incarnation>, LifeIndex> lifeIndexes;
     Fleet fleet;
--- a/src/librattandeck/entryobjects.cpp
+++ b/src/librattandeck/entryobjects.cpp
@@ -54,8 +54,12 @@
         this->memberSeen(object);
     else if (object.key.kind == "shardmap") {
         const auto newer = parseShardMap(object.value, object.version);
-        if (newer && !object.deleted)
+        if (newer && !object.deleted && newer->version > this->map.version) {
+            this->mapText = object.value;
             this->applyMap(*newer);
+            for (const NodeId& entry : this->entryNodes)
+                this->sendMap(entry);
+        }
     } else if (isConfigKind(object.key.kind)) {
         const ConfigObject update { object.key.kind, object.key.name, object.version, object.deleted, object.value };
         if (this->config.apply(update))
@@ -68,6 +72,8 @@
 void EntryCore::Impl::readConfig()
 {
     this->configListedAt = this->now();
+    this->listLeases();
+    this->readMap([](bool) {});
     this->listConfig(0);
 }
 
@@ -110,6 +116,24 @@
     }
 }
 
+void EntryCore::Impl::onConfigUpdate(const NodeId& from, const ConfigUpdate& update)
+{
+    for (const ConfigObject& object : update.objects) {
+        if (object.kind == "shardmap" && !object.deleted)
+            this->onObjectChanged({ { object.kind, object.name }, object.version, false, object.value });
+    }
+    this->configChanged(this->config.applyUpdate(update), from);
+}
+
+// An entry that starts in an outage of the object API learns from its peers where the homes are.
+void EntryCore::Impl::sendMap(const NodeId& to)
+{
+    if (this->map.version.value == 0)
+        return;
+    const ConfigObject object { "shardmap", "main", this->map.version, false, this->mapText };
+    this->send(to, ConfigUpdate { {}, { object } });
+}
+
 void EntryCore::Impl::sendConfig(const NodeId& to, const ConfigUpdate& update) { this->send(to, update); }
 
 // Requests that crash endpoints ------------------------------------------------------------------------------------
--- a/src/librattandeck/entryorders.cpp
+++ b/src/librattandeck/entryorders.cpp
@@ -36,8 +36,9 @@
             this->startCall(shard, program);
             return;
         }
+        this->timers.cancel(call->deadlineTimer);
         if (const auto* problem = std::get_if<Problem>(&judgement))
-            this->replyAll(call->callers, *problem);
+            this->replyAll(call->callers, inDoubt(*problem, doubtful));
         if (const auto* repeated = std::get_if<RepeatedCall>(&judgement)) {
             const TurnNumber turn = repeated->record->record.turn;
             for (const Caller& caller : call->callers)
@@ -233,7 +234,8 @@
     decision.order = order.id;
     this->effects.logPlacement(decision);
     this->send(credit.sidecar, order);
-    // The text is needed no more: a repeat to the same sidecar only asks for the record.
+    // A repeat to the same sidecar makes the history anew: the chain doesn't change while the call is open.
+    order.history = {};
     call.order = std::move(order);
 }
 
@@ -325,13 +327,14 @@
 
 // Deadlines --------------------------------------------------------------------------------------------------------
 
-void EntryCore::Impl::armDeadline(const ProgramId& id, const ProgramCall& call)
+void EntryCore::Impl::armDeadline(const ProgramId& id, ProgramCall& call)
 {
     const std::uint64_t serial = call.serial;
-    this->timers.subscribeAt(call.deadline, [this, guard = std::weak_ptr<int>(this->alive), id, serial] {
-        if (!guard.expired())
-            this->onDeadline(id, serial);
-    });
+    call.deadlineTimer
+        = this->timers.subscribeAt(call.deadline, [this, guard = std::weak_ptr<int>(this->alive), id, serial] {
+              if (!guard.expired())
+                  this->onDeadline(id, serial);
+          });
 }
 
 void EntryCore::Impl::onDeadline(const ProgramId& id, std::uint64_t serial)
--- a/src/librattandeck/entryrecords.cpp
+++ b/src/librattandeck/entryrecords.cpp
@@ -21,11 +21,21 @@
         return;
     HomeProgram* program = this->shards.at(order->second.shard).find(order->second);
     ProgramCall& call = *program->current;
-    // A part that was sent before, or after a gap, is left out; the whole answer comes at the end.
-    if (call.sidecar != from || tokens.part != call.nextPart)
+    const bool resumed = tokens.part == 0 && call.nextPart > 0;
+    // After a gap nothing more is streamed; the whole answer comes at the end.
+    if (call.sidecar != from || (!resumed && tokens.part != call.nextPart))
         return;
-    ++call.nextPart;
-    this->replyAll(call.streaming, AnswerTokens { tokens.text, tokens.tokens });
+    call.nextPart = tokens.part + 1;
+    AnswerTokens part { tokens.text, tokens.tokens };
+    if (resumed) {
+        if (tokens.text.size() <= call.streamedBytes)
+            return;
+        part.text = tokens.text.substr(call.streamedBytes);
+        part.tokens.value = std::max<std::int64_t>(0, tokens.tokens.value - call.streamedTokens.value);
+    }
+    call.streamedBytes += part.text.size();
+    call.streamedTokens.value += part.tokens.value;
+    this->replyAll(call.streaming, part);
 }
 
 // Takes a call back from its sidecar; the order is open no more.
@@ -71,8 +81,10 @@
         this->quarantined.insert(call.fingerprint);
         return fail(ProblemKind::Quarantined, "requests like this one have crashed endpoints");
     case RefusalReason::Conflict: {
+        // The record may be one of this very request, copied there from a sidecar that is lost.
         const bool keyed = !call.request.key.value.empty();
-        return fail(keyed ? ProblemKind::KeyReused : ProblemKind::OutOfOrder, "the endpoint has another record");
+        const ProblemKind kind = keyed ? ProblemKind::KeyReused : ProblemKind::OutOfOrder;
+        return this->failCall(shard, program, Problem { kind, Ran::Unknown, {}, "the endpoint has another record" });
     }
     case RefusalReason::HistoryMismatch:
         return fail(ProblemKind::HistoryMismatch, "the endpoint has another history");
@@ -179,7 +191,10 @@
         // Asks for the record. The sidecar runs an order id once at most, and only while its credit lives.
         call->linkDownSince.reset();
         call->order->timeLeft = std::chrono::duration_cast<Milliseconds>(call->deadline - this->now());
-        this->send(node, *call->order);
+        Order repeated = *call->order;
+        repeated.history = historyText(*program, repeated.service);
+        repeated.historyTokens = estimateTokens(repeated.history);
+        this->send(node, repeated);
     }
 }
 
@@ -265,11 +280,13 @@
     if (program.current->mayHaveRun)
         return this->settleUnknown(shard, program);
     const std::unique_ptr<ProgramCall> call = std::move(program.current);
+    this->timers.cancel(call->deadlineTimer);
     this->releaseReservation(shard, program, *call, TokenCount(0));
     const ProgramId id = program.header.id;
+    const Problem told = inDoubt(problem, shard.doubtful(id, this->now()));
     this->startNext(shard, program);
     forgetIfEmpty(shard, id);
-    this->replyAll(call->callers, problem);
+    this->replyAll(call->callers, told);
 }
 
 // The turn counts as taken, and its reservation as spent.
@@ -332,6 +349,7 @@
     if (!this->findCall(id, serial, &shard, &program))
         return;
     const std::unique_ptr<ProgramCall> call = std::move(program->current);
+    this->timers.cancel(call->deadlineTimer);
     const HeldRecord& held = program->records.at(call->turn);
     CallerEvent answer = answerOf(held, shard->account(program->header).left());
     if (auto* done = std::get_if<AnswerDone>(&answer)) {
@@ -343,6 +361,10 @@
             = Problem { ProblemKind::Quarantined, Ran::Unknown, {}, "requests like this one have crashed endpoints" };
     if (!this->hasAuthority())
         answer = Problem { ProblemKind::NotServing, Ran::Unknown, takeoverRetry, "the lease has lapsed" };
+    if (held.onChain && call->request.service == program->header.service) {
+        std::erase_if(program->prefixes, [&](const HeldAt& prefix) { return prefix.sidecar == call->sidecar; });
+        program->prefixes.push_back({ call->sidecar, program->historyTokens });
+    }
     this->pausePrefix(*shard, *program, *call);
     const bool oneCall = id.openedIn == Epoch(0);
     this->startNext(*shard, *program);
--- a/src/librattandeck/entryshards.cpp
+++ b/src/librattandeck/entryshards.cpp
@@ -98,6 +98,7 @@
     for (auto& [id, program] : home.programs) {
         if (program.current) {
             const ProgramCall& call = *program.current;
+            this->timers.cancel(call.deadlineTimer);
             if (call.order)
                 this->orders.erase(call.order->id);
             if (call.stage == CallStage::Ordered) {
@@ -106,8 +107,10 @@
             }
             refuseAll(call, call.mayHaveRun || call.stage != CallStage::Waiting);
         }
-        for (const std::unique_ptr<ProgramCall>& waiting : program.queue)
+        for (const std::unique_ptr<ProgramCall>& waiting : program.queue) {
+            this->timers.cancel(waiting->deadlineTimer);
             refuseAll(*waiting, false);
+        }
         this->replyAll(program.endCallers,
             Problem { ProblemKind::NotServing, Ran::Unknown, takeoverRetry, "the home has changed" });
     }
--- a/src/librattandeck/entryworld_test.h
+++ b/src/librattandeck/entryworld_test.h
@@ -116,14 +116,15 @@
         entry.settings.shardCount = this->shardCount;
         EntryEffects effects;
         effects.send = [this, node](const NodeId& to, const Message& message) { this->sendFrom(node, to, message); };
-        effects.reply = [this](CallerTicket ticket, const CallerEvent& event) { this->events[ticket].push_back(event); };
-        effects.callObjects = [this, node](std::uint64_t id, const ObjectRequest& request) {
-            this->callStore(node, id, request);
-        };
+        effects.reply
+            = [this](CallerTicket ticket, const CallerEvent& event) { this->events[ticket].push_back(event); };
+        effects.callObjects
+            = [this, node](std::uint64_t id, const ObjectRequest& request) { this->callStore(node, id, request); };
         effects.logPlacement = [](const PlacementDecision&) {};
         effects.logEvent = [this, name](const std::string& event, const std::string& detail) {
             this->log.push_back(name + ": " + event + ": " + detail);
-            if (getenv("WORLD_LOG")) std::cerr << this->timers.now().time_since_epoch().count() / 1000000 << " " << this->log.back() << "\n";
+            if (getenv("WORLD_LOG"))
+                std::cerr << this->timers.now().time_since_epoch().count() / 1000000 << " " << this->log.back() << "\n";
         };
         entry.timers = std::make_unique<TimerService>();
         entry.timers->observe(this->timers.now());
--- a/src/librattandeck/home.cpp
+++ b/src/librattandeck/home.cpp
@@ -23,6 +23,20 @@
     return found->second;
 }
 
+void HomeShard::join(const ProgramHeader& header) { ++this->account(header).programs; }
+
+void HomeShard::forget(const ProgramId& id)
+{
+    const auto found = this->programs.find(id);
+    if (found == this->programs.end())
+        return;
+    const ProgramId root = found->second.header.root;
+    this->programs.erase(found);
+    const auto account = this->accounts.find(root);
+    if (account != this->accounts.end() && --account->second.programs == 0)
+        this->accounts.erase(account);
+}
+
 bool HomeShard::doubtful(const ProgramId& id, TimePoint now) const
 {
     if (id.openedIn >= this->gap)
@@ -137,6 +151,14 @@
 
 }
 
+Problem inDoubt(const Problem& problem, bool doubtful)
+{
+    Problem told = problem;
+    if (doubtful && told.ran == Ran::No && told.kind != ProblemKind::KeyReused)
+        told.ran = Ran::Unknown;
+    return told;
+}
+
 CallJudgement judgeCall(HomeProgram& program, const CallerRequest& request, const Digest& digest, bool doubtful)
 {
     if (std::optional<CallJudgement> byKey = judgeByKey(program, request, digest))
@@ -186,10 +208,8 @@
     const HomeProgram* program = shard.find(id);
     if (!program || id.openedIn != Epoch(0))
         return;
-    if (program->records.empty() && program->queue.empty() && !program->current) {
-        shard.accounts.erase(id);
-        shard.programs.erase(id);
-    }
+    if (program->records.empty() && program->queue.empty() && !program->current)
+        shard.forget(id);
 }
 
 bool isWhole(const TurnRecord& record)
--- a/src/librattandeck/home.h
+++ b/src/librattandeck/home.h
@@ -58,6 +58,7 @@
     std::uint32_t attempt = 0;
     TimePoint arrived {};
     TimePoint deadline {};
+    TimerId deadlineTimer;
     /// Waiting since; bounded by the queue limit.
     TimePoint waitingSince {};
     CallStage stage = CallStage::Waiting;
@@ -72,6 +73,9 @@
     /// Callers that were there before the first part of the answer; later ones get the whole answer at its end.
     std::vector<Caller> streaming;
     std::uint32_t nextPart = 0;
+    /// What was streamed so far; after a lost link the sidecar begins with the whole text again.
+    std::size_t streamedBytes = 0;
+    TokenCount streamedTokens;
     TokenCount cachedTokens;
     TokenCount prefilledTokens;
     TimePoint sentAt {};
@@ -84,6 +88,8 @@
     TokenCount limit;
     TokenCount spent;
     TokenCount reserved;
+    /// Programs that draw on the account.
+    std::uint32_t programs = 0;
 
     TokenCount left() const { return TokenCount(this->limit.value - this->spent.value - this->reserved.value); }
 };
@@ -133,6 +139,10 @@
     HomeProgram* find(const ProgramId& id);
     /// Account that the program draws on; made from its header when it is not there yet.
     BudgetAccount& account(const ProgramHeader& header);
+    /// Adds a program to its root's account.
+    void join(const ProgramHeader& header);
+    /// Forgets a program, and its account with the last one that drew on it.
+    void forget(const ProgramId& id);
     /// Records of this program may be missing.
     bool doubtful(const ProgramId& id, TimePoint now) const;
 };
@@ -170,6 +180,8 @@
 };
 using CallJudgement = std::variant<NewCall, RepeatedCall, SameCall, Problem>;
 
+/// The problem as it can be told of a program whose records may be lost.
+Problem inDoubt(const Problem& problem, bool doubtful);
 /// Precondition: `request.service` is filled in, and `digest` is the request's.
 CallJudgement judgeCall(HomeProgram& program, const CallerRequest& request, const Digest& digest, bool doubtful);
 
