--- a/src/librattandeck/sidecarfixture_test.h
+++ b/src/librattandeck/sidecarfixture_test.h
@@ -27,7 +27,7 @@
     Rattandeck::SidecarCore core;
 
     explicit SidecarWorld(Rattandeck::SidecarSettings settings = defaultSettings())
-        : core(settings, this->timers,
+        : core(std::move(settings), this->timers,
             { [this](const Rattandeck::NodeId& to, const Rattandeck::Message& message) { this->note(to, message); },
                 [this](const Rattandeck::EndpointCall& call) {
                     this->started.push_back(call);
--- a/src/librattandeck/sidecarlife_test.cpp
+++ b/src/librattandeck/sidecarlife_test.cpp
@@ -53,10 +53,9 @@
     {
         CPPUNIT_ASSERT(rc::check("admission", [] {
             SidecarWorld world;
-            std::vector<NodeId> homes;
-            const auto count = *rc::gen::inRange(1, 6);
-            for (int i = 0; i < count; ++i)
-                homes.push_back(world.link("entry-" + std::to_string(i)));
+            std::vector<NodeId> homes(*rc::gen::inRange<std::size_t>(1, 6));
+            for (std::size_t i = 0; i < homes.size(); ++i)
+                homes[i] = world.link("entry-" + std::to_string(i));
             std::map<CreditId, std::uint32_t> spent;
             std::uint64_t serial = 0;
             for (int step = 0; step < 40; ++step) {
