Add the history checker with a check for each promise

Cause: concurrent runs had nothing that judged them. Change: src/librattandeck/history.h: typed events, ten checks, counts of what was really checked; tests with a kept and a broken history for each.

--- /dev/null
+++ b/src/librattandeck/history_test.cpp
@@ -0,0 +1,336 @@
+#include "history.h"
+
+#include "Rattandeck/digest.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Rattandeck;
+
+namespace {
+
+const ProgramId program { ShardId(1), Epoch(1), 7 };
+const NodeId entry("e1");
+const NodeId endpoint("s1");
+
+/// Writes a history line by line, one millisecond apart unless told otherwise.
+struct Writer {
+    History history;
+    std::uint64_t requests = 0;
+    std::uint64_t runs = 0;
+
+    void add(HistoryFact fact)
+    {
+        this->history.end += Milliseconds(1);
+        this->history.events.push_back({ this->history.end, std::move(fact) });
+    }
+    void wait(Milliseconds time) { this->history.end += time; }
+
+    RequestId send(CallKind kind, std::uint64_t call, const ProgramId& to = program, bool idempotent = true)
+    {
+        RequestSent sent { RequestId(++this->requests), CallId(call), entry, {} };
+        sent.body.kind = kind;
+        sent.body.program = to;
+        sent.body.idempotent = idempotent;
+        sent.body.input = call == 0 ? "" : callTag(CallId(call));
+        sent.body.budget = TokenCount(100);
+        sent.body.timeLeft = Milliseconds(10000);
+        this->add(sent);
+        return sent.request;
+    }
+    /// A whole run; returns its output.
+    std::string run(std::uint64_t call, const std::string& history = "", bool idempotent = true)
+    {
+        const RunId id = this->start(call, history, idempotent);
+        const std::string output = runTag(id);
+        this->add(RunEnded { id, true, output, TokenCount(20) });
+        return output;
+    }
+    RunId start(std::uint64_t call, const std::string& history = "", bool idempotent = true)
+    {
+        const RunId id(++this->runs);
+        this->add(RunStarted {
+            id, endpoint, CallId(call), program, idempotent, true, history + callTag(CallId(call)), TokenCount(20) });
+        return id;
+    }
+    Digest answer(
+        RequestId request, TurnNumber turn, std::uint64_t call, const Digest& before, const std::string& output)
+    {
+        AnswerDone done { program, turn, chainDigest(before, turn, callTag(CallId(call)), output), output };
+        this->add(RequestEvent { request, done });
+        return done.head;
+    }
+    void open()
+    {
+        const RequestId request = this->send(CallKind::OpenProgram, 0, ProgramId {});
+        this->add(RequestEvent { request, AnswerDone { program } });
+    }
+    void end()
+    {
+        const RequestId request = this->send(CallKind::EndProgram, 0);
+        this->add(RequestEvent { request, AnswerDone { program } });
+    }
+    void refuse(RequestId request, ProblemKind kind, Ran ran)
+    {
+        this->add(RequestEvent { request, Problem { kind, ran } });
+    }
+};
+
+/// Two turns as they should be.
+Writer twoTurns()
+{
+    Writer writer;
+    writer.open();
+    const RequestId first = writer.send(CallKind::Call, 1);
+    const std::string output = writer.run(1);
+    const Digest head = writer.answer(first, TurnNumber(1), 1, {}, output);
+    const RequestId second = writer.send(CallKind::Call, 2);
+    writer.answer(second, TurnNumber(2), 2, head, writer.run(2, callTag(CallId(1)) + output));
+    return writer;
+}
+
+using Check = PromiseCheck (*)(const History&, const HistoryLimits&);
+
+void assertKept(Check check, const Writer& writer)
+{
+    const PromiseCheck result = check(writer.history, {});
+    CPPUNIT_ASSERT(result.checked > 0);
+    CPPUNIT_ASSERT(result.violations.empty());
+}
+
+void assertBroken(Check check, const Writer& writer, ViolationKind kind)
+{
+    const PromiseCheck result = check(writer.history, {});
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), result.violations.size());
+    CPPUNIT_ASSERT_EQUAL(std::string(toString(kind)), std::string(toString(result.violations.front().kind)));
+}
+
+}
+
+class HistoryTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(HistoryTest);
+    CPPUNIT_TEST(order);
+    CPPUNIT_TEST(ownHistory);
+    CPPUNIT_TEST(forgottenHistory);
+    CPPUNIT_TEST(budget);
+    CPPUNIT_TEST(engineMemory);
+    CPPUNIT_TEST(ownAnswer);
+    CPPUNIT_TEST(notRun);
+    CPPUNIT_TEST(atMostOnce);
+    CPPUNIT_TEST(leaving);
+    CPPUNIT_TEST(plannedStop);
+    CPPUNIT_TEST(configuration);
+    CPPUNIT_TEST(emptyHistoryExercisesNothing);
+    CPPUNIT_TEST_SUITE_END();
+
+    void order()
+    {
+        assertKept(checkOrder, twoTurns());
+        Writer late = twoTurns();
+        late.start(1);
+        assertBroken(checkOrder, late, ViolationKind::StartedOutOfOrder);
+
+        Writer crossed;
+        const RequestId first = crossed.send(CallKind::Call, 1);
+        const RequestId second = crossed.send(CallKind::Call, 2);
+        const RunId one = crossed.start(1);
+        const std::string other = crossed.run(2);
+        crossed.add(RunEnded { one, true, runTag(one), TokenCount(1) });
+        crossed.answer(first, TurnNumber(1), 1, {}, runTag(one));
+        crossed.answer(second, TurnNumber(2), 2, {}, other);
+        assertBroken(checkOrder, crossed, ViolationKind::Overlapped);
+    }
+
+    void ownHistory()
+    {
+        assertKept(checkOwnHistory, twoTurns());
+        Writer foreign = twoTurns();
+        foreign.send(CallKind::Call, 8, ProgramId { ShardId(1), Epoch(1), 8 });
+        foreign.send(CallKind::Call, 3);
+        foreign.start(3, twoTurnsText() + callTag(CallId(8)));
+        assertBroken(checkOwnHistory, foreign, ViolationKind::ForeignHistory);
+
+        Writer truncated = twoTurns();
+        truncated.send(CallKind::Call, 3);
+        truncated.start(3, callTag(CallId(1)) + runTag(RunId(1)));
+        assertBroken(checkOwnHistory, truncated, ViolationKind::TurnMissing);
+
+        Writer forked = twoTurns();
+        const RequestId third = forked.send(CallKind::Call, 3);
+        forked.answer(third, TurnNumber(3), 3, Digest("another head"), forked.run(3, twoTurnsText()));
+        assertBroken(checkOwnHistory, forked, ViolationKind::BrokenChain);
+
+        Writer replaced = twoTurns();
+        const RequestId again = replaced.send(CallKind::Call, 2);
+        replaced.answer(again, TurnNumber(2), 2, {}, runTag(RunId(9)));
+        assertBroken(checkOwnHistory, replaced, ViolationKind::TwoAnswersForATurn);
+    }
+
+    static std::string twoTurnsText()
+    {
+        return callTag(CallId(1)) + runTag(RunId(1)) + callTag(CallId(2)) + runTag(RunId(2));
+    }
+
+    void forgottenHistory()
+    {
+        Writer forgotten = twoTurns();
+        forgotten.add(ProcessDied { NodeId("e2") });
+        forgotten.refuse(forgotten.send(CallKind::Call, 3), ProblemKind::UnknownProgram, Ran::No);
+        assertBroken(checkOwnHistory, forgotten, ViolationKind::HistoryForgotten);
+
+        Writer doubled = twoTurns();
+        doubled.add(ProcessDied { NodeId("e2") });
+        doubled.add(ProcessDied { endpoint });
+        doubled.refuse(doubled.send(CallKind::Call, 3), ProblemKind::HistoryLost, Ran::No);
+        assertKept(checkOwnHistory, doubled);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), checkOwnHistory(doubled.history, {}).excused);
+    }
+
+    void budget()
+    {
+        assertKept(checkBudget, twoTurns());
+        Writer over = twoTurns();
+        const ProgramId child { ShardId(1), Epoch(1), 9 };
+        const RequestId opening = over.send(CallKind::OpenProgram, 0, program);
+        over.add(RequestEvent { opening, AnswerDone { child } });
+        over.add(RunStarted { RunId(9), endpoint, CallId(3), child, true, true, "", TokenCount(21) });
+        assertBroken(checkBudget, over, ViolationKind::BudgetExceeded);
+    }
+
+    void engineMemory()
+    {
+        Writer freed = twoTurns();
+        freed.add(PrefixHeld { endpoint, program });
+        freed.end();
+        freed.add(PrefixFreed { endpoint, program });
+        freed.wait(Milliseconds(20000));
+        assertKept(checkEngineMemory, freed);
+        Writer held = twoTurns();
+        held.add(PrefixHeld { endpoint, program });
+        held.end();
+        held.wait(Milliseconds(20000));
+        assertBroken(checkEngineMemory, held, ViolationKind::PrefixNotFreed);
+    }
+
+    void ownAnswer()
+    {
+        assertKept(checkOwnAnswer, twoTurns());
+        Writer foreign = twoTurns();
+        const RequestId request = foreign.send(CallKind::Call, 3);
+        foreign.answer(request, TurnNumber(3), 3, {}, runTag(RunId(1)));
+        assertBroken(checkOwnAnswer, foreign, ViolationKind::ForeignAnswer);
+
+        Writer cut = twoTurns();
+        const RequestId streamed = cut.send(CallKind::Call, 3);
+        const std::string output = cut.run(3);
+        cut.add(RequestEvent { streamed, AnswerTokens { output.substr(1) } });
+        cut.answer(streamed, TurnNumber(3), 3, {}, output);
+        assertBroken(checkOwnAnswer, cut, ViolationKind::BrokenStream);
+
+        Writer twice = twoTurns();
+        twice.refuse(RequestId(2), ProblemKind::DeadlineExceeded, Ran::Unknown);
+        assertBroken(checkOwnAnswer, twice, ViolationKind::AnsweredTwice);
+
+        Writer never = twoTurns();
+        never.send(CallKind::Call, 3);
+        never.wait(Milliseconds(20000));
+        assertBroken(checkOwnAnswer, never, ViolationKind::NotAnswered);
+    }
+
+    void notRun()
+    {
+        Writer kept;
+        kept.refuse(kept.send(CallKind::Call, 1), ProblemKind::Overloaded, Ran::No);
+        kept.send(CallKind::Call, 1);
+        kept.run(1);
+        assertKept(checkNotRun, kept);
+        Writer broken;
+        const RequestId request = broken.send(CallKind::Call, 1);
+        broken.run(1);
+        broken.refuse(request, ProblemKind::NotServing, Ran::No);
+        assertBroken(checkNotRun, broken, ViolationKind::RanAfterAll);
+        Writer later;
+        later.refuse(later.send(CallKind::Call, 1), ProblemKind::Overloaded, Ran::No);
+        later.run(1);
+        assertBroken(checkNotRun, later, ViolationKind::RanAfterAll);
+    }
+
+    void atMostOnce()
+    {
+        Writer once;
+        once.run(1, "", false);
+        once.run(2);
+        once.run(2);
+        assertKept(checkAtMostOnce, once);
+        once.run(1, "", false);
+        assertBroken(checkAtMostOnce, once, ViolationKind::RanTwice);
+    }
+
+    void leaving()
+    {
+        Writer writer;
+        writer.add(LeavingListed { endpoint });
+        writer.add(WorkAccepted { endpoint });
+        writer.wait(Milliseconds(6000));
+        writer.add(WorkAccepted { NodeId("s2") });
+        assertKept(checkLeaving, writer);
+        writer.add(WorkAccepted { endpoint });
+        assertBroken(checkLeaving, writer, ViolationKind::WorkAfterLeaving);
+    }
+
+    void plannedStop()
+    {
+        Writer kept;
+        const RequestId request = kept.send(CallKind::Call, 1);
+        const RunId run = kept.start(1);
+        kept.add(StopAsked { entry });
+        kept.add(StopAsked { endpoint });
+        kept.refuse(kept.send(CallKind::Call, 2), ProblemKind::ShuttingDown, Ran::No);
+        Writer sentAway = kept;
+        Writer cut = kept;
+        Writer endless = kept;
+        kept.add(RunEnded { run, true, runTag(run), TokenCount(1) });
+        kept.answer(request, TurnNumber(1), 1, {}, runTag(run));
+        kept.add(ProcessExited { endpoint });
+        kept.add(ProcessExited { entry });
+        assertKept(checkPlannedStop, kept);
+
+        sentAway.refuse(request, ProblemKind::ShuttingDown, Ran::No);
+        assertBroken(checkPlannedStop, sentAway, ViolationKind::RefusedByStop);
+        cut.add(ProcessExited { endpoint });
+        assertBroken(checkPlannedStop, cut, ViolationKind::CutByStop);
+        endless.add(ProcessDied { endpoint });
+        endless.wait(Milliseconds(100000));
+        assertBroken(checkPlannedStop, endless, ViolationKind::StopNeverEnds);
+    }
+
+    void configuration()
+    {
+        const ObjectKey key { "policy", "a" };
+        Writer writer;
+        writer.add(ProcessStarted { entry });
+        writer.add(ProcessStarted { endpoint });
+        writer.add(ConfigAccepted { key, ObjectVersion(4) });
+        writer.add(ConfigInForce { entry, key, ObjectVersion(4) });
+        Writer late = writer;
+        writer.add(ConfigInForce { endpoint, key, ObjectVersion(4) });
+        Writer reverted = writer;
+        writer.wait(Milliseconds(10000));
+        assertKept(checkConfiguration, writer);
+        reverted.add(ConfigInForce { endpoint, key, ObjectVersion(3) });
+        assertBroken(checkConfiguration, reverted, ViolationKind::ConfigurationReverted);
+        late.wait(Milliseconds(10000));
+        // It is late among the processes, and still missing in the end.
+        const PromiseCheck result = checkConfiguration(late.history, {});
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), result.violations.size());
+        CPPUNIT_ASSERT(result.violations.front().kind == ViolationKind::ConfigurationLate);
+    }
+
+    void emptyHistoryExercisesNothing()
+    {
+        const std::vector<PromiseCheck> checks = checkPromises({}, {});
+        CPPUNIT_ASSERT_EQUAL(promiseCount, checks.size());
+        for (const PromiseCheck& check : checks)
+            CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), check.checked);
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(HistoryTest);
--- /dev/null
+++ b/src/librattandeck/historystops.cpp
@@ -0,0 +1,235 @@
+#include "history.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+
+namespace Rattandeck {
+
+// Leaving ----------------------------------------------------------------------------------------------------------
+
+PromiseCheck checkLeaving(const History& history, const HistoryLimits& limits)
+{
+    PromiseCheck check { Promise::Leaving };
+    std::map<NodeId, TimePoint> leaving;
+    for (std::size_t i = 0; i < history.events.size(); ++i) {
+        const HistoryEvent& event = history.events[i];
+        if (const auto* listed = std::get_if<LeavingListed>(&event.fact))
+            leaving.try_emplace(listed->node, event.at);
+        if (const auto* asked = std::get_if<StopAsked>(&event.fact))
+            leaving.try_emplace(asked->node, event.at);
+        if (const auto* started = std::get_if<ProcessStarted>(&event.fact))
+            leaving.erase(started->node);
+        const auto* work = std::get_if<WorkAccepted>(&event.fact);
+        if (!work)
+            continue;
+        const auto from = leaving.find(work->endpoint);
+        if (from != leaving.end() && event.at > from->second + limits.leaving)
+            check.violations.push_back({ Promise::Leaving, ViolationKind::WorkAfterLeaving, i });
+        // Work for others while this one leaves shows that there was work to be had.
+        check.checked += static_cast<std::uint64_t>(
+            std::ranges::count_if(leaving, [&](const auto& item) { return event.at > item.second + limits.leaving; }));
+    }
+    return check;
+}
+
+// Planned stop -----------------------------------------------------------------------------------------------------
+
+namespace {
+
+    struct StopWatch {
+        struct OpenRequest {
+            NodeId entry;
+            std::size_t sentEvent = 0;
+        };
+        struct Stop {
+            std::size_t event = 0;
+            TimePoint at {};
+        };
+        std::map<NodeId, Stop> stops;
+        std::map<RequestId, OpenRequest> openRequests;
+        std::map<RunId, NodeId> openRuns;
+    };
+
+    bool isSentAway(const CallerEvent& event)
+    {
+        const auto* problem = std::get_if<Problem>(&event);
+        return problem && problem->kind == ProblemKind::ShuttingDown;
+    }
+
+    void judgeExit(PromiseCheck& check, StopWatch& watch, const NodeId& node, std::size_t event)
+    {
+        ++check.checked;
+        const auto here = [&](const auto& item) { return item.second == node; };
+        const auto asked = [&](const auto& item) { return item.second.entry == node; };
+        if (std::ranges::any_of(watch.openRuns, here) || std::ranges::any_of(watch.openRequests, asked))
+            check.violations.push_back({ Promise::PlannedStop, ViolationKind::CutByStop, event });
+        watch.stops.erase(node);
+    }
+
+    void judgeReply(PromiseCheck& check, StopWatch& watch, const RequestEvent& reply, std::size_t event)
+    {
+        const auto open = watch.openRequests.find(reply.request);
+        if (open == watch.openRequests.end() || std::holds_alternative<AnswerTokens>(reply.event))
+            return;
+        const auto stop = watch.stops.find(open->second.entry);
+        if (stop != watch.stops.end() && open->second.sentEvent < stop->second.event) {
+            ++check.checked;
+            if (isSentAway(reply.event))
+                check.violations.push_back({ Promise::PlannedStop, ViolationKind::RefusedByStop, event });
+        }
+        watch.openRequests.erase(open);
+    }
+
+}
+
+PromiseCheck checkPlannedStop(const History& history, const HistoryLimits& limits)
+{
+    PromiseCheck check { Promise::PlannedStop };
+    StopWatch watch;
+    for (std::size_t i = 0; i < history.events.size(); ++i) {
+        const HistoryEvent& event = history.events[i];
+        if (const auto* sent = std::get_if<RequestSent>(&event.fact))
+            watch.openRequests[sent->request] = { sent->entry, i };
+        if (const auto* reply = std::get_if<RequestEvent>(&event.fact))
+            judgeReply(check, watch, *reply, i);
+        if (const auto* gone = std::get_if<RequestAbandoned>(&event.fact))
+            watch.openRequests.erase(gone->request);
+        if (const auto* run = std::get_if<RunStarted>(&event.fact))
+            watch.openRuns[run->run] = run->endpoint;
+        if (const auto* run = std::get_if<RunEnded>(&event.fact))
+            watch.openRuns.erase(run->run);
+        if (const auto* asked = std::get_if<StopAsked>(&event.fact))
+            watch.stops.try_emplace(asked->node, StopWatch::Stop { i, event.at });
+        if (const auto* dead = std::get_if<ProcessDied>(&event.fact))
+            watch.stops.erase(dead->node);
+        if (const auto* exited = std::get_if<ProcessExited>(&event.fact))
+            judgeExit(check, watch, exited->node, i);
+    }
+    for (const auto& [node, stop] : watch.stops) {
+        if (stop.at + limits.stop > history.end)
+            continue;
+        ++check.checked;
+        check.violations.push_back({ Promise::PlannedStop, ViolationKind::StopNeverEnds, stop.event });
+    }
+    return check;
+}
+
+// Configuration ----------------------------------------------------------------------------------------------------
+
+namespace {
+
+    struct NodeConfig {
+        TimePoint steadyFrom {};
+        bool alive = false;
+        bool disturbed = false;
+        std::map<ObjectKey, ObjectVersion> inForce;
+    };
+
+    struct Change {
+        ObjectKey key;
+        ObjectVersion version;
+        /// When a process first had it in force: from then on it spreads without the store.
+        TimePoint firstSeen {};
+        std::size_t event = 0;
+    };
+
+    struct ConfigWatch {
+        std::map<NodeId, NodeConfig> nodes;
+        std::map<ObjectKey, ObjectVersion> accepted;
+        std::vector<Change> changes;
+    };
+
+    void judgeDue(PromiseCheck& check, ConfigWatch& watch, TimePoint now, const HistoryLimits& limits)
+    {
+        while (!watch.changes.empty() && watch.changes.front().firstSeen + limits.configuration <= now) {
+            const Change change = watch.changes.front();
+            watch.changes.erase(watch.changes.begin());
+            for (const auto& [id, node] : watch.nodes) {
+                if (!node.alive || node.disturbed || node.steadyFrom > change.firstSeen)
+                    continue;
+                ++check.checked;
+                const auto inForce = node.inForce.find(change.key);
+                if (inForce == node.inForce.end() || inForce->second < change.version)
+                    check.violations.push_back(
+                        { Promise::Configuration, ViolationKind::ConfigurationLate, change.event });
+            }
+        }
+    }
+
+    void noteInForce(PromiseCheck& check, ConfigWatch& watch, const ConfigInForce& now, TimePoint at, std::size_t event)
+    {
+        ObjectVersion& version = watch.nodes[now.node].inForce[now.key];
+        ++check.checked;
+        if (now.version < version)
+            check.violations.push_back({ Promise::Configuration, ViolationKind::ConfigurationReverted, event });
+        version = now.version;
+        const bool known = std::ranges::any_of(watch.changes,
+            [&](const Change& change) { return change.key == now.key && change.version >= now.version; });
+        ObjectVersion& highest = watch.accepted[now.key];
+        if (!known && now.version > highest)
+            watch.changes.push_back({ now.key, now.version, at, event });
+        highest = std::max(highest, now.version);
+    }
+
+    void noteNode(ConfigWatch& watch, const HistoryEvent& event)
+    {
+        if (const auto* started = std::get_if<ProcessStarted>(&event.fact))
+            watch.nodes[started->node] = { event.at, true, false, {} };
+        if (const auto* dead = std::get_if<ProcessDied>(&event.fact))
+            watch.nodes[dead->node].alive = false;
+        if (const auto* gone = std::get_if<ProcessExited>(&event.fact))
+            watch.nodes[gone->node].alive = false;
+        if (const auto* began = std::get_if<DisturbanceBegan>(&event.fact))
+            watch.nodes[began->node].disturbed = true;
+        if (const auto* ended = std::get_if<DisturbanceEnded>(&event.fact)) {
+            NodeConfig& node = watch.nodes[ended->node];
+            node.disturbed = false;
+            node.steadyFrom = event.at;
+        }
+    }
+
+}
+
+PromiseCheck checkConfiguration(const History& history, const HistoryLimits& limits)
+{
+    PromiseCheck check { Promise::Configuration };
+    ConfigWatch watch;
+    std::map<ObjectKey, std::pair<ObjectVersion, std::size_t>> accepted;
+    for (std::size_t i = 0; i < history.events.size(); ++i) {
+        const HistoryEvent& event = history.events[i];
+        judgeDue(check, watch, event.at, limits);
+        noteNode(watch, event);
+        if (const auto* change = std::get_if<ConfigAccepted>(&event.fact))
+            accepted[change->key] = { change->version, i };
+        if (const auto* inForce = std::get_if<ConfigInForce>(&event.fact))
+            noteInForce(check, watch, *inForce, event.at, i);
+    }
+    judgeDue(check, watch, history.end, limits);
+    // In the end everybody has the newest, whatever happened on the way.
+    for (const auto& [key, newest] : accepted) {
+        if (history.events[newest.second].at + limits.configuration > history.end)
+            continue;
+        for (const auto& [id, node] : watch.nodes) {
+            if (!node.alive || node.disturbed || node.steadyFrom + limits.configuration > history.end)
+                continue;
+            ++check.checked;
+            const auto inForce = node.inForce.find(key);
+            if (inForce == node.inForce.end() || inForce->second < newest.first)
+                check.violations.push_back({ Promise::Configuration, ViolationKind::ConfigurationLate, newest.second });
+        }
+    }
+    return check;
+}
+
+// All --------------------------------------------------------------------------------------------------------------
+
+std::vector<PromiseCheck> checkPromises(const History& history, const HistoryLimits& limits)
+{
+    return { checkOrder(history, limits), checkOwnHistory(history, limits), checkBudget(history, limits),
+        checkEngineMemory(history, limits), checkOwnAnswer(history, limits), checkNotRun(history, limits),
+        checkAtMostOnce(history, limits), checkLeaving(history, limits), checkPlannedStop(history, limits),
+        checkConfiguration(history, limits) };
+}
+
+}
