Tell the configuration in force from both cores

Cause: history checking must see which version of each object a process has in force; status gives one revision only. Change: EntryCore::configuration() and SidecarCore::configuration().

--- a/src/include/Rattandeck/entry.h
+++ b/src/include/Rattandeck/entry.h
@@ -118,6 +118,8 @@
     bool isDrained() const;
 
     EntryStatus status() const;
+    /// The configuration objects in force here, deletions included.
+    ConfigUpdate configuration() const;
     /// Programs that this entry is the home of and that have not ended, in no order.
     std::vector<ProgramHeader> openPrograms() const;
 
--- a/src/include/Rattandeck/sidecar.h
+++ b/src/include/Rattandeck/sidecar.h
@@ -132,6 +132,8 @@
     bool isDrained() const;
 
     SidecarStatus status() const;
+    /// The configuration objects in force here, deletions included.
+    ConfigUpdate configuration() const;
 
 private:
     struct Impl;
--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -322,6 +322,8 @@
     return open;
 }
 
+ConfigUpdate EntryCore::configuration() const { return this->impl->config.all(); }
+
 EntryStatus EntryCore::status() const
 {
     const Impl& entry = *this->impl;
--- a/src/librattandeck/sidecar.cpp
+++ b/src/librattandeck/sidecar.cpp
@@ -58,6 +58,8 @@
 
 bool SidecarCore::isDrained() const { return this->impl->isDrained(); }
 
+ConfigUpdate SidecarCore::configuration() const { return this->impl->config.all(); }
+
 SidecarStatus SidecarCore::status() const
 {
     SidecarStatus status = this->impl->counters;
