Let the fleet's prefixes and placement's holders have names of their own

Cause: two structs were called HeldAt after the policies were merged; nothing compiled. Change: the fleet's is PrefixAt.

--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -332,7 +332,7 @@
 void EntryCore::Impl::releaseEngines(HomeShard& shard, HomeProgram& program, bool ended)
 {
     std::set<NodeId> holders;
-    for (const HeldAt& prefix : program.prefixes)
+    for (const PrefixAt& prefix : program.prefixes)
         holders.insert(prefix.sidecar);
     if (ended) {
         for (const LifeIndex life : program.headerHolders)
--- a/src/librattandeck/entryorders.cpp
+++ b/src/librattandeck/entryorders.cpp
@@ -312,7 +312,7 @@
         const auto shard = this->shards.find(id.shard);
         HomeProgram* program = shard == this->shards.end() ? nullptr : shard->second.find(id);
         if (program)
-            std::erase_if(program->prefixes, [&](const HeldAt& held) { return held.sidecar == from; });
+            std::erase_if(program->prefixes, [&](const PrefixAt& held) { return held.sidecar == from; });
         return program;
     };
     for (const ProgramId& id : report.droppedPrefixes)
--- a/src/librattandeck/entryrecords.cpp
+++ b/src/librattandeck/entryrecords.cpp
@@ -362,7 +362,7 @@
     if (!this->hasAuthority())
         answer = Problem { ProblemKind::NotServing, Ran::Unknown, takeoverRetry, "the lease has lapsed" };
     if (held.onChain && call->request.service == program->header.service) {
-        std::erase_if(program->prefixes, [&](const HeldAt& prefix) { return prefix.sidecar == call->sidecar; });
+        std::erase_if(program->prefixes, [&](const PrefixAt& prefix) { return prefix.sidecar == call->sidecar; });
         program->prefixes.push_back({ call->sidecar, program->historyTokens });
     }
     this->pausePrefix(*shard, *program, *call);
@@ -382,7 +382,7 @@
     prefix.expectedPause = call.request.expectedPause;
     if (atPause(prefix, {}) == PrefixAction::Drop)
         return this->releaseEngines(shard, program, false);
-    for (const HeldAt& held : program.prefixes)
+    for (const PrefixAt& held : program.prefixes)
         this->send(held.sidecar, HoldPrefix { program.header.id, call.request.expectedPause });
 }
 
--- a/src/librattandeck/fleet.cpp
+++ b/src/librattandeck/fleet.cpp
@@ -188,8 +188,8 @@
     constexpr std::size_t sampleSize = 32;
     std::vector<SidecarView> chosen;
     std::vector<SidecarView>& views = this->services.at(query.service).views;
-    const auto heldAt = [&](const NodeId& node) -> const HeldAt* {
-        for (const HeldAt& prefix : query.held) {
+    const auto heldAt = [&](const NodeId& node) -> const PrefixAt* {
+        for (const PrefixAt& prefix : query.held) {
             if (prefix.sidecar == node)
                 return &prefix;
         }
@@ -204,7 +204,7 @@
             chosen.push_back(view);
         return view.creditsLeft > 0;
     };
-    for (const HeldAt& prefix : query.held) {
+    for (const PrefixAt& prefix : query.held) {
         Sidecar* holder = this->find(prefix.sidecar);
         const bool usable = holder && holder->position && holder->service == query.service;
         if (usable && consider(views[*holder->position]))
--- a/src/librattandeck/fleet.h
+++ b/src/librattandeck/fleet.h
@@ -14,7 +14,7 @@
 namespace Rattandeck {
 
 /// A prefix that a sidecar is believed to hold.
-struct HeldAt {
+struct PrefixAt {
     NodeId sidecar;
     TokenCount tokens;
 };
@@ -26,7 +26,7 @@
     const PlacementSettings& settings;
     std::uint64_t seed = 0;
     /// Prefixes of the program.
-    std::span<const HeldAt> held;
+    std::span<const PrefixAt> held;
     /// Sidecars that must not get the call again.
     std::span<const NodeId> excluded;
     /// Null: every sidecar of the service is admitted.
--- a/src/librattandeck/home.h
+++ b/src/librattandeck/home.h
@@ -110,7 +110,7 @@
     bool damaged = false;
     std::unique_ptr<ProgramCall> current;
     std::deque<std::unique_ptr<ProgramCall>> queue;
-    std::vector<HeldAt> prefixes;
+    std::vector<PrefixAt> prefixes;
     TimePoint openedAt {};
     TimePoint endedAt {};
     Duration attainedService { 0 };
