--- a/src/librattandeckapp/objectclient.cpp
+++ b/src/librattandeckapp/objectclient.cpp
@@ -128,9 +128,9 @@
     {
     }
 
-    void send(HttpRequest request, std::function<void(ObjectOutcome)> done)
+    void send(const HttpRequest& request, std::function<void(ObjectOutcome)> done)
     {
-        this->client.fetch(std::move(request), this->timeout,
+        this->client.fetch(request, this->timeout,
             [done = std::move(done)](
                 const tl::expected<HttpResponse, NetError>& response) { done(readOutcome(response)); });
     }
@@ -139,7 +139,7 @@
     {
         const std::weak_ptr<Impl> weak = this->weak_from_this();
         this->watchBuffer.clear();
-        HttpRequest request { "GET", "/watch", { { "after", std::to_string(this->watchedRevision.value) } }, {}, {} };
+        const HttpRequest request { "GET", "/watch", { { "after", std::to_string(this->watchedRevision.value) } }, {}, {} };
         HttpCallbacks callbacks;
         callbacks.onHead = [](int, const HttpHeaders&) {};
         callbacks.onData = [weak](std::string_view chunk) {
@@ -150,7 +150,7 @@
             if (const auto self = weak.lock())
                 self->restartWatchAfter(watchRetryDelay);
         };
-        this->watchCall = this->client.start(std::move(request), watchLife, std::move(callbacks));
+        this->watchCall = this->client.start(request, watchLife, std::move(callbacks));
         this->expectWatchData();
     }
 
@@ -205,8 +205,8 @@
 
 void ObjectClient::remove(const ObjectKey& key, ObjectVersion expected, std::function<void(ObjectOutcome)> done)
 {
-    HttpRequest request { "DELETE", pathOf(key), { { "expected", std::to_string(expected.value) } }, {}, {} };
-    this->impl->send(std::move(request), std::move(done));
+    const HttpRequest request { "DELETE", pathOf(key), { { "expected", std::to_string(expected.value) } }, {}, {} };
+    this->impl->send(request, std::move(done));
 }
 
 void ObjectClient::watch(ObjectVersion revision, std::function<void(const StoredObject&, ObjectVersion)> changed)
--- a/src/rattandeck-capacity/localsystem.cpp
+++ b/src/rattandeck-capacity/localsystem.cpp
@@ -50,7 +50,7 @@
 
 NodeId LocalSystem::addEntry(const std::string& name, const std::string& domain)
 {
-    const NodeId node(name);
+    NodeId node(name);
     EntrySettings settings;
     settings.node = node;
     settings.incarnation = Incarnation(this->hellos.size() + 1);
@@ -92,7 +92,7 @@
 
 NodeId LocalSystem::addSidecar(const std::string& name, const std::string& domain)
 {
-    const NodeId node(name);
+    NodeId node(name);
     SidecarSettings settings;
     settings.node = node;
     settings.incarnation = Incarnation(this->hellos.size() + 1);
--- a/src/rattandeck-capacity/rattandeck-capacity.cpp
+++ b/src/rattandeck-capacity/rattandeck-capacity.cpp
@@ -141,6 +141,7 @@
 {
     const auto column = [&](const std::string& measure, const std::string& unit, double SteadyState::*field) {
         std::vector<Point> points;
+        points.reserve(states.size());
         for (const auto& [size, state] : states)
             points.push_back({ static_cast<double>(size), state.*field });
         report("steady " + measure, swept, unit, points);
@@ -356,6 +357,7 @@
 {
     const auto column = [&](const std::string& measure, const std::string& unit, double TakeoverCost::*field) {
         std::vector<Point> points;
+        points.reserve(costs.size());
         for (const auto& [size, cost] : costs)
             points.push_back({ static_cast<double>(size), cost.*field });
         report("takeover " + measure, swept, unit, points);
--- a/src/rattandeck-entry/callerapi.cpp
+++ b/src/rattandeck-entry/callerapi.cpp
@@ -79,7 +79,7 @@
     : loop(eventLoop)
     , metrics(metricsToUse)
     , server(eventLoop, limits,
-          [this](HttpRequest request, const HttpResponder& responder) { this->handle(std::move(request), responder); })
+          [this](const HttpRequest& request, const HttpResponder& responder) { this->handle(request, responder); })
 {
 }
 
@@ -91,7 +91,7 @@
 
 std::size_t CallerApi::inFlight() const { return this->pending.size(); }
 
-void CallerApi::handle(HttpRequest http, const HttpResponder& responder)
+void CallerApi::handle(const HttpRequest& http, const HttpResponder& responder)
 {
     const Route route = routeOf(http.method, http.path);
     if (!route.known) {
--- a/src/rattandeck-entry/callerapi.h
+++ b/src/rattandeck-entry/callerapi.h
@@ -39,7 +39,7 @@
         Rattandeck::TimePoint receivedAt;
     };
 
-    void handle(RattandeckNet::HttpRequest request, const RattandeckNet::HttpResponder& responder);
+    void handle(const RattandeckNet::HttpRequest& request, const RattandeckNet::HttpResponder& responder);
     void pass(Rattandeck::CallerRequest request, const RattandeckNet::HttpRequest& http,
         const RattandeckNet::HttpResponder& responder);
     void sendTokens(PendingAnswer& answer, const Rattandeck::AnswerTokens& tokens);
