Test leases, members, shard map and the merge of a census; tell planned ends of members

Cause: a member that left by plan had to be heard, or counted as lost, until an instance list had lagged behind; a re-registered one always counted as a lost life. Change: leaving members are marked gone at once, and the next registration says when the former life was; the shard map goes to peers only when a link comes up; lists of members are paced by their number; joined callers keep their own time.

--- /dev/null
+++ b/src/librattandeck/census_test.cpp
@@ -0,0 +1,170 @@
+#include "census.h"
+
+#include "Rattandeck/config.h"
+#include "Rattandeck/digest.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Rattandeck;
+
+namespace {
+
+    const ProgramId program { ShardId(1), Epoch(2), 3 };
+
+    TurnRecord finished(std::uint32_t turn, const Digest& headBefore, const std::string& output, std::uint32_t attempt = 1)
+    {
+        TurnRecord record;
+        record.program = program;
+        record.turn = TurnNumber(turn);
+        record.attempt = attempt;
+        record.state = RecordState::Finished;
+        record.input = "in";
+        record.output = output;
+        record.charged = TokenCount(10);
+        record.headBefore = headBefore;
+        record.headAfter = chainDigest(headBefore, record.turn, record.input, output);
+        return record;
+    }
+
+    TurnRecord started(std::uint32_t turn, const Digest& headBefore, bool idempotent)
+    {
+        TurnRecord record = finished(turn, headBefore, "");
+        record.state = RecordState::Started;
+        record.headAfter = Digest();
+        record.idempotent = idempotent;
+        record.charged = TokenCount(50);
+        return record;
+    }
+
+    HeardAnswer heard(std::uint32_t life, std::vector<TurnRecord> records)
+    {
+        HeardAnswer answer;
+        answer.life = LifeIndex(life);
+        answer.node = NodeId("s" + std::to_string(life));
+        ProgramHeader header;
+        header.id = program;
+        header.root = program;
+        answer.answer.programs.push_back(header);
+        answer.answer.records = std::move(records);
+        return answer;
+    }
+
+    HomeProgram merged(const std::vector<HeardAnswer>& answers, bool complete = true)
+    {
+        return std::move(mergeAnswers(answers, complete).programs.at(program).program);
+    }
+
+}
+
+class CensusTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(CensusTest);
+    CPPUNIT_TEST(chainIsPutTogetherFromSeveralHolders);
+    CPPUNIT_TEST(holeIsDamage);
+    CPPUNIT_TEST(changedRecordIsLeftOut);
+    CPPUNIT_TEST(finishedGoesBeforeStarted);
+    CPPUNIT_TEST(nextTurnDecidesBetweenTwoAnswers);
+    CPPUNIT_TEST(openCallThatNobodyRunsIsUnknown);
+    CPPUNIT_TEST(openIdempotentCallMayRunAgainAfterACompleteCensus);
+    CPPUNIT_TEST(runningCallIsAdopted);
+    CPPUNIT_TEST(lateRecordStaysOffTheChain);
+    CPPUNIT_TEST(deletionsInAListAreRemembered);
+    CPPUNIT_TEST_SUITE_END();
+
+    void chainIsPutTogetherFromSeveralHolders()
+    {
+        const TurnRecord first = finished(1, Digest(), "a");
+        const TurnRecord second = finished(2, first.headAfter, "b");
+        const HomeProgram whole = merged({ heard(1, { second }), heard(2, { first, second }) });
+        CPPUNIT_ASSERT(!whole.damaged);
+        CPPUNIT_ASSERT(whole.head == second.headAfter);
+        CPPUNIT_ASSERT_EQUAL(2U, whole.lastTurn.value);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), whole.records.at(TurnNumber(2)).holders.size());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(20), chargedTokens(whole, 0).value);
+    }
+
+    void holeIsDamage()
+    {
+        const TurnRecord first = finished(1, Digest(), "a");
+        const TurnRecord second = finished(2, first.headAfter, "b");
+        const TurnRecord third = finished(3, second.headAfter, "c");
+        CPPUNIT_ASSERT(merged({ heard(1, { first, third }) }).damaged);
+        CPPUNIT_ASSERT(merged({ heard(1, { second }) }).damaged);
+    }
+
+    void changedRecordIsLeftOut()
+    {
+        TurnRecord record = finished(1, Digest(), "a");
+        record.output = "another";
+        CPPUNIT_ASSERT(merged({ heard(1, { record }) }).records.empty());
+    }
+
+    void finishedGoesBeforeStarted()
+    {
+        const HomeProgram whole
+            = merged({ heard(1, { started(1, Digest(), true) }), heard(2, { finished(1, Digest(), "a", 2) }) });
+        CPPUNIT_ASSERT(whole.records.at(TurnNumber(1)).record.state == RecordState::Finished);
+        // The other attempt may have run, too.
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(60), chargedTokens(whole, 0).value);
+    }
+
+    void nextTurnDecidesBetweenTwoAnswers()
+    {
+        const TurnRecord told = finished(1, Digest(), "told", 1);
+        const TurnRecord other = finished(1, Digest(), "other", 2);
+        const TurnRecord next = finished(2, told.headAfter, "b");
+        const HomeProgram whole = merged({ heard(1, { other }), heard(2, { told, next }) });
+        CPPUNIT_ASSERT(!whole.damaged);
+        CPPUNIT_ASSERT_EQUAL(std::string("told"), whole.records.at(TurnNumber(1)).record.output);
+    }
+
+    void openCallThatNobodyRunsIsUnknown()
+    {
+        const HomeProgram whole = merged({ heard(1, { started(1, Digest(), false) }) });
+        CPPUNIT_ASSERT(whole.records.at(TurnNumber(1)).record.state == RecordState::Unknown);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(50), chargedTokens(whole, 0).value);
+    }
+
+    void openIdempotentCallMayRunAgainAfterACompleteCensus()
+    {
+        const std::vector<HeardAnswer> answers { heard(1, { started(1, Digest(), true) }) };
+        CPPUNIT_ASSERT_EQUAL(0U, merged(answers).lastTurn.value);
+        CPPUNIT_ASSERT_EQUAL(1U, merged(answers, false).lastTurn.value);
+    }
+
+    void runningCallIsAdopted()
+    {
+        const TurnRecord first = finished(1, Digest(), "a");
+        const TurnRecord open = started(2, first.headAfter, false);
+        HeardAnswer answer = heard(1, { first, open });
+        answer.answer.running.push_back({ OrderId(9), open });
+        const MergedShard shard = mergeAnswers({ answer }, true);
+        const MergedProgram& found = shard.programs.at(program);
+        CPPUNIT_ASSERT(found.running);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(9), found.running->order.value);
+        CPPUNIT_ASSERT_EQUAL(1U, found.program.lastTurn.value);
+    }
+
+    void lateRecordStaysOffTheChain()
+    {
+        const TurnRecord late = finished(1, Digest(), "late");
+        const TurnRecord next = finished(2, Digest(), "b");
+        const HomeProgram whole = merged({ heard(1, { late, next }) });
+        CPPUNIT_ASSERT(!whole.damaged);
+        CPPUNIT_ASSERT(!whole.records.at(TurnNumber(1)).onChain);
+        CPPUNIT_ASSERT(whole.head == next.headAfter);
+        CPPUNIT_ASSERT_EQUAL(std::string("inb"), historyText(whole, ServiceName()));
+    }
+
+    void deletionsInAListAreRemembered()
+    {
+        ConfigReplica replica;
+        replica.applyList("policy", { { { "policy", "p" }, ObjectVersion(3), false, "{}" } }, ObjectVersion(5));
+        CPPUNIT_ASSERT(replica.find({ "policy", "p" }));
+        replica.applyList("policy", {}, ObjectVersion(9));
+        CPPUNIT_ASSERT(!replica.find({ "policy", "p" }));
+        CPPUNIT_ASSERT(!replica.apply({ "policy", "p", ObjectVersion(3), false, "{}" }));
+        CPPUNIT_ASSERT(replica.apply({ "policy", "p", ObjectVersion(10), false, "{}" }));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), replica.all().objects.size());
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(CensusTest);
--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -177,6 +177,7 @@
         entry.loseLife(node.life);
     node.hello = hello;
     node.linked = true;
+    node.leaving = false;
     node.life = entry.lifeOf(hello.node, hello.incarnation, hello.domain);
     entry.lives[node.life.value].lost = false;
 
@@ -308,6 +309,7 @@
 void EntryCore::beginShutdown()
 {
     this->impl->shuttingDown = true;
+    this->impl->shutdownBegun = this->impl->now();
     this->impl->log("shutdown begins", "new requests are refused");
     this->impl->releaseLease();
 }
--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -59,6 +59,7 @@
 {
     if (request.timeLeft.count() <= 0)
         request.timeLeft = defaultTimeLeft;
+    request.timeLeft = std::min(request.timeLeft, longestTimeLeft);
     if (this->shuttingDown && !forwarded)
         return this->refuse(
             caller, ProblemKind::ShuttingDown, ranIfRefused(request), otherEntryRetry, "this entry is leaving");
@@ -145,6 +146,16 @@
             shard->second, *program, Problem { ProblemKind::DeadlineExceeded, Ran::No, {}, "the caller left" });
 }
 
+void EntryCore::Impl::limitWait(const Caller& caller, Milliseconds timeLeft)
+{
+    this->after(timeLeft, [this, caller] {
+        if (!this->callers.contains(caller))
+            return;
+        this->callerGone(caller);
+        this->refuse(caller, ProblemKind::DeadlineExceeded, Ran::Unknown, takeoverRetry, "the time is over");
+    });
+}
+
 // At home ----------------------------------------------------------------------------------------------------------
 
 void EntryCore::Impl::refuseMissing(const Caller& caller, const HomeShard& shard, const CallerRequest& request)
@@ -187,7 +198,8 @@
     case CallKind::Call:
         return this->callProgram(caller, *shard, *program, std::move(request));
     case CallKind::EndProgram:
-        return this->endProgram(caller, *shard, *program);
+        this->endProgram(caller, *shard, *program);
+        return this->limitWait(caller, request.timeLeft);
     case CallKind::GetProgram:
         return this->getProgram(caller, *shard, *program);
     }
@@ -372,7 +384,8 @@
 {
     if (request.service.value.empty())
         request.service = program.header.service;
-    if (reservationFor(request).value > maxTokensPerCall || request.maxOutputTokens.value < 0)
+    const bool badOutput = request.maxOutputTokens.value < 0 || request.maxOutputTokens.value > maxTokensPerCall;
+    if (badOutput || reservationFor(request).value > maxTokensPerCall)
         return this->refuse(caller, ProblemKind::BadRequest, Ran::No, {}, "the call is larger than any may be");
     const Digest digest = requestDigest(request);
     const bool doubtful = shard.doubtful(program.header.id, this->now());
@@ -390,7 +403,7 @@
         if (same->call->nextPart == 0)
             same->call->streaming.push_back(caller);
         this->callers[caller] = program.header.id;
-        return;
+        return this->limitWait(caller, request.timeLeft);
     }
     if (this->shuttingDown)
         return this->refuse(caller, ProblemKind::ShuttingDown, doubtful ? Ran::Unknown : Ran::No, takeoverRetry,
--- a/src/librattandeck/entrycopies.cpp
+++ b/src/librattandeck/entrycopies.cpp
@@ -172,8 +172,12 @@
     const bool settled = !this->claim && this->censuses.empty() && this->gapsUnwritten.empty();
     if (!this->hasAuthority() || !settled || this->recopiesOpen > 0)
         return;
-    if (this->membersChanged && this->membersListed && !this->throughListOpen) {
+    const Duration listInterval = std::max<Duration>(
+        this->settings.leaseDuration / 3, listTimePerMember * static_cast<std::int64_t>(this->members.size()));
+    const bool listDue = this->now() >= this->throughListedAt + listInterval;
+    if (this->membersChanged && this->membersListed && !this->throughListOpen && listDue) {
         this->membersChanged = false;
+        this->throughListedAt = this->now();
         this->throughListOpen = true;
         this->listMembers([this](std::optional<ObjectVersion> revision) {
             this->throughListOpen = false;
@@ -201,11 +205,8 @@
     if (!allStand)
         return;
     this->recopyWanted = false;
-    const bool homesKnown = std::none_of(this->map.slots.begin(), this->map.slots.end(), [&](const ShardSlot& slot) {
-        const auto index = static_cast<std::uint32_t>(&slot - this->map.slots.data());
-        return slot.home == this->settings.node && !this->shards.contains(ShardId(index));
-    });
-    if (!this->throughWanted || this->throughListOpen || !homesKnown || this->map.version <= this->claimInDoubt)
+    if (!this->throughWanted || this->throughListOpen || !this->ownSlotsTaken()
+        || this->map.version <= this->claimInDoubt)
         return;
     this->completeThrough = std::max(this->completeThrough, *this->throughWanted);
     this->completeThroughLimit.reset();
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -33,6 +33,12 @@
 /// Wait for the answer to one copy before another holder is tried.
 constexpr Milliseconds copyTimeout { 1000 };
 constexpr Milliseconds copyRetryDelay { 200 };
+/// A stopping entry waits so long at most for copies of its facts.
+constexpr Milliseconds lastCopiesTime { 3000 };
+/// The members are listed anew no sooner than this for each member, so that a rollout doesn't cause a flood of lists.
+constexpr Milliseconds listTimePerMember { 5 };
+/// Longest time that a request may say it has left.
+constexpr Milliseconds longestTimeLeft { 24 * 3600 * 1000 };
 /// Configuration is listed anew this often, in case a watch has missed something.
 constexpr Milliseconds listInterval { 30000 };
 /// Time left of a request that doesn't say.
@@ -106,6 +112,8 @@
     // Members (entrymembers.cpp) -------------------------------------------------------------------------------------
 
     void registerSelf();
+    /// Tells the homes whose copies are held here to put them elsewhere.
+    void unregisterSelf();
     void registerSidecar(const NodeId& node);
     void putMember(const Member& member, ObjectVersion expected, std::function<void(bool)> done);
     void memberSeen(const StoredObject& object);
@@ -161,6 +169,7 @@
     std::optional<ClaimGround> groundFor(ShardId shard, const ShardSlot& slot);
     std::optional<Claim> claimFor(ShardId shard, const ShardSlot& slot);
     bool mayTakeShards() const;
+    bool ownSlotsTaken() const;
     ObjectVersion writtenCompleteThrough() const;
     std::string writerName();
     void beginClaim(Claim claim);
@@ -250,6 +259,8 @@
     void callProgram(const Caller& caller, HomeShard& shard, HomeProgram& program, CallerRequest request);
     void answerRepeat(const Caller& caller, HomeShard& shard, HomeProgram& program, TurnNumber turn);
     void callerGone(const Caller& caller);
+    /// Answers a caller that has joined something under way when its own time is over.
+    void limitWait(const Caller& caller, Milliseconds timeLeft);
     void getProgram(const Caller& caller, HomeShard& shard, HomeProgram& program);
     void refuseMissing(const Caller& caller, const HomeShard& shard, const CallerRequest& request);
     std::optional<NodeId> anyOtherHome();
@@ -324,6 +335,8 @@
         Hello hello;
         bool linked = false;
         TimePoint downSince {};
+        /// Its last report said so: once its link is down it won't come back.
+        bool leaving = false;
         LifeIndex life;
     };
     struct Life {
@@ -342,6 +355,7 @@
     bool started = false;
     TimePoint startedAt {};
     bool shuttingDown = false;
+    TimePoint shutdownBegun {};
 
     std::uint64_t lastObjectRequest = 0;
     std::unordered_map<std::uint64_t, ObjectCallback> objectCalls;
@@ -422,6 +436,7 @@
     std::uint32_t recopiesOpen = 0;
     std::optional<ObjectVersion> throughWanted;
     bool throughListOpen = false;
+    TimePoint throughListedAt {};
 
     std::set<CallerTicket> tickets;
     std::map<CallerTicket, Forwarded> forwarded;
--- a/src/librattandeck/entrylease.cpp
+++ b/src/librattandeck/entrylease.cpp
@@ -141,8 +141,10 @@
     const ObjectPut put { { "lease", this->settings.node.value }, this->lease.version, formatLease(value) };
     this->callObjects(put, [this, begun, named, released = value.released](const ObjectOutcome& outcome) {
         this->leaseCallOpen = false;
-        if (outcome && released)
+        if (outcome && released) {
             this->leaseReleased = true;
+            this->unregisterSelf();
+        }
         this->onLeaseWritten(outcome, begun, named);
     });
 }
@@ -180,6 +182,9 @@
     }
     if (!this->tickets.empty() || !this->callers.empty())
         return;
+    const bool copying = this->recopyWanted || this->recopiesOpen > 0;
+    if (copying && this->now() < this->shutdownBegun + lastCopiesTime)
+        return;
     this->releaseWanted = true;
     this->renewLease();
     // Without the store the lease can only lapse.
--- a/src/librattandeck/entrymembers.cpp
+++ b/src/librattandeck/entrymembers.cpp
@@ -101,14 +101,27 @@
         const Member known = this->members[this->settings.node];
         if (this->selfRegistered || known.incarnation > this->settings.incarnation)
             return;
-        Member self { this->settings.node, this->settings.incarnation, this->settings.domain, {},
-            this->settings.address, Role::Entry, known.incarnation, false, {} };
-        if (known.incarnation == this->settings.incarnation)
-            self.former = known.former;
+        Member self;
+        self.node = this->settings.node;
+        self.incarnation = this->settings.incarnation;
+        self.domain = this->settings.domain;
+        self.address = this->settings.address;
+        self.role = Role::Entry;
+        registerOver(known, self);
         this->putMember(self, known.changed, [](bool) {});
     });
 }
 
+void EntryCore::Impl::unregisterSelf()
+{
+    const auto self = this->members.find(this->settings.node);
+    if (self == this->members.end() || self->second.incarnation != this->settings.incarnation)
+        return;
+    Member gone = self->second;
+    gone.gone = true;
+    this->putMember(gone, gone.changed, [](bool) {});
+}
+
 void EntryCore::Impl::registerSidecar(const NodeId& node)
 {
     const std::uint64_t delay = 1 + this->nextSeed() % registrationSpreadMs;
@@ -131,10 +144,13 @@
                 const Member stored = this->members[node];
                 if (this->isRegistered(node, hello.incarnation) || stored.incarnation > hello.incarnation)
                     return;
-                const bool sameLife = stored.incarnation == hello.incarnation;
-                const Incarnation former = sameLife ? stored.former : stored.incarnation;
-                const Member member { node, hello.incarnation, hello.domain, hello.service, hello.address,
-                    Role::Sidecar, former, false, {} };
+                Member member;
+                member.node = node;
+                member.incarnation = hello.incarnation;
+                member.domain = hello.domain;
+                member.service = hello.service;
+                member.address = hello.address;
+                registerOver(stored, member);
                 this->putMember(member, stored.changed, [again](bool written) {
                     if (!written)
                         again();
@@ -158,7 +174,7 @@
 
 void EntryCore::Impl::reviewMembers()
 {
-    if (!this->selfRegistered)
+    if (!this->selfRegistered && !this->releaseWanted)
         this->registerSelf();
     if (!this->membersListed && !this->membersListOpen) {
         this->membersListOpen = true;
@@ -174,15 +190,20 @@
         });
         return;
     }
-    if (!this->storeReachable || !this->instancesListed || this->now() < this->startedAt + goneAfter)
+    if (!this->storeReachable || !this->membersListed)
         return;
+    const bool settled = this->instancesListed && this->now() >= this->startedAt + goneAfter;
     std::vector<Member> lost;
     for (const auto& [id, member] : this->members) {
         const auto node = this->nodes.find(id);
         const bool known = node != this->nodes.end();
         const bool reachable = known && (node->second.linked || this->now() < node->second.downSince + goneAfter);
+        const bool left = known && node->second.leaving && !node->second.linked
+            && node->second.hello.incarnation == member.incarnation
+            && this->now() >= node->second.downSince + reconnectTime;
+        const bool vanished = settled && !reachable && !this->listedNodes.contains(id);
         const bool own = id == this->settings.node;
-        if (!member.gone && !own && !reachable && !this->listedNodes.contains(id) && !this->memberPutsOpen.contains(id))
+        if (!member.gone && !own && (left || vanished) && !this->memberPutsOpen.contains(id))
             lost.push_back(member);
     }
     for (Member& member : lost) {
--- a/src/librattandeck/entryobjects.cpp
+++ b/src/librattandeck/entryobjects.cpp
@@ -57,8 +57,6 @@
         if (newer && !object.deleted && newer->version > this->map.version) {
             this->mapText = object.value;
             this->applyMap(*newer);
-            for (const NodeId& entry : this->entryNodes)
-                this->sendMap(entry);
         }
     } else if (isConfigKind(object.key.kind)) {
         const ConfigObject update { object.key.kind, object.key.name, object.version, object.deleted, object.value };
@@ -106,8 +104,10 @@
         const Digest fingerprint(object.name);
         if (!object.deleted)
             this->quarantined.insert(fingerprint);
-        else
+        else {
             this->quarantined.erase(fingerprint);
+            this->crashCounts.erase(fingerprint);
+        }
     }
     const ConfigUpdate update { this->config.revision(), changed };
     for (const auto& [id, node] : this->nodes) {
--- a/src/librattandeck/entryorders.cpp
+++ b/src/librattandeck/entryorders.cpp
@@ -278,8 +278,10 @@
     const auto found = this->queues.find(service);
     if (found == this->queues.end())
         return;
-    while (!found->second.calls.empty()) {
-        std::vector<WaitingCall>& calls = found->second.calls;
+    // By reference: a refusal below may bring a request for a service that has no queue yet.
+    ServiceQueue& queue = found->second;
+    while (!queue.calls.empty()) {
+        std::vector<WaitingCall>& calls = queue.calls;
         std::vector<QueuedCall> queued;
         HomeShard* shard = nullptr;
         HomeProgram* program = nullptr;
@@ -300,14 +302,16 @@
             return;
         std::erase_if(calls, [&](const WaitingCall& waiting) { return waiting.call == chosen.call; });
     }
-    found->second.saturatedSince.reset();
+    queue.saturatedSince.reset();
 }
 
 void EntryCore::Impl::onLoadReport(const NodeId& from, const LoadReport& report)
 {
     this->fleet.onReport(from, report, this->now());
-    if (report.leaving)
+    if (report.leaving) {
+        this->nodes.at(from).leaving = true;
         this->loseLife(this->nodes.at(from).life);
+    }
     const auto forget = [&](const ProgramId& id) {
         const auto shard = this->shards.find(id.shard);
         HomeProgram* program = shard == this->shards.end() ? nullptr : shard->second.find(id);
--- a/src/librattandeck/entryshards.cpp
+++ b/src/librattandeck/entryshards.cpp
@@ -218,6 +218,9 @@
     }
     if (!this->gapsUnwritten.empty())
         this->writeGap(*this->gapsUnwritten.begin());
+    const bool formerOver = this->formerLease && this->now() >= this->formerLease->lapsesAt(this->settings.clockMargin);
+    if (formerOver && this->ownSlotsTaken())
+        this->formerLease.reset();
     // One holder at a time: its releases and its lease are asked for once.
     std::map<std::pair<NodeId, ObjectVersion>, Claim> claims;
     for (std::uint32_t i = 0; i < this->map.slots.size(); ++i) {
@@ -234,6 +237,16 @@
     this->handOver();
 }
 
+// True when this entry serves, or takes a census of, every shard that the map says is its own.
+bool EntryCore::Impl::ownSlotsTaken() const
+{
+    for (std::uint32_t i = 0; i < this->map.slots.size(); ++i) {
+        if (this->map.slots[i].home == this->settings.node && !this->shards.contains(ShardId(i)))
+            return false;
+    }
+    return true;
+}
+
 // Taking over ------------------------------------------------------------------------------------------------------
 
 void EntryCore::Impl::beginClaim(Claim claim)
--- /dev/null
+++ b/src/librattandeck/lease_test.cpp
@@ -0,0 +1,188 @@
+#include "lease.h"
+
+#include "members.h"
+#include "shardmap.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Rattandeck;
+
+namespace {
+
+    TimePoint at(int milliseconds) { return TimePoint(Milliseconds(1000000 + milliseconds)); }
+
+    const NodeId holder { "h" };
+    constexpr Milliseconds promiseLife { 3000 };
+
+}
+
+class LeaseTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(LeaseTest);
+    CPPUNIT_TEST(objectComesBackEqual);
+    CPPUNIT_TEST(malformedObjectIsAnError);
+    CPPUNIT_TEST(holderCountsFromBeforeTheCall);
+    CPPUNIT_TEST(majorityOfPromisesHolds);
+    CPPUNIT_TEST(bothGuarantorSetsMustPromiseWhileAWriteIsInDoubt);
+    CPPUNIT_TEST(promiseOfALaterLifeDoesNotCount);
+    CPPUNIT_TEST(observerCountsFromFirstSight);
+    CPPUNIT_TEST(livePromiseBlocksEveryRelease);
+    CPPUNIT_TEST(releaseCoversOlderVersions);
+    CPPUNIT_TEST(restartedGuarantorReleasesNothingAtFirst);
+    CPPUNIT_TEST(membersThatEndedSinceAreLost);
+    CPPUNIT_TEST(shardMapComesBackEqual);
+    CPPUNIT_TEST(everyShardHasOneFirstSuccessor);
+    CPPUNIT_TEST_SUITE_END();
+
+    void objectComesBackEqual()
+    {
+        LeaseObject lease;
+        lease.entry = holder;
+        lease.incarnation = Incarnation(7);
+        lease.duration = Milliseconds(6000);
+        lease.guarantors = { NodeId("a"), NodeId("b") };
+        lease.completeThrough = ObjectVersion(12);
+        lease.broken = true;
+        const auto parsed = parseLease(formatLease(lease));
+        CPPUNIT_ASSERT(parsed);
+        CPPUNIT_ASSERT(parsed->guarantors == lease.guarantors);
+        CPPUNIT_ASSERT(parsed->broken && !parsed->released);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), parsed->completeThrough.value);
+    }
+
+    void malformedObjectIsAnError()
+    {
+        CPPUNIT_ASSERT(!parseLease("no json"));
+        CPPUNIT_ASSERT(!parseLease("{}"));
+        CPPUNIT_ASSERT(!parseLease(R"({"entry":1,"incarnation":"x","durationMs":5})"));
+        CPPUNIT_ASSERT(!parseMember("[]", ObjectVersion(1)));
+        CPPUNIT_ASSERT(!parseShardMap(R"({"shards":[{"home":3}]})", ObjectVersion(1)));
+    }
+
+    void holderCountsFromBeforeTheCall()
+    {
+        HeldLease lease;
+        lease.onWritten(ObjectVersion(1), at(0), Milliseconds(6000), {});
+        CPPUNIT_ASSERT(lease.holds(at(5999)));
+        CPPUNIT_ASSERT(!lease.holds(at(6000)));
+    }
+
+    void majorityOfPromisesHolds()
+    {
+        HeldLease lease;
+        const Incarnation life(1);
+        lease.onWritten(
+            ObjectVersion(1), at(0), Milliseconds(6000), { { NodeId("a"), life }, { NodeId("b"), life }, { NodeId("c"), life } });
+        lease.onPromise(NodeId("a"), life, at(9000));
+        CPPUNIT_ASSERT(!lease.holds(at(7000)));
+        lease.onPromise(NodeId("stranger"), life, at(9000));
+        CPPUNIT_ASSERT(!lease.holds(at(7000)));
+        lease.onPromise(NodeId("b"), life, at(8000));
+        CPPUNIT_ASSERT(lease.onPromises(at(7000)));
+        CPPUNIT_ASSERT(!lease.holds(at(8000)));
+    }
+
+    void bothGuarantorSetsMustPromiseWhileAWriteIsInDoubt()
+    {
+        HeldLease lease;
+        const Incarnation life(1);
+        lease.onWritten(ObjectVersion(1), at(0), Milliseconds(6000), { { NodeId("a"), life } });
+        lease.guarantorsInDoubt = { { NodeId("b"), life } };
+        lease.onPromise(NodeId("a"), life, at(9000));
+        CPPUNIT_ASSERT(!lease.holds(at(7000)));
+        lease.onPromise(NodeId("b"), life, at(9000));
+        CPPUNIT_ASSERT(lease.holds(at(7000)));
+    }
+
+    void promiseOfALaterLifeDoesNotCount()
+    {
+        HeldLease lease;
+        lease.onWritten(ObjectVersion(1), at(0), Milliseconds(6000), { { NodeId("a"), Incarnation(1) } });
+        lease.onPromise(NodeId("a"), Incarnation(2), at(9000));
+        CPPUNIT_ASSERT(!lease.holds(at(7000)));
+    }
+
+    void observerCountsFromFirstSight()
+    {
+        LeaseObject value;
+        value.duration = Milliseconds(6000);
+        ObservedLease seen;
+        CPPUNIT_ASSERT(seen.onSeen(ObjectVersion(3), value, at(0)));
+        CPPUNIT_ASSERT(!seen.onSeen(ObjectVersion(3), value, at(500)));
+        CPPUNIT_ASSERT(!seen.onSeen(ObjectVersion(2), value, at(500)));
+        CPPUNIT_ASSERT(!seen.lapsed(at(6299), Milliseconds(300)));
+        CPPUNIT_ASSERT(seen.lapsed(at(6300), Milliseconds(300)));
+        value.released = true;
+        seen.onSeen(ObjectVersion(4), value, at(600));
+        CPPUNIT_ASSERT(seen.lapsed(at(600), Milliseconds(300)));
+    }
+
+    void livePromiseBlocksEveryRelease()
+    {
+        PromiseBook book(at(0), promiseLife);
+        CPPUNIT_ASSERT(book.promise(holder, ObjectVersion(5), at(4000)));
+        CPPUNIT_ASSERT(book.release(holder, ObjectVersion(9), at(5000)) == Milliseconds(2000));
+        CPPUNIT_ASSERT(book.release(NodeId("other"), ObjectVersion(9), at(5000)) == Milliseconds(0));
+        CPPUNIT_ASSERT(book.release(holder, ObjectVersion(9), at(7000)) == Milliseconds(0));
+    }
+
+    void releaseCoversOlderVersions()
+    {
+        PromiseBook book(at(0), promiseLife);
+        CPPUNIT_ASSERT(book.release(holder, ObjectVersion(9), at(4000)) == Milliseconds(0));
+        CPPUNIT_ASSERT(!book.promise(holder, ObjectVersion(8), at(4001)));
+        CPPUNIT_ASSERT(!book.promise(holder, ObjectVersion(9), at(4001)));
+        CPPUNIT_ASSERT(book.promise(holder, ObjectVersion(10), at(4001)));
+    }
+
+    void restartedGuarantorReleasesNothingAtFirst()
+    {
+        PromiseBook book(at(0), promiseLife);
+        CPPUNIT_ASSERT(book.release(holder, ObjectVersion(1), at(2999)).count() > 0);
+        CPPUNIT_ASSERT(book.release(holder, ObjectVersion(1), at(3000)).count() == 0);
+    }
+
+    void membersThatEndedSinceAreLost()
+    {
+        const auto member = [](const std::string& name, std::uint64_t former, bool gone, std::uint64_t changed) {
+            return Member { NodeId(name), Incarnation(5), {}, {}, {}, Role::Sidecar, Incarnation(former), {},
+                gone, ObjectVersion(changed) };
+        };
+        const std::vector<Member> members { member("first", 0, false, 20), member("replaced", 4, false, 20),
+            member("gone", 0, true, 20), member("replacedBefore", 4, false, 10), member("goneBefore", 0, true, 10) };
+        const CensusRoll roll = censusRoll(members, ObjectVersion(10));
+        CPPUNIT_ASSERT_EQUAL(2U, roll.livesLost);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), roll.mustHear.size());
+        // A life that was known to be gone, and covered, before it was replaced.
+        Member fresh { NodeId("goneBefore"), Incarnation(6), {}, {}, {}, Role::Sidecar, {}, {}, false, ObjectVersion(20) };
+        registerOver(members[4], fresh);
+        CPPUNIT_ASSERT_EQUAL(0U, censusRoll({ fresh }, ObjectVersion(10)).livesLost);
+        CPPUNIT_ASSERT_EQUAL(1U, censusRoll({ fresh }, ObjectVersion(9)).livesLost);
+        const auto parsed = parseMember(formatMember(members[1]), ObjectVersion(20));
+        CPPUNIT_ASSERT(parsed && parsed->former == Incarnation(4) && !parsed->gone);
+    }
+
+    void shardMapComesBackEqual()
+    {
+        ShardMap map;
+        map.slots = { { holder, Epoch(3), Epoch(2), NodeId("next"), ObjectVersion(8) }, {} };
+        map.writer = "w";
+        const auto parsed = parseShardMap(formatShardMap(map), ObjectVersion(4));
+        CPPUNIT_ASSERT(parsed);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), parsed->slots.size());
+        const ShardSlot& slot = parsed->slots[0];
+        CPPUNIT_ASSERT(slot.home == holder && slot.epoch == Epoch(3) && slot.gap == Epoch(2));
+        CPPUNIT_ASSERT(slot.next == NodeId("next") && slot.through == ObjectVersion(8));
+    }
+
+    void everyShardHasOneFirstSuccessor()
+    {
+        const std::vector<NodeId> entries { NodeId("a"), NodeId("b"), NodeId("c") };
+        for (std::uint32_t shard = 0; shard < 64; ++shard) {
+            std::size_t sum = 0;
+            for (const NodeId& entry : entries)
+                sum += successorRank(ShardId(shard), entry, entries);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(0 + 1 + 2), sum);
+        }
+    }
+};
+CPPUNIT_TEST_SUITE_REGISTRATION(LeaseTest);
--- a/src/librattandeck/members.cpp
+++ b/src/librattandeck/members.cpp
@@ -8,7 +8,8 @@
 {
     nlohmann::json json { { "node", member.node.value }, { "incarnation", member.incarnation.value },
         { "domain", member.domain.value }, { "service", member.service.value }, { "address", member.address },
-        { "role", member.role == Role::Entry ? "entry" : "sidecar" }, { "former", member.former.value } };
+        { "role", member.role == Role::Entry ? "entry" : "sidecar" }, { "former", member.former.value },
+        { "formerGone", member.formerGone.value } };
     if (member.gone)
         json["gone"] = true;
     return json.dump();
@@ -28,6 +29,7 @@
         member.address = json.value("address", "");
         member.role = json.value("role", "sidecar") == "entry" ? Role::Entry : Role::Sidecar;
         member.former = Incarnation(json.value("former", std::uint64_t { 0 }));
+        member.formerGone = ObjectVersion(json.value("formerGone", std::uint64_t { 0 }));
         member.gone = json.value("gone", false);
         member.changed = changed;
         return member;
@@ -36,12 +38,26 @@
     }
 }
 
+void registerOver(const Member& stored, Member& fresh)
+{
+    if (stored.incarnation == fresh.incarnation) {
+        fresh.former = stored.former;
+        fresh.formerGone = stored.formerGone;
+        return;
+    }
+    fresh.former = stored.incarnation;
+    if (stored.gone)
+        fresh.formerGone = stored.changed;
+}
+
 CensusRoll censusRoll(const std::vector<Member>& members, ObjectVersion completeThrough)
 {
     CensusRoll roll;
     for (const Member& member : members) {
         const bool changedSince = member.changed > completeThrough;
-        if (changedSince && (member.gone || member.former.value != 0))
+        const bool formerCovered = member.formerGone.value != 0 && member.formerGone <= completeThrough;
+        const bool formerLost = member.former.value != 0 && !formerCovered;
+        if (changedSince && (member.gone || formerLost))
             ++roll.livesLost;
         if (!member.gone)
             roll.mustHear.push_back(member);
--- a/src/librattandeck/members.h
+++ b/src/librattandeck/members.h
@@ -21,6 +21,8 @@
     Role role = Role::Sidecar;
     /// The incarnation that this one replaced; 0: none.
     Incarnation former;
+    /// Revision at which the former incarnation was known to be gone; 0: it was replaced without that.
+    ObjectVersion formerGone;
     /// Nobody can reach it any more, and the instance list no longer shows it.
     bool gone = false;
     /// Revision of the store at the last change of the object.
@@ -31,6 +33,9 @@
 /// Errors: `ObjectError::Malformed`.
 tl::expected<Member, ObjectError> parseMember(const std::string& value, ObjectVersion changed);
 
+/// Completes `fresh`, which takes the place of `stored`. Precondition: `fresh` has the same or a later incarnation.
+void registerOver(const Member& stored, Member& fresh);
+
 /// Whom a census must hear so that it is complete.
 struct CensusRoll {
     std::vector<Member> mustHear;
