--- a/src/include/Rattandeck/entry.h
+++ b/src/include/Rattandeck/entry.h
@@ -68,6 +68,7 @@
 
 /// Numbers for metrics and status pages.
 struct EntryStatus {
+    /// Holds authority, and the system has homes for programs.
     bool serving = false;
     /// Authority comes from guarantors' promises because the object API can't be reached.
     bool onPromises = false;
@@ -118,6 +119,8 @@
     bool isDrained() const;
 
     EntryStatus status() const;
+    /// The configuration objects in force here, deletions included.
+    ConfigUpdate configuration() const;
     /// Programs that this entry is the home of and that have not ended, in no order.
     std::vector<ProgramHeader> openPrograms() const;
 
