--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -181,8 +181,8 @@
     node.life = entry.lifeOf(hello.node, hello.incarnation, hello.domain);
     entry.lives[node.life.value].lost = false;
 
-    if (hello.configRevision != entry.config.revision())
-        entry.sendConfig(hello.node, entry.config.all());
+    // Changes sent on a link that has broken may be lost, whatever revision the peer has seen since.
+    entry.sendConfig(hello.node, entry.config.all());
     if (hello.role == Role::Sidecar) {
         entry.fleet.onLinkUp(hello);
         entry.registerSidecar(hello.node);
--- a/src/rattandeck-prove/callers.cpp
+++ b/src/rattandeck-prove/callers.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-    constexpr std::uint32_t agentCount = 12;
-    constexpr std::uint32_t singleCallCount = 10;
+    constexpr std::uint32_t agentCount = 24;
+    constexpr std::uint32_t singleCallCount = 16;
     constexpr std::uint32_t attemptLimit = 12;
     constexpr Milliseconds connectDelay { 2 };
     constexpr Milliseconds retryWait { 300 };
--- a/src/rattandeck-prove/generator.cpp
+++ b/src/rattandeck-prove/generator.cpp
@@ -26,7 +26,7 @@
 
 rc::Gen<Schedule> schedules(std::uint64_t seed)
 {
-    return rc::gen::map(rc::gen::container<std::vector<Fault>>(faults()), [seed](std::vector<Fault> generated) {
+    return rc::gen::map(rc::gen::container<std::vector<Fault>>(rc::gen::resize(rc::kNominalSize, faults())), [seed](std::vector<Fault> generated) {
         return Schedule { seed, std::move(generated) };
     });
 }
