--- a/src/librattandeck/historystops.cpp
+++ b/src/librattandeck/historystops.cpp
@@ -175,7 +175,8 @@
     void noteNode(ConfigWatch& watch, const HistoryEvent& event)
     {
         if (const auto* started = std::get_if<ProcessStarted>(&event.fact))
-            watch.nodes[started->node] = { event.at, true, false, {} };
+            // A cut outlasts the process that it began with.
+            watch.nodes[started->node] = { event.at, true, watch.nodes[started->node].disturbed, {} };
         if (const auto* dead = std::get_if<ProcessDied>(&event.fact))
             watch.nodes[dead->node].alive = false;
         if (const auto* gone = std::get_if<ProcessExited>(&event.fact))
