Mend what the history checker found: lone entry, lost parts, spending of ended sub-agents

Cause: an isolated entry took its domain for the only one; parts lost with a link were never sent; the spending of ended sub-agents was forgotten with their records when the home changed. Change: other domains are known by the members list; the rest of a stream goes out before the answer; records of ended sub-agents stay until they expire (entry and sidecarrecords.cpp).

--- a/src/librattandeck/census_test.cpp
+++ b/src/librattandeck/census_test.cpp
@@ -9,50 +9,50 @@
 
 namespace {
 
-    const ProgramId program { ShardId(1), Epoch(2), 3 };
-
-    TurnRecord finished(std::uint32_t turn, const Digest& headBefore, const std::string& output, std::uint32_t attempt = 1)
-    {
-        TurnRecord record;
-        record.program = program;
-        record.turn = TurnNumber(turn);
-        record.attempt = attempt;
-        record.state = RecordState::Finished;
-        record.input = "in";
-        record.output = output;
-        record.charged = TokenCount(10);
-        record.headBefore = headBefore;
-        record.headAfter = chainDigest(headBefore, record.turn, record.input, output);
-        return record;
-    }
+const ProgramId program { ShardId(1), Epoch(2), 3 };
+
+TurnRecord finished(std::uint32_t turn, const Digest& headBefore, const std::string& output, std::uint32_t attempt = 1)
+{
+    TurnRecord record;
+    record.program = program;
+    record.turn = TurnNumber(turn);
+    record.attempt = attempt;
+    record.state = RecordState::Finished;
+    record.input = "in";
+    record.output = output;
+    record.charged = TokenCount(10);
+    record.headBefore = headBefore;
+    record.headAfter = chainDigest(headBefore, record.turn, record.input, output);
+    return record;
+}
 
-    TurnRecord started(std::uint32_t turn, const Digest& headBefore, bool idempotent)
-    {
-        TurnRecord record = finished(turn, headBefore, "");
-        record.state = RecordState::Started;
-        record.headAfter = Digest();
-        record.idempotent = idempotent;
-        record.charged = TokenCount(50);
-        return record;
-    }
+TurnRecord started(std::uint32_t turn, const Digest& headBefore, bool idempotent)
+{
+    TurnRecord record = finished(turn, headBefore, "");
+    record.state = RecordState::Started;
+    record.headAfter = Digest();
+    record.idempotent = idempotent;
+    record.charged = TokenCount(50);
+    return record;
+}
 
-    HeardAnswer heard(std::uint32_t life, std::vector<TurnRecord> records)
-    {
-        HeardAnswer answer;
-        answer.life = LifeIndex(life);
-        answer.node = NodeId("s" + std::to_string(life));
-        ProgramHeader header;
-        header.id = program;
-        header.root = program;
-        answer.answer.programs.push_back(header);
-        answer.answer.records = std::move(records);
-        return answer;
-    }
+HeardAnswer heard(std::uint32_t life, std::vector<TurnRecord> records)
+{
+    HeardAnswer answer;
+    answer.life = LifeIndex(life);
+    answer.node = NodeId("s" + std::to_string(life));
+    ProgramHeader header;
+    header.id = program;
+    header.root = program;
+    answer.answer.programs.push_back(header);
+    answer.answer.records = std::move(records);
+    return answer;
+}
 
-    HomeProgram merged(const std::vector<HeardAnswer>& answers, bool complete = true)
-    {
-        return std::move(mergeAnswers(answers, complete).programs.at(program).program);
-    }
+HomeProgram merged(const std::vector<HeardAnswer>& answers, bool complete = true)
+{
+    return std::move(mergeAnswers(answers, complete).programs.at(program).program);
+}
 
 }
 
--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -191,8 +191,6 @@
         entry.entryNodes.insert(hello.node);
         entry.sendMap(hello.node);
     }
-    if (!sameLife)
-        entry.unsentReleases.erase(hello.node);
     for (const auto& [shard, census] : entry.censuses)
         entry.send(hello.node, CensusRequest { shard, census.epoch });
     for (const auto& [shard, nodes] : entry.missed) {
@@ -339,8 +337,8 @@
     const Impl& entry = *this->impl;
     EntryStatus status = entry.counters;
     // Programs can be opened once some entry has a shard, here or elsewhere.
-    const bool anyHome = std::any_of(entry.map.slots.begin(), entry.map.slots.end(),
-        [](const ShardSlot& slot) { return !slot.home.value.empty(); });
+    const bool anyHome = std::any_of(
+        entry.map.slots.begin(), entry.map.slots.end(), [](const ShardSlot& slot) { return !slot.home.value.empty(); });
     status.serving = entry.hasAuthority() && anyHome;
     status.onPromises = status.serving && entry.lease.onPromises(entry.now());
     status.ownedShards = 0;
--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -337,8 +337,9 @@
     program.endedAt = this->now();
     shard.ended.push_back(program.header.id);
     this->releaseEngines(shard, program, true);
-    // What stays is what a repeated key needs.
-    std::erase_if(program.records, [](const auto& item) { return item.second.record.key.value.empty(); });
+    // What stays is what a repeated key needs, and what a sub-agent has spent of its root's budget.
+    if (program.header.root == program.header.id)
+        std::erase_if(program.records, [](const auto& item) { return item.second.record.key.value.empty(); });
 }
 
 void EntryCore::Impl::releaseEngines(HomeShard& shard, HomeProgram& program, bool ended)
--- a/src/librattandeck/entrycopies.cpp
+++ b/src/librattandeck/entrycopies.cpp
@@ -21,11 +21,9 @@
 
 bool EntryCore::Impl::otherDomainKnown() const
 {
-    for (const auto& [entry, lease] : this->observed) {
-        const bool live = !lease.lapsed(this->now(), this->settings.clockMargin);
-        if (live && lease.lease.domain != this->settings.domain)
-            return true;
-    }
+    // By the members list: an entry that can't reach anyone must not take itself for the only one.
+    if (this->membersElsewhere > 0)
+        return true;
     return std::any_of(this->nodes.begin(), this->nodes.end(),
         [&](const auto& item) { return item.second.linked && item.second.hello.domain != this->settings.domain; });
 }
@@ -247,7 +245,10 @@
     CopyStore& store = this->copyStores[release.shard];
     if (store.ended.insert(release.program).second)
         store.endedAt.emplace_back(this->now(), release.program);
-    // Keys stay for the retention time.
+    // Keys stay for the retention time, and so does what tells a sub-agent's spending.
+    const auto header = store.programs.find(release.program);
+    if (header != store.programs.end() && header->second.root != release.program)
+        return;
     std::erase_if(store.records,
         [&](const auto& item) { return std::get<0>(item.first) == release.program && item.second.key.value.empty(); });
 }
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -389,6 +389,8 @@
     PromiseBook promises;
 
     std::map<NodeId, Member> members;
+    /// Members in other failure domains that are not gone.
+    std::size_t membersElsewhere = 0;
     bool selfRegistered = false;
     bool membersListOpen = false;
     bool membersChanged = true;
--- a/src/librattandeck/entrymembers.cpp
+++ b/src/librattandeck/entrymembers.cpp
@@ -46,6 +46,11 @@
     Member& known = this->members[member->node];
     if (member->changed <= known.changed)
         return;
+    const auto isElsewhere = [this](const Member& candidate) {
+        return candidate.changed.value != 0 && !candidate.gone && candidate.domain != this->settings.domain;
+    };
+    this->membersElsewhere -= isElsewhere(known) ? 1 : 0;
+    this->membersElsewhere += isElsewhere(*member) ? 1 : 0;
     known = *member;
     this->membersChanged = true;
     if (member->node == this->settings.node) {
--- a/src/librattandeck/entryrecords.cpp
+++ b/src/librattandeck/entryrecords.cpp
@@ -366,10 +366,18 @@
         program->prefixes.push_back({ call->sidecar, program->historyTokens });
     }
     this->pausePrefix(*shard, *program, *call);
+    AnswerTokens rest;
+    const std::string& output = held.record.output;
+    const bool partLost = call->nextPart > 0 && output.size() > call->streamedBytes;
+    if (partLost && std::holds_alternative<AnswerDone>(answer))
+        rest.text = output.substr(call->streamedBytes);
     const bool oneCall = id.openedIn == Epoch(0);
     this->startNext(*shard, *program);
     if (oneCall && !program->current && !program->ended)
         this->recordEnd(*shard, *program);
+    // Parts that were lost on the way, so that what was streamed is the whole answer, too.
+    if (!rest.text.empty())
+        this->replyAll(call->streaming, rest);
     this->replyAll(call->callers, answer);
 }
 
--- a/src/librattandeck/lease_test.cpp
+++ b/src/librattandeck/lease_test.cpp
@@ -9,10 +9,10 @@
 
 namespace {
 
-    TimePoint at(int milliseconds) { return TimePoint(Milliseconds(1000000 + milliseconds)); }
+TimePoint at(int milliseconds) { return TimePoint(Milliseconds(1000000 + milliseconds)); }
 
-    const NodeId holder { "h" };
-    constexpr Milliseconds promiseLife { 3000 };
+const NodeId holder { "h" };
+constexpr Milliseconds promiseLife { 3000 };
 
 }
 
@@ -70,8 +70,8 @@
     {
         HeldLease lease;
         const Incarnation life(1);
-        lease.onWritten(
-            ObjectVersion(1), at(0), Milliseconds(6000), { { NodeId("a"), life }, { NodeId("b"), life }, { NodeId("c"), life } });
+        lease.onWritten(ObjectVersion(1), at(0), Milliseconds(6000),
+            { { NodeId("a"), life }, { NodeId("b"), life }, { NodeId("c"), life } });
         lease.onPromise(NodeId("a"), life, at(9000));
         CPPUNIT_ASSERT(!lease.holds(at(7000)));
         lease.onPromise(NodeId("stranger"), life, at(9000));
@@ -144,8 +144,8 @@
     void membersThatEndedSinceAreLost()
     {
         const auto member = [](const std::string& name, std::uint64_t former, bool gone, std::uint64_t changed) {
-            return Member { NodeId(name), Incarnation(5), {}, {}, {}, Role::Sidecar, Incarnation(former), {},
-                gone, ObjectVersion(changed) };
+            return Member { NodeId(name), Incarnation(5), {}, {}, {}, Role::Sidecar, Incarnation(former), {}, gone,
+                ObjectVersion(changed) };
         };
         const std::vector<Member> members { member("first", 0, false, 20), member("replaced", 4, false, 20),
             member("gone", 0, true, 20), member("replacedBefore", 4, false, 10), member("goneBefore", 0, true, 10) };
@@ -153,7 +153,8 @@
         CPPUNIT_ASSERT_EQUAL(2U, roll.livesLost);
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), roll.mustHear.size());
         // A life that was known to be gone, and covered, before it was replaced.
-        Member fresh { NodeId("goneBefore"), Incarnation(6), {}, {}, {}, Role::Sidecar, {}, {}, false, ObjectVersion(20) };
+        Member fresh { NodeId("goneBefore"), Incarnation(6), {}, {}, {}, Role::Sidecar, {}, {}, false,
+            ObjectVersion(20) };
         registerOver(members[4], fresh);
         CPPUNIT_ASSERT_EQUAL(0U, censusRoll({ fresh }, ObjectVersion(10)).livesLost);
         CPPUNIT_ASSERT_EQUAL(1U, censusRoll({ fresh }, ObjectVersion(9)).livesLost);
--- a/src/librattandeck/sidecarrecords.cpp
+++ b/src/librattandeck/sidecarrecords.cpp
@@ -121,14 +121,19 @@
     ProgramRecords& program = found->second;
     program.ended = true;
     program.lastTouched = now;
-    std::erase_if(program.turns, [](const auto& turn) { return turn.second.key.value.empty(); });
+    // A sub-agent's records tell what it has spent of its root's budget.
+    const bool subAgent = program.header.root.serial != 0 && program.header.root != id;
+    if (!subAgent)
+        std::erase_if(program.turns, [](const auto& turn) { return turn.second.key.value.empty(); });
 }
 
 void expireRecords(RecordStore& store, Milliseconds keyRetention, TimePoint now)
 {
     std::erase_if(store.programs, [&](const auto& item) {
         const ProgramRecords& program = item.second;
-        const Duration retention = program.ended ? Duration(keyRetention) : Duration(recordRetention);
+        const bool subAgent = program.header.root.serial != 0 && program.header.root != program.header.id;
+        const bool keysOnly = program.ended && !subAgent;
+        const Duration retention = keysOnly ? Duration(keyRetention) : Duration(recordRetention);
         return now - program.lastTouched >= retention;
     });
 }
--- a/src/librattandeck/sidecarrecords.h
+++ b/src/librattandeck/sidecarrecords.h
@@ -29,7 +29,7 @@
 ProgramRecords& touchProgram(RecordStore& store, const ProgramHeader& header, TimePoint now);
 /// Takes a record in unless the one held for its turn says more.
 void mergeRecord(RecordStore& store, const TurnRecord& record, TimePoint now);
-/// Drops the program's records but for those with a key, which `expireRecords` drops later.
+/// Drops the program's records but for those with a key and those of sub-agents, which `expireRecords` drops later.
 void endProgram(RecordStore& store, const ProgramId& program, TimePoint now);
 void expireRecords(RecordStore& store, Milliseconds keyRetention, TimePoint now);
 
--- a/src/rattandeck-prove/generator.cpp
+++ b/src/rattandeck-prove/generator.cpp
@@ -26,9 +26,10 @@
 
 rc::Gen<Schedule> schedules(std::uint64_t seed)
 {
-    return rc::gen::map(rc::gen::container<std::vector<Fault>>(rc::gen::resize(rc::kNominalSize, faults())), [seed](std::vector<Fault> generated) {
-        return Schedule { seed, std::move(generated) };
-    });
+    return rc::gen::map(rc::gen::container<std::vector<Fault>>(rc::gen::resize(rc::kNominalSize, faults())),
+        [seed](std::vector<Fault> generated) {
+            return Schedule { seed, std::move(generated) };
+        });
 }
 
 }
