Heal a shard when a missed member is heard after all

Change: while somebody is missed such a program is refused with a time to come back; the late answer is merged with what was heard; the gap is closed when everybody was heard.

--- a/src/librattandeck/census_test.cpp
+++ b/src/librattandeck/census_test.cpp
@@ -79,7 +79,7 @@
         CPPUNIT_ASSERT(whole.head == second.headAfter);
         CPPUNIT_ASSERT_EQUAL(2U, whole.lastTurn.value);
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), whole.records.at(TurnNumber(2)).holders.size());
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(20), chargedTokens(whole, 0).value);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(20), chargedTokens(whole).value);
     }
 
     void holeIsDamage()
@@ -104,7 +104,7 @@
             = merged({ heard(1, { started(1, Digest(), true) }), heard(2, { finished(1, Digest(), "a", 2) }) });
         CPPUNIT_ASSERT(whole.records.at(TurnNumber(1)).record.state == RecordState::Finished);
         // The other attempt may have run, too.
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(60), chargedTokens(whole, 0).value);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(60), chargedTokens(whole).value);
     }
 
     void nextTurnDecidesBetweenTwoAnswers()
@@ -121,7 +121,7 @@
     {
         const HomeProgram whole = merged({ heard(1, { started(1, Digest(), false) }) });
         CPPUNIT_ASSERT(whole.records.at(TurnNumber(1)).record.state == RecordState::Unknown);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t(50), chargedTokens(whole, 0).value);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(50), chargedTokens(whole).value);
     }
 
     void openIdempotentCallMayRunAgainAfterACompleteCensus()
--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -160,8 +160,11 @@
 
 void EntryCore::Impl::refuseMissing(const Caller& caller, const HomeShard& shard, const CallerRequest& request)
 {
-    if (shard.doubtful(request.program, this->now()))
-        return this->refuse(caller, ProblemKind::HistoryLost, Ran::Unknown, {}, "records of this program may be lost");
+    if (shard.doubtful(request.program, this->now())) {
+        const Problem lost { ProblemKind::HistoryLost, Ran::Unknown, {}, "records of this program may be lost" };
+        this->reply(caller, this->tell(shard, request.program, lost));
+        return;
+    }
     this->refuse(caller, ProblemKind::UnknownProgram, ranIfRefused(request), {}, "no such program");
 }
 
@@ -392,7 +395,7 @@
     const bool doubtful = shard.doubtful(program.header.id, this->now());
     const CallJudgement judgement = judgeCall(program, request, digest, doubtful);
     if (const auto* found = std::get_if<Problem>(&judgement)) {
-        const Problem problem = inDoubt(*found, doubtful);
+        const Problem problem = this->tell(shard, program.header.id, *found);
         forgetIfEmpty(shard, program.header.id);
         this->reply(caller, problem);
         return;
--- a/src/librattandeck/entrycensus.cpp
+++ b/src/librattandeck/entrycensus.cpp
@@ -104,8 +104,10 @@
         census.awaited.erase(node);
     const bool complete = census.awaited.empty() && census.livesLost == 0;
     if (!complete) {
+        home.formerGap = home.gap;
         home.gap = home.epoch;
         home.gapSince = this->now();
+        home.livesLost = census.livesLost;
         home.missedLives = static_cast<std::uint32_t>(census.awaited.size()) + census.livesLost;
         ++this->counters.gaps;
         this->gapsUnwritten.insert(shard);
@@ -119,6 +121,7 @@
         const Milliseconds queued = this->settings.queueLimit;
         home.doubtfulFrom = this->now() + this->settings.creditLife + queued + this->settings.clockMargin;
         this->missed[shard] = census.awaited;
+        this->heardAnswers[shard] = census.answers;
     }
     MergedShard merged = mergeAnswers(census.answers, complete);
     for (auto& [id, program] : merged.programs)
@@ -136,10 +139,7 @@
     program = std::move(merged.program);
     program.openedAt = this->now();
     shard.join(program.header);
-    const bool doubtful = shard.doubtful(id, this->now());
-    BudgetAccount& account = shard.account(program.header);
-    const bool charged = doubtful && !program.ended;
-    account.spent.value += chargedTokens(program, charged ? std::max(1U, shard.missedLives) : 0).value;
+    this->chargeMerged(shard, program);
     if (program.ended) {
         program.endedAt = this->now();
         shard.ended.push_back(id);
@@ -196,22 +196,93 @@
     this->armDeadline(program.header.id, *program.current);
 }
 
-// An answer that came after the shard was served again: what it tells is kept for repeats, and for the budget.
+void EntryCore::Impl::chargeMerged(HomeShard& shard, HomeProgram& program)
+{
+    const bool charged = shard.doubtful(program.header.id, this->now()) && !program.ended;
+    const std::int64_t lostCalls = charged ? std::max(1U, shard.missedLives) : 0;
+    program.doubtCharge = TokenCount(lostCalls * maxTokensPerCall);
+    shard.account(program.header).spent.value += chargedTokens(program).value + program.doubtCharge.value;
+}
+
+// An answer that came after the shard was served again. A program that nothing was added to since is merged anew; for
+// the others the records are kept for repeats, and for the budget.
 void EntryCore::Impl::mergeLate(HomeShard& shard, const HeardAnswer& heard)
 {
-    MergedShard late = mergeAnswers({ heard }, false);
+    std::vector<HeardAnswer>& answers = this->heardAnswers[shard.shard];
+    answers.push_back(heard);
+    const bool complete = this->missed[shard.shard].empty();
+    MergedShard late = mergeAnswers(answers, false);
     for (auto& [id, merged] : late.programs) {
         HomeProgram* known = shard.find(id);
         if (!known) {
             this->installProgram(shard, std::move(merged));
             continue;
         }
+        const bool idle = !known->current && known->queue.empty() && !known->ended && !known->ending;
+        if (known->damaged && idle) {
+            shard.account(known->header).spent.value -= chargedTokens(*known).value + known->doubtCharge.value;
+            const TimePoint openedAt = known->openedAt;
+            *known = std::move(merged.program);
+            known->openedAt = openedAt;
+            this->chargeMerged(shard, *known);
+            if (merged.running)
+                this->adopt(shard, *known, *merged.running);
+            continue;
+        }
         for (auto& [turn, held] : merged.program.records) {
             if (held.record.state != RecordState::Unknown)
                 this->lateRecord(heard.node, held.record);
         }
     }
     this->recopyWanted = true;
+    if (!complete)
+        return;
+    this->heardAnswers.erase(shard.shard);
+    this->missed.erase(shard.shard);
+    if (shard.livesLost == 0)
+        this->liftGap(shard);
+}
+
+// Every life that the census had missed was heard after all.
+void EntryCore::Impl::liftGap(HomeShard& shard)
+{
+    this->log("gap closed", "shard " + std::to_string(shard.shard.value));
+    shard.gap = shard.formerGap;
+    shard.missedLives = 0;
+    shard.doubtfulFrom = TimePoint {};
+    this->gapsUnwritten.insert(shard.shard);
+    for (auto& [id, program] : shard.programs) {
+        shard.account(program.header).spent.value -= program.doubtCharge.value;
+        program.doubtCharge = TokenCount(0);
+    }
+}
+
+void EntryCore::Impl::forgetMissed(const Member& member)
+{
+    std::vector<ShardId> heardOut;
+    for (auto& [shard, lives] : this->missed) {
+        const auto life = lives.find(member.node);
+        const bool ended = life != lives.end() && (member.gone || life->second < member.incarnation);
+        if (!ended)
+            continue;
+        lives.erase(life);
+        ++this->shards.at(shard).livesLost;
+        if (lives.empty())
+            heardOut.push_back(shard);
+    }
+    for (const ShardId shard : heardOut) {
+        this->missed.erase(shard);
+        this->heardAnswers.erase(shard);
+    }
+}
+
+Problem EntryCore::Impl::tell(const HomeShard& shard, const ProgramId& program, const Problem& problem) const
+{
+    const Problem told = inDoubt(problem, shard.doubtful(program, this->now()));
+    const bool lost = told.kind == ProblemKind::HistoryLost;
+    if (!lost || !this->missed.contains(shard.shard))
+        return told;
+    return { ProblemKind::NotServing, Ran::Unknown, takeoverRetry, "records of this program can't be reached now" };
 }
 
 void EntryCore::Impl::writeGap(ShardId shard)
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -206,7 +206,13 @@
     void finishCensus(ShardId shard);
     void installProgram(HomeShard& shard, MergedProgram merged);
     void adopt(HomeShard& shard, HomeProgram& program, const AdoptedCall& running);
+    void chargeMerged(HomeShard& shard, HomeProgram& program);
     void mergeLate(HomeShard& shard, const HeardAnswer& heard);
+    void liftGap(HomeShard& shard);
+    /// Doesn't wait for a life any more that can't answer.
+    void forgetMissed(const Member& member);
+    /// A problem as it can be told while records may be missing, for good or for now.
+    Problem tell(const HomeShard& shard, const ProgramId& program, const Problem& problem) const;
     void writeGap(ShardId shard);
     CensusAnswer ownAnswer(ShardId shard, Epoch epoch) const;
 
@@ -416,6 +422,8 @@
     std::map<NodeId, TimePoint> homeMissingSince;
     std::unordered_map<ShardId, Census> censuses;
     std::unordered_map<ShardId, std::map<NodeId, Incarnation>> missed;
+    /// What the census heard, for as long as somebody is missed.
+    std::unordered_map<ShardId, std::vector<HeardAnswer>> heardAnswers;
     std::set<ShardId> gapsUnwritten;
     bool gapWriteOpen = false;
     std::uint64_t lastCensus = 0;
--- a/src/librattandeck/entrymembers.cpp
+++ b/src/librattandeck/entrymembers.cpp
@@ -53,6 +53,7 @@
     this->membersElsewhere += isElsewhere(*member) ? 1 : 0;
     known = *member;
     this->membersChanged = true;
+    this->forgetMissed(*member);
     if (member->node == this->settings.node) {
         this->selfRegistered = this->isRegistered(this->settings.node, this->settings.incarnation);
         return;
--- a/src/librattandeck/entryorders.cpp
+++ b/src/librattandeck/entryorders.cpp
@@ -38,7 +38,7 @@
         }
         this->timers.cancel(call->deadlineTimer);
         if (const auto* problem = std::get_if<Problem>(&judgement))
-            this->replyAll(call->callers, inDoubt(*problem, doubtful));
+            this->replyAll(call->callers, this->tell(shard, id, *problem));
         if (const auto* repeated = std::get_if<RepeatedCall>(&judgement)) {
             const TurnNumber turn = repeated->record->record.turn;
             for (const Caller& caller : call->callers)
--- a/src/librattandeck/entryrecords.cpp
+++ b/src/librattandeck/entryrecords.cpp
@@ -283,7 +283,7 @@
     this->timers.cancel(call->deadlineTimer);
     this->releaseReservation(shard, program, *call, TokenCount(0));
     const ProgramId id = program.header.id;
-    const Problem told = inDoubt(problem, shard.doubtful(id, this->now()));
+    const Problem told = this->tell(shard, id, problem);
     this->startNext(shard, program);
     forgetIfEmpty(shard, id);
     this->replyAll(call->callers, told);
--- a/src/librattandeck/entryshards.cpp
+++ b/src/librattandeck/entryshards.cpp
@@ -90,6 +90,7 @@
     this->shards.erase(found);
     this->censuses.erase(shard);
     this->missed.erase(shard);
+    this->heardAnswers.erase(shard);
     this->gapsUnwritten.erase(shard);
     this->storeOwnFacts(home);
 
--- a/src/librattandeck/home.cpp
+++ b/src/librattandeck/home.cpp
@@ -253,7 +253,7 @@
     return text;
 }
 
-TokenCount chargedTokens(const HomeProgram& program, std::uint32_t lostReservations)
+TokenCount chargedTokens(const HomeProgram& program)
 {
     TokenCount charged;
     for (const auto& [turn, held] : program.records) {
@@ -261,7 +261,6 @@
         for (const TurnRecord& other : held.otherAttempts)
             charged.value += other.charged.value;
     }
-    charged.value += lostReservations * maxTokensPerCall;
     return charged;
 }
 
--- a/src/librattandeck/home.h
+++ b/src/librattandeck/home.h
@@ -115,6 +115,8 @@
     TimePoint endedAt {};
     Duration attainedService { 0 };
     std::uint32_t turnsDone = 0;
+    /// Charged for open calls that lost lives may have held; given back when all of them are heard after all.
+    TokenCount doubtCharge;
     /// A call with an unknown outcome may still start until then; the next one waits.
     TimePoint blockedUntil {};
 };
@@ -128,8 +130,12 @@
     bool serving = false;
     /// Before this, late orders of the former home may still start at a sidecar that the census didn't reach.
     TimePoint doubtfulFrom {};
+    /// Gap before the last census.
+    Epoch formerGap;
     /// Lives that the census has missed; each may hold one open call of a program.
     std::uint32_t missedLives = 0;
+    /// Those among them that are gone for good.
+    std::uint32_t livesLost = 0;
     std::uint64_t lastSerial = 0;
     std::unordered_map<ProgramId, HomeProgram> programs;
     std::unordered_map<ProgramId, BudgetAccount> accounts;
@@ -200,7 +206,7 @@
 HeldRecord& addRecord(HomeProgram& program, HeldRecord held);
 /// Text of the chain for the engine, for calls of `service`.
 std::string historyText(const HomeProgram& program, const ServiceName& service);
-/// Charge of all records, and of open reservations that may have been lost. Used after a census.
-TokenCount chargedTokens(const HomeProgram& program, std::uint32_t lostReservations);
+/// Charge of all records. Used after a census.
+TokenCount chargedTokens(const HomeProgram& program);
 
 }
