--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -59,6 +59,7 @@
 {
     if (request.timeLeft.count() <= 0)
         request.timeLeft = defaultTimeLeft;
+    request.timeLeft = std::min(request.timeLeft, longestTimeLeft);
     if (this->shuttingDown && !forwarded)
         return this->refuse(
             caller, ProblemKind::ShuttingDown, ranIfRefused(request), otherEntryRetry, "this entry is leaving");
@@ -145,12 +146,25 @@
             shard->second, *program, Problem { ProblemKind::DeadlineExceeded, Ran::No, {}, "the caller left" });
 }
 
+void EntryCore::Impl::limitWait(const Caller& caller, Milliseconds timeLeft)
+{
+    this->after(timeLeft, [this, caller] {
+        if (!this->callers.contains(caller))
+            return;
+        this->callerGone(caller);
+        this->refuse(caller, ProblemKind::DeadlineExceeded, Ran::Unknown, takeoverRetry, "the time is over");
+    });
+}
+
 // At home ----------------------------------------------------------------------------------------------------------
 
 void EntryCore::Impl::refuseMissing(const Caller& caller, const HomeShard& shard, const CallerRequest& request)
 {
-    if (shard.doubtful(request.program, this->now()))
-        return this->refuse(caller, ProblemKind::HistoryLost, Ran::Unknown, {}, "records of this program may be lost");
+    if (shard.doubtful(request.program, this->now())) {
+        const Problem lost { ProblemKind::HistoryLost, Ran::Unknown, {}, "records of this program may be lost" };
+        this->reply(caller, this->tell(shard, request.program, lost));
+        return;
+    }
     this->refuse(caller, ProblemKind::UnknownProgram, ranIfRefused(request), {}, "no such program");
 }
 
@@ -187,7 +201,8 @@
     case CallKind::Call:
         return this->callProgram(caller, *shard, *program, std::move(request));
     case CallKind::EndProgram:
-        return this->endProgram(caller, *shard, *program);
+        this->endProgram(caller, *shard, *program);
+        return this->limitWait(caller, request.timeLeft);
     case CallKind::GetProgram:
         return this->getProgram(caller, *shard, *program);
     }
@@ -325,8 +340,9 @@
     program.endedAt = this->now();
     shard.ended.push_back(program.header.id);
     this->releaseEngines(shard, program, true);
-    // What stays is what a repeated key needs.
-    std::erase_if(program.records, [](const auto& item) { return item.second.record.key.value.empty(); });
+    // What stays is what a repeated key needs, and what a sub-agent has spent of its root's budget.
+    if (program.header.root == program.header.id)
+        std::erase_if(program.records, [](const auto& item) { return item.second.record.key.value.empty(); });
 }
 
 void EntryCore::Impl::releaseEngines(HomeShard& shard, HomeProgram& program, bool ended)
@@ -372,13 +388,14 @@
 {
     if (request.service.value.empty())
         request.service = program.header.service;
-    if (reservationFor(request).value > maxTokensPerCall || request.maxOutputTokens.value < 0)
+    const bool badOutput = request.maxOutputTokens.value < 0 || request.maxOutputTokens.value > maxTokensPerCall;
+    if (badOutput || reservationFor(request).value > maxTokensPerCall)
         return this->refuse(caller, ProblemKind::BadRequest, Ran::No, {}, "the call is larger than any may be");
     const Digest digest = requestDigest(request);
     const bool doubtful = shard.doubtful(program.header.id, this->now());
     const CallJudgement judgement = judgeCall(program, request, digest, doubtful);
     if (const auto* found = std::get_if<Problem>(&judgement)) {
-        const Problem problem = inDoubt(*found, doubtful);
+        const Problem problem = this->tell(shard, program.header.id, *found);
         forgetIfEmpty(shard, program.header.id);
         this->reply(caller, problem);
         return;
@@ -390,7 +407,7 @@
         if (same->call->nextPart == 0)
             same->call->streaming.push_back(caller);
         this->callers[caller] = program.header.id;
-        return;
+        return this->limitWait(caller, request.timeLeft);
     }
     if (this->shuttingDown)
         return this->refuse(caller, ProblemKind::ShuttingDown, doubtful ? Ran::Unknown : Ran::No, takeoverRetry,
--- a/src/librattandeck/entrycopies.cpp
+++ b/src/librattandeck/entrycopies.cpp
@@ -7,7 +7,7 @@
 namespace {
 
     // Programs copied at a time after a holder was lost.
-    constexpr std::uint32_t recopyLimit = 64;
+    constexpr std::uint32_t recopyLimit = 256;
     constexpr std::uint32_t unlimitedAttempts = ~0U;
 
     template <typename Container> bool contains(const Container& container, const NodeId& node)
@@ -21,11 +21,9 @@
 
 bool EntryCore::Impl::otherDomainKnown() const
 {
-    for (const auto& [entry, lease] : this->observed) {
-        const bool live = !lease.lapsed(this->now(), this->settings.clockMargin);
-        if (live && lease.lease.domain != this->settings.domain)
-            return true;
-    }
+    // By the members list: an entry that can't reach anyone must not take itself for the only one.
+    if (this->membersElsewhere > 0)
+        return true;
     return std::any_of(this->nodes.begin(), this->nodes.end(),
         [&](const auto& item) { return item.second.linked && item.second.hello.domain != this->settings.domain; });
 }
@@ -150,6 +148,9 @@
     const ProgramId id = program.header.id;
     this->copyFacts(std::move(facts), 3, {}, [this, id, turns](std::optional<LifeIndex> holder) {
         --this->recopiesOpen;
+        // The next batch follows at once; without a holder it waits for the next review.
+        if (holder && this->recopiesOpen == 0 && this->recopyWanted)
+            this->after(Milliseconds(1), [this] { this->reviewCopies(); });
         const auto home = this->shards.find(id.shard);
         HomeProgram* copied = home == this->shards.end() ? nullptr : home->second.find(id);
         if (!holder || !copied)
@@ -169,8 +170,12 @@
     const bool settled = !this->claim && this->censuses.empty() && this->gapsUnwritten.empty();
     if (!this->hasAuthority() || !settled || this->recopiesOpen > 0)
         return;
-    if (this->membersChanged && this->membersListed && !this->throughListOpen) {
+    const Duration listInterval = std::max<Duration>(
+        this->settings.leaseDuration / 3, listTimePerMember * static_cast<std::int64_t>(this->members.size()));
+    const bool listDue = this->now() >= this->throughListedAt + listInterval;
+    if (this->membersChanged && this->membersListed && !this->throughListOpen && listDue) {
         this->membersChanged = false;
+        this->throughListedAt = this->now();
         this->throughListOpen = true;
         this->listMembers([this](std::optional<ObjectVersion> revision) {
             this->throughListOpen = false;
@@ -198,11 +203,8 @@
     if (!allStand)
         return;
     this->recopyWanted = false;
-    const bool homesKnown = std::none_of(this->map.slots.begin(), this->map.slots.end(), [&](const ShardSlot& slot) {
-        const auto index = static_cast<std::uint32_t>(&slot - this->map.slots.data());
-        return slot.home == this->settings.node && !this->shards.contains(ShardId(index));
-    });
-    if (!this->throughWanted || this->throughListOpen || !homesKnown || this->map.version <= this->claimInDoubt)
+    if (!this->throughWanted || this->throughListOpen || !this->ownSlotsTaken()
+        || this->map.version <= this->claimInDoubt)
         return;
     this->completeThrough = std::max(this->completeThrough, *this->throughWanted);
     this->completeThroughLimit.reset();
@@ -243,7 +245,10 @@
     CopyStore& store = this->copyStores[release.shard];
     if (store.ended.insert(release.program).second)
         store.endedAt.emplace_back(this->now(), release.program);
-    // Keys stay for the retention time.
+    // Keys stay for the retention time, and so does what tells a sub-agent's spending.
+    const auto header = store.programs.find(release.program);
+    if (header != store.programs.end() && header->second.root != release.program)
+        return;
     std::erase_if(store.records,
         [&](const auto& item) { return std::get<0>(item.first) == release.program && item.second.key.value.empty(); });
 }
