Drop the queued calls of a home whose link is down

Also: a leaving sidecar left its prefixes in the engine, a lifted quarantine did not clear the local crash count, a copy that told of a program's end cost the engine a request, and links of replaced entries were kept for ever. Change: queued calls are refused when their link goes down or is replaced; the others are mended where they stood.

--- a/src/librattandeck/sidecar.cpp
+++ b/src/librattandeck/sidecar.cpp
@@ -138,6 +138,8 @@
 {
     if (hello.role != Role::Entry)
         return;
+    // A link that replaces another: the entry may have given up what it ordered over the earlier one.
+    this->linkDown(hello.node);
     EntryLink& link = this->links[hello.node];
     if (link.hello.incarnation != hello.incarnation) {
         link = EntryLink {};
@@ -164,6 +166,31 @@
     if (!link || !link->up)
         return;
     link->up = false;
+    this->dropQueued(*link);
+    this->reportToHungry();
+    this->checkDrained();
+}
+
+void SidecarCore::Impl::dropQueued(EntryLink& link)
+{
+    std::vector<OrderId> unawaited;
+    for (auto& [id, call] : this->calls) {
+        if (call.running)
+            continue;
+        for (const Subscriber& subscriber : call.subscribers) {
+            if (subscriber.node != link.hello.node)
+                continue;
+            Order order = call.order;
+            order.id = subscriber.order;
+            this->refuse(link, order, RefusalReason::Overloaded);
+        }
+        std::erase_if(
+            call.subscribers, [&](const Subscriber& subscriber) { return subscriber.node == link.hello.node; });
+        if (call.subscribers.empty())
+            unawaited.push_back(id);
+    }
+    for (const OrderId id : unawaited)
+        this->calls.erase(id);
 }
 
 void SidecarCore::Impl::forgetSubscribers(const NodeId& node, Incarnation incarnation)
@@ -189,13 +216,10 @@
             abandoned.push_back(id);
     }
     for (const OrderId id : abandoned) {
-        SidecarCall& call = this->calls.at(id);
-        if (!call.running)
-            this->refuseCall(id, RefusalReason::TooLate);
-        else if (call.order.idempotent)
-            this->cancelRunning(call);
+        const auto found = this->calls.find(id);
+        if (found != this->calls.end() && found->second.running && found->second.order.idempotent)
+            this->cancelRunning(found->second);
     }
-    this->startQueued();
 }
 
 // Reports and credits ----------------------------------------------------------------------------------------------
@@ -211,6 +235,10 @@
         }
     }
     std::erase_if(this->onceHeld, [this](const auto& item) { return !this->records.programs.contains(item.first); });
+    std::erase_if(this->links, [this](const auto& item) {
+        const EntryLink& link = item.second;
+        return !link.up && this->now() - link.lastReport > this->settings.keyRetention;
+    });
     this->cancelAbandoned();
     this->reportAll();
     for (auto& [node, link] : this->links)
@@ -336,6 +364,11 @@
     if (!this->leaving || this->finalReportSent || !this->calls.empty())
         return;
     this->finalReportSent = true;
+    // No program comes back here, and nobody would be left to free the engine's memory.
+    while (!this->prefixes.held.empty()) {
+        const ProgramId program = this->prefixes.held.begin()->first;
+        this->releasePrefix(program);
+    }
     const bool copiesNeeded = recordCount(this->records) > 0
         && std::ranges::any_of(this->links, [](const auto& item) { return item.second.up; });
     this->drainedFrom = this->now();
--- a/src/librattandeck/sidecarendpoint.cpp
+++ b/src/librattandeck/sidecarendpoint.cpp
@@ -11,6 +11,8 @@
 
     // Weight of one more measurement against all earlier ones.
     constexpr double measurementWeight = 0.2;
+    // Fingerprints of crashing requests that are remembered; the homes know more, in quarantine objects.
+    constexpr std::size_t maxCrashFingerprints = 4096;
     // Longest pause that a home can announce for a prefix, in prefix leases.
     constexpr int maxPauseLeases = 5;
 
@@ -274,8 +276,11 @@
         }
     }
     this->effects.logEvent("endpoint crashed", "under a request with fingerprint " + call.fingerprint.value);
-    if (*call.crashSuspect)
-        ++this->crashCounts[call.fingerprint];
+    if (!*call.crashSuspect)
+        return;
+    if (this->crashCounts.size() >= maxCrashFingerprints && !this->crashCounts.contains(call.fingerprint))
+        this->crashCounts.erase(this->crashCounts.begin());
+    ++this->crashCounts[call.fingerprint];
 }
 
 }
--- a/src/librattandeck/sidecarfacts.cpp
+++ b/src/librattandeck/sidecarfacts.cpp
@@ -110,10 +110,12 @@
 {
     if (release.shard != release.program.shard || !admits(this->fence, release.shard, release.epoch))
         return;
+    // The engine is told also when nothing is known to be held: it may have kept what an earlier life of this sidecar
+    // caused.
+    if (!this->isActive(release.program))
+        this->releasePrefix(release.program);
     if (release.ended)
         this->endProgramHere(release.program);
-    else if (!this->isActive(release.program))
-        this->releasePrefix(release.program);
 }
 
 void SidecarCore::Impl::endProgramHere(const ProgramId& program)
@@ -132,14 +134,19 @@
     }
     endProgram(this->records, program, this->now());
     this->onceHeld.erase(program);
-    this->releasePrefix(program);
+    if (this->prefixes.held.contains(program))
+        this->releasePrefix(program);
 }
 
 // Configuration ----------------------------------------------------------------------------------------------------
 
 void SidecarCore::Impl::onConfig(const ConfigUpdate& update)
 {
-    this->config.applyUpdate(update);
+    for (const ConfigObject& object : this->config.applyUpdate(update)) {
+        // An operator lets the request through again.
+        if (object.kind == "quarantine" && object.deleted)
+            this->crashCounts.erase(Digest(object.name));
+    }
     if (this->leaving)
         return;
     std::vector<OrderId> held;
--- a/src/librattandeck/sidecarimpl.h
+++ b/src/librattandeck/sidecarimpl.h
@@ -118,6 +118,8 @@
     void report(EntryLink& link, std::uint32_t credits);
     std::uint32_t creditRoom();
     std::map<NodeId, std::uint32_t> divideRoom();
+    /// The entry's queued calls never start: it may have given them up and gone on.
+    void dropQueued(EntryLink& link);
     /// Drops subscribers of other incarnations of a node.
     void forgetSubscribers(const NodeId& node, Incarnation incarnation);
     /// Cancels what may be cancelled among the calls that nobody linked has awaited for long.
--- a/src/librattandeck/sidecarlife_test.cpp
+++ b/src/librattandeck/sidecarlife_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(copiesAreHeldAndFenced);
     CPPUNIT_TEST(copyDoesNotReplaceACertainRecord);
     CPPUNIT_TEST(endOfAMissedCallIsSentAtRelink);
+    CPPUNIT_TEST(queuedCallOfALostHomeNeverStarts);
     CPPUNIT_TEST(abandonedCallIsCancelledOnlyIfIdempotent);
     CPPUNIT_TEST(prefixGoesFreeAtTheProgramsEnd);
     CPPUNIT_TEST(prefixOfADeadHomeGoesFreeAfterItsLease);
@@ -159,6 +160,9 @@
         CPPUNIT_ASSERT(world.sentTo<CopyAnswer>(home).back() == (CopyAnswer { 9, false }));
         world.core.onMessage(home, order);
         CPPUNIT_ASSERT(world.ended(order) && world.ended(order)->output == "elsewhere");
+        world.core.onMessage(home, CopyRecords { 11, ShardId(1), Epoch(3), {}, { order.program.id }, {} });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), world.core.status().records);
+        CPPUNIT_ASSERT(world.released.empty());
         world.core.onMessage(home, CopyRecords { 10, ShardId(1), Epoch(2) });
         CPPUNIT_ASSERT(world.sentTo<CopyAnswer>(home).back() == (CopyAnswer { 10, true }));
     }
@@ -193,6 +197,32 @@
         CPPUNIT_ASSERT(world.ended(order));
     }
 
+    void queuedCallOfALostHomeNeverStarts()
+    {
+        SidecarSettings settings = SidecarWorld::defaultSettings();
+        settings.initialConcurrency = 1;
+        SidecarWorld world(settings);
+        const NodeId home = world.link("entry-1");
+        const NodeId other = world.link("entry-2");
+        const Order running = world.order(home, 1);
+        const Order queued = world.order(home, 2);
+        const Order ofOther = world.order(other, 3);
+        world.core.onMessage(home, running);
+        world.core.onMessage(home, queued);
+        world.core.onMessage(other, ofOther);
+        world.core.onLinkDown(home);
+        world.finishLast();
+        world.finishLast();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.started.size());
+        CPPUNIT_ASSERT(world.ended(ofOther));
+
+        // Asked again, the sidecar tells that the order never ran.
+        world.link("entry-1");
+        world.core.onMessage(home, queued);
+        CPPUNIT_ASSERT(world.refusal(queued));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.started.size());
+    }
+
     void abandonedCallIsCancelledOnlyIfIdempotent()
     {
         for (const bool idempotent : { true, false }) {
@@ -330,6 +360,12 @@
         CPPUNIT_ASSERT(world.ended(waiting)->state == RecordState::Finished);
         CPPUNIT_ASSERT(world.refusal(send(5, "kills")) == RefusalReason::Quarantined);
         CPPUNIT_ASSERT(!world.refusal(send(6, "harmless")));
+
+        // An operator lets it through again.
+        const std::array<std::string_view, 2> parts { bystander.service.value, "kills" };
+        const ConfigObject lifted { "quarantine", digestOf(parts).value, ObjectVersion(6), true, {} };
+        world.core.onMessage(home, ConfigUpdate { ObjectVersion(6), { lifted } });
+        CPPUNIT_ASSERT(!world.refusal(send(7, "kills")));
     }
 
     void quarantineObjectIsHonoured()
@@ -396,6 +432,7 @@
         CPPUNIT_ASSERT(world.ended(running) && world.ended(queued));
         // The home gets time to copy what stands here.
         CPPUNIT_ASSERT(!world.core.isDrained());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.released.size());
         world.pass(2 * reportInterval);
         CPPUNIT_ASSERT(world.core.isDrained());
     }
