Count the prefix of an unfinished call as held

Cause: the engine may hold the prompt of a call that was cancelled or failed; nothing released it. Change: it is held under the prefix lease like that of a finished call. Conclusion: prefixOfACallThatDidNotFinishGoesFree failed before; 104 tests pass now.

--- a/src/librattandeck/sidecarendpoint.cpp
+++ b/src/librattandeck/sidecarendpoint.cpp
@@ -93,6 +93,8 @@
     end.endpointCrashed = failure == EndpointFailure::Crashed;
     if (end.endpointCrashed)
         this->noteCrash(call);
+    else
+        this->keepPartialPrefix(call);
     this->finish(id, std::move(record), end);
 }
 
@@ -174,6 +176,17 @@
     holdPrefix(this->prefixes, program, tokens, this->now() + this->settings.prefixLease);
 }
 
+// The engine may hold the prompt of a call that did not finish; it goes free like any other prefix.
+void SidecarCore::Impl::keepPartialPrefix(const SidecarCall& call)
+{
+    if (!this->settings.modelEngine)
+        return;
+    const ProgramId& program = call.order.program.id;
+    const std::int64_t prompt = call.order.historyTokens.value + call.order.inputTokens.value;
+    const std::int64_t held = std::max(prompt, heldTokens(this->prefixes, program).value);
+    holdPrefix(this->prefixes, program, TokenCount(held), this->now() + this->settings.prefixLease);
+}
+
 bool SidecarCore::Impl::isActive(const ProgramId& program) const
 {
     return std::ranges::any_of(this->calls, [&](const auto& item) { return item.second.order.program.id == program; });
--- a/src/librattandeck/sidecarimpl.h
+++ b/src/librattandeck/sidecarimpl.h
@@ -162,6 +162,7 @@
     void noteCrash(SidecarCall& call);
     /// Ends a running call with its final record.
     void finish(OrderId id, TurnRecord record, const OrderEnded& end);
+    void keepPartialPrefix(const SidecarCall& call);
     TokenCount chargeOf(const SidecarCall& call, TokenCount outputTokens) const;
     void releasePrefix(const ProgramId& program);
     void makeRoom(TokenCount wanted, const ProgramId& except);
--- a/src/librattandeck/sidecarlife_test.cpp
+++ b/src/librattandeck/sidecarlife_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(prefixGoesFreeAtTheProgramsEnd);
     CPPUNIT_TEST(prefixOfADeadHomeGoesFreeAfterItsLease);
     CPPUNIT_TEST(renewedPrefixIsKept);
+    CPPUNIT_TEST(prefixOfACallThatDidNotFinishGoesFree);
     CPPUNIT_TEST(programEndedUnderACallIsReleasedAfterIt);
     CPPUNIT_TEST(prefixChangesAreReportedToTheHomeOnly);
     CPPUNIT_TEST(keyOutlivesItsProgramForTheRetention);
@@ -282,6 +283,22 @@
         CPPUNIT_ASSERT(world.released.empty());
     }
 
+    void prefixOfACallThatDidNotFinishGoesFree()
+    {
+        for (const bool cancelled : { true, false }) {
+            SidecarWorld world;
+            const NodeId home = world.link("entry-1");
+            const Order order = world.order(home, 1);
+            world.core.onMessage(home, order);
+            if (cancelled)
+                world.core.onMessage(home, CancelOrder { order.id });
+            else
+                world.core.onEndpointFailed(world.started[0].order, EndpointFailure::TimedOut);
+            world.pass(SidecarSettings().prefixLease + reportInterval);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.released.size());
+        }
+    }
+
     void programEndedUnderACallIsReleasedAfterIt()
     {
         SidecarWorld world;
--- a/src/librattandeck/sidecarorders.cpp
+++ b/src/librattandeck/sidecarorders.cpp
@@ -348,6 +348,7 @@
     record.state = RecordState::Failed;
     record.charged = this->chargeOf(call, call.textTokens);
     this->effects.cancelCall(call.id);
+    this->keepPartialPrefix(call);
     this->finish(call.id, std::move(record), {});
 }
 
