Free the engine's memory when a sidecar starts

Cause: a sidecar that restarts beside a living engine forgot which prefixes the engine held, and programs that ended later were never freed there (found by the schedules of rattandeck-prove). Change: SidecarEffects gets releaseAllPrefixes (default: nothing), called once at the start; the adapter posts {"all": true} to /v1/release, and the stand-in's engine takes it.

--- a/src/librattandeck/sidecar.cpp
+++ b/src/librattandeck/sidecar.cpp
@@ -81,6 +81,7 @@
     this->credits.lastId = firstCredit(this->settings);
     this->limit.limit = this->settings.initialConcurrency;
     this->limit.maximum = this->settings.maxConcurrency;
+    this->after(Duration(0), [this] { this->effects.releaseAllPrefixes(); });
     this->after(this->settings.reportInterval, [this] { this->tick(); });
 }
 
--- a/src/librattandeck/sidecarfixture_test.h
+++ b/src/librattandeck/sidecarfixture_test.h
@@ -20,6 +20,7 @@
     std::vector<Rattandeck::EndpointCall> started;
     std::vector<Rattandeck::OrderId> cancelled;
     std::vector<Rattandeck::ProgramId> released;
+    std::uint32_t releasesOfAll = 0;
     std::function<void()> atStart = [] {};
     /// Latest grant of each entry.
     std::map<Rattandeck::NodeId, Rattandeck::CreditGrant> credits;
@@ -35,7 +36,8 @@
                 },
                 [this](Rattandeck::OrderId id) { this->cancelled.push_back(id); },
                 [this](Rattandeck::ProgramId program) { this->released.push_back(program); },
-                [](const Rattandeck::AdmissionDecision&) {}, [](const std::string&, const std::string&) {} })
+                [](const Rattandeck::AdmissionDecision&) {}, [](const std::string&, const std::string&) {},
+                [this] { ++this->releasesOfAll; } })
     {
     }
 
--- a/src/librattandeck/sidecarlife_test.cpp
+++ b/src/librattandeck/sidecarlife_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(abandonedCallIsCancelledOnlyIfIdempotent);
     CPPUNIT_TEST(prefixGoesFreeAtTheProgramsEnd);
     CPPUNIT_TEST(prefixOfADeadHomeGoesFreeAfterItsLease);
+    CPPUNIT_TEST(startingSidecarFreesWhatTheEngineHolds);
     CPPUNIT_TEST(renewedPrefixIsKept);
     CPPUNIT_TEST(prefixOfACallThatDidNotFinishGoesFree);
     CPPUNIT_TEST(programEndedUnderACallIsReleasedAfterIt);
@@ -272,6 +273,17 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), world.core.status().heldPrefixes);
     }
 
+    void startingSidecarFreesWhatTheEngineHolds()
+    {
+        SidecarWorld world;
+        const NodeId home = world.link("entry-1");
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), world.releasesOfAll);
+        world.core.onMessage(home, world.order(home, 1));
+        world.finishLast();
+        world.pass(10 * reportInterval);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), world.releasesOfAll);
+    }
+
     void renewedPrefixIsKept()
     {
         SidecarWorld world;
--- a/src/rattandeck-sidecar/daemon.cpp
+++ b/src/rattandeck-sidecar/daemon.cpp
@@ -108,6 +108,7 @@
         effects.startCall = [this](const EndpointCall& call) { this->endpoint.start(call); };
         effects.cancelCall = [this](OrderId order) { this->endpoint.cancel(order); };
         effects.releasePrefix = [this](ProgramId program) { this->endpoint.release(program); };
+        effects.releaseAllPrefixes = [this] { this->endpoint.releaseAll(); };
         effects.logAdmission = [](const AdmissionDecision& decision) { logAdmission(decision); };
         effects.logEvent = [](const std::string& event, const std::string& detail) { logEvent(event, detail); };
         this->core = std::make_unique<SidecarCore>(this->coreConfiguration, this->loop.timers(), std::move(effects));
--- a/src/rattandeck-sidecar/endpoint.h
+++ b/src/rattandeck-sidecar/endpoint.h
@@ -21,6 +21,8 @@
     std::function<void(const Rattandeck::EndpointCall&)> start;
     std::function<void(Rattandeck::OrderId)> cancel;
     std::function<void(Rattandeck::ProgramId)> release;
+    /// Frees the memory of all programs.
+    std::function<void()> releaseAll;
 };
 
 struct EndpointSettings {
--- a/src/rattandeck-sidecar/endpoint_test.cpp
+++ b/src/rattandeck-sidecar/endpoint_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(hangingEngineTimesOutAndIsToldToStop);
     CPPUNIT_TEST(cancelledCompletionIsCancelledAtTheEngine);
     CPPUNIT_TEST(failedReleaseIsRepeated);
+    CPPUNIT_TEST(releaseOfAllNamesNoProgram);
     CPPUNIT_TEST(cacheEventsAreFollowed);
     CPPUNIT_TEST(plainServiceGetsItsKeyAndAnswersWhole);
     CPPUNIT_TEST(brokenPlainCallIsACrash);
@@ -210,6 +211,16 @@
         this->test.runUntil("the third try", [this] { return this->requests["/v1/release"].size() == 3; });
     }
 
+    void releaseOfAllNamesNoProgram()
+    {
+        this->serve();
+        const Endpoint engine = makeEngine(this->test.loop, this->settings(), this->handlers());
+        engine.releaseAll();
+        this->test.runUntil("the engine is told", [this] { return !this->requests["/v1/release"].empty(); });
+        const auto body = nlohmann::json::parse(this->requests["/v1/release"].front().body);
+        CPPUNIT_ASSERT_EQUAL(nlohmann::json({ { "all", true } }), body);
+    }
+
     void cacheEventsAreFollowed()
     {
         this->pages["/v1/events"] = [](const HttpRequest& request, const HttpResponder& responder) {
--- a/src/rattandeck-sidecar/engine.cpp
+++ b/src/rattandeck-sidecar/engine.cpp
@@ -79,16 +79,9 @@
         this->cancelAtEngine(id);
     }
 
-    void release(const ProgramId& program, std::uint32_t attempt = 1)
-    {
-        this->controlClient.fetch(this->post("/v1/release", { { "program", toString(program) } }), controlTimeout,
-            [this, program, attempt](const tl::expected<HttpResponse, NetError>& response) {
-                const bool good = response && response->status >= 200 && response->status < 300;
-                if (good || attempt >= maxReleaseAttempts)
-                    return;
-                this->later([this, program, attempt] { this->release(program, attempt + 1); });
-            });
-    }
+    void release(const ProgramId& program) { this->postRelease({ { "program", toString(program) } }, 1); }
+
+    void releaseAll() { this->postRelease({ { "all", true } }, 1); }
 
     // Asks for cache events over and over.
     void pollEvents()
@@ -128,6 +121,16 @@
         this->loop.timers().subscribeAfter(this->settings.retryDelay, this->guarded(std::move(task)));
     }
 
+    void postRelease(const Json& body, std::uint32_t attempt)
+    {
+        this->controlClient.fetch(this->post("/v1/release", body), controlTimeout,
+            [this, body, attempt](const tl::expected<HttpResponse, NetError>& response) {
+                const bool good = response && response->status >= 200 && response->status < 300;
+                if (!good && attempt < maxReleaseAttempts)
+                    this->later([this, body, attempt] { this->postRelease(body, attempt + 1); });
+            });
+    }
+
     void cancelAtEngine(OrderId id)
     {
         this->controlClient.fetch(this->post("/v1/cancel", { { "request_id", this->requestId(id) } }), controlTimeout,
@@ -240,5 +243,6 @@
     endpoint.start = [engine](const EndpointCall& call) { engine->start(call); };
     endpoint.cancel = [engine](OrderId id) { engine->cancel(id); };
     endpoint.release = [engine](ProgramId program) { engine->release(program); };
+    endpoint.releaseAll = [engine] { engine->releaseAll(); };
     return endpoint;
 }
--- a/src/rattandeck-sidecar/plainservice.cpp
+++ b/src/rattandeck-sidecar/plainservice.cpp
@@ -65,5 +65,6 @@
     endpoint.start = [service](const EndpointCall& call) { service->start(call); };
     endpoint.cancel = [service](OrderId id) { service->cancel(id); };
     endpoint.release = [](ProgramId) {};
+    endpoint.releaseAll = [] {};
     return endpoint;
 }
--- a/src/rattandeck-standin/engine.cpp
+++ b/src/rattandeck-standin/engine.cpp
@@ -73,7 +73,10 @@
                 this->model.cancel(body.at("request_id").get<std::string>());
                 answer(responder, 200, Json::object());
             } else if (request.path == "/v1/release") {
-                this->model.release(body.at("program").get<std::string>());
+                if (body.value("all", false))
+                    this->model.releaseAll();
+                else
+                    this->model.release(body.at("program").get<std::string>());
                 answer(responder, 200, Json::object());
             } else {
                 answerError(responder, 404, "no such path");
--- a/src/rattandeck-standin/enginemodel.cpp
+++ b/src/rattandeck-standin/enginemodel.cpp
@@ -67,6 +67,8 @@
     this->prefixes.remove_if([&](const Prefix& prefix) { return prefix.program == program; });
 }
 
+void EngineModel::releaseAll() { this->prefixes.clear(); }
+
 EngineLoad EngineModel::load() const
 {
     return { this->batch.size(), this->waiting.size(), this->usedTokens(), this->options.cacheTokens };
--- a/src/rattandeck-standin/enginemodel.h
+++ b/src/rattandeck-standin/enginemodel.h
@@ -51,6 +51,8 @@
     void cancel(const std::string& id);
     /// Frees the memory held for a program that runs nothing.
     void release(const std::string& program);
+    /// Frees the prefixes of all programs; running completions go on.
+    void releaseAll();
     EngineLoad load() const;
 
 private:
