--- a/src/rattandeck-standin/modeltext.h
+++ b/src/rattandeck-standin/modeltext.h
@@ -20,10 +20,11 @@
 inline std::string tokenAt(std::uint64_t seed, std::uint64_t position)
 {
     constexpr std::string_view letters = "abcdefghijklmnopqrstuvwxyz234567";
-    std::uint64_t bits = (seed ^ (position + 1)) * 0x9e3779b97f4a7c15U;
+    constexpr std::uint64_t odd = 0x9e3779b97f4a7c15U;
+    std::uint64_t bits = (seed ^ position * odd) * odd;
+    bits = (bits ^ bits >> 32U) * odd;
     std::string token = " ";
     for (int i = 0; i < 3; ++i) {
-        // The high bits of a product are the well mixed ones.
         token += letters[bits >> 59U];
         bits <<= 5U;
     }
--- a/src/rattandeck-standin/objects.cpp
+++ b/src/rattandeck-standin/objects.cpp
@@ -18,7 +18,8 @@
         std::string name;
         std::uint64_t version = 0;
         bool deleted = false;
-        Json value;
+        /// JSON text.
+        std::string value = "null";
     };
 
     using ObjectName = std::pair<std::string, std::string>;
@@ -45,7 +46,7 @@
         void answerStats(const HttpResponder& responder);
 
         bool isExpected(const ObjectName& name, const HttpRequest& request);
-        void update(const ObjectName& name, bool deleted, Json value, const HttpResponder& responder);
+        void update(const ObjectName& name, bool deleted, std::string value, const HttpResponder& responder);
         void load(const std::string& dataFile);
         void scheduleHeartbeat();
         void tellWatches(const Json& line);
@@ -66,7 +67,7 @@
     Json toJson(const Object& object)
     {
         return { { "kind", object.kind }, { "name", object.name }, { "version", object.version },
-            { "deleted", object.deleted }, { "value", object.value } };
+            { "deleted", object.deleted }, { "value", Json::parse(object.value, nullptr, false) } };
     }
 
     Json toChange(const Object& object)
@@ -149,15 +150,14 @@
     void ObjectStore::put(const ObjectName& name, const HttpRequest& request, const HttpResponder& responder)
     {
         ++this->puts;
-        Json value = Json::parse(request.body, nullptr, false);
         if (request.body.size() > maxValueBytes)
             answerError(responder, 413, "value too large");
-        else if (value.is_discarded())
+        else if (!Json::accept(request.body))
             answerError(responder, 400, "value is not JSON");
         else if (!this->isExpected(name, request))
             answerError(responder, 409, "another version");
         else
-            this->update(name, false, std::move(value), responder);
+            this->update(name, false, request.body, responder);
     }
 
     void ObjectStore::remove(const ObjectName& name, const HttpRequest& request, const HttpResponder& responder)
@@ -169,10 +169,10 @@
         else if (!this->isExpected(name, request))
             answerError(responder, 409, "another version");
         else
-            this->update(name, true, Json(), responder);
+            this->update(name, true, "null", responder);
     }
 
-    void ObjectStore::update(const ObjectName& name, bool deleted, Json value, const HttpResponder& responder)
+    void ObjectStore::update(const ObjectName& name, bool deleted, std::string value, const HttpResponder& responder)
     {
         Object& object = this->objects[name];
         object = { name.first, name.second, ++this->revision, deleted, std::move(value) };
@@ -256,7 +256,7 @@
             if (change.is_discarded())
                 break;
             Object object { change.at("kind"), change.at("name"), change.at("version"), change.at("deleted"),
-                change.at("value") };
+                change.at("value").dump() };
             this->revision = object.version;
             const ObjectName name { object.kind, object.name };
             this->objects[name] = std::move(object);
