Measure what the way through entry and sidecar adds

Change: make bench-path compares calls through an entry and a sidecar with direct calls of the model engine's stand-in.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: help install build test demo prove bench capacity plots format check-format lint clean
+.PHONY: help install build test demo prove bench capacity bench-path plots format check-format lint clean
 
 help:
 	@echo "install       install the Debian packages that the build needs (root)"
@@ -13,6 +13,7 @@
 	@echo "prove         model checking and history checking (PROVE_SEEDS= for a longer run)"
 	@echo "bench         policy trial under virtual time; plots draws its CSV"
 	@echo "capacity      slopes behind docs/CAPACITY.md"
+	@echo "bench-path    what the way through entry and sidecar adds to a direct call"
 	@echo "format        format the sources; check-format and lint only report"
 
 install:
@@ -38,6 +39,9 @@
 capacity: build
 	./tools/capacity --build $(BUILD)
 
+bench-path: build
+	./tools/bench-path --build $(BUILD)
+
 format:
 	git ls-files '*.h' '*.cpp' | xargs clang-format -i
 
--- a/src/rattandeck-load/rattandeck-load.cpp
+++ b/src/rattandeck-load/rattandeck-load.cpp
@@ -1,3 +1,4 @@
+#include "pathbench.h"
 #include "plan.h"
 #include "programrun.h"
 #include "results.h"
@@ -32,6 +33,7 @@
     std::string modelService;
     std::string plainService;
     std::string report;
+    std::string benchEngine;
     bool quiet = false;
 };
 
@@ -197,9 +199,9 @@
     add("help", "print this");
     add("entry", Options::value(&line.entries)->required()->composing(), "callers' address of an entry; repeatable");
     add("ledger", Options::value(&line.ledgers)->composing(), "address of a plain service's stand-in; repeatable");
-    add("workload", Options::value(&line.workload.workload)->required(), "vadodara or mizani");
+    add("workload", Options::value(&line.workload.workload)->default_value("vadodara"), "vadodara or mizani");
     add("model-service", Options::value(&line.modelService)->required(), "service of the model engines");
-    add("plain-service", Options::value(&line.plainService)->required(), "service that keeps the records");
+    add("plain-service", Options::value(&line.plainService), "service that keeps the records");
     add("programs", Options::value(&line.workload.programs)->default_value(60), "number of programs");
     add("concurrency", Options::value(&line.concurrency)->default_value(line.concurrency),
         "most programs that run together");
@@ -209,6 +211,8 @@
     add("limit-s", Options::value(&line.limitSeconds),
         "time after which unfinished programs count as failed; 60 s after the last arrival unless given");
     add("report", Options::value(&line.report), "file for a JSON report");
+    add("bench-path", Options::value(&line.benchEngine),
+        "instead of a workload, compare calls through the first entry with direct ones to this model engine");
     add("quiet", Options::bool_switch(&line.quiet), "show no progress");
     return options;
 }
@@ -225,6 +229,8 @@
             return RattandeckApp::ExitSuccess;
         }
         Options::notify(values);
+        if (line.benchEngine.empty() && line.plainService.empty())
+            throw Options::required_option("--plain-service");
         if (!values.contains("limit-s"))
             line.limitSeconds = line.durationSeconds + drainSeconds;
     } catch (const Options::error& error) {
@@ -257,12 +263,25 @@
     return output.good();
 }
 
+static int benchPath(const CommandLine& line, const Address& entry)
+{
+    const auto engine = parseAddresses({ line.benchEngine });
+    if (!engine)
+        return RattandeckApp::ExitUsage;
+    RattandeckNet::EventLoop loop;
+    const Json result = runPathBench(loop, { engine->front(), entry, line.modelService });
+    std::cout << result.dump(2) << '\n';
+    return result.contains("error") ? RattandeckApp::ExitFailure : RattandeckApp::ExitSuccess;
+}
+
 int main(int argc, char** argv)
 {
     CommandLine line;
     if (const auto code = readOptions(argc, argv, line))
         return *code;
     const auto entries = parseAddresses(line.entries);
+    if (entries && !line.benchEngine.empty())
+        return benchPath(line, entries->front());
     const auto ledgers = parseAddresses(line.ledgers);
     auto arrivals = planWorkload(line.workload);
     if (!entries || !ledgers)
--- a/src/rattandeck-load/results.cpp
+++ b/src/rattandeck-load/results.cpp
@@ -56,8 +56,7 @@
 
 // Report ---------------------------------------------------------------------------------------------------------
 
-/// Nearest-rank percentile; 0 without samples.
-static double percentile(std::vector<double> samples, double share)
+double percentile(std::vector<double> samples, double share)
 {
     if (samples.empty())
         return 0;
--- a/src/rattandeck-load/results.h
+++ b/src/rattandeck-load/results.h
@@ -70,6 +70,9 @@
 /// Nothing lost, doubled or mixed, no untrue refusal, and every program finished.
 bool isGood(const Results& results);
 
+/// Nearest-rank percentile; 0 without samples.
+double percentile(std::vector<double> samples, double share);
+
 /// Table for a person.
 std::string toTable(const Results& results);
 Json toJson(const Results& results);
