Model late effects of lost updates of the lease

Cause: a renewal or a break whose answer was lost could only take effect before it was read back. Change: both may take effect later; state that is not read any more is reset.

--- a/spec/ownership.pml
+++ b/spec/ownership.pml
@@ -32,6 +32,8 @@
 mtype = { None, Asked, Done, Refused, Silent };
 mtype renew = None;
 bool mustReadBack = false;
+/* A renewal whose answer is given up, and which may still take effect. */
+bool lateRenewal = false;
 mtype promise = None;
 byte promiseLeft = 0;
 byte promiseVersion = 0;
@@ -81,6 +83,18 @@
     COUNT(creditWait)
 }
 
+/* The rest only forgets what is not read any more, to keep the state space small. */
+inline stopHolder()
+{
+    holderStopped = true;
+    holderLease = 0;
+    holderPromise = 0;
+    promise = None;
+    promiseLeft = 0;
+    promiseVersion = 0;
+    renewLeft = 0
+}
+
 active proctype world()
 {
 end:
@@ -95,7 +109,7 @@
 
     /* Renewal: asked, takes effect or conflicts, answered or lost. */
     :: atomic {
-        !holderStopped && renew == None && !mustReadBack && leaseVersion < MAX_VERSION ->
+        !holderStopped && renew == None && !mustReadBack && !lateRenewal && leaseVersion < MAX_VERSION ->
         renew = Asked;
         renewExpected = holderVersion;
         renewLeft = LEASE
@@ -107,7 +121,13 @@
         :: else -> renew = Refused
         fi
     }
-    :: atomic { renew == Asked -> renew = Silent }
+    :: atomic { renew == Asked -> renew = Silent; lateRenewal = true }
+    :: atomic { lateRenewal -> lateRenewal = false }
+    :: atomic {
+        lateRenewal && storeUp && leaseVersion == renewExpected && !leaseBroken ->
+        lateRenewal = false;
+        leaseVersion++
+    }
     :: atomic { renew == Done -> renew = Silent }
     :: atomic {
         renew == Done ->
@@ -128,7 +148,7 @@
         leaseBroken = false;
         holderLease = LEASE
 #else
-        holderStopped = true
+        stopHolder()
 #endif
     }
     :: atomic {
@@ -146,7 +166,10 @@
         mustReadBack && storeUp ->
         mustReadBack = false;
         holderVersion = leaseVersion;
-        holderStopped = holderStopped || leaseBroken
+        if
+        :: leaseBroken -> stopHolder()
+        :: else
+        fi
     }
 
     /* Promises in an outage. */
@@ -238,6 +261,7 @@
     :: atomic {
         successor == Watching && storeUp && seenVersion != leaseVersion ->
         seenVersion = leaseVersion;
+        break_ = None;
 #ifdef NO_MARGIN
         lapse = LEASE
 #else
@@ -246,9 +270,9 @@
     }
     :: atomic {
 #ifdef NO_LAPSE_WAIT
-        successor == Watching ->
+        successor == Watching && break_ == None ->
 #else
-        successor == Watching && lapse == 0 ->
+        successor == Watching && lapse == 0 && break_ == None ->
 #endif
 #ifdef NO_BREAK
         successor = Broken
@@ -264,9 +288,11 @@
         :: else -> break_ = Refused
         fi
     }
-    :: atomic { successor == Breaking && break_ == Done -> successor = Broken; lapse = 0; drift = 0 }
+    :: atomic { successor == Breaking && break_ == Done -> successor = Broken; lapse = 0; drift = 0; break_ = None }
     :: atomic { successor == Breaking && break_ == Refused -> successor = Watching; break_ = None }
-    /* The answer is lost; the update may take effect until it is read back, or later. */
+    /* The answer is lost; the update may take effect until it is read back, or later, or never. */
+    :: atomic { successor == Watching && break_ != None -> break_ = None }
+    :: atomic { successor == Watching && storeUp && leaseBroken -> successor = Broken; lapse = 0; drift = 0; break_ = None }
     :: atomic { successor == Breaking -> successor = ReadingBreak }
     :: atomic {
         successor == ReadingBreak && storeUp ->
@@ -274,8 +300,8 @@
         successor = Broken
 #else
         if
-        :: leaseBroken -> successor = Broken
-        :: else -> successor = Watching; break_ = None
+        :: leaseBroken -> successor = Broken; lapse = 0; drift = 0; break_ = None
+        :: else -> successor = Watching
         fi
 #endif
     }
@@ -293,16 +319,16 @@
     }
     :: atomic { successor == Released -> successor = Mapping; map = Asked }
     :: atomic { map == Asked && storeUp -> mapEpoch = 2; map = Done }
-    :: atomic { successor == Mapping && map == Done -> successor = Census; creditWait = CREDIT }
+    :: atomic { successor == Mapping && map == Done -> successor = Census; creditWait = CREDIT; map = None }
     :: atomic { successor == Mapping -> successor = ReadingMap }
     :: atomic {
         successor == ReadingMap && storeUp ->
         if
-        :: mapEpoch == 2 -> successor = Census; creditWait = CREDIT
+        :: mapEpoch == 2 -> successor = Census; creditWait = CREDIT; map = None
         :: else -> successor = Released
         fi
     }
-    :: atomic { successor == Census && reachable -> sidecarFence = 2; successor = Serving }
+    :: atomic { successor == Census && reachable -> sidecarFence = 2; successor = Serving; creditWait = 0 }
     :: atomic { successor == Census && !reachable -> successor = Waiting }
     :: atomic {
 #ifdef NO_CREDIT_WAIT
