--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -77,10 +77,9 @@
 
 void EntryCore::Impl::replyAll(const std::vector<Caller>& callers, const CallerEvent& event)
 {
-    // A reply may bring the next request, which may change the list.
-    const std::vector<Caller> copy = callers;
-    for (const Caller& caller : copy)
-        this->reply(caller, event);
+    // By index: a reply may bring the next request, which may make the list longer.
+    for (std::size_t i = 0; i < callers.size(); ++i)
+        this->reply(callers[i], event);
 }
 
 void EntryCore::Impl::refuse(
@@ -178,6 +177,7 @@
         entry.loseLife(node.life);
     node.hello = hello;
     node.linked = true;
+    node.leaving = false;
     node.life = entry.lifeOf(hello.node, hello.incarnation, hello.domain);
     entry.lives[node.life.value].lost = false;
 
@@ -309,6 +309,7 @@
 void EntryCore::beginShutdown()
 {
     this->impl->shuttingDown = true;
+    this->impl->shutdownBegun = this->impl->now();
     this->impl->log("shutdown begins", "new requests are refused");
     this->impl->releaseLease();
 }
