--- a/src/include/Rattandeck/sidecar.h
+++ b/src/include/Rattandeck/sidecar.h
@@ -28,10 +28,14 @@
     Milliseconds keyRetention { 3600000 };
     std::uint32_t crashLimit = 2;
     TokenCount cacheCapacity { 100000 };
+    /// An idempotent call is cancelled when nobody who awaits it has been linked for this long. Longer than a takeover
+    /// takes, so that a new home finds the call running.
+    Milliseconds homeAbsence { 12000 };
 };
 
 /// A call as the endpoint gets it.
 struct EndpointCall {
+    /// Given by the sidecar and unique within its life: orders of different entries may have the same id.
     OrderId order;
     ProgramId program;
     IdempotencyKey key;
@@ -83,6 +87,9 @@
     std::function<void(ProgramId)> releasePrefix;
     std::function<void(const AdmissionDecision&)> logAdmission;
     std::function<void(const std::string& event, const std::string& detail)> logEvent;
+    /// Frees all of the engine's memory for programs. Called once, soon after the start: an earlier life of this sidecar
+    /// may have left prefixes there that nobody knows of.
+    std::function<void()> releaseAllPrefixes = [] {};
 };
 
 struct SidecarStatus {
@@ -128,6 +135,8 @@
     bool isDrained() const;
 
     SidecarStatus status() const;
+    /// The configuration objects in force here, deletions included.
+    ConfigUpdate configuration() const;
 
 private:
     struct Impl;
--- /dev/null
+++ b/src/librattandeck/members.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "Rattandeck/messages.h"
+#include "Rattandeck/objects.h"
+
+#include <tl/expected.hpp>
+
+#include <string>
+#include <vector>
+
+/// Registered incarnations of entries and sidecars: whom a census must hear.
+namespace Rattandeck {
+
+/// Value of the object `member/<node>`.
+struct Member {
+    NodeId node;
+    Incarnation incarnation;
+    FailureDomain domain;
+    ServiceName service;
+    std::string address;
+    Role role = Role::Sidecar;
+    /// The incarnation that this one replaced; 0: none.
+    Incarnation former;
+    /// Revision at which the former incarnation was known to be gone; 0: it was replaced without that.
+    ObjectVersion formerGone;
+    /// Nobody can reach it any more, and the instance list no longer shows it.
+    bool gone = false;
+    /// Revision of the store at the last change of the object.
+    ObjectVersion changed;
+};
+
+std::string formatMember(const Member& member);
+/// Errors: `ObjectError::Malformed`.
+tl::expected<Member, ObjectError> parseMember(const std::string& value, ObjectVersion changed);
+
+/// Completes `fresh`, which takes the place of `stored`. Precondition: `fresh` has the same or a later incarnation.
+void registerOver(const Member& stored, Member& fresh);
+
+/// Whom a census must hear so that it is complete.
+struct CensusRoll {
+    std::vector<Member> mustHear;
+    /// Lives that may have held facts and are gone for good.
+    std::uint32_t livesLost = 0;
+};
+
+/// Facts of lives that ended up to `completeThrough` stand elsewhere; those that ended later may be lost.
+CensusRoll censusRoll(const std::vector<Member>& members, ObjectVersion completeThrough);
+
+}
