--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,9 @@
 bench: build
 	$(BUILD)/src/rattandeck-bench --output $(BUILD)/bench
 
+plots:
+	./tools/plots $(BUILD)/bench
+
 capacity: build
 	./tools/capacity --build $(BUILD)
 
--- a/src/librattandeck/limits.cpp
+++ b/src/librattandeck/limits.cpp
@@ -9,8 +9,9 @@
     // Weight of one call in the smoothed service time, and in the slow rise of the base.
     constexpr double currentGain = 0.1;
     constexpr double baseGain = 0.001;
-    // Change of the limit per call.
-    constexpr double growth = 1;
+    // Change of the limit per call: a low limit grows by a share of itself, so that one fast call doesn't double it.
+    constexpr double mostGrowth = 1;
+    constexpr double growthShare = 0.125;
     constexpr double shrinkage = 0.02;
 
 }
@@ -28,7 +29,7 @@
     if (limit.currentSeconds > serviceTimeTolerance * limit.baseSeconds)
         limit.limit *= 1 - shrinkage;
     else if (running >= bindingShare * limit.limit)
-        limit.limit += growth;
+        limit.limit += std::min(mostGrowth, growthShare * limit.limit);
     limit.limit = std::clamp(limit.limit, limit.minimum, limit.maximum);
     return limit;
 }
--- a/src/librattandeck/placement_test.cpp
+++ b/src/librattandeck/placement_test.cpp
@@ -21,6 +21,15 @@
     return view;
 }
 
+std::vector<SidecarView> equalSidecars(int count)
+{
+    std::vector<SidecarView> fleet;
+    fleet.reserve(static_cast<std::size_t>(count));
+    for (int i = 0; i < count; ++i)
+        fleet.push_back(sidecar(i, 1));
+    return fleet;
+}
+
 CallShape call(std::int64_t promptTokens)
 {
     CallShape shape;
@@ -62,9 +71,7 @@
 
     void looksAtFewCandidatesHoweverManyThereAre()
     {
-        std::vector<SidecarView> fleet;
-        for (int i = 0; i < 4500; ++i)
-            fleet.push_back(sidecar(i, 1));
+        const std::vector<SidecarView> fleet = equalSidecars(4500);
         const std::vector<HeldAt> holders { HeldAt { 4321, TokenCount(5000) } };
         const PlacementDecision decision = choosePlacement(fleet, call(5200), {}, 7, holders);
         CPPUNIT_ASSERT(decision.candidates.size() <= PlacementSettings().candidateCount + holders.size());
@@ -102,9 +109,7 @@
 
     void spreadsEqualSidecars()
     {
-        std::vector<SidecarView> fleet;
-        for (int i = 0; i < 5; ++i)
-            fleet.push_back(sidecar(i, 1));
+        const std::vector<SidecarView> fleet = equalSidecars(5);
         std::set<std::string> chosen;
         for (std::uint64_t seed = 0; seed < 100; ++seed)
             chosen.insert(choosePlacement(fleet, call(500), {}, seed).choice.value);
--- a/src/rattandeck-bench/rattandeck-bench.cpp
+++ b/src/rattandeck-bench/rattandeck-bench.cpp
@@ -83,8 +83,8 @@
             }
         }
         if (only.empty() || only == "faults") {
-            for (const Fault fault : { Fault::RunnerDies, Fault::SlowRunner, Fault::CutDomain, Fault::LaggingReports,
-                     Fault::CrashingRequest }) {
+            for (const Fault fault : { Fault::RunnerDies, Fault::SlowRunner, Fault::SlowPlainInstance, Fault::CutDomain,
+                     Fault::LaggingReports, Fault::CrashingRequest }) {
                 for (const TrialPolicy& policy : policies)
                     add(policy, 1, fault);
             }
@@ -95,7 +95,8 @@
             for (const TrialPolicy& policy : parts) {
                 for (const double load : { 1.0, 1.5, 3.0 })
                     add(policy, load, Fault::None);
-                for (const Fault fault : { Fault::SlowRunner, Fault::LaggingReports, Fault::CrashingRequest })
+                for (const Fault fault :
+                    { Fault::SlowRunner, Fault::SlowPlainInstance, Fault::LaggingReports, Fault::CrashingRequest })
                     add(policy, 1, fault);
             }
         }
--- a/src/rattandeck-bench/simulation.cpp
+++ b/src/rattandeck-bench/simulation.cpp
@@ -22,6 +22,7 @@
     constexpr double deathSeconds = 60;
     constexpr double cutSeconds = 30;
     constexpr double slowness = 3;
+    constexpr double plainSlowness = 30;
     constexpr std::size_t crashingPrograms = 3;
 
     double quantile(const std::vector<double>& sorted, double share)
@@ -147,6 +148,8 @@
     }
     if (this->spec.fault == Fault::SlowRunner)
         this->after(faultAt, [this] { this->services[0].runners[0]->engine().setSlowness(slowness); });
+    if (this->spec.fault == Fault::SlowPlainInstance)
+        this->after(faultAt, [this] { this->services[1].runners[0]->engine().setSlowness(plainSlowness); });
     if (this->spec.fault == Fault::CutDomain) {
         this->after(faultAt, [this] {
             this->cutDomain = this->spec.shape.domains[1];
@@ -274,6 +277,8 @@
         return "runner-dies";
     case Fault::SlowRunner:
         return "slow-runner";
+    case Fault::SlowPlainInstance:
+        return "slow-plain";
     case Fault::CutDomain:
         return "cut-domain";
     case Fault::LaggingReports:
--- a/src/rattandeck-bench/trial.h
+++ b/src/rattandeck-bench/trial.h
@@ -36,7 +36,7 @@
 
 TrialPolicy baseline(const std::string& name, PlacementRule placement);
 
-enum class Fault { None, RunnerDies, SlowRunner, CutDomain, LaggingReports, CrashingRequest };
+enum class Fault { None, RunnerDies, SlowRunner, SlowPlainInstance, CutDomain, LaggingReports, CrashingRequest };
 
 std::string toString(Fault fault);
 
