--- a/src/librattandeckapp/objectclient.cpp
+++ b/src/librattandeckapp/objectclient.cpp
@@ -200,7 +200,18 @@
 
 void ObjectClient::call(const ObjectRequest& request, std::function<void(ObjectOutcome)> done)
 {
-    this->impl->send(std::visit([](const auto& typed) { return toHttp(typed); }, request), std::move(done));
+    const HttpRequest http = std::visit([](const auto& typed) { return toHttp(typed); }, request);
+    const auto* put = std::get_if<ObjectPut>(&request);
+    if (!put)
+        return this->impl->send(http, std::move(done));
+    // The API answers an update with its version alone.
+    this->impl->send(http, [key = put->key, value = put->value, done = std::move(done)](ObjectOutcome outcome) {
+        if (outcome && !outcome->objects.empty()) {
+            outcome->objects.front().key = key;
+            outcome->objects.front().value = value;
+        }
+        done(std::move(outcome));
+    });
 }
 
 void ObjectClient::remove(const ObjectKey& key, ObjectVersion expected, std::function<void(ObjectOutcome)> done)
--- /dev/null
+++ b/testsuite/configuration/case.py
@@ -0,0 +1,52 @@
+"""Operators race; accepted configuration is in force everywhere in seconds and survives a restart in an outage."""
+
+from harness import System, expect, start_small_system, wait_until
+
+IN_FORCE_LIMIT_S = 12
+
+
+def revision_everywhere(system, revision):
+    entries = [system.metric(e, "rattandeck_entry_config_revision") for e in system.entries.values() if e.running()]
+    sidecars = [system.metric(s, "rattandeck_sidecar_config_revision") for s in system.sidecars.values() if s.running()]
+    return min(entries + sidecars) >= revision
+
+
+def version_of(output):
+    return int(output.rsplit("version ", 1)[1])
+
+
+def run(build):
+    with System(build) as system:
+        start_small_system(system)
+        path = system.folder / "objects.toml"
+        policy = '[[object]]\nkind = "policy"\nname = "w"\n{}[object.spec]\nwait_weight = {}\n'
+        path.write_text(policy.format("", 2))
+        code, output = system.ctl("apply", "--dry-run", "-f", str(path))
+        expect(code == 0 and "nothing was changed" in output, output)
+        code, output = system.ctl("apply", "-f", str(path))
+        expect(code == 0, output)
+        first = version_of(output)
+        wait_until(lambda: revision_everywhere(system, first), "in force", IN_FORCE_LIMIT_S)
+
+        path.write_text(policy.format(f"version = {first}\n", 3))
+        code, output = system.ctl("apply", "-f", str(path))
+        expect(code == 0, output)
+        second = version_of(output)
+        path.write_text(policy.format(f"version = {first}\n", 4))
+        code, output = system.ctl("apply", "-f", str(path))
+        expect(code == 5 and "another version" in output, f"a racing operator gets a conflict: {code} {output}")
+        wait_until(lambda: revision_everywhere(system, second), "in force", IN_FORCE_LIMIT_S)
+
+        path.write_text(policy.format("", 4).replace("wait_weight", "wait_wieght"))
+        code, output = system.ctl("apply", "-f", str(path))
+        expect(code == 3 and "unknown field 'wait_wieght'" in output, output)
+
+        system.fault(down=True)
+        system.entries["entry-a"].kill()
+        restarted = system.start_entry("entry-a", "a")
+        wait_until(lambda: system.metric(restarted, "rattandeck_entry_config_revision") >= second,
+                   "a process started in the outage has the configuration from its peers")
+        code, _ = system.ctl("drain", "llm-a0")
+        expect(code == 4, "no change is accepted in an outage")
+        system.fault(down=False)
+        wait_until(lambda: system.is_ready(restarted), "ready after the outage")
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -227,6 +227,40 @@
     def callers(self):
         return [entry.field("callers") for entry in self.entries.values() if entry.running()]
 
+    def fault(self, **faults):
+        """Switches faults of the object API on or off: down, drop_answers, delay_ms."""
+        http("POST", self.objects.listening(), "/faults", faults)
+
+    def start_load(self, name, programs=40, duration_s=8, workload="vadodara", limit_s=90):
+        """Starts the load driver against all entries; `finish_load` waits for it and checks its verdict."""
+        command = ["--workload", workload, "--programs", str(programs), "--seed", "1", "--duration-s", str(duration_s),
+                   "--limit-s", str(limit_s), "--model-service", "agent-llm", "--plain-service", "jobcard-app",
+                   "--quiet", "--report", str(self.folder / f"{name}.json")]
+        for address in self.callers():
+            command += ["--entry", address]
+        for node, endpoint in self.endpoints.items():
+            if node.startswith("app"):
+                command += ["--ledger", endpoint.listening()]
+        with open(self.folder / f"{name}.out", "wb") as output:
+            return subprocess.Popen([str(self.programs / "rattandeck-load"), *command], stdout=output, stderr=output)
+
+    def finish_load(self, load, name, limit_s=240):
+        """Waits for a load and returns its report; the case fails when anything was lost, doubled, mixed or unfinished."""
+        try:
+            code = load.wait(limit_s)
+        except subprocess.TimeoutExpired as error:
+            load.kill()
+            raise CaseFailed("the load did not end") from error
+        output = (self.folder / f"{name}.out").read_text()
+        expect(code == 0, f"the load driver found faults:\n{output}")
+        return json.loads((self.folder / f"{name}.json").read_text())
+
+    def ctl(self, *arguments):
+        """Runs rattandeckctl; returns (exit code, output)."""
+        done = subprocess.run([str(self.programs / "rattandeckctl"), "--objects", self.objects.listening(), *arguments],
+                              capture_output=True, text=True, timeout=60, check=False)
+        return done.returncode, done.stdout + done.stderr
+
     def ledger(self):
         """Every call that the plain services have executed: a list of {"key", "body"}."""
         calls = []
@@ -236,6 +270,41 @@
         return calls
 
 
+DOMAINS = ["a", "b", "c"]
+
+
+def start_small_system(system, engine_options=("--speed", "4"), per_domain=1):
+    """Three entries in three failure domains, each with model engines and plain services."""
+    for domain in DOMAINS:
+        for index in range(per_domain):
+            suffix = f"{domain}{index}"
+            system.start_endpoint(f"llm-{suffix}", domain, "agent-llm", True, *engine_options)
+            system.start_endpoint(f"app-{suffix}", domain, "jobcard-app", False)
+    for domain in DOMAINS:
+        system.start_entry(f"entry-{domain}", domain)
+    system.wait_ready()
+    wait_until(lambda: can_open(system), "programs can be opened")
+
+
+def can_open(system):
+    return all(open_program(address, check=False)[0] == 201 for address in system.callers())
+
+
+def open_program(address, budget=1000000, check=True):
+    """Opens a program. Returns (status, id)."""
+    body = {"organisation": "o", "service": "agent-llm", "aim_ms": 60000, "budget_tokens": budget}
+    status, _, text = http("POST", address, "/v1/programs", body)
+    if check:
+        expect(status == 201, f"opening: {status} {text}")
+    return status, json.loads(text).get("program")
+
+
+def call(address, program, body, headers=None, limit_s=60):
+    """Calls a program. Returns (status, headers, answer)."""
+    status, fields, text = http("POST", address, f"/v1/programs/{program}/calls", body, headers, limit_s)
+    return status, fields, json.loads(text)
+
+
 def expect(condition, what):
     if not condition:
         raise CaseFailed(what)
