Tell the highest version in force; count callers' attempts that reached nobody apart

Cause: a sidecar's metric told the last listing's revision, so a change that was in force seemed not to be; attempts to reach an entry that had left counted as broken requests. Change: the sidecar reports the highest version of any object, as entries do; the load driver counts 'unreachable' apart.

--- a/src/librattandeck/sidecar.cpp
+++ b/src/librattandeck/sidecar.cpp
@@ -69,7 +69,7 @@
     status.limit = static_cast<std::uint32_t>(this->impl->limit.limit);
     status.records = recordCount(this->impl->records);
     status.heldPrefixes = this->impl->prefixes.held.size();
-    status.configRevision = this->impl->config.revision();
+    status.configRevision = std::max(this->impl->config.revision(), this->impl->config.highestVersion());
     return status;
 }
 
--- a/src/librattandeckapp/objectclient.cpp
+++ b/src/librattandeckapp/objectclient.cpp
@@ -130,16 +130,18 @@
 
     void send(const HttpRequest& request, std::function<void(ObjectOutcome)> done)
     {
-        this->client.fetch(request, this->timeout,
-            [done = std::move(done)](
-                const tl::expected<HttpResponse, NetError>& response) { done(readOutcome(response)); });
+        this->client.fetch(
+            request, this->timeout, [done = std::move(done)](const tl::expected<HttpResponse, NetError>& response) {
+                done(readOutcome(response));
+            });
     }
 
     void startWatch()
     {
         const std::weak_ptr<Impl> weak = this->weak_from_this();
         this->watchBuffer.clear();
-        const HttpRequest request { "GET", "/watch", { { "after", std::to_string(this->watchedRevision.value) } }, {}, {} };
+        const HttpRequest request { "GET", "/watch", { { "after", std::to_string(this->watchedRevision.value) } }, {},
+            {} };
         HttpCallbacks callbacks;
         callbacks.onHead = [](int, const HttpHeaders&) {};
         callbacks.onData = [weak](std::string_view chunk) {
--- a/src/rattandeck-load/callerapi.cpp
+++ b/src/rattandeck-load/callerapi.cpp
@@ -155,9 +155,12 @@
 
     void Attempts::onNetError(NetError error)
     {
-        ++(error == NetError::TimedOut ? this->api.statistics.timeouts : this->api.statistics.brokenConnections);
-        ++this->call.entry;
         const bool neverSent = error == NetError::ConnectFailed || error == NetError::NotSent;
+        ApiStatistics& statistics = this->api.statistics;
+        ++(neverSent                          ? statistics.unreachable
+                : error == NetError::TimedOut ? statistics.timeouts
+                                              : statistics.brokenConnections);
+        ++this->call.entry;
         if (neverSent)
             this->repeatAfter(otherEntryDelay);
         else
--- a/src/rattandeck-load/callerapi.h
+++ b/src/rattandeck-load/callerapi.h
@@ -46,6 +46,9 @@
     std::uint64_t requests = 0;
     /// Refusals that named a time to come back, by problem.
     std::map<std::string, std::uint64_t> refusals;
+    /// Attempts that never reached an entry: it had gone.
+    std::uint64_t unreachable = 0;
+    /// Connections that broke after the request was sent.
     std::uint64_t brokenConnections = 0;
     std::uint64_t timeouts = 0;
 };
--- a/src/rattandeck-load/results.cpp
+++ b/src/rattandeck-load/results.cpp
@@ -92,8 +92,8 @@
                    << " lost, " << records.doubled << " doubled, " << records.unknown << " unknown, " << records.refused
                    << " refused, " << records.untrueRefusals << " untrue refusals, " << records.mixed << " mixed"
                    << (results.ledgersRead ? "" : " (ledgers not read)") << '\n';
-    row("requests") << results.api.requests << ", " << results.api.brokenConnections << " broken, "
-                    << results.api.timeouts << " timed out\n";
+    row("requests") << results.api.requests << ", " << results.api.unreachable << " to entries that had gone, "
+                    << results.api.brokenConnections << " broken, " << results.api.timeouts << " timed out\n";
     for (const auto& [name, count] : results.api.refusals)
         row("  refused, came back") << count << ' ' << name << '\n';
     for (const auto& [name, count] : results.failures)
@@ -119,9 +119,10 @@
                 { "doubled", records.doubled }, { "unknown", records.unknown }, { "refused", records.refused },
                 { "untrue_refusals", records.untrueRefusals }, { "mixed", records.mixed },
                 { "ledgers_read", results.ledgersRead } } },
-        { "requests", results.api.requests }, { "broken_connections", results.api.brokenConnections },
-        { "timeouts", results.api.timeouts }, { "refusals", results.api.refusals }, { "failures", results.failures },
-        { "violations", results.violations }, { "passed", isGood(results) } };
+        { "requests", results.api.requests }, { "unreachable", results.api.unreachable },
+        { "broken_connections", results.api.brokenConnections }, { "timeouts", results.api.timeouts },
+        { "refusals", results.api.refusals }, { "failures", results.failures }, { "violations", results.violations },
+        { "passed", isGood(results) } };
 }
 
 }
