Keep releases for a sidecar that may come back beside the same engine

Cause: releases that waited for a link were dropped when the member was marked gone; its next life stands beside the same engine, whose memory stayed held.

--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -7,6 +7,8 @@
 namespace {
 
     constexpr std::uint32_t openingAttempts = 3;
+    // Kept for each node that may come back.
+    constexpr std::size_t maxUnsentReleases = 4096;
     constexpr std::uint32_t unlimitedAttempts = ~0U;
 
     bool isOneCall(const CallerRequest& request)
@@ -362,10 +364,14 @@
     const ReleaseProgram release { shard.shard, shard.epoch, program.header.id, ended };
     for (const NodeId& holder : holders) {
         const auto node = this->nodes.find(holder);
-        if (node != this->nodes.end() && node->second.linked)
+        if (node != this->nodes.end() && node->second.linked) {
             this->send(holder, release);
-        else
-            this->unsentReleases[holder].push_back(release);
+            continue;
+        }
+        std::deque<ReleaseProgram>& unsent = this->unsentReleases[holder];
+        unsent.push_back(release);
+        if (unsent.size() > maxUnsentReleases)
+            unsent.pop_front();
     }
     program.prefixes.clear();
 }
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -437,7 +437,8 @@
     Fleet fleet;
     std::unordered_map<ServiceName, ServiceQueue> queues;
     std::map<ProgramClass, ClassPolicy> classPolicies;
-    std::map<NodeId, std::vector<ReleaseProgram>> unsentReleases;
+    /// For nodes without a link: the next life of a sidecar may stand beside the same engine.
+    std::map<NodeId, std::deque<ReleaseProgram>> unsentReleases;
 
     std::uint64_t lastCopy = 0;
     std::unordered_map<std::uint64_t, PendingCopy> copies;
--- a/src/librattandeck/entrymembers.cpp
+++ b/src/librattandeck/entrymembers.cpp
@@ -61,10 +61,8 @@
     const auto node = this->nodes.find(member->node);
     if (!member->gone && member->role == Role::Sidecar)
         this->fleet.onRegistered(member->node, member->incarnation);
-    if (member->gone) {
+    if (member->gone)
         this->fleet.onRegistered(member->node, Incarnation(0));
-        this->unsentReleases.erase(member->node);
-    }
     const bool otherLife = node != this->nodes.end() && node->second.hello.incarnation < member->incarnation;
     if (otherLife)
         this->loseLife(node->second.life);
