--- a/src/librattandeck/entryfaults_test.cpp
+++ b/src/librattandeck/entryfaults_test.cpp
@@ -24,6 +24,10 @@
     CPPUNIT_TEST(crashingRequestIsHeldEverywhere);
     CPPUNIT_TEST(refusedCensusDropsTheShard);
     CPPUNIT_TEST(lostHomeOfForwardedRequestIsAnswered);
+    CPPUNIT_TEST(missedMemberHealsTheShardLater);
+    CPPUNIT_TEST(isolatedEntryTellsNothingNew);
+    CPPUNIT_TEST(lostPartsOfAStreamComeBeforeTheAnswer);
+    CPPUNIT_TEST(spendingOfEndedSubAgentsIsKept);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<World> world;
@@ -408,5 +412,97 @@
         CPPUNIT_ASSERT(this->refused(call).ran == Ran::Unknown);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->world->events[call].size());
     }
+
+    void missedMemberHealsTheShardLater()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(this->e1);
+        this->world->cutLink(this->e1, this->s1);
+        const CallerTicket first = this->world->ask(this->e1, this->callOf(opened.program, "a"));
+        this->world->run(Milliseconds(100));
+        const AnswerDone before = this->answered(first);
+        // The only other holder can't be reached by the successor for a while.
+        this->world->cutLink(this->e2, this->s2);
+        this->world->kill(this->e1);
+        this->awaitTakeover();
+        const CallerTicket early = this->world->ask(this->e2, this->callOf(opened.program, "b", &before));
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT(this->refused(early).kind == ProblemKind::NotServing);
+        CPPUNIT_ASSERT(this->refused(early).ran == Ran::Unknown);
+        CPPUNIT_ASSERT(this->refused(early).retryAfter.count() > 0);
+        this->world->restoreLink(this->e2, this->s2);
+        this->world->run(Milliseconds(2000));
+        const CallerTicket later = this->world->ask(this->e2, this->callOf(opened.program, "b", &before));
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(2U, this->answered(later).turn.value);
+        CPPUNIT_ASSERT_EQUAL(before.budgetLeft.value - 6, this->answered(later).budgetLeft.value);
+    }
+
+    void isolatedEntryTellsNothingNew()
+    {
+        this->start();
+        this->world->entries.at(this->e1).storeReachable = false;
+        for (const NodeId& other : { this->e2, this->s1, this->s2 })
+            this->world->cutLink(this->e1, other);
+        this->world->run(Milliseconds(1000));
+        CallerRequest opening;
+        opening.kind = CallKind::OpenProgram;
+        opening.service = ServiceName("llm");
+        opening.budget = TokenCount(100);
+        const CallerTicket ticket = this->world->ask(this->e1, opening);
+        this->world->run(Milliseconds(4000));
+        CPPUNIT_ASSERT(this->refused(ticket).kind == ProblemKind::NotServing);
+        CPPUNIT_ASSERT(this->refused(ticket).ran == Ran::No);
+    }
+
+    void lostPartsOfAStreamComeBeforeTheAnswer()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(this->e1);
+        this->setAnswers(false);
+        const CallerTicket call = this->world->ask(this->e1, this->callOf(opened.program, "abc"));
+        this->world->run(Milliseconds(100));
+        const NodeId runner = this->sidecarRunning(opened.program);
+        const OrderId order = this->world->sidecars.at(runner).open.begin()->first;
+        this->world->sendFrom(runner, this->e1, OrderTokens { order, 0, "<a", TokenCount(2) });
+        // Part 1 is lost.
+        this->world->sendFrom(runner, this->e1, OrderTokens { order, 2, "c", TokenCount(1) });
+        this->world->run(Milliseconds(10));
+        this->world->finish(runner, order);
+        this->world->run(Milliseconds(100));
+        std::string streamed;
+        for (const CallerEvent& event : this->world->events[call]) {
+            if (const auto* part = std::get_if<AnswerTokens>(&event))
+                streamed += part->text;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("<abc>"), streamed);
+        CPPUNIT_ASSERT_EQUAL(streamed, this->answered(call).output);
+    }
+
+    void spendingOfEndedSubAgentsIsKept()
+    {
+        this->start();
+        const AnswerDone root = this->world->open(this->e1, 1000);
+        CallerRequest request;
+        request.kind = CallKind::OpenProgram;
+        request.program = root.program;
+        const CallerTicket opened = this->world->ask(this->e1, request);
+        this->world->run(Milliseconds(50));
+        request.kind = CallKind::EndProgram;
+        request.program = this->answered(opened).program;
+        this->world->ask(this->e1, this->callOf(request.program, "a"));
+        this->world->run(Milliseconds(100));
+        const CallerTicket ended = this->world->ask(this->e1, request);
+        this->world->run(Milliseconds(100));
+        const TokenCount left = this->answered(ended).budgetLeft;
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(994), left.value);
+        this->world->kill(this->e1);
+        this->awaitTakeover();
+        request.kind = CallKind::GetProgram;
+        request.program = root.program;
+        const CallerTicket read = this->world->ask(this->e2, request);
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(left.value, this->answered(read).budgetLeft.value);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryFaultsTest);
