--- a/src/librattandeck/entryfaults_test.cpp
+++ b/src/librattandeck/entryfaults_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(lostAnswersOfUpdatesAreReadBack);
     CPPUNIT_TEST(outageOfTheStoreIsOutlivedOnPromises);
     CPPUNIT_TEST(holderThatAloneIsCutOffStops);
+    CPPUNIT_TEST(renewalUnderWayCannotOutliveATakeover);
+    CPPUNIT_TEST(promisesHoldOffASuccessorThatReachesTheStore);
     CPPUNIT_TEST(idempotentCallGoesElsewhere);
     CPPUNIT_TEST(lostNonIdempotentCallIsUnknownUntilItsRecordTurnsUp);
     CPPUNIT_TEST(restartedSidecarProvesNothing);
@@ -277,6 +279,46 @@
         this->answered(call);
     }
 
+    void renewalUnderWayCannotOutliveATakeover()
+    {
+        this->start();
+        Entry& holder = this->world->entries.at(this->e1);
+        const ObjectKey lease { "lease", "e1" };
+        const ObjectVersion before = this->world->store.objects.at(lease).version;
+        while (this->world->store.objects.at(lease).version == before)
+            this->world->run(Milliseconds(1));
+        // Just renewed, for 6000 ms; the successor waits 300 ms longer.
+        holder.storeReachable = false;
+        this->world->run(Milliseconds(5900));
+        CPPUNIT_ASSERT(this->world->owned(this->e1) > 0);
+        holder.storeReachable = true;
+        holder.putDelay = Milliseconds(900);
+        holder.watchDelay = Milliseconds(20000);
+        this->world->cutLink(this->e1, this->e2);
+        this->world->cutLink(this->e1, this->s1);
+        this->world->cutLink(this->e1, this->s2);
+        this->world->run(Milliseconds(1700));
+        CPPUNIT_ASSERT_EQUAL(4U, this->world->owned(this->e2));
+        CPPUNIT_ASSERT_EQUAL(0U, this->world->owned(this->e1));
+    }
+
+    void promisesHoldOffASuccessorThatReachesTheStore()
+    {
+        this->start(true);
+        const NodeId e4("e4");
+        this->world->addEntry("e4", "d4");
+        this->world->run(Milliseconds(20000));
+        const std::uint32_t before = this->world->owned(this->e1);
+        CPPUNIT_ASSERT(before > 0);
+        // Two of the three guarantors are cut off, too; e2 is not.
+        for (const NodeId& node : { this->e1, this->e3, e4 })
+            this->world->entries.at(node).storeReachable = false;
+        this->world->run(Milliseconds(15000));
+        CPPUNIT_ASSERT(this->world->entries.at(this->e1).core->status().onPromises);
+        CPPUNIT_ASSERT_EQUAL(before, this->world->owned(this->e1));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), this->world->entries.at(this->e2).core->status().takeovers);
+    }
+
     void idempotentCallGoesElsewhere()
     {
         this->start();
@@ -420,21 +462,27 @@
         this->world->cutLink(this->e1, this->s1);
         const CallerTicket first = this->world->ask(this->e1, this->callOf(opened.program, "a"));
         this->world->run(Milliseconds(100));
-        const AnswerDone before = this->answered(first);
-        // The only other holder can't be reached by the successor for a while.
+        this->answered(first);
+        this->world->restoreLink(this->e1, this->s1);
+        this->world->run(Milliseconds(1100));
+        this->world->cutLink(this->e1, this->s2);
+        const CallerTicket second = this->world->ask(this->e1, this->callOf(opened.program, "b"));
+        this->world->run(Milliseconds(100));
+        const AnswerDone before = this->answered(second);
+        // The only other holder of the first turn can't be reached by the successor for a while.
         this->world->cutLink(this->e2, this->s2);
         this->world->kill(this->e1);
         this->awaitTakeover();
-        const CallerTicket early = this->world->ask(this->e2, this->callOf(opened.program, "b", &before));
+        const CallerTicket early = this->world->ask(this->e2, this->callOf(opened.program, "c", &before));
         this->world->run(Milliseconds(100));
         CPPUNIT_ASSERT(this->refused(early).kind == ProblemKind::NotServing);
         CPPUNIT_ASSERT(this->refused(early).ran == Ran::Unknown);
         CPPUNIT_ASSERT(this->refused(early).retryAfter.count() > 0);
         this->world->restoreLink(this->e2, this->s2);
         this->world->run(Milliseconds(2000));
-        const CallerTicket later = this->world->ask(this->e2, this->callOf(opened.program, "b", &before));
+        const CallerTicket later = this->world->ask(this->e2, this->callOf(opened.program, "c", &before));
         this->world->run(Milliseconds(100));
-        CPPUNIT_ASSERT_EQUAL(2U, this->answered(later).turn.value);
+        CPPUNIT_ASSERT_EQUAL(3U, this->answered(later).turn.value);
         CPPUNIT_ASSERT_EQUAL(before.budgetLeft.value - 6, this->answered(later).budgetLeft.value);
     }
 
--- a/src/librattandeck/entryworld_test.h
+++ b/src/librattandeck/entryworld_test.h
@@ -83,6 +83,9 @@
     bool storeReachable = true;
     /// The next so many updates take effect, but their answers are lost.
     int lostAnswers = 0;
+    /// Updates take effect so much later.
+    Milliseconds putDelay { 0 };
+    Milliseconds watchDelay { storeDelay };
     /// Each process has its own clock, so that one can be paused.
     std::unique_ptr<TimerService> timers;
     bool paused = false;
@@ -363,6 +366,15 @@
         if (!entry.storeReachable)
             return answer(tl::unexpected(ObjectError::Unavailable));
         const bool isPut = std::holds_alternative<ObjectPut>(request);
+        if (isPut && entry.putDelay.count() > 0) {
+            this->timers.subscribeAfter(entry.putDelay, [this, request, answer] {
+                const ObjectOutcome late = this->store.call(request);
+                if (late)
+                    this->watchers(late->objects.front());
+                answer(late);
+            });
+            return;
+        }
         const ObjectOutcome outcome = this->store.call(request);
         if (isPut && outcome)
             this->watchers(outcome->objects.front());
@@ -376,7 +388,7 @@
     void watchers(const StoredObject& object)
     {
         for (const auto& [node, entry] : this->entries) {
-            this->timers.subscribeAfter(storeDelay, [this, node = node, object] {
+            this->timers.subscribeAfter(entry.watchDelay, [this, node = node, object] {
                 const auto found = this->entries.find(node);
                 if (found != this->entries.end() && found->second.storeReachable)
                     this->at(node, [object](EntryCore& core) { core.onObjectChanged(object, object.version); });
