Keep what an ended root has spent while its sub-agents go on

Change: a root that is drawn on gives its engine memory back at its end, but its records only with the last sub-agent.

--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -189,7 +189,7 @@
             program.header.service = request.service;
             program.header.budget = TokenCount(maxTokensPerCall);
             program.openedAt = this->now();
-            shard->join(program.header);
+            shard->join(program);
         }
     }
     HomeProgram* program = shard->find(request.program);
@@ -262,7 +262,7 @@
 {
     HomeProgram& program = shard.programs.at(id);
     program.openedAt = this->now();
-    shard.join(program.header);
+    shard.join(program);
     CopyRecords facts;
     facts.shard = shard.shard;
     facts.epoch = shard.epoch;
@@ -341,9 +341,21 @@
     program.ended = true;
     program.endedAt = this->now();
     shard.ended.push_back(program.header.id);
-    this->releaseEngines(shard, program, true);
-    // What stays is what a repeated key needs, and what a sub-agent has spent of its root's budget.
-    if (program.header.root == program.header.id)
+    --shard.account(program.header).open;
+    this->releaseEnded(shard, program);
+    HomeProgram* root = shard.find(program.header.root);
+    if (root && root != &program && root->ended)
+        this->releaseEnded(shard, *root);
+}
+
+// The records of a root tell what was spent of the budget that its sub-agents still draw on.
+void EntryCore::Impl::releaseEnded(HomeShard& shard, HomeProgram& program)
+{
+    const bool isRoot = program.header.root == program.header.id;
+    const bool drawnOn = isRoot && shard.account(program.header).open > 0;
+    this->releaseEngines(shard, program, !drawnOn);
+    // What stays is what a repeated key needs, and what a sub-agent has spent.
+    if (isRoot && !drawnOn)
         std::erase_if(program.records, [](const auto& item) { return item.second.record.key.value.empty(); });
 }
 
@@ -352,7 +364,7 @@
     std::set<NodeId> holders;
     for (const PrefixAt& prefix : program.prefixes)
         holders.insert(prefix.sidecar);
-    if (ended) {
+    if (program.ended) {
         for (const LifeIndex life : program.headerHolders)
             holders.insert(this->lives[life.value].node);
         for (const auto& [turn, held] : program.records) {
@@ -384,6 +396,11 @@
         if (program && this->now() < program->endedAt + keyRetention)
             return;
         shard.ended.pop_front();
+        if (program && shard.account(program->header).open > 0) {
+            shard.find(id)->endedAt = this->now();
+            shard.ended.push_back(id);
+            continue;
+        }
         shard.forget(id);
     }
 }
--- a/src/librattandeck/entrycensus.cpp
+++ b/src/librattandeck/entrycensus.cpp
@@ -138,7 +138,7 @@
     HomeProgram& program = shard.programs[id];
     program = std::move(merged.program);
     program.openedAt = this->now();
-    shard.join(program.header);
+    shard.join(program);
     this->chargeMerged(shard, program);
     if (program.ended) {
         program.endedAt = this->now();
@@ -222,9 +222,16 @@
         if (known->damaged && idle) {
             shard.account(known->header).spent.value -= chargedTokens(*known).value + known->doubtCharge.value;
             const TimePoint openedAt = known->openedAt;
+            shard.leave(*known);
             *known = std::move(merged.program);
             known->openedAt = openedAt;
+            shard.join(*known);
             this->chargeMerged(shard, *known);
+            if (known->ended) {
+                known->endedAt = this->now();
+                shard.ended.push_back(id);
+                this->releaseEnded(shard, *known);
+            }
             if (merged.running)
                 this->adopt(shard, *known, *merged.running);
             continue;
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -261,6 +261,7 @@
     void announceOpening(const Caller& caller, HomeShard& shard, const ProgramId& id);
     void endProgram(const Caller& caller, HomeShard& shard, HomeProgram& program);
     void finishEnd(HomeShard& shard, HomeProgram& program);
+    void releaseEnded(HomeShard& shard, HomeProgram& program);
     void releaseEngines(HomeShard& shard, HomeProgram& program, bool ended);
     void callProgram(const Caller& caller, HomeShard& shard, HomeProgram& program, CallerRequest request);
     void answerRepeat(const Caller& caller, HomeShard& shard, HomeProgram& program, TurnNumber turn);
--- a/src/librattandeck/entryshards.cpp
+++ b/src/librattandeck/entryshards.cpp
@@ -75,7 +75,7 @@
     HomeShard& home = this->shards.at(shard);
     for (auto& [id, program] : home.programs) {
         if (program.ended)
-            this->releaseEngines(home, program, true);
+            this->releaseEnded(home, program);
     }
 }
 
--- a/src/librattandeck/home.cpp
+++ b/src/librattandeck/home.cpp
@@ -23,18 +23,32 @@
     return found->second;
 }
 
-void HomeShard::join(const ProgramHeader& header) { ++this->account(header).programs; }
+void HomeShard::join(const HomeProgram& program)
+{
+    BudgetAccount& account = this->account(program.header);
+    ++account.programs;
+    if (!program.ended)
+        ++account.open;
+}
+
+void HomeShard::leave(const HomeProgram& program)
+{
+    const auto account = this->accounts.find(program.header.root);
+    if (account == this->accounts.end())
+        return;
+    if (!program.ended)
+        --account->second.open;
+    if (--account->second.programs == 0)
+        this->accounts.erase(account);
+}
 
 void HomeShard::forget(const ProgramId& id)
 {
     const auto found = this->programs.find(id);
     if (found == this->programs.end())
         return;
-    const ProgramId root = found->second.header.root;
+    this->leave(found->second);
     this->programs.erase(found);
-    const auto account = this->accounts.find(root);
-    if (account != this->accounts.end() && --account->second.programs == 0)
-        this->accounts.erase(account);
 }
 
 bool HomeShard::doubtful(const ProgramId& id, TimePoint now) const
--- a/src/librattandeck/home.h
+++ b/src/librattandeck/home.h
@@ -88,8 +88,9 @@
     TokenCount limit;
     TokenCount spent;
     TokenCount reserved;
-    /// Programs that draw on the account.
+    /// Programs that draw on the account, and those among them that have not ended.
     std::uint32_t programs = 0;
+    std::uint32_t open = 0;
 
     TokenCount left() const { return TokenCount(this->limit.value - this->spent.value - this->reserved.value); }
 };
@@ -146,8 +147,10 @@
     /// Account that the program draws on; made from its header when it is not there yet.
     BudgetAccount& account(const ProgramHeader& header);
     /// Adds a program to its root's account.
-    void join(const ProgramHeader& header);
-    /// Forgets a program, and its account with the last one that drew on it.
+    void join(const HomeProgram& program);
+    /// Takes it off again; the account goes with the last program that drew on it.
+    void leave(const HomeProgram& program);
+    /// Forgets a program.
     void forget(const ProgramId& id);
     /// Records of this program may be missing.
     bool doubtful(const ProgramId& id, TimePoint now) const;
