--- a/src/librattandeck/entryfaults_test.cpp
+++ b/src/librattandeck/entryfaults_test.cpp
@@ -513,7 +513,8 @@
         const NodeId runner = this->sidecarRunning(opened.program);
         const OrderId order = this->world->sidecars.at(runner).open.begin()->first;
         this->world->sendFrom(runner, this->e1, OrderTokens { order, 0, "<a", TokenCount(2) });
-        // Part 1 is lost.
+        // Part 0 comes again, as after a lost link, and part 1 is lost.
+        this->world->sendFrom(runner, this->e1, OrderTokens { order, 0, "<a", TokenCount(2) });
         this->world->sendFrom(runner, this->e1, OrderTokens { order, 2, "c", TokenCount(1) });
         this->world->run(Milliseconds(10));
         this->world->finish(runner, order);
--- a/src/librattandeck/entryrecords.cpp
+++ b/src/librattandeck/entryrecords.cpp
@@ -21,21 +21,12 @@
         return;
     HomeProgram* program = this->shards.at(order->second.shard).find(order->second);
     ProgramCall& call = *program->current;
-    const bool resumed = tokens.part == 0 && call.nextPart > 0;
-    // After a gap nothing more is streamed; the whole answer comes at the end.
-    if (call.sidecar != from || (!resumed && tokens.part != call.nextPart))
+    // After a lost link the sidecar sends its parts again. Behind a gap nothing is streamed until the part comes.
+    if (call.sidecar != from || tokens.part != call.nextPart)
         return;
-    call.nextPart = tokens.part + 1;
-    AnswerTokens part { tokens.text, tokens.tokens };
-    if (resumed) {
-        if (tokens.text.size() <= call.streamedBytes)
-            return;
-        part.text = tokens.text.substr(call.streamedBytes);
-        part.tokens.value = std::max<std::int64_t>(0, tokens.tokens.value - call.streamedTokens.value);
-    }
-    call.streamedBytes += part.text.size();
-    call.streamedTokens.value += part.tokens.value;
-    this->replyAll(call.streaming, part);
+    ++call.nextPart;
+    call.streamedBytes += tokens.text.size();
+    this->replyAll(call.streaming, AnswerTokens { tokens.text, tokens.tokens });
 }
 
 // Takes a call back from its sidecar; the order is open no more.
--- a/src/librattandeck/home.h
+++ b/src/librattandeck/home.h
@@ -73,9 +73,7 @@
     /// Callers that were there before the first part of the answer; later ones get the whole answer at its end.
     std::vector<Caller> streaming;
     std::uint32_t nextPart = 0;
-    /// What was streamed so far; after a lost link the sidecar begins with the whole text again.
     std::size_t streamedBytes = 0;
-    TokenCount streamedTokens;
     TokenCount cachedTokens;
     TokenCount prefilledTokens;
     TimePoint sentAt {};
