--- a/src/librattandeck/entryfaults_test.cpp
+++ b/src/librattandeck/entryfaults_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(lostAnswersOfUpdatesAreReadBack);
     CPPUNIT_TEST(outageOfTheStoreIsOutlivedOnPromises);
     CPPUNIT_TEST(holderThatAloneIsCutOffStops);
+    CPPUNIT_TEST(renewalUnderWayCannotOutliveATakeover);
+    CPPUNIT_TEST(promisesHoldOffASuccessorThatReachesTheStore);
     CPPUNIT_TEST(idempotentCallGoesElsewhere);
     CPPUNIT_TEST(lostNonIdempotentCallIsUnknownUntilItsRecordTurnsUp);
     CPPUNIT_TEST(restartedSidecarProvesNothing);
@@ -24,6 +26,10 @@
     CPPUNIT_TEST(crashingRequestIsHeldEverywhere);
     CPPUNIT_TEST(refusedCensusDropsTheShard);
     CPPUNIT_TEST(lostHomeOfForwardedRequestIsAnswered);
+    CPPUNIT_TEST(missedMemberHealsTheShardLater);
+    CPPUNIT_TEST(isolatedEntryTellsNothingNew);
+    CPPUNIT_TEST(lostPartsOfAStreamComeBeforeTheAnswer);
+    CPPUNIT_TEST(spendingOfEndedSubAgentsIsKept);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<World> world;
@@ -273,6 +279,46 @@
         this->answered(call);
     }
 
+    void renewalUnderWayCannotOutliveATakeover()
+    {
+        this->start();
+        Entry& holder = this->world->entries.at(this->e1);
+        const ObjectKey lease { "lease", "e1" };
+        const ObjectVersion before = this->world->store.objects.at(lease).version;
+        while (this->world->store.objects.at(lease).version == before)
+            this->world->run(Milliseconds(1));
+        // Just renewed, for 6000 ms; the successor waits 300 ms longer.
+        holder.storeReachable = false;
+        this->world->run(Milliseconds(5900));
+        CPPUNIT_ASSERT(this->world->owned(this->e1) > 0);
+        holder.storeReachable = true;
+        holder.putDelay = Milliseconds(900);
+        holder.watchDelay = Milliseconds(20000);
+        this->world->cutLink(this->e1, this->e2);
+        this->world->cutLink(this->e1, this->s1);
+        this->world->cutLink(this->e1, this->s2);
+        this->world->run(Milliseconds(1700));
+        CPPUNIT_ASSERT_EQUAL(4U, this->world->owned(this->e2));
+        CPPUNIT_ASSERT_EQUAL(0U, this->world->owned(this->e1));
+    }
+
+    void promisesHoldOffASuccessorThatReachesTheStore()
+    {
+        this->start(true);
+        const NodeId e4("e4");
+        this->world->addEntry("e4", "d4");
+        this->world->run(Milliseconds(20000));
+        const std::uint32_t before = this->world->owned(this->e1);
+        CPPUNIT_ASSERT(before > 0);
+        // Two of the three guarantors are cut off, too; e2 is not.
+        for (const NodeId& node : { this->e1, this->e3, e4 })
+            this->world->entries.at(node).storeReachable = false;
+        this->world->run(Milliseconds(15000));
+        CPPUNIT_ASSERT(this->world->entries.at(this->e1).core->status().onPromises);
+        CPPUNIT_ASSERT_EQUAL(before, this->world->owned(this->e1));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), this->world->entries.at(this->e2).core->status().takeovers);
+    }
+
     void idempotentCallGoesElsewhere()
     {
         this->start();
@@ -408,5 +454,104 @@
         CPPUNIT_ASSERT(this->refused(call).ran == Ran::Unknown);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->world->events[call].size());
     }
+
+    void missedMemberHealsTheShardLater()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(this->e1);
+        this->world->cutLink(this->e1, this->s1);
+        const CallerTicket first = this->world->ask(this->e1, this->callOf(opened.program, "a"));
+        this->world->run(Milliseconds(100));
+        this->answered(first);
+        this->world->restoreLink(this->e1, this->s1);
+        this->world->run(Milliseconds(1100));
+        this->world->cutLink(this->e1, this->s2);
+        const CallerTicket second = this->world->ask(this->e1, this->callOf(opened.program, "b"));
+        this->world->run(Milliseconds(100));
+        const AnswerDone before = this->answered(second);
+        // The only other holder of the first turn can't be reached by the successor for a while.
+        this->world->cutLink(this->e2, this->s2);
+        this->world->kill(this->e1);
+        this->awaitTakeover();
+        const CallerTicket early = this->world->ask(this->e2, this->callOf(opened.program, "c", &before));
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT(this->refused(early).kind == ProblemKind::NotServing);
+        CPPUNIT_ASSERT(this->refused(early).ran == Ran::Unknown);
+        CPPUNIT_ASSERT(this->refused(early).retryAfter.count() > 0);
+        this->world->restoreLink(this->e2, this->s2);
+        this->world->run(Milliseconds(2000));
+        const CallerTicket later = this->world->ask(this->e2, this->callOf(opened.program, "c", &before));
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(3U, this->answered(later).turn.value);
+        CPPUNIT_ASSERT_EQUAL(before.budgetLeft.value - 6, this->answered(later).budgetLeft.value);
+    }
+
+    void isolatedEntryTellsNothingNew()
+    {
+        this->start();
+        this->world->entries.at(this->e1).storeReachable = false;
+        for (const NodeId& other : { this->e2, this->s1, this->s2 })
+            this->world->cutLink(this->e1, other);
+        this->world->run(Milliseconds(1000));
+        CallerRequest opening;
+        opening.kind = CallKind::OpenProgram;
+        opening.service = ServiceName("llm");
+        opening.budget = TokenCount(100);
+        const CallerTicket ticket = this->world->ask(this->e1, opening);
+        this->world->run(Milliseconds(4000));
+        CPPUNIT_ASSERT(this->refused(ticket).kind == ProblemKind::NotServing);
+        CPPUNIT_ASSERT(this->refused(ticket).ran == Ran::No);
+    }
+
+    void lostPartsOfAStreamComeBeforeTheAnswer()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(this->e1);
+        this->setAnswers(false);
+        const CallerTicket call = this->world->ask(this->e1, this->callOf(opened.program, "abc"));
+        this->world->run(Milliseconds(100));
+        const NodeId runner = this->sidecarRunning(opened.program);
+        const OrderId order = this->world->sidecars.at(runner).open.begin()->first;
+        this->world->sendFrom(runner, this->e1, OrderTokens { order, 0, "<a", TokenCount(2) });
+        // Part 0 comes again, as after a lost link, and part 1 is lost.
+        this->world->sendFrom(runner, this->e1, OrderTokens { order, 0, "<a", TokenCount(2) });
+        this->world->sendFrom(runner, this->e1, OrderTokens { order, 2, "c", TokenCount(1) });
+        this->world->run(Milliseconds(10));
+        this->world->finish(runner, order);
+        this->world->run(Milliseconds(100));
+        std::string streamed;
+        for (const CallerEvent& event : this->world->events[call]) {
+            if (const auto* part = std::get_if<AnswerTokens>(&event))
+                streamed += part->text;
+        }
+        CPPUNIT_ASSERT_EQUAL(std::string("<abc>"), streamed);
+        CPPUNIT_ASSERT_EQUAL(streamed, this->answered(call).output);
+    }
+
+    void spendingOfEndedSubAgentsIsKept()
+    {
+        this->start();
+        const AnswerDone root = this->world->open(this->e1, 1000);
+        CallerRequest request;
+        request.kind = CallKind::OpenProgram;
+        request.program = root.program;
+        const CallerTicket opened = this->world->ask(this->e1, request);
+        this->world->run(Milliseconds(50));
+        request.kind = CallKind::EndProgram;
+        request.program = this->answered(opened).program;
+        this->world->ask(this->e1, this->callOf(request.program, "a"));
+        this->world->run(Milliseconds(100));
+        const CallerTicket ended = this->world->ask(this->e1, request);
+        this->world->run(Milliseconds(100));
+        const TokenCount left = this->answered(ended).budgetLeft;
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(994), left.value);
+        this->world->kill(this->e1);
+        this->awaitTakeover();
+        request.kind = CallKind::GetProgram;
+        request.program = root.program;
+        const CallerTicket read = this->world->ask(this->e2, request);
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(left.value, this->answered(read).budgetLeft.value);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryFaultsTest);
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -261,6 +261,7 @@
     void announceOpening(const Caller& caller, HomeShard& shard, const ProgramId& id);
     void endProgram(const Caller& caller, HomeShard& shard, HomeProgram& program);
     void finishEnd(HomeShard& shard, HomeProgram& program);
+    void releaseEnded(HomeShard& shard, HomeProgram& program);
     void releaseEngines(HomeShard& shard, HomeProgram& program, bool ended);
     void callProgram(const Caller& caller, HomeShard& shard, HomeProgram& program, CallerRequest request);
     void answerRepeat(const Caller& caller, HomeShard& shard, HomeProgram& program, TurnNumber turn);
@@ -437,7 +438,8 @@
     Fleet fleet;
     std::unordered_map<ServiceName, ServiceQueue> queues;
     std::map<ProgramClass, ClassPolicy> classPolicies;
-    std::map<NodeId, std::vector<ReleaseProgram>> unsentReleases;
+    /// For nodes without a link: the next life of a sidecar may stand beside the same engine.
+    std::map<NodeId, std::deque<ReleaseProgram>> unsentReleases;
 
     std::uint64_t lastCopy = 0;
     std::unordered_map<std::uint64_t, PendingCopy> copies;
