--- a/src/include/Rattandeck/sidecar.h
+++ b/src/include/Rattandeck/sidecar.h
@@ -87,8 +87,8 @@
     std::function<void(ProgramId)> releasePrefix;
     std::function<void(const AdmissionDecision&)> logAdmission;
     std::function<void(const std::string& event, const std::string& detail)> logEvent;
-    /// Frees all of the engine's memory for programs. Called once, soon after the start: an earlier life of this sidecar
-    /// may have left prefixes there that nobody knows of.
+    /// Frees all of the engine's memory for programs. Called once, soon after the start: an earlier life of this
+    /// sidecar may have left prefixes there that nobody knows of.
     std::function<void()> releaseAllPrefixes = [] {};
 };
 
--- a/src/rattandeck-sidecar/engine.cpp
+++ b/src/rattandeck-sidecar/engine.cpp
@@ -65,8 +65,7 @@
         callbacks.onHead = [this, id](int status, const HttpHeaders&) { this->onHead(id, status); };
         callbacks.onData = [this, id](std::string_view chunk) { this->onData(id, chunk); };
         callbacks.onEnd = [this, id](tl::expected<void, NetError> end) { this->onEnd(id, end); };
-        this->completions[id].http
-            = this->completionsClient.start(std::move(request), call.timeLeft, std::move(callbacks));
+        this->completions[id].http = this->completionsClient.start(request, call.timeLeft, std::move(callbacks));
     }
 
     void cancel(OrderId id)
@@ -88,12 +87,11 @@
     {
         HttpRequest request { "GET", "/v1/events" };
         request.query["after"] = std::to_string(this->nextEvent);
-        this->controlClient.fetch(
-            std::move(request), eventsTimeout, [this](const tl::expected<HttpResponse, NetError>& response) {
-                if (response && response->status == 200 && this->takeEvents(response->body))
-                    return this->loop.post(this->guarded([this] { this->pollEvents(); }));
-                this->later([this] { this->pollEvents(); });
-            });
+        this->controlClient.fetch(request, eventsTimeout, [this](const tl::expected<HttpResponse, NetError>& response) {
+            if (response && response->status == 200 && this->takeEvents(response->body))
+                return this->loop.post(this->guarded([this] { this->pollEvents(); }));
+            this->later([this] { this->pollEvents(); });
+        });
     }
 
 private:
--- a/src/rattandeck-sidecar/plainservice.cpp
+++ b/src/rattandeck-sidecar/plainservice.cpp
@@ -25,7 +25,7 @@
             request.headers["idempotency-key"] = call.key.value;
         request.body = call.prompt;
         const OrderId id = call.order;
-        this->running[id] = this->client.fetch(std::move(request), call.timeLeft,
+        this->running[id] = this->client.fetch(request, call.timeLeft,
             [this, id](const tl::expected<HttpResponse, NetError>& response) { this->finish(id, response); });
     }
 
