--- a/src/librattandeck/sidecar_test.cpp
+++ b/src/librattandeck/sidecar_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(orderNeedsALiveCredit);
     CPPUNIT_TEST(creditOfAnotherEntryIsRefused);
     CPPUNIT_TEST(refusedOrderNeverRuns);
+    CPPUNIT_TEST(forgottenRefusalsStillHold);
     CPPUNIT_TEST(repeatOfAFinishedTurnIsReplayed);
     CPPUNIT_TEST(repeatOfARunningTurnGetsItsEvents);
     CPPUNIT_TEST(otherRequestUnderTheSameTurnConflicts);
@@ -23,8 +24,10 @@
     CPPUNIT_TEST(foreignHistoryIsRefused);
     CPPUNIT_TEST(failedCallRunsAgainOnlyIfIdempotent);
     CPPUNIT_TEST(callThatWasNotStartedLeavesNoRecord);
+    CPPUNIT_TEST(attemptThatWasNotStartedLeavesTheFormerRecord);
     CPPUNIT_TEST(deadlineThatCantBeMetIsRefusedAtOnce);
     CPPUNIT_TEST(queuedCallIsRefusedAtItsDeadline);
+    CPPUNIT_TEST(queuedCallThatHasBecomeHopelessIsRefused);
     CPPUNIT_TEST(lowestPriorityNumberRunsFirst);
     CPPUNIT_TEST(cancelledCallStopsOnlyIfItMay);
     CPPUNIT_TEST_SUITE_END();
@@ -143,6 +146,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.sentTo<OrderRefused>(home).size());
     }
 
+    void forgottenRefusalsStillHold()
+    {
+        SidecarWorld world;
+        const NodeId home = world.link("entry-1");
+        Order first = world.order(home, 1);
+        first.credit = CreditId();
+        world.core.onMessage(home, first);
+        for (std::uint64_t serial = 2; serial < 6000; ++serial) {
+            Order other = world.order(home, serial);
+            other.credit = CreditId();
+            world.core.onMessage(home, other);
+        }
+        first.credit = world.credits[home].id;
+        world.core.onMessage(home, first);
+        CPPUNIT_ASSERT(world.started.empty());
+    }
+
     void repeatOfAFinishedTurnIsReplayed()
     {
         SidecarWorld world;
@@ -278,6 +298,23 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(0), world.core.status().running);
     }
 
+    void attemptThatWasNotStartedLeavesTheFormerRecord()
+    {
+        SidecarWorld world;
+        const NodeId home = world.link("entry-1");
+        const Order first = world.order(home, 1);
+        world.core.onMessage(home, first);
+        world.core.onEndpointFailed(world.started[0].order, EndpointFailure::Error);
+        Order second = world.order(home, 1);
+        second.attempt = 2;
+        world.core.onMessage(home, second);
+        world.core.onEndpointFailed(world.started[1].order, EndpointFailure::NotStarted);
+        Order repeat = first;
+        repeat.id = OrderId(100);
+        world.core.onMessage(home, repeat);
+        CPPUNIT_ASSERT(world.ended(repeat) && world.ended(repeat)->state == RecordState::Failed);
+    }
+
     void deadlineThatCantBeMetIsRefusedAtOnce()
     {
         SidecarWorld world;
@@ -312,6 +349,30 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.started.size());
     }
 
+    void queuedCallThatHasBecomeHopelessIsRefused()
+    {
+        SidecarSettings settings = SidecarWorld::defaultSettings();
+        settings.initialConcurrency = 1;
+        SidecarWorld world(settings);
+        const NodeId home = world.link("entry-1");
+        // Prefill is measured: five tokens in five seconds.
+        world.core.onMessage(home, world.order(home, 1));
+        world.pass(Milliseconds(5000));
+        world.core.onEndpointTokens(world.started[0].order, "o", TokenCount(1));
+        world.finishLast();
+
+        world.core.onMessage(home, world.order(home, 2));
+        Order large = world.order(home, 3);
+        large.inputTokens = TokenCount(15);
+        large.timeLeft = Milliseconds(21000);
+        world.core.onMessage(home, large);
+        CPPUNIT_ASSERT(!world.refusal(large));
+        world.pass(Milliseconds(8000));
+        world.finishLast();
+        CPPUNIT_ASSERT(world.refusal(large) == RefusalReason::TooLate);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.started.size());
+    }
+
     void lowestPriorityNumberRunsFirst()
     {
         SidecarSettings settings = SidecarWorld::defaultSettings();
--- a/src/librattandeck/sidecarlife_test.cpp
+++ b/src/librattandeck/sidecarlife_test.cpp
@@ -28,8 +28,13 @@
     CPPUNIT_TEST(prefixOfACallThatDidNotFinishGoesFree);
     CPPUNIT_TEST(programEndedUnderACallIsReleasedAfterIt);
     CPPUNIT_TEST(prefixChangesAreReportedToTheHomeOnly);
+    CPPUNIT_TEST(newHomeIsToldOfEveryPrefix);
+    CPPUNIT_TEST(idlePrefixMakesRoomForACall);
+    CPPUNIT_TEST(prefillOfWhatWasHeldIsWasted);
+    CPPUNIT_TEST(recordsOfASubAgentGoWithItsRoot);
     CPPUNIT_TEST(keyOutlivesItsProgramForTheRetention);
     CPPUNIT_TEST(crashingRequestIsHeldAndBystandersAreNot);
+    CPPUNIT_TEST(requestThatRanThroughIsNoSuspect);
     CPPUNIT_TEST(quarantineObjectIsHonoured);
     CPPUNIT_TEST(configurationNeverReverts);
     CPPUNIT_TEST(configurationGoesBackToARestartedEntry);
@@ -347,6 +352,70 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.sentTo<LoadReport>(home).back().droppedPrefixes.size());
     }
 
+    void newHomeIsToldOfEveryPrefix()
+    {
+        SidecarWorld world;
+        const NodeId home = world.link("entry-1");
+        const NodeId next = world.link("entry-2");
+        world.core.onMessage(home, world.order(home, 1));
+        world.finishLast();
+        world.pass(2 * reportInterval);
+        world.core.onMessage(next, CensusRequest { ShardId(1), Epoch(4) });
+        world.pass(reportInterval);
+        const LoadReport report = world.sentTo<LoadReport>(next).back();
+        CPPUNIT_ASSERT(report.prefixesComplete);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), report.heldPrefixes.size());
+    }
+
+    void idlePrefixMakesRoomForACall()
+    {
+        SidecarSettings settings = SidecarWorld::defaultSettings();
+        settings.cacheCapacity = TokenCount(40);
+        SidecarWorld world(settings);
+        const NodeId home = world.link("entry-1");
+        world.core.onMessage(home, world.order(home, 1));
+        world.finishLast();
+        CPPUNIT_ASSERT(world.released.empty());
+        world.core.onMessage(home, world.order(home, 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.released.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), world.released[0].serial);
+    }
+
+    void prefillOfWhatWasHeldIsWasted()
+    {
+        SidecarWorld world;
+        const NodeId home = world.link("entry-1");
+        const Order first = world.order(home, 1);
+        world.core.onMessage(home, first);
+        world.finishLast();
+        CPPUNIT_ASSERT(world.core.status().wastedTokens == TokenCount(0));
+        Order second = world.order(home, 1, 2);
+        second.headBefore = world.ended(first)->headAfter;
+        second.historyTokens = TokenCount(15);
+        world.core.onMessage(home, second);
+        world.core.onEndpointFinished(
+            world.started[1].order, { "output", TokenCount(5), TokenCount(4), TokenCount(21) });
+        CPPUNIT_ASSERT(world.core.status().wastedTokens == TokenCount(11));
+    }
+
+    void recordsOfASubAgentGoWithItsRoot()
+    {
+        SidecarWorld world;
+        const NodeId home = world.link("entry-1");
+        const Order root = world.order(home, 1);
+        world.core.onMessage(home, root);
+        world.finishLast();
+        Order subAgent = world.order(home, 2);
+        subAgent.program.root = root.program.id;
+        world.core.onMessage(home, subAgent);
+        world.finishLast();
+        // What an ended sub-agent has spent counts as long as its root lives.
+        world.core.onMessage(home, ReleaseProgram { ShardId(1), Epoch(3), subAgent.program.id });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), world.core.status().records);
+        world.core.onMessage(home, ReleaseProgram { ShardId(1), Epoch(3), root.program.id });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), world.core.status().records);
+    }
+
     void keyOutlivesItsProgramForTheRetention()
     {
         SidecarWorld world;
@@ -405,6 +474,27 @@
         CPPUNIT_ASSERT(!world.refusal(send(8, "kills")));
     }
 
+    void requestThatRanThroughIsNoSuspect()
+    {
+        SidecarWorld world;
+        const NodeId home = world.link("entry-1");
+        const auto send = [&](std::uint64_t serial, const std::string& input) {
+            world.pass(reportInterval);
+            Order order = world.order(home, serial);
+            order.input = input;
+            world.core.onMessage(home, order);
+        };
+        send(1, "first");
+        send(2, "second");
+        world.core.onEndpointFailed(world.started[0].order, EndpointFailure::Crashed);
+        world.core.onEndpointFailed(world.started[1].order, EndpointFailure::Crashed);
+        send(3, "first");
+        world.finishLast();
+        send(4, "second");
+        send(5, "first");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), world.started.size());
+    }
+
     void quarantineObjectIsHonoured()
     {
         SidecarWorld world;
--- a/src/librattandeck/sidecarrecords.cpp
+++ b/src/librattandeck/sidecarrecords.cpp
@@ -68,6 +68,22 @@
         return ReplayedOrder { &record };
     }
 
+    // A sub-agent's records tell what it has spent of its root's budget.
+    bool spendsForRoot(const ProgramRecords& program)
+    {
+        const ProgramHeader& header = program.header;
+        return header.root.serial != 0 && header.root != header.id && !program.rootEnded;
+    }
+
+    // Keeps of an ended program only what is still needed.
+    void dropEnded(ProgramRecords& program, bool rootEnded, TimePoint now)
+    {
+        program.rootEnded = rootEnded;
+        program.lastTouched = now;
+        if (program.ended && !spendsForRoot(program))
+            std::erase_if(program.turns, [](const auto& turn) { return turn.second.key.value.empty(); });
+    }
+
     bool continuesChain(const ProgramRecords& program, const Order& order)
     {
         const auto before = program.turns.find(TurnNumber(order.turn.value - 1));
@@ -115,24 +131,22 @@
 
 void endProgram(RecordStore& store, const ProgramId& id, TimePoint now)
 {
+    for (auto& [other, program] : store.programs) {
+        if (other != id && program.header.root == id)
+            dropEnded(program, true, now);
+    }
     const auto found = store.programs.find(id);
     if (found == store.programs.end())
         return;
-    ProgramRecords& program = found->second;
-    program.ended = true;
-    program.lastTouched = now;
-    // A sub-agent's records tell what it has spent of its root's budget.
-    const bool subAgent = program.header.root.serial != 0 && program.header.root != id;
-    if (!subAgent)
-        std::erase_if(program.turns, [](const auto& turn) { return turn.second.key.value.empty(); });
+    found->second.ended = true;
+    dropEnded(found->second, found->second.rootEnded, now);
 }
 
 void expireRecords(RecordStore& store, Milliseconds keyRetention, TimePoint now)
 {
     std::erase_if(store.programs, [&](const auto& item) {
         const ProgramRecords& program = item.second;
-        const bool subAgent = program.header.root.serial != 0 && program.header.root != program.header.id;
-        const bool keysOnly = program.ended && !subAgent;
+        const bool keysOnly = program.ended && !spendsForRoot(program);
         const Duration retention = keysOnly ? Duration(keyRetention) : Duration(recordRetention);
         return now - program.lastTouched >= retention;
     });
--- a/src/librattandeck/sidecarrecords.h
+++ b/src/librattandeck/sidecarrecords.h
@@ -13,6 +13,8 @@
     ProgramHeader header;
     std::map<TurnNumber, TurnRecord> turns;
     bool ended = false;
+    /// For a sub-agent: the program whose budget it draws on has ended, too.
+    bool rootEnded = false;
     TimePoint lastTouched {};
 };
 
@@ -29,7 +31,8 @@
 ProgramRecords& touchProgram(RecordStore& store, const ProgramHeader& header, TimePoint now);
 /// Takes a record in unless the one held for its turn says more.
 void mergeRecord(RecordStore& store, const TurnRecord& record, TimePoint now);
-/// Drops the program's records but for those with a key and those of sub-agents, which `expireRecords` drops later.
+/// Drops the program's records, and those of its ended sub-agents, but for those with a key, which `expireRecords`
+/// drops later. A sub-agent's records stay until its root ends.
 void endProgram(RecordStore& store, const ProgramId& program, TimePoint now);
 void expireRecords(RecordStore& store, Milliseconds keyRetention, TimePoint now);
 
