--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -77,10 +77,9 @@
 
 void EntryCore::Impl::replyAll(const std::vector<Caller>& callers, const CallerEvent& event)
 {
-    // A reply may bring the next request, which may change the list.
-    const std::vector<Caller> copy = callers;
-    for (const Caller& caller : copy)
-        this->reply(caller, event);
+    // By index: a reply may bring the next request, which may make the list longer.
+    for (std::size_t i = 0; i < callers.size(); ++i)
+        this->reply(callers[i], event);
 }
 
 void EntryCore::Impl::refuse(
@@ -178,11 +177,12 @@
         entry.loseLife(node.life);
     node.hello = hello;
     node.linked = true;
+    node.leaving = false;
     node.life = entry.lifeOf(hello.node, hello.incarnation, hello.domain);
     entry.lives[node.life.value].lost = false;
 
-    if (hello.configRevision != entry.config.revision())
-        entry.sendConfig(hello.node, entry.config.all());
+    // Changes sent on a link that has broken may be lost, whatever revision the peer has seen since.
+    entry.sendConfig(hello.node, entry.config.all());
     if (hello.role == Role::Sidecar) {
         entry.fleet.onLinkUp(hello);
         entry.registerSidecar(hello.node);
@@ -191,8 +191,6 @@
         entry.entryNodes.insert(hello.node);
         entry.sendMap(hello.node);
     }
-    if (!sameLife)
-        entry.unsentReleases.erase(hello.node);
     for (const auto& [shard, census] : entry.censuses)
         entry.send(hello.node, CensusRequest { shard, census.epoch });
     for (const auto& [shard, nodes] : entry.missed) {
@@ -309,6 +307,7 @@
 void EntryCore::beginShutdown()
 {
     this->impl->shuttingDown = true;
+    this->impl->shutdownBegun = this->impl->now();
     this->impl->log("shutdown begins", "new requests are refused");
     this->impl->releaseLease();
 }
@@ -338,8 +337,8 @@
     const Impl& entry = *this->impl;
     EntryStatus status = entry.counters;
     // Programs can be opened once some entry has a shard, here or elsewhere.
-    const bool anyHome = std::any_of(entry.map.slots.begin(), entry.map.slots.end(),
-        [](const ShardSlot& slot) { return !slot.home.value.empty(); });
+    const bool anyHome = std::any_of(
+        entry.map.slots.begin(), entry.map.slots.end(), [](const ShardSlot& slot) { return !slot.home.value.empty(); });
     status.serving = entry.hasAuthority() && anyHome;
     status.onPromises = status.serving && entry.lease.onPromises(entry.now());
     status.ownedShards = 0;
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -33,6 +33,12 @@
 /// Wait for the answer to one copy before another holder is tried.
 constexpr Milliseconds copyTimeout { 1000 };
 constexpr Milliseconds copyRetryDelay { 200 };
+/// A stopping entry waits so long at most for copies of its facts.
+constexpr Milliseconds lastCopiesTime { 3000 };
+/// The members are listed anew no sooner than this for each member, so that a rollout doesn't cause a flood of lists.
+constexpr Milliseconds listTimePerMember { 5 };
+/// Longest time that a request may say it has left.
+constexpr Milliseconds longestTimeLeft { 24 * 3600 * 1000 };
 /// Configuration is listed anew this often, in case a watch has missed something.
 constexpr Milliseconds listInterval { 30000 };
 /// Time left of a request that doesn't say.
@@ -106,6 +112,8 @@
     // Members (entrymembers.cpp) -------------------------------------------------------------------------------------
 
     void registerSelf();
+    /// Tells the homes whose copies are held here to put them elsewhere.
+    void unregisterSelf();
     void registerSidecar(const NodeId& node);
     void putMember(const Member& member, ObjectVersion expected, std::function<void(bool)> done);
     void memberSeen(const StoredObject& object);
@@ -135,6 +143,7 @@
         /// Facts of lives that ended later may have been lost.
         ObjectVersion completeThrough;
         std::uint64_t serial = 0;
+        std::uint32_t conflicts = 0;
     };
     struct Census {
         ShardId shard;
@@ -160,6 +169,7 @@
     std::optional<ClaimGround> groundFor(ShardId shard, const ShardSlot& slot);
     std::optional<Claim> claimFor(ShardId shard, const ShardSlot& slot);
     bool mayTakeShards() const;
+    bool ownSlotsTaken() const;
     ObjectVersion writtenCompleteThrough() const;
     std::string writerName();
     void beginClaim(Claim claim);
@@ -177,7 +187,12 @@
     bool claimIs(std::uint64_t serial) const { return this->claim && this->claim->serial == serial; }
     void dropShard(ShardId shard);
     void serveShard(ShardId shard);
+    struct HandOver {
+        NodeId to;
+        std::size_t count = 0;
+    };
     void handOver();
+    std::optional<HandOver> wantedHandOver() const;
     void settleHandOver(const std::vector<ShardId>& given, ObjectVersion base);
     HomeShard* servedShard(ShardId shard);
 
@@ -189,10 +204,15 @@
     void onCensusRequest(const NodeId& from, const CensusRequest& request);
     void onCensusAnswer(const NodeId& from, const CensusAnswer& answer);
     void finishCensus(ShardId shard);
-    void installMerged(HomeShard& shard, MergedShard merged);
     void installProgram(HomeShard& shard, MergedProgram merged);
     void adopt(HomeShard& shard, HomeProgram& program, const AdoptedCall& running);
+    void chargeMerged(HomeShard& shard, HomeProgram& program);
     void mergeLate(HomeShard& shard, const HeardAnswer& heard);
+    void liftGap(HomeShard& shard);
+    /// Doesn't wait for a life any more that can't answer.
+    void forgetMissed(const Member& member);
+    /// A problem as it can be told while records may be missing, for good or for now.
+    Problem tell(const HomeShard& shard, const ProgramId& program, const Problem& problem) const;
     void writeGap(ShardId shard);
     CensusAnswer ownAnswer(ShardId shard, Epoch epoch) const;
 
@@ -245,6 +265,8 @@
     void callProgram(const Caller& caller, HomeShard& shard, HomeProgram& program, CallerRequest request);
     void answerRepeat(const Caller& caller, HomeShard& shard, HomeProgram& program, TurnNumber turn);
     void callerGone(const Caller& caller);
+    /// Answers a caller that has joined something under way when its own time is over.
+    void limitWait(const Caller& caller, Milliseconds timeLeft);
     void getProgram(const Caller& caller, HomeShard& shard, HomeProgram& program);
     void refuseMissing(const Caller& caller, const HomeShard& shard, const CallerRequest& request);
     std::optional<NodeId> anyOtherHome();
@@ -319,6 +341,8 @@
         Hello hello;
         bool linked = false;
         TimePoint downSince {};
+        /// Its last report said so: once its link is down it won't come back.
+        bool leaving = false;
         LifeIndex life;
     };
     struct Life {
@@ -337,6 +361,7 @@
     bool started = false;
     TimePoint startedAt {};
     bool shuttingDown = false;
+    TimePoint shutdownBegun {};
 
     std::uint64_t lastObjectRequest = 0;
     std::unordered_map<std::uint64_t, ObjectCallback> objectCalls;
@@ -370,6 +395,8 @@
     PromiseBook promises;
 
     std::map<NodeId, Member> members;
+    /// Members in other failure domains that are not gone.
+    std::size_t membersElsewhere = 0;
     bool selfRegistered = false;
     bool membersListOpen = false;
     bool membersChanged = true;
@@ -395,6 +422,8 @@
     std::map<NodeId, TimePoint> homeMissingSince;
     std::unordered_map<ShardId, Census> censuses;
     std::unordered_map<ShardId, std::map<NodeId, Incarnation>> missed;
+    /// What the census heard, for as long as somebody is missed.
+    std::unordered_map<ShardId, std::vector<HeardAnswer>> heardAnswers;
     std::set<ShardId> gapsUnwritten;
     bool gapWriteOpen = false;
     std::uint64_t lastCensus = 0;
@@ -417,6 +446,7 @@
     std::uint32_t recopiesOpen = 0;
     std::optional<ObjectVersion> throughWanted;
     bool throughListOpen = false;
+    TimePoint throughListedAt {};
 
     std::set<CallerTicket> tickets;
     std::map<CallerTicket, Forwarded> forwarded;
