--- a/src/librattandeck/history.h
+++ b/src/librattandeck/history.h
@@ -139,7 +139,7 @@
     Milliseconds stop { 90000 };
     /// Beyond a request's own time.
     Milliseconds answer { 3000 };
-    /// Time to copy the facts of a lost holder: two deaths within it may lose facts.
+    /// Time to copy the facts of a lost holder: a second loss within it may lose facts.
     Milliseconds copying { 15000 };
 };
 
@@ -207,7 +207,7 @@
     Promise promise = Promise::Order;
     std::uint64_t checked = 0;
     std::vector<Violation> violations;
-    /// Losses that the protocol does not rule out (two deaths within `HistoryLimits::copying`).
+    /// Losses that the protocol does not rule out (two holders lost within `HistoryLimits::copying`).
     std::uint64_t excused = 0;
 };
 
--- a/src/rattandeck-prove/cluster.cpp
+++ b/src/rattandeck-prove/cluster.cpp
@@ -195,6 +195,7 @@
     sidecarEffects.cancelCall = [this, &process](OrderId order) { this->effects.cancelCall(process, order); };
     sidecarEffects.releasePrefix
         = [this, &process](ProgramId program) { this->effects.releasePrefix(process, program); };
+    sidecarEffects.releaseAllPrefixes = [this, &process] { this->effects.releaseAllPrefixes(process); };
     sidecarEffects.logAdmission = [this, &process](const AdmissionDecision& decision) {
         if (decision.choice == "queue")
             this->world.record(WorkAccepted { process.node });
--- a/src/rattandeck-prove/cluster.h
+++ b/src/rattandeck-prove/cluster.h
@@ -51,6 +51,7 @@
     std::function<void(Process&, const EndpointCall&)> startCall;
     std::function<void(Process&, OrderId)> cancelCall;
     std::function<void(Process&, ProgramId)> releasePrefix;
+    std::function<void(Process&)> releaseAllPrefixes;
     /// Lives begin and end.
     std::function<void(Process&)> started;
     std::function<void(Process&, bool planned)> ended;
--- a/src/rattandeck-prove/endpoint.cpp
+++ b/src/rattandeck-prove/endpoint.cpp
@@ -129,6 +129,13 @@
         this->world.record(PrefixFreed { sidecar.node, program });
 }
 
+void FakeEndpoints::releaseAll(const Process& sidecar)
+{
+    for (const ProgramId& program : this->endpoints.at(sidecar.index).prefixes)
+        this->world.record(PrefixFreed { sidecar.node, program });
+    this->endpoints.at(sidecar.index).prefixes.clear();
+}
+
 bool FakeEndpoints::crash(std::uint32_t index)
 {
     Endpoint& endpoint = this->endpoints.at(index);
@@ -136,16 +143,13 @@
         return false;
     endpoint.up = false;
     ++endpoint.life;
-    const NodeId& node = this->cluster.at(index).node;
     std::map<RunId, Run> cut;
     cut.swap(endpoint.runs);
     for (const auto& [id, run] : cut) {
         this->world.record(RunEnded { id, false, {}, {} });
         this->fail(index, run, EndpointFailure::Crashed);
     }
-    for (const ProgramId& program : endpoint.prefixes)
-        this->world.record(PrefixFreed { node, program });
-    endpoint.prefixes.clear();
+    this->releaseAll(this->cluster.at(index));
     this->world.after(restartTime, [&endpoint] { endpoint.up = true; });
     return true;
 }
--- a/src/rattandeck-prove/endpoint.h
+++ b/src/rattandeck-prove/endpoint.h
@@ -25,6 +25,7 @@
     void start(Process& sidecar, const EndpointCall& call);
     void cancel(Process& sidecar, OrderId order);
     void releasePrefix(Process& sidecar, ProgramId program);
+    void releaseAll(const Process& sidecar);
     /// The endpoint dies and comes back. Returns false when it was down already.
     bool crash(std::uint32_t index);
 
--- a/src/rattandeck-prove/rattandeck-prove.cpp
+++ b/src/rattandeck-prove/rattandeck-prove.cpp
@@ -43,7 +43,7 @@
 using FailureKind = std::pair<Rattandeck::Promise, Rattandeck::ViolationKind>;
 
 /// Shrinking stops after this many trials for one failure.
-constexpr std::uint32_t shrinkLimit = 400;
+constexpr std::uint32_t shrinkLimit = 1000;
 
 std::set<FailureKind> failuresOf(const TrialOutcome& outcome)
 {
--- a/src/rattandeck-prove/trial.cpp
+++ b/src/rattandeck-prove/trial.cpp
@@ -84,7 +84,8 @@
         effects.cancelCall = [this](Process& from, OrderId order) { this->endpoints.cancel(from, order); };
         effects.releasePrefix
             = [this](Process& from, ProgramId program) { this->endpoints.releasePrefix(from, program); };
-        effects.started = [this](Process& process) {
+        effects.releaseAllPrefixes = [this](Process& from) { this->endpoints.releaseAll(from); };
+    effects.started = [this](Process& process) {
             this->network.onStarted(process);
             this->listed[process.node] = { process.node, false, process.node.value, process.domain, process.service };
         };
