--- a/src/rattandeck-prove/callers.cpp
+++ b/src/rattandeck-prove/callers.cpp
@@ -24,6 +24,7 @@
 
 Callers::Callers(World& world, Cluster& cluster, std::map<CallId, CallNature>& natures)
     : world(world)
+    , chance(world.chanceFor(1))
     , cluster(cluster)
     , natures(natures)
 {
@@ -47,20 +48,20 @@
     std::vector<Process*> usable;
     for (std::uint32_t i = 0; i < entryCount; ++i) {
         Process& entry = this->cluster.at(i);
-        if (entry.alive && (!entry.stopping || this->world.chance(0.1)))
+        if (entry.alive && (!entry.stopping || this->chance.happens(0.1)))
             usable.push_back(&entry);
     }
-    return usable.empty() ? nullptr : usable[this->world.below(usable.size())];
+    return usable.empty() ? nullptr : usable[this->chance.below(usable.size())];
 }
 
 Callers::AttemptRef Callers::attemptFor(CallId call, CallerRequest body, Done done)
 {
     auto attempt = std::make_shared<Attempt>();
     attempt->call = call;
-    body.timeLeft = std::chrono::duration_cast<Milliseconds>(this->world.between(leastTime, mostTime));
+    body.timeLeft = std::chrono::duration_cast<Milliseconds>(this->chance.between(leastTime, mostTime));
     attempt->body = std::move(body);
     attempt->left = attemptLimit;
-    attempt->doubled = call.value != 0 && this->world.chance(doubledShare);
+    attempt->doubled = call.value != 0 && this->chance.happens(doubledShare);
     attempt->done = std::move(done);
     return attempt;
 }
@@ -74,7 +75,7 @@
     if (!attempt->doubled)
         return;
     attempt->doubled = false;
-    this->world.after(this->world.between(Milliseconds(0), Milliseconds(50)), [this, attempt] {
+    this->world.after(this->chance.between(Milliseconds(0), Milliseconds(50)), [this, attempt] {
         if (Process* other = this->chooseEntry())
             this->send(attempt, *other);
     });
@@ -90,10 +91,10 @@
     this->world.after(connectDelay, [this, &entry, life = entry.life, ticket, body = attempt->body] {
         this->cluster.deliver(entry, life, [&entry, ticket, body] { entry.entry->onCallerRequest(ticket, body); });
     });
-    if (attempt->call.value == 0 || !this->world.chance(goneShare))
+    if (attempt->call.value == 0 || !this->chance.happens(goneShare))
         return;
     this->world.after(
-        this->world.between(Milliseconds(10), Milliseconds(500)), [this, &entry, request, ticket, attempt] {
+        this->chance.between(Milliseconds(10), Milliseconds(500)), [this, &entry, request, ticket, attempt] {
             const auto found = this->open.find(request);
             if (found == this->open.end())
                 return;
@@ -166,16 +167,17 @@
 void Callers::start()
 {
     for (std::uint32_t i = 0; i < agentCount; ++i) {
-        this->world.after(this->world.between(Milliseconds(3000), faultWindow), [this, i] {
+        this->world.after(this->chance.between(Milliseconds(3000), faultWindow), [this, i] {
             auto agent = std::make_shared<Agent>();
             agent->organisation = OrganisationId(i % 2 == 0 ? "anodisers" : "savers");
-            agent->stepsLeft = 2 + static_cast<std::uint32_t>(this->world.below(9));
-            agent->budget = TokenCount(60 + static_cast<std::int64_t>(this->world.below(240)));
+            agent->stepsLeft = 2 + static_cast<std::uint32_t>(this->chance.below(9));
+            agent->budget = TokenCount(60 + static_cast<std::int64_t>(this->chance.below(240)));
             this->beginAgent(agent);
         });
     }
     for (std::uint32_t i = 0; i < singleCallCount; ++i)
-        this->world.after(this->world.between(Milliseconds(3000), faultWindow), [this] { this->callWithoutProgram(); });
+        this->world.after(
+            this->chance.between(Milliseconds(3000), faultWindow), [this] { this->callWithoutProgram(); });
 }
 
 void Callers::startPoisoned()
@@ -214,9 +216,9 @@
     if (agent->stepsLeft == 0)
         return this->endAgent(agent);
     --agent->stepsLeft;
-    const Duration pause = this->world.between(Milliseconds(0), Milliseconds(this->world.chance(0.2) ? 6000 : 600));
+    const Duration pause = this->chance.between(Milliseconds(0), Milliseconds(this->chance.happens(0.2) ? 6000 : 600));
     this->world.after(pause, [this, agent] {
-        const std::uint64_t kind = this->world.below(10);
+        const std::uint64_t kind = this->chance.below(10);
         if (agent->poisoned || kind < 6)
             this->callEngine(agent);
         else if (kind < 9 || agent->parent.serial != 0)
@@ -232,10 +234,10 @@
     body.organisation = agent->organisation;
     body.program = agent->program;
     body.turn = TurnNumber(agent->lastTurn.value + 1);
-    if (this->world.chance(0.5))
+    if (this->chance.happens(0.5))
         body.head = agent->head;
-    body.maxOutputTokens = TokenCount(8 + static_cast<std::int64_t>(this->world.below(16)));
-    body.expectedPause = Milliseconds(this->world.chance(0.5) ? 2000 : 0);
+    body.maxOutputTokens = TokenCount(8 + static_cast<std::int64_t>(this->chance.below(16)));
+    body.expectedPause = Milliseconds(this->chance.happens(0.5) ? 2000 : 0);
     CallNature nature;
     nature.poison = agent->poisoned;
     const CallId call = this->newCall(body, nature);
@@ -248,13 +250,13 @@
     body.organisation = agent->organisation;
     body.program = agent->program;
     body.service = ServiceName("tool");
-    body.idempotent = this->world.chance(0.3);
+    body.idempotent = this->chance.happens(0.3);
     body.maxOutputTokens = TokenCount(12);
     CallNature nature;
-    nature.hangs = this->world.chance(hangingShare);
+    nature.hangs = this->chance.happens(hangingShare);
     const CallId call = this->newCall(body, nature);
     body.key = IdempotencyKey("k" + std::to_string(call.value));
-    if (this->world.chance(0.5))
+    if (this->chance.happens(0.5))
         body.turn = TurnNumber(agent->lastTurn.value + 1);
     this->ask(this->attemptFor(call, body, [this, agent](const CallerEvent& event) { this->onTurn(agent, event); }));
 }
@@ -264,9 +266,9 @@
     auto child = std::make_shared<Agent>();
     child->organisation = agent->organisation;
     child->parent = agent->program;
-    child->stepsLeft = 1 + static_cast<std::uint32_t>(this->world.below(3));
+    child->stepsLeft = 1 + static_cast<std::uint32_t>(this->chance.below(3));
     // The parent goes on meanwhile, or waits.
-    if (this->world.chance(0.5))
+    if (this->chance.happens(0.5))
         child->finished = [this, agent] { this->nextStep(agent); };
     this->beginAgent(child);
     if (!child->finished)
@@ -324,7 +326,7 @@
     CallerRequest body;
     body.organisation = OrganisationId("anodisers");
     body.service = ServiceName("tool");
-    body.idempotent = this->world.chance(0.2);
+    body.idempotent = this->chance.happens(0.2);
     body.maxOutputTokens = TokenCount(12);
     const CallId call = this->newCall(body, {});
     body.key = IdempotencyKey("single" + std::to_string(call.value));
--- a/src/rattandeck-prove/callers.h
+++ b/src/rattandeck-prove/callers.h
@@ -70,6 +70,7 @@
     void callWithoutProgram();
 
     World& world;
+    Chance chance;
     Cluster& cluster;
     std::map<CallId, CallNature>& natures;
     std::uint64_t lastCall = 0;
--- a/src/rattandeck-prove/cluster.cpp
+++ b/src/rattandeck-prove/cluster.cpp
@@ -13,14 +13,14 @@
     constexpr std::uint32_t shardCount = 8;
     constexpr Milliseconds prefixLease { 8000 };
 
-    Process makeProcess(World& world, std::uint32_t index)
+    Process makeProcess(Chance& chance, std::uint32_t index)
     {
         static const std::array<std::string, 3> domains { "north", "west", "south" };
         Process process;
         process.index = index;
         process.domain = FailureDomain(domains.at(index % domains.size()));
-        process.driftPpm = static_cast<std::int64_t>(world.below(2 * maxDriftPpm)) - maxDriftPpm;
-        process.clockOffset = world.between(Milliseconds(0), Milliseconds(1000000));
+        process.driftPpm = static_cast<std::int64_t>(chance.below(2 * maxDriftPpm)) - maxDriftPpm;
+        process.clockOffset = chance.between(Milliseconds(0), Milliseconds(1000000));
         if (index < entryCount) {
             process.node = NodeId("e" + std::to_string(index + 1));
             return process;
@@ -35,10 +35,11 @@
 
 Cluster::Cluster(World& world, ClusterEffects effects)
     : world(world)
+    , chance(world.chanceFor(2))
     , effects(std::move(effects))
 {
     for (std::uint32_t i = 0; i < processCount; ++i)
-        this->processes.push_back(makeProcess(world, i));
+        this->processes.push_back(makeProcess(this->chance, i));
 }
 
 Process* Cluster::find(const NodeId& node)
@@ -159,7 +160,7 @@
     settings.domain = process.domain;
     settings.address = process.node.value;
     settings.shardCount = shardCount;
-    settings.seed = this->world.random();
+    settings.seed = this->chance.number();
     EntryEffects entryEffects;
     entryEffects.send
         = [this, &process](const NodeId& to, const Message& message) { this->effects.send(process, to, message); };
@@ -240,7 +241,7 @@
     std::deque<std::function<void()>> inbox;
     inbox.swap(process.inbox);
     // What has come meanwhile is read before the timers are looked at, or after: both happen.
-    if (this->world.chance(0.5))
+    if (this->chance.happens(0.5))
         this->run(process, [] {});
     else
         this->run(process, [this, &process] { process.timers->advanceTo(this->localTime(process)); });
--- a/src/rattandeck-prove/cluster.h
+++ b/src/rattandeck-prove/cluster.h
@@ -88,6 +88,7 @@
     void end(Process& process, bool planned);
 
     World& world;
+    Chance chance;
     ClusterEffects effects;
     std::vector<Process> processes;
 };
--- a/src/rattandeck-prove/endpoint.cpp
+++ b/src/rattandeck-prove/endpoint.cpp
@@ -16,6 +16,7 @@
 
 FakeEndpoints::FakeEndpoints(World& world, Cluster& cluster, const std::map<CallId, CallNature>& natures)
     : world(world)
+    , chance(world.chanceFor(5))
     , cluster(cluster)
     , natures(natures)
 {
@@ -43,7 +44,7 @@
     Run run { RunId(++this->lastRun), call.order, life, {}, {}, call.promptTokens };
     run.output = runTag(run.id) + "~~~~~~~~";
     run.tokens = TokenCount(std::min<std::int64_t>(
-        std::max<std::int64_t>(call.maxOutputTokens.value, 0), 4 + static_cast<std::int64_t>(this->world.below(8))));
+        std::max<std::int64_t>(call.maxOutputTokens.value, 0), 4 + static_cast<std::int64_t>(this->chance.below(8))));
     endpoint.runs[run.id] = run;
     this->world.record(RunStarted {
         run.id, process.node, id, call.program, nature.idempotent, process.engine, call.prompt, nature.inputTokens });
@@ -65,7 +66,7 @@
         });
         return;
     }
-    const Duration length = this->world.between(shortestRun, this->world.chance(slowShare) ? longestRun : longRun);
+    const Duration length = this->chance.between(shortestRun, this->chance.happens(slowShare) ? longestRun : longRun);
     const Duration each = length / static_cast<std::int64_t>(run.output.size() / partLength + 2);
     this->world.after(each, [this, index, id = run.id, each] { this->stream(index, id, 0, each); });
 }
--- a/src/rattandeck-prove/endpoint.h
+++ b/src/rattandeck-prove/endpoint.h
@@ -51,6 +51,7 @@
     void fail(std::uint32_t index, const Run& run, EndpointFailure failure);
 
     World& world;
+    Chance chance;
     Cluster& cluster;
     const std::map<CallId, CallNature>& natures;
     std::uint64_t lastRun = 0;
--- a/src/rattandeck-prove/network.cpp
+++ b/src/rattandeck-prove/network.cpp
@@ -18,6 +18,7 @@
 
 Network::Network(World& world, Cluster& cluster)
     : world(world)
+    , chance(world.chanceFor(3))
     , cluster(cluster)
 {
 }
@@ -108,13 +109,13 @@
         });
         return;
     }
-    const Duration delay = this->world.between(minDelay, this->world.chance(slowShare) ? slowDelay : maxDelay);
+    const Duration delay = this->chance.between(minDelay, this->chance.happens(slowShare) ? slowDelay : maxDelay);
     direction.lastArrival = std::max(direction.lastArrival, this->world.now() + delay);
     this->world.clock.subscribeAt(direction.lastArrival, [this, from, to, link, deliver] {
         Pair& now = this->pairOf(from, to);
         if (now.link == link && now.cuts > 0)
             now.held.push_back(deliver);
-        else if (now.link == link || this->world.chance(0.3))
+        else if (now.link == link || this->chance.happens(0.3))
             // Of what was under way at a break, some may still have come through.
             deliver();
     });
@@ -168,11 +169,11 @@
     const std::uint64_t link = pair.link;
     pair.link = 0;
     pair.held.clear();
-    pair.nextDial = this->world.now() + this->world.between(redialFrom, redialUntil);
+    pair.nextDial = this->world.now() + this->chance.between(redialFrom, redialUntil);
     if (this->cluster.at(a).alive)
-        this->noticeDown(a, b, link, this->world.between(Milliseconds(0), slowest));
+        this->noticeDown(a, b, link, this->chance.between(Milliseconds(0), slowest));
     if (this->cluster.at(b).alive)
-        this->noticeDown(b, a, link, this->world.between(Milliseconds(0), slowest));
+        this->noticeDown(b, a, link, this->chance.between(Milliseconds(0), slowest));
 }
 
 bool Network::breakLink(std::uint32_t a, std::uint32_t b)
@@ -213,7 +214,7 @@
     for (std::uint32_t other = 0; other < processCount; ++other) {
         if (other != process.index)
             this->pairOf(process.index, other).nextDial
-                = this->world.now() + this->world.between(Milliseconds(50), redialUntil);
+                = this->world.now() + this->chance.between(Milliseconds(50), redialUntil);
     }
 }
 
@@ -221,7 +222,7 @@
 {
     // A dead process is noticed at once, a dead machine only by its silence. A planned exit writes out what it has
     // sent.
-    const bool machine = !planned && this->world.chance(0.3);
+    const bool machine = !planned && this->chance.happens(0.3);
     for (std::uint32_t other = 0; other < processCount; ++other) {
         if (other == process.index || this->pairOf(process.index, other).link == 0)
             continue;
--- a/src/rattandeck-prove/network.h
+++ b/src/rattandeck-prove/network.h
@@ -56,6 +56,7 @@
     void breakPair(std::uint32_t a, std::uint32_t b, Milliseconds slowest);
 
     World& world;
+    Chance chance;
     Cluster& cluster;
     std::uint64_t links = 0;
     std::map<PairKey, Pair> pairs;
--- a/src/rattandeck-prove/objectapi.cpp
+++ b/src/rattandeck-prove/objectapi.cpp
@@ -17,6 +17,7 @@
 
 FakeObjectApi::FakeObjectApi(World& world, Cluster& cluster)
     : world(world)
+    , chance(world.chanceFor(4))
     , cluster(cluster)
 {
 }
@@ -27,26 +28,26 @@
 {
     const Life life = process.life;
     const std::uint32_t index = process.index;
-    this->world.after(this->world.between(minDelay, maxDelay), [this, &process, life, index, request, body] {
-        const Duration back = this->world.between(minDelay, maxDelay);
+    this->world.after(this->chance.between(minDelay, maxDelay), [this, &process, life, index, request, body] {
+        const Duration back = this->chance.between(minDelay, maxDelay);
         if (!this->reaches(index)) {
-            const bool silent = this->world.chance(0.5);
+            const bool silent = this->chance.happens(0.5);
             return this->answer(process, life, request,
                 tl::unexpected(silent ? ObjectError::NoAnswer : ObjectError::Unavailable),
                 silent ? Duration(callTimeout) : back);
         }
-        if (this->losing == 0 || this->world.chance(0.5))
+        if (this->losing == 0 || this->chance.happens(0.5))
             return this->answer(process, life, request, this->execute(body), back);
         // The answer is lost. The request may have been lost, too, or take effect when nobody expects it any more.
         this->answer(process, life, request, tl::unexpected(ObjectError::NoAnswer), callTimeout);
-        switch (this->world.below(3)) {
+        switch (this->chance.below(3)) {
         case 0:
             return;
         case 1:
             this->execute(body);
             return;
         default:
-            this->world.after(this->world.between(maxDelay, latestEffect), [this, body] {
+            this->world.after(this->chance.between(maxDelay, latestEffect), [this, body] {
                 if (this->isUp())
                     this->execute(body);
             });
@@ -125,7 +126,7 @@
 {
     const Life life = process.life;
     const Duration delay
-        = this->world.between(minDelay, this->late > 0 && this->world.chance(0.5) ? lateWatchDelay : watchDelay);
+        = this->chance.between(minDelay, this->late > 0 && this->chance.happens(0.5) ? lateWatchDelay : watchDelay);
     this->world.after(delay, [this, &process, life, object, seen = this->revision] {
         // The watch breaks with the connection; what it had under way comes with the next one.
         if (!this->reaches(process.index)) {
--- a/src/rattandeck-prove/objectapi.h
+++ b/src/rattandeck-prove/objectapi.h
@@ -40,6 +40,7 @@
     void catchUp(std::uint32_t index);
 
     World& world;
+    Chance chance;
     Cluster& cluster;
     std::map<ObjectKey, StoredObject> objects;
     ObjectVersion revision;
--- a/src/rattandeck-prove/trial.cpp
+++ b/src/rattandeck-prove/trial.cpp
@@ -24,6 +24,7 @@
         Trial(const Schedule& schedule, bool keepLog)
             : schedule(schedule)
             , world(schedule.seed)
+            , chance(world.chanceFor(6))
             , cluster(world, this->effects())
             , network(world, cluster)
             , objects(world, cluster)
@@ -54,6 +55,7 @@
 
         const Schedule& schedule;
         World world;
+        Chance chance;
         std::map<CallId, CallNature> natures;
         Cluster cluster;
         Network network;
@@ -85,7 +87,7 @@
         effects.releasePrefix
             = [this](Process& from, ProgramId program) { this->endpoints.releasePrefix(from, program); };
         effects.releaseAllPrefixes = [this](Process& from) { this->endpoints.releaseAll(from); };
-    effects.started = [this](Process& process) {
+        effects.started = [this](Process& process) {
             this->network.onStarted(process);
             this->listed[process.node] = { process.node, false, process.node.value, process.domain, process.service };
         };
@@ -114,7 +116,7 @@
         for (const auto& [node, instance] : this->listed)
             list.push_back(instance);
         for (std::uint32_t i = 0; i < entryCount; ++i) {
-            const Duration lag = this->world.between(Milliseconds(10), this->lagging > 0 ? longLag : normalLag);
+            const Duration lag = this->chance.between(Milliseconds(10), this->lagging > 0 ? longLag : normalLag);
             this->world.after(lag, [this, i, list] {
                 Process& entry = this->cluster.at(i);
                 this->cluster.deliver(entry, entry.life, [&entry, list] { entry.entry->onInstanceList(list); });
@@ -129,14 +131,14 @@
     {
         if (this->world.now() < TimePoint(faultWindow))
             this->world.after(operatorInterval, [this] { this->operate(); });
-        this->changePolicy("p" + std::to_string(this->world.below(2)));
+        this->changePolicy("p" + std::to_string(this->chance.below(2)));
     }
 
     void Trial::changePolicy(const std::string& name)
     {
         const ObjectKey key { "policy", name };
         const ObjectVersion seen = this->objects.versionOf(key);
-        this->world.after(this->world.between(Milliseconds(1), operatorDelay), [this, key, seen] {
+        this->world.after(this->chance.between(Milliseconds(1), operatorDelay), [this, key, seen] {
             const std::string value = R"({"programs": "organisation=savers", "missing_prefix_weight": )"
                 + std::to_string(++this->policyChanges % 7) + "}";
             this->objects.putByOperator(key, seen, value);
@@ -226,7 +228,7 @@
         this->world.record(LeavingListed { process.node });
         // The platform's list may show it first, or the process may be told first.
         const Life life = process.life;
-        this->world.after(this->world.between(Milliseconds(0), Milliseconds(2000)), [this, &process, life, away] {
+        this->world.after(this->chance.between(Milliseconds(0), Milliseconds(2000)), [this, &process, life, away] {
             if (process.alive && process.life == life && !process.stopping)
                 this->cluster.stop(process, [this, &process, away] { this->restart(process, away); });
         });
@@ -297,7 +299,7 @@
     TrialOutcome Trial::run()
     {
         for (Process& process : this->cluster.all())
-            this->world.after(this->world.between(Milliseconds(0), Milliseconds(500)),
+            this->world.after(this->chance.between(Milliseconds(0), Milliseconds(500)),
                 [this, &process] { this->cluster.start(process); });
         this->network.start();
         this->listInstances();
--- a/src/rattandeck-prove/world.h
+++ b/src/rattandeck-prove/world.h
@@ -2,6 +2,7 @@
 
 #include "trial.h"
 
+#include "Rattandeck/digest.h"
 #include "Rattandeck/timer.h"
 
 #include <functional>
@@ -11,15 +12,40 @@
 
 using namespace Rattandeck;
 
-/// True time, chance and the record of what happened: shared by all parts of a trial.
+/// Seeded choices.
+class Chance {
+public:
+    explicit Chance(std::uint64_t seed)
+        : random(seed)
+    {
+    }
+
+    std::uint64_t number() { return this->random(); }
+    std::uint64_t below(std::uint64_t bound) { return bound == 0 ? 0 : this->random() % bound; }
+    bool happens(double probability) { return static_cast<double>(this->below(million)) < probability * million; }
+    Duration between(Duration low, Duration high)
+    {
+        return low
+            + Duration(static_cast<std::int64_t>(this->below(static_cast<std::uint64_t>((high - low).count()) + 1)));
+    }
+
+private:
+    static constexpr std::uint64_t million = 1000000;
+    std::mt19937_64 random;
+};
+
+/// True time and the record of what happened: shared by all parts of a trial.
 ///
 /// Thread safety: none; a trial is single-threaded.
 struct World {
-    explicit World(std::uint64_t seed)
-        : random(seed)
+    explicit World(std::uint64_t initial)
+        : seed(initial)
     {
     }
 
+    /// Chance for one part: a fault less in one part must not change what happens in the others.
+    Chance chanceFor(std::uint64_t part) const { return Chance(hash64(std::to_string(part), this->seed)); }
+
     TimePoint now() const { return this->clock.now(); }
     void after(Duration delay, std::function<void()> callback)
     {
@@ -32,16 +58,8 @@
         if (this->keepLog)
             this->log.push_back(std::to_string(at) + " ms: " + line);
     }
-    std::uint64_t below(std::uint64_t bound) { return bound == 0 ? 0 : this->random() % bound; }
-    bool chance(double probability) { return static_cast<double>(this->below(1000000)) < probability * 1000000; }
-    Duration between(Milliseconds low, Milliseconds high)
-    {
-        const auto span = static_cast<std::uint64_t>(Duration(high - low).count());
-        return Duration(low) + Duration(static_cast<std::int64_t>(this->below(span + 1)));
-    }
-
     TimerService clock;
-    std::mt19937_64 random;
+    std::uint64_t seed = 0;
     History history;
     bool keepLog = false;
     std::vector<std::string> log;
