--- a/src/rattandeck-prove/endpoint.cpp
+++ b/src/rattandeck-prove/endpoint.cpp
@@ -16,6 +16,7 @@
 
 FakeEndpoints::FakeEndpoints(World& world, Cluster& cluster, const std::map<CallId, CallNature>& natures)
     : world(world)
+    , chance(world.chanceFor(5))
     , cluster(cluster)
     , natures(natures)
 {
@@ -43,7 +44,7 @@
     Run run { RunId(++this->lastRun), call.order, life, {}, {}, call.promptTokens };
     run.output = runTag(run.id) + "~~~~~~~~";
     run.tokens = TokenCount(std::min<std::int64_t>(
-        std::max<std::int64_t>(call.maxOutputTokens.value, 0), 4 + static_cast<std::int64_t>(this->world.below(8))));
+        std::max<std::int64_t>(call.maxOutputTokens.value, 0), 4 + static_cast<std::int64_t>(this->chance.below(8))));
     endpoint.runs[run.id] = run;
     this->world.record(RunStarted {
         run.id, process.node, id, call.program, nature.idempotent, process.engine, call.prompt, nature.inputTokens });
@@ -65,7 +66,7 @@
         });
         return;
     }
-    const Duration length = this->world.between(shortestRun, this->world.chance(slowShare) ? longestRun : longRun);
+    const Duration length = this->chance.between(shortestRun, this->chance.happens(slowShare) ? longestRun : longRun);
     const Duration each = length / static_cast<std::int64_t>(run.output.size() / partLength + 2);
     this->world.after(each, [this, index, id = run.id, each] { this->stream(index, id, 0, each); });
 }
@@ -129,6 +130,13 @@
         this->world.record(PrefixFreed { sidecar.node, program });
 }
 
+void FakeEndpoints::releaseAll(const Process& sidecar)
+{
+    for (const ProgramId& program : this->endpoints.at(sidecar.index).prefixes)
+        this->world.record(PrefixFreed { sidecar.node, program });
+    this->endpoints.at(sidecar.index).prefixes.clear();
+}
+
 bool FakeEndpoints::crash(std::uint32_t index)
 {
     Endpoint& endpoint = this->endpoints.at(index);
@@ -136,16 +144,13 @@
         return false;
     endpoint.up = false;
     ++endpoint.life;
-    const NodeId& node = this->cluster.at(index).node;
     std::map<RunId, Run> cut;
     cut.swap(endpoint.runs);
     for (const auto& [id, run] : cut) {
         this->world.record(RunEnded { id, false, {}, {} });
         this->fail(index, run, EndpointFailure::Crashed);
     }
-    for (const ProgramId& program : endpoint.prefixes)
-        this->world.record(PrefixFreed { node, program });
-    endpoint.prefixes.clear();
+    this->releaseAll(this->cluster.at(index));
     this->world.after(restartTime, [&endpoint] { endpoint.up = true; });
     return true;
 }
