State in two sidecar tests that one call runs at a time

Cause: the concurrency limit now grows when it binds, so a limit that began at 1 was 2 when the tests' second call ended; the tests' premise (one call at a time) was only implied. Change: maxConcurrency is 1 there, too; the expectations are unchanged.

--- a/src/librattandeck/sidecar_test.cpp
+++ b/src/librattandeck/sidecar_test.cpp
@@ -353,6 +353,7 @@
     {
         SidecarSettings settings = SidecarWorld::defaultSettings();
         settings.initialConcurrency = 1;
+        settings.maxConcurrency = 1;
         SidecarWorld world(settings);
         const NodeId home = world.link("entry-1");
         // Prefill is measured: five tokens in five seconds.
@@ -377,6 +378,7 @@
     {
         SidecarSettings settings = SidecarWorld::defaultSettings();
         settings.initialConcurrency = 1;
+        settings.maxConcurrency = 1;
         settings.queueLimit = 8;
         SidecarWorld world(settings);
         const NodeId home = world.link("entry-1");
