--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,10 @@
 	./tools/plots $(BUILD)/bench
 
 capacity: build
-	./tools/capacity --build $(BUILD)
+	$(BUILD)/src/rattandeck-capacity | tee $(BUILD)/capacity.csv
+
+plots: bench
+	./tools/plots $(BUILD)/bench
 
 bench-path: build
 	./tools/bench-path --build $(BUILD)
--- a/src/librattandeckapp/objectclient.cpp
+++ b/src/librattandeckapp/objectclient.cpp
@@ -130,16 +130,18 @@
 
     void send(const HttpRequest& request, std::function<void(ObjectOutcome)> done)
     {
-        this->client.fetch(request, this->timeout,
-            [done = std::move(done)](
-                const tl::expected<HttpResponse, NetError>& response) { done(readOutcome(response)); });
+        this->client.fetch(
+            request, this->timeout, [done = std::move(done)](const tl::expected<HttpResponse, NetError>& response) {
+                done(readOutcome(response));
+            });
     }
 
     void startWatch()
     {
         const std::weak_ptr<Impl> weak = this->weak_from_this();
         this->watchBuffer.clear();
-        const HttpRequest request { "GET", "/watch", { { "after", std::to_string(this->watchedRevision.value) } }, {}, {} };
+        const HttpRequest request { "GET", "/watch", { { "after", std::to_string(this->watchedRevision.value) } }, {},
+            {} };
         HttpCallbacks callbacks;
         callbacks.onHead = [](int, const HttpHeaders&) {};
         callbacks.onData = [weak](std::string_view chunk) {
@@ -200,7 +202,18 @@
 
 void ObjectClient::call(const ObjectRequest& request, std::function<void(ObjectOutcome)> done)
 {
-    this->impl->send(std::visit([](const auto& typed) { return toHttp(typed); }, request), std::move(done));
+    const HttpRequest http = std::visit([](const auto& typed) { return toHttp(typed); }, request);
+    const auto* put = std::get_if<ObjectPut>(&request);
+    if (!put)
+        return this->impl->send(http, std::move(done));
+    // The API answers an update with its version alone.
+    this->impl->send(http, [key = put->key, value = put->value, done = std::move(done)](ObjectOutcome outcome) {
+        if (outcome && !outcome->objects.empty()) {
+            outcome->objects.front().key = key;
+            outcome->objects.front().value = value;
+        }
+        done(std::move(outcome));
+    });
 }
 
 void ObjectClient::remove(const ObjectKey& key, ObjectVersion expected, std::function<void(ObjectOutcome)> done)
