Leave turns of idempotent calls open, take in late running calls, and leave in order

Change: an idempotent turn without an outcome stays open and its attempts count as spent; late running calls enter the program before the gap closes, and a gap stays when there is no room for one; a leaving member is marked gone when its link goes, and a stopping entry releases its lease only when its facts stand elsewhere and its lease says so (5 s at most).

--- a/src/librattandeck/census.cpp
+++ b/src/librattandeck/census.cpp
@@ -129,8 +129,13 @@
 
         const bool runs = merged.running && merged.running->record.turn == record.turn;
         if (isOpen(chosen) && !nextHead) {
-            if (runs || (record.idempotent && complete))
+            if (runs)
                 return;
+            if (record.idempotent && complete) {
+                for (const HeldRecord& attempt : candidates)
+                    program.openAttempts.push_back(attempt.record);
+                return;
+            }
         }
         if (isOpen(chosen))
             chosen.record.state = RecordState::Unknown;
--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -211,6 +211,8 @@
         return;
     found->second.linked = false;
     found->second.downSince = entry.now();
+    if (found->second.leaving)
+        entry.reviewMembers();
     const LifeIndex life = found->second.life;
     entry.after(reconnectTime, [&entry, node, life] {
         const Impl::Node& later = entry.nodes.at(node);
--- a/src/librattandeck/entrycensus.cpp
+++ b/src/librattandeck/entrycensus.cpp
@@ -236,20 +236,43 @@
                 this->adopt(shard, *known, *merged.running);
             continue;
         }
-        for (auto& [turn, held] : merged.program.records) {
-            if (held.record.state != RecordState::Unknown)
-                this->lateRecord(heard.node, held.record);
-        }
+        bool taken = !merged.running || this->takeLateRunning(shard, *known, *merged.running);
+        for (auto& [turn, held] : merged.program.records)
+            taken = this->lateRecord(heard.node, held.record) && taken;
+        shard.lateConflict = shard.lateConflict || !taken;
     }
     this->recopyWanted = true;
     if (!complete)
         return;
     this->heardAnswers.erase(shard.shard);
     this->missed.erase(shard.shard);
-    if (shard.livesLost == 0)
+    if (shard.livesLost == 0 && !shard.lateConflict)
         this->liftGap(shard);
 }
 
+// A call that still runs at a member that was heard late enters the program before anything else can. Returns false
+// when its turn was taken meanwhile.
+bool EntryCore::Impl::takeLateRunning(HomeShard& shard, HomeProgram& program, const AdoptedCall& running)
+{
+    const TurnRecord& record = running.record;
+    const bool isCurrent = program.current && program.current->turn == record.turn;
+    if (isCurrent)
+        return program.current->digest == record.request;
+    const auto known = program.records.find(record.turn);
+    if (known != program.records.end())
+        return known->second.record.request == record.request;
+    const bool isNext = record.turn.value == program.lastTurn.value + 1 && record.headBefore == program.head;
+    if (isNext && !program.current && !program.ended && !program.ending) {
+        this->adopt(shard, program, running);
+        return true;
+    }
+    TurnRecord unknown = record;
+    unknown.state = RecordState::Unknown;
+    shard.account(program.header).spent.value += unknown.charged.value;
+    addRecord(program, { unknown, { running.life }, false, {} });
+    return true;
+}
+
 // Every life that the census had missed was heard after all.
 void EntryCore::Impl::liftGap(HomeShard& shard)
 {
@@ -378,6 +401,10 @@
             for (const TurnRecord& other : held.otherAttempts)
                 storeRecord(other);
         }
+        for (TurnRecord attempt : program.openAttempts) {
+            attempt.state = RecordState::Started;
+            storeRecord(attempt);
+        }
         const bool ordered = program.current && program.current->order && program.current->stage == CallStage::Ordered;
         if (!ordered)
             continue;
--- a/src/librattandeck/entrycopies.cpp
+++ b/src/librattandeck/entrycopies.cpp
@@ -144,6 +144,10 @@
         open.state = RecordState::Started;
         facts.records.push_back(std::move(open));
     }
+    for (TurnRecord attempt : program.openAttempts) {
+        attempt.state = RecordState::Started;
+        facts.records.push_back(std::move(attempt));
+    }
     ++this->recopiesOpen;
     const ProgramId id = program.header.id;
     this->copyFacts(std::move(facts), 3, {}, [this, id, turns](std::optional<LifeIndex> holder) {
@@ -172,7 +176,7 @@
         return;
     const Duration listInterval = std::max<Duration>(
         this->settings.leaseDuration / 3, listTimePerMember * static_cast<std::int64_t>(this->members.size()));
-    const bool listDue = this->now() >= this->throughListedAt + listInterval;
+    const bool listDue = this->shuttingDown || this->now() >= this->throughListedAt + listInterval;
     if (this->membersChanged && this->membersListed && !this->throughListOpen && listDue) {
         this->membersChanged = false;
         this->throughListedAt = this->now();
@@ -211,6 +215,22 @@
     this->throughWanted.reset();
 }
 
+bool EntryCore::Impl::membersLeaving() const
+{
+    return std::any_of(this->nodes.begin(), this->nodes.end(), [&](const auto& item) {
+        const Node& node = item.second;
+        return node.leaving && !node.linked && this->isRegistered(item.first, node.hello.incarnation);
+    });
+}
+
+// True when every fact of this home stands elsewhere, and its lease says so for all members that have left.
+bool EntryCore::Impl::factsSettled() const
+{
+    const bool copying = this->recopyWanted || this->recopiesOpen > 0;
+    const bool listing = this->membersChanged || this->throughWanted || this->throughListOpen;
+    return !copying && !listing && !this->membersLeaving();
+}
+
 // Holding copies for other homes -----------------------------------------------------------------------------------
 
 void EntryCore::Impl::onCopyRecords(const NodeId& from, const CopyRecords& copy)
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -34,7 +34,7 @@
 constexpr Milliseconds copyTimeout { 1000 };
 constexpr Milliseconds copyRetryDelay { 200 };
 /// A stopping entry waits so long at most for copies of its facts.
-constexpr Milliseconds lastCopiesTime { 3000 };
+constexpr Milliseconds lastCopiesTime { 5000 };
 /// The members are listed anew no sooner than this for each member, so that a rollout doesn't cause a flood of lists.
 constexpr Milliseconds listTimePerMember { 5 };
 /// Longest time that a request may say it has left.
@@ -208,6 +208,7 @@
     void adopt(HomeShard& shard, HomeProgram& program, const AdoptedCall& running);
     void chargeMerged(HomeShard& shard, HomeProgram& program);
     void mergeLate(HomeShard& shard, const HeardAnswer& heard);
+    bool takeLateRunning(HomeShard& shard, HomeProgram& program, const AdoptedCall& running);
     void liftGap(HomeShard& shard);
     /// Doesn't wait for a life any more that can't answer.
     void forgetMissed(const Member& member);
@@ -244,6 +245,9 @@
     void purgeCopies();
     void copyProgram(HomeShard& shard, HomeProgram& program);
     void reviewCopies();
+    /// Members that have left in order and are not marked gone yet.
+    bool membersLeaving() const;
+    bool factsSettled() const;
 
     // Calls (entrycalls.cpp) -----------------------------------------------------------------------------------------
 
@@ -323,9 +327,14 @@
     void onLoadReport(const NodeId& from, const LoadReport& report);
     /// Sends the current call elsewhere if it may run again; else returns false.
     bool retryElsewhere(HomeShard& shard, HomeProgram& program);
-    void lateRecord(const NodeId& from, const TurnRecord& record);
-    void settle(HomeShard& shard, HomeProgram& program, HeldRecord held, const OrderEnded* ended);
+    /// Returns false when the program holds something else in the place of the record.
+    bool lateRecord(const NodeId& from, const TurnRecord& record);
+    void settle(HomeShard& shard, HomeProgram& program, HeldRecord held);
     void settleUnknown(HomeShard& shard, HomeProgram& program);
+    /// Ends the current call, which is idempotent and may have run, without an outcome: its turn can be taken again.
+    void leaveOpen(HomeShard& shard, HomeProgram& program, const Problem& problem);
+    /// Ends an ordered call whose sidecar does not answer.
+    void giveUp(HomeShard& shard, HomeProgram& program, const Problem& problem);
     void finishCall(const ProgramId& id, std::uint64_t call);
     void recordEnd(HomeShard& shard, HomeProgram& program);
     void pausePrefix(HomeShard& shard, HomeProgram& program, const ProgramCall& call);
--- a/src/librattandeck/entrylease.cpp
+++ b/src/librattandeck/entrylease.cpp
@@ -182,8 +182,7 @@
     }
     if (!this->tickets.empty() || !this->callers.empty())
         return;
-    const bool copying = this->recopyWanted || this->recopiesOpen > 0;
-    if (copying && this->now() < this->shutdownBegun + lastCopiesTime)
+    if (!this->factsSettled() && this->storeReachable && this->now() < this->shutdownBegun + lastCopiesTime)
         return;
     this->releaseWanted = true;
     this->renewLease();
--- a/src/librattandeck/entrymembers.cpp
+++ b/src/librattandeck/entrymembers.cpp
@@ -63,6 +63,10 @@
         this->fleet.onRegistered(member->node, member->incarnation);
     if (member->gone)
         this->fleet.onRegistered(member->node, Incarnation(0));
+    const bool left
+        = member->gone && node != this->nodes.end() && node->second.hello.incarnation == member->incarnation;
+    if (left)
+        this->loseLife(node->second.life);
     const bool otherLife = node != this->nodes.end() && node->second.hello.incarnation < member->incarnation;
     if (otherLife)
         this->loseLife(node->second.life);
@@ -203,8 +207,7 @@
         const bool known = node != this->nodes.end();
         const bool reachable = known && (node->second.linked || this->now() < node->second.downSince + goneAfter);
         const bool left = known && node->second.leaving && !node->second.linked
-            && node->second.hello.incarnation == member.incarnation
-            && this->now() >= node->second.downSince + reconnectTime;
+            && node->second.hello.incarnation == member.incarnation;
         const bool vanished = settled && !reachable && !this->listedNodes.contains(id);
         const bool own = id == this->settings.node;
         if (!member.gone && !own && (left || vanished) && !this->memberPutsOpen.contains(id))
--- a/src/librattandeck/entryorders.cpp
+++ b/src/librattandeck/entryorders.cpp
@@ -125,6 +125,14 @@
         return fail(ProblemKind::NoCapacity, takeoverRetry, "no endpoint of " + service.value + " can be reached");
 
     call.turn = next;
+    if (call.attempt == 0 && !program.openAttempts.empty()) {
+        // The turn was left open by attempts that may have run.
+        call.otherAttempts = std::move(program.openAttempts);
+        call.tried = std::move(program.openTried);
+        call.attempt = call.otherAttempts.back().attempt;
+        program.openAttempts.clear();
+        program.openTried.clear();
+    }
     CallShape shape;
     shape.program = program.header.id;
     shape.turn = next;
@@ -309,8 +317,11 @@
 {
     this->fleet.onReport(from, report, this->now());
     if (report.leaving) {
+        const bool isNew = !this->nodes.at(from).leaving;
         this->nodes.at(from).leaving = true;
         this->loseLife(this->nodes.at(from).life);
+        if (isNew)
+            this->reviewCopies();
     }
     const auto forget = [&](const ProgramId& id) {
         const auto shard = this->shards.find(id.shard);
@@ -370,8 +381,9 @@
         return this->replyAll(callers, late);
     }
     const ProblemKind kind = call.request.idempotent ? ProblemKind::DeadlineExceeded : ProblemKind::OutcomeUnknown;
+    const Problem late { kind, Ran::Unknown, {}, "the endpoint has not answered in time" };
     if (call.linkDownSince)
-        this->settleUnknown(owned->second, *program);
+        this->giveUp(owned->second, *program, late);
     else {
         this->send(call.sidecar, CancelOrder { call.order->id });
         this->after(endSlack, [this, id, serial] {
@@ -379,10 +391,10 @@
             HomeProgram* late = nullptr;
             const ProgramCall* open = this->findCall(id, serial, &shard, &late);
             if (open && open->stage == CallStage::Ordered)
-                this->settleUnknown(*shard, *late);
+                this->giveUp(*shard, *late, Problem { ProblemKind::DeadlineExceeded, Ran::Unknown, {}, "no answer" });
         });
     }
-    this->replyAll(callers, Problem { kind, Ran::Unknown, {}, "the endpoint has not answered in time" });
+    this->replyAll(callers, late);
 }
 
 }
--- a/src/librattandeck/entryrecords.cpp
+++ b/src/librattandeck/entryrecords.cpp
@@ -9,6 +9,9 @@
 namespace {
 
     constexpr std::uint32_t unlimitedAttempts = ~0U;
+    constexpr std::uint32_t openAttemptCopies = 3;
+    // A caller whose endpoint was lost may come back so soon.
+    constexpr Milliseconds lostAttemptRetry { 100 };
 
 }
 
@@ -95,8 +98,10 @@
 void EntryCore::Impl::onOrderEnded(const NodeId& from, const OrderEnded& ended)
 {
     const auto found = this->orders.find(ended.id);
-    if (found == this->orders.end())
-        return this->lateRecord(from, ended.record);
+    if (found == this->orders.end()) {
+        this->lateRecord(from, ended.record);
+        return;
+    }
     const ProgramId id = found->second;
     HomeShard& shard = this->shards.at(id.shard);
     HomeProgram& program = *shard.find(id);
@@ -130,12 +135,17 @@
         call.otherAttempts.push_back(record);
         if (this->retryElsewhere(shard, program))
             return;
+        if (record.idempotent && !this->isQuarantined(call.fingerprint)) {
+            const Problem crashed { ProblemKind::EndpointFailed, Ran::Unknown, lostAttemptRetry,
+                "the endpoint crashed" };
+            return this->leaveOpen(shard, program, crashed);
+        }
         call.otherAttempts.pop_back();
     }
     call.cachedTokens = ended.cachedTokens;
     call.prefilledTokens = ended.prefilledTokens;
     const LifeIndex life = this->nodes.at(from).life;
-    this->settle(shard, program, { record, { life }, false, {} }, &ended);
+    this->settle(shard, program, { record, { life }, false, {} });
 }
 
 // Lost sidecars ----------------------------------------------------------------------------------------------------
@@ -197,26 +207,57 @@
     if (!call || call->stage != CallStage::Ordered)
         return;
     this->fleet.noteFailure(call->sidecar);
+    const Problem lostAttempt { ProblemKind::EndpointFailed, Ran::Unknown, lostAttemptRetry, "the endpoint was lost" };
     if (call->request.idempotent && !call->callers.empty()) {
         const TurnRecord attempt = this->openRecord(*program, *call);
-        const OrderId order = call->order->id;
-        const std::optional<TimePoint> since = call->linkDownSince;
         this->takeBack(*program, *call);
         call->otherAttempts.push_back(attempt);
         if (this->retryElsewhere(*shard, *program))
             return;
-        // It stays where it was, in case the sidecar comes back.
-        call->otherAttempts.pop_back();
-        call->stage = CallStage::Ordered;
-        call->linkDownSince = since;
-        this->orders[order] = id;
-        ++this->runningTotal;
-        ++this->runningOf[program->header.organisation];
+        return this->leaveOpen(*shard, *program, lostAttempt);
     }
+    if (call->request.idempotent)
+        return this->giveUp(*shard, *program, lostAttempt);
     if (forGood)
         this->settleUnknown(*shard, *program);
 }
 
+void EntryCore::Impl::giveUp(HomeShard& shard, HomeProgram& program, const Problem& problem)
+{
+    ProgramCall& call = *program.current;
+    if (!call.request.idempotent)
+        return this->settleUnknown(shard, program);
+    const TurnRecord attempt = this->openRecord(program, call);
+    this->takeBack(program, call);
+    call.otherAttempts.push_back(attempt);
+    this->leaveOpen(shard, program, problem);
+}
+
+// Precondition: the call was taken back, and its last attempt is the last of `otherAttempts`.
+void EntryCore::Impl::leaveOpen(HomeShard& shard, HomeProgram& program, const Problem& problem)
+{
+    const std::unique_ptr<ProgramCall> call = std::move(program.current);
+    this->timers.cancel(call->deadlineTimer);
+    const bool chargedBefore = call->reserved.value == 0;
+    this->releaseReservation(shard, program, *call, chargedBefore ? TokenCount(0) : call->otherAttempts.back().charged);
+    program.openAttempts = call->otherAttempts;
+    program.openTried = call->tried;
+    program.openTried.push_back(call->sidecar);
+
+    CopyRecords facts;
+    facts.shard = shard.shard;
+    facts.epoch = shard.epoch;
+    facts.programs.push_back(program.header);
+    for (TurnRecord attempt : program.openAttempts) {
+        attempt.state = RecordState::Started;
+        facts.records.push_back(std::move(attempt));
+    }
+    this->copyFacts(std::move(facts), openAttemptCopies, {}, [](std::optional<LifeIndex>) {});
+    const std::vector<Caller> callers = call->callers;
+    this->startNext(shard, program);
+    this->replyAll(callers, problem);
+}
+
 // Precondition: the call was taken back, and its last attempt is the last of `otherAttempts`.
 bool EntryCore::Impl::retryElsewhere(HomeShard& shard, HomeProgram& program)
 {
@@ -268,37 +309,42 @@
 
 void EntryCore::Impl::failCall(HomeShard& shard, HomeProgram& program, const Problem& problem)
 {
-    if (program.current->mayHaveRun)
-        return this->settleUnknown(shard, program);
+    if (program.current->mayHaveRun) {
+        Problem told = problem;
+        told.ran = Ran::Unknown;
+        // Every attempt was charged when the next one took its place.
+        this->releaseReservation(shard, program, *program.current, TokenCount(0));
+        return this->leaveOpen(shard, program, told);
+    }
     const std::unique_ptr<ProgramCall> call = std::move(program.current);
     this->timers.cancel(call->deadlineTimer);
     this->releaseReservation(shard, program, *call, TokenCount(0));
     const ProgramId id = program.header.id;
-    const Problem told = this->tell(shard, id, problem);
+    Problem told = this->tell(shard, id, problem);
+    if (!call->otherAttempts.empty()) {
+        // Earlier calls left the turn open, and it stays so.
+        const bool repeated = std::any_of(call->otherAttempts.begin(), call->otherAttempts.end(),
+            [&](const TurnRecord& attempt) { return attempt.request == call->digest; });
+        told.ran = repeated ? Ran::Unknown : told.ran;
+        program.openAttempts = call->otherAttempts;
+        program.openTried = call->tried;
+    }
     this->startNext(shard, program);
     forgetIfEmpty(shard, id);
     this->replyAll(call->callers, told);
 }
 
-// The turn counts as taken, and its reservation as spent.
+// The turn counts as taken, and its reservation as spent. Precondition: the current call is ordered.
 void EntryCore::Impl::settleUnknown(HomeShard& shard, HomeProgram& program)
 {
     ProgramCall& call = *program.current;
-    TurnRecord record;
-    if (call.stage == CallStage::Ordered) {
-        record = this->openRecord(program, call);
-        this->takeBack(program, call);
-        program.blockedUntil = call.deadline + this->settings.creditLife;
-    } else {
-        // The last attempt has been charged already, when its place was taken by another one.
-        record = call.otherAttempts.back();
-        call.otherAttempts.pop_back();
-        shard.account(program.header).spent.value -= record.charged.value;
-    }
-    this->settle(shard, program, { record, {}, false, {} }, nullptr);
+    const TurnRecord record = this->openRecord(program, call);
+    this->takeBack(program, call);
+    program.blockedUntil = call.deadline + this->settings.creditLife;
+    this->settle(shard, program, { record, {}, false, {} });
 }
 
-void EntryCore::Impl::settle(HomeShard& shard, HomeProgram& program, HeldRecord held, const OrderEnded* /*ended*/)
+void EntryCore::Impl::settle(HomeShard& shard, HomeProgram& program, HeldRecord held)
 {
     ProgramCall& call = *program.current;
     this->releaseReservation(shard, program, call, held.record.charged);
@@ -386,30 +432,47 @@
 }
 
 // A record whose order nobody awaits any more: kept for repeats, and for the budget.
-void EntryCore::Impl::lateRecord(const NodeId& from, const TurnRecord& record)
+bool EntryCore::Impl::lateRecord(const NodeId& from, const TurnRecord& record)
 {
     const auto owned = this->shards.find(record.program.shard);
     HomeProgram* program = owned == this->shards.end() ? nullptr : owned->second.find(record.program);
-    const bool certain = record.state == RecordState::Finished || record.state == RecordState::Failed;
-    if (!program || !certain || !isWhole(record) || program->ended)
-        return;
+    if (!program || !isWhole(record) || program->ended)
+        return true;
+    const auto known = program->records.find(record.turn);
+    const bool isKnown = known != program->records.end();
+    if (isKnown && known->second.record.request != record.request)
+        return false;
     const bool taken
         = program->current && program->current->turn == record.turn && program->current->stage != CallStage::Waiting;
-    const auto known = program->records.find(record.turn);
-    const bool open = known == program->records.end() || known->second.record.state == RecordState::Unknown;
-    if (taken || !open)
-        return;
+    if (taken)
+        return program->current->digest == record.request;
+    const bool certain = record.state == RecordState::Finished || record.state == RecordState::Failed;
+    const bool saysMore = certain ? !isKnown || known->second.record.state == RecordState::Unknown : !isKnown;
+    if (!saysMore || record.state == RecordState::NotRun)
+        return true;
+
     HeldRecord held { record, { this->nodes.at(from).life }, extendsChain(*program, record), {} };
+    if (held.record.state == RecordState::Started)
+        held.record.state = RecordState::Unknown;
     BudgetAccount& account = owned->second.account(program->header);
-    if (known != program->records.end()) {
-        if (known->second.record.request != record.request)
-            return;
+    if (isKnown) {
         account.spent.value -= known->second.record.charged.value;
         held.otherAttempts = known->second.otherAttempts;
+    } else if (record.turn.value == program->lastTurn.value + 1) {
+        // One of the attempts that left the turn open has an outcome now.
+        held.otherAttempts = std::move(program->openAttempts);
+        program->openAttempts.clear();
+        program->openTried.clear();
+        std::erase_if(held.otherAttempts, [&](const TurnRecord& attempt) {
+            const bool same = attempt.attempt == record.attempt;
+            account.spent.value -= same ? attempt.charged.value : 0;
+            return same;
+        });
     }
     account.spent.value += record.charged.value;
     addRecord(*program, std::move(held));
     this->recopyWanted = true;
+    return true;
 }
 
 }
--- a/src/librattandeck/home.cpp
+++ b/src/librattandeck/home.cpp
@@ -222,7 +222,8 @@
     const HomeProgram* program = shard.find(id);
     if (!program || id.openedIn != Epoch(0))
         return;
-    if (program->records.empty() && program->queue.empty() && !program->current)
+    const bool begun = !program->records.empty() || !program->openAttempts.empty();
+    if (!begun && program->queue.empty() && !program->current)
         shard.forget(id);
 }
 
@@ -275,6 +276,8 @@
         for (const TurnRecord& other : held.otherAttempts)
             charged.value += other.charged.value;
     }
+    for (const TurnRecord& attempt : program.openAttempts)
+        charged.value += attempt.charged.value;
     return charged;
 }
 
--- a/src/librattandeck/home.h
+++ b/src/librattandeck/home.h
@@ -102,6 +102,9 @@
     TurnNumber lastTurn;
     TokenCount historyTokens;
     bool ended = false;
+    /// Attempts of the next turn that may have run; all idempotent, and counted as spent.
+    std::vector<TurnRecord> openAttempts;
+    std::vector<NodeId> openTried;
     /// Set while the end of the program is waited for.
     bool ending = false;
     std::vector<Caller> endCallers;
@@ -135,6 +138,8 @@
     std::uint32_t missedLives = 0;
     /// Those among them that are gone for good.
     std::uint32_t livesLost = 0;
+    /// A late answer told of calls for which there was no room any more, so the gap stays.
+    bool lateConflict = false;
     std::uint64_t lastSerial = 0;
     std::unordered_map<ProgramId, HomeProgram> programs;
     std::unordered_map<ProgramId, BudgetAccount> accounts;
