--- a/src/librattandeck/entryfaults_test.cpp
+++ b/src/librattandeck/entryfaults_test.cpp
@@ -30,6 +30,10 @@
     CPPUNIT_TEST(isolatedEntryTellsNothingNew);
     CPPUNIT_TEST(lostPartsOfAStreamComeBeforeTheAnswer);
     CPPUNIT_TEST(spendingOfEndedSubAgentsIsKept);
+    CPPUNIT_TEST(spendingOfEndedRootIsKept);
+    CPPUNIT_TEST(streamedIdempotentCallCanBeRepeated);
+    CPPUNIT_TEST(lateRunningCallIsNotRunAgain);
+    CPPUNIT_TEST(plannedStopsLeaveNoGap);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<World> world;
@@ -553,5 +557,107 @@
         this->world->run(Milliseconds(100));
         CPPUNIT_ASSERT_EQUAL(left.value, this->answered(read).budgetLeft.value);
     }
+
+    void spendingOfEndedRootIsKept()
+    {
+        this->start();
+        const AnswerDone root = this->world->open(this->e1, 1000);
+        CallerRequest request;
+        request.kind = CallKind::OpenProgram;
+        request.program = root.program;
+        const CallerTicket opened = this->world->ask(this->e1, request);
+        this->world->ask(this->e1, this->callOf(root.program, "a"));
+        this->world->run(Milliseconds(100));
+        const ProgramId child = this->answered(opened).program;
+        request.kind = CallKind::EndProgram;
+        this->world->ask(this->e1, request);
+        this->world->run(Milliseconds(100));
+        this->world->kill(this->e1);
+        this->awaitTakeover();
+        request.kind = CallKind::GetProgram;
+        request.program = child;
+        const CallerTicket read = this->world->ask(this->e2, request);
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(994), this->answered(read).budgetLeft.value);
+    }
+
+    void streamedIdempotentCallCanBeRepeated()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(this->e1);
+        this->setAnswers(false);
+        CallerRequest request = this->callOf(opened.program, "a");
+        request.turn = TurnNumber(1);
+        const CallerTicket call = this->world->ask(this->e1, request);
+        this->world->run(Milliseconds(100));
+        const NodeId runner = this->sidecarRunning(opened.program);
+        const OrderId order = this->world->sidecars.at(runner).open.begin()->first;
+        this->world->sendFrom(runner, this->e1, OrderTokens { order, 0, "<a", TokenCount(2) });
+        this->world->run(Milliseconds(10));
+        this->setAnswers(true);
+        this->world->kill(runner);
+        this->world->run(Milliseconds(1100));
+        CPPUNIT_ASSERT(this->refused(call).kind == ProblemKind::EndpointFailed);
+        CPPUNIT_ASSERT(this->refused(call).ran == Ran::Unknown);
+        CPPUNIT_ASSERT(this->refused(call).retryAfter.count() > 0);
+        const CallerTicket repeated = this->world->ask(this->e1, request);
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("<a>"), this->answered(repeated).output);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(100000 - 11 - 6), this->answered(repeated).budgetLeft.value);
+    }
+
+    void lateRunningCallIsNotRunAgain()
+    {
+        this->start();
+        const AnswerDone opened = this->world->open(this->e1);
+        this->world->cutLink(this->e1, this->s1);
+        this->setAnswers(false);
+        CallerRequest call = this->onceOf(opened.program, "k");
+        call.timeLeft = Milliseconds(60000);
+        this->world->ask(this->e1, call);
+        this->world->run(Milliseconds(100));
+        this->world->cutLink(this->e2, this->s2);
+        this->world->kill(this->e1);
+        this->awaitTakeover();
+        const CallerTicket early = this->world->ask(this->e2, call);
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT(this->refused(early).ran == Ran::Unknown);
+        this->world->restoreLink(this->e2, this->s2);
+        this->world->run(Milliseconds(2000));
+        const CallerTicket later = this->world->ask(this->e2, call);
+        this->world->run(Milliseconds(500));
+        CPPUNIT_ASSERT(!this->world->final(later));
+        this->world->finish(this->s2, this->world->sidecars.at(this->s2).open.begin()->first);
+        this->world->run(Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::string("<once>"), this->answered(later).output);
+        CPPUNIT_ASSERT(!this->world->sidecars.at(this->s1).starts.contains(opened.program));
+    }
+
+    void plannedStopsLeaveNoGap()
+    {
+        this->start(true);
+        const AnswerDone opened = this->world->open(this->e1, 1000);
+        this->world->cutLink(this->e1, this->s1);
+        const CallerTicket first = this->world->ask(this->e1, this->onceOf(opened.program, "k"));
+        this->world->run(Milliseconds(100));
+        const AnswerDone before = this->answered(first);
+        this->world->restoreLink(this->e1, this->s1);
+        this->world->sidecars.at(this->s2).leaving = true;
+        this->world->run(Milliseconds(1100));
+        this->world->kill(this->s2);
+        this->world->run(Milliseconds(20));
+        EntryCore& leaving = *this->world->entries.at(this->e1).core;
+        leaving.beginShutdown();
+        this->world->run(Milliseconds(4500));
+        CPPUNIT_ASSERT(leaving.isDrained());
+        this->world->kill(this->e1);
+        this->world->run(Milliseconds(5000));
+        for (const auto& [node, entry] : this->world->entries)
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(node.value, std::uint64_t(0), entry.core->status().gaps);
+        const CallerTicket repeated = this->world->ask(this->e2, this->onceOf(opened.program, "k"));
+        this->world->run(Milliseconds(200));
+        CPPUNIT_ASSERT(this->answered(repeated).head == before.head);
+        CPPUNIT_ASSERT_EQUAL(before.budgetLeft.value, this->answered(repeated).budgetLeft.value);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryFaultsTest);
