Keep credits for entries that are likely to order

Cause: with more entries than places, equal shares left a program's home without a credit at the sidecar that holds its prefix, and idle entries held the whole room for a credit's life; room of expired credits waited for the next report. Change: entries that have ordered lately or are homes of held prefixes are served first; neither they nor the others may hold more than three quarters; expired credits are given out again at once, and early divisions serve all that wait.

--- a/src/librattandeck/sidecar.cpp
+++ b/src/librattandeck/sidecar.cpp
@@ -258,14 +258,22 @@
 
 std::map<NodeId, std::uint32_t> SidecarCore::Impl::divideRoom()
 {
+    std::unordered_map<NodeId, std::uint32_t> prefixesOf;
+    for (const auto& [program, prefix] : this->prefixes.held) {
+        const auto home = this->fence.homes.find(program.shard);
+        if (home != this->fence.homes.end())
+            ++prefixesOf[home->second.node];
+    }
     std::vector<NodeId> nodes;
     std::vector<CreditClaim> claims;
     std::unordered_map<NodeId, std::uint32_t> held = liveCreditsByHolder(this->credits, this->now());
     for (const auto& [node, link] : this->links) {
         if (!link.up)
             continue;
+        const std::uint32_t prefixCount = prefixesOf[node];
+        const bool likely = link.activity > 0 || prefixCount > 0;
         nodes.push_back(node);
-        claims.push_back({ 1 + activityWeight * link.activity, held[node] });
+        claims.push_back({ 1 + activityWeight * link.activity + prefixCount, held[node], likely });
     }
     std::map<NodeId, std::uint32_t> shares;
     if (nodes.empty())
@@ -292,17 +300,31 @@
 
 void SidecarCore::Impl::reportEarly(EntryLink& link)
 {
-    if (link.earlyReportDue)
-        return;
     link.earlyReportDue = true;
-    const TimePoint due = std::max(this->now(), link.lastReport + reportSpacing);
-    const NodeId node = link.hello.node;
-    this->after(due - this->now(), [this, node] {
-        EntryLink* found = this->findLink(node);
-        if (!found || !found->earlyReportDue || !found->up)
-            return;
-        this->report(*found, this->divideRoom()[node]);
-    });
+    this->divideEarly();
+}
+
+// Divides credits before the next regular reports; soon, so that one division serves all that ask for it.
+void SidecarCore::Impl::divideEarly()
+{
+    if (std::exchange(this->earlyDivisionDue, true))
+        return;
+    const TimePoint due = std::max(this->now(), this->lastEarlyDivision + reportSpacing);
+    this->after(due - this->now(), [this] { this->sendEarlyReports(); });
+}
+
+void SidecarCore::Impl::sendEarlyReports()
+{
+    this->earlyDivisionDue = false;
+    this->lastEarlyDivision = this->now();
+    const std::map<NodeId, std::uint32_t> shares = this->divideRoom();
+    this->creditRotation += 1;
+    const std::unordered_map<NodeId, std::uint32_t> held = liveCreditsByHolder(this->credits, this->now());
+    for (auto& [node, link] : this->links) {
+        const bool firstCredit = link.up && shares.at(node) > 0 && !held.contains(node);
+        if (link.up && (link.earlyReportDue || firstCredit))
+            this->report(link, shares.at(node));
+    }
 }
 
 // Entries that have used their credits up hear at once when there is room again.
@@ -337,6 +359,8 @@
     report.cacheUsed = totalHeldTokens(this->prefixes);
     report.accountedOrder = link.accountedOrder;
     report.credits = issueCredits(this->credits, node, creditCount, this->settings.creditLife, this->now());
+    if (creditCount > 0)
+        this->after(this->settings.creditLife, [this] { this->divideEarly(); });
     report.credits.life = std::max(Milliseconds(0), report.credits.life - creditTransit);
     reportPrefixes(
         this->prefixes, link.reportedChange,
--- a/src/librattandeck/sidecarcredits.cpp
+++ b/src/librattandeck/sidecarcredits.cpp
@@ -1,6 +1,7 @@
 #include "sidecarcredits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Rattandeck {
 
@@ -27,8 +28,10 @@
 {
     forgetExpired(book, now);
     std::unordered_map<NodeId, std::uint32_t> sums;
-    for (const IssuedGrant& grant : book.grants)
-        sums[grant.holder] += grant.left;
+    for (const IssuedGrant& grant : book.grants) {
+        if (grant.left > 0)
+            sums[grant.holder] += grant.left;
+    }
     return sums;
 }
 
@@ -59,30 +62,66 @@
     std::erase_if(book.grants, [&](const IssuedGrant& grant) { return grant.holder == holder; });
 }
 
+namespace {
+
+    // Neither the likely claimants nor the others may hold more than this share of all credits.
+    constexpr double largestShare = 0.75;
+
+    struct CreditDivision {
+        std::span<const CreditClaim> claims;
+        std::uint32_t room = 0;
+        std::vector<std::uint32_t> extra;
+
+        // Divides what is left up to `cap` live credits among the claims of one kind, given by their indices.
+        void share(std::span<const std::size_t> group, std::uint32_t cap)
+        {
+            double weights = 0;
+            std::uint32_t held = 0;
+            for (const std::size_t index : group) {
+                weights += this->claims[index].weight;
+                held += this->claims[index].held;
+            }
+            std::uint32_t left = std::min(this->room, cap > held ? cap - held : 0);
+            const double total = left + held;
+            for (const std::size_t index : group) {
+                const CreditClaim& claim = this->claims[index];
+                const auto target = static_cast<std::uint32_t>(total * claim.weight / weights);
+                this->give(index, target > claim.held ? target - claim.held : 0, left);
+            }
+            for (const std::size_t index : group) {
+                if (this->claims[index].held + this->extra[index] == 0)
+                    this->give(index, 1, left);
+            }
+        }
+
+        void give(std::size_t index, std::uint32_t count, std::uint32_t& left)
+        {
+            const std::uint32_t given = std::min(left, count);
+            this->extra[index] += given;
+            left -= given;
+            this->room -= given;
+        }
+    };
+
+}
+
 std::vector<std::uint32_t> divideCredits(std::uint32_t room, std::span<const CreditClaim> claims, std::size_t first)
 {
-    std::vector<std::uint32_t> extra(claims.size(), 0);
-    double weights = 0;
-    double total = room;
-    for (const CreditClaim& claim : claims) {
-        weights += claim.weight;
-        total += claim.held;
-    }
+    std::vector<std::size_t> likely;
+    std::vector<std::size_t> others;
+    std::uint32_t total = room;
     for (std::size_t i = 0; i < claims.size(); ++i) {
-        const auto target = static_cast<std::uint32_t>(total * claims[i].weight / weights);
-        if (target <= claims[i].held)
-            continue;
-        extra[i] = std::min(room, target - claims[i].held);
-        room -= extra[i];
-    }
-    for (std::size_t i = 0; i < claims.size() && room > 0; ++i) {
         const std::size_t index = (first + i) % claims.size();
-        if (claims[index].held + extra[index] > 0)
-            continue;
-        extra[index] = 1;
-        --room;
+        (claims[index].likely ? likely : others).push_back(index);
+        total += claims[index].held;
     }
-    return extra;
+    std::stable_sort(likely.begin(), likely.end(),
+        [&](std::size_t a, std::size_t b) { return claims[a].weight > claims[b].weight; });
+    const auto cap = static_cast<std::uint32_t>(std::ceil(largestShare * total));
+    CreditDivision division { claims, room, std::vector<std::uint32_t>(claims.size(), 0) };
+    division.share(likely, others.empty() ? total : cap);
+    division.share(others, claims.size() == 1 ? total : cap);
+    return division.extra;
 }
 
 }
--- a/src/librattandeck/sidecarcredits.h
+++ b/src/librattandeck/sidecarcredits.h
@@ -38,10 +38,13 @@
     double weight = 1;
     /// Live credits that the claimant has already.
     std::uint32_t held = 0;
+    /// The claimant has sent orders lately, or is the home of programs whose prefixes are held here.
+    bool likely = false;
 };
 
-/// Divides `room` further credits among the claims by weight. The sum of the result is at most `room`. Credits left
-/// over go one each to claimants that have none, beginning at index `first`.
+/// Divides `room` further credits among the claims by weight, the likely ones first; some are kept for the others, and
+/// the others never hold all, so that an entry that begins to order finds credits left. The sum of the result is at
+/// most `room`. When there are too few, claimants that have none go first, beginning at index `first`.
 std::vector<std::uint32_t> divideCredits(std::uint32_t room, std::span<const CreditClaim> claims, std::size_t first);
 
 }
--- a/src/librattandeck/sidecarimpl.h
+++ b/src/librattandeck/sidecarimpl.h
@@ -15,7 +15,7 @@
 
 namespace Rattandeck {
 
-/// Least time between two reports to the same entry.
+/// Least time between two divisions of credits before the regular reports.
 constexpr Milliseconds reportSpacing { 20 };
 /// Holders are told a credit's life without the time that an order may be on its way.
 constexpr Milliseconds creditTransit { 50 };
@@ -113,6 +113,8 @@
     void tick();
     /// Reports to one entry soon, with fresh credits.
     void reportEarly(EntryLink& link);
+    void divideEarly();
+    void sendEarlyReports();
     void reportToHungry();
     void reportAll();
     void report(EntryLink& link, std::uint32_t credits);
@@ -194,6 +196,8 @@
     ShardFence fence;
     CreditBook credits;
     std::size_t creditRotation = 0;
+    bool earlyDivisionDue = false;
+    TimePoint lastEarlyDivision {};
     RecordStore records;
     PrefixTable prefixes;
     /// Most tokens of each program that this endpoint has held, to tell prefill that was wasted.
--- a/src/librattandeck/sidecarlife_test.cpp
+++ b/src/librattandeck/sidecarlife_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <numeric>
 
 using namespace Rattandeck;
@@ -13,6 +14,8 @@
     CPPUNIT_TEST(dividedCreditsNeverExceedTheRoom);
     CPPUNIT_TEST(liveCreditsNeverOverrunAdmission);
     CPPUNIT_TEST(usedUpCreditsAreRenewedEarly);
+    CPPUNIT_TEST(homeOfAPrefixKeepsACreditAmongManyIdleEntries);
+    CPPUNIT_TEST(idleEntriesLeaveRoomForActiveOnes);
     CPPUNIT_TEST(queuedCallOfAFormerHomeNeverStarts);
     CPPUNIT_TEST(censusTellsRecordsAndRedirectsRunningCalls);
     CPPUNIT_TEST(censusOfALowerEpochIsRefused);
@@ -48,7 +51,8 @@
         CPPUNIT_ASSERT(rc::check("division of credits", [] {
             std::vector<CreditClaim> claims(*rc::gen::inRange<std::size_t>(1, 400));
             for (CreditClaim& claim : claims)
-                claim = { 1 + *rc::gen::inRange(0, 100) / 4.0, *rc::gen::inRange<std::uint32_t>(0, 5) };
+                claim = { 1 + *rc::gen::inRange(0, 100) / 4.0, *rc::gen::inRange<std::uint32_t>(0, 5),
+                    *rc::gen::arbitrary<bool>() };
             const auto room = *rc::gen::inRange<std::uint32_t>(0, 100);
             const auto first = *rc::gen::inRange<std::size_t>(0, 1000);
             const auto extra = divideCredits(room, claims, first);
@@ -97,6 +101,54 @@
         CPPUNIT_ASSERT(world.credits[home].id > grant.id);
     }
 
+    // More entries than the sidecar can let calls in.
+    static void linkMany(SidecarWorld& world)
+    {
+        constexpr int count = 30;
+        for (int i = 0; i < count; ++i)
+            world.link("entry-" + std::to_string(i));
+    }
+
+    void homeOfAPrefixKeepsACreditAmongManyIdleEntries()
+    {
+        SidecarWorld world;
+        const NodeId home = world.link("home");
+        world.core.onMessage(home, world.order(home, 1));
+        world.finishLast();
+        linkMany(world);
+        // Long after its last order, and again and again, the home could order at once.
+        Digest head = world.sentTo<OrderEnded>(home).back().record.headAfter;
+        for (std::uint32_t turn = 2; turn < 8; ++turn) {
+            world.pass(Milliseconds(10500));
+            Order order = world.order(home, 1, turn);
+            order.headBefore = head;
+            world.core.onMessage(home, order);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(turn), world.started.size());
+            world.finishLast();
+            head = world.sentTo<OrderEnded>(home).back().record.headAfter;
+        }
+    }
+
+    void idleEntriesLeaveRoomForActiveOnes()
+    {
+        SidecarWorld world;
+        linkMany(world);
+        world.pass(2 * reportInterval);
+        // One that has just got a credit.
+        const auto granted = std::find_if(world.sent.rbegin(), world.sent.rend(), [](const SidecarWorld::Sent& one) {
+            const auto* report = std::get_if<LoadReport>(&one.message);
+            return report && report->credits.count > 0;
+        });
+        const NodeId active = granted->to;
+        for (std::uint64_t serial = 1; serial <= 10; ++serial) {
+            const Order order = world.order(active, serial);
+            world.core.onMessage(active, order);
+            CPPUNIT_ASSERT(!world.refusal(order));
+            world.finishLast();
+            world.pass(Milliseconds(50));
+        }
+    }
+
     void queuedCallOfAFormerHomeNeverStarts()
     {
         SidecarSettings settings = SidecarWorld::defaultSettings();
@@ -360,9 +412,10 @@
         world.core.onMessage(home, world.order(home, 1));
         world.finishLast();
         world.pass(2 * reportInterval);
+        world.sent.clear();
         world.core.onMessage(next, CensusRequest { ShardId(1), Epoch(4) });
         world.pass(reportInterval);
-        const LoadReport report = world.sentTo<LoadReport>(next).back();
+        const LoadReport report = world.sentTo<LoadReport>(next).front();
         CPPUNIT_ASSERT(report.prefixesComplete);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), report.heldPrefixes.size());
     }
