--- a/Makefile
+++ b/Makefile
@@ -36,9 +36,6 @@
 bench: build
 	$(BUILD)/src/rattandeck-bench --output $(BUILD)/bench
 
-plots:
-	./tools/plots $(BUILD)/bench
-
 capacity: build
 	$(BUILD)/src/rattandeck-capacity | tee $(BUILD)/capacity.csv
 
