Let a leaving entry stay until others hold what it held

Change: after releasing its lease an entry answers censuses until the other leases cover its end and its shards are taken (5 s at most); a member that has left but still answers is no lost life; the answer of a home that handed a shard over is complete by itself; shards with an unwritten gap are not handed over.

--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -317,7 +317,7 @@
 bool EntryCore::isDrained() const
 {
     const Impl& entry = *this->impl;
-    return entry.shuttingDown && entry.leaseReleased && entry.tickets.empty();
+    return entry.shuttingDown && entry.leaseReleased && entry.tickets.empty() && entry.othersSettled();
 }
 
 std::vector<ProgramHeader> EntryCore::openPrograms() const
--- a/src/librattandeck/entrycensus.cpp
+++ b/src/librattandeck/entrycensus.cpp
@@ -26,12 +26,12 @@
         const CensusRoll roll = censusRoll(others, claim.completeThrough);
         for (const ShardId shard : claim.shards) {
             if (isOurs(shard) && !this->shards.at(shard).serving)
-                this->startCensus(shard, roll, claim.holder);
+                this->startCensus(shard, roll, claim);
         }
     });
 }
 
-void EntryCore::Impl::startCensus(ShardId shard, const CensusRoll& roll, const NodeId& formerHome)
+void EntryCore::Impl::startCensus(ShardId shard, const CensusRoll& roll, const Claim& claim)
 {
     Census& census = this->censuses[shard];
     census = Census {};
@@ -44,10 +44,20 @@
         if (!self)
             census.awaited[member.node] = member.incarnation;
     }
-    const auto former = this->nodes.find(formerHome);
+    for (const Member& member : roll.gone) {
+        const auto node = this->nodes.find(member.node);
+        const bool mayAnswer
+            = node != this->nodes.end() && node->second.linked && node->second.hello.incarnation == member.incarnation;
+        if (mayAnswer)
+            census.awaited[member.node] = member.incarnation;
+        else
+            ++census.livesLost;
+    }
+    census.handedOver = claim.handedOver;
+    const auto former = this->nodes.find(claim.holder);
     if (former != this->nodes.end() && former->second.linked) {
-        census.awaited[formerHome] = former->second.hello.incarnation;
-        census.welcome.insert(formerHome);
+        census.awaited[claim.holder] = former->second.hello.incarnation;
+        census.welcome.insert(claim.holder);
     }
     const LifeIndex ownLife = this->lifeOf(this->settings.node, this->settings.incarnation, this->settings.domain);
     census.answers.push_back({ ownLife, this->settings.node, this->ownAnswer(shard, census.epoch) });
@@ -100,8 +110,14 @@
     Census census = std::move(this->censuses.at(shard));
     this->censuses.erase(shard);
     HomeShard& home = this->shards.at(shard);
-    for (const NodeId& node : census.welcome)
-        census.awaited.erase(node);
+    for (const NodeId& node : census.welcome) {
+        const bool heard = census.awaited.erase(node) == 0;
+        // A home that has handed the shard over knows everything of it.
+        if (heard && census.handedOver) {
+            census.awaited.clear();
+            census.livesLost = 0;
+        }
+    }
     const bool complete = census.awaited.empty() && census.livesLost == 0;
     if (!complete) {
         home.formerGap = home.gap;
--- a/src/librattandeck/entrycopies.cpp
+++ b/src/librattandeck/entrycopies.cpp
@@ -228,7 +228,7 @@
 {
     const bool copying = this->recopyWanted || this->recopiesOpen > 0;
     const bool listing = this->membersChanged || this->throughWanted || this->throughListOpen;
-    return !copying && !listing && !this->membersLeaving();
+    return !copying && !listing && this->gapsUnwritten.empty() && !this->membersLeaving();
 }
 
 // Holding copies for other homes -----------------------------------------------------------------------------------
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -108,6 +108,8 @@
     void listLeases();
     void leaveLease(const std::string& reason);
     void releaseLease();
+    /// After the release: others have taken the shards, and hold what this entry held for them.
+    bool othersSettled() const;
 
     // Members (entrymembers.cpp) -------------------------------------------------------------------------------------
 
@@ -153,6 +155,7 @@
         std::set<NodeId> welcome;
         std::vector<HeardAnswer> answers;
         std::uint32_t livesLost = 0;
+        bool handedOver = false;
         std::uint64_t serial = 0;
     };
 
@@ -199,7 +202,7 @@
     // Census (entrycensus.cpp) ---------------------------------------------------------------------------------------
 
     void beginCensus(const Claim& claim);
-    void startCensus(ShardId shard, const CensusRoll& roll, const NodeId& formerHome);
+    void startCensus(ShardId shard, const CensusRoll& roll, const Claim& claim);
     void storeOwnFacts(const HomeShard& shard);
     void onCensusRequest(const NodeId& from, const CensusRequest& request);
     void onCensusAnswer(const NodeId& from, const CensusAnswer& answer);
@@ -372,6 +375,9 @@
     TimePoint startedAt {};
     bool shuttingDown = false;
     TimePoint shutdownBegun {};
+    TimePoint leaseReleasedAt {};
+    /// Revision at which this entry was said to be gone; 0: not yet.
+    ObjectVersion ownEnd;
 
     std::uint64_t lastObjectRequest = 0;
     std::unordered_map<std::uint64_t, ObjectCallback> objectCalls;
--- a/src/librattandeck/entrylease.cpp
+++ b/src/librattandeck/entrylease.cpp
@@ -143,6 +143,7 @@
         this->leaseCallOpen = false;
         if (outcome && released) {
             this->leaseReleased = true;
+            this->leaseReleasedAt = this->now();
             this->unregisterSelf();
         }
         this->onLeaseWritten(outcome, begun, named);
@@ -191,6 +192,19 @@
         this->leaseReleased = true;
 }
 
+bool EntryCore::Impl::othersSettled() const
+{
+    const std::vector<NodeId> others = this->liveEntries(this->settings.node);
+    const bool late = this->now() >= this->leaseReleasedAt + lastCopiesTime;
+    if (others.empty() || late || !this->storeReachable)
+        return true;
+    const bool covered = std::all_of(others.begin(), others.end(),
+        [&](const NodeId& entry) { return this->observed.at(entry).lease.completeThrough >= this->ownEnd; });
+    const bool taken = std::none_of(this->map.slots.begin(), this->map.slots.end(),
+        [&](const ShardSlot& slot) { return slot.home == this->settings.node; });
+    return this->ownEnd.value != 0 && covered && taken;
+}
+
 // Promises ---------------------------------------------------------------------------------------------------------
 
 void EntryCore::Impl::askPromises()
--- a/src/librattandeck/entrymembers.cpp
+++ b/src/librattandeck/entrymembers.cpp
@@ -127,7 +127,12 @@
         return;
     Member gone = self->second;
     gone.gone = true;
-    this->putMember(gone, gone.changed, [](bool) {});
+    this->putMember(gone, gone.changed, [this](bool written) {
+        if (written)
+            this->ownEnd = this->members.at(this->settings.node).changed;
+        else
+            this->after(reviewInterval, [this] { this->unregisterSelf(); });
+    });
 }
 
 void EntryCore::Impl::registerSidecar(const NodeId& node)
--- a/src/librattandeck/entryshards.cpp
+++ b/src/librattandeck/entryshards.cpp
@@ -474,7 +474,7 @@
         const bool busy = std::any_of(shard.programs.begin(), shard.programs.end(), [](const auto& item) {
             return item.second.current || !item.second.queue.empty() || !item.second.endCallers.empty();
         });
-        if (shard.serving && !busy && given.size() < wanted->count)
+        if (shard.serving && !busy && !this->gapsUnwritten.contains(id) && given.size() < wanted->count)
             given.push_back(id);
     }
     if (given.empty())
--- a/src/librattandeck/members.cpp
+++ b/src/librattandeck/members.cpp
@@ -57,8 +57,10 @@
         const bool changedSince = member.changed > completeThrough;
         const bool formerCovered = member.formerGone.value != 0 && member.formerGone <= completeThrough;
         const bool formerLost = member.former.value != 0 && !formerCovered;
-        if (changedSince && (member.gone || formerLost))
+        if (changedSince && formerLost)
             ++roll.livesLost;
+        if (changedSince && member.gone)
+            roll.gone.push_back(member);
         if (!member.gone)
             roll.mustHear.push_back(member);
     }
