--- a/src/librattandeck/entrycensus.cpp
+++ b/src/librattandeck/entrycensus.cpp
@@ -324,7 +324,7 @@
 
 Problem EntryCore::Impl::tell(const HomeShard& shard, const ProgramId& program, const Problem& problem) const
 {
-    const Problem told = inDoubt(problem, shard.doubtful(program, this->now()));
+    Problem told = inDoubt(problem, shard.doubtful(program, this->now()));
     const bool lost = told.kind == ProblemKind::HistoryLost;
     if (!lost || !this->missed.contains(shard.shard))
         return told;
--- a/src/librattandeck/entryworld_test.h
+++ b/src/librattandeck/entryworld_test.h
@@ -109,7 +109,7 @@
 
     NodeId addEntry(const std::string& name, const std::string& domain, std::uint64_t incarnation = 1)
     {
-        const NodeId node(name);
+        NodeId node(name);
         Entry& entry = this->entries[node];
         entry = Entry {};
         entry.settings.node = node;
@@ -145,7 +145,7 @@
     NodeId addSidecar(const std::string& name, const std::string& domain, const std::string& service = "llm",
         std::uint64_t incarnation = 1)
     {
-        const NodeId node(name);
+        NodeId node(name);
         Sidecar& sidecar = this->sidecars[node];
         const std::map<ShardId, Epoch> none;
         sidecar = Sidecar {};
