--- a/src/librattandeck/sidecar.cpp
+++ b/src/librattandeck/sidecar.cpp
@@ -65,8 +65,8 @@
     SidecarStatus status = this->impl->counters;
     status.leaving = this->impl->leaving;
     status.running = this->impl->running;
-    status.waiting = static_cast<std::uint32_t>(this->impl->calls.size()) - this->impl->running;
-    status.limit = static_cast<std::uint32_t>(this->impl->limit.limit);
+    status.waiting = this->impl->waiting();
+    status.limit = this->impl->places();
     status.records = recordCount(this->impl->records);
     status.heldPrefixes = this->impl->prefixes.held.size();
     status.configRevision = this->impl->config.revision();
@@ -251,7 +251,7 @@
 {
     if (this->leaving)
         return 0;
-    const auto places = static_cast<std::uint32_t>(this->limit.limit) + this->settings.queueLimit;
+    const auto places = this->places() + this->settings.queueLimit;
     const auto taken = static_cast<std::uint32_t>(this->calls.size()) + liveCredits(this->credits, this->now());
     return places > taken ? places - taken : 0;
 }
@@ -347,8 +347,8 @@
     report.service = this->settings.service;
     report.leaving = this->leaving;
     report.running = this->running;
-    report.waiting = static_cast<std::uint32_t>(this->calls.size()) - this->running;
-    report.limit = static_cast<std::uint32_t>(this->limit.limit);
+    report.waiting = this->waiting();
+    report.limit = this->places();
     for (const auto& [id, call] : this->calls) {
         if (!call.running)
             report.waitingTokens.value += call.order.inputTokens.value + call.order.maxOutputTokens.value;
--- a/src/librattandeck/sidecarendpoint.cpp
+++ b/src/librattandeck/sidecarendpoint.cpp
@@ -16,8 +16,6 @@
     // Longest pause that a home can announce for a prefix, in prefix leases.
     constexpr int maxPauseLeases = 5;
 
-    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
     void smooth(double& average, double sample)
     {
         average = average > 0 ? average + measurementWeight * (sample - average) : sample;
--- a/src/librattandeck/sidecarimpl.h
+++ b/src/librattandeck/sidecarimpl.h
@@ -96,6 +96,8 @@
     double decodeTokensPerSecond = 0;
 };
 
+inline double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
 struct SidecarCore::Impl {
     Impl(SidecarSettings settings, TimerService& timers, SidecarEffects effects);
 
@@ -119,6 +121,8 @@
     void reportAll();
     void report(EntryLink& link, std::uint32_t credits);
     std::uint32_t creditRoom();
+    std::uint32_t waiting() const { return static_cast<std::uint32_t>(this->calls.size()) - this->running; }
+    std::uint32_t places() const { return static_cast<std::uint32_t>(this->limit.limit); }
     std::map<NodeId, std::uint32_t> divideRoom();
     /// The entry's queued calls never start: it may have given them up and gone on.
     void dropQueued(EntryLink& link);
--- a/src/librattandeck/sidecarorders.cpp
+++ b/src/librattandeck/sidecarorders.cpp
@@ -33,8 +33,6 @@
         return "refuse";
     }
 
-    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
     TurnRecord startedRecord(const Order& order)
     {
         TurnRecord record;
@@ -155,11 +153,9 @@
         return RefusalReason::Leaving;
     if (this->isQuarantined(crashFingerprint(order)))
         return RefusalReason::Quarantined;
-    const auto waiting = static_cast<std::uint32_t>(this->calls.size()) - this->running;
-    if (!this->canMeet(order, order.timeLeft, this->queueSeconds(waiting)))
+    if (!this->canMeet(order, order.timeLeft, this->queueSeconds(this->waiting())))
         return RefusalReason::TooLate;
-    const auto places = static_cast<std::uint32_t>(this->limit.limit);
-    if (this->running >= places && waiting >= this->settings.queueLimit)
+    if (this->running >= this->places() && this->waiting() >= this->settings.queueLimit)
         return RefusalReason::Overloaded;
     return std::nullopt;
 }
@@ -204,8 +200,7 @@
     }
     OrderRefused refused { order.id, reason };
     if (reason == RefusalReason::Overloaded || reason == RefusalReason::NoCredit) {
-        const auto waiting = static_cast<std::uint32_t>(this->calls.size()) - this->running;
-        refused.retryAfter = retryAfter(this->queueSeconds(waiting), order.id.value);
+        refused.retryAfter = retryAfter(this->queueSeconds(this->waiting()), order.id.value);
     }
     this->sendTo(link.hello.node, refused);
 }
@@ -248,7 +243,7 @@
 void SidecarCore::Impl::startQueued()
 {
     this->dropHopeless();
-    while (this->running < static_cast<std::uint32_t>(this->limit.limit)) {
+    while (this->running < this->places()) {
         const std::optional<OrderId> next = this->chooseNext();
         if (!next)
             break;
@@ -356,8 +351,8 @@
 {
     AdmissionDecision decision { order.program.id, order.turn, order.id, choice };
     decision.running = this->running;
-    decision.waiting = static_cast<std::uint32_t>(this->calls.size()) - this->running;
-    decision.limit = static_cast<std::uint32_t>(this->limit.limit);
+    decision.waiting = this->waiting();
+    decision.limit = this->places();
     decision.priority = order.priority;
     this->effects.logAdmission(decision);
 }
