--- a/src/librattandeck/home.cpp
+++ b/src/librattandeck/home.cpp
@@ -23,18 +23,32 @@
     return found->second;
 }
 
-void HomeShard::join(const ProgramHeader& header) { ++this->account(header).programs; }
+void HomeShard::join(const HomeProgram& program)
+{
+    BudgetAccount& account = this->account(program.header);
+    ++account.programs;
+    if (!program.ended)
+        ++account.open;
+}
+
+void HomeShard::leave(const HomeProgram& program)
+{
+    const auto account = this->accounts.find(program.header.root);
+    if (account == this->accounts.end())
+        return;
+    if (!program.ended)
+        --account->second.open;
+    if (--account->second.programs == 0)
+        this->accounts.erase(account);
+}
 
 void HomeShard::forget(const ProgramId& id)
 {
     const auto found = this->programs.find(id);
     if (found == this->programs.end())
         return;
-    const ProgramId root = found->second.header.root;
+    this->leave(found->second);
     this->programs.erase(found);
-    const auto account = this->accounts.find(root);
-    if (account != this->accounts.end() && --account->second.programs == 0)
-        this->accounts.erase(account);
 }
 
 bool HomeShard::doubtful(const ProgramId& id, TimePoint now) const
@@ -208,7 +222,8 @@
     const HomeProgram* program = shard.find(id);
     if (!program || id.openedIn != Epoch(0))
         return;
-    if (program->records.empty() && program->queue.empty() && !program->current)
+    const bool begun = !program->records.empty() || !program->openAttempts.empty();
+    if (!begun && program->queue.empty() && !program->current)
         shard.forget(id);
 }
 
@@ -261,6 +276,8 @@
         for (const TurnRecord& other : held.otherAttempts)
             charged.value += other.charged.value;
     }
+    for (const TurnRecord& attempt : program.openAttempts)
+        charged.value += attempt.charged.value;
     return charged;
 }
 
--- a/src/librattandeck/home.h
+++ b/src/librattandeck/home.h
@@ -73,9 +73,7 @@
     /// Callers that were there before the first part of the answer; later ones get the whole answer at its end.
     std::vector<Caller> streaming;
     std::uint32_t nextPart = 0;
-    /// What was streamed so far; after a lost link the sidecar begins with the whole text again.
     std::size_t streamedBytes = 0;
-    TokenCount streamedTokens;
     TokenCount cachedTokens;
     TokenCount prefilledTokens;
     TimePoint sentAt {};
@@ -88,8 +86,9 @@
     TokenCount limit;
     TokenCount spent;
     TokenCount reserved;
-    /// Programs that draw on the account.
+    /// Programs that draw on the account, and those among them that have not ended.
     std::uint32_t programs = 0;
+    std::uint32_t open = 0;
 
     TokenCount left() const { return TokenCount(this->limit.value - this->spent.value - this->reserved.value); }
 };
@@ -103,6 +102,9 @@
     TurnNumber lastTurn;
     TokenCount historyTokens;
     bool ended = false;
+    /// Attempts of the next turn that may have run; all idempotent, and counted as spent.
+    std::vector<TurnRecord> openAttempts;
+    std::vector<NodeId> openTried;
     /// Set while the end of the program is waited for.
     bool ending = false;
     std::vector<Caller> endCallers;
@@ -136,6 +138,8 @@
     std::uint32_t missedLives = 0;
     /// Those among them that are gone for good.
     std::uint32_t livesLost = 0;
+    /// A late answer told of calls for which there was no room any more, so the gap stays.
+    bool lateConflict = false;
     std::uint64_t lastSerial = 0;
     std::unordered_map<ProgramId, HomeProgram> programs;
     std::unordered_map<ProgramId, BudgetAccount> accounts;
@@ -146,8 +150,10 @@
     /// Account that the program draws on; made from its header when it is not there yet.
     BudgetAccount& account(const ProgramHeader& header);
     /// Adds a program to its root's account.
-    void join(const ProgramHeader& header);
-    /// Forgets a program, and its account with the last one that drew on it.
+    void join(const HomeProgram& program);
+    /// Takes it off again; the account goes with the last program that drew on it.
+    void leave(const HomeProgram& program);
+    /// Forgets a program.
     void forget(const ProgramId& id);
     /// Records of this program may be missing.
     bool doubtful(const ProgramId& id, TimePoint now) const;
--- a/src/rattandeck-prove/endpoint.h
+++ b/src/rattandeck-prove/endpoint.h
@@ -25,6 +25,7 @@
     void start(Process& sidecar, const EndpointCall& call);
     void cancel(Process& sidecar, OrderId order);
     void releasePrefix(Process& sidecar, ProgramId program);
+    void releaseAll(const Process& sidecar);
     /// The endpoint dies and comes back. Returns false when it was down already.
     bool crash(std::uint32_t index);
 
@@ -50,6 +51,7 @@
     void fail(std::uint32_t index, const Run& run, EndpointFailure failure);
 
     World& world;
+    Chance chance;
     Cluster& cluster;
     const std::map<CallId, CallNature>& natures;
     std::uint64_t lastRun = 0;
