Start nothing that waited through a pause of the sidecar

Change: without a tick for two report intervals the queue is refused first. The report interval is bounded by 1.5 s, so that this is shorter than links may be silent.

--- a/src/librattandeck/sidecar.cpp
+++ b/src/librattandeck/sidecar.cpp
@@ -81,6 +81,7 @@
     this->credits.lastId = firstCredit(this->settings);
     this->limit.limit = this->settings.initialConcurrency;
     this->limit.maximum = this->settings.maxConcurrency;
+    this->lastTick = this->now();
     this->after(Duration(0), [this] { this->effects.releaseAllPrefixes(); });
     this->after(this->settings.reportInterval, [this] { this->tick(); });
 }
@@ -228,6 +229,8 @@
 void SidecarCore::Impl::tick()
 {
     this->after(this->settings.reportInterval, [this] { this->tick(); });
+    this->refuseAfterPause();
+    this->lastTick = this->now();
     expireRecords(this->records, this->settings.keyRetention, this->now());
     for (const ProgramId& program : expiredPrefixes(this->prefixes, this->now())) {
         if (!this->isActive(program)) {
--- a/src/librattandeck/sidecarimpl.h
+++ b/src/librattandeck/sidecarimpl.h
@@ -149,6 +149,8 @@
     void refuseCall(OrderId id, RefusalReason reason);
     OrderId enqueue(EntryLink& link, const Order& order);
     void startQueued();
+    /// After a pause of this process nothing that waits may start: its home may have given it up long ago.
+    void refuseAfterPause();
     std::optional<OrderId> chooseNext();
     void start(SidecarCall& call);
     void dropHopeless();
@@ -215,6 +217,7 @@
     ConcurrencyLimit limit;
     EndpointSpeed speed;
 
+    TimePoint lastTick {};
     SidecarStatus counters;
     bool leaving = false;
     bool finalReportSent = false;
--- a/src/librattandeck/sidecarlife_test.cpp
+++ b/src/librattandeck/sidecarlife_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(copyDoesNotReplaceACertainRecord);
     CPPUNIT_TEST(endOfAMissedCallIsSentAtRelink);
     CPPUNIT_TEST(queuedCallOfALostHomeNeverStarts);
+    CPPUNIT_TEST(queuedCallDoesNotStartAfterAPause);
     CPPUNIT_TEST(abandonedCallIsCancelledOnlyIfIdempotent);
     CPPUNIT_TEST(prefixGoesFreeAtTheProgramsEnd);
     CPPUNIT_TEST(prefixOfADeadHomeGoesFreeAfterItsLease);
@@ -284,6 +285,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.started.size());
     }
 
+    void queuedCallDoesNotStartAfterAPause()
+    {
+        SidecarSettings settings = SidecarWorld::defaultSettings();
+        settings.initialConcurrency = 1;
+        SidecarWorld world(settings);
+        const NodeId home = world.link("entry-1");
+        world.core.onMessage(home, world.order(home, 1));
+        const Order queued = world.order(home, 2);
+        world.core.onMessage(home, queued);
+        // The process stood still; the first thing that it hears of is the end of a call.
+        world.timers.observe(world.timers.now() + Milliseconds(8000));
+        world.finishLast();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.started.size());
+        CPPUNIT_ASSERT(world.refusal(queued));
+
+        world.pass(reportInterval);
+        world.core.onMessage(home, world.order(home, 3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.started.size());
+    }
+
     void abandonedCallIsCancelledOnlyIfIdempotent()
     {
         for (const bool idempotent : { true, false }) {
--- a/src/librattandeck/sidecarorders.cpp
+++ b/src/librattandeck/sidecarorders.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+    // Without a tick for so many report intervals the process has stood still. Shorter than links may be silent.
+    constexpr int pauseIntervals = 2;
+
     const char* describe(RefusalReason reason)
     {
         switch (reason) {
@@ -240,8 +243,23 @@
     return id;
 }
 
+void SidecarCore::Impl::refuseAfterPause()
+{
+    if (this->now() - this->lastTick <= pauseIntervals * this->settings.reportInterval)
+        return;
+    this->lastTick = this->now();
+    std::vector<OrderId> waiting;
+    for (const auto& [id, call] : this->calls) {
+        if (!call.running)
+            waiting.push_back(id);
+    }
+    for (const OrderId id : waiting)
+        this->refuseCall(id, RefusalReason::Overloaded);
+}
+
 void SidecarCore::Impl::startQueued()
 {
+    this->refuseAfterPause();
     this->dropHopeless();
     while (this->running < this->places()) {
         const std::optional<OrderId> next = this->chooseNext();
--- a/src/rattandeck-sidecar/daemon.cpp
+++ b/src/rattandeck-sidecar/daemon.cpp
@@ -32,8 +32,8 @@
     schema.addInteger("admission.queue_limit", s.queueLimit, 0, 100000, "most calls that wait");
     schema.addMilliseconds("admission.credit_life_ms", s.core.creditLife, Milliseconds(100), Milliseconds(60000),
         "life of credits; at most what the entries reckon with");
-    schema.addMilliseconds("admission.report_interval_ms", s.core.reportInterval, Milliseconds(20), Milliseconds(60000),
-        "time between two load reports");
+    schema.addMilliseconds("admission.report_interval_ms", s.core.reportInterval, Milliseconds(20), Milliseconds(1500),
+        "time between two load reports; twice this without one is a pause of the process");
 
     schema.addMilliseconds("records.prefix_lease_ms", s.core.prefixLease, Milliseconds(100), Milliseconds(86400000),
         "a prefix that no home renews goes free after this");
