Show subscribers the true time after a pause

Cause: a loop that woke by its alarm after a pause called subscribers at the instants at which they had been due, so that a check of a lease or credit in them used a time long past. Change: EventLoop observes the clock before it advances its timers. Conclusion: rattandecknet-test passes (26). Not tested by itself: a test would have to stop the process.

--- a/src/librattandecknet/eventloop.cpp
+++ b/src/librattandecknet/eventloop.cpp
@@ -73,6 +73,8 @@
         std::uint64_t expirations = 0;
         if (read(this->alarm.native_handle(), &expirations, sizeof(expirations)) > 0)
             this->alarmTime.reset();
+        // After a pause subscribers must see the true time, not the one at which they were due.
+        this->timers.observe(bootTime());
         this->timers.advanceTo(bootTime());
         this->afterHandler();
         this->waitForAlarm();
