--- a/src/librattandeck/history.cpp
+++ b/src/librattandeck/history.cpp
@@ -72,6 +72,10 @@
                 + std::to_string(sent.call.value) + " of " + toString(sent.body.program)
                 + (sent.body.idempotent ? "" : ", not idempotent");
         }
+        std::string operator()(const RequestArrived& arrived) const
+        {
+            return "request " + std::to_string(arrived.request.value) + " arrives";
+        }
         std::string operator()(const RequestEvent& event) const
         {
             const std::string request = "request " + std::to_string(event.request.value);
--- a/src/librattandeck/history.h
+++ b/src/librattandeck/history.h
@@ -36,6 +36,10 @@
     NodeId entry;
     CallerRequest body;
 };
+/// The entry has read the request.
+struct RequestArrived {
+    RequestId request;
+};
 struct RequestEvent {
     RequestId request;
     CallerEvent event;
@@ -112,9 +116,9 @@
     ObjectVersion version;
 };
 
-using HistoryFact = std::variant<RequestSent, RequestEvent, RequestAbandoned, RunStarted, RunEnded, WorkAccepted,
-    PrefixHeld, PrefixFreed, ProcessStarted, ProcessDied, LeavingListed, StopAsked, ProcessExited, DisturbanceBegan,
-    DisturbanceEnded, ConfigAccepted, ConfigInForce>;
+using HistoryFact = std::variant<RequestSent, RequestArrived, RequestEvent, RequestAbandoned, RunStarted, RunEnded,
+    WorkAccepted, PrefixHeld, PrefixFreed, ProcessStarted, ProcessDied, LeavingListed, StopAsked, ProcessExited,
+    DisturbanceBegan, DisturbanceEnded, ConfigAccepted, ConfigInForce>;
 
 struct HistoryEvent {
     TimePoint at {};
--- a/src/librattandeck/history_test.cpp
+++ b/src/librattandeck/history_test.cpp
@@ -280,6 +280,7 @@
     {
         Writer kept;
         const RequestId request = kept.send(CallKind::Call, 1);
+        kept.add(RequestArrived { request });
         const RunId run = kept.start(1);
         kept.add(StopAsked { entry });
         kept.add(StopAsked { endpoint });
--- a/src/librattandeck/historystops.cpp
+++ b/src/librattandeck/historystops.cpp
@@ -40,7 +40,7 @@
     struct StopWatch {
         struct OpenRequest {
             NodeId entry;
-            std::size_t sentEvent = 0;
+            std::optional<std::size_t> arrivedEvent;
         };
         struct Stop {
             std::size_t event = 0;
@@ -61,7 +61,7 @@
     {
         ++check.checked;
         const auto here = [&](const auto& item) { return item.second == node; };
-        const auto asked = [&](const auto& item) { return item.second.entry == node; };
+        const auto asked = [&](const auto& item) { return item.second.entry == node && item.second.arrivedEvent; };
         if (std::ranges::any_of(watch.openRuns, here) || std::ranges::any_of(watch.openRequests, asked))
             check.violations.push_back({ Promise::PlannedStop, ViolationKind::CutByStop, event });
         watch.stops.erase(node);
@@ -73,7 +73,9 @@
         if (open == watch.openRequests.end() || std::holds_alternative<AnswerTokens>(reply.event))
             return;
         const auto stop = watch.stops.find(open->second.entry);
-        if (stop != watch.stops.end() && open->second.sentEvent < stop->second.event) {
+        const bool underWay
+            = stop != watch.stops.end() && open->second.arrivedEvent && *open->second.arrivedEvent < stop->second.event;
+        if (underWay) {
             ++check.checked;
             if (isSentAway(reply.event))
                 check.violations.push_back({ Promise::PlannedStop, ViolationKind::RefusedByStop, event });
@@ -90,7 +92,12 @@
     for (std::size_t i = 0; i < history.events.size(); ++i) {
         const HistoryEvent& event = history.events[i];
         if (const auto* sent = std::get_if<RequestSent>(&event.fact))
-            watch.openRequests[sent->request] = { sent->entry, i };
+            watch.openRequests[sent->request] = { sent->entry, {} };
+        if (const auto* arrived = std::get_if<RequestArrived>(&event.fact)) {
+            const auto open = watch.openRequests.find(arrived->request);
+            if (open != watch.openRequests.end())
+                open->second.arrivedEvent = i;
+        }
         if (const auto* reply = std::get_if<RequestEvent>(&event.fact))
             judgeReply(check, watch, *reply, i);
         if (const auto* gone = std::get_if<RequestAbandoned>(&event.fact))
--- a/src/rattandeck-prove/callers.cpp
+++ b/src/rattandeck-prove/callers.cpp
@@ -89,7 +89,10 @@
         = { entry.index, entry.life, [this, attempt](const CallerEvent& event) { this->onFinal(attempt, event); } };
     const CallerTicket ticket(request.value);
     this->world.after(connectDelay, [this, &entry, life = entry.life, ticket, body = attempt->body] {
-        this->cluster.deliver(entry, life, [&entry, ticket, body] { entry.entry->onCallerRequest(ticket, body); });
+        this->cluster.deliver(entry, life, [this, &entry, ticket, body] {
+            this->world.record(RequestArrived { RequestId(ticket.value) });
+            entry.entry->onCallerRequest(ticket, body);
+        });
     });
     if (attempt->call.value == 0 || !this->chance.happens(goneShare))
         return;
