--- a/src/librattandeck/historystops.cpp
+++ b/src/librattandeck/historystops.cpp
@@ -108,8 +108,11 @@
             watch.openRuns.erase(run->run);
         if (const auto* asked = std::get_if<StopAsked>(&event.fact))
             watch.stops.try_emplace(asked->node, StopWatch::Stop { i, event.at });
-        if (const auto* dead = std::get_if<ProcessDied>(&event.fact))
+        if (const auto* dead = std::get_if<ProcessDied>(&event.fact)) {
             watch.stops.erase(dead->node);
+            // Its death has cut its runs off; what stops later is another process.
+            std::erase_if(watch.openRuns, [&](const auto& run) { return run.second == dead->node; });
+        }
         if (const auto* exited = std::get_if<ProcessExited>(&event.fact))
             judgeExit(check, watch, exited->node, i);
     }
