Measure the path with idle capacity; count running calls as engine memory; follow full engines

Cause: the entry now refuses openings early, and the benchmark left its programs open at a sidecar with 8 places; cacheUsed left running calls out; an engine without room did not lower the limit.

--- a/src/librattandeck/sidecar.cpp
+++ b/src/librattandeck/sidecar.cpp
@@ -342,6 +342,21 @@
     }
 }
 
+// Engine memory of running calls beyond the prefixes that are counted as held.
+TokenCount SidecarCore::Impl::runningTokens() const
+{
+    TokenCount sum;
+    for (const auto& [id, call] : this->calls) {
+        if (!call.running)
+            continue;
+        const auto held = this->prefixes.held.find(call.order.program.id);
+        const std::int64_t prefix = held == this->prefixes.held.end() ? 0 : held->second.tokens.value;
+        const std::int64_t used = call.order.historyTokens.value + call.order.inputTokens.value + call.textTokens.value;
+        sum.value += std::max<std::int64_t>(0, used - prefix);
+    }
+    return sum;
+}
+
 void SidecarCore::Impl::report(EntryLink& link, std::uint32_t creditCount)
 {
     const NodeId& node = link.hello.node;
@@ -359,7 +374,7 @@
     report.prefillTokensPerSecond = this->speed.prefillTokensPerSecond;
     report.decodeTokensPerSecond = this->speed.decodeTokensPerSecond;
     report.cacheCapacity = this->settings.cacheCapacity;
-    report.cacheUsed = totalHeldTokens(this->prefixes);
+    report.cacheUsed = TokenCount(totalHeldTokens(this->prefixes).value + this->runningTokens().value);
     report.accountedOrder = link.accountedOrder;
     report.credits = issueCredits(this->credits, node, creditCount, this->settings.creditLife, this->now());
     if (creditCount > 0)
--- a/src/librattandeck/sidecarendpoint.cpp
+++ b/src/librattandeck/sidecarendpoint.cpp
@@ -80,6 +80,7 @@
         else
             program.turns.erase(call.order.turn);
         --this->running;
+        this->limit = afterNoRoom(this->limit, this->running);
         this->refuseCall(id, RefusalReason::Overloaded);
         this->startQueued();
         return;
--- a/src/librattandeck/sidecarimpl.h
+++ b/src/librattandeck/sidecarimpl.h
@@ -119,6 +119,7 @@
     void sendEarlyReports();
     void reportToHungry();
     void reportAll();
+    TokenCount runningTokens() const;
     void report(EntryLink& link, std::uint32_t credits);
     std::uint32_t creditRoom();
     std::uint32_t waiting() const { return static_cast<std::uint32_t>(this->calls.size()) - this->running; }
--- a/src/rattandeck-load/pathbench.cpp
+++ b/src/rattandeck-load/pathbench.cpp
@@ -34,6 +34,8 @@
 
         void send(HttpClient& client, const std::string& path, const Json& body, bool streamed, Answered answered);
         void openProgram(WithProgram opened);
+        /// Calls `ended` whatever the answer is.
+        void endProgram(const std::string& program, std::function<void()> ended);
         void callDirectly();
         void callThrough();
         void startStream();
@@ -101,6 +103,12 @@
             });
     }
 
+    void PathBench::endProgram(const std::string& program, std::function<void()> ended)
+    {
+        const HttpRequest request { "DELETE", "/v1/programs/" + program, {}, {}, {} };
+        this->entry.fetch(request, requestTimeout, [ended = std::move(ended)](const auto&) { ended(); });
+    }
+
     // Latency --------------------------------------------------------------------------------------------------------
 
     Json PathBench::completion(std::int64_t tokens)
@@ -131,13 +139,13 @@
             const double begin = this->now();
             const Json body { { "input", std::string(promptTokens * 4, 'x') }, { "max_tokens", 1 } };
             this->send(this->entry, "/v1/programs/" + program + "/calls", body, true,
-                [this, begin](const HttpResponse& response) {
+                [this, begin, program](const HttpResponse& response) {
                     if (response.body.find("event: done") == std::string::npos) {
                         this->fail("no answer: " + response.body);
                         return;
                     }
                     this->through.push_back(this->now() - begin);
-                    this->callDirectly();
+                    this->endProgram(program, [this] { this->callDirectly(); });
                 });
         });
     }
@@ -153,7 +161,9 @@
             const Json body { { "input", std::string(promptTokens * 4, 'x') },
                 { "max_tokens", this->options.streamTokens } };
             this->send(this->entry, "/v1/programs/" + program + "/calls", body, true,
-                [this](const HttpResponse& response) { this->onStreamEnd(response.body); });
+                [this, program](const HttpResponse& response) {
+                    this->endProgram(program, [this, body = response.body] { this->onStreamEnd(body); });
+                });
         });
     }
 
--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -170,24 +170,24 @@
         self.list_instance(name, entry.field("peers"), domain, "")
         return entry
 
-    def start_endpoint(self, name, domain, service, model, *options):
-        """Starts an endpoint's stand-in and the sidecar beside it."""
+    def start_endpoint(self, name, domain, service, model, *options, settings=""):
+        """Starts an endpoint's stand-in and the sidecar beside it, with further settings (TOML) for the latter."""
         mode = ["engine"] if model else ["service", "--ledger", str(self.folder / f"{name}.ledger")]
         endpoint = self.start_stand_in(f"{name}-endpoint", *mode, *options)
         self.endpoints[name] = endpoint
-        self.start_sidecar(name, domain, service, model)
+        self.start_sidecar(name, domain, service, model, settings)
         return endpoint
 
-    def start_sidecar(self, name, domain, service, model):
-        settings = self.write_settings(name, f"""
+    def start_sidecar(self, name, domain, service, model, settings=""):
+        path = self.write_settings(name, f"""
 node = "{name}"
 domain = "{domain}"
 service = "{service}"
 [endpoint]
 kind = "{'engine' if model else 'service'}"
 address = "{self.endpoints[name].listening()}"
-""")
-        sidecar = self.start(name, "rattandeck-sidecar", ["--settings", settings])
+{settings}""")
+        sidecar = self.start(name, "rattandeck-sidecar", ["--settings", path])
         self.sidecars[name] = sidecar
         self.list_instance(name, sidecar.field("peers"), domain, service)
         return sidecar
