--- a/src/rattandeck-load/pathbench.h
+++ b/src/rattandeck-load/pathbench.h
@@ -19,7 +19,7 @@
     /// Calls of one token, one after the other, each way.
     std::size_t calls = 500;
     /// Streamed calls for the throughput, and how many run together.
-    std::size_t streams = 64;
+    std::size_t streams = 512;
     std::size_t concurrency = 16;
     std::int64_t streamTokens = 1000;
 };
