Take the word of a home that stopped in order; stay for successors of lost homes

Change: after its release an entry stays until every shard has a living home (15 s at most); the answer of the life that stopped in order completes the census of its shards; a hand-over names that life, so that a later one isn't believed.

--- a/src/librattandeck/entrycensus.cpp
+++ b/src/librattandeck/entrycensus.cpp
@@ -53,11 +53,12 @@
         else
             ++census.livesLost;
     }
-    census.handedOver = claim.handedOver;
     const auto former = this->nodes.find(claim.holder);
     if (former != this->nodes.end() && former->second.linked) {
         census.awaited[claim.holder] = former->second.hello.incarnation;
         census.welcome.insert(claim.holder);
+        const Incarnation life = former->second.hello.incarnation;
+        census.formerKnowsAll = claim.knowing.value != 0 && claim.knowing == life;
     }
     const LifeIndex ownLife = this->lifeOf(this->settings.node, this->settings.incarnation, this->settings.domain);
     census.answers.push_back({ ownLife, this->settings.node, this->ownAnswer(shard, census.epoch) });
@@ -112,8 +113,8 @@
     HomeShard& home = this->shards.at(shard);
     for (const NodeId& node : census.welcome) {
         const bool heard = census.awaited.erase(node) == 0;
-        // A home that has handed the shard over knows everything of it.
-        if (heard && census.handedOver) {
+        // A home that has stopped in order knows everything of the shard.
+        if (heard && census.formerKnowsAll) {
             census.awaited.clear();
             census.livesLost = 0;
         }
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -35,6 +35,8 @@
 constexpr Milliseconds copyRetryDelay { 200 };
 /// A stopping entry waits so long at most for copies of its facts.
 constexpr Milliseconds lastCopiesTime { 5000 };
+/// After its release it stays so long at most, until the successors of homes that have died have asked it.
+constexpr Milliseconds longestStay { 15000 };
 /// The members are listed anew no sooner than this for each member, so that a rollout doesn't cause a flood of lists.
 constexpr Milliseconds listTimePerMember { 5 };
 /// Longest time that a request may say it has left.
@@ -144,6 +146,8 @@
         bool handedOver = false;
         /// Facts of lives that ended later may have been lost.
         ObjectVersion completeThrough;
+        /// The life of the holder that stopped in order: its answer alone is complete. 0: there is none.
+        Incarnation knowing;
         std::uint64_t serial = 0;
         std::uint32_t conflicts = 0;
     };
@@ -155,7 +159,8 @@
         std::set<NodeId> welcome;
         std::vector<HeardAnswer> answers;
         std::uint32_t livesLost = 0;
-        bool handedOver = false;
+        /// The former home stopped in order, and the life that did so is asked.
+        bool formerKnowsAll = false;
         std::uint64_t serial = 0;
     };
 
--- a/src/librattandeck/entrylease.cpp
+++ b/src/librattandeck/entrylease.cpp
@@ -183,6 +183,9 @@
     }
     if (!this->tickets.empty() || !this->callers.empty())
         return;
+    // Successors take this entry's word for the shards, so a gap must stand in the map.
+    if (!this->gapsUnwritten.empty() && this->storeReachable)
+        return;
     if (!this->factsSettled() && this->storeReachable && this->now() < this->shutdownBegun + lastCopiesTime)
         return;
     this->releaseWanted = true;
@@ -195,13 +198,15 @@
 bool EntryCore::Impl::othersSettled() const
 {
     const std::vector<NodeId> others = this->liveEntries(this->settings.node);
-    const bool late = this->now() >= this->leaseReleasedAt + lastCopiesTime;
+    const bool late = this->now() >= this->leaseReleasedAt + longestStay;
     if (others.empty() || late || !this->storeReachable)
         return true;
     const bool covered = std::all_of(others.begin(), others.end(),
         [&](const NodeId& entry) { return this->observed.at(entry).lease.completeThrough >= this->ownEnd; });
-    const bool taken = std::none_of(this->map.slots.begin(), this->map.slots.end(),
-        [&](const ShardSlot& slot) { return slot.home == this->settings.node; });
+    // A shard whose home has died needs what this entry holds for it until its successor has asked.
+    const bool taken = std::all_of(this->map.slots.begin(), this->map.slots.end(), [&](const ShardSlot& slot) {
+        return slot.home.value.empty() || std::find(others.begin(), others.end(), slot.home) != others.end();
+    });
     return this->ownEnd.value != 0 && covered && taken;
 }
 
--- a/src/librattandeck/entryrecovery_test.cpp
+++ b/src/librattandeck/entryrecovery_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(streamedIdempotentCallCanBeRepeated);
     CPPUNIT_TEST(lateRunningCallIsNotRunAgain);
     CPPUNIT_TEST(plannedStopsLeaveNoGap);
+    CPPUNIT_TEST(leavingEntryStaysForTheSuccessorOfALostHome);
     CPPUNIT_TEST_SUITE_END();
 
     void missedMemberHealsTheShardLater()
@@ -216,5 +217,27 @@
         CPPUNIT_ASSERT(this->answered(repeated).head == before.head);
         CPPUNIT_ASSERT_EQUAL(before.budgetLeft.value, this->answered(repeated).budgetLeft.value);
     }
+
+    void leavingEntryStaysForTheSuccessorOfALostHome()
+    {
+        this->start(true);
+        const AnswerDone opened = this->world->open(this->e1);
+        const CallerTicket first = this->world->ask(this->e1, this->callOf(opened.program, "a"));
+        this->world->run(Milliseconds(100));
+        const AnswerDone before = this->answered(first);
+        this->world->kill(this->e1);
+        this->world->run(Milliseconds(500));
+        EntryCore& leaving = *this->world->entries.at(this->e3).core;
+        leaving.beginShutdown();
+        this->world->run(Milliseconds(4000));
+        CPPUNIT_ASSERT(!leaving.isDrained());
+        this->world->run(Milliseconds(16000));
+        CPPUNIT_ASSERT(leaving.isDrained());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), this->world->entries.at(this->e2).core->status().gaps);
+        this->world->kill(this->e3);
+        const CallerTicket second = this->world->ask(this->e2, this->callOf(opened.program, "b", &before));
+        this->world->run(Milliseconds(200));
+        CPPUNIT_ASSERT_EQUAL(2U, this->answered(second).turn.value);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(EntryRecoveryTest);
--- a/src/librattandeck/entryshards.cpp
+++ b/src/librattandeck/entryshards.cpp
@@ -163,6 +163,7 @@
             ground.from += this->settings.leaseDuration;
         ground.claim.handedOver = true;
         ground.claim.completeThrough = slot.through;
+        ground.claim.knowing = slot.giver;
         return ground;
     }
     if (slot.home == this->settings.node) {
@@ -186,6 +187,8 @@
         return ground;
     }
     ground.claim.lease = seen->second.lease;
+    if (seen->second.lease.released)
+        ground.claim.knowing = seen->second.lease.incarnation;
     ground.claim.leaseVersion = seen->second.version;
     ground.claim.completeThrough = seen->second.lease.completeThrough;
     ground.claim.mustBreak = !seen->second.lease.released && !seen->second.lease.broken;
@@ -485,6 +488,7 @@
         this->shards.at(id).serving = false;
         changed.slots[id.value].next = wanted->to;
         changed.slots[id.value].through = this->writtenCompleteThrough();
+        changed.slots[id.value].giver = this->settings.incarnation;
     }
     this->handOverOpen = true;
     const ObjectVersion base = this->map.version;
--- a/src/librattandeck/lease_test.cpp
+++ b/src/librattandeck/lease_test.cpp
@@ -167,7 +167,7 @@
     void shardMapComesBackEqual()
     {
         ShardMap map;
-        map.slots = { { holder, Epoch(3), Epoch(2), NodeId("next"), ObjectVersion(8) }, {} };
+        map.slots = { { holder, Epoch(3), Epoch(2), NodeId("next"), ObjectVersion(8), Incarnation(6) }, {} };
         map.writer = "w";
         const auto parsed = parseShardMap(formatShardMap(map), ObjectVersion(4));
         CPPUNIT_ASSERT(parsed);
@@ -175,6 +175,7 @@
         const ShardSlot& slot = parsed->slots[0];
         CPPUNIT_ASSERT(slot.home == holder && slot.epoch == Epoch(3) && slot.gap == Epoch(2));
         CPPUNIT_ASSERT(slot.next == NodeId("next") && slot.through == ObjectVersion(8));
+        CPPUNIT_ASSERT(slot.giver == Incarnation(6));
     }
 
     void everyShardHasOneFirstSuccessor()
--- a/src/librattandeck/shardmap.cpp
+++ b/src/librattandeck/shardmap.cpp
@@ -25,6 +25,7 @@
         if (!slot.next.value.empty()) {
             json["next"] = slot.next.value;
             json["through"] = slot.through.value;
+            json["giver"] = slot.giver.value;
         }
         shards.push_back(std::move(json));
     }
@@ -47,6 +48,7 @@
             slot.gap = Epoch(shard.value("gap", std::uint64_t { 0 }));
             slot.next = NodeId(shard.value("next", ""));
             slot.through = ObjectVersion(shard.value("through", std::uint64_t { 0 }));
+            slot.giver = Incarnation(shard.value("giver", std::uint64_t { 0 }));
             map.slots.push_back(std::move(slot));
         }
         return map;
--- a/src/librattandeck/shardmap.h
+++ b/src/librattandeck/shardmap.h
@@ -22,6 +22,8 @@
     NodeId next;
     /// The home's `completeThrough` when it named its successor.
     ObjectVersion through;
+    /// The life of the home that named its successor; only that one knows the shard.
+    Incarnation giver;
 };
 
 /// Value of the object `shardmap/main`.
