--- a/src/librattandeck/sidecar.cpp
+++ b/src/librattandeck/sidecar.cpp
@@ -65,8 +65,8 @@
     SidecarStatus status = this->impl->counters;
     status.leaving = this->impl->leaving;
     status.running = this->impl->running;
-    status.waiting = static_cast<std::uint32_t>(this->impl->calls.size()) - this->impl->running;
-    status.limit = static_cast<std::uint32_t>(this->impl->limit.limit);
+    status.waiting = this->impl->waiting();
+    status.limit = this->impl->places();
     status.records = recordCount(this->impl->records);
     status.heldPrefixes = this->impl->prefixes.held.size();
     status.configRevision = std::max(this->impl->config.revision(), this->impl->config.highestVersion());
@@ -81,6 +81,7 @@
     this->credits.lastId = firstCredit(this->settings);
     this->limit.limit = this->settings.initialConcurrency;
     this->limit.maximum = this->settings.maxConcurrency;
+    this->lastTick = this->now();
     this->after(Duration(0), [this] { this->effects.releaseAllPrefixes(); });
     this->after(this->settings.reportInterval, [this] { this->tick(); });
 }
@@ -228,6 +229,8 @@
 void SidecarCore::Impl::tick()
 {
     this->after(this->settings.reportInterval, [this] { this->tick(); });
+    this->refuseAfterPause();
+    this->lastTick = this->now();
     expireRecords(this->records, this->settings.keyRetention, this->now());
     for (const ProgramId& program : expiredPrefixes(this->prefixes, this->now())) {
         if (!this->isActive(program)) {
@@ -251,7 +254,7 @@
 {
     if (this->leaving)
         return 0;
-    const auto places = static_cast<std::uint32_t>(this->limit.limit) + this->settings.queueLimit;
+    const auto places = this->places() + this->settings.queueLimit;
     const auto taken = static_cast<std::uint32_t>(this->calls.size()) + liveCredits(this->credits, this->now());
     return places > taken ? places - taken : 0;
 }
@@ -339,6 +342,21 @@
     }
 }
 
+// Engine memory of running calls beyond the prefixes that are counted as held.
+TokenCount SidecarCore::Impl::runningTokens() const
+{
+    TokenCount sum;
+    for (const auto& [id, call] : this->calls) {
+        if (!call.running)
+            continue;
+        const auto held = this->prefixes.held.find(call.order.program.id);
+        const std::int64_t prefix = held == this->prefixes.held.end() ? 0 : held->second.tokens.value;
+        const std::int64_t used = call.order.historyTokens.value + call.order.inputTokens.value + call.textTokens.value;
+        sum.value += std::max<std::int64_t>(0, used - prefix);
+    }
+    return sum;
+}
+
 void SidecarCore::Impl::report(EntryLink& link, std::uint32_t creditCount)
 {
     const NodeId& node = link.hello.node;
@@ -347,8 +365,8 @@
     report.service = this->settings.service;
     report.leaving = this->leaving;
     report.running = this->running;
-    report.waiting = static_cast<std::uint32_t>(this->calls.size()) - this->running;
-    report.limit = static_cast<std::uint32_t>(this->limit.limit);
+    report.waiting = this->waiting();
+    report.limit = this->places();
     for (const auto& [id, call] : this->calls) {
         if (!call.running)
             report.waitingTokens.value += call.order.inputTokens.value + call.order.maxOutputTokens.value;
@@ -356,7 +374,7 @@
     report.prefillTokensPerSecond = this->speed.prefillTokensPerSecond;
     report.decodeTokensPerSecond = this->speed.decodeTokensPerSecond;
     report.cacheCapacity = this->settings.cacheCapacity;
-    report.cacheUsed = totalHeldTokens(this->prefixes);
+    report.cacheUsed = TokenCount(totalHeldTokens(this->prefixes).value + this->runningTokens().value);
     report.accountedOrder = link.accountedOrder;
     report.credits = issueCredits(this->credits, node, creditCount, this->settings.creditLife, this->now());
     if (creditCount > 0)
--- a/src/librattandeck/sidecarendpoint.cpp
+++ b/src/librattandeck/sidecarendpoint.cpp
@@ -16,8 +16,6 @@
     // Longest pause that a home can announce for a prefix, in prefix leases.
     constexpr int maxPauseLeases = 5;
 
-    double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
     void smooth(double& average, double sample)
     {
         average = average > 0 ? average + measurementWeight * (sample - average) : sample;
@@ -82,6 +80,7 @@
         else
             program.turns.erase(call.order.turn);
         --this->running;
+        this->limit = afterNoRoom(this->limit, this->running);
         this->refuseCall(id, RefusalReason::Overloaded);
         this->startQueued();
         return;
--- a/src/librattandeck/sidecarimpl.h
+++ b/src/librattandeck/sidecarimpl.h
@@ -96,6 +96,8 @@
     double decodeTokensPerSecond = 0;
 };
 
+inline double seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
 struct SidecarCore::Impl {
     Impl(SidecarSettings settings, TimerService& timers, SidecarEffects effects);
 
@@ -117,8 +119,11 @@
     void sendEarlyReports();
     void reportToHungry();
     void reportAll();
+    TokenCount runningTokens() const;
     void report(EntryLink& link, std::uint32_t credits);
     std::uint32_t creditRoom();
+    std::uint32_t waiting() const { return static_cast<std::uint32_t>(this->calls.size()) - this->running; }
+    std::uint32_t places() const { return static_cast<std::uint32_t>(this->limit.limit); }
     std::map<NodeId, std::uint32_t> divideRoom();
     /// The entry's queued calls never start: it may have given them up and gone on.
     void dropQueued(EntryLink& link);
@@ -145,6 +150,8 @@
     void refuseCall(OrderId id, RefusalReason reason);
     OrderId enqueue(EntryLink& link, const Order& order);
     void startQueued();
+    /// After a pause of this process nothing that waits may start: its home may have given it up long ago.
+    void refuseAfterPause();
     std::optional<OrderId> chooseNext();
     void start(SidecarCall& call);
     void dropHopeless();
@@ -211,6 +218,7 @@
     ConcurrencyLimit limit;
     EndpointSpeed speed;
 
+    TimePoint lastTick {};
     SidecarStatus counters;
     bool leaving = false;
     bool finalReportSent = false;
