Don't forget a prefix on a report that is older than its last order

Cause: cache events come late; a drop that the engine reported before the program's last call there made the home forget a prefix that is there again (docs/DECISIONS.md, Drop events). Change: PrefixAt remembers the last order; reports that do not account for it neither drop nor replace the prefix.

--- a/src/librattandeck/entryorders.cpp
+++ b/src/librattandeck/entryorders.cpp
@@ -326,11 +326,18 @@
         if (isNew)
             this->reviewCopies();
     }
-    const auto forget = [&](const ProgramId& id) {
+    // A report made before the last order there is older than what the order's end has told.
+    const auto forget = [&](const ProgramId& id) -> HomeProgram* {
         const auto shard = this->shards.find(id.shard);
         HomeProgram* program = shard == this->shards.end() ? nullptr : shard->second.find(id);
-        if (program)
-            std::erase_if(program->prefixes, [&](const PrefixAt& held) { return held.sidecar == from; });
+        if (!program)
+            return nullptr;
+        const auto held = std::ranges::find(program->prefixes, from, &PrefixAt::sidecar);
+        if (held == program->prefixes.end())
+            return program;
+        if (held->lastOrder > report.accountedOrder)
+            return nullptr;
+        program->prefixes.erase(held);
         return program;
     };
     for (const ProgramId& id : report.droppedPrefixes)
--- a/src/librattandeck/entryrecords.cpp
+++ b/src/librattandeck/entryrecords.cpp
@@ -400,7 +400,8 @@
         answer = Problem { ProblemKind::NotServing, Ran::Unknown, takeoverRetry, "the lease has lapsed" };
     if (held.onChain && call->request.service == program->header.service) {
         std::erase_if(program->prefixes, [&](const PrefixAt& prefix) { return prefix.sidecar == call->sidecar; });
-        program->prefixes.push_back({ call->sidecar, program->historyTokens });
+        const OrderId order = call->order ? call->order->id : OrderId();
+        program->prefixes.push_back({ call->sidecar, program->historyTokens, order });
     }
     this->pausePrefix(*shard, *program, *call);
     AnswerTokens rest;
--- a/src/librattandeck/fleet.h
+++ b/src/librattandeck/fleet.h
@@ -19,6 +19,8 @@
 struct PrefixAt {
     NodeId sidecar;
     TokenCount tokens;
+    /// The last order that used it there; 0 when a report told of it first.
+    OrderId lastOrder {};
 };
 
 /// What a call asks of the fleet. The referenced objects outlive the query.
