Let rattandeckctl ask several entries

Cause: each entry knows only the programs that it is the home of, so explain and dry runs must ask all of them. Before/after: explain asked one entry.

--- a/src/rattandeckctl/commands.cpp
+++ b/src/rattandeckctl/commands.cpp
@@ -7,6 +7,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <iostream>
 
 using namespace Rattandeck;
@@ -115,10 +116,9 @@
     return { std::move(policies) };
 }
 
-void printMatches(const Json& instances, const PolicySet& policies, const FileObject& object)
+void printEndpointMatches(const Json& instances, const PolicySet& policies, const Json& spec)
 {
-    const Json spec = Json::parse(object.value, nullptr, false);
-    if (object.key.kind != "policy" || !spec.contains("endpoints"))
+    if (!spec.contains("endpoints"))
         return;
     const auto selector = parseSelector(spec["endpoints"].get<std::string>());
     std::size_t hits = 0;
@@ -134,6 +134,30 @@
     std::cout << "  " << hits << " endpoint instances match today\n";
 }
 
+void printProgramMatches(const Json& programs, const PolicySet& policies, const Json& spec)
+{
+    const auto selector = parseSelector(spec.value("programs", ""));
+    const auto hits = std::count_if(programs.begin(), programs.end(), [&](const Json& program) {
+        const OrganisationId organisation(program.value("organisation", ""));
+        return matches(*selector, policies.programLabels(organisation, ServiceName(program.value("service", ""))));
+    });
+    std::cout << "  " << hits << " of " << programs.size() << " open programs match today\n";
+}
+
+// The open programs of all entries asked, or nothing when one can't be read.
+std::optional<Json> readOpenPrograms(Session& session, const CommandOptions& options)
+{
+    Json all = Json::array();
+    for (const Address& entry : options.entryAdmins) {
+        const auto response = session.get(entry, "/v1/programs");
+        const Json programs = response ? Json::parse(response->body, nullptr, false) : Json();
+        if (!programs.is_array())
+            return std::nullopt;
+        all.insert(all.end(), programs.begin(), programs.end());
+    }
+    return all;
+}
+
 int printAllMatches(Session& session, const CommandOptions& options, const std::vector<FileObject>& objects)
 {
     if (!options.instanceList)
@@ -150,8 +174,20 @@
     // Labels of the file count as if they were applied already.
     for (const FileObject& object : objects)
         policies->apply({ object.key.kind, object.key.name, object.version, false, object.value });
-    for (const FileObject& object : objects)
-        printMatches(instances, *policies, object);
+    const std::optional<Json> programs = readOpenPrograms(session, options);
+    if (!programs) {
+        std::cerr << "the entries' open programs can't be read\n";
+        return ExitUnavailable;
+    }
+    for (const FileObject& object : objects) {
+        if (object.key.kind != "policy")
+            continue;
+        const Json spec = Json::parse(object.value, nullptr, false);
+        std::cout << object.key.kind << '/' << object.key.name << '\n';
+        printEndpointMatches(instances, *policies, spec);
+        if (!options.entryAdmins.empty())
+            printProgramMatches(*programs, *policies, spec);
+    }
     return ExitSuccess;
 }
 
@@ -268,19 +304,10 @@
     return ExitSuccess;
 }
 
-int explainProgram(const CommandOptions& options, const std::string& program)
+namespace {
+
+void printDecisions(const Json& decisions)
 {
-    Session session;
-    const auto response = session.get(*options.entryAdmin, "/v1/decisions", "program", program);
-    if (!response) {
-        std::cerr << "the entry can't be reached: " << describe(response.error()) << '\n';
-        return ExitUnavailable;
-    }
-    const Json decisions = Json::parse(response->body, nullptr, false);
-    if (response->status != 200 || !decisions.is_array()) {
-        std::cerr << response->body;
-        return ExitFailure;
-    }
     for (const Json& decision : decisions) {
         std::cout << "turn " << decision.value("turn", 0) << ": " << decision.value("choice", "") << " by "
                   << decision.value("policy", "") << '\n';
@@ -291,8 +318,30 @@
                       << ")\n";
         }
     }
-    if (decisions.empty())
-        std::cout << "this entry keeps no decision of that program\n";
+}
+
+}
+
+int explainProgram(const CommandOptions& options, const std::string& program)
+{
+    Session session;
+    std::size_t found = 0;
+    for (const Address& entry : options.entryAdmins) {
+        const auto response = session.get(entry, "/v1/decisions", "program", program);
+        if (!response) {
+            std::cerr << toString(entry) << " can't be reached: " << describe(response.error()) << '\n';
+            return ExitUnavailable;
+        }
+        const Json decisions = Json::parse(response->body, nullptr, false);
+        if (response->status != 200 || !decisions.is_array()) {
+            std::cerr << response->body;
+            return ExitFailure;
+        }
+        printDecisions(decisions);
+        found += decisions.size();
+    }
+    if (found == 0)
+        std::cout << "no entry asked keeps a decision of that program\n";
     return ExitSuccess;
 }
 
--- a/src/rattandeckctl/commands.h
+++ b/src/rattandeckctl/commands.h
@@ -5,13 +5,14 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 /// What an operator asked for, from the command line.
 struct CommandOptions {
     std::optional<RattandeckNet::Address> objectApi;
     std::optional<RattandeckNet::Address> instanceList;
-    /// Admin address of an entry, for `explain`.
-    std::optional<RattandeckNet::Address> entryAdmin;
+    /// Admin addresses of entries, for `explain` and dry runs: each knows the programs that it is the home of.
+    std::vector<RattandeckNet::Address> entryAdmins;
     std::string file;
     bool dryRun = false;
     /// Replace objects whatever version they have.
--- a/src/rattandeckctl/rattandeckctl.cpp
+++ b/src/rattandeckctl/rattandeckctl.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/program_options.hpp>
 
+#include <algorithm>
 #include <iostream>
 
 namespace Options = boost::program_options;
@@ -49,7 +50,7 @@
     if (command.name == "check")
         return checkFile(options);
     if (command.name == "explain") {
-        if (!options.entryAdmin || command.arguments.size() != 1)
+        if (options.entryAdmins.empty() || command.arguments.size() != 1)
             return reportUsage("explain needs --entry and a program id");
         return explainProgram(options, command.argument(0));
     }
@@ -89,12 +90,12 @@
     Command command;
     std::string objects;
     std::string instances;
-    std::string entry;
+    std::vector<std::string> entries;
     Options::options_description described("Options");
     auto add = described.add_options();
     add("objects", Options::value(&objects)->value_name("HOST:PORT"), "the object API");
     add("instances", Options::value(&instances)->value_name("HOST:PORT"), "the instance list, for dry runs");
-    add("entry", Options::value(&entry)->value_name("HOST:PORT"), "admin address of an entry");
+    add("entry", Options::value(&entries)->value_name("HOST:PORT"), "admin address of an entry; repeatable");
     add("file,f", Options::value(&options.file)->value_name("FILE"), "objects in TOML");
     add("dry-run", Options::bool_switch(&options.dryRun), "apply: say what would change and which endpoints match");
     add("overwrite", Options::bool_switch(&options.overwrite), "apply: replace whatever version is stored");
@@ -125,8 +126,14 @@
         std::cout << "rattandeckctl " << RattandeckApp::version() << '\n';
         return ExitSuccess;
     }
-    if (!takeAddress(objects, options.objectApi) || !takeAddress(instances, options.instanceList)
-        || !takeAddress(entry, options.entryAdmin))
+    const bool entriesTaken = std::all_of(entries.begin(), entries.end(), [&](const std::string& text) {
+        std::optional<RattandeckNet::Address> address;
+        if (!takeAddress(text, address) || !address)
+            return false;
+        options.entryAdmins.push_back(*address);
+        return true;
+    });
+    if (!entriesTaken || !takeAddress(objects, options.objectApi) || !takeAddress(instances, options.instanceList))
         return reportUsage("an address must look like 127.0.0.1:8080");
     return run(command, options);
 }
