--- a/src/rattandeckctl/session.cpp
+++ b/src/rattandeckctl/session.cpp
@@ -55,7 +55,7 @@
     if (!parameter.empty())
         request.query[parameter] = value;
     tl::expected<HttpResponse, NetError> response = tl::unexpected(NetError::TimedOut);
-    client.fetch(std::move(request), callTimeout, [&](tl::expected<HttpResponse, NetError> answer) {
+    client.fetch(request, callTimeout, [&](tl::expected<HttpResponse, NetError> answer) {
         response = std::move(answer);
         this->impl->loop.stop();
     });
