Accept connections by one function in HTTP server and peer network

Cause: both wrote the same loop (accept, retry after 50 ms when out of descriptors) and the same listen. Change: acceptNext and listenAndAccept in loopimpl.h, over an owner with isAccepting and addConnection. Lifetimes as before: a pending accept keeps its owner, a waiting retry doesn't.

--- a/src/librattandecknet/httpserver.cpp
+++ b/src/librattandecknet/httpserver.cpp
@@ -6,7 +6,6 @@
 
 /// Connections beyond the limit that are still told so with 503; more than these are closed at once.
 constexpr std::size_t maxRefusedConnections = 64;
-constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
 
 // HttpResponder ---------------------------------------------------------------------------------------------------
 
@@ -63,26 +62,6 @@
 {
 }
 
-void HttpServer::Impl::accept()
-{
-    auto onAccept = [self = this->shared_from_this()](const ErrorCode& error, Socket socket) {
-        if (self->stopping || self->closed)
-            return;
-        if (!error) {
-            self->addConnection(std::move(socket));
-            self->accept();
-            return;
-        }
-        // Out of descriptors, most likely: trying again at once would spin.
-        self->loop.timers.subscribeAfter(acceptRetryDelay, [weak = std::weak_ptr<Impl>(self)] {
-            const auto self = weak.lock();
-            if (self && !self->stopping && !self->closed)
-                self->accept();
-        });
-    };
-    this->acceptor.async_accept(this->loop.bind(std::move(onAccept)));
-}
-
 void HttpServer::Impl::addConnection(Socket socket)
 {
     const std::size_t count = this->connections.size();
@@ -114,15 +93,7 @@
 
 HttpServer::~HttpServer() { this->impl->closeAll(); }
 
-tl::expected<void, NetError> HttpServer::listen(const Address& address)
-{
-    const auto outcome = listenOn(this->impl->acceptor, address);
-    if (!outcome)
-        return outcome;
-    this->impl->port = this->impl->acceptor.local_endpoint().port();
-    this->impl->accept();
-    return {};
-}
+tl::expected<void, NetError> HttpServer::listen(const Address& address) { return listenAndAccept(this->impl, address); }
 
 std::uint16_t HttpServer::port() const { return this->impl->port; }
 
--- a/src/librattandecknet/loopimpl.h
+++ b/src/librattandecknet/loopimpl.h
@@ -8,6 +8,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/posix/basic_stream_descriptor.hpp>
 
+#include <chrono>
+#include <memory>
 #include <optional>
 
 /// Asio side of the event loop, for the sources of this library only.
@@ -51,4 +53,39 @@
 /// Opens a listening socket.
 tl::expected<void, NetError> listenOn(Acceptor& acceptor, const Address& address);
 
+constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
+
+/// Accepts one connection after the other while `owner->isAccepting()`, and hands each to `owner->addConnection`.
+template <typename Owner> void acceptNext(const std::shared_ptr<Owner>& owner)
+{
+    auto onAccept = [owner](const ErrorCode& error, Socket socket) {
+        if (!owner->isAccepting())
+            return;
+        if (!error) {
+            owner->addConnection(std::move(socket));
+            acceptNext(owner);
+            return;
+        }
+        // Out of descriptors, most likely: trying again at once would spin.
+        owner->loop.timers.subscribeAfter(acceptRetryDelay, [weak = std::weak_ptr<Owner>(owner)] {
+            const auto owner = weak.lock();
+            if (owner && owner->isAccepting())
+                acceptNext(owner);
+        });
+    };
+    owner->acceptor.async_accept(owner->loop.bind(std::move(onAccept)));
+}
+
+/// Opens `owner->acceptor`, notes the bound port in `owner->port` and accepts from then on.
+template <typename Owner>
+tl::expected<void, NetError> listenAndAccept(const std::shared_ptr<Owner>& owner, const Address& address)
+{
+    const auto outcome = listenOn(owner->acceptor, address);
+    if (!outcome)
+        return outcome;
+    owner->port = owner->acceptor.local_endpoint().port();
+    acceptNext(owner);
+    return {};
+}
+
 }
--- a/src/librattandecknet/peer.cpp
+++ b/src/librattandecknet/peer.cpp
@@ -22,7 +22,6 @@
 constexpr std::size_t maxLinks = 4096;
 /// How long a closing link may take to write out its queue.
 constexpr std::chrono::seconds drainTime { 1 };
-constexpr std::chrono::milliseconds acceptRetryDelay { 50 };
 
 namespace {
 
@@ -55,7 +54,8 @@
     /// By "host:port".
     std::map<std::string, Target> targets;
 
-    void accept();
+    bool isAccepting() const { return !this->isClosing; }
+    void addConnection(Socket socket);
     void dial(const std::string& name);
     bool needsNoDial(const std::string& name, const Target& target) const;
     void scheduleDial(const std::string& name, Duration delay);
@@ -345,28 +345,13 @@
 {
 }
 
-void PeerNetwork::Impl::accept()
+void PeerNetwork::Impl::addConnection(Socket socket)
 {
-    auto onAccept = [self = this->shared_from_this()](const ErrorCode& error, Socket socket) {
-        if (self->isClosing)
-            return;
-        if (error) {
-            // Out of descriptors, most likely: trying again at once would spin.
-            self->loop.timers.subscribeAfter(acceptRetryDelay, [weak = std::weak_ptr<Impl>(self)] {
-                const auto self = weak.lock();
-                if (self && !self->isClosing)
-                    self->accept();
-            });
-            return;
-        }
-        if (self->links.size() < maxLinks) {
-            auto link = std::make_shared<PeerLink>(self, std::move(socket), PeerSession::Side::Acceptor, 0);
-            self->links.insert(link);
-            link->start();
-        }
-        self->accept();
-    };
-    this->acceptor.async_accept(this->loop.bind(std::move(onAccept)));
+    if (this->links.size() >= maxLinks)
+        return;
+    auto link = std::make_shared<PeerLink>(this->shared_from_this(), std::move(socket), PeerSession::Side::Acceptor, 0);
+    this->links.insert(link);
+    link->start();
 }
 
 // Dialling -------------------------------------------------------------------------------------------------------
@@ -516,12 +501,7 @@
 
 tl::expected<void, NetError> PeerNetwork::listen(const Address& address)
 {
-    const auto outcome = listenOn(this->impl->acceptor, address);
-    if (!outcome)
-        return outcome;
-    this->impl->port = this->impl->acceptor.local_endpoint().port();
-    this->impl->accept();
-    return {};
+    return listenAndAccept(this->impl, address);
 }
 
 std::uint16_t PeerNetwork::port() const { return this->impl->port; }
--- a/src/librattandecknet/serverconnection.h
+++ b/src/librattandecknet/serverconnection.h
@@ -26,7 +26,7 @@
     std::size_t inFlight = 0;
     std::unordered_set<std::shared_ptr<ServerConnection>> connections;
 
-    void accept();
+    bool isAccepting() const { return !this->stopping && !this->closed; }
     void addConnection(Socket socket);
     void closeAll();
 };
