Compute the fingerprint of a crashing request in one place

Cause: entries and sidecars each had a crashFingerprint of service and input; had one been changed, quarantines would no longer have matched. Change: one crashFingerprint(service, input) in Rattandeck/digest.h, called by both. Conclusion: no change of behaviour.

--- a/src/include/Rattandeck/digest.h
+++ b/src/include/Rattandeck/digest.h
@@ -13,6 +13,9 @@
 /// Head of a history after one more turn.
 Digest chainDigest(const Digest& headBefore, TurnNumber turn, std::string_view input, std::string_view output);
 
+/// Tells requests that crash endpoints, whoever sends them.
+Digest crashFingerprint(const ServiceName& service, std::string_view input);
+
 /// Seeded 64-bit hash (XXH3) for shards, rendezvous choices and fingerprints; not for safety against forgery.
 std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
 
--- a/src/librattandeck/digest.cpp
+++ b/src/librattandeck/digest.cpp
@@ -38,6 +38,12 @@
     return digestOf(parts);
 }
 
+Digest crashFingerprint(const ServiceName& service, std::string_view input)
+{
+    const std::array<std::string_view, 2> parts { service.value, input };
+    return digestOf(parts);
+}
+
 std::uint64_t hash64(std::string_view text, std::uint64_t seed)
 {
     return XXH3_64bits_withSeed(text.data(), text.size(), seed);
--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -1,5 +1,7 @@
 #include "entryimpl.h"
 
+#include "Rattandeck/digest.h"
+
 #include <algorithm>
 
 namespace Rattandeck {
@@ -445,7 +447,7 @@
     call->callers.push_back(caller);
     call->streaming.push_back(caller);
     call->digest = digest;
-    call->fingerprint = crashFingerprint(request);
+    call->fingerprint = crashFingerprint(request.service, request.input);
     call->arrived = this->now();
     call->deadline = this->now() + request.timeLeft;
     call->turn = request.turn;
--- a/src/librattandeck/entrycensus.cpp
+++ b/src/librattandeck/entrycensus.cpp
@@ -1,5 +1,7 @@
 #include "entryimpl.h"
 
+#include "Rattandeck/digest.h"
+
 #include <algorithm>
 
 namespace Rattandeck {
@@ -178,7 +180,7 @@
     call->request.input = record.input;
     call->request.turn = record.turn;
     call->digest = record.request;
-    call->fingerprint = crashFingerprint(call->request);
+    call->fingerprint = crashFingerprint(call->request.service, call->request.input);
     call->turn = record.turn;
     call->attempt = record.attempt;
     call->arrived = this->now();
--- a/src/librattandeck/home.cpp
+++ b/src/librattandeck/home.cpp
@@ -76,12 +76,6 @@
     return digestOf(parts);
 }
 
-Digest crashFingerprint(const CallerRequest& request)
-{
-    const std::array<std::string_view, 2> parts { request.service.value, request.input };
-    return digestOf(parts);
-}
-
 TokenCount reservationFor(const CallerRequest& request)
 {
     return TokenCount(estimateTokens(request.input).value + request.maxOutputTokens.value);
--- a/src/librattandeck/home.h
+++ b/src/librattandeck/home.h
@@ -173,8 +173,6 @@
 TokenCount estimateTokens(const std::string& text);
 /// Tells a repeated request from another one under the same number or key.
 Digest requestDigest(const CallerRequest& request);
-/// Tells requests that crash endpoints, whoever sends them.
-Digest crashFingerprint(const CallerRequest& request);
 /// What the call can charge at most.
 TokenCount reservationFor(const CallerRequest& request);
 
--- a/src/librattandeck/sidecarimpl.h
+++ b/src/librattandeck/sidecarimpl.h
@@ -225,7 +225,4 @@
     TimePoint drainedFrom {};
 };
 
-/// What tells requests that crash endpoints, whoever sends them.
-Digest crashFingerprint(const Order& order);
-
 }
--- a/src/librattandeck/sidecarorders.cpp
+++ b/src/librattandeck/sidecarorders.cpp
@@ -4,7 +4,6 @@
 #include "Rattandeck/ordering.h"
 
 #include <algorithm>
-#include <array>
 
 namespace Rattandeck {
 
@@ -55,12 +54,6 @@
 
 }
 
-Digest crashFingerprint(const Order& order)
-{
-    const std::array<std::string_view, 2> parts { order.service.value, order.input };
-    return digestOf(parts);
-}
-
 // Arrival ----------------------------------------------------------------------------------------------------------
 
 void SidecarCore::Impl::onOrder(const NodeId& from, const Order& order)
@@ -154,7 +147,7 @@
 {
     if (this->leaving)
         return RefusalReason::Leaving;
-    if (this->isQuarantined(crashFingerprint(order)))
+    if (this->isQuarantined(crashFingerprint(order.service, order.input)))
         return RefusalReason::Quarantined;
     if (!this->canMeet(order, order.timeLeft, this->queueSeconds(this->waiting())))
         return RefusalReason::TooLate;
@@ -231,7 +224,7 @@
     SidecarCall& call = this->calls[id];
     call.id = id;
     call.order = order;
-    call.fingerprint = crashFingerprint(order);
+    call.fingerprint = crashFingerprint(order.service, order.input);
     call.subscribers.push_back({ link.hello.node, link.hello.incarnation, order.id });
     call.arrived = this->now();
     call.deadline = this->now() + order.timeLeft;
