Share what entry and sidecar daemons have in common; wait for connections to close

Cause: settings' keys, listening, bound addresses, incarnation, ready line, admin pages and the planned stop stood in both daemon.cpp. At a planned stop both ended the loop one turn after PeerNetwork::close, so that queued messages and answers still being written could be cut. Change: RattandeckApp/daemon.h (InstanceSettings and functions over it, answerAdmin, runPlannedStop), used by both. Left: wiring to the two cores (link handlers, metrics) that only looks alike.

--- /dev/null
+++ b/src/librattandeckapp/daemon.cpp
@@ -0,0 +1,133 @@
+#include "RattandeckApp/daemon.h"
+
+#include <chrono>
+#include <iostream>
+#include <memory>
+
+using namespace Rattandeck;
+using namespace RattandeckNet;
+
+namespace RattandeckApp {
+
+// Settings -----------------------------------------------------------------------------------------------------------
+
+void bindIdentity(SettingsSchema& schema, InstanceSettings& settings)
+{
+    schema.addRequiredString("node", settings.node, "name of this instance, unique in the system");
+    schema.addRequiredString("domain", settings.domain, "failure domain of this instance");
+}
+
+void bindAdmin(SettingsSchema& schema, InstanceSettings& settings, const std::string& pages)
+{
+    schema.addAddress("admin.listen", settings.adminListen, "address for " + pages + " (HTTP)");
+}
+
+void bindPeers(SettingsSchema& schema, InstanceSettings& settings, const std::string& dialers)
+{
+    schema.addAddress("peers.listen", settings.peersListen, "address for " + dialers + " (HTTP/2)");
+    schema.addAddress("peers.advertise", settings.peersAdvertise, "address that others dial, if it differs");
+}
+
+void bindLog(SettingsSchema& schema, LogSettings& settings)
+{
+    schema.addChoice("log.level", settings.level, { "debug", "info", "warning", "error" }, "lowest level written");
+    schema.addChoice("log.format", settings.format, { "text", "json" }, "form of the lines");
+    schema.addString("log.file", settings.file, "file to append to; empty is standard error");
+}
+
+// Starting -----------------------------------------------------------------------------------------------------------
+
+bool startInstanceLog(const InstanceSettings& settings)
+{
+    if (startLog(settings.log, settings.node))
+        return true;
+    std::cerr << settings.log.file << ": can't be opened\n";
+    return false;
+}
+
+Incarnation incarnationFromClock()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count()));
+}
+
+bool listenAt(
+    const std::string& text, const std::function<tl::expected<void, NetError>(const Address& address)>& listen)
+{
+    const auto address = parseAddress(text);
+    const auto result = address ? listen(*address) : tl::unexpected(address.error());
+    if (!result)
+        logError("listen", text + ": " + std::string(describe(result.error())));
+    return result.has_value();
+}
+
+std::string boundAddress(const std::string& requested, std::uint16_t port)
+{
+    Address address = parseAddress(requested).value_or(Address {});
+    address.port = port;
+    return toString(address);
+}
+
+std::string peersAddress(const InstanceSettings& settings, std::uint16_t port)
+{
+    if (!settings.peersAdvertise.empty())
+        return settings.peersAdvertise;
+    return boundAddress(settings.peersListen, port);
+}
+
+void printReady(const std::vector<ReadyAddress>& addresses)
+{
+    std::cout << "ready";
+    for (const ReadyAddress& ready : addresses)
+        std::cout << " " << ready.name << "=" << ready.address;
+    std::cout << std::endl;
+}
+
+// Operators ----------------------------------------------------------------------------------------------------------
+
+void answerAdmin(const HttpRequest& request, const HttpResponder& responder, const std::function<bool()>& isReady,
+    const Metrics& metrics)
+{
+    const HttpHeaders text { { "content-type", "text/plain; version=0.0.4" } };
+    if (request.path == "/healthz")
+        return responder.send({ 200, text, "ok\n" });
+    if (request.path == "/readyz") {
+        const bool ready = isReady();
+        return responder.send({ ready ? 200 : 503, text, ready ? "ready\n" : "not ready\n" });
+    }
+    if (request.path == "/metrics")
+        return responder.send({ 200, text, metrics.render() });
+    responder.send({ 404, text, "no such page\n" });
+}
+
+// Stopping -----------------------------------------------------------------------------------------------------------
+
+namespace {
+
+    constexpr Milliseconds drainCheckInterval { 50 };
+    constexpr Milliseconds closeCheckInterval { 10 };
+
+    void awaitClosed(TimerService& timers, const std::shared_ptr<PlannedStop>& steps, TimePoint latest)
+    {
+        if (steps->isClosed() || timers.now() >= latest)
+            return steps->stop();
+        timers.subscribeAfter(closeCheckInterval, [&timers, steps, latest] { awaitClosed(timers, steps, latest); });
+    }
+
+    void awaitDrained(TimerService& timers, const std::shared_ptr<PlannedStop>& steps)
+    {
+        if (steps->isDrained()) {
+            steps->close();
+            return awaitClosed(timers, steps, timers.now() + closeLimit);
+        }
+        timers.subscribeAfter(drainCheckInterval, [&timers, steps] { awaitDrained(timers, steps); });
+    }
+
+}
+
+void runPlannedStop(TimerService& timers, PlannedStop steps)
+{
+    awaitDrained(timers, std::make_shared<PlannedStop>(std::move(steps)));
+}
+
+}
--- a/src/rattandeck-entry/callerapi.cpp
+++ b/src/rattandeck-entry/callerapi.cpp
@@ -91,6 +91,8 @@
 
 std::size_t CallerApi::inFlight() const { return this->pending.size(); }
 
+std::size_t CallerApi::openConnections() const { return this->server.openConnections(); }
+
 void CallerApi::handle(const HttpRequest& http, const HttpResponder& responder)
 {
     const Route route = routeOf(http.method, http.path);
--- a/src/rattandeck-entry/callerapi.h
+++ b/src/rattandeck-entry/callerapi.h
@@ -25,7 +25,9 @@
     tl::expected<void, RattandeckNet::NetError> listen(const RattandeckNet::Address& address);
     std::uint16_t port() const;
     void stopAccepting();
+    /// Requests without a final answer.
     std::size_t inFlight() const;
+    std::size_t openConnections() const;
 
     /// An event of the core for one ticket. Unknown tickets are ignored.
     void reply(Rattandeck::CallerTicket ticket, const Rattandeck::CallerEvent& event);
--- a/src/rattandeck-entry/daemon.cpp
+++ b/src/rattandeck-entry/daemon.cpp
@@ -3,13 +3,11 @@
 #include "callerapi.h"
 #include "decisions.h"
 #include "RattandeckApp/commandline.h"
-#include "RattandeckApp/metrics.h"
+#include "RattandeckApp/daemon.h"
 #include "RattandeckApp/objectclient.h"
 #include "RattandeckNet/peer.h"
 
-#include <chrono>
 #include <csignal>
-#include <iostream>
 #include <set>
 
 using namespace Rattandeck;
@@ -20,16 +18,14 @@
 
 void bindSettings(SettingsSchema& schema, DaemonSettings& s)
 {
-    schema.addRequiredString("node", s.node, "name of this instance, unique in the system");
-    schema.addRequiredString("domain", s.domain, "failure domain of this instance");
+    bindIdentity(schema, s.instance);
 
     schema.addAddress("callers.listen", s.callersListen, "address for callers (HTTP)");
     schema.addInteger("callers.max_connections", s.maxConnections, 1, 100000, "open connections of callers");
     schema.addInteger("callers.max_body_bytes", s.maxBodyBytes, 1024, 64 << 20, "largest body of a request");
-    schema.addAddress("admin.listen", s.adminListen, "address for health, metrics and explain (HTTP)");
+    bindAdmin(schema, s.instance, "health, metrics and explain");
     schema.addInteger("admin.decisions_kept", s.decisionsKept, 0, 1000000, "placement decisions kept for explain");
-    schema.addAddress("peers.listen", s.peersListen, "address for entries and sidecars (HTTP/2)");
-    schema.addAddress("peers.advertise", s.peersAdvertise, "address that others dial, if it differs");
+    bindPeers(schema, s.instance, "entries and sidecars");
 
     schema.addAddress("platform.object_api", s.objectApi, "address of the object API");
     schema.addAddress("platform.instance_list", s.instanceList, "address of the instance list");
@@ -56,25 +52,19 @@
         "longest wait for capacity before a call is refused");
     schema.addInteger("seed", s.seed, 0, INT64_MAX, "seed of placement's samples");
 
-    schema.addChoice("log.level", s.log.level, { "debug", "info", "warning", "error" }, "lowest level written");
-    schema.addChoice("log.format", s.log.format, { "text", "json" }, "form of the lines");
-    schema.addString("log.file", s.log.file, "file to append to; empty is standard error");
+    bindLog(schema, s.instance.log);
 }
 
 // The parts of a running entry ---------------------------------------------------------------------------------------
 
 namespace {
 
-constexpr Milliseconds drainCheckInterval { 50 };
-
 EntrySettings coreSettings(const DaemonSettings& settings)
 {
     EntrySettings core = settings.core;
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    core.node = NodeId(settings.node);
-    core.domain = FailureDomain(settings.domain);
-    // Grows from one start to the next, also on another machine with a roughly right clock.
-    core.incarnation = Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count()));
+    core.node = NodeId(settings.instance.node);
+    core.domain = FailureDomain(settings.instance.domain);
+    core.incarnation = incarnationFromClock();
     core.shardCount = static_cast<std::uint32_t>(settings.shardCount);
     core.crashLimit = static_cast<std::uint32_t>(settings.crashLimit);
     core.seed = static_cast<std::uint64_t>(settings.seed);
@@ -101,9 +91,9 @@
         this->startCore();
         this->loop.onSignal(SIGTERM, [this] { this->onTerminate(); });
         this->loop.onSignal(SIGINT, [this] { this->loop.stop(); });
-        std::cout << "ready callers=" << this->boundAddress(this->settings.callersListen, this->callers.port())
-                  << " admin=" << this->boundAddress(this->settings.adminListen, this->admin.port())
-                  << " peers=" << this->peersAddress() << std::endl;
+        printReady({ { "callers", boundAddress(this->settings.callersListen, this->callers.port()) },
+            { "admin", boundAddress(this->settings.instance.adminListen, this->admin.port()) },
+            { "peers", this->coreConfiguration.address } });
         this->loop.run();
         return ExitSuccess;
     }
@@ -130,39 +120,17 @@
         return self;
     }
 
-    static std::string boundAddress(const std::string& requested, std::uint16_t port)
-    {
-        Address address = parseAddress(requested).value_or(Address {});
-        address.port = port;
-        return toString(address);
-    }
-
-    std::string peersAddress() const
-    {
-        if (!this->settings.peersAdvertise.empty())
-            return this->settings.peersAdvertise;
-        return boundAddress(this->settings.peersListen, this->peers.port());
-    }
-
-    template <typename Listener> static bool listenOn(Listener& listener, const std::string& text)
-    {
-        const auto address = parseAddress(text);
-        const auto result = address ? listener.listen(*address) : tl::unexpected(address.error());
-        if (!result)
-            logError("listen", text + ": " + std::string(describe(result.error())));
-        return result.has_value();
-    }
-
     bool listen()
     {
         this->callers.onRequest = [this](CallerTicket ticket, CallerRequest request) {
             this->core->onCallerRequest(ticket, std::move(request));
         };
         this->callers.onGone = [this](CallerTicket ticket) { this->core->onCallerGone(ticket); };
-        if (!listenOn(this->callers, this->settings.callersListen) || !listenOn(this->admin, this->settings.adminListen)
-            || !listenOn(this->peers, this->settings.peersListen))
+        const InstanceSettings& instance = this->settings.instance;
+        if (!listenAt(this->settings.callersListen, this->callers) || !listenAt(instance.adminListen, this->admin)
+            || !listenAt(instance.peersListen, this->peers))
             return false;
-        this->coreConfiguration.address = this->peersAddress();
+        this->coreConfiguration.address = peersAddress(instance, this->peers.port());
         this->peers.setSelf(this->hello());
         return true;
     }
@@ -262,18 +230,10 @@
 
     void onAdmin(const HttpRequest& request, const HttpResponder& responder)
     {
-        const HttpHeaders text { { "content-type", "text/plain; version=0.0.4" } };
-        if (request.path == "/healthz")
-            return responder.send({ 200, text, "ok\n" });
-        if (request.path == "/readyz") {
-            const bool ready = this->core->status().serving && !this->terminating;
-            return responder.send({ ready ? 200 : 503, text, ready ? "ready\n" : "not ready\n" });
-        }
-        if (request.path == "/metrics")
-            return responder.send({ 200, text, this->metrics.render() });
         if (request.path == "/v1/decisions")
             return this->onExplain(request, responder);
-        responder.send({ 404, text, "no such page\n" });
+        const auto isReady = [this] { return this->core->status().serving && !this->terminating; };
+        answerAdmin(request, responder, isReady, this->metrics);
     }
 
     void onExplain(const HttpRequest& request, const HttpResponder& responder)
@@ -294,18 +254,18 @@
         this->terminating = true;
         logEvent("stopping", "finishing requests in flight");
         this->core->beginShutdown();
-        this->checkDrained();
-    }
-
-    void checkDrained()
-    {
-        if (this->core->isDrained() && this->callers.inFlight() == 0) {
+        PlannedStop steps;
+        steps.isDrained = [this] { return this->core->isDrained() && this->callers.inFlight() == 0; };
+        steps.close = [this] {
             this->callers.stopAccepting();
+            this->admin.stopAccepting();
             this->peers.close();
-            this->loop.post([this] { this->loop.stop(); });
-            return;
-        }
-        this->loop.timers().subscribeAfter(drainCheckInterval, [this] { this->checkDrained(); });
+        };
+        steps.isClosed = [this] {
+            return this->callers.openConnections() == 0 && this->admin.openConnections() == 0 && this->peers.isClosed();
+        };
+        steps.stop = [this] { this->loop.stop(); };
+        runPlannedStop(this->loop.timers(), std::move(steps));
     }
 
     const DaemonSettings& settings;
@@ -326,9 +286,7 @@
 
 int runDaemon(const DaemonSettings& settings)
 {
-    if (!startLog(settings.log, settings.node)) {
-        std::cerr << settings.log.file << ": can't be opened\n";
+    if (!startInstanceLog(settings.instance))
         return ExitSettings;
-    }
     return Daemon(settings).run();
 }
--- a/src/rattandeck-entry/daemon.h
+++ b/src/rattandeck-entry/daemon.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Rattandeck/entry.h"
-#include "RattandeckApp/log.h"
+#include "RattandeckApp/daemon.h"
 #include "RattandeckApp/settings.h"
 
 #include <cstdint>
@@ -11,13 +11,8 @@
 /// Settings of `rattandeck-entry` as read from its file.
 struct DaemonSettings {
     Rattandeck::EntrySettings core;
-    std::string node;
-    std::string domain;
+    RattandeckApp::InstanceSettings instance;
     std::string callersListen = "127.0.0.1:0";
-    std::string peersListen = "127.0.0.1:0";
-    std::string adminListen = "127.0.0.1:0";
-    /// What other processes dial; empty is the address listened on.
-    std::string peersAdvertise;
     std::string objectApi;
     std::string instanceList;
     Rattandeck::Milliseconds instanceListInterval { 1000 };
@@ -27,7 +22,6 @@
     std::int64_t maxConnections = 1024;
     std::int64_t maxBodyBytes = 4194304;
     std::int64_t decisionsKept = 1000;
-    RattandeckApp::LogSettings log;
 };
 
 /// Binds the keys of the settings file to `settings`. Precondition: `settings` outlives `schema`.
--- a/src/rattandeck-sidecar/daemon.cpp
+++ b/src/rattandeck-sidecar/daemon.cpp
@@ -2,12 +2,10 @@
 
 #include "endpoint.h"
 #include "RattandeckApp/commandline.h"
-#include "RattandeckApp/metrics.h"
+#include "RattandeckApp/daemon.h"
 #include "RattandeckNet/peer.h"
 
-#include <chrono>
 #include <csignal>
-#include <iostream>
 
 using namespace Rattandeck;
 using namespace RattandeckApp;
@@ -17,8 +15,7 @@
 
 void bindSettings(SettingsSchema& schema, DaemonSettings& s)
 {
-    schema.addRequiredString("node", s.node, "name of this instance, unique in the system");
-    schema.addRequiredString("domain", s.domain, "failure domain of this instance");
+    bindIdentity(schema, s.instance);
     schema.addRequiredString("service", s.service, "service of the endpoint beside this sidecar");
 
     schema.addChoice("endpoint.kind", s.endpointKind, { "engine", "service" }, "model engine or plain service");
@@ -42,30 +39,23 @@
     schema.addMilliseconds("records.home_absence_ms", s.core.homeAbsence, Milliseconds(100), Milliseconds(600000),
         "idempotent calls that nobody has awaited for this long are cancelled");
 
-    schema.addAddress("peers.listen", s.peersListen, "address for entries (HTTP/2)");
-    schema.addAddress("peers.advertise", s.peersAdvertise, "address that entries dial, if it differs");
-    schema.addAddress("admin.listen", s.adminListen, "address for health and metrics (HTTP)");
+    bindPeers(schema, s.instance, "entries");
+    bindAdmin(schema, s.instance, "health and metrics");
 
-    schema.addChoice("log.level", s.log.level, { "debug", "info", "warning", "error" }, "lowest level written");
-    schema.addChoice("log.format", s.log.format, { "text", "json" }, "form of the lines");
-    schema.addString("log.file", s.log.file, "file to append to; empty is standard error");
+    bindLog(schema, s.instance.log);
 }
 
 // The parts of a running sidecar -------------------------------------------------------------------------------------
 
 namespace {
 
-constexpr Milliseconds drainCheckInterval { 50 };
-
 SidecarSettings coreSettings(const DaemonSettings& settings)
 {
     SidecarSettings core = settings.core;
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    core.node = NodeId(settings.node);
-    core.domain = FailureDomain(settings.domain);
+    core.node = NodeId(settings.instance.node);
+    core.domain = FailureDomain(settings.instance.domain);
     core.service = ServiceName(settings.service);
-    // Grows from one start to the next, also on another machine with a roughly right clock.
-    core.incarnation = Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(now).count()));
+    core.incarnation = incarnationFromClock();
     core.modelEngine = settings.endpointKind == "engine";
     core.initialConcurrency = static_cast<std::uint32_t>(settings.initialConcurrency);
     core.maxConcurrency = static_cast<std::uint32_t>(settings.maxConcurrency);
@@ -92,8 +82,8 @@
             return ExitUnavailable;
         this->loop.onSignal(SIGTERM, [this] { this->onTerminate(); });
         this->loop.onSignal(SIGINT, [this] { this->loop.stop(); });
-        std::cout << "ready admin=" << boundAddress(this->settings.adminListen, this->admin.port())
-                  << " peers=" << this->peersAddress() << std::endl;
+        printReady({ { "admin", boundAddress(this->settings.instance.adminListen, this->admin.port()) },
+            { "peers", this->coreConfiguration.address } });
         this->loop.run();
         return ExitSuccess;
     }
@@ -121,7 +111,7 @@
         }
         EndpointSettings endpointSettings { *address };
         endpointSettings.requestPrefix
-            = this->settings.node + "-" + std::to_string(this->coreConfiguration.incarnation.value);
+            = this->settings.instance.node + "-" + std::to_string(this->coreConfiguration.incarnation.value);
         endpointSettings.maxConnections = this->coreConfiguration.maxConcurrency;
         endpointSettings.sendFence = this->settings.endpointChecksFence;
         const auto make = this->coreConfiguration.modelEngine ? makeEngine : makePlainService;
@@ -179,34 +169,12 @@
         return handlers;
     }
 
-    static std::string boundAddress(const std::string& requested, std::uint16_t port)
-    {
-        Address address = parseAddress(requested).value_or(Address {});
-        address.port = port;
-        return toString(address);
-    }
-
-    std::string peersAddress() const
-    {
-        if (!this->settings.peersAdvertise.empty())
-            return this->settings.peersAdvertise;
-        return boundAddress(this->settings.peersListen, this->peers.port());
-    }
-
-    template <typename Listener> static bool listenOn(Listener& listener, const std::string& text)
-    {
-        const auto address = parseAddress(text);
-        const auto result = address ? listener.listen(*address) : tl::unexpected(address.error());
-        if (!result)
-            logError("listen", text + ": " + std::string(describe(result.error())));
-        return result.has_value();
-    }
-
     bool listen()
     {
-        if (!listenOn(this->admin, this->settings.adminListen) || !listenOn(this->peers, this->settings.peersListen))
+        const InstanceSettings& instance = this->settings.instance;
+        if (!listenAt(instance.adminListen, this->admin) || !listenAt(instance.peersListen, this->peers))
             return false;
-        this->coreConfiguration.address = this->peersAddress();
+        this->coreConfiguration.address = peersAddress(instance, this->peers.port());
         this->peers.setSelf(this->hello());
         return true;
     }
@@ -239,16 +207,8 @@
 
     void onAdmin(const HttpRequest& request, const HttpResponder& responder)
     {
-        const HttpHeaders text { { "content-type", "text/plain; version=0.0.4" } };
-        if (request.path == "/healthz")
-            return responder.send({ 200, text, "ok\n" });
-        if (request.path == "/readyz") {
-            const bool ready = !this->core->status().leaving;
-            return responder.send({ ready ? 200 : 503, text, ready ? "ready\n" : "not ready\n" });
-        }
-        if (request.path == "/metrics")
-            return responder.send({ 200, text, this->metrics.render() });
-        responder.send({ 404, text, "no such page\n" });
+        const auto isReady = [this] { return !this->core->status().leaving; };
+        answerAdmin(request, responder, isReady, this->metrics);
     }
 
     // Stopping -------------------------------------------------------------------------------------------------------
@@ -259,17 +219,15 @@
             return this->loop.stop();
         logEvent("stopping", "finishing calls that are queued or running");
         this->core->beginShutdown();
-        this->checkDrained();
-    }
-
-    void checkDrained()
-    {
-        if (this->core->isDrained()) {
+        PlannedStop steps;
+        steps.isDrained = [this] { return this->core->isDrained(); };
+        steps.close = [this] {
+            this->admin.stopAccepting();
             this->peers.close();
-            this->loop.post([this] { this->loop.stop(); });
-            return;
-        }
-        this->loop.timers().subscribeAfter(drainCheckInterval, [this] { this->checkDrained(); });
+        };
+        steps.isClosed = [this] { return this->admin.openConnections() == 0 && this->peers.isClosed(); };
+        steps.stop = [this] { this->loop.stop(); };
+        runPlannedStop(this->loop.timers(), std::move(steps));
     }
 
     const DaemonSettings& settings;
@@ -286,9 +244,7 @@
 
 int runDaemon(const DaemonSettings& settings)
 {
-    if (!startLog(settings.log, settings.node)) {
-        std::cerr << settings.log.file << ": can't be opened\n";
+    if (!startInstanceLog(settings.instance))
         return ExitSettings;
-    }
     return Daemon(settings).run();
 }
--- a/src/rattandeck-sidecar/daemon.h
+++ b/src/rattandeck-sidecar/daemon.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "Rattandeck/sidecar.h"
-#include "RattandeckApp/log.h"
+#include "RattandeckApp/daemon.h"
 #include "RattandeckApp/settings.h"
 
 #include <cstdint>
@@ -10,13 +10,8 @@
 /// Settings of `rattandeck-sidecar` as read from its file.
 struct DaemonSettings {
     Rattandeck::SidecarSettings core;
-    std::string node;
-    std::string domain;
+    RattandeckApp::InstanceSettings instance;
     std::string service;
-    std::string peersListen = "127.0.0.1:0";
-    std::string adminListen = "127.0.0.1:0";
-    /// What entries dial; empty is the address listened on.
-    std::string peersAdvertise;
     std::string endpointKind = "engine";
     std::string endpointAddress;
     bool endpointChecksFence = false;
@@ -25,7 +20,6 @@
     std::int64_t queueLimit = 64;
     std::int64_t crashLimit = 2;
     std::int64_t cacheCapacity = 100000;
-    RattandeckApp::LogSettings log;
 };
 
 /// Binds the keys of the settings file to `settings`. Precondition: `settings` outlives `schema`.
