Write the end of accepting and dialling once in the peer network

Cause: beginClose and closeNow began with the same six steps. Change: stopLinking, called by both. Measured: rattandecknet-test 26 of 26 pass, testsuite planned-stop passes. Conclusion: no change of behaviour.

--- a/src/librattandecknet/peer.cpp
+++ b/src/librattandecknet/peer.cpp
@@ -63,6 +63,8 @@
     bool isPreferred(const PeerLink& later, const PeerLink& earlier) const;
     void markDuplicate(const PeerLink& link, const NodeId& node);
     void forget(const std::shared_ptr<PeerLink>& link);
+    /// Accepts and dials no more; links that are open stay so.
+    void stopLinking();
     void beginClose();
     void closeNow();
 };
@@ -459,7 +461,7 @@
         this->handlers.onDown(link->hello.node);
 }
 
-void PeerNetwork::Impl::beginClose()
+void PeerNetwork::Impl::stopLinking()
 {
     this->isClosing = true;
     ErrorCode ignored;
@@ -468,6 +470,11 @@
         this->loop.timers.cancel(target.redial);
     this->targets.clear();
     this->up.clear();
+}
+
+void PeerNetwork::Impl::beginClose()
+{
+    this->stopLinking();
     const auto open = this->links;
     for (const auto& link : open) {
         if (link->state == PeerLink::State::Up)
@@ -479,13 +486,7 @@
 
 void PeerNetwork::Impl::closeNow()
 {
-    this->isClosing = true;
-    ErrorCode ignored;
-    this->acceptor.close(ignored);
-    for (auto& [name, target] : this->targets)
-        this->loop.timers.cancel(target.redial);
-    this->targets.clear();
-    this->up.clear();
+    this->stopLinking();
     const auto open = std::move(this->links);
     this->links.clear();
     for (const auto& link : open)
