Lift the limit of completeThrough after a hand-over

Cause: an entry that takes shards whose former home's lease covered less limits its own completeThrough to that; the limit was lifted only with the next change of a member, so after a restart the lease could stay behind for good and the next takeover found a gap (HistoryLost) although nothing had been lost. Change: setting the limit has the members reviewed anew; the limit goes when every fact stands elsewhere. Ruled out: renewing the lease at each change (would not have lifted the limit).

--- a/src/librattandeck/entrycopies.cpp
+++ b/src/librattandeck/entrycopies.cpp
@@ -215,6 +215,14 @@
     this->throughWanted.reset();
 }
 
+// Facts that come from a former home stand elsewhere only as far as its lease said. The next review of the members lifts
+// the limit, once all of them have been copied.
+void EntryCore::Impl::limitCompleteThrough(ObjectVersion limit)
+{
+    this->completeThroughLimit = limit;
+    this->membersChanged = true;
+}
+
 bool EntryCore::Impl::membersLeaving() const
 {
     return std::any_of(this->nodes.begin(), this->nodes.end(), [&](const auto& item) {
--- a/src/librattandeck/entryfaults_test.cpp
+++ b/src/librattandeck/entryfaults_test.cpp
@@ -12,6 +12,7 @@
     CPPUNIT_TEST(recopiedRecordsSurviveTheNextLoss);
     CPPUNIT_TEST(pausedHolderStartsNothing);
     CPPUNIT_TEST(restartedHomeTakesACensus);
+    CPPUNIT_TEST(leasesCoverARestartOnceItsFactsStandElsewhere);
     CPPUNIT_TEST(lostAnswersOfUpdatesAreReadBack);
     CPPUNIT_TEST(outageOfTheStoreIsOutlivedOnPromises);
     CPPUNIT_TEST(holderThatAloneIsCutOffStops);
@@ -153,6 +154,29 @@
         CPPUNIT_ASSERT(epoch > opened.program.openedIn);
     }
 
+    // Restarted before and after its successor has taken the shards over.
+    void leasesCoverARestartOnceItsFactsStandElsewhere()
+    {
+        for (Milliseconds pause(500); pause <= Milliseconds(12500); pause += Milliseconds(400)) {
+            this->start();
+            this->world->open(this->e1);
+            this->world->kill(this->e1);
+            this->world->run(pause);
+            this->world->addEntry("e1", "d1", 2);
+            this->world->run(Milliseconds(30000));
+            std::uint64_t lastChange = 0;
+            for (const auto& [key, object] : this->world->store.objects) {
+                if (key.kind == "member")
+                    lastChange = std::max(lastChange, object.version.value);
+            }
+            for (const auto& [key, object] : this->world->store.objects) {
+                if (key.kind == "lease")
+                    CPPUNIT_ASSERT_MESSAGE(std::to_string(pause.count()) + " ms",
+                        nlohmann::json::parse(object.value).at("completeThrough") >= lastChange);
+            }
+        }
+    }
+
     void lostAnswersOfUpdatesAreReadBack()
     {
         this->world = std::make_unique<World>();
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -255,6 +255,7 @@
     void copyProgram(HomeShard& shard, HomeProgram& program);
     void reviewCopies();
     /// Members that have left in order and are not marked gone yet.
+    void limitCompleteThrough(ObjectVersion limit);
     bool membersLeaving() const;
     bool factsSettled() const;
 
--- a/src/librattandeck/entrylease.cpp
+++ b/src/librattandeck/entrylease.cpp
@@ -71,7 +71,7 @@
             this->leaveLease("a successor has broken it");
         if (value && value->incarnation < this->settings.incarnation) {
             this->formerLease = ObservedLease { stored.version, *value, this->now() };
-            this->completeThroughLimit = value->completeThrough;
+            this->limitCompleteThrough(value->completeThrough);
         }
         this->lease.version = stored.version;
         this->leaseInDoubt = false;
--- a/src/librattandeck/entryshards.cpp
+++ b/src/librattandeck/entryshards.cpp
@@ -352,7 +352,7 @@
     const bool neverHeld = open.holder.value.empty();
     if (neverHeld || open.completeThrough >= this->writtenCompleteThrough())
         return this->readBeforeClaim();
-    this->completeThroughLimit = open.completeThrough;
+    this->limitCompleteThrough(open.completeThrough);
     this->afterRenewal.emplace_back([this, serial = open.serial](bool written) {
         if (!this->claimIs(serial))
             return;
