--- a/src/rattandeck-entry/daemon.cpp
+++ b/src/rattandeck-entry/daemon.cpp
@@ -232,6 +232,9 @@
     {
         if (request.path == "/v1/decisions")
             return this->onExplain(request, responder);
+        if (request.path == "/v1/programs")
+            return responder.send(
+                { 200, { { "content-type", "application/json" } }, toJson(this->core->openPrograms()) });
         const auto isReady = [this] { return this->core->status().serving && !this->terminating; };
         answerAdmin(request, responder, isReady, this->metrics);
     }
--- a/src/rattandeck-entry/decisions.cpp
+++ b/src/rattandeck-entry/decisions.cpp
@@ -2,6 +2,18 @@
 
 #include "RattandeckApp/log.h"
 
+#include <nlohmann/json.hpp>
+
+std::string toJson(const std::vector<Rattandeck::ProgramHeader>& programs)
+{
+    nlohmann::ordered_json list = nlohmann::ordered_json::array();
+    for (const Rattandeck::ProgramHeader& program : programs) {
+        list.push_back({ { "program", Rattandeck::toString(program.id) },
+            { "organisation", program.organisation.value }, { "service", program.service.value } });
+    }
+    return list.dump();
+}
+
 void DecisionHistory::add(Rattandeck::PlacementDecision decision)
 {
     this->decisions.push_back(std::move(decision));
--- a/src/rattandeck-entry/decisions.h
+++ b/src/rattandeck-entry/decisions.h
@@ -5,6 +5,10 @@
 #include <cstddef>
 #include <deque>
 #include <string>
+#include <vector>
+
+/// JSON list of programs with their organisation and service, for dry runs of `rattandeckctl`.
+std::string toJson(const std::vector<Rattandeck::ProgramHeader>& programs);
 
 /// The last placement decisions, for `rattandeckctl explain`.
 ///
--- a/testsuite/configuration/case.py
+++ b/testsuite/configuration/case.py
@@ -19,10 +19,12 @@
     with System(build) as system:
         start_small_system(system)
         path = system.folder / "objects.toml"
-        policy = '[[object]]\nkind = "policy"\nname = "w"\n{}[object.spec]\nwait_weight = {}\n'
+        policy = '[[object]]\nkind = "policy"\nname = "w"\n{}[object.spec]\nwait_weight = {}\nendpoints = "service=agent-llm"\n'
         path.write_text(policy.format("", 2))
-        code, output = system.ctl("apply", "--dry-run", "-f", str(path))
+        admins = [word for entry in system.entries.values() for word in ("--entry", entry.field("admin"))]
+        code, output = system.ctl("apply", "--dry-run", "-f", str(path), "--instances", system.list.listening(), *admins)
         expect(code == 0 and "nothing was changed" in output, output)
+        expect("3 endpoint instances match today" in output and "open programs match today" in output, output)
         code, output = system.ctl("apply", "-f", str(path))
         expect(code == 0, output)
         first = version_of(output)
