Send plain services the input alone

A second call of a plain service in one program got the earlier inputs and outputs to that service before its body: the sidecar put the history before the input for every kind of endpoint. API.md and sidecar.h promise the input alone, and a doubled body of a record would be a wrong record.

The new unit test failed before ("earlier turnsinput of request-1-1").

--- a/src/librattandeck/history_test.cpp
+++ b/src/librattandeck/history_test.cpp
@@ -148,6 +148,14 @@
         foreign.start(3, twoTurnsText() + callTag(CallId(8)));
         assertBroken(checkOwnHistory, foreign, ViolationKind::ForeignHistory);
 
+        Writer plain = twoTurns();
+        plain.send(CallKind::Call, 3);
+        RunStarted withTurns { RunId(99), endpoint, CallId(3), program };
+        withTurns.withHistory = false;
+        withTurns.prompt = callTag(CallId(1)) + callTag(CallId(3));
+        plain.add(withTurns);
+        assertBroken(checkOwnHistory, plain, ViolationKind::ForeignHistory);
+
         Writer truncated = twoTurns();
         truncated.send(CallKind::Call, 3);
         truncated.start(3, callTag(CallId(1)) + runTag(RunId(1)));
--- a/src/librattandeck/historychecks.cpp
+++ b/src/librattandeck/historychecks.cpp
@@ -215,7 +215,8 @@
         for (const CallId call : callsIn(run.started.prompt)) {
             ++check.checked;
             const auto program = index.programOfCall.find(call);
-            const bool own = program != index.programOfCall.end() && program->second == run.started.program;
+            const bool own = run.started.withHistory && program != index.programOfCall.end()
+                && program->second == run.started.program;
             if (!own && call != run.started.call)
                 check.violations.push_back({ Promise::OwnHistory, ViolationKind::ForeignHistory, run.startEvent });
         }
--- a/src/librattandeck/sidecar_test.cpp
+++ b/src/librattandeck/sidecar_test.cpp
@@ -7,6 +7,7 @@
 class SidecarOrdersTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(SidecarOrdersTest);
     CPPUNIT_TEST(answersWithTokensAndRecord);
+    CPPUNIT_TEST(plainServiceGetsTheInputAlone);
     CPPUNIT_TEST(chargeStaysWithinTheReservation);
     CPPUNIT_TEST(recordStandsBeforeTheStart);
     CPPUNIT_TEST(lowerEpochIsRefused);
@@ -52,6 +53,24 @@
         CPPUNIT_ASSERT(record->headAfter == chainDigest(order.headBefore, order.turn, order.input, "output"));
     }
 
+    void plainServiceGetsTheInputAlone()
+    {
+        SidecarSettings settings = SidecarWorld::defaultSettings();
+        for (const bool modelEngine : { false, true }) {
+            settings.modelEngine = modelEngine;
+            SidecarWorld world(settings);
+            const NodeId home = world.link("entry-1");
+            Order order = world.order(home, 1);
+            order.history = "earlier turns";
+            order.historyTokens = TokenCount(3);
+            world.core.onMessage(home, order);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), world.started.size());
+            const std::string history = modelEngine ? order.history : "";
+            CPPUNIT_ASSERT_EQUAL(history + order.input, world.started[0].prompt);
+            CPPUNIT_ASSERT_EQUAL(std::int64_t(modelEngine ? 13 : 10), world.started[0].promptTokens.value);
+        }
+    }
+
     void chargeStaysWithinTheReservation()
     {
         SidecarWorld world;
--- a/src/librattandeck/sidecarorders.cpp
+++ b/src/librattandeck/sidecarorders.cpp
@@ -231,6 +231,11 @@
     SidecarCall& call = this->calls[id];
     call.id = id;
     call.order = order;
+    if (!this->settings.modelEngine) {
+        // A plain service gets the input alone, whatever the program asked it before.
+        call.order.history = {};
+        call.order.historyTokens = {};
+    }
     call.fingerprint = crashFingerprint(order);
     call.subscribers.push_back({ link.hello.node, link.hello.incarnation, order.id });
     call.arrived = this->now();
