--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -10,12 +10,15 @@
 import select
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.error
 import urllib.request
+from concurrent.futures import ThreadPoolExecutor
 
 START_LIMIT_S = 60
 STOP_LIMIT_S = 60
@@ -110,6 +113,74 @@
         self.log.close()
 
 
+class Relay:
+    """A TCP relay in front of one process's address for peers. While it is cut it holds every byte and opens nothing;
+    once restored it delivers what it held, late."""
+
+    def __init__(self):
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        port = self.listener.getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        # The process listens on the same port of another loopback address, where nothing else takes ports.
+        self.target = f"127.0.0.2:{port}"
+        self.passing = threading.Event()
+        self.passing.set()
+        self.sockets = [self.listener]
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def cut(self):
+        self.passing.clear()
+
+    def restore(self):
+        self.passing.set()
+
+    def used(self):
+        return len(self.sockets) > 1
+
+    def close(self):
+        for each in list(self.sockets):
+            try:
+                each.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # not connected any more
+            each.close()
+        self.passing.set()
+
+    def _accept(self):
+        while True:
+            try:
+                client = self.listener.accept()[0]
+                threading.Thread(target=self._connect, args=(client,), daemon=True).start()
+            except OSError:
+                return  # closed
+
+    def _connect(self, client):
+        self.sockets.append(client)
+        self.passing.wait()
+        try:
+            host, port = self.target.rsplit(":", 1)
+            server = socket.create_connection((host, int(port)))
+        except OSError:
+            client.close()
+            return
+        self.sockets.append(server)
+        threading.Thread(target=self._pass_on, args=(client, server), daemon=True).start()
+        threading.Thread(target=self._pass_on, args=(server, client), daemon=True).start()
+
+    def _pass_on(self, source, sink):
+        try:
+            while True:
+                data = source.recv(65536)
+                self.passing.wait()
+                if not data:
+                    break
+                sink.sendall(data)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            for each in (source, sink):
+                each.close()
+
+
 class System:
     """A small rattandeck system: the platform's stand-ins, entries, and endpoints with their sidecars."""
 
@@ -119,6 +190,7 @@
         self.shards = shards
         self.lease_ms = lease_ms
         self.processes = []
+        self.relays = {}
         self.entries = {}
         self.sidecars = {}
         self.endpoints = {}
@@ -134,6 +206,8 @@
     def __exit__(self, kind, error, trace):
         for process in reversed(self.processes):
             process.close()
+        for relay in self.relays.values():
+            relay.close()
         if kind is None:
             shutil.rmtree(self.folder, ignore_errors=True)
         else:
@@ -152,6 +226,17 @@
         path.write_text(text)
         return str(path)
 
+    def add_relay(self, name):
+        """Puts a relay before the address for peers of the process that is started under this name later."""
+        self.relays[name] = Relay()
+        return self.relays[name]
+
+    def peers_settings(self, name):
+        if name not in self.relays:
+            return ""
+        relay = self.relays[name]
+        return f'[peers]\nlisten = "{relay.target}"\nadvertise = "{relay.address}"\n'
+
     def start_entry(self, name, domain):
         settings = self.write_settings(name, f"""
 node = "{name}"
@@ -164,7 +249,7 @@
 count = {self.shards}
 [lease]
 duration_ms = {self.lease_ms}
-""")
+{self.peers_settings(name)}""")
         entry = self.start(name, "rattandeck-entry", ["--settings", settings])
         self.entries[name] = entry
         self.list_instance(name, entry.field("peers"), domain, "")
@@ -186,7 +271,7 @@
 [endpoint]
 kind = "{'engine' if model else 'service'}"
 address = "{self.endpoints[name].listening()}"
-{settings}""")
+{self.peers_settings(name)}{settings}""")
         sidecar = self.start(name, "rattandeck-sidecar", ["--settings", path])
         self.sidecars[name] = sidecar
         self.list_instance(name, sidecar.field("peers"), domain, service)
@@ -273,12 +358,12 @@
 DOMAINS = ["a", "b", "c"]
 
 
-def start_small_system(system, engine_options=("--speed", "4"), per_domain=1):
+def start_small_system(system, engine_options=("--speed", "4"), per_domain=1, engine_settings=""):
     """Three entries in three failure domains, each with model engines and plain services."""
     for domain in DOMAINS:
         for index in range(per_domain):
             suffix = f"{domain}{index}"
-            system.start_endpoint(f"llm-{suffix}", domain, "agent-llm", True, *engine_options)
+            system.start_endpoint(f"llm-{suffix}", domain, "agent-llm", True, *engine_options, settings=engine_settings)
             system.start_endpoint(f"app-{suffix}", domain, "jobcard-app", False)
     for domain in DOMAINS:
         system.start_entry(f"entry-{domain}", domain)
@@ -290,9 +375,28 @@
     return all(open_program(address, check=False)[0] == 201 for address in system.callers())
 
 
-def open_program(address, budget=1000000, check=True):
+def start_one_service_system(system, *service_options, settings=""):
+    """Three entries and model engines in three failure domains, and one plain service: its ledger shows an order."""
+    for domain in DOMAINS:
+        system.start_endpoint(f"llm-{domain}0", domain, "agent-llm", True, "--speed", "4")
+    system.start_endpoint("app-a0", "a", "jobcard-app", False, *service_options, settings=settings)
+    for domain in DOMAINS:
+        system.start_entry(f"entry-{domain}", domain)
+    system.wait_ready()
+    wait_until(lambda: can_open(system), "programs can be opened")
+
+
+def in_parallel(tasks):
+    """Runs functions at the same time and returns their results in order; an exception of one is raised."""
+    with ThreadPoolExecutor(max_workers=len(tasks)) as pool:
+        return [future.result() for future in [pool.submit(task) for task in tasks]]
+
+
+def open_program(address, budget=1000000, check=True, parent=None):
     """Opens a program. Returns (status, id)."""
     body = {"organisation": "o", "service": "agent-llm", "aim_ms": 60000, "budget_tokens": budget}
+    if parent:
+        body["parent"] = parent
     status, _, text = http("POST", address, "/v1/programs", body)
     if check:
         expect(status == 201, f"opening: {status} {text}")
