Bound the wait that Retry-After is computed from

The estimate divides by a rate that halves in each interval without a placement, so it had no bound: beyond 1e15 s the conversion to milliseconds overflowed, and the refusal lost its Retry-After. Bounded by 60 s. The new assertion of limits_test (1e30 s gives a positive time) failed before.

--- a/src/librattandeck/limits.cpp
+++ b/src/librattandeck/limits.cpp
@@ -53,8 +53,10 @@
 Milliseconds retryAfter(double queueSeconds, std::uint64_t seed)
 {
     constexpr double minimumSeconds = 0.1;
+    // The rate that a wait is estimated from halves while nothing is placed: the estimate has no bound of its own.
+    constexpr double maximumSeconds = 60;
     const double spread = 0.5 + static_cast<double>(seed % 1000) / 1000;
-    return Milliseconds(static_cast<std::int64_t>(1000 * spread * std::max(minimumSeconds, queueSeconds)));
+    return Milliseconds(static_cast<std::int64_t>(1000 * spread * std::clamp(queueSeconds, minimumSeconds, maximumSeconds)));
 }
 
 }
--- a/src/librattandeck/limits_test.cpp
+++ b/src/librattandeck/limits_test.cpp
@@ -61,6 +61,7 @@
     void retryAfterIsSpreadAndNeverZero()
     {
         CPPUNIT_ASSERT(retryAfter(0, 0) > Milliseconds(0));
+        CPPUNIT_ASSERT(retryAfter(1e30, 0) > Milliseconds(0));
         CPPUNIT_ASSERT(retryAfter(10, 1) != retryAfter(10, 700));
         CPPUNIT_ASSERT(retryAfter(10, 1) > retryAfter(1, 1));
     }
