--- a/src/librattandeck/entrycopies.cpp
+++ b/src/librattandeck/entrycopies.cpp
@@ -215,8 +215,8 @@
     this->throughWanted.reset();
 }
 
-// Facts that come from a former home stand elsewhere only as far as its lease said. The next review of the members lifts
-// the limit, once all of them have been copied.
+// Facts that come from a former home stand elsewhere only as far as its lease said. The next review of the members
+// lifts the limit, once all of them have been copied.
 void EntryCore::Impl::limitCompleteThrough(ObjectVersion limit)
 {
     this->completeThroughLimit = limit;
