Stay through an outage when leaving in order

Cause: an entry that was stopped while the object API was away left as soon as its lease had lapsed, although others could not take over yet; the shards of an entry that had left just before lost what this one held for them (history forgotten). Change: a leaving entry stays, 15 s at most, also while the store can't be reached.

--- a/src/librattandeck/entrylease.cpp
+++ b/src/librattandeck/entrylease.cpp
@@ -191,15 +191,22 @@
     this->releaseWanted = true;
     this->renewLease();
     // Without the store the lease can only lapse.
-    if (!this->storeReachable && !this->lease.holds(this->now()))
+    if (!this->storeReachable && !this->lease.holds(this->now()) && !this->leaseReleased) {
         this->leaseReleased = true;
+        this->leaseReleasedAt = this->now();
+    }
 }
 
 bool EntryCore::Impl::othersSettled() const
 {
     const std::vector<NodeId> others = this->liveEntries(this->settings.node);
     const bool late = this->now() >= this->leaseReleasedAt + longestStay;
-    if (others.empty() || late || !this->storeReachable)
+    if (late)
+        return true;
+    // Nobody can take a shard over now; its successor will ask for what this entry holds once the store is back.
+    if (!this->storeReachable)
+        return false;
+    if (others.empty())
         return true;
     const bool covered = std::all_of(others.begin(), others.end(),
         [&](const NodeId& entry) { return this->observed.at(entry).lease.completeThrough >= this->ownEnd; });
