Bound the stay of a leaving entry by 10 s

Cause: with 15 s, a planned stop in an outage came near the history checker's bound for planned stops. Change: longestStay.

--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -37,7 +37,7 @@
 /// A stopping entry waits so long at most for copies of its facts.
 constexpr Milliseconds lastCopiesTime { 5000 };
 /// After its release it stays so long at most, until the successors of homes that have died have asked it.
-constexpr Milliseconds longestStay { 15000 };
+constexpr Milliseconds longestStay { 10000 };
 /// The members are listed anew no sooner than this for each member, so that a rollout doesn't cause a flood of lists.
 constexpr Milliseconds listTimePerMember { 5 };
 /// Longest time that a request may say it has left.
