Say process where the core said life

Cause: 'life' for a process that ran under a node's name is a metaphor of ours; newcomers know processes and incarnations. Change: ProcessIndex, loseProcess, processesLost and comments; no behaviour.

--- a/src/include/Rattandeck/types.h
+++ b/src/include/Rattandeck/types.h
@@ -35,7 +35,7 @@
 using ShardId = Strong<struct ShardIdTag, std::uint32_t>;
 /// Counts the homes that a shard has had. A higher epoch fences off a lower one.
 using Epoch = Strong<struct EpochTag, std::uint64_t>;
-/// Tells two lives of the process with the same `NodeId` apart; a later life has a higher number.
+/// Tells apart two processes that have run under the same `NodeId`; a later one has a higher number.
 using Incarnation = Strong<struct IncarnationTag, std::uint64_t>;
 /// Number of a call within its program, from 1.
 using TurnNumber = Strong<struct TurnNumberTag, std::uint32_t>;
--- a/src/librattandeck/census.cpp
+++ b/src/librattandeck/census.cpp
@@ -14,13 +14,13 @@
 
     struct Gathered {
         std::optional<ProgramHeader> header;
-        std::vector<LifeIndex> headerHolders;
+        std::vector<ProcessIndex> headerHolders;
         bool ended = false;
         std::map<TurnNumber, std::vector<HeldRecord>> candidates;
         std::vector<AdoptedCall> running;
     };
 
-    void gatherRecord(Gathered& gathered, const TurnRecord& record, LifeIndex life)
+    void gatherRecord(Gathered& gathered, const TurnRecord& record, ProcessIndex process)
     {
         if (!isWhole(record))
             return;
@@ -28,9 +28,9 @@
         const auto same = std::find_if(candidates.begin(), candidates.end(),
             [&](const HeldRecord& candidate) { return sameFact(candidate.record, record); });
         if (same != candidates.end())
-            same->holders.push_back(life);
+            same->holders.push_back(process);
         else
-            candidates.push_back({ record, { life }, false, {} });
+            candidates.push_back({ record, { process }, false, {} });
     }
 
     std::map<ProgramId, Gathered> gather(const std::vector<HeardAnswer>& answers)
@@ -40,17 +40,17 @@
             for (const ProgramHeader& header : heard.answer.programs) {
                 Gathered& gathered = programs[header.id];
                 gathered.header = header;
-                gathered.headerHolders.push_back(heard.life);
+                gathered.headerHolders.push_back(heard.process);
             }
             for (const ProgramId& id : heard.answer.endedPrograms)
                 programs[id].ended = true;
             for (const TurnRecord& record : heard.answer.records)
-                gatherRecord(programs[record.program], record, heard.life);
+                gatherRecord(programs[record.program], record, heard.process);
             for (const RunningOrder& running : heard.answer.running) {
                 Gathered& gathered = programs[running.record.program];
-                gathered.running.push_back({ heard.life, heard.node, running.order, running.record });
+                gathered.running.push_back({ heard.process, heard.node, running.order, running.record });
                 // Its turn counts as taken even if the record was not among the others.
-                gatherRecord(gathered, running.record, heard.life);
+                gatherRecord(gathered, running.record, heard.process);
             }
         }
         return programs;
--- a/src/librattandeck/census.h
+++ b/src/librattandeck/census.h
@@ -11,14 +11,14 @@
 namespace Rattandeck {
 
 struct HeardAnswer {
-    LifeIndex life;
+    ProcessIndex process;
     NodeId node;
     CensusAnswer answer;
 };
 
 /// A call that a sidecar still runs; its end will come to the new home.
 struct AdoptedCall {
-    LifeIndex life;
+    ProcessIndex process;
     NodeId sidecar;
     OrderId order;
     TurnRecord record;
--- a/src/librattandeck/census_test.cpp
+++ b/src/librattandeck/census_test.cpp
@@ -36,11 +36,11 @@
     return record;
 }
 
-HeardAnswer heard(std::uint32_t life, std::vector<TurnRecord> records)
+HeardAnswer heard(std::uint32_t process, std::vector<TurnRecord> records)
 {
     HeardAnswer answer;
-    answer.life = LifeIndex(life);
-    answer.node = NodeId("s" + std::to_string(life));
+    answer.process = ProcessIndex(process);
+    answer.node = NodeId("s" + std::to_string(process));
     ProgramHeader header;
     header.id = program;
     header.root = program;
--- a/src/librattandeck/entry.cpp
+++ b/src/librattandeck/entry.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-    // Order ids of different entries and lives don't meet: the upper bits name the life, the lower ones count.
+    // Order ids of different entries and processes don't meet: the upper bits name the process, the lower ones count.
     constexpr unsigned orderCountBits = 40;
 
     std::uint64_t orderBaseOf(const EntrySettings& settings)
     {
-        const std::uint64_t life = hash64(settings.node.value, settings.incarnation.value);
-        return life << orderCountBits;
+        const std::uint64_t process = hash64(settings.node.value, settings.incarnation.value);
+        return process << orderCountBits;
     }
 
     bool isFinal(const CallerEvent& event) { return !std::holds_alternative<AnswerTokens>(event); }
@@ -172,21 +172,21 @@
     if (node.linked)
         this->onLinkDown(hello.node);
     const bool known = node.hello.node == hello.node;
-    const bool sameLife = known && node.hello.incarnation == hello.incarnation;
-    if (known && !sameLife)
-        entry.loseLife(node.life);
+    const bool sameProcess = known && node.hello.incarnation == hello.incarnation;
+    if (known && !sameProcess)
+        entry.loseProcess(node.process);
     node.hello = hello;
     node.linked = true;
     node.leaving = false;
-    node.life = entry.lifeOf(hello.node, hello.incarnation, hello.domain);
-    entry.lives[node.life.value].lost = false;
+    node.process = entry.processOf(hello.node, hello.incarnation, hello.domain);
+    entry.processes[node.process.value].lost = false;
 
     // Changes sent on a link that has broken may be lost, whatever revision the peer has seen since.
     entry.sendConfig(hello.node, entry.config.all());
     if (hello.role == Role::Sidecar) {
         entry.fleet.onLinkUp(hello);
         entry.registerSidecar(hello.node);
-        entry.onSidecarLinked(hello.node, sameLife);
+        entry.onSidecarLinked(hello.node, sameProcess);
     } else {
         entry.entryNodes.insert(hello.node);
         entry.sendMap(hello.node);
@@ -213,11 +213,11 @@
     found->second.downSince = entry.now();
     if (found->second.leaving)
         entry.reviewMembers();
-    const LifeIndex life = found->second.life;
-    entry.after(reconnectTime, [&entry, node, life] {
+    const ProcessIndex process = found->second.process;
+    entry.after(reconnectTime, [&entry, node, process] {
         const Impl::Node& later = entry.nodes.at(node);
-        if (!later.linked && later.life == life)
-            entry.loseLife(life);
+        if (!later.linked && later.process == process)
+            entry.loseProcess(process);
     });
     entry.fleet.onLinkDown(node);
     entry.onSidecarUnlinked(node);
--- a/src/librattandeck/entrycalls.cpp
+++ b/src/librattandeck/entrycalls.cpp
@@ -276,7 +276,7 @@
     facts.programs.push_back(program.header);
     this->callers[caller] = id;
     const Epoch epoch = shard.epoch;
-    this->copyFacts(facts, openingAttempts, {}, [this, caller, id, epoch](std::optional<LifeIndex> holder) {
+    this->copyFacts(facts, openingAttempts, {}, [this, caller, id, epoch](std::optional<ProcessIndex> holder) {
         const auto owned = this->shards.find(id.shard);
         const bool still = owned != this->shards.end() && owned->second.epoch == epoch && this->hasAuthority();
         HomeProgram* opened = still ? owned->second.find(id) : nullptr;
@@ -326,7 +326,7 @@
     facts.endedPrograms.push_back(program.header.id);
     const ProgramId id = program.header.id;
     const Epoch epoch = shard.epoch;
-    this->copyFacts(std::move(facts), unlimitedAttempts, {}, [this, id, epoch](std::optional<LifeIndex>) {
+    this->copyFacts(std::move(facts), unlimitedAttempts, {}, [this, id, epoch](std::optional<ProcessIndex>) {
         const auto owned = this->shards.find(id.shard);
         const bool still = owned != this->shards.end() && owned->second.epoch == epoch;
         HomeProgram* ended = still ? owned->second.find(id) : nullptr;
@@ -372,11 +372,11 @@
     for (const PrefixAt& prefix : program.prefixes)
         holders.insert(prefix.sidecar);
     if (program.ended) {
-        for (const LifeIndex life : program.headerHolders)
-            holders.insert(this->lives[life.value].node);
+        for (const ProcessIndex process : program.headerHolders)
+            holders.insert(this->processes[process.value].node);
         for (const auto& [turn, held] : program.records) {
-            for (const LifeIndex life : held.holders)
-                holders.insert(this->lives[life.value].node);
+            for (const ProcessIndex process : held.holders)
+                holders.insert(this->processes[process.value].node);
         }
     }
     holders.erase(this->settings.node);
@@ -478,7 +478,7 @@
     facts.records.push_back(held.record);
     this->callers[caller] = program.header.id;
     const ProgramId id = program.header.id;
-    const auto answered = [this, caller, id, turn, answer](std::optional<LifeIndex> holder) {
+    const auto answered = [this, caller, id, turn, answer](std::optional<ProcessIndex> holder) {
         HomeShard* owned = this->servedShard(id.shard);
         HomeProgram* known = owned ? owned->find(id) : nullptr;
         const bool kept = holder || !this->otherDomainKnown();
--- a/src/librattandeck/entrycensus.cpp
+++ b/src/librattandeck/entrycensus.cpp
@@ -39,7 +39,7 @@
     census = Census {};
     census.shard = shard;
     census.epoch = this->shards.at(shard).epoch;
-    census.livesLost = roll.livesLost;
+    census.processesLost = roll.processesLost;
     census.serial = ++this->lastCensus;
     for (const Member& member : roll.mustHear) {
         const bool self = member.node == this->settings.node && member.incarnation == this->settings.incarnation;
@@ -53,16 +53,17 @@
         if (mayAnswer)
             census.awaited[member.node] = member.incarnation;
         else
-            ++census.livesLost;
+            ++census.processesLost;
     }
     const auto former = this->nodes.find(claim.holder);
     if (former != this->nodes.end() && former->second.linked) {
         census.awaited[claim.holder] = former->second.hello.incarnation;
         census.welcome.insert(claim.holder);
-        const Incarnation life = former->second.hello.incarnation;
-        census.formerKnowsAll = claim.knowing.value != 0 && claim.knowing == life;
+        const Incarnation process = former->second.hello.incarnation;
+        census.formerKnowsAll = claim.knowing.value != 0 && claim.knowing == process;
     }
-    const LifeIndex ownLife = this->lifeOf(this->settings.node, this->settings.incarnation, this->settings.domain);
+    const ProcessIndex ownLife
+        = this->processOf(this->settings.node, this->settings.incarnation, this->settings.domain);
     census.answers.push_back({ ownLife, this->settings.node, this->ownAnswer(shard, census.epoch) });
 
     this->after(this->settings.censusTimeout, [this, shard, serial = census.serial] {
@@ -86,7 +87,7 @@
         this->readMap([](bool) {});
         return;
     }
-    const LifeIndex life = this->lifeOf(from, answer.incarnation, this->nodes.at(from).hello.domain);
+    const ProcessIndex process = this->processOf(from, answer.incarnation, this->nodes.at(from).hello.domain);
     const auto open = this->censuses.find(answer.shard);
     if (open == this->censuses.end()) {
         auto& missing = this->missed[answer.shard];
@@ -95,10 +96,10 @@
             return;
         if (late->second == answer.incarnation)
             missing.erase(late);
-        return this->mergeLate(home->second, { life, from, answer });
+        return this->mergeLate(home->second, { process, from, answer });
     }
     Census& census = open->second;
-    census.answers.push_back({ life, from, answer });
+    census.answers.push_back({ process, from, answer });
     const auto awaited = census.awaited.find(from);
     if (awaited != census.awaited.end() && awaited->second == answer.incarnation)
         census.awaited.erase(awaited);
@@ -118,21 +119,21 @@
         // A home that has stopped in order knows everything of the shard.
         if (heard && census.formerKnowsAll) {
             census.awaited.clear();
-            census.livesLost = 0;
+            census.processesLost = 0;
         }
     }
-    const bool complete = census.awaited.empty() && census.livesLost == 0;
+    const bool complete = census.awaited.empty() && census.processesLost == 0;
     if (!complete) {
         home.formerGap = home.gap;
         home.gap = home.epoch;
         home.gapSince = this->now();
-        home.livesLost = census.livesLost;
-        home.missedLives = static_cast<std::uint32_t>(census.awaited.size()) + census.livesLost;
+        home.processesLost = census.processesLost;
+        home.missedProcesses = static_cast<std::uint32_t>(census.awaited.size()) + census.processesLost;
         ++this->counters.gaps;
         this->gapsUnwritten.insert(shard);
         this->log("gap",
             "shard " + std::to_string(shard.value) + ": " + std::to_string(census.awaited.size())
-                + " members not heard, " + std::to_string(census.livesLost) + " lives lost");
+                + " members not heard, " + std::to_string(census.processesLost) + " processes lost");
     }
     if (!census.awaited.empty()) {
         // An order that the former home sent just before its end can start until its credit has run out, and then
@@ -190,7 +191,7 @@
     call->mayHaveRun = true;
     call->reserved = record.charged;
     call->sidecar = running.sidecar;
-    call->life = running.life;
+    call->process = running.process;
     call->tried.push_back(running.sidecar);
     Order order;
     order.id = running.order;
@@ -218,7 +219,7 @@
 void EntryCore::Impl::chargeMerged(HomeShard& shard, HomeProgram& program)
 {
     const bool charged = shard.doubtful(program.header.id, this->now()) && !program.ended;
-    const std::int64_t lostCalls = charged ? std::max(1U, shard.missedLives) : 0;
+    const std::int64_t lostCalls = charged ? std::max(1U, shard.missedProcesses) : 0;
     program.doubtCharge = TokenCount(lostCalls * maxTokensPerCall);
     shard.account(program.header).spent.value += chargedTokens(program).value + program.doubtCharge.value;
 }
@@ -265,7 +266,7 @@
         return;
     this->heardAnswers.erase(shard.shard);
     this->missed.erase(shard.shard);
-    if (shard.livesLost == 0 && !shard.lateConflict)
+    if (shard.processesLost == 0 && !shard.lateConflict)
         this->liftGap(shard);
 }
 
@@ -288,16 +289,16 @@
     TurnRecord unknown = record;
     unknown.state = RecordState::Unknown;
     shard.account(program.header).spent.value += unknown.charged.value;
-    addRecord(program, { unknown, { running.life }, false, {} });
+    addRecord(program, { unknown, { running.process }, false, {} });
     return true;
 }
 
-// Every life that the census had missed was heard after all.
+// Every process that the census had missed was heard after all.
 void EntryCore::Impl::liftGap(HomeShard& shard)
 {
     this->log("gap closed", "shard " + std::to_string(shard.shard.value));
     shard.gap = shard.formerGap;
-    shard.missedLives = 0;
+    shard.missedProcesses = 0;
     shard.doubtfulFrom = TimePoint {};
     this->gapsUnwritten.insert(shard.shard);
     for (auto& [id, program] : shard.programs) {
@@ -309,14 +310,14 @@
 void EntryCore::Impl::forgetMissed(const Member& member)
 {
     std::vector<ShardId> heardOut;
-    for (auto& [shard, lives] : this->missed) {
-        const auto life = lives.find(member.node);
-        const bool ended = life != lives.end() && (member.gone || life->second < member.incarnation);
+    for (auto& [shard, processes] : this->missed) {
+        const auto process = processes.find(member.node);
+        const bool ended = process != processes.end() && (member.gone || process->second < member.incarnation);
         if (!ended)
             continue;
-        lives.erase(life);
-        ++this->shards.at(shard).livesLost;
-        if (lives.empty())
+        processes.erase(process);
+        ++this->shards.at(shard).processesLost;
+        if (processes.empty())
             heardOut.push_back(shard);
     }
     for (const ShardId shard : heardOut) {
--- a/src/librattandeck/entrycopies.cpp
+++ b/src/librattandeck/entrycopies.cpp
@@ -28,19 +28,19 @@
         [&](const auto& item) { return item.second.linked && item.second.hello.domain != this->settings.domain; });
 }
 
-bool EntryCore::Impl::isElsewhere(LifeIndex life) const
+bool EntryCore::Impl::isElsewhere(ProcessIndex process) const
 {
-    const Life& holder = this->lives[life.value];
+    const Process& holder = this->processes[process.value];
     return !holder.lost && holder.domain != this->settings.domain;
 }
 
-bool EntryCore::Impl::stands(const std::vector<LifeIndex>& holders) const
+bool EntryCore::Impl::stands(const std::vector<ProcessIndex>& holders) const
 {
-    const auto elsewhere = [&](LifeIndex life) { return this->isElsewhere(life); };
+    const auto elsewhere = [&](ProcessIndex process) { return this->isElsewhere(process); };
     if (std::any_of(holders.begin(), holders.end(), elsewhere))
         return true;
-    const auto alive = [&](LifeIndex life) {
-        const Life& holder = this->lives[life.value];
+    const auto alive = [&](ProcessIndex process) {
+        const Process& holder = this->processes[process.value];
         return !holder.lost && holder.node != this->settings.node;
     };
     return std::any_of(holders.begin(), holders.end(), alive) && !this->otherDomainKnown();
@@ -90,14 +90,14 @@
     }
     const std::uint64_t id = ++this->lastCopy;
     facts.copy = id;
-    const LifeIndex life = this->nodes.at(*holder).life;
+    const ProcessIndex process = this->nodes.at(*holder).process;
     const CopyRecords message = facts;
     excluded.push_back(*holder);
-    this->copies[id] = { *holder, life,
-        [this, facts = std::move(facts), left, excluded = std::move(excluded), life, done = std::move(done)](
+    this->copies[id] = { *holder, process,
+        [this, facts = std::move(facts), left, excluded = std::move(excluded), process, done = std::move(done)](
             bool accepted) {
             if (accepted)
-                return done(life);
+                return done(process);
             this->copyFacts(facts, left, excluded, done);
         } };
     this->after(copyTimeout, [this, id] {
@@ -121,8 +121,8 @@
     if (answer.refused)
         this->readMap([](bool) {});
     // A holder that has forgotten the copy since doesn't count.
-    const bool sameLife = this->nodes.at(from).life == copy.life;
-    copy.done(!answer.refused && sameLife);
+    const bool sameProcess = this->nodes.at(from).process == copy.process;
+    copy.done(!answer.refused && sameProcess);
 }
 
 void EntryCore::Impl::copyProgram(HomeShard& shard, HomeProgram& program)
@@ -150,7 +150,7 @@
     }
     ++this->recopiesOpen;
     const ProgramId id = program.header.id;
-    this->copyFacts(std::move(facts), 3, {}, [this, id, turns](std::optional<LifeIndex> holder) {
+    this->copyFacts(std::move(facts), 3, {}, [this, id, turns](std::optional<ProcessIndex> holder) {
         --this->recopiesOpen;
         // The next batch follows at once; without a holder it waits for the next review.
         if (holder && this->recopiesOpen == 0 && this->recopyWanted)
--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -125,8 +125,8 @@
     /// Lists the members; `done` gets the revision, or nothing when the store can't be read.
     void listMembers(std::function<void(std::optional<ObjectVersion>)> done);
     void reviewMembers();
-    LifeIndex lifeOf(const NodeId& node, Incarnation incarnation, const FailureDomain& domain);
-    void loseLife(LifeIndex life);
+    ProcessIndex processOf(const NodeId& node, Incarnation incarnation, const FailureDomain& domain);
+    void loseProcess(ProcessIndex process);
     bool isRegistered(const NodeId& node, Incarnation incarnation) const;
 
     // Shards (entryshards.cpp) ---------------------------------------------------------------------------------------
@@ -145,9 +145,9 @@
         ShardMap base;
         /// The shards were handed over by a living home.
         bool handedOver = false;
-        /// Facts of lives that ended later may have been lost.
+        /// Facts of processes that ended later may have been lost.
         ObjectVersion completeThrough;
-        /// The life of the holder that stopped in order: its answer alone is complete. 0: there is none.
+        /// The process of the holder that stopped in order: its answer alone is complete. 0: there is none.
         Incarnation knowing;
         std::uint64_t serial = 0;
         std::uint32_t conflicts = 0;
@@ -159,8 +159,8 @@
         /// The former home, if it may still answer; it is not missed when it doesn't.
         std::set<NodeId> welcome;
         std::vector<HeardAnswer> answers;
-        std::uint32_t livesLost = 0;
-        /// The former home stopped in order, and the life that did so is asked.
+        std::uint32_t processesLost = 0;
+        /// The former home stopped in order, and the process that did so is asked.
         bool formerKnowsAll = false;
         std::uint64_t serial = 0;
     };
@@ -219,7 +219,7 @@
     void mergeLate(HomeShard& shard, const HeardAnswer& heard);
     bool takeLateRunning(HomeShard& shard, HomeProgram& program, const AdoptedCall& running);
     void liftGap(HomeShard& shard);
-    /// Doesn't wait for a life any more that can't answer.
+    /// Doesn't wait for a process any more that can't answer.
     void forgetMissed(const Member& member);
     /// A problem as it can be told while records may be missing, for good or for now.
     Problem tell(const HomeShard& shard, const ProgramId& program, const Problem& problem) const;
@@ -230,7 +230,7 @@
 
     struct PendingCopy {
         NodeId node;
-        LifeIndex life;
+        ProcessIndex process;
         std::function<void(bool accepted)> done;
     };
     struct CopyStore {
@@ -239,11 +239,11 @@
         std::deque<std::pair<TimePoint, ProgramId>> endedAt;
         std::map<std::tuple<ProgramId, TurnNumber, std::uint32_t>, TurnRecord> records;
     };
-    using CopiedCallback = std::function<void(std::optional<LifeIndex>)>;
+    using CopiedCallback = std::function<void(std::optional<ProcessIndex>)>;
 
     bool otherDomainKnown() const;
-    bool isElsewhere(LifeIndex life) const;
-    bool stands(const std::vector<LifeIndex>& holders) const;
+    bool isElsewhere(ProcessIndex process) const;
+    bool stands(const std::vector<ProcessIndex>& holders) const;
     std::optional<NodeId> pickHolder(ShardId shard, const std::vector<NodeId>& excluded) const;
     /// Copies facts to one holder after another until one takes them, `attempts` times at most. `done` gets the holder,
     /// or nothing when there is nobody to hold them.
@@ -352,7 +352,7 @@
     TurnRecord openRecord(const HomeProgram& program, const ProgramCall& call) const;
     void takeBack(HomeProgram& program, ProgramCall& call);
     void onSidecarUnlinked(const NodeId& node);
-    void onSidecarLinked(const NodeId& node, bool sameLife);
+    void onSidecarLinked(const NodeId& node, bool sameProcess);
     void sidecarLost(const ProgramId& id, std::uint64_t call, bool forGood);
 
     // State ----------------------------------------------------------------------------------------------------------
@@ -363,9 +363,9 @@
         TimePoint downSince {};
         /// Its last report said so: once its link is down it won't come back.
         bool leaving = false;
-        LifeIndex life;
+        ProcessIndex process;
     };
-    struct Life {
+    struct Process {
         NodeId node;
         Incarnation incarnation;
         FailureDomain domain;
@@ -404,7 +404,7 @@
     std::optional<TimePoint> leaseFirstHeld;
     /// Another incarnation of this node has taken the lease: this one stops for good.
     bool superseded = false;
-    /// The lease of this node's former life, which must lapse before its shards can be taken over.
+    /// The lease of this node's former process, which must lapse before its shards can be taken over.
     std::optional<ObservedLease> formerLease;
     bool releaseWanted = false;
     bool leaseReleased = false;
@@ -455,12 +455,12 @@
     std::unordered_map<NodeId, Node> nodes;
     /// Those of `nodes` that are entries.
     std::set<NodeId> entryNodes;
-    std::vector<Life> lives;
-    std::map<std::pair<NodeId, Incarnation>, LifeIndex> lifeIndexes;
+    std::vector<Process> processes;
+    std::map<std::pair<NodeId, Incarnation>, ProcessIndex> lifeIndexes;
     Fleet fleet;
     std::unordered_map<ServiceName, ServiceQueue> queues;
     std::map<ProgramClass, ClassPolicy> classPolicies;
-    /// For nodes without a link: the next life of a sidecar may stand beside the same engine.
+    /// For nodes without a link: the next process of a sidecar may stand beside the same engine.
     std::map<NodeId, std::deque<ReleaseProgram>> unsentReleases;
 
     std::uint64_t lastCopy = 0;
--- a/src/librattandeck/entrylease.cpp
+++ b/src/librattandeck/entrylease.cpp
@@ -237,7 +237,7 @@
 void EntryCore::Impl::onPromiseRequest(const NodeId& from, const PromiseRequest& request)
 {
     const auto answer = [this, from, request] {
-        // A former life of this guarantor may have released the lease; then it was broken before.
+        // A former process of this guarantor may have released the lease; then it was broken before.
         const auto read = this->observed.find(from);
         const bool unbroken = read != this->observed.end() && !read->second.lease.broken;
         const bool granted
--- a/src/librattandeck/entrymembers.cpp
+++ b/src/librattandeck/entrymembers.cpp
@@ -9,20 +9,21 @@
 
 }
 
-// Lives ------------------------------------------------------------------------------------------------------------
+// Processes
+// ------------------------------------------------------------------------------------------------------------
 
-LifeIndex EntryCore::Impl::lifeOf(const NodeId& node, Incarnation incarnation, const FailureDomain& domain)
+ProcessIndex EntryCore::Impl::processOf(const NodeId& node, Incarnation incarnation, const FailureDomain& domain)
 {
-    const LifeIndex next(static_cast<std::uint32_t>(this->lives.size()));
+    const ProcessIndex next(static_cast<std::uint32_t>(this->processes.size()));
     const auto [found, created] = this->lifeIndexes.try_emplace({ node, incarnation }, next);
     if (created)
-        this->lives.push_back({ node, incarnation, domain, false });
+        this->processes.push_back({ node, incarnation, domain, false });
     return found->second;
 }
 
-void EntryCore::Impl::loseLife(LifeIndex life)
+void EntryCore::Impl::loseProcess(ProcessIndex process)
 {
-    Life& lost = this->lives[life.value];
+    Process& lost = this->processes[process.value];
     if (lost.lost)
         return;
     lost.lost = true;
@@ -66,11 +67,11 @@
     const bool left
         = member->gone && node != this->nodes.end() && node->second.hello.incarnation == member->incarnation;
     if (left)
-        this->loseLife(node->second.life);
-    const bool otherLife = node != this->nodes.end() && node->second.hello.incarnation < member->incarnation;
-    if (otherLife)
-        this->loseLife(node->second.life);
-    const bool wrongly = node != this->nodes.end() && node->second.linked && !otherLife
+        this->loseProcess(node->second.process);
+    const bool otherProcess = node != this->nodes.end() && node->second.hello.incarnation < member->incarnation;
+    if (otherProcess)
+        this->loseProcess(node->second.process);
+    const bool wrongly = node != this->nodes.end() && node->second.linked && !otherProcess
         && !this->isRegistered(member->node, node->second.hello.incarnation);
     if (wrongly && node->second.hello.role == Role::Sidecar)
         this->registerSidecar(member->node);
--- a/src/librattandeck/entryorders.cpp
+++ b/src/librattandeck/entryorders.cpp
@@ -230,7 +230,7 @@
     const Node& node = this->nodes.at(credit.sidecar);
     call.stage = CallStage::Ordered;
     call.sidecar = credit.sidecar;
-    call.life = node.life;
+    call.process = node.process;
     call.linkDownSince.reset();
     call.sentAt = this->now();
     if (call.attempt == 1)
@@ -322,7 +322,7 @@
     if (report.leaving) {
         const bool isNew = !this->nodes.at(from).leaving;
         this->nodes.at(from).leaving = true;
-        this->loseLife(this->nodes.at(from).life);
+        this->loseProcess(this->nodes.at(from).process);
         if (isNew)
             this->reviewCopies();
     }
--- a/src/librattandeck/entryrecords.cpp
+++ b/src/librattandeck/entryrecords.cpp
@@ -54,8 +54,8 @@
     HomeShard& shard = this->shards.at(id.shard);
     HomeProgram& program = *shard.find(id);
     ProgramCall& call = *program.current;
-    // A later life of the sidecar can't tell what its former one did.
-    if (call.sidecar != from || call.life != this->nodes.at(from).life)
+    // A later process of the sidecar can't tell what its former one did.
+    if (call.sidecar != from || call.process != this->nodes.at(from).process)
         return;
     ++this->counters.ordersRefused;
     this->takeBack(program, call);
@@ -144,8 +144,8 @@
     }
     call.cachedTokens = ended.cachedTokens;
     call.prefilledTokens = ended.prefilledTokens;
-    const LifeIndex life = this->nodes.at(from).life;
-    this->settle(shard, program, { record, { life }, false, {} });
+    const ProcessIndex process = this->nodes.at(from).process;
+    this->settle(shard, program, { record, { process }, false, {} });
 }
 
 // Lost sidecars ----------------------------------------------------------------------------------------------------
@@ -177,10 +177,10 @@
     }
 }
 
-void EntryCore::Impl::onSidecarLinked(const NodeId& node, bool sameLife)
+void EntryCore::Impl::onSidecarLinked(const NodeId& node, bool sameProcess)
 {
     for (const auto& [id, serial] : this->callsAt(node)) {
-        if (!sameLife) {
+        if (!sameProcess) {
             this->sidecarLost(id, serial, true);
             continue;
         }
@@ -252,7 +252,7 @@
         attempt.state = RecordState::Started;
         facts.records.push_back(std::move(attempt));
     }
-    this->copyFacts(std::move(facts), openAttemptCopies, {}, [](std::optional<LifeIndex>) {});
+    this->copyFacts(std::move(facts), openAttemptCopies, {}, [](std::optional<ProcessIndex>) {});
     const std::vector<Caller> callers = call->callers;
     this->startNext(shard, program);
     this->replyAll(callers, problem);
@@ -353,7 +353,7 @@
     call.turn = held.record.turn;
     held.onChain = extendsChain(program, held.record);
     held.otherAttempts = call.otherAttempts;
-    for (const LifeIndex holder : held.holders)
+    for (const ProcessIndex holder : held.holders)
         program.headerHolders.push_back(holder);
     const HeldRecord& stored = addRecord(program, std::move(held));
     const ProgramId id = program.header.id;
@@ -367,7 +367,7 @@
     facts.programs.push_back(program.header);
     facts.records.push_back(stored.record);
     facts.records.insert(facts.records.end(), stored.otherAttempts.begin(), stored.otherAttempts.end());
-    this->copyFacts(std::move(facts), unlimitedAttempts, {}, [this, id, serial](std::optional<LifeIndex> holder) {
+    this->copyFacts(std::move(facts), unlimitedAttempts, {}, [this, id, serial](std::optional<ProcessIndex> holder) {
         HomeShard* owned = nullptr;
         HomeProgram* known = nullptr;
         const ProgramCall* open = this->findCall(id, serial, &owned, &known);
@@ -452,7 +452,7 @@
     if (!saysMore || record.state == RecordState::NotRun)
         return true;
 
-    HeldRecord held { record, { this->nodes.at(from).life }, extendsChain(*program, record), {} };
+    HeldRecord held { record, { this->nodes.at(from).process }, extendsChain(*program, record), {} };
     if (held.record.state == RecordState::Started)
         held.record.state = RecordState::Unknown;
     BudgetAccount& account = owned->second.account(program->header);
--- a/src/librattandeck/entryshards.cpp
+++ b/src/librattandeck/entryshards.cpp
@@ -167,12 +167,12 @@
         return ground;
     }
     if (slot.home == this->settings.node) {
-        // A claim of this life whose answer was lost, or shards of the former life.
+        // A claim of this process whose answer was lost, or shards of the former process.
         ground.ranked = false;
         ground.claim.completeThrough = this->writtenCompleteThrough();
         if (!this->formerLease)
             return ground;
-        // This life's own lease has taken the place of the former one, which can't be renewed any more.
+        // This process's own lease has taken the place of the former one, which can't be renewed any more.
         ground.claim.lease = this->formerLease->lease;
         ground.claim.leaseVersion = this->formerLease->version;
         ground.from = this->formerLease->lapsesAt(this->settings.clockMargin);
--- a/src/librattandeck/entryworld_test.h
+++ b/src/librattandeck/entryworld_test.h
@@ -354,11 +354,11 @@
 
     void callStore(const NodeId& node, std::uint64_t id, const ObjectRequest& request)
     {
-        const std::uint64_t life = this->entries.at(node).settings.incarnation.value;
-        const auto answer = [this, node, life, id](const ObjectOutcome& outcome) {
-            this->timers.subscribeAfter(storeDelay, [this, node, life, id, outcome] {
+        const std::uint64_t process = this->entries.at(node).settings.incarnation.value;
+        const auto answer = [this, node, process, id](const ObjectOutcome& outcome) {
+            this->timers.subscribeAfter(storeDelay, [this, node, process, id, outcome] {
                 const auto entry = this->entries.find(node);
-                if (entry != this->entries.end() && entry->second.settings.incarnation.value == life)
+                if (entry != this->entries.end() && entry->second.settings.incarnation.value == process)
                     this->at(node, [id, outcome](EntryCore& core) { core.onObjectOutcome(id, outcome); });
             });
         };
--- a/src/librattandeck/home.h
+++ b/src/librattandeck/home.h
@@ -17,8 +17,8 @@
 /// What a home knows of the programs in a shard, and what it decides on that alone. No messages, no timers.
 namespace Rattandeck {
 
-/// One life of a node, as a holder of facts.
-using LifeIndex = Strong<struct LifeIndexTag, std::uint32_t>;
+/// One process of a node, as a holder of facts.
+using ProcessIndex = Strong<struct ProcessIndexTag, std::uint32_t>;
 
 /// Where the events of a request go: a ticket of this entry, or of the peer that passed the request on.
 struct Caller {
@@ -30,8 +30,8 @@
 
 struct HeldRecord {
     TurnRecord record;
-    /// Lives other than this process that hold the record.
-    std::vector<LifeIndex> holders;
+    /// Processes other than this process that hold the record.
+    std::vector<ProcessIndex> holders;
     /// Part of the digest chain. A record that turned up after a later turn had started is not.
     bool onChain = false;
     /// Other attempts of the turn that may have run; their charges count, too.
@@ -66,7 +66,7 @@
     bool mayHaveRun = false;
     std::optional<Order> order;
     NodeId sidecar;
-    LifeIndex life;
+    ProcessIndex process;
     /// Since when the link to the sidecar is down.
     std::optional<TimePoint> linkDownSince;
     TokenCount reserved;
@@ -95,7 +95,7 @@
 
 struct HomeProgram {
     ProgramHeader header;
-    std::vector<LifeIndex> headerHolders;
+    std::vector<ProcessIndex> headerHolders;
     std::map<TurnNumber, HeldRecord> records;
     std::map<IdempotencyKey, TurnNumber> keys;
     Digest head;
@@ -117,7 +117,7 @@
     TimePoint endedAt {};
     Duration attainedService { 0 };
     std::uint32_t turnsDone = 0;
-    /// Charged for open calls that lost lives may have held; given back when all of them are heard after all.
+    /// Charged for open calls that lost processes may have held; given back when all of them are heard after all.
     TokenCount doubtCharge;
     /// A call with an unknown outcome may still start until then; the next one waits.
     TimePoint blockedUntil {};
@@ -134,10 +134,10 @@
     TimePoint doubtfulFrom {};
     /// Gap before the last census.
     Epoch formerGap;
-    /// Lives that the census has missed; each may hold one open call of a program.
-    std::uint32_t missedLives = 0;
+    /// Processes that the census has missed; each may hold one open call of a program.
+    std::uint32_t missedProcesses = 0;
     /// Those among them that are gone for good.
-    std::uint32_t livesLost = 0;
+    std::uint32_t processesLost = 0;
     /// A late answer told of calls for which there was no room any more, so the gap stays.
     bool lateConflict = false;
     std::uint64_t lastSerial = 0;
--- a/src/librattandeck/lease.h
+++ b/src/librattandeck/lease.h
@@ -79,7 +79,7 @@
 /// What a guarantor has promised and released.
 class PromiseBook {
 public:
-    /// A former life of this process may have promised until `life` after `started`.
+    /// A former process of this process may have promised until `life` after `started`.
     PromiseBook(TimePoint started, Milliseconds life)
         : life(life)
         , silentUntil(started + life)
--- a/src/librattandeck/lease_test.cpp
+++ b/src/librattandeck/lease_test.cpp
@@ -150,7 +150,7 @@
         const std::vector<Member> members { member("first", 0, false, 20), member("replaced", 4, false, 20),
             member("gone", 0, true, 20), member("replacedBefore", 4, false, 10), member("goneBefore", 0, true, 10) };
         const CensusRoll roll = censusRoll(members, ObjectVersion(10));
-        CPPUNIT_ASSERT_EQUAL(1U, roll.livesLost);
+        CPPUNIT_ASSERT_EQUAL(1U, roll.processesLost);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), roll.gone.size());
         CPPUNIT_ASSERT(roll.gone.front().node == NodeId("gone"));
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), roll.mustHear.size());
@@ -158,8 +158,8 @@
         Member fresh { NodeId("goneBefore"), Incarnation(6), {}, {}, {}, Role::Sidecar, {}, {}, false,
             ObjectVersion(20) };
         registerOver(members[4], fresh);
-        CPPUNIT_ASSERT_EQUAL(0U, censusRoll({ fresh }, ObjectVersion(10)).livesLost);
-        CPPUNIT_ASSERT_EQUAL(1U, censusRoll({ fresh }, ObjectVersion(9)).livesLost);
+        CPPUNIT_ASSERT_EQUAL(0U, censusRoll({ fresh }, ObjectVersion(10)).processesLost);
+        CPPUNIT_ASSERT_EQUAL(1U, censusRoll({ fresh }, ObjectVersion(9)).processesLost);
         const auto parsed = parseMember(formatMember(members[1]), ObjectVersion(20));
         CPPUNIT_ASSERT(parsed && parsed->former == Incarnation(4) && !parsed->gone);
     }
--- a/src/librattandeck/members.cpp
+++ b/src/librattandeck/members.cpp
@@ -58,7 +58,7 @@
         const bool formerCovered = member.formerGone.value != 0 && member.formerGone <= completeThrough;
         const bool formerLost = member.former.value != 0 && !formerCovered;
         if (changedSince && formerLost)
-            ++roll.livesLost;
+            ++roll.processesLost;
         if (changedSince && member.gone)
             roll.gone.push_back(member);
         if (!member.gone)
--- a/src/librattandeck/members.h
+++ b/src/librattandeck/members.h
@@ -39,13 +39,13 @@
 /// Whom a census must hear so that it is complete.
 struct CensusRoll {
     std::vector<Member> mustHear;
-    /// Lives that may have held facts and have been replaced.
-    std::uint32_t livesLost = 0;
-    /// Lives that may have held facts and are said to be gone; one that leaves in order may still answer.
+    /// Processes that may have held facts and have been replaced.
+    std::uint32_t processesLost = 0;
+    /// Processes that may have held facts and are said to be gone; one that leaves in order may still answer.
     std::vector<Member> gone;
 };
 
-/// Facts of lives that ended up to `completeThrough` stand elsewhere; those that ended later may be lost.
+/// Facts of processes that ended up to `completeThrough` stand elsewhere; those that ended later may be lost.
 CensusRoll censusRoll(const std::vector<Member>& members, ObjectVersion completeThrough);
 
 }
--- a/src/librattandeck/sidecar.cpp
+++ b/src/librattandeck/sidecar.cpp
@@ -15,7 +15,7 @@
     // After its last call a leaving sidecar stays for so many report intervals, so that homes can copy its records.
     constexpr int recopyIntervals = 2;
 
-    // Credits of a former life must not be taken for those of this one.
+    // Credits of a former process must not be taken for those of this one.
     CreditId firstCredit(const SidecarSettings& settings)
     {
         constexpr unsigned lifeBits = 32;
