Make one piece of code serve two callers, twice

Change: startedRecord(order) serves both cores; the entry still overrides state, request and charge; the callers' JSON uses describe(Ran). No behaviour changes. Ruled out: merging the two daemons' link and metrics wiring, which only looks alike over two different cores.

--- a/src/librattandeck/entryrecords.cpp
+++ b/src/librattandeck/entryrecords.cpp
@@ -1,4 +1,5 @@
 #include "entryimpl.h"
+#include "startedrecord.h"
 
 #include "Rattandeck/cachepolicy.h"
 
@@ -280,20 +281,11 @@
 
 TurnRecord EntryCore::Impl::openRecord(const HomeProgram& program, const ProgramCall& call) const
 {
-    const Order& order = *call.order;
-    TurnRecord record;
+    TurnRecord record = startedRecord(*call.order);
     record.program = program.header.id;
-    record.turn = order.turn;
-    record.attempt = order.attempt;
-    record.epoch = order.epoch;
-    record.service = order.service;
-    record.key = order.key;
-    record.idempotent = order.idempotent;
     record.state = RecordState::Unknown;
     record.request = call.digest;
-    record.input = order.input;
     record.charged = call.reserved;
-    record.headBefore = order.headBefore;
     return record;
 }
 
--- a/src/librattandeckapp/callerjson.cpp
+++ b/src/librattandeckapp/callerjson.cpp
@@ -1,5 +1,7 @@
 #include "RattandeckApp/callerjson.h"
 
+#include "Rattandeck/describe.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
@@ -235,19 +237,6 @@
         return problemTexts[0];
     }
 
-    const char* toText(Ran ran)
-    {
-        switch (ran) {
-        case Ran::No:
-            return "no";
-        case Ran::Yes:
-            return "yes";
-        case Ran::Unknown:
-            return "unknown";
-        }
-        return "unknown";
-    }
-
     std::string dump(const Json& json) { return json.dump(-1, ' ', false, Json::error_handler_t::replace); }
 
 }
@@ -270,7 +259,7 @@
 {
     const ProblemText& text = textOf(problem.kind);
     Json json { { "type", std::string("urn:rattandeck:problem:") + text.name }, { "title", text.title },
-        { "status", text.status }, { "ran", toText(problem.ran) } };
+        { "status", text.status }, { "ran", describe(problem.ran) } };
     if (!problem.detail.empty())
         json["detail"] = problem.detail;
     if (problem.retryAfter.count() > 0)
