--- /dev/null
+++ b/src/include/Rattandeck/journalmembership.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "Rattandeck/messages.h"
+#include "Rattandeck/timer.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace Rattandeck {
+
+/// What a journal asks of its surroundings to become and stay a member of the set of journals.
+class JournalMembershipIo {
+public:
+    virtual ~JournalMembershipIo() = default;
+    /// Reads the set from the platform's store; answered by `onSetRead` or `onSetUnread`.
+    virtual void readSet() = 0;
+    /// Writes a set if the stored one is still that of the last `onSetRead`; answered by `onSetWritten` or
+    /// `onSetUnread`.
+    virtual void writeSet(const JournalSet& set) = 0;
+    /// Asks a journal for a page of its records; answered by `onPage`.
+    virtual bool askForPage(const NodeId& node, const CopyRequest& request) = 0;
+    /// Notes on disk whether this journal has all records that it should have.
+    virtual void noteComplete(bool isComplete) = 0;
+    /// A later set is in force here: to be kept on disk and told to all processes that are linked.
+    virtual void onSetChanged(const JournalSet& set) = 0;
+    virtual void logStep(const std::string& step, const std::string& detail) = 0;
+};
+
+struct JournalMembershipLimits {
+    /// A newcomer takes the place of a member that it can't reach for this long.
+    Milliseconds replaceAfter { 2000 };
+    /// A member beyond the usual number that can't be reached for this long is dropped.
+    Milliseconds dropAfter { 4000 };
+    /// Members that are kept even when one of them can't be reached.
+    std::size_t usualMembers = 3;
+    Milliseconds readInterval { 500 };
+    Milliseconds pageTimeout { 1000 };
+};
+
+/// Decides which journals keep the records. The set stands in the platform's store and changes one member at a time by
+/// conditional update; a record with two copies stays readable through every change:
+///
+/// - Whoever proposes a change counts for nothing until it has copied the records of every other member, from pages
+///   made when that member knew the change already. Until then readers need all the others.
+/// - So a copy that a dropped member acknowledged to a gateway that did not know of the change is found at the other
+///   member that acknowledged it, and a newcomer's acknowledgement counts only when any vote under the old set would
+///   meet a member that knows the new one.
+///
+/// An emptied disk refills from all other members before its journal counts again. Without the store nothing changes
+/// and nothing needs to.
+///
+/// Thread safety: not synchronised; use from the thread that advances the timers.
+class JournalMembership {
+public:
+    JournalMembership(TimerService& timers, JournalMembershipIo& io, JournalMember self, JournalMembershipLimits limits);
+    ~JournalMembership();
+    JournalMembership(const JournalMembership&) = delete;
+    JournalMembership& operator=(const JournalMembership&) = delete;
+
+    /// Starts with what the disk holds: the last set known, and whether this journal was complete.
+    void start(const JournalSet& known, bool wasComplete);
+
+    /// Nothing: the store holds no set.
+    void onSetRead(const std::optional<JournalSet>& set);
+    void onSetWritten(const JournalSet& set);
+    void onSetUnread();
+    /// Told by another process.
+    void onSetTold(const JournalSet& set);
+
+    void onLinkUp(const NodeId& node);
+    void onLinkDown(const NodeId& node);
+    /// Precondition: the page's records have been applied and written.
+    void onPage(const NodeId& from, const CopyPage& page);
+    /// A journal has copied everything that this one holds.
+    void onCopiedBy(const NodeId& node);
+    /// Members that the operator wants emptied.
+    void setLeaving(std::set<NodeId> leaving);
+
+    const JournalSet& set() const;
+    bool isMember() const;
+    /// This journal may acknowledge records and vote on what is missing.
+    bool counts() const;
+    /// This journal has left the set at the operator's wish, and all members have copied what it held.
+    bool isEmptied() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+}
--- /dev/null
+++ b/src/include/Rattandeck/journalstate.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "Rattandeck/journalmessages.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Rattandeck {
+
+/// The records that a journal holds: claims on token budgets and retained turns. It has no disk; whoever owns it
+/// writes what it applies and applies what it reads back.
+///
+/// Thread safety: not synchronised.
+class JournalState {
+public:
+    JournalState();
+    ~JournalState();
+    JournalState(const JournalState&) = delete;
+    JournalState& operator=(const JournalState&) = delete;
+
+    /// Adds or settles a claim. A settled claim is not changed back by an older message that arrives late.
+    void apply(const SettleClaim& claim, TimePoint now);
+    /// Adds a turn and renews the chain that it continues.
+    void apply(const RetainedTurn& turn, TimePoint now);
+
+    std::vector<TokenClaim> claims(const BudgetId& budget) const;
+    /// The prompt that the chain through `turn` makes; nothing when a turn of it is missing.
+    std::optional<std::string> transcript(const TurnId& turn) const;
+
+    /// Forgets what has outlived its retention.
+    void expire(TimePoint now);
+
+    /// Bytes of inputs, outputs and names held.
+    std::size_t bytes() const;
+    /// Number of the record that was added or changed last; numbers grow.
+    std::uint64_t lastNumber() const;
+    std::size_t turnCount() const;
+    std::size_t budgetCount() const;
+
+    /// One page of all records in a stable order, for a journal that refills. `cursor` 0 is the start; records added
+    /// after the first page may be missing.
+    CopyPage page(std::uint64_t cursor, std::size_t maxBytes) const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl;
+};
+
+}
--- a/src/include/Rattandeck/messages.h
+++ b/src/include/Rattandeck/messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Rattandeck/journalmessages.h"
 #include "Rattandeck/types.h"
 
 #include <string>
@@ -12,7 +13,7 @@
 
 constexpr std::uint32_t protocolVersion = 1;
 
-enum class Role { Entry, Sidecar };
+enum class Role { Entry, Sidecar, Gateway, Journal };
 
 /// First message on a link, from both sides.
 struct Hello {
@@ -431,6 +432,7 @@
 
 using Message = std::variant<Hello, Order, OrderRefused, OrderTokens, OrderEnded, CancelOrder, ReleaseProgram,
     HoldPrefix, LoadReport, CensusRequest, CensusAnswer, CopyRecords, CopyAnswer, PromiseRequest, PromiseAnswer,
-    ReleaseRequest, ReleaseAnswer, ConfigUpdate, ForwardRequest, ForwardCancel, ForwardEvent>;
+    ReleaseRequest, ReleaseAnswer, ConfigUpdate, ForwardRequest, ForwardCancel, ForwardEvent, ClaimTokens, ClaimsKnown,
+    SettleClaim, StoreTurn, TurnStored, FetchTurn, TurnFetched, JournalSet, CopyRequest, CopyPage>;
 
 }
--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -22,6 +22,8 @@
     std::map<std::string, std::string> query;
     HttpHeaders headers;
     std::string body;
+    /// The target as it came or as it is to be sent; where it is empty, it is made from `path` and `query`.
+    std::string target;
 };
 
 struct HttpResponse {
@@ -34,7 +36,10 @@
 struct HttpLimits {
     std::size_t maxHeaderBytes = 16UL * 1024;
     std::size_t maxBodyBytes = 4UL * 1024 * 1024;
-    std::chrono::seconds readTimeout { 30 };
+    /// Longest wait for a request that has begun, or for a reader that takes nothing.
+    std::chrono::milliseconds readTimeout { 30000 };
+    /// How long a connection is kept without a request.
+    std::chrono::milliseconds idleTimeout { 30000 };
     std::size_t maxConnections = 1024;
     /// Unsent bytes of a streamed answer beyond which a slow reader is cut off.
     std::size_t maxUnsentBytes = 8UL * 1024 * 1024;
@@ -79,6 +84,10 @@
     tl::expected<void, NetError> listen(const Address& address);
     /// The bound port; differs from the requested one if that was 0.
     std::uint16_t port() const;
+    /// Changes the limits of later requests and connections.
+    void setLimits(const HttpLimits& limits);
+    /// Later answers carry `Connection: close`; connections are accepted and idle ones kept as before.
+    void closeAfterAnswers();
     /// Accepts no more connections. Requests in flight are answered, with `Connection: close`; idle connections close
     /// after a short grace, since a request may be on its way.
     void stopAccepting();
@@ -94,6 +103,9 @@
 };
 
 struct HttpCallbacks {
+    /// Whether an answer belongs to this call. An answer that doesn't, such as a late one to an earlier call on the same
+    /// connection, is skipped. Empty: any answer does.
+    std::function<bool(const HttpHeaders&)> isOwn;
     std::function<void(int status, const HttpHeaders&)> onHead;
     std::function<void(std::string_view chunk)> onData;
     /// Called exactly once, unless the call was cancelled.
--- /dev/null
+++ b/src/librattandeck/gateway.cpp
@@ -0,0 +1,279 @@
+#include "gatewayimpl.h"
+
+namespace Rattandeck {
+
+std::string_view describe(RejectionReason reason)
+{
+    switch (reason) {
+    case RejectionReason::NoRoute:
+        return "no route";
+    case RejectionReason::NotReady:
+        return "no configuration yet";
+    case RejectionReason::Overloaded:
+        return "no instance has room";
+    case RejectionReason::NoInstance:
+        return "no instance";
+    case RejectionReason::BudgetSpent:
+        return "token budget spent";
+    case RejectionReason::UnknownTurn:
+        return "unknown previous turn";
+    case RejectionReason::JournalsUnavailable:
+        return "journals unavailable";
+    case RejectionReason::TimedOut:
+        return "timed out";
+    case RejectionReason::AnswerLost:
+        return "answer lost";
+    }
+    return "unknown";
+}
+
+// Public -------------------------------------------------------------------------------------------------------------
+
+Gateway::Gateway(
+    TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain, GatewayLimits limits)
+    : impl(std::make_unique<Impl>(timers, io, journals, std::move(domain), limits))
+{
+}
+
+Gateway::~Gateway() = default;
+
+bool Gateway::setConfig(RoutingConfig config)
+{
+    if (this->impl->table && config.version <= this->impl->table->config().version)
+        return false;
+    this->impl->table = std::make_shared<const RouteTable>(std::move(config));
+    return true;
+}
+
+std::optional<std::uint64_t> Gateway::configVersion() const
+{
+    if (!this->impl->table)
+        return std::nullopt;
+    return this->impl->table->config().version;
+}
+
+CallerLimits Gateway::callerLimits() const
+{
+    return this->impl->table ? this->impl->table->config().limits : CallerLimits {};
+}
+
+EndpointTable& Gateway::endpoints() { return this->impl->endpoints; }
+
+std::size_t Gateway::open() const { return this->impl->calls.size(); }
+
+std::size_t Gateway::queued() const { return this->impl->queue.size(); }
+
+const GatewayCounts& Gateway::counts() const { return this->impl->counts; }
+
+void Gateway::onCall(CallId id, GatewayCall call)
+{
+    auto& self = *this->impl;
+    ++self.counts.calls;
+    if (!self.table)
+        return self.refuseUnrouted(id, call, RejectionReason::NotReady);
+    const Route* route = self.table->find(call.host, call.path);
+    if (!route || route->services.empty())
+        return self.refuseUnrouted(id, call, RejectionReason::NoRoute);
+    if (self.calls.size() >= self.limits.maxCalls)
+        return self.refuseUnrouted(id, call, RejectionReason::Overloaded);
+
+    auto state = std::make_unique<GatewayCallState>();
+    state->id = id;
+    state->table = self.table;
+    state->route = route;
+    state->service = chooseService(*route, call.program.value.empty() ? call.request.value : call.program.value);
+    state->arrived = self.timers.now();
+    state->deadline = state->arrived + std::min(route->timeout, call.timeLeft.value_or(route->timeout));
+    state->query.service = state->service;
+    state->query.prompt = std::move(call.prompt);
+    if (route->isSticky)
+        state->query.subject = call.subject;
+    state->query.domain = self.domain;
+    state->call = std::move(call);
+    state->lastEvent = state->call.resumeAfter;
+    state->deadlineTimer
+        = self.timers.subscribeAt(state->deadline, [gateway = this->impl.get(), id] { gateway->onDeadline(id); });
+    Impl::Call& added = *state;
+    self.calls.emplace(id, std::move(state));
+    self.prepare(added);
+}
+
+void Gateway::onCallerGone(CallId id)
+{
+    Impl::Call* call = this->impl->find(id);
+    if (!call)
+        return;
+    this->impl->dropSend(*call, true);
+    ++this->impl->counts.left;
+    this->impl->finish(*call, "left", "caller left");
+}
+
+// Preparation --------------------------------------------------------------------------------------------------------
+
+GatewayCallState* Gateway::Impl::find(CallId id)
+{
+    const auto found = this->calls.find(id);
+    return found == this->calls.end() ? nullptr : found->second.get();
+}
+
+GatewayCallState* Gateway::Impl::findBySend(SendId id)
+{
+    const auto found = this->callOfSend.find(id);
+    return found == this->callOfSend.end() ? nullptr : this->find(found->second);
+}
+
+void Gateway::Impl::prepare(Call& call)
+{
+    const bool isTurn = call.route->safety == CallSafety::Stream && !call.call.program.value.empty();
+    call.isClaimPending = isTurn && call.call.tokenLimit.has_value();
+    call.isFetchPending = isTurn && !call.call.previousTurn.value.empty();
+    if (!call.isClaimPending && !call.isFetchPending) {
+        this->onPrepared(call);
+        return;
+    }
+    // Either may end the call at once.
+    const CallId id = call.id;
+    if (call.isFetchPending)
+        this->fetch(call);
+    if (this->find(id) && call.isClaimPending)
+        this->claim(call);
+}
+
+void Gateway::Impl::claim(Call& call)
+{
+    this->journals.claim(call.call.program, call.call.request, call.call.maxOutputTokens, *call.call.tokenLimit,
+        this->retention(call), [this, id = call.id](tl::expected<void, JournalError> outcome) {
+            this->onClaimed(id, outcome);
+        });
+}
+
+void Gateway::Impl::fetch(Call& call)
+{
+    this->journals.fetch(call.call.previousTurn,
+        [this, id = call.id](tl::expected<std::string, JournalError> outcome) {
+            this->onFetched(id, std::move(outcome));
+        });
+}
+
+void Gateway::Impl::onClaimed(CallId id, const tl::expected<void, JournalError>& outcome)
+{
+    Call* call = this->find(id);
+    if (!call)
+        return;
+    call->isClaimPending = false;
+    if (!outcome) {
+        const bool isSpent = outcome.error() == JournalError::BudgetSpent;
+        this->refuse(*call, isSpent ? RejectionReason::BudgetSpent : RejectionReason::JournalsUnavailable);
+        return;
+    }
+    call->isClaimed = true;
+    if (!call->isFetchPending)
+        this->onPrepared(*call);
+}
+
+void Gateway::Impl::onFetched(CallId id, tl::expected<std::string, JournalError> outcome)
+{
+    Call* call = this->find(id);
+    if (!call)
+        return;
+    call->isFetchPending = false;
+    if (!outcome) {
+        const bool isUnknown = outcome.error() == JournalError::NotFound;
+        this->refuse(*call, isUnknown ? RejectionReason::UnknownTurn : RejectionReason::JournalsUnavailable);
+        return;
+    }
+    call->transcript = std::move(*outcome);
+    if (!call->isClaimPending)
+        this->onPrepared(*call);
+}
+
+void Gateway::Impl::onPrepared(Call& call) { this->place(call); }
+
+// End ----------------------------------------------------------------------------------------------------------------
+
+Milliseconds Gateway::Impl::timeLeft(const Call& call) const
+{
+    return std::chrono::duration_cast<Milliseconds>(call.deadline - this->timers.now());
+}
+
+Milliseconds Gateway::Impl::retention(const Call& call) const
+{
+    return std::max(call.route->turnRetention, this->limits.minRetention);
+}
+
+void Gateway::Impl::onDeadline(CallId id)
+{
+    Call* call = this->find(id);
+    if (!call)
+        return;
+    this->dropSend(*call, true);
+    if (!call->hasBegun) {
+        this->refuse(*call, RejectionReason::TimedOut);
+        return;
+    }
+    ++this->counts.broken;
+    this->io.breakOff(id);
+    this->finish(*call, "broken", describe(RejectionReason::TimedOut));
+}
+
+void Gateway::Impl::refuseUnrouted(CallId id, const GatewayCall& call, RejectionReason reason)
+{
+    ++this->counts.refused;
+    const bool mayComeBack = reason != RejectionReason::NoRoute;
+    this->io.refuse(id, { reason, false, mayComeBack ? this->limits.retryAfter : Milliseconds(0) });
+    CallEnd end;
+    end.request = call.request;
+    end.program = call.program;
+    end.outcome = "refused";
+    end.reason = describe(reason);
+    this->io.logEnd(end);
+}
+
+void Gateway::Impl::refuse(Call& call, RejectionReason reason)
+{
+    this->dropSend(call, true);
+    CallRefusal refusal;
+    refusal.reason = reason;
+    refusal.mayHaveRun = call.runs > 0;
+    const bool isFinal = reason == RejectionReason::BudgetSpent || reason == RejectionReason::UnknownTurn;
+    if (!isFinal && !refusal.mayHaveRun)
+        refusal.retryAfter = this->limits.retryAfter;
+    ++this->counts.refused;
+    this->io.refuse(call.id, refusal);
+    this->finish(call, "refused", describe(reason));
+}
+
+/// Gives back what the turn's claim did not use.
+void Gateway::Impl::settle(Call& call)
+{
+    if (!call.isClaimed)
+        return;
+    const ServiceTerms* service = call.table->service(call.service);
+    const std::int64_t perEvent = service && service->engine ? service->engine->tokensPerEvent.value : 1;
+    const TokenCount used(perEvent * static_cast<std::int64_t>(call.events));
+    this->journals.settle(call.call.program, call.call.request, used, this->retention(call));
+    call.isClaimed = false;
+}
+
+void Gateway::Impl::finish(Call& call, std::string_view outcome, std::string_view reason)
+{
+    this->settle(call);
+    this->dequeue(call);
+    this->timers.cancel(call.deadlineTimer);
+    this->timers.cancel(call.stallTimer);
+    CallEnd end;
+    end.request = call.call.request;
+    end.program = call.call.program;
+    end.route = call.route->name;
+    end.outcome = outcome;
+    end.reason = reason;
+    end.endpoint = call.endpoint.value;
+    end.status = call.head ? call.head->status : 0;
+    end.sends = call.sends;
+    end.events = call.events;
+    end.duration = std::chrono::duration_cast<Milliseconds>(this->timers.now() - call.arrived);
+    this->io.logEnd(end);
+    this->calls.erase(call.id);
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -0,0 +1,177 @@
+#include "gatewayimpl.h"
+
+namespace Rattandeck {
+
+static bool isSuccess(const EndpointAnswer& answer) { return answer.status >= 200 && answer.status < 300; }
+
+// Public -------------------------------------------------------------------------------------------------------------
+
+void Gateway::onAnswerHead(SendId id, const EndpointAnswer& answer)
+{
+    auto& self = *this->impl;
+    Impl::Call* call = self.findBySend(id);
+    if (!call)
+        return;
+    if (answer.load)
+        self.endpoints.onLoad(call->endpoint, *answer.load, self.timers.now());
+    if (answer.isNotRun) {
+        self.endpoints.onFull(call->endpoint, self.timers.now());
+        self.onSendRefused(*call);
+        return;
+    }
+    call->head = answer;
+}
+
+void Gateway::onAnswerData(SendId id, std::string_view bytes)
+{
+    auto& self = *this->impl;
+    Impl::Call* call = self.findBySend(id);
+    if (!call || !call->head)
+        return;
+    if (call->head->isEventStream && isSuccess(*call->head)) {
+        call->splitter.add(bytes);
+        self.takeEvents(*call);
+        return;
+    }
+    call->body += bytes;
+    if (call->body.size() <= self.limits.maxWholeAnswer || call->route->safety == CallSafety::Stream)
+        return;
+    // Too long to be collected; from here on it can't be replaced by another answer.
+    if (!call->hasBegun) {
+        call->hasBegun = true;
+        call->begunBy = id;
+        self.io.begin(call->id, id);
+    }
+    self.io.write(call->id, call->body);
+    call->body.clear();
+}
+
+void Gateway::onAnswerEnd(SendId id, SendOutcome outcome)
+{
+    auto& self = *this->impl;
+    Impl::Call* call = self.findBySend(id);
+    if (!call)
+        return;
+    if (outcome == SendOutcome::NotSent) {
+        self.endpoints.onFailure(call->endpoint, self.timers.now());
+        self.onSendRefused(*call);
+        return;
+    }
+    if (outcome == SendOutcome::Broken || !call->head) {
+        self.onSendBroken(*call);
+        return;
+    }
+    if (call->head->isEventStream && isSuccess(*call->head))
+        self.onStreamEnd(*call);
+    else
+        self.onWholeAnswer(*call);
+}
+
+// Whole answers ------------------------------------------------------------------------------------------------------
+
+void Gateway::Impl::onWholeAnswer(Call& call)
+{
+    const bool isFailure = call.head->status >= 500;
+    if (isFailure && !call.hasBegun && this->mayRunAgain(call) && this->takeRepeat()) {
+        call.query.excluded.insert(call.endpoint);
+        this->dropSend(call, false);
+        this->place(call);
+        return;
+    }
+    if (call.events > 0) {
+        // A stream can't go on with an answer that is no stream.
+        this->onSendBroken(call);
+        return;
+    }
+    ++this->counts.answered;
+    if (call.hasBegun) {
+        if (!call.body.empty())
+            this->io.write(call.id, call.body);
+        this->io.end(call.id);
+    } else {
+        this->io.answer(call.id, call.send, std::move(call.body));
+    }
+    this->dropSend(call, false);
+    this->finish(call, "answered", {});
+}
+
+// Streams ------------------------------------------------------------------------------------------------------------
+
+void Gateway::Impl::takeEvents(Call& call)
+{
+    bool hasEvents = false;
+    while (const auto event = call.splitter.next()) {
+        this->passOn(call, *event);
+        hasEvents = true;
+    }
+    if (hasEvents)
+        this->watchStall(call);
+}
+
+void Gateway::Impl::passOn(Call& call, const StreamEvent& event)
+{
+    if (!call.hasBegun) {
+        call.hasBegun = true;
+        call.begunBy = call.send;
+        this->io.begin(call.id, call.send);
+    }
+    ++call.events;
+    ++this->counts.events;
+    if (!event.id.empty())
+        call.lastEvent = event.id;
+    if (call.route->retainsTurns) {
+        call.output += event.data;
+        call.output += '\n';
+    }
+    this->io.write(call.id, event.bytes);
+}
+
+void Gateway::Impl::onStreamEnd(Call& call)
+{
+    // An event that was cut short, or none at all, is no end of a stream.
+    if (call.splitter.pendingBytes() > 0 || call.events == 0) {
+        this->onSendBroken(call);
+        return;
+    }
+    this->dropSend(call, false);
+    this->settle(call);
+    if (call.route->retainsTurns && !call.call.program.value.empty()) {
+        this->store(call);
+        return;
+    }
+    ++this->counts.answered;
+    this->io.end(call.id);
+    this->finish(call, "answered", {});
+}
+
+/// The end of the answer promises that the turn can be continued, so it waits for the journals.
+void Gateway::Impl::store(Call& call)
+{
+    call.isStoring = true;
+    RetainedTurn turn;
+    turn.id = call.call.request;
+    turn.previous = call.call.previousTurn;
+    turn.input = std::move(call.call.body);
+    turn.output = std::move(call.output);
+    turn.retention = this->retention(call);
+    this->journals.store(turn, call.transcript,
+        [this, id = call.id](tl::expected<void, JournalError> outcome) { this->onStored(id, outcome); });
+}
+
+void Gateway::Impl::onStored(CallId id, const tl::expected<void, JournalError>& outcome)
+{
+    Call* call = this->find(id);
+    if (!call)
+        return;
+    if (!outcome) {
+        ++this->counts.broken;
+        this->io.breakOff(id);
+        this->finish(*call, "broken", describe(RejectionReason::JournalsUnavailable));
+        return;
+    }
+    ++this->counts.answered;
+    this->io.end(id);
+    this->finish(*call, "answered", {});
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/gatewayimpl.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "Rattandeck/eventstream.h"
+#include "Rattandeck/gateway.h"
+
+#include <map>
+#include <unordered_map>
+
+/// State of a gateway, for its sources only.
+namespace Rattandeck {
+
+struct GatewayCallState {
+    CallId id;
+    GatewayCall call;
+    /// Keeps `route` alive when the configuration changes.
+    std::shared_ptr<const RouteTable> table;
+    const Route* route = nullptr;
+    ServiceName service;
+    TimePoint arrived;
+    TimePoint deadline;
+    TimerId deadlineTimer;
+
+    // Preparation
+    bool isClaimPending = false;
+    bool isFetchPending = false;
+    bool isClaimed = false;
+    std::string transcript;
+
+    // Queue
+    bool isQueued = false;
+    TimePoint queuedAt;
+
+    // Sendings
+    PlacementQuery query;
+    SendId send;
+    EndpointId endpoint;
+    std::uint32_t sends = 0;
+    /// Sendings that may have run.
+    std::uint32_t runs = 0;
+    TimerId stallTimer;
+
+    // Answer
+    std::optional<EndpointAnswer> head;
+    bool hasBegun = false;
+    /// The sending whose head the caller has got.
+    SendId begunBy;
+    std::string body;
+    EventSplitter splitter;
+    std::string lastEvent;
+    std::uint64_t events = 0;
+    std::string output;
+    bool isStoring = false;
+};
+
+struct Gateway::Impl {
+    Impl(TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain, GatewayLimits limits)
+        : timers(timers)
+        , io(io)
+        , journals(journals)
+        , domain(std::move(domain))
+        , limits(limits)
+        , repeatsSaved(limits.repeatBurst)
+    {
+    }
+
+    using Call = GatewayCallState;
+
+    TimerService& timers;
+    GatewayIo& io;
+    JournalClient& journals;
+    FailureDomain domain;
+    GatewayLimits limits;
+    std::shared_ptr<const RouteTable> table;
+    EndpointTable endpoints;
+    GatewayCounts counts;
+    double repeatsSaved;
+
+    std::unordered_map<CallId, std::unique_ptr<Call>> calls;
+    std::unordered_map<SendId, CallId> callOfSend;
+    std::uint64_t lastSend = 0;
+    /// Waiting calls, the most urgent route first, then by arrival.
+    std::map<std::tuple<std::uint32_t, TimePoint, CallId>, CallId> queue;
+    TimerId queueTimer;
+
+    // gateway.cpp: beginning and end of a call
+    Call* find(CallId id);
+    Call* findBySend(SendId id);
+    void refuseUnrouted(CallId id, const GatewayCall& call, RejectionReason reason);
+    void prepare(Call& call);
+    void claim(Call& call);
+    void fetch(Call& call);
+    void onClaimed(CallId id, const tl::expected<void, JournalError>& outcome);
+    void onFetched(CallId id, tl::expected<std::string, JournalError> outcome);
+    void onPrepared(Call& call);
+    void onDeadline(CallId id);
+    void refuse(Call& call, RejectionReason reason);
+    void settle(Call& call);
+    void finish(Call& call, std::string_view outcome, std::string_view reason);
+    Milliseconds timeLeft(const Call& call) const;
+    Milliseconds retention(const Call& call) const;
+
+    // gatewaysends.cpp: placing and sending
+    void place(Call& call);
+    bool hasRoom(const PlacementChoice& choice) const;
+    void sendTo(Call& call, const PlacementChoice& choice);
+    void enqueue(Call& call);
+    void dequeue(Call& call);
+    void scheduleQueue();
+    void pumpQueue();
+    void dropSend(Call& call, bool cancel);
+    void onSendRefused(Call& call);
+    void onSendBroken(Call& call);
+    bool takeRepeat();
+    bool mayRunAgain(const Call& call) const;
+    void watchStall(Call& call);
+    void onStall(CallId id);
+
+    // gatewayanswers.cpp: passing answers on
+    void takeEvents(Call& call);
+    void passOn(Call& call, const StreamEvent& event);
+    void onWholeAnswer(Call& call);
+    void onStreamEnd(Call& call);
+    void store(Call& call);
+    void onStored(CallId id, const tl::expected<void, JournalError>& outcome);
+};
+
+}
--- /dev/null
+++ b/src/librattandeck/journalclient.cpp
@@ -0,0 +1,380 @@
+#include "Rattandeck/journalclient.h"
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace Rattandeck {
+
+// Operations under way -----------------------------------------------------------------------------------------------
+
+namespace {
+
+    using ClaimDone = std::function<void(tl::expected<void, JournalError>)>;
+    using FetchDone = std::function<void(tl::expected<std::string, JournalError>)>;
+
+    struct Operation {
+        enum class Kind { Claim, Store, Fetch };
+        Kind kind = Kind::Claim;
+        TimerId timer;
+        Message request;
+        /// Members that were asked and have not answered.
+        std::set<NodeId> asked;
+        /// Members whose answers count towards the outcome.
+        std::set<NodeId> answered;
+
+        BudgetId budget;
+        TurnId turn;
+        TokenCount most;
+        TokenCount limit;
+        Milliseconds retention { 0 };
+        std::map<TurnId, TokenClaim> seen;
+        ClaimDone done;
+        FetchDone fetched;
+    };
+
+    struct CachedTranscript {
+        std::string text;
+        std::list<TurnId>::iterator place;
+        TimePoint until;
+    };
+
+}
+
+struct JournalClient::Impl : std::enable_shared_from_this<JournalClient::Impl> {
+    Impl(TimerService& timers, JournalClientLimits limits, Send send)
+        : timers(timers)
+        , limits(limits)
+        , send(std::move(send))
+    {
+    }
+
+    TimerService& timers;
+    JournalClientLimits limits;
+    Send send;
+    JournalSet set;
+    std::uint64_t lastTicket = 0;
+    std::unordered_map<JournalTicket, Operation> operations;
+
+    std::unordered_map<TurnId, CachedTranscript> cache;
+    /// Oldest first.
+    std::list<TurnId> cacheOrder;
+    std::size_t cacheBytes = 0;
+
+    /// Members that must not have seen a record for it to count as missing: any two others could hold its copies.
+    std::size_t votesNeeded() const
+    {
+        const std::size_t size = this->set.members.size();
+        return std::max(this->limits.copies, size + 1 - std::min(size, this->limits.copies));
+    }
+
+    JournalTicket nextTicket() { return JournalTicket(++this->lastTicket); }
+    void start(JournalTicket ticket, Operation operation);
+    void ask(JournalTicket ticket);
+    void adopt(const JournalSet& later);
+    bool isMember(const NodeId& node) const;
+    Operation* findAnswered(JournalTicket ticket, const NodeId& from, Epoch epoch);
+    void judge(JournalTicket ticket);
+    void judgeClaim(JournalTicket ticket, Operation& operation);
+    void fail(JournalTicket ticket, JournalError error);
+    Operation take(JournalTicket ticket);
+
+    void onClaims(const NodeId& from, const ClaimsKnown& answer);
+    void onStored(const NodeId& from, const TurnStored& answer);
+    void onFetched(const NodeId& from, const TurnFetched& answer);
+
+    void remember(const TurnId& turn, std::string transcript);
+    void forget(const TurnId& turn);
+    void trimCache();
+};
+
+// Asking -------------------------------------------------------------------------------------------------------------
+
+void JournalClient::Impl::start(JournalTicket ticket, Operation operation)
+{
+    operation.timer
+        = this->timers.subscribeAfter(this->limits.answerTimeout, [weak = this->weak_from_this(), ticket] {
+              if (const auto self = weak.lock())
+                  self->fail(ticket, JournalError::Unavailable);
+          });
+    this->operations.emplace(ticket, std::move(operation));
+    this->ask(ticket);
+}
+
+bool JournalClient::Impl::isMember(const NodeId& node) const
+{
+    return std::ranges::any_of(
+        this->set.members, [&node](const JournalMember& member) { return member.node == node; });
+}
+
+/// Asks the members that have not been asked yet.
+void JournalClient::Impl::ask(JournalTicket ticket)
+{
+    Operation& operation = this->operations.at(ticket);
+    for (const JournalMember& member : this->set.members) {
+        const bool isKnown = operation.asked.contains(member.node) || operation.answered.contains(member.node);
+        if (!isKnown && this->send(member.node, operation.request))
+            operation.asked.insert(member.node);
+    }
+    this->judge(ticket);
+}
+
+/// Operations under way go on with the new set. Answers of members that stay count: whoever joins copies what they hold.
+void JournalClient::Impl::adopt(const JournalSet& later)
+{
+    this->set = later;
+    std::vector<JournalTicket> tickets;
+    for (auto& [ticket, operation] : this->operations) {
+        tickets.push_back(ticket);
+        std::erase_if(operation.asked, [this](const NodeId& node) { return !this->isMember(node); });
+        std::erase_if(operation.answered, [this](const NodeId& node) { return !this->isMember(node); });
+    }
+    for (const JournalTicket ticket : tickets) {
+        if (this->operations.contains(ticket))
+            this->ask(ticket);
+    }
+}
+
+Operation JournalClient::Impl::take(JournalTicket ticket)
+{
+    const auto found = this->operations.find(ticket);
+    Operation operation = std::move(found->second);
+    this->operations.erase(found);
+    this->timers.cancel(operation.timer);
+    return operation;
+}
+
+void JournalClient::Impl::fail(JournalTicket ticket, JournalError error)
+{
+    if (!this->operations.contains(ticket))
+        return;
+    const Operation operation = this->take(ticket);
+    if (operation.kind == Operation::Kind::Claim) {
+        const SettleClaim withdrawal { operation.budget, { operation.turn, TokenCount(0), true }, operation.retention };
+        for (const JournalMember& member : this->set.members)
+            this->send(member.node, withdrawal);
+    }
+    if (operation.fetched)
+        operation.fetched(tl::unexpected(error));
+    else if (operation.done)
+        operation.done(tl::unexpected(error));
+}
+
+/// Ends an operation whose outcome is known, or can't become known any more.
+void JournalClient::Impl::judge(JournalTicket ticket)
+{
+    const auto found = this->operations.find(ticket);
+    if (found == this->operations.end())
+        return;
+    Operation& operation = found->second;
+    const bool isStore = operation.kind == Operation::Kind::Store;
+    const std::size_t needed = isStore ? this->limits.copies : this->votesNeeded();
+    if (operation.answered.size() + operation.asked.size() < needed) {
+        this->fail(ticket, JournalError::Unavailable);
+        return;
+    }
+    if (operation.answered.size() < needed)
+        return;
+    switch (operation.kind) {
+    case Operation::Kind::Claim:
+        this->judgeClaim(ticket, operation);
+        break;
+    case Operation::Kind::Store:
+        this->take(ticket).done({});
+        break;
+    case Operation::Kind::Fetch:
+        this->fail(ticket, JournalError::NotFound);
+        break;
+    }
+}
+
+void JournalClient::Impl::judgeClaim(JournalTicket ticket, Operation& operation)
+{
+    std::int64_t total = operation.most.value;
+    for (const auto& [turn, claim] : operation.seen) {
+        if (turn != operation.turn)
+            total += claim.tokens.value;
+    }
+    if (total > operation.limit.value)
+        this->fail(ticket, JournalError::BudgetSpent);
+    else
+        this->take(ticket).done({});
+}
+
+// Answers ------------------------------------------------------------------------------------------------------------
+
+/// Notes that a member has answered. Nothing when the answer does not count.
+Operation* JournalClient::Impl::findAnswered(JournalTicket ticket, const NodeId& from, Epoch epoch)
+{
+    const auto found = this->operations.find(ticket);
+    if (found == this->operations.end() || found->second.asked.erase(from) == 0)
+        return nullptr;
+    // A journal that does not know the set in force may not know its newest member either.
+    if (epoch >= this->set.epoch)
+        found->second.answered.insert(from);
+    return &found->second;
+}
+
+void JournalClient::Impl::onClaims(const NodeId& from, const ClaimsKnown& answer)
+{
+    Operation* operation = this->findAnswered(answer.ticket, from, answer.epoch);
+    if (!operation)
+        return;
+    for (const TokenClaim& claim : answer.claims) {
+        TokenClaim& known = operation->seen[claim.turn];
+        if (!known.isSettled)
+            known = claim;
+    }
+    this->judge(answer.ticket);
+}
+
+void JournalClient::Impl::onStored(const NodeId& from, const TurnStored& answer)
+{
+    if (this->findAnswered(answer.ticket, from, answer.epoch))
+        this->judge(answer.ticket);
+}
+
+void JournalClient::Impl::onFetched(const NodeId& from, const TurnFetched& answer)
+{
+    if (!this->findAnswered(answer.ticket, from, answer.epoch))
+        return;
+    if (answer.isFound)
+        this->take(answer.ticket).fetched(answer.transcript);
+    else
+        this->judge(answer.ticket);
+}
+
+// Cache --------------------------------------------------------------------------------------------------------------
+
+void JournalClient::Impl::remember(const TurnId& turn, std::string transcript)
+{
+    this->forget(turn);
+    this->cacheOrder.push_back(turn);
+    this->cacheBytes += transcript.size();
+    const TimePoint until = this->timers.now() + this->limits.cacheLife;
+    this->cache[turn] = { std::move(transcript), std::prev(this->cacheOrder.end()), until };
+    this->trimCache();
+}
+
+void JournalClient::Impl::forget(const TurnId& turn)
+{
+    const auto found = this->cache.find(turn);
+    if (found == this->cache.end())
+        return;
+    this->cacheBytes -= found->second.text.size();
+    this->cacheOrder.erase(found->second.place);
+    this->cache.erase(found);
+}
+
+void JournalClient::Impl::trimCache()
+{
+    while (!this->cacheOrder.empty()) {
+        const TurnId oldest = this->cacheOrder.front();
+        const bool isOld = this->cache.at(oldest).until <= this->timers.now();
+        if (!isOld && this->cacheBytes <= this->limits.cacheBytes)
+            return;
+        this->forget(oldest);
+    }
+}
+
+// Public -------------------------------------------------------------------------------------------------------------
+
+JournalClient::JournalClient(TimerService& timers, JournalClientLimits limits, Send send)
+    : impl(std::make_shared<Impl>(timers, limits, std::move(send)))
+{
+}
+
+JournalClient::~JournalClient() = default;
+
+bool JournalClient::setMembers(const JournalSet& set)
+{
+    if (set.epoch <= this->impl->set.epoch)
+        return false;
+    this->impl->adopt(set);
+    return true;
+}
+
+const JournalSet& JournalClient::members() const { return this->impl->set; }
+
+void JournalClient::onMessage(const NodeId& from, const Message& message)
+{
+    if (const auto* claims = std::get_if<ClaimsKnown>(&message))
+        this->impl->onClaims(from, *claims);
+    else if (const auto* stored = std::get_if<TurnStored>(&message))
+        this->impl->onStored(from, *stored);
+    else if (const auto* fetched = std::get_if<TurnFetched>(&message))
+        this->impl->onFetched(from, *fetched);
+}
+
+void JournalClient::onLinkDown(const NodeId& member)
+{
+    std::vector<JournalTicket> affected;
+    for (auto& [ticket, operation] : this->impl->operations) {
+        if (operation.asked.erase(member) > 0)
+            affected.push_back(ticket);
+    }
+    for (const JournalTicket ticket : affected)
+        this->impl->judge(ticket);
+}
+
+void JournalClient::claim(const BudgetId& budget, const TurnId& turn, TokenCount most, TokenCount limit,
+    Milliseconds retention, std::function<void(tl::expected<void, JournalError>)> done)
+{
+    if (most > limit) {
+        done(tl::unexpected(JournalError::BudgetSpent));
+        return;
+    }
+    Operation operation;
+    operation.kind = Operation::Kind::Claim;
+    operation.budget = budget;
+    operation.turn = turn;
+    operation.most = most;
+    operation.limit = limit;
+    operation.retention = retention;
+    operation.done = std::move(done);
+    const JournalTicket ticket = this->impl->nextTicket();
+    operation.request = ClaimTokens { ticket, budget, { turn, most, false }, retention };
+    this->impl->start(ticket, std::move(operation));
+}
+
+void JournalClient::settle(const BudgetId& budget, const TurnId& turn, TokenCount used, Milliseconds retention)
+{
+    const SettleClaim settled { budget, { turn, used, true }, retention };
+    for (const JournalMember& member : this->impl->set.members)
+        this->impl->send(member.node, settled);
+}
+
+void JournalClient::store(const RetainedTurn& turn, const std::string& transcriptBefore,
+    std::function<void(tl::expected<void, JournalError>)> done)
+{
+    // The next turn of the chain, if it comes to this gateway, needs this transcript and not the one before.
+    this->impl->forget(turn.previous);
+    this->impl->remember(turn.id, transcriptBefore + turn.input + turn.output);
+    Operation operation;
+    operation.kind = Operation::Kind::Store;
+    operation.turn = turn.id;
+    operation.done = std::move(done);
+    const JournalTicket ticket = this->impl->nextTicket();
+    operation.request = StoreTurn { ticket, turn };
+    this->impl->start(ticket, std::move(operation));
+}
+
+void JournalClient::fetch(const TurnId& turn, std::function<void(tl::expected<std::string, JournalError>)> done)
+{
+    const auto cached = this->impl->cache.find(turn);
+    if (cached != this->impl->cache.end()) {
+        done(cached->second.text);
+        return;
+    }
+    Operation operation;
+    operation.kind = Operation::Kind::Fetch;
+    operation.turn = turn;
+    operation.fetched = std::move(done);
+    const JournalTicket ticket = this->impl->nextTicket();
+    operation.request = FetchTurn { ticket, turn };
+    this->impl->start(ticket, std::move(operation));
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/journalmembership.cpp
@@ -0,0 +1,391 @@
+#include "Rattandeck/journalmembership.h"
+
+#include <algorithm>
+#include <map>
+
+namespace Rattandeck {
+
+constexpr Milliseconds tickInterval { 50 };
+
+namespace {
+
+    /// How far the records of one other journal have been copied.
+    struct Source {
+        std::uint64_t round = 0;
+        std::uint64_t cursor = 0;
+        /// Asked for a page at this time; nothing while none is awaited.
+        std::optional<TimePoint> askedAt;
+        /// The last page was made when the journal knew this set.
+        Epoch copiedIn;
+        bool isCopied = false;
+    };
+
+    struct Peer {
+        bool isUp = false;
+        TimePoint changedAt;
+        Source source;
+    };
+
+}
+
+struct JournalMembership::Impl {
+    Impl(TimerService& timers, JournalMembershipIo& io, JournalMember self, JournalMembershipLimits limits)
+        : timers(timers)
+        , io(io)
+        , self(std::move(self))
+        , limits(limits)
+    {
+    }
+
+    TimerService& timers;
+    JournalMembershipIo& io;
+    JournalMember self;
+    JournalMembershipLimits limits;
+    JournalSet set;
+    TimePoint startedAt;
+    TimerId ticker;
+    bool isComplete = false;
+    /// Records are to be copied again from all members before this journal counts.
+    bool needsCopy = false;
+    /// The stored set has been read since the last failed attempt, so that a change may be proposed.
+    bool isSetRead = false;
+    bool isStoreEmpty = false;
+    bool isCallPending = false;
+    std::optional<TimePoint> lastRead;
+    std::uint64_t lastRound = 0;
+    std::map<NodeId, Peer> peers;
+    std::set<NodeId> leaving;
+    std::set<NodeId> copiedBy;
+    Epoch leftIn;
+
+    const JournalMember* findMember(const NodeId& node) const;
+    bool isMember() const;
+    bool isUp(const NodeId& node) const;
+    bool isDownFor(const NodeId& node, Duration time) const;
+    std::vector<NodeId> others() const;
+    /// The journals whose records this one needs: the other members, and those that leave in order.
+    std::vector<NodeId> sources() const;
+
+    void tick();
+    void adopt(const JournalSet& later);
+    void copy();
+    void askNext(const NodeId& node, Source& source);
+    bool hasCopiedAll(Epoch since) const;
+    void becomeComplete();
+    void consider();
+    void considerJoining();
+    void considerDropping();
+    void propose(JournalSet changed, const std::string& why);
+    void readSetNow();
+};
+
+// Queries ------------------------------------------------------------------------------------------------------------
+
+const JournalMember* JournalMembership::Impl::findMember(const NodeId& node) const
+{
+    const auto found = std::ranges::find_if(
+        this->set.members, [&node](const JournalMember& member) { return member.node == node; });
+    return found == this->set.members.end() ? nullptr : &*found;
+}
+
+bool JournalMembership::Impl::isMember() const
+{
+    const JournalMember* member = this->findMember(this->self.node);
+    return member && member->address == this->self.address;
+}
+
+bool JournalMembership::Impl::isUp(const NodeId& node) const
+{
+    const auto found = this->peers.find(node);
+    return found != this->peers.end() && found->second.isUp;
+}
+
+bool JournalMembership::Impl::isDownFor(const NodeId& node, Duration time) const
+{
+    const auto found = this->peers.find(node);
+    const TimePoint since = found == this->peers.end() ? this->startedAt : found->second.changedAt;
+    return !this->isUp(node) && this->timers.now() - std::max(since, this->startedAt) >= time;
+}
+
+std::vector<NodeId> JournalMembership::Impl::others() const
+{
+    std::vector<NodeId> nodes;
+    for (const JournalMember& member : this->set.members) {
+        if (member.node != this->self.node)
+            nodes.push_back(member.node);
+    }
+    return nodes;
+}
+
+std::vector<NodeId> JournalMembership::Impl::sources() const
+{
+    std::vector<NodeId> nodes = this->others();
+    for (const NodeId& node : this->leaving) {
+        if (node != this->self.node && this->isUp(node) && !this->findMember(node))
+            nodes.push_back(node);
+    }
+    return nodes;
+}
+
+// Sets -----------------------------------------------------------------------------------------------------------
+
+void JournalMembership::Impl::adopt(const JournalSet& later)
+{
+    if (later.epoch <= this->set.epoch)
+        return;
+    const bool wasMember = this->isMember();
+    this->set = later;
+    this->copiedBy.clear();
+    if (wasMember && !this->isMember())
+        this->leftIn = later.epoch;
+    // Without this journal, records are written that it does not get; a proposer may lack some that others hold.
+    if (!this->isMember() || later.proposer == this->self.node) {
+        this->isComplete = false;
+        this->io.noteComplete(false);
+    }
+    this->io.logStep("journal set", "epoch " + std::to_string(later.epoch.value) + ", "
+            + std::to_string(later.members.size()) + " members");
+    this->io.onSetChanged(later);
+    // A set that has lost a member: its copies of records are made anew, in the background.
+    this->needsCopy = this->isMember();
+}
+
+void JournalMembership::Impl::readSetNow()
+{
+    if (this->isCallPending)
+        return;
+    if (this->lastRead && this->timers.now() - *this->lastRead < this->limits.readInterval)
+        return;
+    this->lastRead = this->timers.now();
+    this->isCallPending = true;
+    this->io.readSet();
+}
+
+void JournalMembership::Impl::propose(JournalSet changed, const std::string& why)
+{
+    if (this->isCallPending)
+        return;
+    if (!this->isSetRead)
+        return this->readSetNow();
+    changed.epoch = Epoch(this->set.epoch.value + 1);
+    changed.proposer = this->self.node;
+    this->io.logStep("journal set change proposed", why);
+    this->isSetRead = false;
+    this->isCallPending = true;
+    this->io.writeSet(changed);
+}
+
+// Copying ------------------------------------------------------------------------------------------------------------
+
+void JournalMembership::Impl::askNext(const NodeId& node, Source& source)
+{
+    if (source.round == 0)
+        source.round = ++this->lastRound;
+    if (this->io.askForPage(node, { source.round, source.cursor }))
+        source.askedAt = this->timers.now();
+}
+
+void JournalMembership::Impl::copy()
+{
+    for (const NodeId& node : this->sources()) {
+        if (!this->isUp(node))
+            continue;
+        Source& source = this->peers[node].source;
+        if (source.isCopied && source.copiedIn >= this->set.epoch)
+            continue;
+        const bool isAwaited = source.askedAt && this->timers.now() - *source.askedAt < this->limits.pageTimeout;
+        if (!isAwaited)
+            this->askNext(node, source);
+    }
+}
+
+bool JournalMembership::Impl::hasCopiedAll(Epoch since) const
+{
+    return std::ranges::all_of(this->sources(), [this, since](const NodeId& node) {
+        const auto found = this->peers.find(node);
+        return found != this->peers.end() && found->second.source.isCopied
+            && found->second.source.copiedIn >= since;
+    });
+}
+
+void JournalMembership::Impl::becomeComplete()
+{
+    this->isComplete = true;
+    this->io.noteComplete(true);
+    this->io.logStep("journal complete", "epoch " + std::to_string(this->set.epoch.value));
+}
+
+// Decisions ----------------------------------------------------------------------------------------------------------
+
+void JournalMembership::Impl::tick()
+{
+    this->ticker = this->timers.subscribeAfter(tickInterval, [this] { this->tick(); });
+    if (this->set.epoch.value == 0 && !this->isStoreEmpty) {
+        this->readSetNow();
+        return;
+    }
+    const bool mustCopy = !this->isComplete || this->needsCopy;
+    const bool hasLeft = this->leftIn.value > 0 && this->leaving.contains(this->self.node);
+    if (mustCopy && !hasLeft)
+        this->copy();
+    if (this->isMember() && mustCopy && this->hasCopiedAll(this->set.epoch)) {
+        this->needsCopy = false;
+        if (!this->isComplete)
+            this->becomeComplete();
+    }
+    this->consider();
+}
+
+void JournalMembership::Impl::consider()
+{
+    if (this->leaving.contains(this->self.node))
+        return;
+    if (!this->isMember())
+        this->considerJoining();
+    else if (this->isComplete)
+        this->considerDropping();
+}
+
+void JournalMembership::Impl::considerJoining()
+{
+    JournalSet changed = this->set;
+    // The same node at another address is a new machine in the place of the old one.
+    const bool isReplacedSelf = this->findMember(this->self.node) != nullptr;
+    std::erase_if(changed.members, [this](const JournalMember& member) { return member.node == this->self.node; });
+    std::vector<NodeId> unreachable;
+    for (const JournalMember& member : changed.members) {
+        if (!this->isUp(member.node))
+            unreachable.push_back(member.node);
+    }
+    const bool mayReplace = unreachable.size() == 1 && !isReplacedSelf && changed.members.size() >= 2
+        && this->isDownFor(unreachable.front(), this->limits.replaceAfter);
+    if (!unreachable.empty() && !mayReplace)
+        return;
+    if (mayReplace) {
+        std::erase_if(changed.members,
+            [&unreachable](const JournalMember& member) { return member.node == unreachable.front(); });
+    }
+    changed.members.push_back(this->self);
+    this->propose(changed, mayReplace ? "join for " + unreachable.front().value : "join");
+}
+
+void JournalMembership::Impl::considerDropping()
+{
+    // One member proposes; the others would only race it.
+    for (const NodeId& node : this->others()) {
+        if (node < this->self.node && this->isUp(node) && !this->leaving.contains(node))
+            return;
+    }
+    const JournalMember* dropped = nullptr;
+    for (const JournalMember& member : this->set.members) {
+        const bool isUseless = this->set.members.size() > this->limits.usualMembers
+            && this->isDownFor(member.node, this->limits.dropAfter);
+        const bool isWanted = this->leaving.contains(member.node) && this->isUp(member.node);
+        if (member.node != this->self.node && (isUseless || isWanted)) {
+            dropped = &member;
+            break;
+        }
+    }
+    if (!dropped || this->set.members.size() <= 2)
+        return;
+    for (const NodeId& node : this->others()) {
+        if (node != dropped->node && !this->isUp(node))
+            return;
+    }
+    JournalSet changed = this->set;
+    std::erase(changed.members, *dropped);
+    this->propose(changed, "drop " + dropped->node.value);
+}
+
+// Public -------------------------------------------------------------------------------------------------------------
+
+JournalMembership::JournalMembership(
+    TimerService& timers, JournalMembershipIo& io, JournalMember self, JournalMembershipLimits limits)
+    : impl(std::make_unique<Impl>(timers, io, std::move(self), limits))
+{
+}
+
+JournalMembership::~JournalMembership() { this->impl->timers.cancel(this->impl->ticker); }
+
+void JournalMembership::start(const JournalSet& known, bool wasComplete)
+{
+    this->impl->startedAt = this->impl->timers.now();
+    this->impl->set = known;
+    this->impl->isComplete = wasComplete && known.epoch.value > 0 && this->impl->isMember();
+    this->impl->tick();
+}
+
+void JournalMembership::onSetRead(const std::optional<JournalSet>& set)
+{
+    this->impl->isCallPending = false;
+    this->impl->isStoreEmpty = !set;
+    if (set)
+        this->impl->adopt(*set);
+    // A change is proposed only on top of what the store holds.
+    this->impl->isSetRead = !set || set->epoch == this->impl->set.epoch;
+}
+
+void JournalMembership::onSetWritten(const JournalSet& set)
+{
+    this->impl->isCallPending = false;
+    this->impl->adopt(set);
+}
+
+void JournalMembership::onSetUnread()
+{
+    this->impl->isCallPending = false;
+    this->impl->isSetRead = false;
+}
+
+void JournalMembership::onSetTold(const JournalSet& set) { this->impl->adopt(set); }
+
+void JournalMembership::onLinkUp(const NodeId& node)
+{
+    Peer& peer = this->impl->peers[node];
+    peer.isUp = true;
+    peer.changedAt = this->impl->timers.now();
+    // It may be another process now, whose records have other numbers.
+    peer.source = {};
+}
+
+void JournalMembership::onLinkDown(const NodeId& node)
+{
+    Peer& peer = this->impl->peers[node];
+    peer.isUp = false;
+    peer.changedAt = this->impl->timers.now();
+    peer.source.askedAt.reset();
+}
+
+void JournalMembership::onPage(const NodeId& from, const CopyPage& page)
+{
+    Source& source = this->impl->peers[from].source;
+    if (page.round != source.round)
+        return;
+    source.cursor = page.cursor;
+    source.askedAt.reset();
+    if (page.isLast) {
+        source.isCopied = true;
+        source.copiedIn = page.epoch;
+        return;
+    }
+    this->impl->askNext(from, source);
+}
+
+void JournalMembership::onCopiedBy(const NodeId& node) { this->impl->copiedBy.insert(node); }
+
+void JournalMembership::setLeaving(std::set<NodeId> leaving) { this->impl->leaving = std::move(leaving); }
+
+const JournalSet& JournalMembership::set() const { return this->impl->set; }
+
+bool JournalMembership::isMember() const { return this->impl->isMember(); }
+
+bool JournalMembership::counts() const { return this->impl->isComplete && this->impl->isMember(); }
+
+bool JournalMembership::isEmptied() const
+{
+    const auto others = this->impl->others();
+    return this->impl->leftIn.value > 0 && !this->impl->isMember() && !others.empty()
+        && std::ranges::all_of(others, [this](const NodeId& node) { return this->impl->copiedBy.contains(node); });
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/journalstate.cpp
@@ -0,0 +1,194 @@
+#include "Rattandeck/journalstate.h"
+
+#include <map>
+#include <unordered_map>
+
+namespace Rattandeck {
+
+/// Longest chain that is followed; longer ones can only be a loop.
+constexpr std::size_t maxChainLength = 4096;
+
+namespace {
+
+    struct KnownTurn {
+        RetainedTurn turn;
+        TimePoint expires;
+        std::uint64_t number = 0;
+    };
+
+    struct KnownBudget {
+        std::map<TurnId, TokenClaim> claims;
+        Milliseconds retention { 0 };
+        TimePoint expires;
+        std::uint64_t number = 0;
+    };
+
+    std::size_t sizeOf(const RetainedTurn& turn)
+    {
+        return turn.id.value.size() + turn.previous.value.size() + turn.input.size() + turn.output.size();
+    }
+
+}
+
+struct JournalState::Impl {
+    std::unordered_map<TurnId, KnownTurn> turns;
+    std::unordered_map<BudgetId, KnownBudget> budgets;
+    /// Every record has a number, in the order in which it was first seen.
+    std::map<std::uint64_t, const KnownTurn*> turnsByNumber;
+    std::map<std::uint64_t, const std::pair<const BudgetId, KnownBudget>*> budgetsByNumber;
+    std::uint64_t lastNumber = 0;
+    std::size_t bytes = 0;
+
+    void renewChain(const TurnId& first, TimePoint expires);
+};
+
+JournalState::JournalState()
+    : impl(std::make_unique<Impl>())
+{
+}
+
+JournalState::~JournalState() = default;
+
+// Applying -----------------------------------------------------------------------------------------------------------
+
+void JournalState::apply(const SettleClaim& claim, TimePoint now)
+{
+    const auto [place, isNew] = this->impl->budgets.try_emplace(claim.budget);
+    KnownBudget& budget = place->second;
+    // A changed budget moves to the end, so that whoever copies from a cursor gets the change.
+    if (!isNew)
+        this->impl->budgetsByNumber.erase(budget.number);
+    budget.number = ++this->impl->lastNumber;
+    this->impl->budgetsByNumber.emplace(budget.number, &*place);
+    budget.retention = std::max(budget.retention, claim.retention);
+    budget.expires = std::max(budget.expires, now + budget.retention);
+    TokenClaim& known = budget.claims[claim.claim.turn];
+    if (!known.isSettled)
+        known = claim.claim;
+}
+
+void JournalState::apply(const RetainedTurn& turn, TimePoint now)
+{
+    const auto [place, isNew] = this->impl->turns.try_emplace(turn.id);
+    KnownTurn& known = place->second;
+    if (isNew) {
+        known.turn = turn;
+        known.number = ++this->impl->lastNumber;
+        this->impl->turnsByNumber.emplace(known.number, &known);
+        this->impl->bytes += sizeOf(turn);
+    }
+    this->impl->renewChain(turn.id, now + turn.retention);
+}
+
+void JournalState::Impl::renewChain(const TurnId& first, TimePoint expires)
+{
+    TurnId id = first;
+    for (std::size_t length = 0; length < maxChainLength && !id.value.empty(); ++length) {
+        const auto found = this->turns.find(id);
+        if (found == this->turns.end() || found->second.expires >= expires)
+            return;
+        found->second.expires = expires;
+        id = found->second.turn.previous;
+    }
+}
+
+// Reading ------------------------------------------------------------------------------------------------------------
+
+std::vector<TokenClaim> JournalState::claims(const BudgetId& budget) const
+{
+    std::vector<TokenClaim> claims;
+    const auto found = this->impl->budgets.find(budget);
+    if (found == this->impl->budgets.end())
+        return claims;
+    claims.reserve(found->second.claims.size());
+    for (const auto& [turn, claim] : found->second.claims)
+        claims.push_back(claim);
+    return claims;
+}
+
+std::optional<std::string> JournalState::transcript(const TurnId& turn) const
+{
+    std::vector<const RetainedTurn*> chain;
+    std::size_t size = 0;
+    for (TurnId id = turn; !id.value.empty(); id = chain.back()->previous) {
+        const auto found = this->impl->turns.find(id);
+        if (found == this->impl->turns.end() || chain.size() >= maxChainLength)
+            return std::nullopt;
+        chain.push_back(&found->second.turn);
+        size += chain.back()->input.size() + chain.back()->output.size();
+    }
+    std::string text;
+    text.reserve(size);
+    for (auto each = chain.rbegin(); each != chain.rend(); ++each) {
+        text += (*each)->input;
+        text += (*each)->output;
+    }
+    return text;
+}
+
+std::size_t JournalState::bytes() const { return this->impl->bytes; }
+
+std::uint64_t JournalState::lastNumber() const { return this->impl->lastNumber; }
+
+std::size_t JournalState::turnCount() const { return this->impl->turns.size(); }
+
+std::size_t JournalState::budgetCount() const { return this->impl->budgets.size(); }
+
+// Forgetting ---------------------------------------------------------------------------------------------------------
+
+void JournalState::expire(TimePoint now)
+{
+    for (auto each = this->impl->turns.begin(); each != this->impl->turns.end();) {
+        if (each->second.expires > now) {
+            ++each;
+            continue;
+        }
+        this->impl->bytes -= sizeOf(each->second.turn);
+        this->impl->turnsByNumber.erase(each->second.number);
+        each = this->impl->turns.erase(each);
+    }
+    for (auto each = this->impl->budgets.begin(); each != this->impl->budgets.end();) {
+        if (each->second.expires > now) {
+            ++each;
+            continue;
+        }
+        this->impl->budgetsByNumber.erase(each->second.number);
+        each = this->impl->budgets.erase(each);
+    }
+}
+
+// Copying ------------------------------------------------------------------------------------------------------------
+
+CopyPage JournalState::page(std::uint64_t cursor, std::size_t maxBytes) const
+{
+    constexpr std::size_t bytesPerClaim = 64;
+    CopyPage page;
+    page.cursor = cursor;
+    std::size_t size = 0;
+    auto turn = this->impl->turnsByNumber.upper_bound(cursor);
+    auto budget = this->impl->budgetsByNumber.upper_bound(cursor);
+    while (size < maxBytes) {
+        const bool hasTurn = turn != this->impl->turnsByNumber.end();
+        const bool hasBudget = budget != this->impl->budgetsByNumber.end();
+        if (!hasTurn && !hasBudget) {
+            page.isLast = true;
+            break;
+        }
+        if (hasTurn && (!hasBudget || turn->first < budget->first)) {
+            page.cursor = turn->first;
+            page.turns.push_back(turn->second->turn);
+            size += sizeOf(turn->second->turn);
+            ++turn;
+            continue;
+        }
+        page.cursor = budget->first;
+        const auto& [id, known] = *budget->second;
+        for (const auto& [turnId, claim] : known.claims)
+            page.claims.push_back({ id, claim, known.retention });
+        size += known.claims.size() * bytesPerClaim;
+        ++budget;
+    }
+    return page;
+}
+
+}
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -8,7 +8,7 @@
 // Enums ------------------------------------------------------------------------------------------------------
 
 template <typename Enum> inline constexpr Enum lastValue {};
-template <> inline constexpr Role lastValue<Role> = Role::Sidecar;
+template <> inline constexpr Role lastValue<Role> = Role::Journal;
 template <> inline constexpr RecordState lastValue<RecordState> = RecordState::Unknown;
 template <> inline constexpr RefusalReason lastValue<RefusalReason> = RefusalReason::HistoryMismatch;
 template <> inline constexpr CallKind lastValue<CallKind> = CallKind::GetProgram;
@@ -296,6 +296,101 @@
     visit("e", m.event);
 }
 
+// Journals -----------------------------------------------------------------------------------------------------
+
+template <typename Visitor> void visitFields(Visitor& visit, TokenClaim& m)
+{
+    visit("turn", m.turn);
+    visit("tokens", m.tokens);
+    visit("isSettled", m.isSettled);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, ClaimTokens& m)
+{
+    visit("ticket", m.ticket);
+    visit("budget", m.budget);
+    visit("claim", m.claim);
+    visit("retention", m.retention);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, ClaimsKnown& m)
+{
+    visit("ticket", m.ticket);
+    visit("epoch", m.epoch);
+    visit("claims", m.claims);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, SettleClaim& m)
+{
+    visit("budget", m.budget);
+    visit("claim", m.claim);
+    visit("retention", m.retention);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, RetainedTurn& m)
+{
+    visit("id", m.id);
+    visit("previous", m.previous);
+    visit("input", m.input);
+    visit("output", m.output);
+    visit("retention", m.retention);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, StoreTurn& m)
+{
+    visit("ticket", m.ticket);
+    visit("turn", m.turn);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, TurnStored& m)
+{
+    visit("ticket", m.ticket);
+    visit("epoch", m.epoch);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, FetchTurn& m)
+{
+    visit("ticket", m.ticket);
+    visit("turn", m.turn);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, TurnFetched& m)
+{
+    visit("ticket", m.ticket);
+    visit("epoch", m.epoch);
+    visit("isFound", m.isFound);
+    visit("transcript", m.transcript);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, JournalMember& m)
+{
+    visit("node", m.node);
+    visit("address", m.address);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, JournalSet& m)
+{
+    visit("epoch", m.epoch);
+    visit("members", m.members);
+    visit("proposer", m.proposer);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, CopyRequest& m)
+{
+    visit("round", m.round);
+    visit("cursor", m.cursor);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, CopyPage& m)
+{
+    visit("round", m.round);
+    visit("epoch", m.epoch);
+    visit("cursor", m.cursor);
+    visit("isLast", m.isLast);
+    visit("claims", m.claims);
+    visit("turns", m.turns);
+}
+
 // Tags ---------------------------------------------------------------------------------------------------------
 
 template <typename Alternative> inline constexpr const char* tag = nullptr;
@@ -320,6 +415,16 @@
 template <> inline constexpr const char* tag<ForwardRequest> = "fwd";
 template <> inline constexpr const char* tag<ForwardCancel> = "fwdCancel";
 template <> inline constexpr const char* tag<ForwardEvent> = "fwdEvent";
+template <> inline constexpr const char* tag<ClaimTokens> = "claim";
+template <> inline constexpr const char* tag<ClaimsKnown> = "claims";
+template <> inline constexpr const char* tag<SettleClaim> = "settle";
+template <> inline constexpr const char* tag<StoreTurn> = "storeTurn";
+template <> inline constexpr const char* tag<TurnStored> = "turnStored";
+template <> inline constexpr const char* tag<FetchTurn> = "fetchTurn";
+template <> inline constexpr const char* tag<TurnFetched> = "turnFetched";
+template <> inline constexpr const char* tag<JournalSet> = "journals";
+template <> inline constexpr const char* tag<CopyRequest> = "copyFrom";
+template <> inline constexpr const char* tag<CopyPage> = "copyPage";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
 template <> inline constexpr const char* tag<Problem> = "problem";
--- a/src/librattandeckapp/daemon.cpp
+++ b/src/librattandeckapp/daemon.cpp
@@ -32,7 +32,9 @@
 {
     schema.addChoice("log.level", settings.level, { "debug", "info", "warning", "error" }, "lowest level written");
     schema.addChoice("log.format", settings.format, { "text", "json" }, "form of the lines");
-    schema.addString("log.file", settings.file, "file to append to; empty is standard error");
+    schema.addString("log.file", settings.file, "file to append to; empty is standard error, \"-\" standard output");
+    schema.addInteger("log.bytes_per_second", settings.bytesPerSecond, 1024, 1 << 30,
+        "most that goes to standard output; what is beyond is dropped and counted");
 }
 
 // Starting -----------------------------------------------------------------------------------------------------------
--- a/src/librattandeckapp/log.cpp
+++ b/src/librattandeckapp/log.cpp
@@ -1,11 +1,17 @@
 #include "RattandeckApp/log.h"
 
 #include <nlohmann/json.hpp>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <chrono>
+#include <climits>
+#include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace RattandeckApp {
 
@@ -25,6 +31,70 @@
         return level == spdlog::level::off ? spdlog::level::info : level;
     }
 
+    /// Keeps lines until standard output takes them without waiting, within bounds of bytes a second and of memory.
+    class StandardOutputSink : public spdlog::sinks::base_sink<std::mutex> {
+    public:
+        explicit StandardOutputSink(std::int64_t bytesPerSecond)
+            : bytesPerSecond(static_cast<double>(bytesPerSecond))
+            , allowance(this->bytesPerSecond)
+        {
+        }
+
+        std::uint64_t droppedLines() const { return this->dropped; }
+
+    protected:
+        void sink_it_(const spdlog::details::log_msg& message) override
+        {
+            spdlog::memory_buf_t line;
+            this->formatter_->format(message, line);
+            const bool isFailure = message.level >= spdlog::level::err;
+            this->refill();
+            const bool isBeyond = !isFailure && this->allowance < static_cast<double>(line.size());
+            if (isBeyond || this->buffer.size() + line.size() > maxBufferedBytes) {
+                ++this->dropped;
+                return;
+            }
+            this->allowance -= static_cast<double>(line.size());
+            this->buffer.append(line.data(), line.size());
+        }
+
+        void flush_() override
+        {
+            std::size_t written = 0;
+            while (written < this->buffer.size()) {
+                pollfd output { STDOUT_FILENO, POLLOUT, 0 };
+                if (poll(&output, 1, 0) <= 0 || (output.revents & POLLOUT) == 0)
+                    break;
+                // A pipe that is ready takes this much without blocking.
+                const std::size_t size = std::min<std::size_t>(this->buffer.size() - written, PIPE_BUF);
+                const ssize_t taken = write(STDOUT_FILENO, this->buffer.data() + written, size);
+                if (taken <= 0)
+                    break;
+                written += static_cast<std::size_t>(taken);
+            }
+            this->buffer.erase(0, written);
+        }
+
+    private:
+        static constexpr std::size_t maxBufferedBytes = 256UL * 1024;
+
+        void refill()
+        {
+            const auto now = std::chrono::steady_clock::now();
+            const double elapsed = std::chrono::duration<double>(now - this->refilledAt).count();
+            this->refilledAt = now;
+            this->allowance = std::min(this->bytesPerSecond, this->allowance + elapsed * this->bytesPerSecond);
+        }
+
+        double bytesPerSecond;
+        double allowance;
+        std::chrono::steady_clock::time_point refilledAt = std::chrono::steady_clock::now();
+        std::string buffer;
+        std::uint64_t dropped = 0;
+    };
+
+    std::shared_ptr<StandardOutputSink> standardOutput;
+
     // A line of the structured form: time in milliseconds since 1970, then the fields.
     void writeLine(spdlog::level::level_enum level, const std::string& event, const Json& fields)
     {
@@ -44,7 +114,10 @@
 {
     std::shared_ptr<spdlog::sinks::sink> sink;
     try {
-        if (settings.file.empty())
+        if (settings.file == "-") {
+            standardOutput = std::make_shared<StandardOutputSink>(settings.bytesPerSecond);
+            sink = standardOutput;
+        } else if (settings.file.empty())
             sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
         else
             sink = std::make_shared<spdlog::sinks::basic_file_sink_st>(settings.file);
@@ -53,7 +126,7 @@
     }
     auto logger = std::make_shared<spdlog::logger>(process, sink);
     logger->set_level(levelOf(settings.level));
-    logger->flush_on(spdlog::level::info);
+    logger->flush_on(standardOutput ? spdlog::level::err : spdlog::level::info);
     writesJson = settings.format == "json";
     logger->set_pattern(writesJson ? "%v" : "%Y-%m-%dT%H:%M:%S.%e %n %l %v");
     spdlog::set_default_logger(logger);
@@ -121,6 +194,27 @@
         spdlog::info("{}: {}", event, detail);
 }
 
+void logFields(const char* event, const std::vector<LogField>& fields)
+{
+    if (!spdlog::should_log(spdlog::level::info))
+        return;
+    Json json = Json::object();
+    for (const LogField& field : fields)
+        std::visit([&json, &field](const auto& value) { json[field.name] = value; }, field.value);
+    if (writesJson)
+        writeLine(spdlog::level::info, event, json);
+    else
+        spdlog::info("{} {}", event, json.dump(-1, ' ', false, Json::error_handler_t::replace));
+}
+
+void flushLog()
+{
+    if (standardOutput)
+        standardOutput->flush();
+}
+
+std::uint64_t droppedLogLines() { return standardOutput ? standardOutput->droppedLines() : 0; }
+
 void logError(const std::string& event, const std::string& detail)
 {
     if (writesJson)
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <deque>
 #include <map>
 #include <optional>
@@ -18,6 +19,12 @@
 
 constexpr std::size_t readSize = 16UL * 1024;
 constexpr std::size_t maxHeaderBytes = 64UL * 1024;
+/// How long an idle connection is trusted when the server does not say how long it keeps it.
+constexpr std::chrono::milliseconds unstatedKeepAlive { 400 };
+/// A connection is left alone this long before the server is expected to close it.
+constexpr std::chrono::milliseconds keepAliveMargin { 600 };
+constexpr long long maxKeepAliveSeconds = 3600;
+constexpr std::string_view timeoutKey = "timeout=";
 
 namespace {
 
@@ -93,6 +100,8 @@
         void onRead(const ErrorCode& error, std::size_t size);
         void parse();
         bool deliver();
+        void deliverHead(int status);
+        void noteKeepAlive(const HttpHeaders& headers);
         void onPeerClosed(const ErrorCode& error);
         void finish();
         void fail(NetError error);
@@ -108,7 +117,12 @@
         std::uint64_t useCount = 0;
         bool isReadPending = false;
         bool isHeadDelivered = false;
+        /// The answer that is being read belongs to another call.
+        bool isStray = false;
         bool isClosed = false;
+        /// How long the server is expected to keep an idle connection.
+        std::chrono::milliseconds keptFor { 0 };
+        Rattandeck::TimePoint idleSince;
     };
 
     void Connection::connect(std::shared_ptr<Call> first)
@@ -143,6 +157,8 @@
 
     bool Connection::isUsable()
     {
+        if (this->loop.timers.now() - this->idleSince > this->keptFor)
+            return false;
         char byte = 0;
         ErrorCode error;
         this->socket.receive(Asio::buffer(&byte, 1), Socket::message_peek, error);
@@ -157,6 +173,7 @@
         this->parser->body_limit(boost::none);
         this->parser->skip(this->call->isHead);
         this->isHeadDelivered = false;
+        this->isStray = false;
     }
 
     // Request ------------------------------------------------------------------------------------------------------
@@ -252,11 +269,18 @@
         }
         if (!this->isHeadDelivered) {
             this->isHeadDelivered = true;
-            if (current->callbacks.onHead)
-                current->callbacks.onHead(status, toHeaders(this->parser->get()));
+            this->deliverHead(status);
         }
         if (this->isClosed || this->call != current)
             return false;
+        if (this->isStray) {
+            this->parser->get().body().clear();
+            if (!this->parser->is_done())
+                return true;
+            this->resetParser();
+            this->parse();
+            return false;
+        }
         const std::string chunk = std::move(this->parser->get().body());
         this->parser->get().body().clear();
         if (!chunk.empty() && current->callbacks.onData)
@@ -264,6 +288,34 @@
         return !this->isClosed && this->call == current;
     }
 
+    void Connection::deliverHead(int status)
+    {
+        const HttpHeaders headers = toHeaders(this->parser->get());
+        const HttpCallbacks& callbacks = this->call->callbacks;
+        if (callbacks.isOwn && !callbacks.isOwn(headers)) {
+            this->isStray = true;
+            return;
+        }
+        this->noteKeepAlive(headers);
+        if (callbacks.onHead)
+            callbacks.onHead(status, headers);
+    }
+
+    void Connection::noteKeepAlive(const HttpHeaders& headers)
+    {
+        std::chrono::milliseconds kept = unstatedKeepAlive;
+        const auto field = headers.find("keep-alive");
+        const std::size_t mark = field == headers.end() ? std::string::npos : field->second.find("timeout=");
+        if (mark != std::string::npos) {
+            const std::string& text = field->second;
+            long long seconds = 0;
+            std::from_chars(text.data() + mark + timeoutKey.size(), text.data() + text.size(), seconds);
+            const std::chrono::seconds stated(std::clamp(seconds, 0LL, maxKeepAliveSeconds));
+            kept = std::max<std::chrono::milliseconds>(stated - keepAliveMargin, unstatedKeepAlive);
+        }
+        this->keptFor = kept;
+    }
+
     void Connection::onPeerClosed(const ErrorCode& error)
     {
         if (error != Asio::error::eof || !this->parser->got_some()) {
@@ -290,6 +342,7 @@
             = this->parser->keep_alive() && this->buffer.size() == 0 && this->written == ended->bytes.size();
         this->parser.reset();
         if (isReusable) {
+            this->idleSince = this->loop.timers.now();
             owner->idle.push_back(self);
             this->waitIdle();
         } else {
--- a/src/librattandecknet/httpcommon.cpp
+++ b/src/librattandecknet/httpcommon.cpp
@@ -93,6 +93,7 @@
 
 void readTarget(std::string_view target, HttpRequest& request)
 {
+    request.target = std::string(target);
     const std::size_t mark = std::min(target.find('?'), target.size());
     request.path = percentDecode(target.substr(0, mark));
     readQuery(target.substr(std::min(target.size(), mark + 1)), request);
@@ -100,6 +101,8 @@
 
 std::string writeTarget(const HttpRequest& request)
 {
+    if (!request.target.empty())
+        return request.target;
     std::string target;
     percentEncode(target, request.path.empty() ? "/" : request.path, "/-._~:@!$'()*,;=+");
     char separator = '?';
--- a/src/librattandecknet/httpserver.cpp
+++ b/src/librattandecknet/httpserver.cpp
@@ -97,9 +97,14 @@
 
 std::uint16_t HttpServer::port() const { return this->impl->port; }
 
+void HttpServer::setLimits(const HttpLimits& limits) { this->impl->limits = limits; }
+
+void HttpServer::closeAfterAnswers() { this->impl->closesAfterAnswers = true; }
+
 void HttpServer::stopAccepting()
 {
     this->impl->stopping = true;
+    this->impl->closesAfterAnswers = true;
     ErrorCode ignored;
     this->impl->acceptor.close(ignored);
     for (const auto& connection : this->impl->connections)
--- a/src/librattandecknet/serverconnection.cpp
+++ b/src/librattandecknet/serverconnection.cpp
@@ -51,7 +51,7 @@
     this->parser->eager(true);
     this->parser->header_limit(static_cast<std::uint32_t>(this->server->limits.maxHeaderBytes));
     this->parser->body_limit(this->server->limits.maxBodyBytes);
-    this->setDeadline(this->server->limits.readTimeout);
+    this->setDeadline(this->server->limits.idleTimeout);
     if (this->buffer.size() > 0)
         this->parse();
     else
@@ -182,7 +182,7 @@
 
 void ServerConnection::appendHead(int status, HttpHeaders headers, std::optional<std::size_t> length)
 {
-    this->keepAlive = this->keepAlive && !this->server->stopping && (length || this->isChunked);
+    this->keepAlive = this->keepAlive && !this->server->closesAfterAnswers && (length || this->isChunked);
     headers.erase("content-length");
     headers.erase("transfer-encoding");
     headers["connection"] = this->keepAlive ? "keep-alive" : "close";
--- a/src/librattandecknet/serverconnection.h
+++ b/src/librattandecknet/serverconnection.h
@@ -22,6 +22,7 @@
     Acceptor acceptor;
     std::uint16_t port = 0;
     bool stopping = false;
+    bool closesAfterAnswers = false;
     bool closed = false;
     std::size_t inFlight = 0;
     std::unordered_set<std::shared_ptr<ServerConnection>> connections;
--- /dev/null
+++ b/src/platform/calls.cpp
@@ -0,0 +1,213 @@
+#include "calls.h"
+
+#include "names.h"
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <charconv>
+
+using namespace Rattandeck;
+using namespace RattandeckNet;
+
+namespace Platform {
+
+// Text ---------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+    std::string_view field(const HttpHeaders& headers, const char* name)
+    {
+        const auto found = headers.find(name);
+        return found == headers.end() ? std::string_view() : std::string_view(found->second);
+    }
+
+    template <typename Number> std::optional<Number> readNumber(std::string_view text)
+    {
+        Number number {};
+        const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return number;
+    }
+
+    std::string_view trim(std::string_view text)
+    {
+        while (!text.empty() && std::isspace(static_cast<unsigned char>(text.front())) != 0)
+            text.remove_prefix(1);
+        while (!text.empty() && std::isspace(static_cast<unsigned char>(text.back())) != 0)
+            text.remove_suffix(1);
+        return text;
+    }
+
+    /// Takes the part before the next `separator` off the front of `text`.
+    std::string_view takePart(std::string_view& text, char separator)
+    {
+        const std::size_t end = std::min(text.find(separator), text.size());
+        const std::string_view part = text.substr(0, end);
+        text.remove_prefix(std::min(text.size(), end + 1));
+        return trim(part);
+    }
+
+    std::vector<PromptPart> readPrompt(std::string_view text)
+    {
+        std::vector<PromptPart> parts;
+        while (!text.empty()) {
+            std::string_view entry = takePart(text, ',');
+            const std::string_view id = takePart(entry, ':');
+            const auto tokens = readNumber<std::int64_t>(entry);
+            if (id.empty() || !tokens)
+                return parts;
+            parts.push_back({ PromptPartId(std::string(id)), TokenCount(*tokens) });
+        }
+        return parts;
+    }
+
+    std::string readCookie(std::string_view cookies, std::string_view name)
+    {
+        while (!cookies.empty()) {
+            std::string_view pair = takePart(cookies, ';');
+            if (takePart(pair, '=') == name)
+                return std::string(trim(pair));
+        }
+        return {};
+    }
+
+    std::optional<EndpointLoad> readLoad(std::string_view text)
+    {
+        const auto running = readNumber<std::uint32_t>(takePart(text, ','));
+        const auto waiting = readNumber<std::uint32_t>(takePart(text, ','));
+        const auto slots = readNumber<std::uint32_t>(trim(text));
+        if (!running || !waiting || !slots)
+            return std::nullopt;
+        return EndpointLoad { *running, *waiting, *slots };
+    }
+
+    constexpr std::array<const char*, 8> connectionHeaders { "connection", "keep-alive", "proxy-connection", "te",
+        "trailer", "transfer-encoding", "upgrade", "content-length" };
+
+    /// Removes what concerns only the connection that it came over.
+    void removeConnectionHeaders(HttpHeaders& headers)
+    {
+        std::string named;
+        if (const auto found = headers.find("connection"); found != headers.end())
+            named = found->second;
+        for (std::string_view rest = named; !rest.empty();) {
+            std::string name(takePart(rest, ','));
+            std::ranges::transform(name, name.begin(), [](unsigned char letter) { return std::tolower(letter); });
+            headers.erase(name);
+        }
+        for (const char* name : connectionHeaders)
+            headers.erase(name);
+    }
+
+    constexpr std::array<const char*, 8> systemHeaders { Names::expectedInstance, Names::expectedVersion,
+        Names::priority, Names::pin, Names::hold, Names::memoryBackup, Names::memoryFrom, Names::memoryFetch };
+
+}
+
+// Calls --------------------------------------------------------------------------------------------------------------
+
+GatewayCall readCall(const HttpRequest& request)
+{
+    const HttpHeaders& headers = request.headers;
+    GatewayCall call;
+    call.request = TurnId(std::string(field(headers, Names::requestId)));
+    call.host = std::string(field(headers, "host"));
+    call.path = request.target.substr(0, request.target.find('?'));
+    call.body = request.body;
+    if (const auto left = readNumber<std::int64_t>(field(headers, Names::deadline)))
+        call.timeLeft = Milliseconds(std::max<std::int64_t>(*left, 0));
+    call.program = BudgetId(std::string(field(headers, Names::program)));
+    call.session = std::string(field(headers, Names::session));
+    if (const auto limit = readNumber<std::int64_t>(field(headers, Names::tokenBudget)))
+        call.tokenLimit = TokenCount(*limit);
+    std::string_view counts = field(headers, Names::tokenCounts);
+    takePart(counts, ',');
+    call.maxOutputTokens = TokenCount(readNumber<std::int64_t>(trim(counts)).value_or(0));
+    call.prompt = readPrompt(field(headers, Names::prompt));
+    call.subject = readCookie(field(headers, "cookie"), Names::subjectCookie);
+    call.previousTurn = TurnId(std::string(field(headers, Names::previousTurn)));
+    call.resumeAfter = std::string(field(headers, Names::lastEvent));
+    return call;
+}
+
+HttpRequest writeCall(const HttpRequest& request, const EndpointSend& send)
+{
+    HttpRequest written;
+    written.method = request.method;
+    written.target = request.target;
+    written.headers = request.headers;
+    removeConnectionHeaders(written.headers);
+    written.headers.erase("expect");
+    for (const char* name : systemHeaders)
+        written.headers.erase(name);
+    written.headers[Names::expectedInstance] = send.endpoint.value;
+    written.headers[Names::deadline] = std::to_string(send.timeLeft.count());
+    written.headers[Names::priority] = std::to_string(send.priority);
+    if (send.resumeAfter)
+        written.headers[Names::lastEvent] = *send.resumeAfter;
+    written.body = send.body ? *send.body : request.body;
+    return written;
+}
+
+// Answers ------------------------------------------------------------------------------------------------------------
+
+EndpointAnswer readAnswer(int status, const HttpHeaders& headers)
+{
+    constexpr int misdirected = 421;
+    EndpointAnswer answer;
+    answer.status = status;
+    answer.isNotRun = status == misdirected || headers.contains(Names::notRun);
+    answer.isEventStream = field(headers, "content-type").starts_with("text/event-stream");
+    answer.load = readLoad(field(headers, Names::load));
+    return answer;
+}
+
+bool answers(const HttpHeaders& headers, const TurnId& request)
+{
+    const std::string_view echoed = field(headers, Names::requestId);
+    return echoed.empty() || echoed == request.value;
+}
+
+HttpHeaders writeAnswerHeaders(HttpHeaders headers)
+{
+    removeConnectionHeaders(headers);
+    headers.erase(Names::load);
+    headers.erase(Names::instance);
+    return headers;
+}
+
+static int statusFor(const CallRefusal& refusal)
+{
+    switch (refusal.reason) {
+    case RejectionReason::NoRoute:
+    case RejectionReason::UnknownTurn:
+        return 404;
+    case RejectionReason::BudgetSpent:
+        return 402;
+    case RejectionReason::TimedOut:
+        return refusal.mayHaveRun ? 504 : 503;
+    default:
+        return refusal.mayHaveRun ? 502 : 503;
+    }
+}
+
+HttpResponse writeRefusal(const CallRefusal& refusal, const TurnId& request)
+{
+    HttpResponse response;
+    response.status = statusFor(refusal);
+    if (!request.value.empty())
+        response.headers[Names::requestId] = request.value;
+    if (refusal.retryAfter.count() > 0) {
+        std::array<char, 32> text {};
+        const double seconds = std::chrono::duration<double>(refusal.retryAfter).count();
+        const auto [end, error]
+            = std::to_chars(text.data(), text.data() + text.size(), seconds, std::chars_format::fixed, 3);
+        response.headers[Names::retryAfter] = std::string(text.data(), end);
+    }
+    response.body = std::string(describe(refusal.reason)) + "\n";
+    return response;
+}
+
+}
--- /dev/null
+++ b/src/platform/directory.cpp
@@ -0,0 +1,242 @@
+#include "directory.h"
+
+using namespace Rattandeck;
+using Json = nlohmann::json;
+
+namespace Platform {
+
+// Fields -------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+    std::optional<std::string> readText(const Json& json, const char* name)
+    {
+        const auto found = json.find(name);
+        if (found == json.end() || !found->is_string())
+            return std::nullopt;
+        return found->get<std::string>();
+    }
+
+    std::optional<std::int64_t> readInteger(const Json& json, const char* name)
+    {
+        const auto found = json.find(name);
+        if (found == json.end() || !found->is_number())
+            return std::nullopt;
+        return static_cast<std::int64_t>(found->get<double>());
+    }
+
+    std::optional<double> readDecimal(const Json& json, const char* name)
+    {
+        const auto found = json.find(name);
+        if (found == json.end() || !found->is_number())
+            return std::nullopt;
+        return found->get<double>();
+    }
+
+    bool readFlag(const Json& json, const char* name)
+    {
+        const auto found = json.find(name);
+        return found != json.end() && found->is_boolean() && found->get<bool>();
+    }
+
+    std::optional<CallSafety> readSafety(const std::string& kind)
+    {
+        if (kind == "safe")
+            return CallSafety::Safe;
+        if (kind == "unsafe")
+            return CallSafety::Unsafe;
+        if (kind == "streaming")
+            return CallSafety::Stream;
+        return std::nullopt;
+    }
+
+}
+
+// Endpoints ----------------------------------------------------------------------------------------------------------
+
+tl::expected<EndpointInstance, BadObject> readEndpoint(const StoredObject& object)
+{
+    const Json& spec = object.spec;
+    if (!spec.is_object())
+        return tl::unexpected(BadObject { "spec" });
+    EndpointInstance instance;
+    instance.id = EndpointId(object.name);
+    const auto service = readText(spec, "service");
+    if (!service)
+        return tl::unexpected(BadObject { "service" });
+    instance.service = ServiceName(*service);
+    const auto address = readText(spec, "address");
+    if (!address || !RattandeckNet::parseAddress(*address))
+        return tl::unexpected(BadObject { "address" });
+    instance.address = *address;
+    const auto domain = readText(spec, "zone");
+    if (!domain)
+        return tl::unexpected(BadObject { "zone" });
+    instance.domain = FailureDomain(*domain);
+    const auto slots = readInteger(spec, "slots");
+    if (!slots || *slots <= 0 || *slots > UINT16_MAX)
+        return tl::unexpected(BadObject { "slots" });
+    instance.slots = static_cast<std::uint32_t>(*slots);
+    const auto phase = readText(spec, "phase");
+    if (phase != "ready" && phase != "draining")
+        return tl::unexpected(BadObject { "phase" });
+    instance.isDraining = phase == "draining";
+    instance.startedAt = readInteger(spec, "born").value_or(0);
+    return instance;
+}
+
+// Configuration ------------------------------------------------------------------------------------------------------
+
+namespace {
+
+    Milliseconds readMilliseconds(const Json& json, const char* name, Milliseconds otherwise)
+    {
+        const auto value = readDecimal(json, name);
+        return value ? Milliseconds(static_cast<std::int64_t>(*value)) : otherwise;
+    }
+
+    std::vector<WeightedService> readServices(const Json& json)
+    {
+        std::vector<WeightedService> services;
+        if (const auto only = readText(json, "service"))
+            services.push_back({ ServiceName(*only), 1 });
+        const auto split = json.find("split");
+        if (split == json.end() || !split->is_array())
+            return services;
+        for (const Json& part : *split) {
+            const auto name = part.is_object() ? readText(part, "service") : std::nullopt;
+            const auto weight = part.is_object() ? readInteger(part, "weight") : std::nullopt;
+            if (name && weight && *weight >= 0)
+                services.push_back({ ServiceName(*name), static_cast<std::uint32_t>(*weight) });
+        }
+        return services;
+    }
+
+    tl::expected<Route, BadObject> readRoute(const Json& json)
+    {
+        if (!json.is_object())
+            return tl::unexpected(BadObject { "routes" });
+        const auto host = readText(json, "host");
+        const auto prefix = readText(json, "path_prefix");
+        const auto safety = readSafety(readText(json, "kind").value_or(""));
+        if (!host || !prefix)
+            return tl::unexpected(BadObject { "routes.path_prefix" });
+        if (!safety)
+            return tl::unexpected(BadObject { "routes.kind" });
+        Route route;
+        route.name = readText(json, "name").value_or("");
+        route.host = *host;
+        route.pathPrefix = *prefix;
+        route.safety = *safety;
+        route.timeout = readMilliseconds(json, "timeout_ms", route.timeout);
+        route.objective = readMilliseconds(json, "goal_ms", route.objective);
+        route.rank = static_cast<std::uint32_t>(std::max<std::int64_t>(readInteger(json, "priority").value_or(0), 0));
+        route.services = readServices(json);
+        route.maxRuns = static_cast<std::uint32_t>(std::max<std::int64_t>(readInteger(json, "attempts").value_or(1), 1));
+        route.isSticky = readFlag(json, "sticky");
+        route.canResume = readFlag(json, "can_resume");
+        route.retainsTurns = readFlag(json, "retain");
+        constexpr double millisecondsPerSecond = 1000;
+        route.turnRetention = Milliseconds(
+            static_cast<std::int64_t>(readDecimal(json, "retain_s").value_or(0) * millisecondsPerSecond));
+        return route;
+    }
+
+    tl::expected<ServiceTerms, BadObject> readService(const Json& json)
+    {
+        const auto name = json.is_object() ? readText(json, "name") : std::nullopt;
+        if (!name)
+            return tl::unexpected(BadObject { "services.name" });
+        ServiceTerms service;
+        service.name = ServiceName(*name);
+        const auto connections = readInteger(json, "max_conns");
+        if (connections && *connections > 0)
+            service.maxConnections = static_cast<std::uint32_t>(*connections);
+        const auto engine = json.find("engine");
+        if (engine == json.end() || !engine->is_object())
+            return service;
+        EngineTerms terms;
+        terms.slots = static_cast<std::uint32_t>(std::max<std::int64_t>(readInteger(*engine, "slots").value_or(1), 1));
+        terms.memoryTokens = static_cast<std::uint64_t>(
+            std::max<std::int64_t>(readInteger(*engine, "kv_capacity_tokens").value_or(0), 0));
+        terms.tokensPerEvent
+            = TokenCount(std::max<std::int64_t>(readInteger(*engine, "tokens_per_event").value_or(1), 1));
+        service.engine = terms;
+        return service;
+    }
+
+    CallerLimits readLimits(const Json& json)
+    {
+        CallerLimits limits;
+        if (!json.is_object())
+            return limits;
+        if (const auto bytes = readInteger(json, "max_header_bytes"); bytes && *bytes > 0)
+            limits.maxHeaderBytes = static_cast<std::size_t>(*bytes);
+        if (const auto bytes = readInteger(json, "max_body_bytes"); bytes && *bytes > 0)
+            limits.maxBodyBytes = static_cast<std::size_t>(*bytes);
+        limits.headerTimeout = readMilliseconds(json, "header_timeout_ms", limits.headerTimeout);
+        limits.idleTimeout = readMilliseconds(json, "idle_timeout_ms", limits.idleTimeout);
+        return limits;
+    }
+
+}
+
+tl::expected<RoutingConfig, BadObject> readConfig(const Json& spec)
+{
+    if (!spec.is_object() || !spec.contains("routes") || !spec["routes"].is_array())
+        return tl::unexpected(BadObject { "routes" });
+    const auto version = readInteger(spec, "version");
+    if (!version || *version <= 0)
+        return tl::unexpected(BadObject { "version" });
+    RoutingConfig config;
+    config.version = static_cast<std::uint64_t>(*version);
+    for (const Json& json : spec["routes"]) {
+        auto route = readRoute(json);
+        if (!route)
+            return tl::unexpected(route.error());
+        config.routes.push_back(std::move(*route));
+    }
+    if (spec.contains("services") && spec["services"].is_array()) {
+        for (const Json& json : spec["services"]) {
+            auto service = readService(json);
+            if (!service)
+                return tl::unexpected(service.error());
+            config.services.push_back(std::move(*service));
+        }
+    }
+    if (spec.contains("limits"))
+        config.limits = readLimits(spec["limits"]);
+    return config;
+}
+
+// Journals -----------------------------------------------------------------------------------------------------------
+
+tl::expected<JournalSet, BadObject> readJournalSet(const Json& spec)
+{
+    if (!spec.is_object() || !spec.contains("members") || !spec["members"].is_array())
+        return tl::unexpected(BadObject { "members" });
+    const auto epoch = readInteger(spec, "epoch");
+    if (!epoch || *epoch < 0)
+        return tl::unexpected(BadObject { "epoch" });
+    JournalSet set;
+    set.epoch = Epoch(static_cast<std::uint64_t>(*epoch));
+    set.proposer = NodeId(readText(spec, "proposer").value_or(""));
+    for (const Json& json : spec["members"]) {
+        const auto node = json.is_object() ? readText(json, "node") : std::nullopt;
+        const auto address = json.is_object() ? readText(json, "address") : std::nullopt;
+        if (!node || !address)
+            return tl::unexpected(BadObject { "members.node" });
+        set.members.push_back({ NodeId(*node), *address });
+    }
+    return set;
+}
+
+Json writeJournalSet(const JournalSet& set)
+{
+    Json members = Json::array();
+    for (const JournalMember& member : set.members)
+        members.push_back({ { "node", member.node.value }, { "address", member.address } });
+    return { { "epoch", set.epoch.value }, { "proposer", set.proposer.value }, { "members", members } };
+}
+
+}
--- /dev/null
+++ b/src/platform/objectstore.cpp
@@ -0,0 +1,330 @@
+#include "objectstore.h"
+
+#include "names.h"
+
+#include <algorithm>
+
+using namespace RattandeckNet;
+using Json = nlohmann::json;
+
+namespace Platform {
+
+constexpr std::size_t maxStoreConnections = 16;
+constexpr std::size_t maxAnswerBytes = 8UL * 1024 * 1024;
+constexpr int statusGone = 410;
+
+std::string_view describe(StoreError error)
+{
+    switch (error) {
+    case StoreError::NotFound:
+        return "not found";
+    case StoreError::Conflict:
+        return "conflict";
+    case StoreError::Refused:
+        return "refused";
+    case StoreError::NoAnswer:
+        return "no answer";
+    }
+    return "unknown";
+}
+
+// Decoding -----------------------------------------------------------------------------------------------------------
+
+namespace {
+
+    std::optional<StoredObject> readObject(const Json& json)
+    {
+        if (!json.is_object() || !json.contains("metadata") || !json["metadata"].is_object())
+            return std::nullopt;
+        const Json& metadata = json["metadata"];
+        if (!metadata.contains("name") || !metadata["name"].is_string())
+            return std::nullopt;
+        StoredObject object;
+        object.name = metadata["name"].get<std::string>();
+        if (metadata.contains("rev") && metadata["rev"].is_number_unsigned())
+            object.revision = metadata["rev"].get<std::uint64_t>();
+        if (metadata.contains("deleting") && metadata["deleting"].is_boolean())
+            object.isBeingDeleted = metadata["deleting"].get<bool>();
+        if (metadata.contains("finalizers") && metadata["finalizers"].is_array()) {
+            for (const Json& finalizer : metadata["finalizers"]) {
+                if (finalizer.is_string())
+                    object.finalizers.push_back(finalizer.get<std::string>());
+            }
+        }
+        if (json.contains("spec"))
+            object.spec = json["spec"];
+        if (json.contains("status"))
+            object.status = json["status"];
+        return object;
+    }
+
+    std::uint64_t readRevision(const Json& answer)
+    {
+        const auto found = answer.find("current_rev");
+        return found != answer.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
+    }
+
+    Json writeObject(const StoredObject& object)
+    {
+        Json metadata { { "name", object.name }, { "finalizers", object.finalizers } };
+        if (object.revision > 0)
+            metadata["rev"] = object.revision;
+        return { { "metadata", metadata }, { "spec", object.spec }, { "status", object.status } };
+    }
+
+    StoreError errorFor(int status)
+    {
+        switch (status) {
+        case 404:
+            return StoreError::NotFound;
+        case 409:
+            return StoreError::Conflict;
+        case 429:
+        case 503:
+            return StoreError::Refused;
+        default:
+            return StoreError::NoAnswer;
+        }
+    }
+
+}
+
+// Following a kind ---------------------------------------------------------------------------------------------------
+
+class Follower;
+
+struct ObjectStore::Impl : std::enable_shared_from_this<ObjectStore::Impl> {
+    Impl(EventLoop& loop, const Address& server, StoreLimits limits)
+        : loop(loop)
+        , limits(limits)
+        , client(loop, server, maxStoreConnections)
+    {
+    }
+
+    EventLoop& loop;
+    StoreLimits limits;
+    HttpClient client;
+    std::uint64_t callCount = 0;
+    std::vector<std::shared_ptr<Follower>> followers;
+
+    using Fetched = std::function<void(tl::expected<HttpResponse, NetError>)>;
+
+    void fetch(const HttpRequest& request, std::chrono::milliseconds timeout, Fetched done)
+    {
+        ++this->callCount;
+        this->client.fetch(request, timeout, std::move(done), maxAnswerBytes);
+    }
+
+    void change(HttpRequest request, const Json& body, Done done);
+};
+
+/// Lists one kind page by page, then watches it from the listed revision; lists again when the history is gone.
+class Follower : public std::enable_shared_from_this<Follower> {
+public:
+    Follower(ObjectStore::Impl& store, std::string kind, KindHandlers handlers)
+        : store(store)
+        , kind(std::move(kind))
+        , handlers(std::move(handlers))
+        , retryDelay(store.limits.firstRetryDelay)
+    {
+    }
+
+    void list();
+
+private:
+    using Response = tl::expected<HttpResponse, NetError>;
+
+    void listPage(const std::string& after);
+    void onPage(const Response& response);
+    void watch();
+    void onWatched(const Response& response);
+    void retry(void (Follower::*step)());
+    void setReachable(bool isReachable);
+    HttpRequest request() const;
+    std::function<void(Response)> bind(void (Follower::*step)(const Response&));
+
+    ObjectStore::Impl& store;
+    std::string kind;
+    KindHandlers handlers;
+    std::chrono::milliseconds retryDelay;
+    std::vector<StoredObject> listed;
+    /// The revision at which the first page was listed: later changes may or may not be in the pages.
+    std::uint64_t listRevision = 0;
+    std::uint64_t revision = 0;
+    std::optional<bool> isReachable;
+};
+
+HttpRequest Follower::request() const
+{
+    HttpRequest request;
+    request.path = Names::objectsPath + this->kind;
+    return request;
+}
+
+std::function<void(Follower::Response)> Follower::bind(void (Follower::*step)(const Response&))
+{
+    return [weak = this->weak_from_this(), step](const Response& response) {
+        if (const auto self = weak.lock())
+            (self.get()->*step)(response);
+    };
+}
+
+void Follower::setReachable(bool isReachable)
+{
+    if (isReachable)
+        this->retryDelay = this->store.limits.firstRetryDelay;
+    if (this->isReachable == isReachable)
+        return;
+    this->isReachable = isReachable;
+    if (this->handlers.onReachable)
+        this->handlers.onReachable(isReachable);
+}
+
+void Follower::retry(void (Follower::*step)())
+{
+    this->setReachable(false);
+    this->store.loop.timers().subscribeAfter(this->retryDelay, [weak = this->weak_from_this(), step] {
+        if (const auto self = weak.lock())
+            (self.get()->*step)();
+    });
+    this->retryDelay = std::min(this->retryDelay * 2, this->store.limits.longestRetryDelay);
+}
+
+void Follower::list()
+{
+    this->listed.clear();
+    this->listRevision = 0;
+    this->listPage({});
+}
+
+void Follower::listPage(const std::string& after)
+{
+    HttpRequest request = this->request();
+    if (!after.empty())
+        request.query["after"] = after;
+    this->store.fetch(request, this->store.limits.callTimeout, this->bind(&Follower::onPage));
+}
+
+void Follower::onPage(const Response& response)
+{
+    const Json page = response && response->status == 200 ? Json::parse(response->body, nullptr, false) : Json();
+    if (!page.is_object() || !page.contains("items") || !page["items"].is_array())
+        return this->retry(&Follower::list);
+    if (this->listRevision == 0)
+        this->listRevision = readRevision(page);
+    for (const Json& item : page["items"]) {
+        if (const auto object = readObject(item))
+            this->listed.push_back(*object);
+    }
+    const bool hasMore = page.value("has_more", false);
+    if (hasMore && !this->listed.empty())
+        return this->listPage(this->listed.back().name);
+    this->setReachable(true);
+    this->revision = this->listRevision;
+    this->handlers.onSnapshot(this->listed);
+    this->listed.clear();
+    this->watch();
+}
+
+void Follower::watch()
+{
+    HttpRequest request = this->request();
+    request.query["watch"] = std::to_string(this->revision);
+    request.query["wait_ms"] = std::to_string(this->store.limits.watchWait.count());
+    this->store.fetch(
+        request, this->store.limits.watchWait + this->store.limits.callTimeout, this->bind(&Follower::onWatched));
+}
+
+void Follower::onWatched(const Response& response)
+{
+    if (response && response->status == statusGone)
+        return this->list();
+    const Json answer = response && response->status == 200 ? Json::parse(response->body, nullptr, false) : Json();
+    if (!answer.is_object() || !answer.contains("events") || !answer["events"].is_array())
+        return this->retry(&Follower::watch);
+    this->setReachable(true);
+    this->revision = std::max(this->revision, readRevision(answer));
+    for (const Json& event : answer["events"]) {
+        if (!event.is_object() || !event.contains("object"))
+            continue;
+        const auto object = readObject(event["object"]);
+        const auto removed = event.find("tombstone");
+        if (object)
+            this->handlers.onChange(*object, removed != event.end() && removed->is_boolean() && removed->get<bool>());
+    }
+    this->watch();
+}
+
+// Changes ------------------------------------------------------------------------------------------------------------
+
+void ObjectStore::Impl::change(HttpRequest request, const Json& body, Done done)
+{
+    request.headers["content-type"] = "application/json";
+    if (!body.is_null())
+        request.body = body.dump();
+    this->fetch(request, this->limits.callTimeout, [done = std::move(done)](auto response) {
+        if (!response)
+            return done(tl::unexpected(StoreError::NoAnswer));
+        if (response->status < 200 || response->status >= 300)
+            return done(tl::unexpected(errorFor(response->status)));
+        const auto object = readObject(Json::parse(response->body, nullptr, false));
+        if (object)
+            done(*object);
+        else
+            done(tl::unexpected(StoreError::NoAnswer));
+    });
+}
+
+// Public -------------------------------------------------------------------------------------------------------------
+
+ObjectStore::ObjectStore(EventLoop& loop, const Address& server, StoreLimits limits)
+    : impl(std::make_shared<Impl>(loop, server, limits))
+{
+}
+
+ObjectStore::~ObjectStore() { this->impl->followers.clear(); }
+
+void ObjectStore::read(const std::string& kind, const std::string& name, Done done)
+{
+    HttpRequest request;
+    request.path = Names::objectsPath + kind + "/" + name;
+    this->impl->change(std::move(request), Json(), std::move(done));
+}
+
+void ObjectStore::create(const std::string& kind, const std::string& name, const Json& spec, Done done)
+{
+    StoredObject object;
+    object.name = name;
+    object.spec = spec;
+    HttpRequest request;
+    request.method = "POST";
+    request.path = Names::objectsPath + kind;
+    this->impl->change(std::move(request), writeObject(object), std::move(done));
+}
+
+void ObjectStore::replace(const std::string& kind, const StoredObject& object, Done done)
+{
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = Names::objectsPath + kind + "/" + object.name;
+    this->impl->change(std::move(request), writeObject(object), std::move(done));
+}
+
+void ObjectStore::replaceStatus(const std::string& kind, const StoredObject& object, Done done)
+{
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = Names::objectsPath + kind + "/" + object.name + "/status";
+    this->impl->change(std::move(request), writeObject(object), std::move(done));
+}
+
+void ObjectStore::follow(const std::string& kind, KindHandlers handlers)
+{
+    const auto follower = std::make_shared<Follower>(*this->impl, kind, std::move(handlers));
+    this->impl->followers.push_back(follower);
+    follower->list();
+}
+
+std::uint64_t ObjectStore::callCount() const { return this->impl->callCount; }
+
+}
--- /dev/null
+++ b/src/rattandeck-gateway/relay.cpp
@@ -0,0 +1,189 @@
+#include "relay.h"
+
+#include "platform/calls.h"
+#include "RattandeckApp/log.h"
+
+#include <set>
+
+using namespace Rattandeck;
+using namespace RattandeckApp;
+using namespace RattandeckNet;
+
+/// The core ends a sending by its own deadline; this is for a timer that got lost.
+constexpr Milliseconds clientTimeoutSlack { 1000 };
+
+Relay::Relay(EventLoop& loop, Metrics& metrics, JournalClient& journals, const FailureDomain& domain,
+    const GatewayLimits& limits)
+    : loop(loop)
+    , metrics(metrics)
+    , core(loop.timers(), *this, journals, domain, limits)
+{
+}
+
+// Callers ------------------------------------------------------------------------------------------------------------
+
+void Relay::onRequest(HttpRequest request, const HttpResponder& responder)
+{
+    const CallId id(++this->lastCall);
+    GatewayCall call = Platform::readCall(request);
+    this->calls.emplace(id, OpenCall { std::move(request), responder, call.request });
+    responder.onClosed([this, id] {
+        if (this->calls.erase(id) > 0)
+            this->core.onCallerGone(id);
+    });
+    this->core.onCall(id, std::move(call));
+}
+
+Relay::OpenCall* Relay::findCall(CallId call)
+{
+    const auto found = this->calls.find(call);
+    return found == this->calls.end() ? nullptr : &found->second;
+}
+
+void Relay::answer(CallId call, SendId send, std::string body)
+{
+    const OpenCall* open = this->findCall(call);
+    const auto sent = this->sends.find(send);
+    if (!open || sent == this->sends.end())
+        return;
+    open->responder.send(
+        { sent->second.status, Platform::writeAnswerHeaders(sent->second.headers), std::move(body) });
+    this->calls.erase(call);
+}
+
+void Relay::begin(CallId call, SendId send)
+{
+    const OpenCall* open = this->findCall(call);
+    const auto sent = this->sends.find(send);
+    if (open && sent != this->sends.end())
+        open->responder.begin(sent->second.status, Platform::writeAnswerHeaders(sent->second.headers));
+}
+
+void Relay::write(CallId call, std::string_view bytes)
+{
+    if (const OpenCall* open = this->findCall(call))
+        open->responder.write(bytes);
+}
+
+void Relay::end(CallId call)
+{
+    if (const OpenCall* open = this->findCall(call))
+        open->responder.end();
+    this->calls.erase(call);
+}
+
+void Relay::breakOff(CallId call)
+{
+    if (const OpenCall* open = this->findCall(call))
+        open->responder.abort();
+    this->calls.erase(call);
+}
+
+void Relay::refuse(CallId call, const CallRefusal& refusal)
+{
+    if (const OpenCall* open = this->findCall(call))
+        open->responder.send(Platform::writeRefusal(refusal, open->name));
+    this->calls.erase(call);
+}
+
+// Endpoint instances -------------------------------------------------------------------------------------------------
+
+Relay::Client& Relay::clientFor(const std::string& address, std::size_t maxConnections)
+{
+    Client& client = this->clients[address];
+    if (!client.http) {
+        const Address server = parseAddress(address).value_or(Address {});
+        client.http = std::make_unique<HttpClient>(this->loop, server, maxConnections);
+    }
+    return client;
+}
+
+HttpCallbacks Relay::callbacks(SendId send, const TurnId& name)
+{
+    HttpCallbacks callbacks;
+    callbacks.isOwn = [name](const HttpHeaders& headers) { return Platform::answers(headers, name); };
+    callbacks.onHead = [this, send](int status, const HttpHeaders& headers) {
+        const auto found = this->sends.find(send);
+        if (found == this->sends.end())
+            return;
+        found->second.status = status;
+        found->second.headers = headers;
+        this->core.onAnswerHead(send, Platform::readAnswer(status, headers));
+    };
+    callbacks.onData = [this, send](std::string_view bytes) { this->core.onAnswerData(send, bytes); };
+    callbacks.onEnd = [this, send](tl::expected<void, NetError> outcome) {
+        const bool isNotSent = !outcome
+            && (outcome.error() == NetError::NotSent || outcome.error() == NetError::ConnectFailed
+                || outcome.error() == NetError::BadAddress);
+        const SendOutcome lost = isNotSent ? SendOutcome::NotSent : SendOutcome::Broken;
+        this->core.onAnswerEnd(send, outcome ? SendOutcome::Complete : lost);
+        this->forgetSend(send);
+    };
+    return callbacks;
+}
+
+void Relay::send(CallId call, SendId send, EndpointSend what)
+{
+    const OpenCall* open = this->findCall(call);
+    if (!open)
+        return;
+    Client& client = this->clientFor(what.address, what.maxConnections);
+    ++client.sends;
+    const HttpRequest request = Platform::writeCall(open->request, what);
+    OpenSend& sent = this->sends[send];
+    sent.address = what.address;
+    sent.httpCall = client.http->start(
+        request, what.timeLeft + clientTimeoutSlack, this->callbacks(send, open->name));
+}
+
+void Relay::cancelSend(SendId send)
+{
+    const auto found = this->sends.find(send);
+    if (found == this->sends.end())
+        return;
+    this->clients.at(found->second.address).http->cancel(found->second.httpCall);
+    this->forgetSend(send);
+}
+
+void Relay::forgetSend(SendId send)
+{
+    const auto found = this->sends.find(send);
+    if (found == this->sends.end())
+        return;
+    --this->clients.at(found->second.address).sends;
+    this->sends.erase(found);
+}
+
+void Relay::closeUnusedClients()
+{
+    std::set<std::string> used;
+    for (const EndpointId& id : this->core.endpoints().ids())
+        used.insert(this->core.endpoints().find(id)->address);
+    std::erase_if(this->clients,
+        [&used](const auto& entry) { return entry.second.sends == 0 && !used.contains(entry.first); });
+}
+
+// Log ----------------------------------------------------------------------------------------------------------------
+
+void Relay::logSend(const SendDecision& decision)
+{
+    logFields("send",
+        { { "request", decision.request.value }, { "program", decision.program.value }, { "route", decision.route },
+            { "config", std::int64_t(decision.configVersion) }, { "endpoint", decision.choice.endpoint.value },
+            { "load", decision.choice.expectedLoad }, { "slots", std::int64_t(decision.choice.slots) },
+            { "cached_tokens", decision.choice.cachedTokens }, { "attempt", std::int64_t(decision.attempt) },
+            { "waited_ms", std::int64_t(decision.waited.count()) },
+            { "time_left_ms", std::int64_t(decision.timeLeft.count()) } });
+}
+
+void Relay::logEnd(const CallEnd& end)
+{
+    this->metrics.observe("rattandeck_call_seconds{outcome=\"" + std::string(end.outcome) + "\"}",
+        std::chrono::duration<double>(end.duration).count());
+    logFields("call",
+        { { "request", end.request.value }, { "program", end.program.value }, { "route", end.route },
+            { "outcome", std::string(end.outcome) }, { "reason", std::string(end.reason) },
+            { "endpoint", end.endpoint }, { "status", std::int64_t(end.status) },
+            { "sends", std::int64_t(end.sends) }, { "events", std::int64_t(end.events) },
+            { "duration_ms", std::int64_t(end.duration.count()) } });
+}
--- /dev/null
+++ b/src/rattandeck-gateway/relay.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "Rattandeck/gateway.h"
+#include "RattandeckApp/metrics.h"
+#include "RattandeckNet/http.h"
+
+#include <map>
+#include <unordered_map>
+
+/// Joins the gateway's decisions with connections of callers and to endpoint instances.
+///
+/// Thread safety: use from the loop's thread. Precondition: the loop outlives this object.
+class Relay : private Rattandeck::GatewayIo {
+public:
+    Relay(RattandeckNet::EventLoop& loop, RattandeckApp::Metrics& metrics, Rattandeck::JournalClient& journals,
+        const Rattandeck::FailureDomain& domain, const Rattandeck::GatewayLimits& limits);
+
+    Rattandeck::Gateway& gateway() { return this->core; }
+    const Rattandeck::Gateway& gateway() const { return this->core; }
+    void onRequest(RattandeckNet::HttpRequest request, const RattandeckNet::HttpResponder& responder);
+    /// Closes connections to addresses at which no instance is known any more.
+    void closeUnusedClients();
+
+private:
+    struct OpenCall {
+        RattandeckNet::HttpRequest request;
+        RattandeckNet::HttpResponder responder;
+        Rattandeck::TurnId name;
+    };
+    struct OpenSend {
+        std::string address;
+        RattandeckNet::HttpClient::CallId httpCall = 0;
+        int status = 0;
+        RattandeckNet::HttpHeaders headers;
+    };
+    struct Client {
+        std::unique_ptr<RattandeckNet::HttpClient> http;
+        std::size_t sends = 0;
+    };
+
+    // Rattandeck::GatewayIo
+    void send(Rattandeck::CallId call, Rattandeck::SendId send, Rattandeck::EndpointSend what) override;
+    void cancelSend(Rattandeck::SendId send) override;
+    void answer(Rattandeck::CallId call, Rattandeck::SendId send, std::string body) override;
+    void begin(Rattandeck::CallId call, Rattandeck::SendId send) override;
+    void write(Rattandeck::CallId call, std::string_view bytes) override;
+    void end(Rattandeck::CallId call) override;
+    void breakOff(Rattandeck::CallId call) override;
+    void refuse(Rattandeck::CallId call, const Rattandeck::CallRefusal& refusal) override;
+    void logSend(const Rattandeck::SendDecision& decision) override;
+    void logEnd(const Rattandeck::CallEnd& end) override;
+
+    RattandeckNet::HttpCallbacks callbacks(Rattandeck::SendId send, const Rattandeck::TurnId& name);
+    Client& clientFor(const std::string& address, std::size_t maxConnections);
+    OpenCall* findCall(Rattandeck::CallId call);
+    void forgetSend(Rattandeck::SendId send);
+
+    RattandeckNet::EventLoop& loop;
+    RattandeckApp::Metrics& metrics;
+    Rattandeck::Gateway core;
+    std::uint64_t lastCall = 0;
+    std::unordered_map<Rattandeck::CallId, OpenCall> calls;
+    std::unordered_map<Rattandeck::SendId, OpenSend> sends;
+    std::map<std::string, Client> clients;
+};
--- /dev/null
+++ b/src/rattandeck-journal/daemon.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "RattandeckApp/daemon.h"
+
+struct JournalSettings {
+    RattandeckApp::InstanceSettings instance;
+    /// Addresses at which other journals may be found.
+    std::vector<std::string> seeds;
+    std::string objectStore;
+    std::string folder;
+};
+
+void bindSettings(RattandeckApp::SettingsSchema& schema, JournalSettings& settings);
+
+/// Runs until a planned stop. Returns the exit code.
+int runDaemon(const JournalSettings& settings);
--- /dev/null
+++ b/src/rattandeck-journal/disk.cpp
@@ -0,0 +1,322 @@
+#include "disk.h"
+
+#include "Rattandeck/wire.h"
+#include "RattandeckApp/log.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <atomic>
+#include <condition_variable>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+#include <sys/stat.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+using namespace Rattandeck;
+using namespace RattandeckApp;
+
+namespace {
+
+// Records --------------------------------------------------------------------------------------------------------
+
+/// Before each record: its length and the checksum of its bytes, little endian.
+struct RecordHeader {
+    std::uint32_t length = 0;
+    std::uint32_t reserved = 0;
+    std::uint64_t checksum = 0;
+};
+
+constexpr std::size_t maxRecordBytes = 16UL * 1024 * 1024;
+
+void appendRecord(std::string& output, const std::string& bytes)
+{
+    RecordHeader header;
+    header.length = static_cast<std::uint32_t>(bytes.size());
+    header.checksum = XXH3_64bits(bytes.data(), bytes.size());
+    output.append(reinterpret_cast<const char*>(&header), sizeof(header));
+    output += bytes;
+}
+
+/// Reads records up to the first that is not whole. Returns whether the segment ended with a whole one.
+bool readRecords(
+    const std::string& segment, const std::function<void(Message)>& onRecord, JournalDisk::Found& found)
+{
+    std::size_t at = 0;
+    while (at + sizeof(RecordHeader) <= segment.size()) {
+        RecordHeader header;
+        std::memcpy(&header, segment.data() + at, sizeof(header));
+        const std::size_t start = at + sizeof(header);
+        if (header.length == 0 || header.length > maxRecordBytes || start + header.length > segment.size())
+            return false;
+        const std::string_view bytes = std::string_view(segment).substr(start, header.length);
+        if (XXH3_64bits(bytes.data(), bytes.size()) != header.checksum)
+            return false;
+        if (auto message = decode(bytes)) {
+            ++found.records;
+            onRecord(std::move(*message));
+        }
+        at = start + header.length;
+    }
+    return at == segment.size();
+}
+
+// Files ------------------------------------------------------------------------------------------------------------
+
+constexpr std::string_view segmentPrefix = "segment-";
+
+std::string segmentPath(const std::string& folder, JournalDisk::SegmentNumber number)
+{
+    std::string digits = std::to_string(number);
+    constexpr std::size_t width = 12;
+    digits.insert(0, width - std::min(width, digits.size()), '0');
+    return folder + "/" + std::string(segmentPrefix) + digits;
+}
+
+std::vector<JournalDisk::SegmentNumber> listSegments(const std::string& folder)
+{
+    std::vector<JournalDisk::SegmentNumber> numbers;
+    std::error_code error;
+    for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
+        const std::string name = entry.path().filename().string();
+        if (name.starts_with(segmentPrefix))
+            numbers.push_back(std::strtoull(name.c_str() + segmentPrefix.size(), nullptr, 10));
+    }
+    std::ranges::sort(numbers);
+    return numbers;
+}
+
+bool syncFolder(const std::string& folder)
+{
+    const int descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (descriptor < 0)
+        return false;
+    const bool isSynced = fsync(descriptor) == 0;
+    close(descriptor);
+    return isSynced;
+}
+
+bool writeAll(int descriptor, const std::string& bytes)
+{
+    std::size_t written = 0;
+    while (written < bytes.size()) {
+        const ssize_t size = write(descriptor, bytes.data() + written, bytes.size() - written);
+        if (size < 0 && errno == EINTR)
+            continue;
+        if (size <= 0)
+            return false;
+        written += static_cast<std::size_t>(size);
+    }
+    return true;
+}
+
+}
+
+// Writer -------------------------------------------------------------------------------------------------------------
+
+struct JournalDisk::Impl {
+    Impl(RattandeckNet::EventLoop& loop, std::string folder, Limits limits)
+        : loop(loop)
+        , folder(std::move(folder))
+        , limits(limits)
+    {
+    }
+
+    RattandeckNet::EventLoop& loop;
+    std::string folder;
+    Limits limits;
+
+    // Shared with the writer, under `mutex`
+    std::mutex mutex;
+    std::condition_variable changed;
+    std::string pending;
+    std::vector<std::function<void()>> pendingDone;
+    std::vector<SegmentNumber> toRemove;
+    bool isStopping = false;
+    Counts counts;
+
+    std::atomic<SegmentNumber> current { 0 };
+
+    // Only the writer's
+    int descriptor = -1;
+    std::size_t segmentBytes = 0;
+    std::chrono::steady_clock::time_point segmentOpened;
+    std::thread writer;
+
+    bool hasWork() const
+    {
+        return !this->pending.empty() || !this->pendingDone.empty() || !this->toRemove.empty();
+    }
+    void run();
+    bool openSegment();
+    void closeSegment();
+    bool writeBatch(const std::string& batch);
+    void removeSegments(const std::vector<SegmentNumber>& numbers) const;
+};
+
+bool JournalDisk::Impl::openSegment()
+{
+    const SegmentNumber number = this->current.load() + 1;
+    this->descriptor
+        = ::open(segmentPath(this->folder, number).c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0644);
+    if (this->descriptor < 0)
+        return false;
+    this->current.store(number);
+    this->segmentBytes = 0;
+    this->segmentOpened = std::chrono::steady_clock::now();
+    return syncFolder(this->folder);
+}
+
+void JournalDisk::Impl::closeSegment()
+{
+    if (this->descriptor >= 0)
+        close(this->descriptor);
+    this->descriptor = -1;
+}
+
+bool JournalDisk::Impl::writeBatch(const std::string& batch)
+{
+    const bool isOld = std::chrono::steady_clock::now() - this->segmentOpened > this->limits.segmentAge;
+    if (this->descriptor >= 0 && (isOld || this->segmentBytes > this->limits.segmentBytes))
+        this->closeSegment();
+    if (this->descriptor < 0 && !this->openSegment())
+        return false;
+    this->segmentBytes += batch.size();
+    return writeAll(this->descriptor, batch) && fdatasync(this->descriptor) == 0;
+}
+
+void JournalDisk::Impl::removeSegments(const std::vector<SegmentNumber>& numbers) const
+{
+    for (const SegmentNumber number : numbers)
+        unlink(segmentPath(this->folder, number).c_str());
+}
+
+void JournalDisk::Impl::run()
+{
+    std::string batch;
+    std::vector<std::function<void()>> done;
+    std::vector<SegmentNumber> removed;
+    std::unique_lock lock(this->mutex);
+    while (true) {
+        this->changed.wait(lock,
+            [this] { return this->isStopping || this->hasWork(); });
+        if (!this->hasWork())
+            return;
+        batch.swap(this->pending);
+        done.swap(this->pendingDone);
+        removed.swap(this->toRemove);
+        lock.unlock();
+        while (!batch.empty() && !this->writeBatch(batch)) {
+            // What was written of the batch may be torn, and nothing after a torn record is read.
+            this->closeSegment();
+            this->loop.post([error = errno] { logError("disk refused a write", std::strerror(error)); });
+            std::this_thread::sleep_for(this->limits.retryDelay);
+            const std::lock_guard guard(this->mutex);
+            ++this->counts.failures;
+            if (this->isStopping)
+                return;
+        }
+        this->removeSegments(removed);
+        removed.clear();
+        if (!done.empty()) {
+            this->loop.post([done = std::move(done)] {
+                for (const auto& callback : done)
+                    callback();
+            });
+        }
+        done.clear();
+        lock.lock();
+        ++this->counts.syncs;
+        this->counts.bytes += batch.size();
+        batch.clear();
+    }
+}
+
+// Public -------------------------------------------------------------------------------------------------------------
+
+JournalDisk::JournalDisk(std::unique_ptr<Impl> impl)
+    : impl(std::move(impl))
+{
+}
+
+tl::expected<std::unique_ptr<JournalDisk>, JournalDisk::Error> JournalDisk::open(RattandeckNet::EventLoop& loop,
+    const std::string& folder, Limits limits, const std::function<void(Message)>& onRecord, Found& found)
+{
+    std::error_code error;
+    std::filesystem::create_directories(folder, error);
+    if (error)
+        return tl::unexpected(Error::CannotOpenFolder);
+    auto impl = std::make_unique<Impl>(loop, folder, limits);
+    for (const SegmentNumber number : listSegments(folder)) {
+        std::ifstream file(segmentPath(folder, number), std::ios::binary);
+        if (!file)
+            return tl::unexpected(Error::CannotReadSegment);
+        const std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+        ++found.segments;
+        if (!readRecords(bytes, onRecord, found))
+            ++found.tornSegments;
+        impl->current.store(number);
+    }
+    Impl* writer = impl.get();
+    impl->writer = std::thread([writer] { writer->run(); });
+    return std::unique_ptr<JournalDisk>(new JournalDisk(std::move(impl)));
+}
+
+JournalDisk::~JournalDisk()
+{
+    {
+        const std::lock_guard guard(this->impl->mutex);
+        this->impl->isStopping = true;
+    }
+    this->impl->changed.notify_one();
+    this->impl->writer.join();
+    this->impl->closeSegment();
+}
+
+void JournalDisk::append(const Message& record, std::function<void()> onDurable)
+{
+    const std::string bytes = encode(record);
+    {
+        const std::lock_guard guard(this->impl->mutex);
+        appendRecord(this->impl->pending, bytes);
+        if (onDurable)
+            this->impl->pendingDone.push_back(std::move(onDurable));
+        ++this->impl->counts.records;
+    }
+    this->impl->changed.notify_one();
+}
+
+void JournalDisk::sync(std::function<void()> onDurable)
+{
+    {
+        const std::lock_guard guard(this->impl->mutex);
+        this->impl->pendingDone.push_back(std::move(onDurable));
+    }
+    this->impl->changed.notify_one();
+}
+
+JournalDisk::SegmentNumber JournalDisk::currentSegment() const { return this->impl->current.load(); }
+
+void JournalDisk::removeBefore(SegmentNumber number)
+{
+    const auto segments = listSegments(this->impl->folder);
+    {
+        const std::lock_guard guard(this->impl->mutex);
+        for (const SegmentNumber segment : segments) {
+            if (segment < number)
+                this->impl->toRemove.push_back(segment);
+        }
+    }
+    this->impl->changed.notify_one();
+}
+
+JournalDisk::Counts JournalDisk::counts() const
+{
+    const std::lock_guard guard(this->impl->mutex);
+    return this->impl->counts;
+}
--- /dev/null
+++ b/src/rattandeck-journal/disk.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "Rattandeck/messages.h"
+#include "RattandeckNet/eventloop.h"
+
+#include <tl/expected.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+/// Appends records to files in one folder and says when they will outlive a loss of power.
+///
+/// Records stand in segments, one file each: a later start, and a segment that has grown enough, begin a new one. A
+/// segment is removed as a whole.
+class JournalDisk {
+public:
+    struct Limits {
+        std::size_t segmentBytes = 8UL * 1024 * 1024;
+        Rattandeck::Milliseconds segmentAge { 15000 };
+        /// Wait before a refused write is tried again, in a new segment.
+        Rattandeck::Milliseconds retryDelay { 200 };
+    };
+    using SegmentNumber = std::uint64_t;
+
+    /// What was found at the start.
+    struct Found {
+        std::size_t records = 0;
+        std::size_t segments = 0;
+        /// Segments whose end was cut short or never written.
+        std::size_t tornSegments = 0;
+    };
+
+    enum class Error { CannotOpenFolder, CannotReadSegment };
+
+    /// Reads every record in `folder`, in the order of writing, and starts the writer.
+    ///
+    /// Precondition: no other process uses the folder; `loop` outlives this object.
+    static tl::expected<std::unique_ptr<JournalDisk>, Error> open(RattandeckNet::EventLoop& loop,
+        const std::string& folder, Limits limits, const std::function<void(Rattandeck::Message)>& onRecord,
+        Found& found);
+    ~JournalDisk();
+    JournalDisk(const JournalDisk&) = delete;
+    JournalDisk& operator=(const JournalDisk&) = delete;
+
+    /// Appends a record. `onDurable`, if not empty, is called from the loop once it is on disk.
+    ///
+    /// Thread safety: use from the loop's thread.
+    void append(const Rattandeck::Message& record, std::function<void()> onDurable);
+
+    /// Calls `onDurable` from the loop once all records appended so far are on disk.
+    void sync(std::function<void()> onDurable);
+
+    /// The segment that records are appended to now.
+    SegmentNumber currentSegment() const;
+    /// Removes all segments before `number`, once the records appended so far are on disk.
+    void removeBefore(SegmentNumber number);
+
+    struct Counts {
+        std::uint64_t records = 0;
+        std::uint64_t syncs = 0;
+        std::uint64_t failures = 0;
+        std::uint64_t bytes = 0;
+    };
+    Counts counts() const;
+
+private:
+    struct Impl;
+    explicit JournalDisk(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> impl;
+};
--- /dev/null
+++ b/src/rattandeck-journal/notes.cpp
@@ -0,0 +1,80 @@
+#include "notes.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdio>
+#include <fcntl.h>
+#include <fstream>
+#include <unistd.h>
+
+using namespace Rattandeck;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr const char* fileName = "/notes.json";
+constexpr const char* draftName = "/notes.new";
+
+bool writeAndSync(const std::string& path, const std::string& text)
+{
+    const int descriptor = open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+    if (descriptor < 0)
+        return false;
+    const bool isWritten = write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+    const bool isSynced = isWritten && fsync(descriptor) == 0;
+    close(descriptor);
+    return isSynced;
+}
+
+bool syncFolder(const std::string& folder)
+{
+    const int descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (descriptor < 0)
+        return false;
+    const bool isSynced = fsync(descriptor) == 0;
+    close(descriptor);
+    return isSynced;
+}
+
+}
+
+JournalNotes::JournalNotes(std::string path)
+    : folder(std::move(path))
+{
+    std::ifstream file(this->folder + fileName);
+    const Json json = Json::parse(file, nullptr, false);
+    if (!json.is_object() || !json.contains("members") || !json["members"].is_array())
+        return;
+    this->complete = json.value("complete", false);
+    this->knownSet.epoch = Epoch(json.value("epoch", std::uint64_t(0)));
+    this->knownSet.proposer = NodeId(json.value("proposer", std::string()));
+    for (const Json& member : json["members"])
+        this->knownSet.members.push_back({ NodeId(member.value("node", "")), member.value("address", "") });
+}
+
+bool JournalNotes::noteSet(const JournalSet& set)
+{
+    this->knownSet = set;
+    return this->write();
+}
+
+bool JournalNotes::noteComplete(bool isComplete)
+{
+    if (this->complete == isComplete)
+        return true;
+    this->complete = isComplete;
+    return this->write();
+}
+
+bool JournalNotes::write() const
+{
+    Json members = Json::array();
+    for (const JournalMember& member : this->knownSet.members)
+        members.push_back({ { "node", member.node.value }, { "address", member.address } });
+    const Json json { { "complete", this->complete }, { "epoch", this->knownSet.epoch.value },
+        { "proposer", this->knownSet.proposer.value }, { "members", members } };
+    // The old notes hold until the new ones are whole on disk.
+    const std::string draft = this->folder + draftName;
+    return writeAndSync(draft, json.dump()) && std::rename(draft.c_str(), (this->folder + fileName).c_str()) == 0
+        && syncFolder(this->folder);
+}
--- /dev/null
+++ b/src/rattandeck-journal/rattandeck-journal.cpp
@@ -0,0 +1,15 @@
+// Journal instance: keeps on its disk what must outlive every process.
+
+#include "daemon.h"
+#include "RattandeckApp/commandline.h"
+
+int main(int argc, char** argv)
+{
+    JournalSettings settings;
+    RattandeckApp::SettingsSchema schema;
+    bindSettings(schema, settings);
+    const RattandeckApp::ProgramInfo program { "rattandeck-journal", "keeps retained turns and token budgets on disk" };
+    if (const auto exitCode = RattandeckApp::readCommandLine(argc, argv, program, schema))
+        return *exitCode;
+    return runDaemon(settings);
+}
