--- a/src/include/Rattandeck/journalmembership.h
+++ b/src/include/Rattandeck/journalmembership.h
@@ -54,7 +54,8 @@
 /// Thread safety: not synchronised; use from the thread that advances the timers.
 class JournalMembership {
 public:
-    JournalMembership(TimerService& timers, JournalMembershipIo& io, JournalMember self, JournalMembershipLimits limits);
+    JournalMembership(
+        TimerService& timers, JournalMembershipIo& io, JournalMember self, JournalMembershipLimits limits);
     ~JournalMembership();
     JournalMembership(const JournalMembership&) = delete;
     JournalMembership& operator=(const JournalMembership&) = delete;
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -89,8 +89,11 @@
 struct TurnFetched {
     JournalTicket ticket;
     Epoch epoch;
+    /// The journal has the turn, though perhaps not all that it continues from.
     bool isFound = false;
-    /// Inputs and outputs from the start of the chain through the turn.
+    /// The nearest earlier turn of the chain that the journal lacks; empty when it has the whole chain.
+    TurnId missing;
+    /// Inputs and outputs from the start of the chain, or from after `missing`, through the turn.
     std::string transcript;
     bool operator==(const TurnFetched&) const = default;
 };
--- a/src/include/Rattandeck/journalstate.h
+++ b/src/include/Rattandeck/journalstate.h
@@ -10,6 +10,13 @@
 
 namespace Rattandeck {
 
+/// The prompt that a chain of turns makes, as far as it is known.
+struct ChainTranscript {
+    std::string text;
+    /// The nearest earlier turn that is not known; `text` begins after it. Empty when the chain is whole.
+    TurnId missing;
+};
+
 /// The records that a journal holds: claims on token budgets and retained turns. It has no disk; whoever owns it
 /// writes what it applies and applies what it reads back.
 ///
@@ -27,8 +34,8 @@
     void apply(const RetainedTurn& turn, TimePoint now);
 
     std::vector<TokenClaim> claims(const BudgetId& budget) const;
-    /// The prompt that the chain through `turn` makes; nothing when a turn of it is missing.
-    std::optional<std::string> transcript(const TurnId& turn) const;
+    /// The prompt that the chain through `turn` makes; nothing when the turn itself is not known.
+    std::optional<ChainTranscript> transcript(const TurnId& turn) const;
 
     /// Forgets what has outlived its retention.
     void expire(TimePoint now);
--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -103,8 +103,8 @@
 };
 
 struct HttpCallbacks {
-    /// Whether an answer belongs to this call. An answer that doesn't, such as a late one to an earlier call on the same
-    /// connection, is skipped. Empty: any answer does.
+    /// Whether an answer belongs to this call. An answer that doesn't, such as a late one to an earlier call on the
+    /// same connection, is skipped. Empty: any answer does.
     std::function<bool(const HttpHeaders&)> isOwn;
     std::function<void(int status, const HttpHeaders&)> onHead;
     std::function<void(std::string_view chunk)> onData;
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -142,17 +142,15 @@
 void Gateway::Impl::claim(Call& call)
 {
     this->journals.claim(call.call.program, call.call.request, call.call.maxOutputTokens, *call.call.tokenLimit,
-        this->retention(call), [this, id = call.id](tl::expected<void, JournalError> outcome) {
-            this->onClaimed(id, outcome);
-        });
+        this->retention(call),
+        [this, id = call.id](tl::expected<void, JournalError> outcome) { this->onClaimed(id, outcome); });
 }
 
 void Gateway::Impl::fetch(Call& call)
 {
-    this->journals.fetch(call.call.previousTurn,
-        [this, id = call.id](tl::expected<std::string, JournalError> outcome) {
-            this->onFetched(id, std::move(outcome));
-        });
+    this->journals.fetch(call.call.previousTurn, [this, id = call.id](tl::expected<std::string, JournalError> outcome) {
+        this->onFetched(id, std::move(outcome));
+    });
 }
 
 void Gateway::Impl::onClaimed(CallId id, const tl::expected<void, JournalError>& outcome)
--- /dev/null
+++ b/src/librattandeck/gatewayfixture_test.h
@@ -0,0 +1,217 @@
+#pragma once
+
+#include "Rattandeck/gateway.h"
+#include "Rattandeck/journalstate.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <memory>
+#include <vector>
+
+/// A gateway whose callers, instances and journals are played by the test.
+struct GatewayFixture : Rattandeck::GatewayIo {
+    struct Sent {
+        Rattandeck::CallId call;
+        Rattandeck::SendId id;
+        Rattandeck::EndpointSend what;
+        bool isCancelled = false;
+    };
+    struct Caller {
+        std::string bytes;
+        std::optional<Rattandeck::SendId> head;
+        std::optional<Rattandeck::CallRefusal> refusal;
+        bool isEnded = false;
+        bool isBroken = false;
+    };
+
+    Rattandeck::TimerService timers;
+    std::vector<Sent> sends;
+    std::map<Rattandeck::CallId, Caller> callers;
+    std::vector<Rattandeck::CallEnd> ends;
+    std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> toJournals;
+    std::map<Rattandeck::NodeId, Rattandeck::JournalState> states;
+    Rattandeck::JournalClient journals;
+    Rattandeck::Gateway gateway;
+    std::uint64_t lastCall = 0;
+
+    explicit GatewayFixture(const Rattandeck::GatewayLimits& limits = {})
+        : journals(this->timers, {},
+              [this](const Rattandeck::NodeId& node, const Rattandeck::Message& message) {
+                  this->toJournals.emplace_back(node, message);
+                  return true;
+              })
+        , gateway(this->timers, *this, this->journals, Rattandeck::FailureDomain("here"), limits)
+    {
+        Rattandeck::JournalSet set;
+        set.epoch = Rattandeck::Epoch(1);
+        for (const char* name : { "j1", "j2", "j3" })
+            set.members.push_back({ Rattandeck::NodeId(name), std::string(name) + ":1" });
+        this->journals.setMembers(set);
+    }
+
+    // Configuration --------------------------------------------------------------------------------------------------
+
+    static Rattandeck::Route route(const std::string& name, Rattandeck::CallSafety safety)
+    {
+        Rattandeck::Route route;
+        route.name = name;
+        route.host = "host";
+        route.pathPrefix = "/" + name + "/";
+        route.safety = safety;
+        route.timeout = Rattandeck::Milliseconds(3000);
+        route.objective = Rattandeck::Milliseconds(200);
+        route.services = { { Rattandeck::ServiceName("service"), 1 } };
+        route.maxRuns = safety == Rattandeck::CallSafety::Unsafe ? 1 : 2;
+        return route;
+    }
+
+    void configure(std::vector<Rattandeck::Route> routes, std::uint64_t version = 1)
+    {
+        Rattandeck::RoutingConfig config;
+        config.version = version;
+        config.routes = std::move(routes);
+        Rattandeck::ServiceTerms service;
+        service.name = Rattandeck::ServiceName("service");
+        service.maxConnections = 100;
+        service.engine = Rattandeck::EngineTerms { 2, 100000, Rattandeck::TokenCount(10) };
+        config.services = { service };
+        this->gateway.setConfig(config);
+    }
+
+    void addInstance(const std::string& id, bool isDraining = false, std::uint32_t slots = 2)
+    {
+        Rattandeck::EndpointInstance instance;
+        instance.id = Rattandeck::EndpointId(id);
+        instance.service = Rattandeck::ServiceName("service");
+        instance.address = id + ":80";
+        instance.domain = Rattandeck::FailureDomain("here");
+        instance.slots = slots;
+        instance.isDraining = isDraining;
+        this->gateway.endpoints().put(instance);
+    }
+
+    // Callers --------------------------------------------------------------------------------------------------------
+
+    static Rattandeck::GatewayCall callOn(const std::string& route)
+    {
+        Rattandeck::GatewayCall call;
+        call.host = "host";
+        call.path = "/" + route + "/1";
+        call.body = "input";
+        return call;
+    }
+
+    Rattandeck::CallId call(Rattandeck::GatewayCall call)
+    {
+        const Rattandeck::CallId id(++this->lastCall);
+        if (call.request.value.empty())
+            call.request = Rattandeck::TurnId("r" + std::to_string(id.value));
+        this->callers[id];
+        this->gateway.onCall(id, std::move(call));
+        return id;
+    }
+
+    void pass(Rattandeck::Milliseconds time) { this->timers.advanceTo(this->timers.now() + time); }
+
+    // Instances ------------------------------------------------------------------------------------------------------
+
+    void head(const Sent& sent, int status, bool isStream = false, bool isNotRun = false)
+    {
+        Rattandeck::EndpointAnswer answer;
+        answer.status = status;
+        answer.isEventStream = isStream;
+        answer.isNotRun = isNotRun;
+        this->gateway.onAnswerHead(sent.id, answer);
+    }
+
+    void event(const Sent& sent, int number)
+    {
+        const std::string text = std::to_string(number);
+        this->gateway.onAnswerData(sent.id, "id: " + text + "\ndata: d" + text + "\n\n");
+    }
+
+    void end(const Sent& sent, Rattandeck::SendOutcome outcome = Rattandeck::SendOutcome::Complete)
+    {
+        this->gateway.onAnswerEnd(sent.id, outcome);
+    }
+
+    // Journals -------------------------------------------------------------------------------------------------------
+
+    /// Lets a journal work off what was sent to it.
+    void runJournal(const std::string& name)
+    {
+        const Rattandeck::NodeId node(name);
+        const auto messages = std::move(this->toJournals);
+        this->toJournals.clear();
+        std::vector<Rattandeck::Message> mine;
+        for (const auto& [to, message] : messages) {
+            if (to == node)
+                mine.push_back(message);
+            else
+                this->toJournals.emplace_back(to, message);
+        }
+        for (const Rattandeck::Message& message : mine)
+            this->answerAsJournal(node, message);
+    }
+
+    void runJournals()
+    {
+        for (const char* name : { "j1", "j2", "j3" })
+            this->runJournal(name);
+    }
+
+    // GatewayIo ------------------------------------------------------------------------------------------------------
+
+    void send(Rattandeck::CallId call, Rattandeck::SendId send, Rattandeck::EndpointSend what) override
+    {
+        this->sends.push_back({ call, send, std::move(what) });
+    }
+    void cancelSend(Rattandeck::SendId send) override
+    {
+        for (Sent& sent : this->sends)
+            sent.isCancelled = sent.isCancelled || sent.id == send;
+    }
+    void answer(Rattandeck::CallId call, Rattandeck::SendId send, std::string body) override
+    {
+        this->callers[call].head = send;
+        this->callers[call].bytes = std::move(body);
+        this->callers[call].isEnded = true;
+    }
+    void begin(Rattandeck::CallId call, Rattandeck::SendId send) override { this->callers[call].head = send; }
+    void write(Rattandeck::CallId call, std::string_view bytes) override { this->callers[call].bytes += bytes; }
+    void end(Rattandeck::CallId call) override { this->callers[call].isEnded = true; }
+    void breakOff(Rattandeck::CallId call) override { this->callers[call].isBroken = true; }
+    void refuse(Rattandeck::CallId call, const Rattandeck::CallRefusal& refusal) override
+    {
+        this->callers[call].refusal = refusal;
+    }
+    void logSend(const Rattandeck::SendDecision&) override { }
+    void logEnd(const Rattandeck::CallEnd& end) override { this->ends.push_back(end); }
+
+private:
+    void answerAsJournal(const Rattandeck::NodeId& node, const Rattandeck::Message& message)
+    {
+        using namespace Rattandeck;
+        JournalState& state = this->states[node];
+        const TimePoint now = this->timers.now();
+        const Epoch epoch(1);
+        if (const auto* claim = std::get_if<ClaimTokens>(&message)) {
+            state.apply(SettleClaim { claim->budget, claim->claim, claim->retention }, now);
+            this->journals.onMessage(node, ClaimsKnown { claim->ticket, epoch, state.claims(claim->budget) });
+        } else if (const auto* settled = std::get_if<SettleClaim>(&message)) {
+            state.apply(*settled, now);
+        } else if (const auto* store = std::get_if<StoreTurn>(&message)) {
+            state.apply(store->turn, now);
+            this->journals.onMessage(node, TurnStored { store->ticket, epoch });
+        } else if (const auto* fetch = std::get_if<FetchTurn>(&message)) {
+            TurnFetched answer { fetch->ticket, epoch, false, {}, {} };
+            if (auto transcript = state.transcript(fetch->turn)) {
+                answer.isFound = true;
+                answer.missing = transcript->missing;
+                answer.transcript = transcript->text;
+            }
+            this->journals.onMessage(node, answer);
+        }
+    }
+};
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -186,9 +186,9 @@
 
 bool Gateway::Impl::mayRunAgain(const Call& call) const
 {
-    const bool isRepeatable = call.route->safety == CallSafety::Safe
-        || (call.route->safety == CallSafety::Stream && call.route->canResume);
-    return isRepeatable && call.runs < call.route->maxRuns && this->timeLeft(call) > Milliseconds(0);
+    const bool isRepeatable
+        = call.route->safety == CallSafety::Safe || (call.route->safety == CallSafety::Stream && call.route->canResume);
+    return isRepeatable && call.runs<call.route->maxRuns&& this->timeLeft(call)> Milliseconds(0);
 }
 
 /// The call may have run, and its answer is missing or incomplete.
@@ -219,9 +219,9 @@
     if (!this->mayRunAgain(call))
         return;
     const bool isStream = call.route->safety == CallSafety::Stream;
-    const Duration patience
-        = isStream ? Duration(this->limits.streamStall)
-                   : std::chrono::duration_cast<Duration>(call.route->objective * this->limits.stallObjectives);
+    const Duration patience = isStream
+        ? Duration(this->limits.streamStall)
+        : std::chrono::duration_cast<Duration>(call.route->objective * this->limits.stallObjectives);
     call.stallTimer = this->timers.subscribeAfter(patience, [this, id = call.id] { this->onStall(id); });
 }
 
--- a/src/librattandeck/journalclient.cpp
+++ b/src/librattandeck/journalclient.cpp
@@ -33,6 +33,8 @@
         std::map<TurnId, TokenClaim> seen;
         ClaimDone done;
         FetchDone fetched;
+        /// What has been fetched of the chain after `turn`, when a journal lacked `turn`.
+        std::string suffix;
     };
 
     struct CachedTranscript {
@@ -84,6 +86,7 @@
     void onClaims(const NodeId& from, const ClaimsKnown& answer);
     void onStored(const NodeId& from, const TurnStored& answer);
     void onFetched(const NodeId& from, const TurnFetched& answer);
+    void fetchRest(JournalTicket ticket, const TurnFetched& answer);
 
     void remember(const TurnId& turn, std::string transcript);
     void forget(const TurnId& turn);
@@ -94,19 +97,17 @@
 
 void JournalClient::Impl::start(JournalTicket ticket, Operation operation)
 {
-    operation.timer
-        = this->timers.subscribeAfter(this->limits.answerTimeout, [weak = this->weak_from_this(), ticket] {
-              if (const auto self = weak.lock())
-                  self->fail(ticket, JournalError::Unavailable);
-          });
+    operation.timer = this->timers.subscribeAfter(this->limits.answerTimeout, [weak = this->weak_from_this(), ticket] {
+        if (const auto self = weak.lock())
+            self->fail(ticket, JournalError::Unavailable);
+    });
     this->operations.emplace(ticket, std::move(operation));
     this->ask(ticket);
 }
 
 bool JournalClient::Impl::isMember(const NodeId& node) const
 {
-    return std::ranges::any_of(
-        this->set.members, [&node](const JournalMember& member) { return member.node == node; });
+    return std::ranges::any_of(this->set.members, [&node](const JournalMember& member) { return member.node == node; });
 }
 
 /// Asks the members that have not been asked yet.
@@ -121,7 +122,8 @@
     this->judge(ticket);
 }
 
-/// Operations under way go on with the new set. Answers of members that stay count: whoever joins copies what they hold.
+/// Operations under way go on with the new set. Answers of members that stay count: whoever joins copies what they
+/// hold.
 void JournalClient::Impl::adopt(const JournalSet& later)
 {
     this->set = later;
@@ -185,7 +187,8 @@
         this->take(ticket).done({});
         break;
     case Operation::Kind::Fetch:
-        this->fail(ticket, JournalError::NotFound);
+        // A chain whose end is known once had a beginning: that none of those who answered has it is no proof.
+        this->fail(ticket, operation.suffix.empty() ? JournalError::NotFound : JournalError::Unavailable);
         break;
     }
 }
@@ -209,12 +212,16 @@
 Operation* JournalClient::Impl::findAnswered(JournalTicket ticket, const NodeId& from, Epoch epoch)
 {
     const auto found = this->operations.find(ticket);
-    if (found == this->operations.end() || found->second.asked.erase(from) == 0)
+    if (found == this->operations.end() || !found->second.asked.contains(from))
         return nullptr;
+    Operation& operation = found->second;
     // A journal that does not know the set in force may not know its newest member either.
+    if (epoch < this->set.epoch && this->send(from, this->set) && this->send(from, operation.request))
+        return nullptr;
+    operation.asked.erase(from);
     if (epoch >= this->set.epoch)
-        found->second.answered.insert(from);
-    return &found->second;
+        operation.answered.insert(from);
+    return &operation;
 }
 
 void JournalClient::Impl::onClaims(const NodeId& from, const ClaimsKnown& answer)
@@ -240,10 +247,29 @@
 {
     if (!this->findAnswered(answer.ticket, from, answer.epoch))
         return;
-    if (answer.isFound)
-        this->take(answer.ticket).fetched(answer.transcript);
-    else
+    if (!answer.isFound) {
         this->judge(answer.ticket);
+        return;
+    }
+    if (answer.missing.value.empty()) {
+        const Operation operation = this->take(answer.ticket);
+        operation.fetched(answer.transcript + operation.suffix);
+        return;
+    }
+    this->fetchRest(answer.ticket, answer);
+}
+
+/// A journal has the end of a chain; its beginning is asked of all of them.
+void JournalClient::Impl::fetchRest(JournalTicket ticket, const TurnFetched& answer)
+{
+    Operation rest = this->take(ticket);
+    rest.turn = answer.missing;
+    rest.suffix = answer.transcript + rest.suffix;
+    rest.asked.clear();
+    rest.answered.clear();
+    const JournalTicket next = this->nextTicket();
+    rest.request = FetchTurn { next, rest.turn };
+    this->start(next, std::move(rest));
 }
 
 // Cache --------------------------------------------------------------------------------------------------------------
--- /dev/null
+++ b/src/librattandeck/journalclient_test.cpp
@@ -0,0 +1,322 @@
+#include "Rattandeck/journalclient.h"
+#include "Rattandeck/journalstate.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+
+using namespace Rattandeck;
+
+namespace {
+
+constexpr Milliseconds retention { 60000 };
+
+/// A journal without a disk, which answers when the test says so.
+struct FakeJournal {
+    JournalState state;
+    bool isUp = true;
+    bool counts = true;
+    Epoch epoch { 1 };
+    std::vector<Message> inbox;
+};
+
+}
+
+class JournalClientTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(JournalClientTest);
+    CPPUNIT_TEST(storedWithTwoCopies);
+    CPPUNIT_TEST(oneCopyIsNotEnough);
+    CPPUNIT_TEST(unknownTurnNeedsAllButOne);
+    CPPUNIT_TEST(oneJournalThatHasTheTurnIsEnough);
+    CPPUNIT_TEST(chainSplitBetweenJournalsIsPutTogether);
+    CPPUNIT_TEST(chainWithoutBeginningIsNotUnknown);
+    CPPUNIT_TEST(journalThatDoesNotCountIsNoVote);
+    CPPUNIT_TEST(claimsAddUp);
+    CPPUNIT_TEST(racingClaimsAreNotBothAdmitted);
+    CPPUNIT_TEST(settledClaimFreesTheRest);
+    CPPUNIT_TEST(journalThatKnowsAnOlderSetIsToldAndAskedAgain);
+    CPPUNIT_TEST(operationGoesOnInALaterSet);
+    CPPUNIT_TEST(lostLinksEndTheWait);
+    CPPUNIT_TEST_SUITE_END();
+
+    TimerService timers;
+    std::map<NodeId, FakeJournal> journals;
+    std::unique_ptr<JournalClient> client;
+    std::unique_ptr<JournalClient> otherGateway;
+    /// Tickets of the second client are told apart by this offset in the inbox.
+    std::map<NodeId, std::vector<Message>> otherInbox;
+
+    static JournalSet setOf(std::uint64_t epoch, const std::vector<std::string>& names)
+    {
+        JournalSet set;
+        set.epoch = Epoch(epoch);
+        for (const std::string& name : names)
+            set.members.push_back({ NodeId(name), name + ":1" });
+        return set;
+    }
+
+public:
+    void setUp() override
+    {
+        this->journals.clear();
+        this->otherInbox.clear();
+        for (const char* name : { "a", "b", "c" })
+            this->journals[NodeId(name)];
+        JournalClientLimits limits;
+        limits.cacheBytes = 0;
+        this->client = std::make_unique<JournalClient>(this->timers, limits, [this](const NodeId& to, const Message& m) {
+            FakeJournal& journal = this->journals.at(to);
+            if (journal.isUp)
+                journal.inbox.push_back(m);
+            return journal.isUp;
+        });
+        this->otherGateway
+            = std::make_unique<JournalClient>(this->timers, limits, [this](const NodeId& to, const Message& m) {
+                  this->otherInbox[to].push_back(m);
+                  return true;
+              });
+        this->client->setMembers(setOf(1, { "a", "b", "c" }));
+        this->otherGateway->setMembers(setOf(1, { "a", "b", "c" }));
+    }
+
+private:
+    void handle(JournalClient& to, const NodeId& node, const Message& message)
+    {
+        FakeJournal& journal = this->journals.at(node);
+        const TimePoint now = this->timers.now();
+        if (const auto* claim = std::get_if<ClaimTokens>(&message)) {
+            journal.state.apply(SettleClaim { claim->budget, claim->claim, claim->retention }, now);
+            if (journal.counts)
+                to.onMessage(node, ClaimsKnown { claim->ticket, journal.epoch, journal.state.claims(claim->budget) });
+        } else if (const auto* settled = std::get_if<SettleClaim>(&message)) {
+            journal.state.apply(*settled, now);
+        } else if (const auto* store = std::get_if<StoreTurn>(&message)) {
+            journal.state.apply(store->turn, now);
+            if (journal.counts)
+                to.onMessage(node, TurnStored { store->ticket, journal.epoch });
+        } else if (const auto* fetch = std::get_if<FetchTurn>(&message)) {
+            TurnFetched answer { fetch->ticket, journal.epoch, false, {}, {} };
+            if (auto transcript = journal.state.transcript(fetch->turn)) {
+                answer.isFound = true;
+                answer.missing = transcript->missing;
+                answer.transcript = transcript->text;
+            }
+            if (answer.isFound || journal.counts)
+                to.onMessage(node, answer);
+        }
+    }
+
+    void run(const std::string& name)
+    {
+        const NodeId node(name);
+        const auto inbox = std::move(this->journals.at(node).inbox);
+        this->journals.at(node).inbox.clear();
+        for (const Message& message : inbox)
+            this->handle(*this->client, node, message);
+    }
+
+    void runOther(const std::string& name)
+    {
+        const NodeId node(name);
+        const auto inbox = std::move(this->otherInbox[node]);
+        this->otherInbox[node].clear();
+        for (const Message& message : inbox)
+            this->handle(*this->otherGateway, node, message);
+    }
+
+    static RetainedTurn turn(const std::string& id, const std::string& previous)
+    {
+        return { TurnId(id), TurnId(previous), "in-" + id + " ", "out-" + id + "\n", retention };
+    }
+
+    void give(const std::string& journal, const RetainedTurn& given)
+    {
+        this->journals.at(NodeId(journal)).state.apply(given, this->timers.now());
+    }
+
+    using Outcome = std::optional<tl::expected<void, JournalError>>;
+    using Fetched = std::optional<tl::expected<std::string, JournalError>>;
+
+    std::shared_ptr<Outcome> store(const RetainedTurn& stored)
+    {
+        auto outcome = std::make_shared<Outcome>();
+        this->client->store(stored, "", [outcome](auto result) { *outcome = result; });
+        return outcome;
+    }
+
+    std::shared_ptr<Fetched> fetch(const std::string& id)
+    {
+        auto outcome = std::make_shared<Fetched>();
+        this->client->fetch(TurnId(id), [outcome](auto result) { *outcome = result; });
+        return outcome;
+    }
+
+    static std::shared_ptr<Outcome> claim(
+        JournalClient& gateway, const std::string& id, std::int64_t most, std::int64_t limit)
+    {
+        auto outcome = std::make_shared<Outcome>();
+        gateway.claim(BudgetId("p"), TurnId(id), TokenCount(most), TokenCount(limit), retention,
+            [outcome](auto result) { *outcome = result; });
+        return outcome;
+    }
+
+    void storedWithTwoCopies()
+    {
+        const auto outcome = this->store(turn("1", ""));
+        this->run("b");
+        CPPUNIT_ASSERT(!outcome->has_value());
+        this->run("a");
+        CPPUNIT_ASSERT(outcome->has_value() && (*outcome)->has_value());
+    }
+
+    void oneCopyIsNotEnough()
+    {
+        this->journals.at(NodeId("a")).isUp = false;
+        const auto outcome = this->store(turn("1", ""));
+        this->run("b");
+        this->journals.at(NodeId("c")).isUp = false;
+        this->client->onLinkDown(NodeId("c"));
+        CPPUNIT_ASSERT(outcome->has_value() && !(*outcome)->has_value());
+    }
+
+    void unknownTurnNeedsAllButOne()
+    {
+        const auto outcome = this->fetch("1");
+        this->run("a");
+        CPPUNIT_ASSERT(!outcome->has_value());
+        this->run("b");
+        CPPUNIT_ASSERT(outcome->has_value() && (*outcome).value().error() == JournalError::NotFound);
+    }
+
+    void oneJournalThatHasTheTurnIsEnough()
+    {
+        this->give("c", turn("1", ""));
+        const auto outcome = this->fetch("1");
+        this->run("c");
+        CPPUNIT_ASSERT(outcome->has_value() && ***outcome == std::string("in-1 out-1\n"));
+    }
+
+    void chainSplitBetweenJournalsIsPutTogether()
+    {
+        // Each link of the chain has two copies, but no journal has all of it.
+        this->give("a", turn("1", ""));
+        this->give("b", turn("1", ""));
+        this->give("b", turn("2", "1"));
+        this->give("c", turn("2", "1"));
+        this->give("a", turn("3", "2"));
+        this->give("c", turn("3", "2"));
+        const auto outcome = this->fetch("3");
+        this->run("b");
+        this->run("a");
+        this->run("b");
+        this->run("a");
+        CPPUNIT_ASSERT(outcome->has_value() && (*outcome)->has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("in-1 out-1\nin-2 out-2\nin-3 out-3\n"), ***outcome);
+    }
+
+    void chainWithoutBeginningIsNotUnknown()
+    {
+        this->give("a", turn("2", "1"));
+        const auto outcome = this->fetch("2");
+        for (const char* name : { "a", "a", "b", "b", "c", "c" })
+            this->run(name);
+        CPPUNIT_ASSERT(outcome->has_value() && (*outcome).value().error() == JournalError::Unavailable);
+    }
+
+    void journalThatDoesNotCountIsNoVote()
+    {
+        this->journals.at(NodeId("a")).counts = false;
+        const auto outcome = this->fetch("1");
+        this->run("a");
+        this->run("b");
+        CPPUNIT_ASSERT(!outcome->has_value());
+        this->run("c");
+        CPPUNIT_ASSERT(outcome->has_value());
+    }
+
+    void claimsAddUp()
+    {
+        const auto first = claim(*this->client, "1", 60, 100);
+        this->run("a");
+        this->run("b");
+        CPPUNIT_ASSERT(first->has_value() && (*first)->has_value());
+        const auto second = claim(*this->client, "2", 60, 100);
+        this->run("a");
+        this->run("b");
+        CPPUNIT_ASSERT(second->has_value() && (*second).value().error() == JournalError::BudgetSpent);
+        // The refused claim was withdrawn, so that a smaller one fits.
+        const auto third = claim(*this->client, "3", 40, 100);
+        this->run("a");
+        this->run("b");
+        CPPUNIT_ASSERT(third->has_value() && (*third)->has_value());
+    }
+
+    void racingClaimsAreNotBothAdmitted()
+    {
+        const auto mine = claim(*this->client, "1", 60, 100);
+        const auto other = claim(*this->otherGateway, "2", 60, 100);
+        this->run("a");
+        this->runOther("c");
+        this->run("b");
+        this->runOther("b");
+        CPPUNIT_ASSERT(mine->has_value() && other->has_value());
+        CPPUNIT_ASSERT(!(*mine)->has_value() || !(*other)->has_value());
+    }
+
+    void settledClaimFreesTheRest()
+    {
+        const auto first = claim(*this->client, "1", 60, 100);
+        this->run("a");
+        this->run("b");
+        this->client->settle(BudgetId("p"), TurnId("1"), TokenCount(30), retention);
+        const auto second = claim(*this->client, "2", 60, 100);
+        this->run("a");
+        this->run("b");
+        CPPUNIT_ASSERT(second->has_value() && (*second)->has_value());
+    }
+
+    void journalThatKnowsAnOlderSetIsToldAndAskedAgain()
+    {
+        this->client->setMembers(setOf(2, { "a", "b", "c" }));
+        const auto outcome = this->fetch("1");
+        this->run("a");
+        this->run("b");
+        CPPUNIT_ASSERT(!outcome->has_value());
+        this->journals.at(NodeId("c")).epoch = Epoch(2);
+        this->run("c");
+        CPPUNIT_ASSERT(!outcome->has_value());
+        // The set comes first, then the question again.
+        const auto& inbox = this->journals.at(NodeId("a")).inbox;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), inbox.size());
+        CPPUNIT_ASSERT(std::holds_alternative<JournalSet>(inbox[0]));
+        this->journals.at(NodeId("a")).epoch = Epoch(2);
+        this->run("a");
+        CPPUNIT_ASSERT(outcome->has_value() && (*outcome).value().error() == JournalError::NotFound);
+    }
+
+    void operationGoesOnInALaterSet()
+    {
+        this->journals[NodeId("d")].epoch = Epoch(2);
+        const auto outcome = this->store(turn("1", ""));
+        this->run("c");
+        for (const char* name : { "a", "b" })
+            this->journals.at(NodeId(name)).epoch = Epoch(2);
+        this->client->setMembers(setOf(2, { "a", "b", "d" }));
+        this->run("a");
+        // The copy on the member that was dropped does not count.
+        CPPUNIT_ASSERT(!outcome->has_value());
+        this->run("d");
+        CPPUNIT_ASSERT(outcome->has_value() && (*outcome)->has_value());
+    }
+
+    void lostLinksEndTheWait()
+    {
+        const auto outcome = this->fetch("1");
+        this->client->onLinkDown(NodeId("a"));
+        CPPUNIT_ASSERT(!outcome->has_value());
+        this->client->onLinkDown(NodeId("b"));
+        CPPUNIT_ASSERT(outcome->has_value() && (*outcome).value().error() == JournalError::Unavailable);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JournalClientTest);
--- a/src/librattandeck/journalmembership.cpp
+++ b/src/librattandeck/journalmembership.cpp
@@ -83,8 +83,8 @@
 
 const JournalMember* JournalMembership::Impl::findMember(const NodeId& node) const
 {
-    const auto found = std::ranges::find_if(
-        this->set.members, [&node](const JournalMember& member) { return member.node == node; });
+    const auto found
+        = std::ranges::find_if(this->set.members, [&node](const JournalMember& member) { return member.node == node; });
     return found == this->set.members.end() ? nullptr : &*found;
 }
 
@@ -143,8 +143,8 @@
         this->isComplete = false;
         this->io.noteComplete(false);
     }
-    this->io.logStep("journal set", "epoch " + std::to_string(later.epoch.value) + ", "
-            + std::to_string(later.members.size()) + " members");
+    this->io.logStep("journal set",
+        "epoch " + std::to_string(later.epoch.value) + ", " + std::to_string(later.members.size()) + " members");
     this->io.onSetChanged(later);
     // A set that has lost a member: its copies of records are made anew, in the background.
     this->needsCopy = this->isMember();
@@ -203,8 +203,7 @@
 {
     return std::ranges::all_of(this->sources(), [this, since](const NodeId& node) {
         const auto found = this->peers.find(node);
-        return found != this->peers.end() && found->second.source.isCopied
-            && found->second.source.copiedIn >= since;
+        return found != this->peers.end() && found->second.source.isCopied && found->second.source.copiedIn >= since;
     });
 }
 
--- /dev/null
+++ b/src/librattandeck/journalmembership_test.cpp
@@ -0,0 +1,428 @@
+#include "Rattandeck/journalmembership.h"
+
+#include "Rattandeck/journalstate.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace Rattandeck;
+
+namespace {
+
+constexpr Milliseconds step { 25 };
+
+class FakeCluster;
+
+/// One journal with its disk, as far as membership is concerned.
+class FakeJournal : public JournalMembershipIo {
+public:
+    FakeJournal(FakeCluster& cluster, std::string name, std::string address);
+
+    void start();
+    void stop() { this->membership.reset(); }
+    bool isRunning() const { return this->membership != nullptr; }
+    bool counts() const { return this->isRunning() && this->membership->counts(); }
+
+    void readSet() override;
+    void writeSet(const JournalSet& set) override;
+    bool askForPage(const NodeId& node, const CopyRequest& request) override;
+    void noteComplete(bool isComplete) override { this->notedComplete = isComplete; }
+    void onSetChanged(const JournalSet& set) override;
+    void logStep(const std::string&, const std::string&) override { }
+
+    FakeCluster& cluster;
+    NodeId node;
+    std::string address;
+    std::unique_ptr<JournalMembership> membership;
+    JournalState state;
+    JournalSet notedSet;
+    bool notedComplete = false;
+};
+
+/// Journals, the links between them and the store; messages arrive with the next step.
+class FakeCluster {
+public:
+    TimerService timers;
+    std::map<NodeId, std::unique_ptr<FakeJournal>> journals;
+    std::optional<JournalSet> stored;
+    bool isStoreUp = true;
+    bool arePagesHeld = false;
+    std::set<NodeId> unreachable;
+    std::vector<std::function<void()>> due;
+
+    FakeJournal& add(const std::string& name, const std::string& address = {})
+    {
+        auto& journal = this->journals[NodeId(name)];
+        journal = std::make_unique<FakeJournal>(*this, name, address.empty() ? name + ":1" : address);
+        journal->start();
+        return *journal;
+    }
+
+    FakeJournal& at(const std::string& name) { return *this->journals.at(NodeId(name)); }
+
+    bool areLinked(const NodeId& one, const NodeId& other) const
+    {
+        const auto isUp = [this](const NodeId& node) {
+            const auto found = this->journals.find(node);
+            return found != this->journals.end() && found->second->isRunning() && !this->unreachable.contains(node);
+        };
+        return one != other && isUp(one) && isUp(other);
+    }
+
+    void run(Milliseconds time)
+    {
+        for (Milliseconds passed { 0 }; passed < time; passed += step) {
+            this->noteLinks();
+            const auto now = std::move(this->due);
+            this->due.clear();
+            for (const auto& task : now)
+                task();
+            this->timers.advanceTo(this->timers.now() + step);
+        }
+    }
+
+    void cut(const std::string& name) { this->unreachable.insert(NodeId(name)); }
+    void heal(const std::string& name) { this->unreachable.erase(NodeId(name)); }
+
+    std::size_t memberCount() const { return this->stored ? this->stored->members.size() : 0; }
+    bool hasMember(const std::string& name) const
+    {
+        return std::ranges::any_of(
+            this->stored->members, [&name](const JournalMember& member) { return member.node.value == name; });
+    }
+
+private:
+    std::set<std::pair<NodeId, NodeId>> links;
+
+    void noteLinks()
+    {
+        for (const auto& [one, journal] : this->journals) {
+            for (const auto& [other, unused] : this->journals) {
+                const bool isLinked = this->areLinked(one, other);
+                const bool wasLinked = this->links.contains({ one, other });
+                if (isLinked == wasLinked)
+                    continue;
+                if (!isLinked) {
+                    this->links.erase({ one, other });
+                    if (journal->isRunning())
+                        journal->membership->onLinkDown(other);
+                    continue;
+                }
+                this->links.insert({ one, other });
+                journal->membership->onLinkUp(other);
+                if (this->journals.at(other)->membership->set().epoch.value > 0)
+                    journal->membership->onSetTold(this->journals.at(other)->membership->set());
+            }
+        }
+    }
+};
+
+FakeJournal::FakeJournal(FakeCluster& cluster, std::string name, std::string address)
+    : cluster(cluster)
+    , node(std::move(name))
+    , address(std::move(address))
+{
+}
+
+void FakeJournal::start()
+{
+    this->membership = std::make_unique<JournalMembership>(
+        this->cluster.timers, *this, JournalMember { this->node, this->address }, JournalMembershipLimits {});
+    this->membership->start(this->notedSet, this->notedComplete);
+}
+
+void FakeJournal::readSet()
+{
+    this->cluster.due.push_back([this] {
+        if (!this->isRunning())
+            return;
+        if (this->cluster.isStoreUp)
+            this->membership->onSetRead(this->cluster.stored);
+        else
+            this->membership->onSetUnread();
+    });
+}
+
+void FakeJournal::writeSet(const JournalSet& set)
+{
+    this->cluster.due.push_back([this, set] {
+        if (!this->isRunning())
+            return;
+        const std::uint64_t expected = this->cluster.stored ? this->cluster.stored->epoch.value + 1 : 1;
+        if (!this->cluster.isStoreUp || set.epoch.value != expected)
+            return this->membership->onSetUnread();
+        this->cluster.stored = set;
+        this->membership->onSetWritten(set);
+    });
+}
+
+bool FakeJournal::askForPage(const NodeId& to, const CopyRequest& request)
+{
+    if (!this->cluster.areLinked(this->node, to) || this->cluster.arePagesHeld)
+        return false;
+    this->cluster.due.push_back([this, to, request] {
+        if (!this->cluster.areLinked(this->node, to))
+            return;
+        FakeJournal& other = *this->cluster.journals.at(to);
+        constexpr std::size_t pageBytes = 64;
+        CopyPage page = other.state.page(request.cursor, pageBytes);
+        page.round = request.round;
+        page.epoch = other.membership->set().epoch;
+        if (page.isLast)
+            other.membership->onCopiedBy(this->node);
+        for (const RetainedTurn& turn : page.turns)
+            this->state.apply(turn, this->cluster.timers.now());
+        for (const SettleClaim& claim : page.claims)
+            this->state.apply(claim, this->cluster.timers.now());
+        this->membership->onPage(to, page);
+    });
+    return true;
+}
+
+void FakeJournal::onSetChanged(const JournalSet& set)
+{
+    this->notedSet = set;
+    for (const auto& [other, journal] : this->cluster.journals) {
+        if (this->cluster.areLinked(this->node, other))
+            this->cluster.due.push_back([target = journal.get(), set] {
+                if (target->isRunning())
+                    target->membership->onSetTold(set);
+            });
+    }
+}
+
+RetainedTurn turnNamed(const std::string& name)
+{
+    return { TurnId(name), {}, "in " + name, "out " + name, Milliseconds(60000) };
+}
+
+}
+
+class JournalMembershipTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(JournalMembershipTest);
+    CPPUNIT_TEST(threeMeetAndCount);
+    CPPUNIT_TEST(restartedJournalCountsAtOnceWithoutTheStore);
+    CPPUNIT_TEST(emptiedJournalRefillsBeforeItCounts);
+    CPPUNIT_TEST(emptiedJournalNeedsAllOthers);
+    CPPUNIT_TEST(fourthJournalJoins);
+    CPPUNIT_TEST(newcomerTakesThePlaceOfOneThatIsGone);
+    CPPUNIT_TEST(newcomerDoesNotCountBeforeItHasCopied);
+    CPPUNIT_TEST(shortAbsenceChangesNothing);
+    CPPUNIT_TEST(memberBeyondTheUsualNumberIsDropped);
+    CPPUNIT_TEST(threeStayThreeWhenOneIsGone);
+    CPPUNIT_TEST(droppedJournalRejoinsWithACopy);
+    CPPUNIT_TEST(sameNodeAtAnotherAddressTakesItsOwnPlace);
+    CPPUNIT_TEST(nothingChangesWithoutTheStore);
+    CPPUNIT_TEST(leavingJournalIsCopiedByAllBeforeItIsEmpty);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::unique_ptr<FakeCluster> cluster;
+
+public:
+    void setUp() override
+    {
+        this->cluster = std::make_unique<FakeCluster>();
+        for (const char* name : { "a", "b", "c" })
+            this->cluster->add(name);
+        this->cluster->run(Milliseconds(3000));
+    }
+
+private:
+    FakeJournal& at(const char* name) { return this->cluster->at(name); }
+
+    /// Gives a record to the journals named.
+    void write(const std::string& name, const std::vector<std::string>& journals)
+    {
+        for (const std::string& journal : journals)
+            this->cluster->at(journal).state.apply(turnNamed(name), this->cluster->timers.now());
+    }
+
+    bool has(const char* journal, const char* record) { return this->at(journal).state.transcript(TurnId(record)).has_value(); }
+
+    void wipe(const char* name)
+    {
+        const std::string address = this->at(name).address;
+        this->at(name).stop();
+        this->cluster->run(Milliseconds(100));
+        this->cluster->journals.erase(NodeId(name));
+        this->cluster->add(name, address);
+    }
+
+    void threeMeetAndCount()
+    {
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->cluster->memberCount());
+        for (const char* name : { "a", "b", "c" })
+            CPPUNIT_ASSERT(this->at(name).counts());
+    }
+
+    void restartedJournalCountsAtOnceWithoutTheStore()
+    {
+        this->cluster->isStoreUp = false;
+        this->at("a").stop();
+        this->cluster->run(Milliseconds(100));
+        this->at("a").start();
+        CPPUNIT_ASSERT(this->at("a").counts());
+    }
+
+    void emptiedJournalRefillsBeforeItCounts()
+    {
+        this->write("1", { "a", "b" });
+        this->write("2", { "b", "c" });
+        this->cluster->arePagesHeld = true;
+        this->wipe("b");
+        this->cluster->run(Milliseconds(2000));
+        CPPUNIT_ASSERT(!this->at("b").counts());
+        this->cluster->arePagesHeld = false;
+        this->cluster->run(Milliseconds(2000));
+        CPPUNIT_ASSERT(this->at("b").counts());
+        CPPUNIT_ASSERT(this->has("b", "1") && this->has("b", "2"));
+    }
+
+    void emptiedJournalNeedsAllOthers()
+    {
+        this->write("1", { "a", "b" });
+        this->at("a").stop();
+        this->wipe("b");
+        this->cluster->run(Milliseconds(10000));
+        // The only other copy is at a journal that is away.
+        CPPUNIT_ASSERT(!this->at("b").counts());
+        this->at("a").start();
+        this->cluster->run(Milliseconds(2000));
+        CPPUNIT_ASSERT(this->at("b").counts() && this->has("b", "1"));
+    }
+
+    void fourthJournalJoins()
+    {
+        this->write("1", { "a", "b" });
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(3000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), this->cluster->memberCount());
+        CPPUNIT_ASSERT(this->at("d").counts() && this->has("d", "1"));
+    }
+
+    void newcomerTakesThePlaceOfOneThatIsGone()
+    {
+        this->write("1", { "a", "c" });
+        this->write("2", { "b", "c" });
+        this->at("c").stop();
+        this->cluster->run(Milliseconds(500));
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(4500));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->cluster->memberCount());
+        CPPUNIT_ASSERT(!this->cluster->hasMember("c"));
+        CPPUNIT_ASSERT(this->at("d").counts());
+        CPPUNIT_ASSERT(this->has("d", "1") && this->has("d", "2"));
+    }
+
+    void newcomerDoesNotCountBeforeItHasCopied()
+    {
+        this->at("c").stop();
+        this->cluster->run(Milliseconds(500));
+        this->cluster->arePagesHeld = true;
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(4500));
+        CPPUNIT_ASSERT(this->cluster->hasMember("d"));
+        CPPUNIT_ASSERT(!this->at("d").counts());
+        this->write("late", { "a", "c" });
+        // A restart must not make it count either.
+        this->at("d").stop();
+        this->cluster->run(Milliseconds(100));
+        this->at("d").start();
+        CPPUNIT_ASSERT(!this->at("d").counts());
+        this->cluster->arePagesHeld = false;
+        this->cluster->run(Milliseconds(2000));
+        CPPUNIT_ASSERT(this->at("d").counts() && this->has("d", "late"));
+    }
+
+    void shortAbsenceChangesNothing()
+    {
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(3000));
+        const Epoch before = this->cluster->stored->epoch;
+        this->cluster->cut("c");
+        this->cluster->run(Milliseconds(3000));
+        this->cluster->heal("c");
+        this->cluster->run(Milliseconds(3000));
+        CPPUNIT_ASSERT(before == this->cluster->stored->epoch);
+    }
+
+    void memberBeyondTheUsualNumberIsDropped()
+    {
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(3000));
+        this->write("1", { "b", "c" });
+        this->at("c").stop();
+        this->cluster->run(Milliseconds(8000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->cluster->memberCount());
+        for (const char* name : { "a", "b", "d" })
+            CPPUNIT_ASSERT(this->at(name).counts());
+        CPPUNIT_ASSERT(this->has("a", "1"));
+    }
+
+    void threeStayThreeWhenOneIsGone()
+    {
+        this->at("c").stop();
+        this->cluster->run(Milliseconds(20000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->cluster->memberCount());
+        CPPUNIT_ASSERT(this->at("a").counts() && this->at("b").counts());
+    }
+
+    void droppedJournalRejoinsWithACopy()
+    {
+        this->cluster->cut("c");
+        this->cluster->run(Milliseconds(500));
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(4500));
+        this->write("1", { "a", "d" });
+        this->cluster->heal("c");
+        this->cluster->run(Milliseconds(4000));
+        CPPUNIT_ASSERT(this->cluster->hasMember("c"));
+        CPPUNIT_ASSERT(this->at("c").counts() && this->has("c", "1"));
+    }
+
+    void sameNodeAtAnotherAddressTakesItsOwnPlace()
+    {
+        this->write("1", { "a", "b" });
+        this->at("a").stop();
+        this->cluster->run(Milliseconds(200));
+        this->cluster->journals.erase(NodeId("a"));
+        this->cluster->add("a", "elsewhere:1");
+        this->cluster->run(Milliseconds(3000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->cluster->memberCount());
+        CPPUNIT_ASSERT(this->at("a").counts() && this->has("a", "1"));
+        CPPUNIT_ASSERT_EQUAL(std::string("elsewhere:1"), this->cluster->stored->members.back().address);
+    }
+
+    void nothingChangesWithoutTheStore()
+    {
+        this->cluster->isStoreUp = false;
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(5000));
+        CPPUNIT_ASSERT(!this->at("d").counts());
+        for (const char* name : { "a", "b", "c" })
+            CPPUNIT_ASSERT(this->at(name).counts());
+        this->cluster->isStoreUp = true;
+        this->cluster->run(Milliseconds(4000));
+        CPPUNIT_ASSERT(this->at("d").counts());
+    }
+
+    void leavingJournalIsCopiedByAllBeforeItIsEmpty()
+    {
+        this->write("1", { "a", "c" });
+        this->cluster->arePagesHeld = true;
+        for (const char* name : { "a", "b", "c" })
+            this->at(name).membership->setLeaving({ NodeId("c") });
+        this->cluster->run(Milliseconds(3000));
+        CPPUNIT_ASSERT(!this->at("c").membership->isEmptied());
+        this->cluster->arePagesHeld = false;
+        this->cluster->run(Milliseconds(3000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->cluster->memberCount());
+        CPPUNIT_ASSERT(this->at("c").membership->isEmptied());
+        CPPUNIT_ASSERT(this->has("a", "1") && this->has("b", "1"));
+        CPPUNIT_ASSERT(this->at("a").counts() && this->at("b").counts());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JournalMembershipTest);
--- a/src/librattandeck/journalstate.cpp
+++ b/src/librattandeck/journalstate.cpp
@@ -106,24 +106,29 @@
     return claims;
 }
 
-std::optional<std::string> JournalState::transcript(const TurnId& turn) const
+std::optional<ChainTranscript> JournalState::transcript(const TurnId& turn) const
 {
     std::vector<const RetainedTurn*> chain;
     std::size_t size = 0;
-    for (TurnId id = turn; !id.value.empty(); id = chain.back()->previous) {
+    TurnId id = turn;
+    while (!id.value.empty() && chain.size() < maxChainLength) {
         const auto found = this->impl->turns.find(id);
-        if (found == this->impl->turns.end() || chain.size() >= maxChainLength)
-            return std::nullopt;
+        if (found == this->impl->turns.end())
+            break;
         chain.push_back(&found->second.turn);
         size += chain.back()->input.size() + chain.back()->output.size();
+        id = chain.back()->previous;
     }
-    std::string text;
-    text.reserve(size);
+    if (chain.empty())
+        return std::nullopt;
+    ChainTranscript transcript;
+    transcript.missing = id;
+    transcript.text.reserve(size);
     for (auto each = chain.rbegin(); each != chain.rend(); ++each) {
-        text += (*each)->input;
-        text += (*each)->output;
+        transcript.text += (*each)->input;
+        transcript.text += (*each)->output;
     }
-    return text;
+    return transcript;
 }
 
 std::size_t JournalState::bytes() const { return this->impl->bytes; }
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -359,6 +359,7 @@
     visit("ticket", m.ticket);
     visit("epoch", m.epoch);
     visit("isFound", m.isFound);
+    visit("missing", m.missing);
     visit("transcript", m.transcript);
 }
 
--- a/src/platform/directory.cpp
+++ b/src/platform/directory.cpp
@@ -132,7 +132,8 @@
         route.objective = readMilliseconds(json, "goal_ms", route.objective);
         route.rank = static_cast<std::uint32_t>(std::max<std::int64_t>(readInteger(json, "priority").value_or(0), 0));
         route.services = readServices(json);
-        route.maxRuns = static_cast<std::uint32_t>(std::max<std::int64_t>(readInteger(json, "attempts").value_or(1), 1));
+        route.maxRuns
+            = static_cast<std::uint32_t>(std::max<std::int64_t>(readInteger(json, "attempts").value_or(1), 1));
         route.isSticky = readFlag(json, "sticky");
         route.canResume = readFlag(json, "can_resume");
         route.retainsTurns = readFlag(json, "retain");
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -117,7 +117,8 @@
     , ready(this->loop, HttpLimits {},
           [this](const HttpRequest&, const HttpResponder& responder) { this->answerReady(responder); })
     , admin(this->loop, HttpLimits {}, [this](const HttpRequest& request, const HttpResponder& responder) {
-        answerAdmin(request, responder, [this] { return this->isReady(); }, this->metrics);
+        answerAdmin(
+            request, responder, [this] { return this->isReady(); }, this->metrics);
     })
 {
 }
@@ -203,7 +204,10 @@
     return !this->isStopping && this->relay.gateway().configVersion() && this->hasEndpoints;
 }
 
-void Daemon::answerReady(const HttpResponder& responder) const { responder.send({ this->isReady() ? 200 : 503, {}, {} }); }
+void Daemon::answerReady(const HttpResponder& responder) const
+{
+    responder.send({ this->isReady() ? 200 : 503, {}, {} });
+}
 
 void Daemon::provideMetrics()
 {
@@ -258,8 +262,7 @@
     this->store->follow(Platform::Names::configKind, config);
 
     Platform::KindHandlers endpoints;
-    endpoints.onSnapshot
-        = [this](const std::vector<Platform::StoredObject>& objects) { this->onEndpoints(objects); };
+    endpoints.onSnapshot = [this](const std::vector<Platform::StoredObject>& objects) { this->onEndpoints(objects); };
     endpoints.onChange
         = [this](const Platform::StoredObject& object, bool isRemoved) { this->onEndpoint(object, isRemoved); };
     endpoints.onReachable = [this](bool isReachable) { this->onStoreReachable(isReachable); };
@@ -369,8 +372,8 @@
 {
     if (!this->journals.setMembers(set))
         return;
-    logFields("journal set",
-        { { "epoch", std::int64_t(set.epoch.value) }, { "members", std::int64_t(set.members.size()) } });
+    logFields(
+        "journal set", { { "epoch", std::int64_t(set.epoch.value) }, { "members", std::int64_t(set.members.size()) } });
     this->linkToJournals();
 }
 
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -46,8 +46,7 @@
     const auto sent = this->sends.find(send);
     if (!open || sent == this->sends.end())
         return;
-    open->responder.send(
-        { sent->second.status, Platform::writeAnswerHeaders(sent->second.headers), std::move(body) });
+    open->responder.send({ sent->second.status, Platform::writeAnswerHeaders(sent->second.headers), std::move(body) });
     this->calls.erase(call);
 }
 
@@ -132,8 +131,7 @@
     const HttpRequest request = Platform::writeCall(open->request, what);
     OpenSend& sent = this->sends[send];
     sent.address = what.address;
-    sent.httpCall = client.http->start(
-        request, what.timeLeft + clientTimeoutSlack, this->callbacks(send, open->name));
+    sent.httpCall = client.http->start(request, what.timeLeft + clientTimeoutSlack, this->callbacks(send, open->name));
 }
 
 void Relay::cancelSend(SendId send)
@@ -159,8 +157,8 @@
     std::set<std::string> used;
     for (const EndpointId& id : this->core.endpoints().ids())
         used.insert(this->core.endpoints().find(id)->address);
-    std::erase_if(this->clients,
-        [&used](const auto& entry) { return entry.second.sends == 0 && !used.contains(entry.first); });
+    std::erase_if(
+        this->clients, [&used](const auto& entry) { return entry.second.sends == 0 && !used.contains(entry.first); });
 }
 
 // Log ----------------------------------------------------------------------------------------------------------------
@@ -183,7 +181,6 @@
     logFields("call",
         { { "request", end.request.value }, { "program", end.program.value }, { "route", end.route },
             { "outcome", std::string(end.outcome) }, { "reason", std::string(end.reason) },
-            { "endpoint", end.endpoint }, { "status", std::int64_t(end.status) },
-            { "sends", std::int64_t(end.sends) }, { "events", std::int64_t(end.events) },
-            { "duration_ms", std::int64_t(end.duration.count()) } });
+            { "endpoint", end.endpoint }, { "status", std::int64_t(end.status) }, { "sends", std::int64_t(end.sends) },
+            { "events", std::int64_t(end.events) }, { "duration_ms", std::int64_t(end.duration.count()) } });
 }
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -33,6 +33,7 @@
 
 constexpr Milliseconds expiryInterval { 1000 };
 constexpr Milliseconds retirementCheckInterval { 200 };
+constexpr Milliseconds logFlushInterval { 100 };
 constexpr std::size_t pageBytes = 256UL * 1024;
 /// How long segments are kept beyond the longest retention seen, so that a chain's oldest turns are rarely rewritten.
 constexpr Milliseconds segmentSlack { 60000 };
@@ -89,6 +90,7 @@
     void onCopyRequest(const NodeId& from, const CopyRequest& request);
     void onCopyPage(const NodeId& from, const CopyPage& page);
     void expire();
+    void flushLogs();
     void removeOldSegments();
     void rewriteThrough(std::uint64_t number);
 
@@ -174,8 +176,7 @@
         std::to_string(found.records) + " records in " + std::to_string(found.segments) + " segments, "
             + std::to_string(found.tornSegments) + " torn; " + std::to_string(this->state.turnCount()) + " turns, "
             + std::to_string(this->state.budgetCount()) + " budgets; complete: "
-            + (this->notes.isComplete() ? "yes" : "no") + ", epoch "
-            + std::to_string(this->notes.set().epoch.value));
+            + (this->notes.isComplete() ? "yes" : "no") + ", epoch " + std::to_string(this->notes.set().epoch.value));
     return true;
 }
 
@@ -193,15 +194,18 @@
 {
     this->admin = std::make_unique<HttpServer>(
         this->loop, HttpLimits {}, [this](const HttpRequest& request, const HttpResponder& responder) {
-            answerAdmin(request, responder, [this] { return this->membership->counts(); }, this->metrics);
+            answerAdmin(
+                request, responder, [this] { return this->membership->counts(); }, this->metrics);
         });
     this->metrics.provide("rattandeck_journal_turns", "gauge", [this] { return double(this->state.turnCount()); });
     this->metrics.provide("rattandeck_journal_budgets", "gauge", [this] { return double(this->state.budgetCount()); });
     this->metrics.provide("rattandeck_journal_bytes", "gauge", [this] { return double(this->state.bytes()); });
-    this->metrics.provide("rattandeck_journal_epoch", "gauge",
-        [this] { return double(this->membership->set().epoch.value); });
-    this->metrics.provide("rattandeck_journal_complete", "gauge", [this] { return this->membership->counts() ? 1 : 0; });
-    this->metrics.provide("rattandeck_disk_syncs_total", "counter", [this] { return double(this->disk->counts().syncs); });
+    this->metrics.provide(
+        "rattandeck_journal_epoch", "gauge", [this] { return double(this->membership->set().epoch.value); });
+    this->metrics.provide(
+        "rattandeck_journal_complete", "gauge", [this] { return this->membership->counts() ? 1 : 0; });
+    this->metrics.provide(
+        "rattandeck_disk_syncs_total", "counter", [this] { return double(this->disk->counts().syncs); });
     this->metrics.provide(
         "rattandeck_disk_failures_total", "counter", [this] { return double(this->disk->counts().failures); });
     this->metrics.provide(
@@ -232,14 +236,16 @@
         return ExitUnavailable;
     this->followRetirements();
     this->expire();
+    this->flushLogs();
     this->loop.onSignal(SIGTERM, [this] { this->stop(); });
     this->loop.onSignal(SIGINT, [this] { this->stop(); });
     this->loop.onSignal(SIGHUP, [] { logEvent("reload", "settings are read at the start only"); });
-    logEvent("start", std::string("version ") + RATTANDECK_VERSION + ", node " + this->settings.instance.node
-            + ", peers " + address);
+    logEvent("start",
+        std::string("version ") + RATTANDECK_VERSION + ", node " + this->settings.instance.node + ", peers " + address);
     printReady({ { "peers", address } });
     this->loop.run();
     logEvent("stopped", this->settings.instance.node);
+    flushLog();
     return ExitSuccess;
 }
 
@@ -344,10 +350,11 @@
     TurnFetched answer;
     answer.ticket = fetch.ticket;
     answer.epoch = this->membership->set().epoch;
-    auto transcript = this->state.transcript(fetch.turn);
-    answer.isFound = transcript.has_value();
-    if (transcript)
-        answer.transcript = std::move(*transcript);
+    if (auto transcript = this->state.transcript(fetch.turn)) {
+        answer.isFound = true;
+        answer.missing = std::move(transcript->missing);
+        answer.transcript = std::move(transcript->text);
+    }
     // A journal that does not count must not say that a turn is missing.
     if (answer.isFound || this->membership->counts())
         this->network.send(from, answer);
@@ -383,6 +390,12 @@
     this->loop.timers().subscribeAfter(expiryInterval, [this] { this->expire(); });
 }
 
+void Daemon::flushLogs()
+{
+    flushLog();
+    this->loop.timers().subscribeAfter(logFlushInterval, [this] { this->flushLogs(); });
+}
+
 void Daemon::removeOldSegments()
 {
     const TimePoint now = this->loop.timers().now();
@@ -486,9 +499,8 @@
             this->retirements[object.name] = object;
         this->checkRetirement();
     };
-    handlers.onChange = [this](const Platform::StoredObject& object, bool isRemoved) {
-        this->onRetirement(object, isRemoved);
-    };
+    handlers.onChange
+        = [this](const Platform::StoredObject& object, bool isRemoved) { this->onRetirement(object, isRemoved); };
     handlers.onReachable = [](bool isReachable) { logEvent("platform store", isReachable ? "reachable" : "lost"); };
     this->store->follow(Platform::Names::retirementsKind, handlers);
 }
--- a/src/rattandeck-journal/disk.cpp
+++ b/src/rattandeck-journal/disk.cpp
@@ -44,8 +44,7 @@
 }
 
 /// Reads records up to the first that is not whole. Returns whether the segment ended with a whole one.
-bool readRecords(
-    const std::string& segment, const std::function<void(Message)>& onRecord, JournalDisk::Found& found)
+bool readRecords(const std::string& segment, const std::function<void(Message)>& onRecord, JournalDisk::Found& found)
 {
     std::size_t at = 0;
     while (at + sizeof(RecordHeader) <= segment.size()) {
@@ -148,10 +147,7 @@
     std::chrono::steady_clock::time_point segmentOpened;
     std::thread writer;
 
-    bool hasWork() const
-    {
-        return !this->pending.empty() || !this->pendingDone.empty() || !this->toRemove.empty();
-    }
+    bool hasWork() const { return !this->pending.empty() || !this->pendingDone.empty() || !this->toRemove.empty(); }
     void run();
     bool openSegment();
     void closeSegment();
@@ -203,8 +199,7 @@
     std::vector<SegmentNumber> removed;
     std::unique_lock lock(this->mutex);
     while (true) {
-        this->changed.wait(lock,
-            [this] { return this->isStopping || this->hasWork(); });
+        this->changed.wait(lock, [this] { return this->isStopping || this->hasWork(); });
         if (!this->hasWork())
             return;
         batch.swap(this->pending);
