End the mutual copying of journals

Change: a record that is known already changes nothing and is not written again. Ruled out: the disk (no failed writes), the rate of the store. JournalStateTest::mutualCopiesComeToAnEnd failed before.

--- a/src/include/Rattandeck/journalstate.h
+++ b/src/include/Rattandeck/journalstate.h
@@ -28,10 +28,11 @@
     JournalState(const JournalState&) = delete;
     JournalState& operator=(const JournalState&) = delete;
 
-    /// Adds or settles a claim. A settled claim is not changed back by an older message that arrives late.
-    void apply(const SettleClaim& claim, TimePoint now);
-    /// Adds a turn and renews the chain that it continues.
-    void apply(const RetainedTurn& turn, TimePoint now);
+    /// Adds or settles a claim. A settled claim is not changed back by an older message that arrives late. Returns
+    /// whether anything was not known before.
+    bool apply(const SettleClaim& claim, TimePoint now);
+    /// Adds a turn and renews the chain that it continues. Returns whether the turn was not known before.
+    bool apply(const RetainedTurn& turn, TimePoint now);
 
     std::vector<TokenClaim> claims(const BudgetId& budget) const;
     /// The prompt that the chain through `turn` makes; nothing when the turn itself is not known.
--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -30,8 +30,8 @@
     void setUp() override
     {
         this->f = std::make_unique<GatewayFixture>();
-        this->f->configure({ GatewayFixture::route("safe", CallSafety::Safe),
-            GatewayFixture::route("unsafe", CallSafety::Unsafe) });
+        this->f->configure(
+            { GatewayFixture::route("safe", CallSafety::Safe), GatewayFixture::route("unsafe", CallSafety::Unsafe) });
         this->f->addInstance("e1");
         this->f->addInstance("e2");
     }
--- a/src/librattandeck/gatewayfixture_test.h
+++ b/src/librattandeck/gatewayfixture_test.h
@@ -37,10 +37,10 @@
 
     explicit GatewayFixture(const Rattandeck::GatewayLimits& limits = {})
         : journals(this->timers, {},
-              [this](const Rattandeck::NodeId& node, const Rattandeck::Message& message) {
-                  this->toJournals.emplace_back(node, message);
-                  return true;
-              })
+            [this](const Rattandeck::NodeId& node, const Rattandeck::Message& message) {
+                this->toJournals.emplace_back(node, message);
+                return true;
+            })
         , gateway(this->timers, *this, this->journals, Rattandeck::FailureDomain("here"), limits)
     {
         Rattandeck::JournalSet set;
--- a/src/librattandeck/journalclient_test.cpp
+++ b/src/librattandeck/journalclient_test.cpp
@@ -64,12 +64,13 @@
             this->journals[NodeId(name)];
         JournalClientLimits limits;
         limits.cacheBytes = 0;
-        this->client = std::make_unique<JournalClient>(this->timers, limits, [this](const NodeId& to, const Message& m) {
-            FakeJournal& journal = this->journals.at(to);
-            if (journal.isUp)
-                journal.inbox.push_back(m);
-            return journal.isUp;
-        });
+        this->client
+            = std::make_unique<JournalClient>(this->timers, limits, [this](const NodeId& to, const Message& m) {
+                  FakeJournal& journal = this->journals.at(to);
+                  if (journal.isUp)
+                      journal.inbox.push_back(m);
+                  return journal.isUp;
+              });
         this->otherGateway
             = std::make_unique<JournalClient>(this->timers, limits, [this](const NodeId& to, const Message& m) {
                   this->otherInbox[to].push_back(m);
--- a/src/librattandeck/journalmembership_test.cpp
+++ b/src/librattandeck/journalmembership_test.cpp
@@ -239,7 +239,10 @@
             this->cluster->at(journal).state.apply(turnNamed(name), this->cluster->timers.now());
     }
 
-    bool has(const char* journal, const char* record) { return this->at(journal).state.transcript(TurnId(record)).has_value(); }
+    bool has(const char* journal, const char* record)
+    {
+        return this->at(journal).state.transcript(TurnId(record)).has_value();
+    }
 
     void wipe(const char* name)
     {
--- a/src/librattandeck/journalstate.cpp
+++ b/src/librattandeck/journalstate.cpp
@@ -51,23 +51,26 @@
 
 // Applying -----------------------------------------------------------------------------------------------------------
 
-void JournalState::apply(const SettleClaim& claim, TimePoint now)
+bool JournalState::apply(const SettleClaim& claim, TimePoint now)
 {
     const auto [place, isNew] = this->impl->budgets.try_emplace(claim.budget);
     KnownBudget& budget = place->second;
+    budget.retention = std::max(budget.retention, claim.retention);
+    budget.expires = std::max(budget.expires, now + budget.retention);
+    const auto [known, isNewClaim] = budget.claims.try_emplace(claim.claim.turn, claim.claim);
+    const bool isSettlement = !known->second.isSettled && claim.claim.isSettled;
+    if (!isNewClaim && !isSettlement)
+        return false;
+    known->second = claim.claim;
     // A changed budget moves to the end, so that whoever copies from a cursor gets the change.
     if (!isNew)
         this->impl->budgetsByNumber.erase(budget.number);
     budget.number = ++this->impl->lastNumber;
     this->impl->budgetsByNumber.emplace(budget.number, &*place);
-    budget.retention = std::max(budget.retention, claim.retention);
-    budget.expires = std::max(budget.expires, now + budget.retention);
-    TokenClaim& known = budget.claims[claim.claim.turn];
-    if (!known.isSettled)
-        known = claim.claim;
+    return true;
 }
 
-void JournalState::apply(const RetainedTurn& turn, TimePoint now)
+bool JournalState::apply(const RetainedTurn& turn, TimePoint now)
 {
     const auto [place, isNew] = this->impl->turns.try_emplace(turn.id);
     KnownTurn& known = place->second;
@@ -78,6 +81,7 @@
         this->impl->bytes += sizeOf(turn);
     }
     this->impl->renewChain(turn.id, now + turn.retention);
+    return isNew;
 }
 
 void JournalState::Impl::renewChain(const TurnId& first, TimePoint expires)
--- /dev/null
+++ b/src/librattandeck/journalstate_test.cpp
@@ -0,0 +1,146 @@
+#include "Rattandeck/journalstate.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Rattandeck;
+
+namespace {
+
+constexpr Milliseconds retention { 60000 };
+
+TimePoint at(int seconds) { return TimePoint(std::chrono::seconds(seconds)); }
+
+RetainedTurn turn(const std::string& id, const std::string& previous)
+{
+    return { TurnId(id), TurnId(previous), "i" + id, "o" + id, retention };
+}
+
+SettleClaim claim(const std::string& id, std::int64_t tokens, bool isSettled)
+{
+    return { BudgetId("p"), { TurnId(id), TokenCount(tokens), isSettled }, retention };
+}
+
+}
+
+class JournalStateTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(JournalStateTest);
+    CPPUNIT_TEST(chainIsReadFromItsStart);
+    CPPUNIT_TEST(missingAncestorIsNamed);
+    CPPUNIT_TEST(turnsExpireAndChainsAreRenewed);
+    CPPUNIT_TEST(settlementIsNotUndone);
+    CPPUNIT_TEST(budgetsExpire);
+    CPPUNIT_TEST(pagesHoldEverythingOnce);
+    CPPUNIT_TEST(changedBudgetIsCopiedAgain);
+    CPPUNIT_TEST(mutualCopiesComeToAnEnd);
+    CPPUNIT_TEST_SUITE_END();
+
+    JournalState state;
+
+    void chainIsReadFromItsStart()
+    {
+        this->state.apply(turn("1", ""), at(0));
+        this->state.apply(turn("2", "1"), at(0));
+        const auto transcript = this->state.transcript(TurnId("2"));
+        CPPUNIT_ASSERT_EQUAL(std::string("i1o1i2o2"), transcript->text);
+        CPPUNIT_ASSERT(transcript->missing.value.empty());
+        CPPUNIT_ASSERT(!this->state.transcript(TurnId("3")));
+    }
+
+    void missingAncestorIsNamed()
+    {
+        this->state.apply(turn("3", "2"), at(0));
+        const auto transcript = this->state.transcript(TurnId("3"));
+        CPPUNIT_ASSERT_EQUAL(std::string("2"), transcript->missing.value);
+        CPPUNIT_ASSERT_EQUAL(std::string("i3o3"), transcript->text);
+    }
+
+    void turnsExpireAndChainsAreRenewed()
+    {
+        this->state.apply(turn("1", ""), at(0));
+        this->state.apply(turn("other", ""), at(0));
+        this->state.apply(turn("2", "1"), at(50));
+        this->state.expire(at(61));
+        CPPUNIT_ASSERT(!this->state.transcript(TurnId("other")));
+        CPPUNIT_ASSERT_EQUAL(std::string("i1o1i2o2"), this->state.transcript(TurnId("2"))->text);
+        this->state.expire(at(111));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->state.turnCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->state.bytes());
+    }
+
+    void settlementIsNotUndone()
+    {
+        CPPUNIT_ASSERT(this->state.apply(claim("1", 10, true), at(0)));
+        CPPUNIT_ASSERT(!this->state.apply(claim("1", 50, false), at(0)));
+        const auto claims = this->state.claims(BudgetId("p"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), claims.size());
+        CPPUNIT_ASSERT(claims.front().isSettled && claims.front().tokens == TokenCount(10));
+    }
+
+    void budgetsExpire()
+    {
+        this->state.apply(claim("1", 10, true), at(0));
+        this->state.apply(claim("2", 10, true), at(40));
+        this->state.expire(at(90));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->state.claims(BudgetId("p")).size());
+        this->state.expire(at(101));
+        CPPUNIT_ASSERT(this->state.claims(BudgetId("p")).empty());
+    }
+
+    static std::size_t copy(const JournalState& from, JournalState& to, std::uint64_t& cursor)
+    {
+        std::size_t records = 0;
+        while (true) {
+            constexpr std::size_t pageBytes = 16;
+            const CopyPage page = from.page(cursor, pageBytes);
+            for (const RetainedTurn& each : page.turns)
+                to.apply(each, at(0));
+            for (const SettleClaim& each : page.claims)
+                to.apply(each, at(0));
+            records += page.turns.size() + page.claims.size();
+            cursor = page.cursor;
+            if (page.isLast)
+                return records;
+        }
+    }
+
+    void pagesHoldEverythingOnce()
+    {
+        for (const char* id : { "1", "2", "3" }) {
+            this->state.apply(turn(id, ""), at(0));
+            this->state.apply(claim(id, 10, false), at(0));
+        }
+        JournalState other;
+        std::uint64_t cursor = 0;
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), copy(this->state, other, cursor));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), other.turnCount());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), other.claims(BudgetId("p")).size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), copy(this->state, other, cursor));
+    }
+
+    void changedBudgetIsCopiedAgain()
+    {
+        this->state.apply(claim("1", 10, false), at(0));
+        JournalState other;
+        std::uint64_t cursor = 0;
+        copy(this->state, other, cursor);
+        this->state.apply(claim("1", 5, true), at(0));
+        copy(this->state, other, cursor);
+        CPPUNIT_ASSERT(other.claims(BudgetId("p")).front().isSettled);
+    }
+
+    void mutualCopiesComeToAnEnd()
+    {
+        JournalState other;
+        this->state.apply(claim("1", 10, false), at(0));
+        other.apply(claim("2", 10, false), at(0));
+        std::uint64_t here = 0;
+        std::uint64_t there = 0;
+        for (int round = 0; round < 2; ++round) {
+            copy(this->state, other, there);
+            copy(other, this->state, here);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), copy(this->state, other, there) + copy(other, this->state, here));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JournalStateTest);
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -70,7 +70,8 @@
     Hello hello(const std::string& address) const;
     PeerHandlers peerHandlers();
     bool openDisk();
-    void applyRecord(const Message& record);
+    /// Returns whether the record was not known before.
+    bool applyRecord(const Message& record);
     void startMembership(const std::string& address);
     void startAdmin();
     void followRetirements();
@@ -150,16 +151,18 @@
 
 // Start ----------------------------------------------------------------------------------------------------------
 
-void Daemon::applyRecord(const Message& record)
+bool Daemon::applyRecord(const Message& record)
 {
     const TimePoint now = this->loop.timers().now();
     if (const auto* claim = std::get_if<SettleClaim>(&record)) {
-        this->state.apply(*claim, now);
         this->longestRetention = std::max(this->longestRetention, claim->retention);
-    } else if (const auto* stored = std::get_if<StoreTurn>(&record)) {
-        this->state.apply(stored->turn, now);
-        this->longestRetention = std::max(this->longestRetention, stored->turn.retention);
+        return this->state.apply(*claim, now);
     }
+    const auto* stored = std::get_if<StoreTurn>(&record);
+    if (!stored)
+        return false;
+    this->longestRetention = std::max(this->longestRetention, stored->turn.retention);
+    return this->state.apply(stored->turn, now);
 }
 
 bool Daemon::openDisk()
@@ -330,8 +333,8 @@
 
 void Daemon::onSettle(const SettleClaim& claim)
 {
-    this->applyRecord(claim);
-    this->disk->append(claim, {});
+    if (this->applyRecord(claim))
+        this->disk->append(claim, {});
 }
 
 void Daemon::onStore(const NodeId& from, const StoreTurn& store)
@@ -377,8 +380,8 @@
         this->onSettle(claim);
     for (const RetainedTurn& turn : page.turns) {
         const StoreTurn record { {}, turn };
-        this->applyRecord(record);
-        this->disk->append(record, {});
+        if (this->applyRecord(record))
+            this->disk->append(record, {});
     }
     this->disk->sync(done);
 }
