--- a/src/include/Rattandeck/journalmembership.h
+++ b/src/include/Rattandeck/journalmembership.h
@@ -36,7 +36,8 @@
     /// Members that are kept even when one of them can't be reached.
     std::size_t usualMembers = 3;
     Milliseconds readInterval { 500 };
-    Milliseconds pageTimeout { 1000 };
+    /// A page may bring many turns with it.
+    Milliseconds pageTimeout { 8000 };
 };
 
 /// Decides which journals keep the records. The set stands in the platform's store and changes one member at a time by
@@ -72,7 +73,7 @@
 
     void onLinkUp(const NodeId& node);
     void onLinkDown(const NodeId& node);
-    /// Precondition: the page's records have been applied and written.
+    /// Precondition: the page's records, the turns that it names included, have been applied and written.
     void onPage(const NodeId& from, const CopyPage& page);
     /// A journal has copied everything that this one holds.
     void onCopiedBy(const NodeId& node);
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -115,7 +115,7 @@
     bool operator==(const JournalSet&) const = default;
 };
 
-/// Journal to journal: asks for all records after a cursor (0: from the start).
+/// Journal to journal: asks which records there are after a cursor (0: from the start).
 struct CopyRequest {
     /// Tells the rounds of one asker apart.
     std::uint64_t round = 0;
@@ -131,8 +131,21 @@
     std::uint64_t cursor = 0;
     bool isLast = false;
     std::vector<SettleClaim> claims;
-    std::vector<RetainedTurn> turns;
+    /// Turns by name; whoever lacks one asks for it.
+    std::vector<TurnId> turns;
     bool operator==(const CopyPage&) const = default;
 };
 
+/// Journal to journal: asks for turns by name.
+struct TurnsRequest {
+    std::vector<TurnId> turns;
+    bool operator==(const TurnsRequest&) const = default;
+};
+
+/// Those of the turns asked for that the sender has.
+struct TurnsPage {
+    std::vector<RetainedTurn> turns;
+    bool operator==(const TurnsPage&) const = default;
+};
+
 }
--- a/src/include/Rattandeck/journalstate.h
+++ b/src/include/Rattandeck/journalstate.h
@@ -48,9 +48,12 @@
     std::size_t turnCount() const;
     std::size_t budgetCount() const;
 
-    /// One page of all records in a stable order, for a journal that refills. `cursor` 0 is the start; records added
-    /// after the first page may be missing.
-    CopyPage page(std::uint64_t cursor, std::size_t maxBytes) const;
+    bool hasTurn(const TurnId& turn) const;
+    /// Nothing for a turn that is not known.
+    std::optional<RetainedTurn> turn(const TurnId& turn) const;
+    /// Up to about `maxRecords` of all records, in the order in which they were added or changed. `cursor` 0 is the
+    /// start.
+    CopyPage page(std::uint64_t cursor, std::size_t maxRecords) const;
 
 private:
     struct Impl;
--- /dev/null
+++ b/src/librattandeck/journalcopier.cpp
@@ -0,0 +1,111 @@
+#include "Rattandeck/journalcopier.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace Rattandeck {
+
+/// Turns asked for at once: enough to fill a link, few enough to leave room for other messages.
+constexpr std::size_t batchSize = 12;
+
+namespace {
+
+    struct Source {
+        CopyPage page;
+        /// Turns of the page that were unknown when it came.
+        std::vector<TurnId> missing;
+        /// Turns asked of this journal.
+        std::vector<TurnId> asked;
+    };
+
+}
+
+struct JournalCopier::Impl {
+    explicit Impl(Io io)
+        : io(std::move(io))
+    {
+    }
+
+    Io io;
+    std::map<NodeId, Source> sources;
+    std::set<TurnId> beingFetched;
+
+    void advance();
+    /// Returns whether the page is copied.
+    bool advance(const NodeId& node, Source& source);
+};
+
+bool JournalCopier::Impl::advance(const NodeId& node, Source& source)
+{
+    if (!source.asked.empty())
+        return false;
+    std::erase_if(source.missing, [this](const TurnId& turn) { return this->io.isKnown(turn); });
+    if (source.missing.empty())
+        return true;
+    for (const TurnId& turn : source.missing) {
+        if (source.asked.size() < batchSize && this->beingFetched.insert(turn).second)
+            source.asked.push_back(turn);
+    }
+    if (!source.asked.empty())
+        this->io.ask(node, { source.asked });
+    return false;
+}
+
+void JournalCopier::Impl::advance()
+{
+    std::vector<std::pair<NodeId, CopyPage>> copied;
+    for (auto each = this->sources.begin(); each != this->sources.end();) {
+        if (this->advance(each->first, each->second)) {
+            copied.emplace_back(each->first, std::move(each->second.page));
+            each = this->sources.erase(each);
+        } else {
+            ++each;
+        }
+    }
+    for (const auto& [node, page] : copied)
+        this->io.onCopied(node, page);
+}
+
+JournalCopier::JournalCopier(Io io)
+    : impl(std::make_unique<Impl>(std::move(io)))
+{
+}
+
+JournalCopier::~JournalCopier() = default;
+
+void JournalCopier::onPage(const NodeId& from, const CopyPage& page)
+{
+    Source& source = this->impl->sources[from];
+    source.page = page;
+    source.missing = page.turns;
+    this->impl->advance();
+}
+
+void JournalCopier::onTurns(const NodeId& from)
+{
+    const auto found = this->impl->sources.find(from);
+    if (found == this->impl->sources.end())
+        return;
+    Source& source = found->second;
+    for (const TurnId& turn : source.asked) {
+        this->impl->beingFetched.erase(turn);
+        // What the journal no longer has has expired.
+        std::erase(source.missing, turn);
+    }
+    source.asked.clear();
+    this->impl->advance();
+}
+
+void JournalCopier::onLinkDown(const NodeId& node)
+{
+    const auto found = this->impl->sources.find(node);
+    if (found == this->impl->sources.end())
+        return;
+    for (const TurnId& turn : found->second.asked)
+        this->impl->beingFetched.erase(turn);
+    this->impl->sources.erase(found);
+    this->impl->advance();
+}
+
+}
--- /dev/null
+++ b/src/librattandeck/journalcopier_test.cpp
@@ -0,0 +1,99 @@
+#include "Rattandeck/journalcopier.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <map>
+#include <set>
+
+using namespace Rattandeck;
+
+class JournalCopierTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(JournalCopierTest);
+    CPPUNIT_TEST(knownTurnsAreNotFetched);
+    CPPUNIT_TEST(turnsAreFetchedOnceAndSharedOut);
+    CPPUNIT_TEST(lostSourceLeavesItsTurnsToTheOther);
+    CPPUNIT_TEST(expiredTurnsEndToo);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::set<TurnId> known;
+    std::map<NodeId, TurnsRequest> asked;
+    std::vector<NodeId> copied;
+    std::unique_ptr<JournalCopier> copier;
+    const NodeId a { "a" };
+    const NodeId b { "b" };
+
+public:
+    void setUp() override
+    {
+        JournalCopier::Io io;
+        io.isKnown = [this](const TurnId& turn) { return this->known.contains(turn); };
+        io.ask = [this](const NodeId& node, const TurnsRequest& request) { this->asked[node] = request; };
+        io.onCopied = [this](const NodeId& node, const CopyPage&) { this->copied.push_back(node); };
+        this->copier = std::make_unique<JournalCopier>(io);
+    }
+
+private:
+    static CopyPage pageOf(int turns)
+    {
+        CopyPage page;
+        for (int i = 0; i < turns; ++i)
+            page.turns.emplace_back(std::to_string(i));
+        return page;
+    }
+
+    /// Answers what a source was asked for. Returns how many turns that were.
+    std::size_t answer(const NodeId& node)
+    {
+        const auto found = this->asked.find(node);
+        if (found == this->asked.end())
+            return 0;
+        const TurnsRequest request = found->second;
+        this->asked.erase(found);
+        for (const TurnId& turn : request.turns)
+            this->known.insert(turn);
+        this->copier->onTurns(node);
+        return request.turns.size();
+    }
+
+    void knownTurnsAreNotFetched()
+    {
+        this->known.emplace("0");
+        this->copier->onPage(this->a, pageOf(1));
+        CPPUNIT_ASSERT(this->asked.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->copied.size());
+    }
+
+    void turnsAreFetchedOnceAndSharedOut()
+    {
+        constexpr int turns = 100;
+        this->copier->onPage(this->a, pageOf(turns));
+        this->copier->onPage(this->b, pageOf(turns));
+        std::size_t fromA = 0;
+        std::size_t fromB = 0;
+        while (!this->asked.empty()) {
+            fromA += this->answer(this->a);
+            fromB += this->answer(this->b);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(turns), fromA + fromB);
+        CPPUNIT_ASSERT(fromA > 0 && fromB > 0);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->copied.size());
+    }
+
+    void lostSourceLeavesItsTurnsToTheOther()
+    {
+        this->copier->onPage(this->a, pageOf(10));
+        this->copier->onPage(this->b, pageOf(10));
+        this->copier->onLinkDown(this->a);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(10), this->answer(this->b));
+        CPPUNIT_ASSERT(this->copied == std::vector<NodeId> { this->b });
+    }
+
+    void expiredTurnsEndToo()
+    {
+        this->copier->onPage(this->a, pageOf(5));
+        this->copier->onTurns(this->a);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->copied.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JournalCopierTest);
--- a/src/librattandeck/journalmembership_test.cpp
+++ b/src/librattandeck/journalmembership_test.cpp
@@ -166,14 +166,14 @@
         if (!this->cluster.areLinked(this->node, to))
             return;
         FakeJournal& other = *this->cluster.journals.at(to);
-        constexpr std::size_t pageBytes = 64;
-        CopyPage page = other.state.page(request.cursor, pageBytes);
+        constexpr std::size_t pageRecords = 2;
+        CopyPage page = other.state.page(request.cursor, pageRecords);
         page.round = request.round;
         page.epoch = other.membership->set().epoch;
         if (page.isLast)
             other.membership->onCopiedBy(this->node);
-        for (const RetainedTurn& turn : page.turns)
-            this->state.apply(turn, this->cluster.timers.now());
+        for (const TurnId& turn : page.turns)
+            this->state.apply(*other.state.turn(turn), this->cluster.timers.now());
         for (const SettleClaim& claim : page.claims)
             this->state.apply(claim, this->cluster.timers.now());
         this->membership->onPage(to, page);
--- a/src/librattandeck/journalstate.cpp
+++ b/src/librattandeck/journalstate.cpp
@@ -168,15 +168,23 @@
 
 // Copying ------------------------------------------------------------------------------------------------------------
 
-CopyPage JournalState::page(std::uint64_t cursor, std::size_t maxBytes) const
+bool JournalState::hasTurn(const TurnId& turn) const { return this->impl->turns.contains(turn); }
+
+std::optional<RetainedTurn> JournalState::turn(const TurnId& turn) const
+{
+    const auto found = this->impl->turns.find(turn);
+    if (found == this->impl->turns.end())
+        return std::nullopt;
+    return found->second.turn;
+}
+
+CopyPage JournalState::page(std::uint64_t cursor, std::size_t maxRecords) const
 {
-    constexpr std::size_t bytesPerClaim = 64;
     CopyPage page;
     page.cursor = cursor;
-    std::size_t size = 0;
     auto turn = this->impl->turnsByNumber.upper_bound(cursor);
     auto budget = this->impl->budgetsByNumber.upper_bound(cursor);
-    while (size < maxBytes) {
+    while (page.turns.size() + page.claims.size() < maxRecords) {
         const bool hasTurn = turn != this->impl->turnsByNumber.end();
         const bool hasBudget = budget != this->impl->budgetsByNumber.end();
         if (!hasTurn && !hasBudget) {
@@ -185,8 +193,7 @@
         }
         if (hasTurn && (!hasBudget || turn->first < budget->first)) {
             page.cursor = turn->first;
-            page.turns.push_back(turn->second->turn);
-            size += sizeOf(turn->second->turn);
+            page.turns.push_back(turn->second->turn.id);
             ++turn;
             continue;
         }
@@ -194,7 +201,6 @@
         const auto& [id, known] = *budget->second;
         for (const auto& [turnId, claim] : known.claims)
             page.claims.push_back({ id, claim, known.retention });
-        size += known.claims.size() * bytesPerClaim;
         ++budget;
     }
     return page;
--- a/src/librattandeck/journalstate_test.cpp
+++ b/src/librattandeck/journalstate_test.cpp
@@ -90,10 +90,10 @@
     {
         std::size_t records = 0;
         while (true) {
-            constexpr std::size_t pageBytes = 16;
-            const CopyPage page = from.page(cursor, pageBytes);
-            for (const RetainedTurn& each : page.turns)
-                to.apply(each, at(0));
+            constexpr std::size_t pageRecords = 2;
+            const CopyPage page = from.page(cursor, pageRecords);
+            for (const TurnId& each : page.turns)
+                to.apply(*from.turn(each), at(0));
             for (const SettleClaim& each : page.claims)
                 to.apply(each, at(0));
             records += page.turns.size() + page.claims.size();
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -392,6 +392,10 @@
     visit("turns", m.turns);
 }
 
+template <typename Visitor> void visitFields(Visitor& visit, TurnsRequest& m) { visit("turns", m.turns); }
+
+template <typename Visitor> void visitFields(Visitor& visit, TurnsPage& m) { visit("turns", m.turns); }
+
 // Tags ---------------------------------------------------------------------------------------------------------
 
 template <typename Alternative> inline constexpr const char* tag = nullptr;
@@ -426,6 +430,8 @@
 template <> inline constexpr const char* tag<JournalSet> = "journals";
 template <> inline constexpr const char* tag<CopyRequest> = "copyFrom";
 template <> inline constexpr const char* tag<CopyPage> = "copyPage";
+template <> inline constexpr const char* tag<TurnsRequest> = "turnsFrom";
+template <> inline constexpr const char* tag<TurnsPage> = "turns";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
 template <> inline constexpr const char* tag<Problem> = "problem";
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -4,6 +4,7 @@
 #include "notes.h"
 #include "platform/directory.h"
 #include "platform/names.h"
+#include "Rattandeck/journalcopier.h"
 #include "Rattandeck/journalmembership.h"
 #include "Rattandeck/journalstate.h"
 #include "RattandeckApp/commandline.h"
@@ -34,7 +35,7 @@
 constexpr Milliseconds expiryInterval { 1000 };
 constexpr Milliseconds retirementCheckInterval { 200 };
 constexpr Milliseconds logFlushInterval { 100 };
-constexpr std::size_t pageBytes = 256UL * 1024;
+constexpr std::size_t pageRecords = 512;
 /// How long segments are kept beyond the longest retention seen, so that a chain's oldest turns are rarely rewritten.
 constexpr Milliseconds segmentSlack { 60000 };
 
@@ -90,6 +91,9 @@
     void onSettle(const SettleClaim& claim);
     void onCopyRequest(const NodeId& from, const CopyRequest& request);
     void onCopyPage(const NodeId& from, const CopyPage& page);
+    void onTurnsRequest(const NodeId& from, const TurnsRequest& request);
+    void onTurnsPage(const NodeId& from, const TurnsPage& page);
+    JournalCopier::Io copierIo();
     void expire();
     void flushLogs();
     void removeOldSegments();
@@ -114,6 +118,7 @@
     Metrics metrics;
     JournalNotes notes;
     JournalState state;
+    JournalCopier copier { this->copierIo() };
     std::unique_ptr<JournalDisk> disk;
     std::deque<Segment> segments;
     Milliseconds longestRetention { 0 };
@@ -297,6 +302,7 @@
     this->linked.erase(node);
     logEvent("link down", node.value);
     this->membership->onLinkDown(node);
+    this->copier.onLinkDown(node);
 }
 
 void Daemon::onMessage(const NodeId& from, const Message& message)
@@ -315,6 +321,10 @@
         this->onCopyRequest(from, *request);
     else if (const auto* page = std::get_if<CopyPage>(&message))
         this->onCopyPage(from, *page);
+    else if (const auto* turnsRequest = std::get_if<TurnsRequest>(&message))
+        this->onTurnsRequest(from, *turnsRequest);
+    else if (const auto* turns = std::get_if<TurnsPage>(&message))
+        this->onTurnsPage(from, *turns);
 }
 
 // Records ------------------------------------------------------------------------------------------------------------
@@ -365,7 +375,7 @@
 
 void Daemon::onCopyRequest(const NodeId& from, const CopyRequest& request)
 {
-    CopyPage page = this->state.page(request.cursor, pageBytes);
+    CopyPage page = this->state.page(request.cursor, pageRecords);
     page.round = request.round;
     page.epoch = this->membership->set().epoch;
     if (page.isLast)
@@ -375,15 +385,40 @@
 
 void Daemon::onCopyPage(const NodeId& from, const CopyPage& page)
 {
-    const auto done = [this, from, page] { this->membership->onPage(from, page); };
     for (const SettleClaim& claim : page.claims)
         this->onSettle(claim);
+    this->copier.onPage(from, page);
+}
+
+void Daemon::onTurnsRequest(const NodeId& from, const TurnsRequest& request)
+{
+    TurnsPage page;
+    for (const TurnId& id : request.turns) {
+        if (auto turn = this->state.turn(id))
+            page.turns.push_back(std::move(*turn));
+    }
+    this->network.send(from, page);
+}
+
+void Daemon::onTurnsPage(const NodeId& from, const TurnsPage& page)
+{
     for (const RetainedTurn& turn : page.turns) {
         const StoreTurn record { {}, turn };
         if (this->applyRecord(record))
             this->disk->append(record, {});
     }
-    this->disk->sync(done);
+    this->copier.onTurns(from);
+}
+
+JournalCopier::Io Daemon::copierIo()
+{
+    JournalCopier::Io io;
+    io.isKnown = [this](const TurnId& turn) { return this->state.hasTurn(turn); };
+    io.ask = [this](const NodeId& node, const TurnsRequest& request) { this->network.send(node, request); };
+    io.onCopied = [this](const NodeId& node, const CopyPage& page) {
+        this->disk->sync([this, node, page] { this->membership->onPage(node, page); });
+    };
+    return io;
 }
 
 void Daemon::expire()
@@ -419,11 +454,11 @@
 {
     std::uint64_t cursor = 0;
     while (cursor < number) {
-        const CopyPage page = this->state.page(cursor, pageBytes);
+        const CopyPage page = this->state.page(cursor, pageRecords);
         for (const SettleClaim& claim : page.claims)
             this->disk->append(claim, {});
-        for (const RetainedTurn& turn : page.turns)
-            this->disk->append(StoreTurn { {}, turn }, {});
+        for (const TurnId& turn : page.turns)
+            this->disk->append(StoreTurn { {}, *this->state.turn(turn) }, {});
         if (page.isLast)
             return;
         cursor = page.cursor;
