--- a/src/include/Rattandeck/wire.h
+++ b/src/include/Rattandeck/wire.h
@@ -18,7 +18,7 @@
     BadField,
 };
 
-/// Codes a message as MessagePack.
+/// Codes a message as MessagePack; long texts are attached to the document as they are.
 std::string encode(const Message& message);
 /// Reads what `encode` wrote, in this or another version. Never throws; allocates in proportion to `bytes`.
 tl::expected<Message, WireError> decode(std::string_view bytes);
--- a/src/librattandeck/wire.cpp
+++ b/src/librattandeck/wire.cpp
@@ -25,216 +25,251 @@
     // The deepest message is an array of objects in an object in the outer pair; some room for later versions.
     constexpr std::size_t maxDepth = 16;
 
+    // Attachments --------------------------------------------------------------------------------------------------
+
+    // A long text stands behind the document, as it is, and the document holds its place: the library reads texts
+    // byte by byte.
+    constexpr std::size_t minAttachment = 512;
+    // In front of a message with attachments; no MessagePack document begins with it.
+    constexpr char attachmentMark = '\xc1';
+    // The mark, and the length of the document as four bytes, the highest first.
+    constexpr std::size_t attachmentHeader = 5;
+
     // Writing ------------------------------------------------------------------------------------------------------
 
-    Json write(bool value) { return value; }
-    Json write(const std::string& value) { return value; }
-    Json write(double value) { return value; }
-    Json write(std::uint32_t value) { return value; }
-    Json write(std::uint64_t value) { return value; }
-    Json write(std::int64_t value) { return value; }
-    Json write(Milliseconds value) { return std::int64_t { value.count() }; }
-    template <typename Tag, typename Rep> Json write(const Strong<Tag, Rep>& value) { return write(value.value); }
-    Json write(const ProgramId& id) { return Json::array({ id.shard.value, id.openedIn.value, id.serial }); }
-
-    template <typename Value>
-    requires std::is_enum_v<Value> Json write(Value value) { return static_cast<std::uint32_t>(value); }
-
-    template <typename... Alternatives> Json write(const std::variant<Alternatives...>& value);
-    template <typename Value> Json write(const std::vector<Value>& values);
-
-    struct FieldWriter {
-        Json object = Json::object();
-        template <typename Value> void operator()(const char* name, const Value& value);
-    };
+    struct Writer {
+        std::string attachments;
 
-    template <typename Struct>
-    requires requires(FieldWriter& writer, Struct& value) { visitFields(writer, value); }
-    Json write(const Struct& value)
-    {
-        FieldWriter writer;
-        // The list of fields is shared with the reader, hence not const; the writer changes nothing.
-        visitFields(writer, const_cast<Struct&>(value));
-        return std::move(writer.object);
-    }
+        Json write(bool value) { return value; }
+        Json write(double value) { return value; }
+        Json write(std::uint32_t value) { return value; }
+        Json write(std::uint64_t value) { return value; }
+        Json write(std::int64_t value) { return value; }
+        Json write(Milliseconds value) { return std::int64_t { value.count() }; }
+        template <typename Tag, typename Rep> Json write(const Strong<Tag, Rep>& value)
+        {
+            return this->write(value.value);
+        }
+        Json write(const ProgramId& id) { return Json::array({ id.shard.value, id.openedIn.value, id.serial }); }
 
-    template <typename Value> Json write(const std::vector<Value>& values)
-    {
-        Json array = Json::array();
-        for (const Value& value : values)
-            array.push_back(write(value));
-        return array;
-    }
+        Json write(const std::string& value)
+        {
+            if (value.size() < minAttachment)
+                return value;
+            const std::size_t place = this->attachments.size();
+            this->attachments += value;
+            return Json::array({ place, value.size() });
+        }
 
-    template <typename... Alternatives> Json write(const std::variant<Alternatives...>& value)
-    {
-        return std::visit(
-            [](const auto& alternative) {
-                Json pair = Json::array();
-                pair.push_back(tag<std::decay_t<decltype(alternative)>>);
-                pair.push_back(write(alternative));
-                return pair;
-            },
-            value);
-    }
+        template <typename Value>
+        requires std::is_enum_v<Value> Json write(Value value) { return static_cast<std::uint32_t>(value); }
 
-    template <typename Value> void FieldWriter::operator()(const char* name, const Value& value)
-    {
-        this->object.emplace(name, write(value));
-    }
+        struct Fields {
+            Writer& writer;
+            Json object = Json::object();
+            template <typename Value> void operator()(const char* name, const Value& value)
+            {
+                this->object.emplace(name, this->writer.write(value));
+            }
+        };
 
-    // Reading: each overload returns false, and may leave a part changed, if `json` has the wrong type or range ----
+        template <typename Struct>
+        requires requires(Fields& fields, Struct& value) { visitFields(fields, value); }
+        Json write(const Struct& value)
+        {
+            Fields fields { *this };
+            // The list of fields is shared with the reader, hence not const; the writer changes nothing.
+            visitFields(fields, const_cast<Struct&>(value));
+            return std::move(fields.object);
+        }
 
-    bool read(Json& json, bool& value)
-    {
-        if (!json.is_boolean())
-            return false;
-        value = json.get<bool>();
-        return true;
-    }
+        template <typename Value> Json write(const std::vector<Value>& values)
+        {
+            Json array = Json::array();
+            for (const Value& value : values)
+                array.push_back(this->write(value));
+            return array;
+        }
 
-    bool read(Json& json, std::string& value)
-    {
-        if (!json.is_string())
-            return false;
-        value = std::move(json.get_ref<std::string&>());
-        return true;
-    }
+        template <typename... Alternatives> Json write(const std::variant<Alternatives...>& value)
+        {
+            return std::visit(
+                [this](const auto& alternative) {
+                    Json pair = Json::array();
+                    pair.push_back(tag<std::decay_t<decltype(alternative)>>);
+                    pair.push_back(this->write(alternative));
+                    return pair;
+                },
+                value);
+        }
+    };
 
-    bool read(Json& json, double& value)
-    {
-        if (!json.is_number() || !std::isfinite(json.get<double>()))
-            return false;
-        value = json.get<double>();
-        return true;
-    }
+    // Reading: each overload returns false, and may leave a part changed, if `json` has the wrong type or range ----
 
-    template <typename Number> bool readUnsigned(const Json& json, Number& value)
-    {
-        if (!json.is_number_unsigned())
-            return false;
-        const auto number = json.get<std::uint64_t>();
-        if (number > std::numeric_limits<Number>::max())
-            return false;
-        value = static_cast<Number>(number);
-        return true;
-    }
+    enum class PairOutcome { Read, NotAPair, UnknownTag, BadBody };
 
-    bool read(Json& json, std::uint32_t& value) { return readUnsigned(json, value); }
-    bool read(Json& json, std::uint64_t& value) { return readUnsigned(json, value); }
+    struct Reader {
+        std::string_view attachments;
 
-    bool readSigned(const Json& json, std::int64_t bound, std::int64_t& value)
-    {
-        std::uint64_t magnitude = 0;
-        if (readUnsigned(json, magnitude)) {
-            if (magnitude > static_cast<std::uint64_t>(bound))
+        bool read(Json& json, bool& value)
+        {
+            if (!json.is_boolean())
                 return false;
-            value = static_cast<std::int64_t>(magnitude);
+            value = json.get<bool>();
             return true;
         }
-        if (!json.is_number_integer() || json.get<std::int64_t>() < -bound)
-            return false;
-        value = json.get<std::int64_t>();
-        return true;
-    }
 
-    bool read(Json& json, TokenCount& value) { return readSigned(json, maxTokens, value.value); }
+        bool read(Json& json, std::string& value)
+        {
+            if (json.is_array())
+                return this->readAttachment(json, value);
+            if (!json.is_string())
+                return false;
+            value = std::move(json.get_ref<std::string&>());
+            return true;
+        }
 
-    bool read(Json& json, Milliseconds& value)
-    {
-        std::int64_t count = 0;
-        if (!readSigned(json, maxMilliseconds, count))
-            return false;
-        value = Milliseconds(count);
-        return true;
-    }
+        bool readAttachment(Json& json, std::string& value)
+        {
+            std::uint64_t place = 0;
+            std::uint64_t size = 0;
+            if (json.size() != 2 || !this->read(json[0], place) || !this->read(json[1], size))
+                return false;
+            if (place > this->attachments.size() || size > this->attachments.size() - place)
+                return false;
+            value = this->attachments.substr(place, size);
+            return true;
+        }
 
-    template <typename Tag, typename Rep> bool read(Json& json, Strong<Tag, Rep>& value)
-    {
-        return read(json, value.value);
-    }
+        bool read(Json& json, double& value)
+        {
+            if (!json.is_number() || !std::isfinite(json.get<double>()))
+                return false;
+            value = json.get<double>();
+            return true;
+        }
 
-    bool read(Json& json, ProgramId& id)
-    {
-        return json.is_array() && json.size() == 3 && read(json[0], id.shard) && read(json[1], id.openedIn)
-            && read(json[2], id.serial);
-    }
+        template <typename Number> static bool readUnsigned(const Json& json, Number& value)
+        {
+            if (!json.is_number_unsigned())
+                return false;
+            const auto number = json.get<std::uint64_t>();
+            if (number > std::numeric_limits<Number>::max())
+                return false;
+            value = static_cast<Number>(number);
+            return true;
+        }
 
-    template <typename Value>
-    requires std::is_enum_v<Value>
-    bool read(Json& json, Value& value)
-    {
-        std::uint32_t number = 0;
-        if (!readUnsigned(json, number) || number > static_cast<std::uint32_t>(lastValue<Value>))
-            return false;
-        value = static_cast<Value>(number);
-        return true;
-    }
+        bool read(Json& json, std::uint32_t& value) { return readUnsigned(json, value); }
+        bool read(Json& json, std::uint64_t& value) { return readUnsigned(json, value); }
 
-    template <typename... Alternatives> bool read(Json& json, std::variant<Alternatives...>& value);
-    template <typename Value> bool read(Json& json, std::vector<Value>& values);
+        static bool readSigned(const Json& json, std::int64_t bound, std::int64_t& value)
+        {
+            std::uint64_t magnitude = 0;
+            if (readUnsigned(json, magnitude)) {
+                if (magnitude > static_cast<std::uint64_t>(bound))
+                    return false;
+                value = static_cast<std::int64_t>(magnitude);
+                return true;
+            }
+            if (!json.is_number_integer() || json.get<std::int64_t>() < -bound)
+                return false;
+            value = json.get<std::int64_t>();
+            return true;
+        }
 
-    struct FieldReader {
-        Json& object;
-        bool good = true;
-        template <typename Value> void operator()(const char* name, Value& value);
-    };
+        bool read(Json& json, TokenCount& value) { return readSigned(json, maxTokens, value.value); }
 
-    template <typename Struct>
-    requires requires(FieldReader& reader, Struct& value) { visitFields(reader, value); }
-    bool read(Json& json, Struct& value)
-    {
-        if (!json.is_object())
-            return false;
-        FieldReader reader { json };
-        visitFields(reader, value);
-        return reader.good;
-    }
+        bool read(Json& json, Milliseconds& value)
+        {
+            std::int64_t count = 0;
+            if (!readSigned(json, maxMilliseconds, count))
+                return false;
+            value = Milliseconds(count);
+            return true;
+        }
 
-    template <typename Value> bool read(Json& json, std::vector<Value>& values)
-    {
-        if (!json.is_array())
-            return false;
-        for (Json& element : json) {
-            if (!read(element, values.emplace_back()))
+        template <typename Tag, typename Rep> bool read(Json& json, Strong<Tag, Rep>& value)
+        {
+            return this->read(json, value.value);
+        }
+
+        bool read(Json& json, ProgramId& id)
+        {
+            return json.is_array() && json.size() == 3 && this->read(json[0], id.shard)
+                && this->read(json[1], id.openedIn) && this->read(json[2], id.serial);
+        }
+
+        template <typename Value>
+        requires std::is_enum_v<Value>
+        bool read(Json& json, Value& value)
+        {
+            std::uint32_t number = 0;
+            if (!readUnsigned(json, number) || number > static_cast<std::uint32_t>(lastValue<Value>))
                 return false;
+            value = static_cast<Value>(number);
+            return true;
         }
-        return true;
-    }
 
-    enum class PairOutcome { Read, NotAPair, UnknownTag, BadBody };
+        struct Fields {
+            Reader& reader;
+            Json& object;
+            bool good = true;
+            template <typename Value> void operator()(const char* name, Value& value)
+            {
+                const auto field = this->object.find(name);
+                if (field != this->object.end() && !this->reader.read(*field, value))
+                    this->good = false;
+            }
+        };
 
-    template <typename Alternative, typename... Alternatives>
-    bool readIfTagged(Json& pair, std::variant<Alternatives...>& value, PairOutcome& outcome)
-    {
-        if (pair[0].get_ref<const std::string&>() != tag<Alternative>)
-            return false;
-        Alternative alternative;
-        outcome = read(pair[1], alternative) ? PairOutcome::Read : PairOutcome::BadBody;
-        value = std::move(alternative);
-        return true;
-    }
+        template <typename Struct>
+        requires requires(Fields& fields, Struct& value) { visitFields(fields, value); }
+        bool read(Json& json, Struct& value)
+        {
+            if (!json.is_object())
+                return false;
+            Fields fields { *this, json };
+            visitFields(fields, value);
+            return fields.good;
+        }
 
-    template <typename... Alternatives> PairOutcome readPair(Json& json, std::variant<Alternatives...>& value)
-    {
-        if (!json.is_array() || json.size() != 2 || !json[0].is_string())
-            return PairOutcome::NotAPair;
-        PairOutcome outcome = PairOutcome::UnknownTag;
-        (void)(readIfTagged<Alternatives>(json, value, outcome) || ...);
-        return outcome;
-    }
+        template <typename Value> bool read(Json& json, std::vector<Value>& values)
+        {
+            if (!json.is_array())
+                return false;
+            for (Json& element : json) {
+                if (!this->read(element, values.emplace_back()))
+                    return false;
+            }
+            return true;
+        }
 
-    template <typename... Alternatives> bool read(Json& json, std::variant<Alternatives...>& value)
-    {
-        return readPair(json, value) == PairOutcome::Read;
-    }
+        template <typename Alternative, typename... Alternatives>
+        bool readIfTagged(Json& pair, std::variant<Alternatives...>& value, PairOutcome& outcome)
+        {
+            if (pair[0].get_ref<const std::string&>() != tag<Alternative>)
+                return false;
+            Alternative alternative;
+            outcome = this->read(pair[1], alternative) ? PairOutcome::Read : PairOutcome::BadBody;
+            value = std::move(alternative);
+            return true;
+        }
 
-    template <typename Value> void FieldReader::operator()(const char* name, Value& value)
-    {
-        const auto field = this->object.find(name);
-        if (field != this->object.end() && !read(*field, value))
-            this->good = false;
-    }
+        template <typename... Alternatives> PairOutcome readPair(Json& json, std::variant<Alternatives...>& value)
+        {
+            if (!json.is_array() || json.size() != 2 || !json[0].is_string())
+                return PairOutcome::NotAPair;
+            PairOutcome outcome = PairOutcome::UnknownTag;
+            (void)(this->readIfTagged<Alternatives>(json, value, outcome) || ...);
+            return outcome;
+        }
+
+        template <typename... Alternatives> bool read(Json& json, std::variant<Alternatives...>& value)
+        {
+            return this->readPair(json, value) == PairOutcome::Read;
+        }
+    };
 
     // Parsing ------------------------------------------------------------------------------------------------------
 
@@ -310,10 +345,10 @@
         }
     };
 
-    tl::expected<Message, WireError> decodeJson(Json& json)
+    tl::expected<Message, WireError> decodeJson(Json& json, std::string_view attachments)
     {
         Message message;
-        switch (readPair(json, message)) {
+        switch (Reader { attachments }.readPair(json, message)) {
         case PairOutcome::Read:
             return message;
         case PairOutcome::UnknownTag:
@@ -326,17 +361,47 @@
         return tl::unexpected(WireError::Malformed);
     }
 
+    /// Splits a message into its document and what is attached to it. Returns false when it is too short.
+    bool splitAttachments(std::string_view& document, std::string_view& attachments)
+    {
+        if (document.empty() || document.front() != attachmentMark)
+            return true;
+        if (document.size() < attachmentHeader)
+            return false;
+        std::size_t length = 0;
+        for (std::size_t i = 1; i < attachmentHeader; ++i)
+            length = length << 8U | static_cast<unsigned char>(document[i]);
+        document.remove_prefix(attachmentHeader);
+        if (length > document.size())
+            return false;
+        attachments = document.substr(length);
+        document = document.substr(0, length);
+        return true;
+    }
+
 }
 
 std::string encode(const Message& message)
 {
+    Writer writer;
     std::string bytes;
-    Json::to_msgpack(write(message), bytes);
-    return bytes;
+    Json::to_msgpack(writer.write(message), bytes);
+    if (writer.attachments.empty())
+        return bytes;
+    std::string whole(1, attachmentMark);
+    whole.reserve(attachmentHeader + bytes.size() + writer.attachments.size());
+    for (int shift = 24; shift >= 0; shift -= 8)
+        whole += static_cast<char>(bytes.size() >> static_cast<unsigned>(shift) & 0xffU);
+    whole += bytes;
+    whole += writer.attachments;
+    return whole;
 }
 
 tl::expected<Message, WireError> decode(std::string_view bytes)
 {
+    std::string_view attachments;
+    if (!splitAttachments(bytes, attachments))
+        return tl::unexpected(WireError::Malformed);
     Json root;
     BoundedHandler handler(root);
     // The library throws on lengths that no container can have, whatever the handler says.
@@ -346,7 +411,7 @@
     } catch (const Json::exception&) {
         return tl::unexpected(WireError::Malformed);
     }
-    return decodeJson(root);
+    return decodeJson(root, attachments);
 }
 
 }
--- a/src/librattandeck/wire_test.cpp
+++ b/src/librattandeck/wire_test.cpp
@@ -88,6 +88,8 @@
     CPPUNIT_TEST(changedBytesNeverThrow);
     CPPUNIT_TEST(deepNestingIsMalformed);
     CPPUNIT_TEST(hugeAnnouncedLengthIsMalformed);
+    CPPUNIT_TEST(longTextsComeBackEqual);
+    CPPUNIT_TEST(attachmentOutsideTheMessageIsABadField);
     CPPUNIT_TEST(unknownKindIsTold);
     CPPUNIT_TEST(unknownFieldsAreIgnoredAndMissingOnesDefault);
     CPPUNIT_TEST(wrongTypesAndRangesAreBadFields);
@@ -138,6 +140,37 @@
         CPPUNIT_ASSERT(decode(std::string("\xdf\xff\xff\xff\xff", 5)).error() == WireError::Malformed);
     }
 
+    static StoreTurn turnOf(std::size_t size)
+    {
+        StoreTurn store;
+        store.turn.id = TurnId("id");
+        store.turn.input = std::string(size, '\xc1');
+        store.turn.output = std::string(size + 1, 'o');
+        return store;
+    }
+
+    void longTextsComeBackEqual()
+    {
+        for (const std::size_t size : { 0UL, 511UL, 512UL, 100000UL }) {
+            const Message message = turnOf(size);
+            const std::string bytes = encode(message);
+            CPPUNIT_ASSERT(decode(bytes) == message);
+            CPPUNIT_ASSERT(!decode(std::string_view(bytes).substr(0, bytes.size() - 1)).has_value());
+        }
+    }
+
+    void attachmentOutsideTheMessageIsABadField()
+    {
+        nlohmann::json turn { { "input", { 5, 10 } } };
+        const std::string document = pack(nlohmann::json::array({ "storeTurn", { { "turn", turn } } }));
+        std::string bytes("\xc1\0\0\0", 4);
+        bytes += static_cast<char>(document.size());
+        bytes += document;
+        CPPUNIT_ASSERT(decode(bytes + std::string(14, 'x')).error() == WireError::BadField);
+        CPPUNIT_ASSERT(decode(bytes + std::string(15, 'x')).has_value());
+        CPPUNIT_ASSERT(decode(bytes.substr(0, 8)).error() == WireError::Malformed);
+    }
+
     void unknownKindIsTold()
     {
         const auto bytes = pack(nlohmann::json::array({ "later", nlohmann::json::object() }));
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -173,6 +173,7 @@
 bool Daemon::openDisk()
 {
     JournalDisk::Found found;
+    const auto begun = std::chrono::steady_clock::now();
     auto opened = JournalDisk::open(
         this->loop, this->settings.folder, {}, [this](const Message& record) { this->applyRecord(record); }, found);
     if (!opened) {
@@ -180,11 +181,13 @@
         return false;
     }
     this->disk = std::move(*opened);
+    const auto taken = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begun);
     logEvent("disk read",
-        std::to_string(found.records) + " records in " + std::to_string(found.segments) + " segments, "
-            + std::to_string(found.tornSegments) + " torn; " + std::to_string(this->state.turnCount()) + " turns, "
-            + std::to_string(this->state.budgetCount()) + " budgets; complete: "
-            + (this->notes.isComplete() ? "yes" : "no") + ", epoch " + std::to_string(this->notes.set().epoch.value));
+        std::to_string(taken.count()) + " ms, " + std::to_string(found.records) + " records in "
+            + std::to_string(found.segments) + " segments, " + std::to_string(found.tornSegments) + " torn; "
+            + std::to_string(this->state.turnCount()) + " turns, " + std::to_string(this->state.budgetCount())
+            + " budgets; complete: " + (this->notes.isComplete() ? "yes" : "no") + ", epoch "
+            + std::to_string(this->notes.set().epoch.value));
     return true;
 }
 
--- a/src/rattandeck-journal/disk.cpp
+++ b/src/rattandeck-journal/disk.cpp
@@ -13,6 +13,7 @@
 #include <filesystem>
 #include <fstream>
 #include <mutex>
+#include <optional>
 #include <sys/stat.h>
 #include <thread>
 #include <unistd.h>
@@ -90,6 +91,19 @@
     return numbers;
 }
 
+std::optional<std::string> readFile(const std::string& path)
+{
+    std::error_code error;
+    const auto size = std::filesystem::file_size(path, error);
+    std::ifstream file(path, std::ios::binary);
+    if (error || !file)
+        return std::nullopt;
+    std::string bytes(size, '\0');
+    file.read(bytes.data(), static_cast<std::streamsize>(size));
+    bytes.resize(static_cast<std::size_t>(std::max<std::streamsize>(file.gcount(), 0)));
+    return bytes;
+}
+
 bool syncFolder(const std::string& folder)
 {
     const int descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
@@ -248,12 +262,11 @@
         return tl::unexpected(Error::CannotOpenFolder);
     auto impl = std::make_unique<Impl>(loop, folder, limits);
     for (const SegmentNumber number : listSegments(folder)) {
-        std::ifstream file(segmentPath(folder, number), std::ios::binary);
-        if (!file)
+        const auto bytes = readFile(segmentPath(folder, number));
+        if (!bytes)
             return tl::unexpected(Error::CannotReadSegment);
-        const std::string bytes((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
         ++found.segments;
-        if (!readRecords(bytes, onRecord, found))
+        if (!readRecords(*bytes, onRecord, found))
             ++found.tornSegments;
         impl->current.store(number);
     }
