Spread what the store says through the journals; give up connections that don't come

Cause: a gateway that the store turns away kept an old configuration and sent to instances that had left; a connection to a dark machine held a call until its deadline. Change: BulletinBoard: offers of newer versions go through the journals, whoever still lacks one after 250 ms asks for it; a connection to an instance is given up after 250 ms and counts as not sent. A late answer to another call is skipped, and connections are left 600 ms before the server closes them (tests in http_test).

--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -148,4 +148,36 @@
     bool operator==(const TurnsPage&) const = default;
 };
 
+// What the platform's store says, spread among gateways and journals -------------------------------------------------
+
+struct Bulletin {
+    std::string topic;
+    /// Of two versions of a topic the higher one holds.
+    std::uint64_t version = 0;
+    bool isRemoved = false;
+    std::string text;
+    bool operator==(const Bulletin&) const = default;
+};
+
+struct BulletinOffer {
+    std::string topic;
+    std::uint64_t version = 0;
+    bool operator==(const BulletinOffer&) const = default;
+};
+
+struct BulletinOffers {
+    std::vector<BulletinOffer> offers;
+    bool operator==(const BulletinOffers&) const = default;
+};
+
+struct BulletinsWanted {
+    std::vector<std::string> topics;
+    bool operator==(const BulletinsWanted&) const = default;
+};
+
+struct Bulletins {
+    std::vector<Bulletin> bulletins;
+    bool operator==(const Bulletins&) const = default;
+};
+
 }
--- a/src/include/Rattandeck/messages.h
+++ b/src/include/Rattandeck/messages.h
@@ -430,10 +430,10 @@
     bool operator==(const ForwardEvent&) const = default;
 };
 
-using Message
-    = std::variant<Hello, Order, OrderRefused, OrderTokens, OrderEnded, CancelOrder, ReleaseProgram, HoldPrefix,
-        LoadReport, CensusRequest, CensusAnswer, CopyRecords, CopyAnswer, PromiseRequest, PromiseAnswer, ReleaseRequest,
-        ReleaseAnswer, ConfigUpdate, ForwardRequest, ForwardCancel, ForwardEvent, ClaimTokens, ClaimsKnown, SettleClaim,
-        StoreTurn, TurnStored, FetchTurn, TurnFetched, JournalSet, CopyRequest, CopyPage, TurnsRequest, TurnsPage>;
+using Message = std::variant<Hello, Order, OrderRefused, OrderTokens, OrderEnded, CancelOrder, ReleaseProgram,
+    HoldPrefix, LoadReport, CensusRequest, CensusAnswer, CopyRecords, CopyAnswer, PromiseRequest, PromiseAnswer,
+    ReleaseRequest, ReleaseAnswer, ConfigUpdate, ForwardRequest, ForwardCancel, ForwardEvent, ClaimTokens, ClaimsKnown,
+    SettleClaim, StoreTurn, TurnStored, FetchTurn, TurnFetched, JournalSet, CopyRequest, CopyPage, TurnsRequest,
+    TurnsPage, BulletinOffers, BulletinsWanted, Bulletins>;
 
 }
--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -126,6 +126,10 @@
     HttpClient(EventLoop& loop, Address server, std::size_t maxConnections = 64);
     ~HttpClient();
 
+    /// Bounds the wait for a new connection; a call whose connection does not come fails with `ConnectFailed`. Without
+    /// it only the call's own timeout does.
+    void setConnectTimeout(std::chrono::milliseconds timeout);
+
     /// Streams the answer to `callbacks`, never from within this call. `timeout` bounds the whole call.
     CallId start(const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallbacks callbacks);
     /// Collects the whole answer, up to `maxBody` bytes.
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -396,6 +396,26 @@
 
 template <typename Visitor> void visitFields(Visitor& visit, TurnsPage& m) { visit("turns", m.turns); }
 
+template <typename Visitor> void visitFields(Visitor& visit, Bulletin& m)
+{
+    visit("topic", m.topic);
+    visit("version", m.version);
+    visit("isRemoved", m.isRemoved);
+    visit("text", m.text);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, BulletinOffer& m)
+{
+    visit("topic", m.topic);
+    visit("version", m.version);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, BulletinOffers& m) { visit("offers", m.offers); }
+
+template <typename Visitor> void visitFields(Visitor& visit, BulletinsWanted& m) { visit("topics", m.topics); }
+
+template <typename Visitor> void visitFields(Visitor& visit, Bulletins& m) { visit("bulletins", m.bulletins); }
+
 // Tags ---------------------------------------------------------------------------------------------------------
 
 template <typename Alternative> inline constexpr const char* tag = nullptr;
@@ -432,6 +452,9 @@
 template <> inline constexpr const char* tag<CopyPage> = "copyPage";
 template <> inline constexpr const char* tag<TurnsRequest> = "turnsFrom";
 template <> inline constexpr const char* tag<TurnsPage> = "turns";
+template <> inline constexpr const char* tag<BulletinOffers> = "offers";
+template <> inline constexpr const char* tag<BulletinsWanted> = "wanted";
+template <> inline constexpr const char* tag<Bulletins> = "bulletins";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
 template <> inline constexpr const char* tag<Problem> = "problem";
--- a/src/librattandecknet/http_test.cpp
+++ b/src/librattandecknet/http_test.cpp
@@ -26,6 +26,10 @@
     CPPUNIT_TEST(tellsWhetherAnythingWasSent);
     CPPUNIT_TEST(closedIdleConnectionIsReplaced);
     CPPUNIT_TEST(unaskedAnswerIsNotTakenForALaterOne);
+    CPPUNIT_TEST(answerToAnotherCallIsSkipped);
+    CPPUNIT_TEST(connectionIsLeftBeforeTheServerClosesIt);
+    CPPUNIT_TEST(connectionThatDoesNotComeIsGivenUp);
+    CPPUNIT_TEST(targetIsPassedOnAsItCame);
     CPPUNIT_TEST(malformedAndTooLargeAnswers);
     CPPUNIT_TEST(stopFinishesWhatIsInFlight);
     CPPUNIT_TEST_SUITE_END();
@@ -326,6 +330,83 @@
         CPPUNIT_ASSERT_EQUAL(std::string("two"), second.value()->body);
     }
 
+    void answerToAnotherCallIsSkipped()
+    {
+        RawListener listener;
+        HttpClient client(this->test.loop, { "127.0.0.1", listener.port });
+        std::string body;
+        std::optional<tl::expected<void, NetError>> outcome;
+        HttpCallbacks callbacks;
+        callbacks.isOwn = [](const HttpHeaders& headers) { return headers.at("name") == "mine"; };
+        callbacks.onData = [&](std::string_view bytes) { body += bytes; };
+        callbacks.onEnd = [&](tl::expected<void, NetError> result) { outcome = result; };
+        client.start({}, std::chrono::seconds(5), callbacks);
+        std::unique_ptr<RawSocket> socket;
+        this->test.runUntil("connected", [&] { return socket || (socket = listener.accept()); });
+        socket->write("HTTP/1.1 200 OK\r\nName: other\r\nContent-Length: 5\r\n\r\nwrong");
+        socket->write("HTTP/1.1 200 OK\r\nName: mine\r\nContent-Length: 5\r\n\r\nright");
+        this->test.runUntil("answered", [&] { return outcome.has_value(); });
+        CPPUNIT_ASSERT(outcome->has_value());
+        CPPUNIT_ASSERT_EQUAL(std::string("right"), body);
+    }
+
+    void connectionIsLeftBeforeTheServerClosesIt()
+    {
+        RawListener listener;
+        HttpClient client(this->test.loop, { "127.0.0.1", listener.port });
+        int answered = 0;
+        const auto fetch = [&] {
+            client.fetch({}, std::chrono::seconds(5), [&](const auto& result) { answered += result ? 1 : 0; });
+        };
+        fetch();
+        std::unique_ptr<RawSocket> first;
+        this->test.runUntil("connected", [&] { return first || (first = listener.accept()); });
+        first->write("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n");
+        this->test.runUntil("answered", [&] { return answered == 1; });
+        // Longer than the connection is trusted, and shorter than the server keeps it.
+        const auto until = this->test.loop.timers().now() + std::chrono::milliseconds(700);
+        this->test.runUntil("waited", [&] { return this->test.loop.timers().now() >= until; });
+        fetch();
+        std::unique_ptr<RawSocket> second;
+        this->test.runUntil("connected anew", [&] { return second || (second = listener.accept()); });
+        second->write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        this->test.runUntil("answered again", [&] { return answered == 2; });
+    }
+
+    void connectionThatDoesNotComeIsGivenUp()
+    {
+        RawListener listener;
+        // Beyond its backlog a listener ignores connections, as a machine without power does.
+        std::vector<std::unique_ptr<HttpClient>> others;
+        std::optional<NetError> error;
+        for (int i = 0; i < 12 && !error; ++i) {
+            others.push_back(std::make_unique<HttpClient>(this->test.loop, Address { "127.0.0.1", listener.port }));
+            others.back()->setConnectTimeout(std::chrono::milliseconds(300));
+            others.back()->fetch({}, std::chrono::seconds(20), [&error](const auto& result) {
+                if (!result)
+                    error = result.error();
+            });
+        }
+        this->test.runUntil("given up", [&] { return error.has_value(); });
+        CPPUNIT_ASSERT(error == NetError::ConnectFailed);
+    }
+
+    void targetIsPassedOnAsItCame()
+    {
+        std::string target;
+        const std::uint16_t port = this->serve([&](const HttpRequest& request, const HttpResponder& responder) {
+            target = request.target;
+            responder.send({ 200, {}, {} });
+        });
+        HttpClient client(this->test.loop, { "127.0.0.1", port });
+        HttpRequest request;
+        request.target = "/a%2Fb/~x?z=1&y&z=%20";
+        bool isDone = false;
+        client.fetch(request, std::chrono::seconds(5), [&](const auto&) { isDone = true; });
+        this->test.runUntil("answered", [&] { return isDone; });
+        CPPUNIT_ASSERT_EQUAL(request.target, target);
+    }
+
     void malformedAndTooLargeAnswers()
     {
         const RawListener listener;
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -51,6 +51,7 @@
     Address server;
     tl::expected<Tcp::endpoint, NetError> endpoint;
     std::size_t maxConnections;
+    std::optional<std::chrono::milliseconds> connectTimeout;
     CallId lastId = 0;
     std::map<CallId, std::shared_ptr<Call>> calls;
     std::map<CallId, std::shared_ptr<Connection>> running;
@@ -115,6 +116,7 @@
         std::shared_ptr<Call> call;
         std::size_t written = 0;
         std::uint64_t useCount = 0;
+        Rattandeck::TimerId connectTimer;
         bool isReadPending = false;
         bool isHeadDelivered = false;
         /// The answer that is being read belongs to another call.
@@ -128,9 +130,18 @@
     void Connection::connect(std::shared_ptr<Call> first)
     {
         this->call = std::move(first);
+        if (this->client->connectTimeout) {
+            this->connectTimer
+                = this->loop.timers.subscribeAfter(*this->client->connectTimeout, [weak = this->weak_from_this()] {
+                      const auto self = weak.lock();
+                      if (self && !self->isClosed)
+                          self->fail(NetError::ConnectFailed);
+                  });
+        }
         auto onConnect = [self = this->shared_from_this()](const ErrorCode& error) {
             if (self->isClosed)
                 return;
+            self->loop.timers.cancel(self->connectTimer);
             if (error) {
                 self->fail(NetError::ConnectFailed);
                 return;
@@ -376,6 +387,7 @@
             return;
         const auto self = this->weak_from_this().lock();
         this->isClosed = true;
+        this->loop.timers.cancel(this->connectTimer);
         this->call = nullptr;
         ErrorCode ignored;
         this->socket.close(ignored);
@@ -505,6 +517,8 @@
 
 HttpClient::~HttpClient() { this->impl->shutdown(); }
 
+void HttpClient::setConnectTimeout(std::chrono::milliseconds timeout) { this->impl->connectTimeout = timeout; }
+
 HttpClient::CallId HttpClient::start(
     const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallbacks callbacks)
 {
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/directory.h"
 #include "platform/names.h"
+#include "Rattandeck/bulletins.h"
 #include "RattandeckApp/commandline.h"
 #include "RattandeckNet/peer.h"
 #include "relay.h"
@@ -36,6 +37,10 @@
 constexpr Milliseconds journalSearchInterval { 500 };
 /// After the store was away, instances may be missing from it for this long although they live.
 constexpr Milliseconds relistGrace { 2000 };
+/// Wait before other processes are asked for what the store should tell by itself.
+constexpr Milliseconds bulletinPatience { 250 };
+constexpr const char* configTopic = "config";
+constexpr std::string_view endpointTopicPrefix = "endpoint/";
 /// From the start of a planned stop until connections are no longer accepted: the balancer needs two misses.
 constexpr Milliseconds stopAcceptingAfter { 3500 };
 /// Kept at the end of a planned stop for the last bytes.
@@ -74,6 +79,8 @@
     void onEndpoints(const std::vector<Platform::StoredObject>& objects);
     void onEndpoint(const Platform::StoredObject& object, bool isRemoved);
     void removeEndpoint(const EndpointId& id);
+    void dropEndpoint(const EndpointId& id);
+    void onNews(const Bulletin& bulletin);
     void onStoreReachable(bool isReachable);
     void findJournals();
 
@@ -96,6 +103,9 @@
     HttpServer admin;
     std::unique_ptr<Platform::ObjectStore> store;
     std::set<NodeId> linkedJournals;
+    BulletinBoard board { this->loop.timers(), { bulletinPatience },
+        [this](const NodeId& node, const Message& message) { return this->network.send(node, message); },
+        [this](const Bulletin& bulletin) { this->onNews(bulletin); } };
     bool hasEndpoints = false;
     bool isStoreReachable = false;
     std::optional<TimePoint> storeRegainedAt;
@@ -140,17 +150,19 @@
         logEvent("journal link up", hello.node.value);
         if (hello.role == Role::Journal)
             this->linkedJournals.insert(hello.node);
+        this->board.onLinkUp(hello.node);
     };
     handlers.onDown = [this](const NodeId& node) {
         logEvent("journal link down", node.value);
         this->linkedJournals.erase(node);
+        this->board.onLinkDown(node);
         this->journals.onLinkDown(node);
     };
     handlers.onMessage = [this](const NodeId& from, const Message& message) {
         if (const auto* set = std::get_if<JournalSet>(&message))
             this->onJournalSet(*set);
-        else
-            this->journals.onMessage(from, message);
+        this->journals.onMessage(from, message);
+        this->board.onMessage(from, message);
     };
     return handlers;
 }
@@ -273,6 +285,7 @@
 {
     if (object.name != Platform::Names::configName)
         return;
+    this->board.post({ configTopic, object.revision, false, object.spec.dump() });
     auto config = Platform::readConfig(object.spec);
     if (!config) {
         logError("configuration", "revision " + std::to_string(object.revision) + ": bad " + config.error().field);
@@ -288,6 +301,8 @@
             { "revision", std::int64_t(object.revision) } });
 }
 
+static std::string endpointTopic(const EndpointId& id) { return std::string(endpointTopicPrefix) + id.value; }
+
 void Daemon::onEndpoints(const std::vector<Platform::StoredObject>& objects)
 {
     std::set<EndpointId> listed;
@@ -309,6 +324,7 @@
         this->removeEndpoint(id);
         return;
     }
+    this->board.post({ endpointTopic(id), object.revision, false, object.spec.dump() });
     const auto instance = Platform::readEndpoint(object);
     if (!instance) {
         logEvent("endpoint unreadable", object.name + ": bad " + instance.error().field);
@@ -334,16 +350,47 @@
     const bool mayBeBack = this->storeRegainedAt && now - *this->storeRegainedAt < relistGrace && !known->isDraining;
     logFields("endpoint gone", { { "endpoint", id.value }, { "may_be_back", std::int64_t(mayBeBack) } });
     if (!mayBeBack) {
-        this->relay.gateway().endpoints().remove(id);
+        this->dropEndpoint(id);
         return;
     }
     this->missing.insert(id);
     this->loop.timers().subscribeAt(*this->storeRegainedAt + relistGrace, [this, id] {
         if (this->missing.erase(id) > 0)
-            this->relay.gateway().endpoints().remove(id);
+            this->dropEndpoint(id);
     });
 }
 
+void Daemon::dropEndpoint(const EndpointId& id)
+{
+    this->board.postRemoval(endpointTopic(id));
+    this->relay.gateway().endpoints().remove(id);
+}
+
+/// What other gateways have learned from the store while it turned this one away.
+void Daemon::onNews(const Bulletin& bulletin)
+{
+    logFields("news",
+        { { "topic", bulletin.topic }, { "version", std::int64_t(bulletin.version) },
+            { "removed", std::int64_t(bulletin.isRemoved) } });
+    Platform::StoredObject object;
+    object.revision = bulletin.version;
+    object.spec = nlohmann::json::parse(bulletin.text, nullptr, false);
+    if (bulletin.topic == configTopic) {
+        object.name = Platform::Names::configName;
+        this->onConfig(object);
+        return;
+    }
+    if (!bulletin.topic.starts_with(endpointTopicPrefix))
+        return;
+    object.name = bulletin.topic.substr(endpointTopicPrefix.size());
+    if (bulletin.isRemoved) {
+        this->relay.gateway().endpoints().remove(EndpointId(object.name));
+        return;
+    }
+    this->onEndpoint(object, false);
+    this->hasEndpoints = true;
+}
+
 void Daemon::onStoreReachable(bool isReachable)
 {
     logEvent("platform store", isReachable ? "reachable" : "lost");
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -11,6 +11,8 @@
 
 /// The core ends a sending by its own deadline; this is for a timer that got lost.
 constexpr Milliseconds clientTimeoutSlack { 1000 };
+/// An instance that does not accept a connection by then is taken for dead, and the call goes elsewhere.
+constexpr Milliseconds connectTimeout { 250 };
 
 Relay::Relay(EventLoop& loop, Metrics& metrics, JournalClient& journals, const FailureDomain& domain,
     const GatewayLimits& limits)
@@ -93,6 +95,7 @@
     if (!client.http) {
         const Address server = parseAddress(address).value_or(Address {});
         client.http = std::make_unique<HttpClient>(this->loop, server, maxConnections);
+        client.http->setConnectTimeout(connectTimeout);
     }
     return client;
 }
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -4,6 +4,7 @@
 #include "notes.h"
 #include "platform/directory.h"
 #include "platform/names.h"
+#include "Rattandeck/bulletins.h"
 #include "Rattandeck/journalcopier.h"
 #include "Rattandeck/journalmembership.h"
 #include "Rattandeck/journalstate.h"
@@ -124,6 +125,8 @@
     Milliseconds longestRetention { 0 };
     PeerNetwork network;
     std::set<NodeId> linked;
+    BulletinBoard board { this->loop.timers(), {},
+        [this](const NodeId& node, const Message& message) { return this->network.send(node, message); }, {} };
     std::unique_ptr<Platform::ObjectStore> store;
     std::optional<Platform::StoredObject> storedSet;
     std::unique_ptr<JournalMembership> membership;
@@ -294,6 +297,7 @@
 {
     this->linked.insert(hello.node);
     logEvent("link up", hello.node.value);
+    this->board.onLinkUp(hello.node);
     if (this->membership->set().epoch.value > 0)
         this->network.send(hello.node, this->membership->set());
     if (hello.role == Role::Journal)
@@ -304,6 +308,7 @@
 {
     this->linked.erase(node);
     logEvent("link down", node.value);
+    this->board.onLinkDown(node);
     this->membership->onLinkDown(node);
     this->copier.onLinkDown(node);
 }
@@ -328,6 +333,8 @@
         this->onTurnsRequest(from, *turnsRequest);
     else if (const auto* turns = std::get_if<TurnsPage>(&message))
         this->onTurnsPage(from, *turns);
+    else
+        this->board.onMessage(from, message);
 }
 
 // Records ------------------------------------------------------------------------------------------------------------
