Hold requests that crash their instances, at every gateway and across restarts

Cause: a request that crashes whatever runs it was sent again as often as it came. Change: CrashWatch: a lost answer whose instance turns out to be dead, restarted or gone within 5 s is a crash; three of them hold the request (503, not run) for ten minutes. Reports go to the journals, which keep them on disk and tell all gateways. An answered request is innocent. Ruled out: counting lost answers alone (answer_lost would hold honest requests).

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Rattandeck/crashwatch.h"
 #include "Rattandeck/endpoints.h"
 #include "Rattandeck/journalclient.h"
 #include "Rattandeck/routing.h"
@@ -75,6 +76,8 @@
     Complete,
     /// No byte of the call was sent.
     NotSent,
+    /// As `NotSent`, since no connection to the instance came.
+    Unreachable,
     /// The answer is missing or incomplete; the call may have run.
     Broken,
 };
@@ -91,6 +94,8 @@
     TimedOut,
     /// The call was sent and its answer was lost.
     AnswerLost,
+    /// The same request has crashed several instances.
+    Held,
 };
 
 /// An answer of our own.
@@ -155,6 +160,9 @@
     virtual void breakOff(CallId call) = 0;
     virtual void refuse(CallId call, const CallRefusal& refusal) = 0;
 
+    /// To be told to the journals, which keep it and tell the other gateways.
+    virtual void reportCrashes(const std::vector<CrashReport>& reports) = 0;
+
     virtual void logSend(const SendDecision& decision) = 0;
     virtual void logEnd(const CallEnd& end) = 0;
 };
@@ -221,7 +229,12 @@
     std::optional<std::uint64_t> configVersion() const;
     /// Limits of the configuration in force.
     CallerLimits callerLimits() const;
-    EndpointTable& endpoints();
+    const EndpointTable& endpoints() const;
+    /// Adds or changes an instance.
+    void onInstance(const EndpointInstance& instance);
+    void onInstanceGone(const EndpointId& id);
+    /// Told by a journal.
+    void onCrashReports(const CrashReports& crashes);
 
     void onCall(CallId id, GatewayCall call);
     /// The caller went away. Ignored for calls that have ended.
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -98,6 +98,24 @@
     bool operator==(const TurnFetched&) const = default;
 };
 
+/// Tells requests with the same content from others.
+using Fingerprint = Strong<struct FingerprintTag, std::string>;
+
+/// An instance crashed on a request.
+struct CrashReport {
+    Fingerprint request;
+    /// Names the crash: the instance and its run.
+    std::string crash;
+    Milliseconds retention { 0 };
+    bool operator==(const CrashReport&) const = default;
+};
+
+/// Gateway to journals, which keep reports and pass them to all gateways.
+struct CrashReports {
+    std::vector<CrashReport> reports;
+    bool operator==(const CrashReports&) const = default;
+};
+
 /// A journal of the set that keeps records.
 struct JournalMember {
     NodeId node;
@@ -133,6 +151,8 @@
     std::vector<SettleClaim> claims;
     /// Turns by name; whoever lacks one asks for it.
     std::vector<TurnId> turns;
+    /// All of them, with the last page.
+    std::vector<CrashReport> crashes;
     bool operator==(const CopyPage&) const = default;
 };
 
--- a/src/include/Rattandeck/journalstate.h
+++ b/src/include/Rattandeck/journalstate.h
@@ -34,7 +34,11 @@
     /// Adds a turn and renews the chain that it continues. Returns whether the turn was not known before.
     bool apply(const RetainedTurn& turn, TimePoint now);
 
+    /// Adds a crash. Returns whether it was not known before.
+    bool apply(const CrashReport& report, TimePoint now);
+
     std::vector<TokenClaim> claims(const BudgetId& budget) const;
+    std::vector<CrashReport> crashes() const;
     /// The prompt that the chain through `turn` makes; nothing when the turn itself is not known.
     std::optional<ChainTranscript> transcript(const TurnId& turn) const;
 
--- /dev/null
+++ b/src/librattandeck/crashwatch.cpp
@@ -0,0 +1,88 @@
+#include "Rattandeck/crashwatch.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace Rattandeck {
+
+namespace {
+
+    struct Suspect {
+        Fingerprint request;
+        EndpointId instance;
+        std::int64_t startedAt = 0;
+        TimePoint lostAt;
+    };
+
+    struct Known {
+        std::set<std::string> crashes;
+        TimePoint until;
+    };
+
+}
+
+struct CrashWatch::Impl {
+    CrashWatchLimits limits;
+    std::deque<Suspect> suspects;
+    std::map<Fingerprint, Known> known;
+};
+
+CrashWatch::CrashWatch(CrashWatchLimits limits)
+    : impl(std::make_unique<Impl>())
+{
+    this->impl->limits = limits;
+}
+
+CrashWatch::~CrashWatch() = default;
+
+void CrashWatch::onLost(
+    const Fingerprint& request, const EndpointId& instance, std::int64_t startedAt, TimePoint now)
+{
+    auto& suspects = this->impl->suspects;
+    while (!suspects.empty()
+        && (suspects.size() >= this->impl->limits.maxSuspects
+            || now - suspects.front().lostAt > this->impl->limits.evidenceWindow))
+        suspects.pop_front();
+    suspects.push_back({ request, instance, startedAt, now });
+}
+
+std::vector<CrashReport> CrashWatch::onDead(const EndpointId& instance, TimePoint now)
+{
+    std::vector<CrashReport> reports;
+    for (const Suspect& suspect : this->impl->suspects) {
+        if (suspect.instance != instance || now - suspect.lostAt > this->impl->limits.evidenceWindow)
+            continue;
+        const std::string crash = instance.value + "/" + std::to_string(suspect.startedAt);
+        reports.push_back({ suspect.request, crash, this->impl->limits.memory });
+    }
+    std::erase_if(this->impl->suspects, [&instance](const Suspect& suspect) { return suspect.instance == instance; });
+    for (const CrashReport& report : reports)
+        this->onReport(report, now);
+    return reports;
+}
+
+void CrashWatch::onAnswered(const Fingerprint& request)
+{
+    this->impl->known.erase(request);
+    std::erase_if(this->impl->suspects, [&request](const Suspect& suspect) { return suspect.request == request; });
+}
+
+void CrashWatch::onReport(const CrashReport& report, TimePoint now)
+{
+    std::erase_if(this->impl->known, [now](const auto& entry) { return entry.second.until <= now; });
+    Known& known = this->impl->known[report.request];
+    known.crashes.insert(report.crash);
+    known.until = now + this->impl->limits.memory;
+}
+
+bool CrashWatch::isHeld(const Fingerprint& request, TimePoint now) const
+{
+    const auto found = this->impl->known.find(request);
+    return found != this->impl->known.end() && found->second.until > now
+        && found->second.crashes.size() >= this->impl->limits.crashLimit;
+}
+
+bool CrashWatch::isEmpty() const { return this->impl->known.empty() && this->impl->suspects.empty(); }
+
+}
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -1,5 +1,7 @@
 #include "gatewayimpl.h"
 
+#include <xxhash.h>
+
 namespace Rattandeck {
 
 std::string_view describe(RejectionReason reason)
@@ -23,6 +25,8 @@
         return "timed out";
     case RejectionReason::AnswerLost:
         return "answer lost";
+    case RejectionReason::Held:
+        return "held: it crashed several instances";
     }
     return "unknown";
 }
@@ -57,7 +61,27 @@
     return this->impl->table ? this->impl->table->config().limits : CallerLimits {};
 }
 
-EndpointTable& Gateway::endpoints() { return this->impl->endpoints; }
+const EndpointTable& Gateway::endpoints() const { return this->impl->endpoints; }
+
+void Gateway::onInstance(const EndpointInstance& instance)
+{
+    const EndpointInstance* known = this->impl->endpoints.find(instance.id);
+    if (known && known->startedAt != instance.startedAt)
+        this->impl->onDead(instance.id);
+    this->impl->endpoints.put(instance);
+}
+
+void Gateway::onInstanceGone(const EndpointId& id)
+{
+    this->impl->onDead(id);
+    this->impl->endpoints.remove(id);
+}
+
+void Gateway::onCrashReports(const CrashReports& crashes)
+{
+    for (const CrashReport& report : crashes.reports)
+        this->impl->crashes.onReport(report, this->impl->timers.now());
+}
 
 std::size_t Gateway::open() const { return this->impl->calls.size(); }
 
@@ -76,6 +100,8 @@
         return self.refuseUnrouted(id, call, RejectionReason::NoRoute);
     if (self.calls.size() >= self.limits.maxCalls)
         return self.refuseUnrouted(id, call, RejectionReason::Overloaded);
+    if (!self.crashes.isEmpty() && self.crashes.isHeld(fingerprintOf(call), self.timers.now()))
+        return self.refuseUnrouted(id, call, RejectionReason::Held);
 
     auto state = std::make_unique<GatewayCallState>();
     state->id = id;
@@ -108,6 +134,21 @@
     this->impl->finish(*call, "left", "caller left");
 }
 
+void Gateway::Impl::onDead(const EndpointId& id)
+{
+    const auto reports = this->crashes.onDead(id, this->timers.now());
+    if (!reports.empty())
+        this->io.reportCrashes(reports);
+}
+
+Fingerprint fingerprintOf(const GatewayCall& call)
+{
+    XXH128_hash_t hash {};
+    for (const std::string* part : { &call.host, &call.path, &call.body })
+        hash = XXH3_128bits_withSeed(part->data(), part->size(), hash.low64);
+    return Fingerprint(std::to_string(hash.high64) + "." + std::to_string(hash.low64));
+}
+
 // Preparation --------------------------------------------------------------------------------------------------------
 
 GatewayCallState* Gateway::Impl::find(CallId id)
@@ -217,7 +258,7 @@
 void Gateway::Impl::refuseUnrouted(CallId id, const GatewayCall& call, RejectionReason reason)
 {
     ++this->counts.refused;
-    const bool mayComeBack = reason != RejectionReason::NoRoute;
+    const bool mayComeBack = reason != RejectionReason::NoRoute && reason != RejectionReason::Held;
     this->io.refuse(id, { reason, false, mayComeBack ? this->limits.retryAfter : Milliseconds(0) });
     CallEnd end;
     end.request = call.request;
--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -22,6 +22,8 @@
     CPPUNIT_TEST(callWaitsForRoom);
     CPPUNIT_TEST(longWaitIsRefused);
     CPPUNIT_TEST(urgentCallsGoFirst);
+    CPPUNIT_TEST(requestThatCrashesInstancesIsHeld);
+    CPPUNIT_TEST(lostAnswersHoldNothing);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<GatewayFixture> f;
@@ -230,6 +232,42 @@
         this->f->pass(Milliseconds(20));
         CPPUNIT_ASSERT(this->lastSend().call == first);
     }
+
+    void requestThatCrashesInstancesIsHeld()
+    {
+        this->f->addInstance("e3");
+        for (int i = 0; i < 3; ++i) {
+            this->callOn("unsafe");
+            const EndpointId crashed = this->lastSend().what.endpoint;
+            this->f->end(this->lastSend(), SendOutcome::Broken);
+            this->f->pass(Milliseconds(3600));
+            this->f->gateway.onInstanceGone(crashed);
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->f->reports.size());
+        this->f->addInstance("e4");
+        const std::size_t before = this->f->sends.size();
+        const CallId id = this->callOn("unsafe");
+        CPPUNIT_ASSERT(this->caller(id).refusal->reason == RejectionReason::Held);
+        CPPUNIT_ASSERT_EQUAL(before, this->f->sends.size());
+        // Another gateway, or this one after a restart, is told.
+        GatewayFixture other;
+        other.configure({ GatewayFixture::route("unsafe", CallSafety::Unsafe) });
+        other.addInstance("e4");
+        other.gateway.onCrashReports({ this->f->reports });
+        CPPUNIT_ASSERT(other.callers.at(other.call(GatewayFixture::callOn("unsafe"))).refusal.has_value());
+    }
+
+    void lostAnswersHoldNothing()
+    {
+        for (int i = 0; i < 4; ++i) {
+            this->callOn("unsafe");
+            this->f->end(this->lastSend(), SendOutcome::Broken);
+        }
+        this->f->pass(Milliseconds(10000));
+        const std::size_t before = this->f->sends.size();
+        this->callOn("unsafe");
+        CPPUNIT_ASSERT_EQUAL(before + 1, this->f->sends.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -52,7 +52,9 @@
     Impl::Call* call = self.findBySend(id);
     if (!call)
         return;
-    if (outcome == SendOutcome::NotSent) {
+    if (outcome == SendOutcome::Unreachable)
+        self.onDead(call->endpoint);
+    if (outcome == SendOutcome::NotSent || outcome == SendOutcome::Unreachable) {
         self.endpoints.onFailure(call->endpoint, self.timers.now());
         self.onSendRefused(*call);
         return;
@@ -61,6 +63,8 @@
         self.onSendBroken(*call);
         return;
     }
+    if (!self.crashes.isEmpty())
+        self.crashes.onAnswered(fingerprintOf(call->call));
     if (call->head->isEventStream && isSuccess(*call->head))
         self.onStreamEnd(*call);
     else
--- a/src/librattandeck/gatewayfixture_test.h
+++ b/src/librattandeck/gatewayfixture_test.h
@@ -29,6 +29,7 @@
     std::vector<Sent> sends;
     std::map<Rattandeck::CallId, Caller> callers;
     std::vector<Rattandeck::CallEnd> ends;
+    std::vector<Rattandeck::CrashReport> reports;
     std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> toJournals;
     std::map<Rattandeck::NodeId, Rattandeck::JournalState> states;
     Rattandeck::JournalClient journals;
@@ -88,7 +89,7 @@
         instance.domain = Rattandeck::FailureDomain("here");
         instance.slots = slots;
         instance.isDraining = isDraining;
-        this->gateway.endpoints().put(instance);
+        this->gateway.onInstance(instance);
     }
 
     // Callers --------------------------------------------------------------------------------------------------------
@@ -186,6 +187,10 @@
     {
         this->callers[call].refusal = refusal;
     }
+    void reportCrashes(const std::vector<Rattandeck::CrashReport>& reports) override
+    {
+        this->reports.insert(this->reports.end(), reports.begin(), reports.end());
+    }
     void logSend(const Rattandeck::SendDecision&) override { }
     void logEnd(const Rattandeck::CallEnd& end) override { this->ends.push_back(end); }
 
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -9,6 +9,9 @@
 /// State of a gateway, for its sources only.
 namespace Rattandeck {
 
+/// Requests with the same host, path and body have the same one.
+Fingerprint fingerprintOf(const GatewayCall& call);
+
 struct GatewayCallState {
     CallId id;
     GatewayCall call;
@@ -38,6 +41,8 @@
     /// Sendings that may have run.
     std::uint32_t runs = 0;
     TimerId stallTimer;
+    /// Empty until it is needed.
+    Fingerprint fingerprint;
 
     // Answer
     std::optional<EndpointAnswer> head;
@@ -72,6 +77,7 @@
     GatewayLimits limits;
     std::shared_ptr<const RouteTable> table;
     EndpointTable endpoints;
+    CrashWatch crashes;
     GatewayCounts counts;
     double repeatsSaved;
 
@@ -93,6 +99,7 @@
     void onFetched(CallId id, tl::expected<std::string, JournalError> outcome);
     void onPrepared(Call& call);
     void onDeadline(CallId id);
+    void onDead(const EndpointId& id);
     void refuse(Call& call, RejectionReason reason);
     void settle(Call& call);
     void finish(Call& call, std::string_view outcome, std::string_view reason);
@@ -110,6 +117,7 @@
     void dropSend(Call& call, bool cancel);
     void onSendRefused(Call& call);
     void onSendBroken(Call& call);
+    void suspectCrash(Call& call);
     bool takeRepeat();
     bool mayRunAgain(const Call& call) const;
     void watchStall(Call& call);
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -191,10 +191,20 @@
     return isRepeatable && call.runs<call.route->maxRuns&& this->timeLeft(call)> Milliseconds(0);
 }
 
+void Gateway::Impl::suspectCrash(Call& call)
+{
+    if (call.fingerprint.value.empty())
+        call.fingerprint = fingerprintOf(call.call);
+    const EndpointInstance* instance = this->endpoints.find(call.endpoint);
+    this->crashes.onLost(call.fingerprint, call.endpoint, instance ? instance->startedAt : 0, this->timers.now());
+}
+
 /// The call may have run, and its answer is missing or incomplete.
 void Gateway::Impl::onSendBroken(Call& call)
 {
     this->endpoints.onFailure(call.endpoint, this->timers.now());
+    if (call.events == 0)
+        this->suspectCrash(call);
     call.query.excluded.insert(call.endpoint);
     this->dropSend(call, true);
     if (this->mayRunAgain(call) && this->takeRepeat()) {
--- a/src/librattandeck/journalstate.cpp
+++ b/src/librattandeck/journalstate.cpp
@@ -36,6 +36,7 @@
     /// Every record has a number, in the order in which it was first seen.
     std::map<std::uint64_t, const KnownTurn*> turnsByNumber;
     std::map<std::uint64_t, const std::pair<const BudgetId, KnownBudget>*> budgetsByNumber;
+    std::map<std::pair<Fingerprint, std::string>, std::pair<CrashReport, TimePoint>> crashes;
     std::uint64_t lastNumber = 0;
     std::size_t bytes = 0;
 
@@ -84,6 +85,12 @@
     return isNew;
 }
 
+bool JournalState::apply(const CrashReport& report, TimePoint now)
+{
+    const std::pair entry { report, now + report.retention };
+    return this->impl->crashes.insert_or_assign(std::pair(report.request, report.crash), entry).second;
+}
+
 void JournalState::Impl::renewChain(const TurnId& first, TimePoint expires)
 {
     TurnId id = first;
@@ -135,6 +142,14 @@
     return transcript;
 }
 
+std::vector<CrashReport> JournalState::crashes() const
+{
+    std::vector<CrashReport> reports;
+    for (const auto& [name, entry] : this->impl->crashes)
+        reports.push_back(entry.first);
+    return reports;
+}
+
 std::size_t JournalState::bytes() const { return this->impl->bytes; }
 
 std::uint64_t JournalState::lastNumber() const { return this->impl->lastNumber; }
@@ -147,6 +162,7 @@
 
 void JournalState::expire(TimePoint now)
 {
+    std::erase_if(this->impl->crashes, [now](const auto& entry) { return entry.second.second <= now; });
     for (auto each = this->impl->turns.begin(); each != this->impl->turns.end();) {
         if (each->second.expires > now) {
             ++each;
@@ -189,6 +205,7 @@
         const bool hasBudget = budget != this->impl->budgetsByNumber.end();
         if (!hasTurn && !hasBudget) {
             page.isLast = true;
+            page.crashes = this->crashes();
             break;
         }
         if (hasTurn && (!hasBudget || turn->first < budget->first)) {
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -390,6 +390,7 @@
     visit("isLast", m.isLast);
     visit("claims", m.claims);
     visit("turns", m.turns);
+    visit("crashes", m.crashes);
 }
 
 template <typename Visitor> void visitFields(Visitor& visit, TurnsRequest& m) { visit("turns", m.turns); }
@@ -416,6 +417,15 @@
 
 template <typename Visitor> void visitFields(Visitor& visit, Bulletins& m) { visit("bulletins", m.bulletins); }
 
+template <typename Visitor> void visitFields(Visitor& visit, CrashReport& m)
+{
+    visit("request", m.request);
+    visit("crash", m.crash);
+    visit("retention", m.retention);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, CrashReports& m) { visit("reports", m.reports); }
+
 // Tags ---------------------------------------------------------------------------------------------------------
 
 template <typename Alternative> inline constexpr const char* tag = nullptr;
@@ -455,6 +465,7 @@
 template <> inline constexpr const char* tag<BulletinOffers> = "offers";
 template <> inline constexpr const char* tag<BulletinsWanted> = "wanted";
 template <> inline constexpr const char* tag<Bulletins> = "bulletins";
+template <> inline constexpr const char* tag<CrashReports> = "crashes";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
 template <> inline constexpr const char* tag<Problem> = "problem";
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -161,6 +161,8 @@
     handlers.onMessage = [this](const NodeId& from, const Message& message) {
         if (const auto* set = std::get_if<JournalSet>(&message))
             this->onJournalSet(*set);
+        if (const auto* crashes = std::get_if<CrashReports>(&message))
+            this->relay.gateway().onCrashReports(*crashes);
         this->journals.onMessage(from, message);
         this->board.onMessage(from, message);
     };
@@ -192,6 +194,10 @@
     if (!isListening)
         return ExitUnavailable;
     this->provideMetrics();
+    this->relay.onCrashReports([this](const CrashReports& crashes) {
+        for (const NodeId& node : this->linkedJournals)
+            this->network.send(node, crashes);
+    });
     this->linkToJournals();
     this->followStore(*storeAddress);
     this->findJournals();
@@ -328,14 +334,14 @@
     const auto instance = Platform::readEndpoint(object);
     if (!instance) {
         logEvent("endpoint unreadable", object.name + ": bad " + instance.error().field);
-        this->relay.gateway().endpoints().remove(id);
+        this->relay.gateway().onInstanceGone(id);
         return;
     }
     this->missing.erase(id);
     const EndpointInstance* known = this->relay.gateway().endpoints().find(id);
     if (known && *known == *instance)
         return;
-    this->relay.gateway().endpoints().put(*instance);
+    this->relay.gateway().onInstance(*instance);
     logFields("endpoint",
         { { "endpoint", id.value }, { "service", instance->service.value }, { "address", instance->address },
             { "draining", std::int64_t(instance->isDraining) }, { "revision", std::int64_t(object.revision) } });
@@ -363,7 +369,7 @@
 void Daemon::dropEndpoint(const EndpointId& id)
 {
     this->board.postRemoval(endpointTopic(id));
-    this->relay.gateway().endpoints().remove(id);
+    this->relay.gateway().onInstanceGone(id);
 }
 
 /// What other gateways have learned from the store while it turned this one away.
@@ -384,7 +390,7 @@
         return;
     object.name = bulletin.topic.substr(endpointTopicPrefix.size());
     if (bulletin.isRemoved) {
-        this->relay.gateway().endpoints().remove(EndpointId(object.name));
+        this->relay.gateway().onInstanceGone(EndpointId(object.name));
         return;
     }
     this->onEndpoint(object, false);
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -100,6 +100,19 @@
     return client;
 }
 
+static SendOutcome outcomeFor(NetError error)
+{
+    switch (error) {
+    case NetError::ConnectFailed:
+    case NetError::BadAddress:
+        return SendOutcome::Unreachable;
+    case NetError::NotSent:
+        return SendOutcome::NotSent;
+    default:
+        return SendOutcome::Broken;
+    }
+}
+
 HttpCallbacks Relay::callbacks(SendId send, const TurnId& name)
 {
     HttpCallbacks callbacks;
@@ -114,11 +127,7 @@
     };
     callbacks.onData = [this, send](std::string_view bytes) { this->core.onAnswerData(send, bytes); };
     callbacks.onEnd = [this, send](tl::expected<void, NetError> outcome) {
-        const bool isNotSent = !outcome
-            && (outcome.error() == NetError::NotSent || outcome.error() == NetError::ConnectFailed
-                || outcome.error() == NetError::BadAddress);
-        const SendOutcome lost = isNotSent ? SendOutcome::NotSent : SendOutcome::Broken;
-        this->core.onAnswerEnd(send, outcome ? SendOutcome::Complete : lost);
+        this->core.onAnswerEnd(send, outcome ? SendOutcome::Complete : outcomeFor(outcome.error()));
         this->forgetSend(send);
     };
     return callbacks;
@@ -164,6 +173,19 @@
         this->clients, [&used](const auto& entry) { return entry.second.sends == 0 && !used.contains(entry.first); });
 }
 
+void Relay::onCrashReports(std::function<void(const CrashReports&)> handler)
+{
+    this->crashHandler = std::move(handler);
+}
+
+void Relay::reportCrashes(const std::vector<CrashReport>& reports)
+{
+    for (const CrashReport& report : reports)
+        logFields("instance crashed", { { "fingerprint", report.request.value }, { "crash", report.crash } });
+    if (this->crashHandler)
+        this->crashHandler({ reports });
+}
+
 // Log ----------------------------------------------------------------------------------------------------------------
 
 void Relay::logSend(const SendDecision& decision)
--- a/src/rattandeck-gateway/relay.h
+++ b/src/rattandeck-gateway/relay.h
@@ -18,6 +18,8 @@
     Rattandeck::Gateway& gateway() { return this->core; }
     const Rattandeck::Gateway& gateway() const { return this->core; }
     void onRequest(RattandeckNet::HttpRequest request, const RattandeckNet::HttpResponder& responder);
+    /// Called with what the journals are to be told.
+    void onCrashReports(std::function<void(const Rattandeck::CrashReports&)> handler);
     /// Closes connections to addresses at which no instance is known any more.
     void closeUnusedClients();
 
@@ -47,6 +49,7 @@
     void end(Rattandeck::CallId call) override;
     void breakOff(Rattandeck::CallId call) override;
     void refuse(Rattandeck::CallId call, const Rattandeck::CallRefusal& refusal) override;
+    void reportCrashes(const std::vector<Rattandeck::CrashReport>& reports) override;
     void logSend(const Rattandeck::SendDecision& decision) override;
     void logEnd(const Rattandeck::CallEnd& end) override;
 
@@ -62,4 +65,5 @@
     std::unordered_map<Rattandeck::CallId, OpenCall> calls;
     std::unordered_map<Rattandeck::SendId, OpenSend> sends;
     std::map<std::string, Client> clients;
+    std::function<void(const Rattandeck::CrashReports&)> crashHandler;
 };
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -90,6 +90,7 @@
     void onStore(const NodeId& from, const StoreTurn& store);
     void onFetch(const NodeId& from, const FetchTurn& fetch);
     void onSettle(const SettleClaim& claim);
+    void onCrashes(const NodeId& from, const CrashReports& crashes);
     void onCopyRequest(const NodeId& from, const CopyRequest& request);
     void onCopyPage(const NodeId& from, const CopyPage& page);
     void onTurnsRequest(const NodeId& from, const TurnsRequest& request);
@@ -166,6 +167,12 @@
         this->longestRetention = std::max(this->longestRetention, claim->retention);
         return this->state.apply(*claim, now);
     }
+    if (const auto* crashes = std::get_if<CrashReports>(&record)) {
+        bool isNew = false;
+        for (const CrashReport& report : crashes->reports)
+            isNew = this->state.apply(report, now) || isNew;
+        return isNew;
+    }
     const auto* stored = std::get_if<StoreTurn>(&record);
     if (!stored)
         return false;
@@ -302,6 +309,8 @@
         this->network.send(hello.node, this->membership->set());
     if (hello.role == Role::Journal)
         this->membership->onLinkUp(hello.node);
+    else if (auto crashes = this->state.crashes(); !crashes.empty())
+        this->network.send(hello.node, CrashReports { std::move(crashes) });
 }
 
 void Daemon::onDown(const NodeId& node)
@@ -333,6 +342,8 @@
         this->onTurnsRequest(from, *turnsRequest);
     else if (const auto* turns = std::get_if<TurnsPage>(&message))
         this->onTurnsPage(from, *turns);
+    else if (const auto* crashes = std::get_if<CrashReports>(&message))
+        this->onCrashes(from, *crashes);
     else
         this->board.onMessage(from, message);
 }
@@ -357,6 +368,17 @@
         this->disk->append(claim, {});
 }
 
+void Daemon::onCrashes(const NodeId& from, const CrashReports& crashes)
+{
+    if (!this->applyRecord(crashes))
+        return;
+    this->disk->append(crashes, {});
+    for (const NodeId& node : this->linked) {
+        if (node != from)
+            this->network.send(node, crashes);
+    }
+}
+
 void Daemon::onStore(const NodeId& from, const StoreTurn& store)
 {
     this->applyRecord(store);
@@ -397,6 +419,8 @@
 {
     for (const SettleClaim& claim : page.claims)
         this->onSettle(claim);
+    if (!page.crashes.empty())
+        this->onCrashes(from, { page.crashes });
     this->copier.onPage(from, page);
 }
 
@@ -462,6 +486,8 @@
 /// Appends the records up to this number that are still wanted, since their segment is about to go.
 void Daemon::rewriteThrough(std::uint64_t number)
 {
+    if (auto crashes = this->state.crashes(); !crashes.empty())
+        this->disk->append(CrashReports { std::move(crashes) }, {});
     std::uint64_t cursor = 0;
     while (cursor < number) {
         const CopyPage page = this->state.page(cursor, pageRecords);
