--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -51,8 +51,8 @@
     EndpointId endpoint;
     std::string address;
     Milliseconds timeLeft { 0 };
-    /// 0 is the most urgent.
-    std::uint32_t priority = 0;
+    /// 0 is the most urgent; nothing leaves it to the engine.
+    std::optional<std::uint32_t> priority;
     /// Replaces the caller's body when the turn continues a chain.
     std::optional<std::string> body;
     /// Replaces the caller's last event when a stream goes on at another instance.
@@ -176,6 +176,10 @@
     double queuePart = 0.25;
     /// Load of an instance, in multiples of its slots, beyond which calls wait here.
     double maxLoad = 1.5;
+    /// As `maxLoad`, for the first turn of a program: what was let in is carried through first.
+    double openingLoad = 0.85;
+    /// Tells engines the rank of a call's route, by which they admit first and preempt.
+    bool tellsPriorities = true;
     /// Interval at which waiting calls are tried again.
     Milliseconds queueInterval { 10 };
     /// Sendings that did not run, beyond those that may have.
@@ -190,6 +194,8 @@
     double repeatBurst = 20;
     /// When a refused caller is told to come back.
     Milliseconds retryAfter { 250 };
+    /// As `retryAfter`, for the first turn of a program.
+    Milliseconds openingRetryAfter { 500 };
     /// Gateways that share the connections of an instance.
     std::uint32_t gateways = 5;
     /// Largest answer that is collected before it is passed on.
--- a/src/include/Rattandeck/journalclient.h
+++ b/src/include/Rattandeck/journalclient.h
@@ -21,6 +21,11 @@
     BudgetSpent,
 };
 
+struct ClaimOutcome {
+    /// Other turns of the program have used tokens, or may be using them.
+    bool hasOtherTurns = false;
+};
+
 struct JournalClientLimits {
     /// Longest wait for enough answers.
     Milliseconds answerTimeout { 1500 };
@@ -60,7 +65,7 @@
 
     /// Claims `most` tokens for a turn. Errors: `BudgetSpent`, `Unavailable`.
     void claim(const BudgetId& budget, const TurnId& turn, TokenCount most, TokenCount limit, Milliseconds retention,
-        std::function<void(tl::expected<void, JournalError>)> done);
+        std::function<void(tl::expected<ClaimOutcome, JournalError>)> done);
     /// Says what a claimed turn has used. Best effort: a claim that stays unsettled counts in full.
     void settle(const BudgetId& budget, const TurnId& turn, TokenCount used, Milliseconds retention);
 
--- a/src/librattandeck/crashwatch.cpp
+++ b/src/librattandeck/crashwatch.cpp
@@ -36,8 +36,7 @@
 
 CrashWatch::~CrashWatch() = default;
 
-void CrashWatch::onLost(
-    const Fingerprint& request, const EndpointId& instance, std::int64_t startedAt, TimePoint now)
+void CrashWatch::onLost(const Fingerprint& request, const EndpointId& instance, std::int64_t startedAt, TimePoint now)
 {
     auto& suspects = this->impl->suspects;
     while (!suspects.empty()
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -183,8 +183,9 @@
 void Gateway::Impl::claim(Call& call)
 {
     this->journals.claim(call.call.program, call.call.request, call.call.maxOutputTokens, *call.call.tokenLimit,
-        this->retention(call),
-        [this, id = call.id](tl::expected<void, JournalError> outcome) { this->onClaimed(id, outcome); });
+        this->retention(call), [this, id = call.id](const tl::expected<ClaimOutcome, JournalError>& outcome) {
+            this->onClaimed(id, outcome);
+        });
 }
 
 void Gateway::Impl::fetch(Call& call)
@@ -194,7 +195,7 @@
     });
 }
 
-void Gateway::Impl::onClaimed(CallId id, const tl::expected<void, JournalError>& outcome)
+void Gateway::Impl::onClaimed(CallId id, const tl::expected<ClaimOutcome, JournalError>& outcome)
 {
     Call* call = this->find(id);
     if (!call)
@@ -206,6 +207,7 @@
         return;
     }
     call->isClaimed = true;
+    call->isOpening = !outcome->hasOtherTurns;
     if (!call->isFetchPending)
         this->onPrepared(*call);
 }
@@ -276,7 +278,7 @@
     refusal.mayHaveRun = call.runs > 0;
     const bool isFinal = reason == RejectionReason::BudgetSpent || reason == RejectionReason::UnknownTurn;
     if (!isFinal && !refusal.mayHaveRun)
-        refusal.retryAfter = this->limits.retryAfter;
+        refusal.retryAfter = call.isOpening ? this->limits.openingRetryAfter : this->limits.retryAfter;
     ++this->counts.refused;
     this->io.refuse(call.id, refusal);
     this->finish(call, "refused", describe(reason));
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -27,6 +27,8 @@
     bool isClaimPending = false;
     bool isFetchPending = false;
     bool isClaimed = false;
+    /// The first turn of its program.
+    bool isOpening = false;
     std::string transcript;
 
     // Queue
@@ -95,7 +97,7 @@
     void prepare(Call& call);
     void claim(Call& call);
     void fetch(Call& call);
-    void onClaimed(CallId id, const tl::expected<void, JournalError>& outcome);
+    void onClaimed(CallId id, const tl::expected<ClaimOutcome, JournalError>& outcome);
     void onFetched(CallId id, tl::expected<std::string, JournalError> outcome);
     void onPrepared(Call& call);
     void onDeadline(CallId id);
@@ -108,7 +110,7 @@
 
     // gatewaysends.cpp: placing and sending
     void place(Call& call);
-    bool hasRoom(const PlacementChoice& choice) const;
+    bool hasRoom(const Call& call, const PlacementChoice& choice) const;
     void sendTo(Call& call, const PlacementChoice& choice);
     void enqueue(Call& call);
     void dequeue(Call& call);
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -9,15 +9,16 @@
 
 // Placing ------------------------------------------------------------------------------------------------------------
 
-bool Gateway::Impl::hasRoom(const PlacementChoice& choice) const
+bool Gateway::Impl::hasRoom(const Call& call, const PlacementChoice& choice) const
 {
-    return choice.expectedLoad < this->limits.maxLoad * choice.slots;
+    const double bound = call.isOpening ? this->limits.openingLoad : this->limits.maxLoad;
+    return choice.expectedLoad < bound * choice.slots;
 }
 
 void Gateway::Impl::place(Call& call)
 {
     const auto choice = this->endpoints.choose(call.query, this->timers.now());
-    if (choice && this->hasRoom(*choice)) {
+    if (choice && this->hasRoom(call, *choice)) {
         this->dequeue(call);
         this->sendTo(call, *choice);
         return;
@@ -59,7 +60,8 @@
     what.endpoint = choice.endpoint;
     what.address = choice.address;
     what.timeLeft = left;
-    what.priority = std::min(call.route->rank, maxPriority);
+    if (this->limits.tellsPriorities)
+        what.priority = std::min(call.route->rank, maxPriority);
     if (!call.call.previousTurn.value.empty())
         what.body = call.transcript + call.call.body;
     if (call.events > 0)
--- a/src/librattandeck/journalclient.cpp
+++ b/src/librattandeck/journalclient.cpp
@@ -12,7 +12,8 @@
 
 namespace {
 
-    using ClaimDone = std::function<void(tl::expected<void, JournalError>)>;
+    using ClaimDone = std::function<void(tl::expected<ClaimOutcome, JournalError>)>;
+    using StoreDone = std::function<void(tl::expected<void, JournalError>)>;
     using FetchDone = std::function<void(tl::expected<std::string, JournalError>)>;
 
     struct Operation {
@@ -31,7 +32,8 @@
         TokenCount limit;
         Milliseconds retention { 0 };
         std::map<TurnId, TokenClaim> seen;
-        ClaimDone done;
+        ClaimDone claimed;
+        StoreDone stored;
         FetchDone fetched;
         /// What has been fetched of the chain after `turn`, when a journal lacked `turn`.
         std::string suffix;
@@ -160,8 +162,10 @@
     }
     if (operation.fetched)
         operation.fetched(tl::unexpected(error));
-    else if (operation.done)
-        operation.done(tl::unexpected(error));
+    else if (operation.claimed)
+        operation.claimed(tl::unexpected(error));
+    else if (operation.stored)
+        operation.stored(tl::unexpected(error));
 }
 
 /// Ends an operation whose outcome is known, or can't become known any more.
@@ -184,7 +188,7 @@
         this->judgeClaim(ticket, operation);
         break;
     case Operation::Kind::Store:
-        this->take(ticket).done({});
+        this->take(ticket).stored({});
         break;
     case Operation::Kind::Fetch:
         // A chain whose end is known once had a beginning: that none of those who answered has it is no proof.
@@ -195,15 +199,15 @@
 
 void JournalClient::Impl::judgeClaim(JournalTicket ticket, Operation& operation)
 {
-    std::int64_t total = operation.most.value;
+    std::int64_t others = 0;
     for (const auto& [turn, claim] : operation.seen) {
         if (turn != operation.turn)
-            total += claim.tokens.value;
+            others += claim.tokens.value;
     }
-    if (total > operation.limit.value)
+    if (others + operation.most.value > operation.limit.value)
         this->fail(ticket, JournalError::BudgetSpent);
     else
-        this->take(ticket).done({});
+        this->take(ticket).claimed(ClaimOutcome { others > 0 });
 }
 
 // Answers ------------------------------------------------------------------------------------------------------------
@@ -346,7 +350,7 @@
 }
 
 void JournalClient::claim(const BudgetId& budget, const TurnId& turn, TokenCount most, TokenCount limit,
-    Milliseconds retention, std::function<void(tl::expected<void, JournalError>)> done)
+    Milliseconds retention, std::function<void(tl::expected<ClaimOutcome, JournalError>)> done)
 {
     if (most > limit) {
         done(tl::unexpected(JournalError::BudgetSpent));
@@ -359,7 +363,7 @@
     operation.most = most;
     operation.limit = limit;
     operation.retention = retention;
-    operation.done = std::move(done);
+    operation.claimed = std::move(done);
     const JournalTicket ticket = this->impl->nextTicket();
     operation.request = ClaimTokens { ticket, budget, { turn, most, false }, retention };
     this->impl->start(ticket, std::move(operation));
@@ -381,7 +385,7 @@
     Operation operation;
     operation.kind = Operation::Kind::Store;
     operation.turn = turn.id;
-    operation.done = std::move(done);
+    operation.stored = std::move(done);
     const JournalTicket ticket = this->impl->nextTicket();
     operation.request = StoreTurn { ticket, turn };
     this->impl->start(ticket, std::move(operation));
--- a/src/librattandeck/journalclient_test.cpp
+++ b/src/librattandeck/journalclient_test.cpp
@@ -152,10 +152,12 @@
         return outcome;
     }
 
-    static std::shared_ptr<Outcome> claim(
+    using Claimed = std::optional<tl::expected<ClaimOutcome, JournalError>>;
+
+    static std::shared_ptr<Claimed> claim(
         JournalClient& gateway, const std::string& id, std::int64_t most, std::int64_t limit)
     {
-        auto outcome = std::make_shared<Outcome>();
+        auto outcome = std::make_shared<Claimed>();
         gateway.claim(BudgetId("p"), TurnId(id), TokenCount(most), TokenCount(limit), retention,
             [outcome](auto result) { *outcome = result; });
         return outcome;
@@ -241,6 +243,7 @@
         this->run("a");
         this->run("b");
         CPPUNIT_ASSERT(first->has_value() && (*first)->has_value());
+        CPPUNIT_ASSERT(!(*first)->value().hasOtherTurns);
         const auto second = claim(*this->client, "2", 60, 100);
         this->run("a");
         this->run("b");
@@ -250,6 +253,7 @@
         this->run("a");
         this->run("b");
         CPPUNIT_ASSERT(third->has_value() && (*third)->has_value());
+        CPPUNIT_ASSERT((*third)->value().hasOtherTurns);
     }
 
     void racingClaimsAreNotBothAdmitted()
--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -144,7 +144,8 @@
         written.headers.erase(name);
     written.headers[Names::expectedInstance] = send.endpoint.value;
     written.headers[Names::deadline] = std::to_string(send.timeLeft.count());
-    written.headers[Names::priority] = std::to_string(send.priority);
+    if (send.priority)
+        written.headers[Names::priority] = std::to_string(*send.priority);
     if (send.resumeAfter)
         written.headers[Names::lastEvent] = *send.resumeAfter;
     written.body = send.body ? *send.body : request.body;
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -24,6 +24,14 @@
     bindAdmin(schema, s.instance, "health and metrics");
     schema.addStringList("peers.seeds", s.seeds, "addresses at which journals may be found");
     schema.addAddress("platform.object_store", s.objectStore, "address of the platform's store");
+    schema.addNumber("placement.max_load", s.limits.maxLoad, 0.1, 100,
+        "load of an instance, in multiples of its slots, beyond which calls wait here");
+    schema.addNumber(
+        "placement.opening_load", s.limits.openingLoad, 0.1, 100, "as max_load, for the first turn of a program");
+    schema.addBoolean("placement.priorities", s.limits.tellsPriorities, "tell engines the rank of a call's route");
+    schema.addNumber(
+        "placement.queue_part", s.limits.queuePart, 0, 10, "longest wait for room, as a part of the route's objective");
+    schema.addNumber("calls.repeat_ratio", s.limits.repeatRatio, 0, 1, "repeats allowed for each sending");
     schema.addMilliseconds("stop.limit_ms", s.stopLimit, Milliseconds(500), Milliseconds(600000),
         "time from a planned stop to the end of the process");
     bindLog(schema, s.instance.log);
@@ -50,7 +58,7 @@
 {
     PeerLimits limits;
     limits.silenceLimit = Milliseconds(2500);
-    limits.reconnectDelay = Milliseconds(150);
+    limits.reconnectDelay = Milliseconds(60);
     return limits;
 }
 
@@ -119,7 +127,8 @@
     , network(this->loop, this->hello(), peerLimits(), this->peerHandlers())
     , journals(this->loop.timers(), {},
           [this](const NodeId& node, const Message& message) { return this->network.send(node, message); })
-    , relay(this->loop, this->metrics, this->journals, FailureDomain(daemonSettings.instance.domain), {})
+    , relay(this->loop, this->metrics, this->journals, FailureDomain(daemonSettings.instance.domain),
+          daemonSettings.limits)
     , callers(this->loop, this->httpLimits(),
           [this](HttpRequest request, const HttpResponder& responder) {
               this->relay.onRequest(std::move(request), responder);
--- a/src/rattandeck-gateway/daemon.h
+++ b/src/rattandeck-gateway/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Rattandeck/gateway.h"
 #include "RattandeckApp/daemon.h"
 
 struct GatewaySettings {
@@ -11,6 +12,7 @@
     /// Addresses at which journals may be found.
     std::vector<std::string> seeds;
     std::string objectStore;
+    Rattandeck::GatewayLimits limits;
     /// How long a planned stop may take.
     Rattandeck::Milliseconds stopLimit { 8000 };
 };
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -44,7 +44,7 @@
 {
     PeerLimits limits;
     limits.silenceLimit = Milliseconds(2500);
-    limits.reconnectDelay = Milliseconds(150);
+    limits.reconnectDelay = Milliseconds(60);
     return limits;
 }
 
@@ -73,7 +73,7 @@
     PeerHandlers peerHandlers();
     bool openDisk();
     /// Returns whether the record was not known before.
-    bool applyRecord(const Message& record);
+    bool applyRecord(const JournalRecord& record);
     void startMembership(const std::string& address);
     void startAdmin();
     void followRetirements();
@@ -160,24 +160,21 @@
 
 // Start ----------------------------------------------------------------------------------------------------------
 
-bool Daemon::applyRecord(const Message& record)
+bool Daemon::applyRecord(const JournalRecord& record)
 {
     const TimePoint now = this->loop.timers().now();
     if (const auto* claim = std::get_if<SettleClaim>(&record)) {
         this->longestRetention = std::max(this->longestRetention, claim->retention);
         return this->state.apply(*claim, now);
     }
-    if (const auto* crashes = std::get_if<CrashReports>(&record)) {
-        bool isNew = false;
-        for (const CrashReport& report : crashes->reports)
-            isNew = this->state.apply(report, now) || isNew;
-        return isNew;
+    if (const auto* turn = std::get_if<RetainedTurn>(&record)) {
+        this->longestRetention = std::max(this->longestRetention, turn->retention);
+        return this->state.apply(*turn, now);
     }
-    const auto* stored = std::get_if<StoreTurn>(&record);
-    if (!stored)
-        return false;
-    this->longestRetention = std::max(this->longestRetention, stored->turn.retention);
-    return this->state.apply(stored->turn, now);
+    bool isNew = false;
+    for (const CrashReport& report : std::get<CrashReports>(record).reports)
+        isNew = this->state.apply(report, now) || isNew;
+    return isNew;
 }
 
 bool Daemon::openDisk()
@@ -185,7 +182,8 @@
     JournalDisk::Found found;
     const auto begun = std::chrono::steady_clock::now();
     auto opened = JournalDisk::open(
-        this->loop, this->settings.folder, {}, [this](const Message& record) { this->applyRecord(record); }, found);
+        this->loop, this->settings.folder, {}, [this](const JournalRecord& record) { this->applyRecord(record); },
+        found);
     if (!opened) {
         logError("disk", this->settings.folder + ": can't be read");
         return false;
@@ -381,13 +379,13 @@
 
 void Daemon::onStore(const NodeId& from, const StoreTurn& store)
 {
-    this->applyRecord(store);
+    this->applyRecord(store.turn);
     if (!this->membership->counts()) {
-        this->disk->append(store, {});
+        this->disk->append(store.turn, {});
         return;
     }
     const TurnStored answer { store.ticket, this->membership->set().epoch };
-    this->disk->append(store, [this, from, answer] { this->network.send(from, answer); });
+    this->disk->append(store.turn, [this, from, answer] { this->network.send(from, answer); });
 }
 
 void Daemon::onFetch(const NodeId& from, const FetchTurn& fetch)
@@ -437,9 +435,8 @@
 void Daemon::onTurnsPage(const NodeId& from, const TurnsPage& page)
 {
     for (const RetainedTurn& turn : page.turns) {
-        const StoreTurn record { {}, turn };
-        if (this->applyRecord(record))
-            this->disk->append(record, {});
+        if (this->applyRecord(turn))
+            this->disk->append(turn, {});
     }
     this->copier.onTurns(from);
 }
@@ -494,7 +491,7 @@
         for (const SettleClaim& claim : page.claims)
             this->disk->append(claim, {});
         for (const TurnId& turn : page.turns)
-            this->disk->append(StoreTurn { {}, *this->state.turn(turn) }, {});
+            this->disk->append(*this->state.turn(turn), {});
         if (page.isLast)
             return;
         cursor = page.cursor;
--- a/src/rattandeck-journal/disk.cpp
+++ b/src/rattandeck-journal/disk.cpp
@@ -1,6 +1,5 @@
 #include "disk.h"
 
-#include "Rattandeck/wire.h"
 #include "RattandeckApp/log.h"
 
 #include <xxhash.h>
@@ -45,7 +44,8 @@
 }
 
 /// Reads records up to the first that is not whole. Returns whether the segment ended with a whole one.
-bool readRecords(const std::string& segment, const std::function<void(Message)>& onRecord, JournalDisk::Found& found)
+bool readRecords(
+    const std::string& segment, const std::function<void(JournalRecord)>& onRecord, JournalDisk::Found& found)
 {
     std::size_t at = 0;
     while (at + sizeof(RecordHeader) <= segment.size()) {
@@ -57,9 +57,9 @@
         const std::string_view bytes = std::string_view(segment).substr(start, header.length);
         if (XXH3_64bits(bytes.data(), bytes.size()) != header.checksum)
             return false;
-        if (auto message = decode(bytes)) {
+        if (auto record = decodeRecord(bytes)) {
             ++found.records;
-            onRecord(std::move(*message));
+            onRecord(std::move(*record));
         }
         at = start + header.length;
     }
@@ -254,7 +254,7 @@
 }
 
 tl::expected<std::unique_ptr<JournalDisk>, JournalDisk::Error> JournalDisk::open(RattandeckNet::EventLoop& loop,
-    const std::string& folder, Limits limits, const std::function<void(Message)>& onRecord, Found& found)
+    const std::string& folder, Limits limits, const std::function<void(JournalRecord)>& onRecord, Found& found)
 {
     std::error_code error;
     std::filesystem::create_directories(folder, error);
@@ -286,9 +286,9 @@
     this->impl->closeSegment();
 }
 
-void JournalDisk::append(const Message& record, std::function<void()> onDurable)
+void JournalDisk::append(const JournalRecord& record, std::function<void()> onDurable)
 {
-    const std::string bytes = encode(record);
+    const std::string bytes = encodeRecord(record);
     {
         const std::lock_guard guard(this->impl->mutex);
         appendRecord(this->impl->pending, bytes);
--- a/src/rattandeck-journal/disk.h
+++ b/src/rattandeck-journal/disk.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "Rattandeck/messages.h"
+#include "Rattandeck/types.h"
 #include "RattandeckNet/eventloop.h"
+#include "record.h"
 
 #include <tl/expected.hpp>
 
@@ -37,8 +38,7 @@
     ///
     /// Precondition: no other process uses the folder; `loop` outlives this object.
     static tl::expected<std::unique_ptr<JournalDisk>, Error> open(RattandeckNet::EventLoop& loop,
-        const std::string& folder, Limits limits, const std::function<void(Rattandeck::Message)>& onRecord,
-        Found& found);
+        const std::string& folder, Limits limits, const std::function<void(JournalRecord)>& onRecord, Found& found);
     ~JournalDisk();
     JournalDisk(const JournalDisk&) = delete;
     JournalDisk& operator=(const JournalDisk&) = delete;
@@ -46,7 +46,7 @@
     /// Appends a record. `onDurable`, if not empty, is called from the loop once it is on disk.
     ///
     /// Thread safety: use from the loop's thread.
-    void append(const Rattandeck::Message& record, std::function<void()> onDurable);
+    void append(const JournalRecord& record, std::function<void()> onDurable);
 
     /// Calls `onDurable` from the loop once all records appended so far are on disk.
     void sync(std::function<void()> onDurable);
