--- /dev/null
+++ b/testsuite/platform-resume/case.py
@@ -0,0 +1,47 @@
+"""Broken answers: a resumable stream goes on elsewhere, any other is cut, and a write is never sent twice."""
+
+from harness import expect
+from platform_standins import Deployment, EVENTS
+
+STREAM = b"".join(b"id: %d\ndata: d%d\n\n" % (number, number) for number in range(1, EVENTS + 1))
+
+
+def break_after_two_events(request):
+    if "Model" not in request.headers or "Last-Event-Id" in request.headers:
+        return False
+    request.send_response(200)
+    request.send_header("Request-Id", request.headers["Request-Id"])
+    request.send_header("Response-Seal", "seal")
+    request.send_header("Content-Type", "text/event-stream")
+    request.send_header("Transfer-Encoding", "chunked")
+    request.end_headers()
+    events = b"id: 1\ndata: d1\n\nid: 2\ndata: d2\n\nid: 3\nda"
+    request.wfile.write(f"{len(events):x}\r\n".encode() + events + b"\r\n")
+    request.wfile.flush()
+    request.close_connection = True
+    return True
+
+
+def lose_answer(request):
+    request.close_connection = True
+    request.connection.close()
+    return True
+
+
+def run(build):
+    with Deployment(build) as deployment:
+        for runner in deployment.runners:
+            runner.misbehave = break_after_two_events
+        resumed = deployment.turn("gateway-1", "p1", route_name="streams")
+        expect(resumed.status == 200 and resumed.is_whole, "a resumable stream is cut")
+        expect(resumed.body == STREAM, f"pieces are missing or doubled: {resumed.body}")
+        cut = deployment.turn("gateway-1", "p2")
+        expect(cut.status == 200 and not cut.is_whole, "a cut stream looks complete")
+
+        sent = []
+        for runner in deployment.runners:
+            runner.misbehave = lambda request: sent.append(request.headers["Request-Id"]) or lose_answer(request)
+        write = deployment.call("gateway-1", "/write/1", "POST", "slip", {"Request-Id": "w"})
+        expect(write.status == 502 and sent.count("w") == 1, f"a write: {write.status}, sent {sent.count('w')} times")
+        read = deployment.call("gateway-1", "/read/1", headers={"Request-Id": "s"})
+        expect(read.status == 502 and sent.count("s") == 2, f"a read: {read.status}, sent {sent.count('s')} times")
--- /dev/null
+++ b/testsuite/platform_standins.py
@@ -0,0 +1,375 @@
+"""Stand-ins for the users' platform, and rattandeck's programs that run there, for the end-to-end cases.
+
+The store and the endpoint instances run as threads of the case, so that it can look into them and make them misbehave.
+"""
+
+import http.client
+import json
+import pathlib
+import shutil
+import tempfile
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from harness import Process, wait_until
+
+HOST = "calls.example"
+EVENTS = 4
+TOKENS_PER_EVENT = 10
+
+
+class Server:
+    """An HTTP/1.1 server on a free port of loopback. `handle(request)` answers one request."""
+
+    def __init__(self):
+        owner = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            # Head and body of an answer leave in one piece.
+            wbufsize = -1
+            disable_nagle_algorithm = True
+
+            def do_any(self):
+                self.body = self.rfile.read(int(self.headers.get("Content-Length", 0)))
+                owner.handle(self)
+
+            do_GET = do_POST = do_PUT = do_DELETE = do_any
+
+            def log_message(self, *arguments):
+                pass
+
+            def answer(self, status, body=b"", headers=None):
+                body = json.dumps(body).encode() if isinstance(body, (dict, list)) else body
+                self.send_response(status)
+                for name, value in (headers or {}).items():
+                    self.send_header(name, value)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+                self.wfile.flush()
+
+        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server.daemon_threads = True
+        self.address = f"127.0.0.1:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
+
+    def close(self):
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class Store(Server):
+    """The platform's metadata store: kinds of objects, one revision for all, conditional updates and watches."""
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.revision = 1
+        self.objects = {}
+        self.history = []
+        # While it is set, every call is refused with this status.
+        self.refusal = None
+        super().__init__()
+
+    def put(self, kind, name, spec=None, status=None, is_removed=False):
+        with self.changed:
+            self.revision += 1
+            known = self.objects.get((kind, name), {"metadata": {"name": name, "created_rev": self.revision}})
+            item = {
+                "metadata": dict(known["metadata"], rev=self.revision, finalizers=[], deleting=False),
+                "spec": spec if spec is not None else known.get("spec"),
+                "status": status if status is not None else known.get("status"),
+            }
+            self.objects[(kind, name)] = item
+            if is_removed:
+                del self.objects[(kind, name)]
+            self.history.append((self.revision, kind, {"object": item, "tombstone": is_removed}))
+            self.changed.notify_all()
+            return item
+
+    def remove(self, kind, name):
+        self.put(kind, name, is_removed=True)
+
+    def get(self, kind, name):
+        with self.changed:
+            return self.objects.get((kind, name))
+
+    def handle(self, request):
+        if self.refusal:
+            return request.answer(self.refusal)
+        path, _, query = request.path.partition("?")
+        fields = dict(pair.split("=", 1) for pair in query.split("&") if pair)
+        parts = path.split("/")[3:]
+        if request.command == "GET" and "watch" in fields:
+            return self.watch(request, parts[0], int(fields["watch"]), int(fields["wait_ms"]) / 1000)
+        if request.command == "GET" and len(parts) == 1:
+            with self.changed:
+                items = [item for (kind, _), item in sorted(self.objects.items()) if kind == parts[0]]
+                return request.answer(200, {"items": items, "has_more": False, "current_rev": self.revision})
+        if request.command == "GET":
+            item = self.get(*parts)
+            return request.answer(200, item) if item else request.answer(404)
+        return self.change(request, parts)
+
+    def watch(self, request, kind, revision, wait_s):
+        deadline = time.monotonic() + wait_s
+        with self.changed:
+            while True:
+                events = [event for at, of, event in self.history if at > revision and of == kind]
+                left = deadline - time.monotonic()
+                if events or left <= 0:
+                    break
+                self.changed.wait(left)
+            answer = {"events": events, "current_rev": self.revision}
+        request.answer(200, answer)
+
+    def change(self, request, parts):
+        body = json.loads(request.body)
+        with self.changed:
+            name = body["metadata"]["name"] if request.command == "POST" else parts[1]
+            known = self.objects.get((parts[0], name))
+            expected = body["metadata"].get("rev")
+            is_stale = known and expected and expected != known["metadata"]["rev"]
+            if (request.command == "POST" and known) or is_stale:
+                return request.answer(409, known)
+            if request.command == "PUT" and not known:
+                return request.answer(404)
+            is_status = parts[-1] == "status" and len(parts) == 3
+            item = self.put(parts[0], name, *((None, body["status"]) if is_status else (body["spec"], None)))
+        return request.answer(200, item)
+
+
+class Runner(Server):
+    """An endpoint instance. It registers itself, streams events to calls with a model, and keeps what it ran."""
+
+    def __init__(self, store, service, name, zone="a", slots=8):
+        self.store = store
+        self.service = service
+        self.name = name
+        self.zone = zone
+        self.slots = slots
+        self.lock = threading.Lock()
+        # (request id, body, headers) of every call that ran.
+        self.ran = []
+        # Set by cases: a function of the request that may answer in place of this class, and then returns True.
+        self.misbehave = None
+        # Streams wait before their last event while this is clear.
+        self.may_end = threading.Event()
+        self.may_end.set()
+        super().__init__()
+        self.register()
+
+    def register(self, phase="ready", born=1):
+        self.store.put("servers", self.name, {
+            "service": self.service, "address": self.address, "zone": self.zone, "version": "v1",
+            "slots": self.slots, "phase": phase, "cold_left_ms": 0, "sequence": 1, "born": born,
+        })
+
+    def handle(self, request):
+        identity = {"Request-Id": request.headers.get("Request-Id", "")}
+        if request.headers.get("Expect-Instance", self.name) != self.name:
+            return request.answer(421, headers={"Instance-Id": self.name})
+        if self.misbehave and self.misbehave(request):
+            return None
+        with self.lock:
+            self.ran.append((identity["Request-Id"], request.body, request.headers))
+        identity["Response-Seal"] = "seal-" + identity["Request-Id"]
+        identity["Server-Load"] = f"1,0,{self.slots}"
+        if "Model" not in request.headers:
+            return request.answer(200, b"body of " + request.path.encode(), identity)
+        return self.stream(request, identity)
+
+    def stream(self, request, headers):
+        request.send_response(200)
+        for name, value in dict(headers, **{"Content-Type": "text/event-stream"}).items():
+            request.send_header(name, value)
+        request.send_header("Transfer-Encoding", "chunked")
+        request.end_headers()
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, EVENTS + 1):
+            if number == EVENTS:
+                self.may_end.wait(60)
+            event = f"id: {number}\ndata: d{number}\n\n".encode()
+            request.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            request.wfile.flush()
+        request.wfile.write(b"0\r\n\r\n")
+        request.wfile.flush()
+
+    def bodies(self):
+        with self.lock:
+            return [body for _, body, _ in self.ran]
+
+
+def route(name, kind, service, **terms):
+    fields = {"name": name, "host": HOST, "path_prefix": f"/{name}/", "kind": kind, "service": service,
+              "timeout_ms": 20000, "goal_ms": 5000, "priority": 0, "attempts": 2}
+    return dict(fields, **terms)
+
+
+def configuration(version, routes):
+    engine = {"slots": 8, "kv_capacity_tokens": 100000, "tokens_per_event": TOKENS_PER_EVENT}
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "llm", "max_conns": 64, "engine": engine}, {"name": "app", "max_conns": 64}],
+        "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000},
+    }
+
+
+USUAL_ROUTES = [
+    route("turns", "streaming", "llm", retain=True, retain_s=60.0, sticky=True),
+    route("streams", "streaming", "llm", can_resume=True),
+    route("read", "safe", "app"),
+    route("write", "unsafe", "app", attempts=1),
+]
+
+
+class Answer:
+    """A caller's answer; `is_whole` is false when it was cut."""
+
+    def __init__(self, status, headers, body, is_whole):
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.is_whole = is_whole
+
+
+class Deployment:
+    """A store, instances of both services, journals on folders of their own, and gateways. Use in a `with`."""
+
+    def __init__(self, build, gateways=1, journals=3):
+        self.build = pathlib.Path(build)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rattandeck-platform-"))
+        self.store = Store()
+        self.runners = []
+        self.processes = {}
+        self.ports = {}
+        self.last_request = 0
+        self.lock = threading.Lock()
+        self.store.put("config", "main", configuration(1, USUAL_ROUTES))
+        for number in (1, 2):
+            self.runners.append(Runner(self.store, "llm", f"llm-{number}"))
+            self.runners.append(Runner(self.store, "app", f"app-{number}"))
+        for number in range(1, journals + 1):
+            self.start_journal(f"journal-{number}")
+        for number in range(1, gateways + 1):
+            self.start_gateway(f"gateway-{number}")
+
+    def __enter__(self):
+        try:
+            self.wait_ready()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *reason):
+        for process in self.processes.values():
+            process.close()
+        for server in [*self.runners, self.store]:
+            server.close()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    # Processes
+
+    def start(self, program, name, settings):
+        path = self.folder / f"{name}.toml"
+        path.write_text(settings)
+        log = self.folder / f"{name}.log"
+        command = [str(self.build / "src" / program), "--settings", str(path)]
+        self.processes[name] = Process(name, command, log)
+        return self.processes[name]
+
+    def disk(self, name):
+        return self.folder / f"disk-{name}"
+
+    def start_journal(self, name):
+        # A journal comes back at the address that it had.
+        port = self.ports.get(name, 0)
+        process = self.start("rattandeck-journal", name, f"""
+node = "{name}"
+domain = "a"
+[peers]
+listen = "127.0.0.1:{port}"
+seeds = {json.dumps([p.field("peers") for n, p in self.processes.items() if n.startswith("journal")])}
+[platform]
+object_store = "{self.store.address}"
+[disk]
+folder = "{self.disk(name)}"
+[log]
+format = "json"
+""")
+        self.ports[name] = process.field("peers").split(":")[1]
+
+    def start_gateway(self, name, store=None):
+        journals = [p.field("peers") for n, p in self.processes.items() if n.startswith("journal")]
+        self.start("rattandeck-gateway", name, f"""
+node = "{name}"
+domain = "a"
+[peers]
+seeds = {json.dumps(journals)}
+[platform]
+object_store = "{store or self.store.address}"
+[log]
+format = "json"
+""")
+
+    def wait_ready(self):
+        def all_members():
+            journals = [name for name in self.processes if name.startswith("journal")]
+            item = self.store.get("rattandeck-journals", "set")
+            return item and len(item["spec"]["members"]) >= len(journals)
+        wait_until(all_members, "all journals are members")
+        for name in self.processes:
+            if name.startswith("gateway"):
+                self.wait_serving(name)
+
+    def wait_serving(self, gateway):
+        """A turn is served, so that the gateway has configuration, instances and journals."""
+        wait_until(lambda: self.turn(gateway, "probe-" + str(time.monotonic_ns())).status == 200, f"{gateway} serves")
+
+    # Callers
+
+    def request_id(self):
+        with self.lock:
+            self.last_request += 1
+            return f"r{self.last_request}"
+
+    def call(self, gateway, path, method="GET", body=None, headers=None, limit_s=30):
+        """Sends one request on a connection of its own."""
+        address = self.processes[gateway].field("callers")
+        connection = http.client.HTTPConnection(address, timeout=limit_s)
+        fields = {"Host": HOST, "Request-Id": self.request_id(), "Deadline-Ms": "20000"}
+        fields.update(headers or {})
+        try:
+            connection.request(method, path, body, fields)
+            response = connection.getresponse()
+            try:
+                text, is_whole = response.read(), True
+            except (http.client.IncompleteRead, ConnectionError):
+                text, is_whole = b"", False
+            return Answer(response.status, dict(response.getheaders()), text, is_whole)
+        except (OSError, http.client.HTTPException):
+            return Answer(0, {}, b"", False)
+        finally:
+            connection.close()
+
+    def turn(self, gateway, program, previous=None, request=None, budget=1000, most=EVENTS * TOKENS_PER_EVENT,
+             body="input ", route_name="turns"):
+        headers = {"Model": "m", "Program-Id": program, "Session-Id": "s", "Token-Budget": str(budget),
+                   "Token-Counts": f"100,{most}"}
+        if previous:
+            headers["Previous-Turn"] = previous
+        if request:
+            headers["Request-Id"] = request
+        return self.call(gateway, f"/{route_name}/x", "POST", body, headers)
+
+    def bodies(self, service="llm"):
+        return [body for runner in self.runners if runner.service == service for body in runner.bodies()]
+
+    def log_of(self, name):
+        return (self.folder / f"{name}.log").read_text()
+
+
