Trace a request through collected logs; log what a refusal rests on

Cause: a complaint's id had to be looked for by hand, and a refusal's line did not say which load decided it. Change: rattandeckctl trace ID LOG... orders the lines of a request or program and what its processes met around it, and names what is missing; a refused call's line tells the best instance, its load and slots, and the queue.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -135,6 +135,9 @@
     std::uint32_t sends = 0;
     std::uint64_t events = 0;
     Milliseconds duration { 0 };
+    /// The best instance when the call was last placed, and the calls that waited here.
+    std::optional<PlacementChoice> bestChoice;
+    std::size_t queued = 0;
 };
 
 // Gateway --------------------------------------------------------------------------------------------------------
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -313,6 +313,8 @@
     end.sends = call.sends;
     end.events = call.events;
     end.duration = std::chrono::duration_cast<Milliseconds>(this->timers.now() - call.arrived);
+    end.bestChoice = call.bestChoice;
+    end.queued = this->queue.size();
     this->io.logEnd(end);
     this->calls.erase(call.id);
 }
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -37,6 +37,7 @@
 
     // Sendings
     PlacementQuery query;
+    std::optional<PlacementChoice> bestChoice;
     SendId send;
     EndpointId endpoint;
     std::uint32_t sends = 0;
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -18,6 +18,7 @@
 void Gateway::Impl::place(Call& call)
 {
     const auto choice = this->endpoints.choose(call.query, this->timers.now());
+    call.bestChoice = choice;
     if (choice && this->hasRoom(call, *choice)) {
         this->dequeue(call);
         this->sendTo(call, *choice);
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -203,9 +203,16 @@
 {
     this->metrics.observe("rattandeck_call_seconds{outcome=\"" + std::string(end.outcome) + "\"}",
         std::chrono::duration<double>(end.duration).count());
-    logFields("call",
-        { { "request", end.request.value }, { "program", end.program.value }, { "route", end.route },
-            { "outcome", std::string(end.outcome) }, { "reason", std::string(end.reason) },
-            { "endpoint", end.endpoint }, { "status", std::int64_t(end.status) }, { "sends", std::int64_t(end.sends) },
-            { "events", std::int64_t(end.events) }, { "duration_ms", std::int64_t(end.duration.count()) } });
+    std::vector<LogField> fields { { "request", end.request.value }, { "program", end.program.value },
+        { "route", end.route }, { "outcome", std::string(end.outcome) }, { "reason", std::string(end.reason) },
+        { "endpoint", end.endpoint }, { "status", std::int64_t(end.status) }, { "sends", std::int64_t(end.sends) },
+        { "events", std::int64_t(end.events) }, { "duration_ms", std::int64_t(end.duration.count()) } };
+    // What a refusal rests on.
+    if (end.outcome == "refused") {
+        fields.push_back({ "queued", std::int64_t(end.queued) });
+        fields.push_back({ "best_endpoint", end.bestChoice ? end.bestChoice->endpoint.value : std::string() });
+        fields.push_back({ "best_load", end.bestChoice ? end.bestChoice->expectedLoad : 0.0 });
+        fields.push_back({ "best_slots", std::int64_t(end.bestChoice ? end.bestChoice->slots : 0) });
+    }
+    logFields("call", fields);
 }
--- a/src/rattandeckctl/rattandeckctl.cpp
+++ b/src/rattandeckctl/rattandeckctl.cpp
@@ -3,6 +3,7 @@
 #include "commands.h"
 #include "RattandeckApp/commandline.h"
 #include "RattandeckApp/version.h"
+#include "trace.h"
 
 #include <boost/program_options.hpp>
 
@@ -25,6 +26,7 @@
   delete KIND NAME   delete an object of version --version-read
   watch [KIND]       print changes until interrupted
   explain PROGRAM    tell why a program's calls went where they went (--entry)
+  trace ID LOG...    tell what the processes' logs say of a request or program, in order
   drain NODE         keep new work off an endpoint instance
   undrain NODE       let it have new work again
 )";
@@ -54,6 +56,11 @@
             return reportUsage("explain needs --entry and a program id");
         return explainProgram(options, command.argument(0));
     }
+    if (command.name == "trace") {
+        if (command.arguments.size() < 2)
+            return reportUsage("trace needs an id and log files");
+        return printTrace(command.argument(0), { command.arguments.begin() + 1, command.arguments.end() });
+    }
     if (!options.objectApi)
         return reportUsage("--objects is needed, the address of the object API");
     if (command.name == "apply")
--- /dev/null
+++ b/src/rattandeckctl/trace_test.cpp
@@ -0,0 +1,71 @@
+#include "trace.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <sstream>
+
+class TraceTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(TraceTest);
+    CPPUNIT_TEST(linesOfARequestAreOrdered);
+    CPPUNIT_TEST(contextIsWhatTheRequestMet);
+    CPPUNIT_TEST(missingEndIsNamed);
+    CPPUNIT_TEST(textInFrontAndBrokenLinesAreSkipped);
+    CPPUNIT_TEST_SUITE_END();
+
+    static std::string line(int time, const std::string& process, const std::string& event, const std::string& fields)
+    {
+        return R"({"time_ms":)" + std::to_string(time) + R"(,"process":")" + process + R"(","level":"info","event":")"
+            + event + "\"," + fields + "}\n";
+    }
+
+    static Trace collect(const std::vector<std::string>& logs, const std::string& id)
+    {
+        std::vector<std::istringstream> streams(logs.begin(), logs.end());
+        std::vector<std::istream*> pointers;
+        for (std::istringstream& stream : streams)
+            pointers.push_back(&stream);
+        return collectTrace(pointers, id);
+    }
+
+    void linesOfARequestAreOrdered()
+    {
+        const Trace trace = collect({ line(30, "g1", "call", R"("request":"r","outcome":"answered")"),
+                                        line(10, "g2", "send", R"("request":"r","endpoint":"e")")
+                                            + line(20, "g2", "send", R"("request":"other")") },
+            "r");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), trace.lines.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("send"), trace.lines[0].event);
+        CPPUNIT_ASSERT(trace.missing.empty());
+    }
+
+    void contextIsWhatTheRequestMet()
+    {
+        const std::string log = line(10000, "g1", "send", R"("request":"r","endpoint":"e1")")
+            + line(9000, "g2", "endpoint gone", R"("endpoint":"e1")")
+            + line(9000, "g2", "endpoint gone", R"("endpoint":"e2")")
+            + line(9500, "g1", "journal link down", R"("detail":"j1")")
+            + line(1000, "g1", "journal link down", R"("detail":"j2")")
+            + line(10100, "g1", "call", R"("request":"r","outcome":"broken")");
+        const Trace trace = collect({ log }, "r");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), trace.lines.size());
+        CPPUNIT_ASSERT(trace.lines[0].isContext && trace.lines[1].isContext);
+        CPPUNIT_ASSERT(trace.lines[0].fields.find("e1") != std::string::npos);
+        CPPUNIT_ASSERT(trace.lines[1].fields.find("j1") != std::string::npos);
+    }
+
+    void missingEndIsNamed()
+    {
+        const Trace trace = collect({ line(1, "g", "send", R"("request":"r","program":"p")") }, "p");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), trace.missing.size());
+    }
+
+    void textInFrontAndBrokenLinesAreSkipped()
+    {
+        const Trace trace = collect({ "   3.25 front-1 " + line(5, "g", "call", R"("request":"r")")
+                                        + "{broken\nready a=b\n{\"time_ms\":\"x\"}\n" },
+            "r");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), trace.lines.size());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TraceTest);
