Take gateways out of rotation that can't reach the journals

Change: a gateway without enough journals linked is not ready and closes connections after their answers, so that callers reach others; a link counts as lost after 1.2 s of silence (2.5 s before), and an operation waits 0.7 s (1.5 s before). Ruled out: journals of the zone missing (the other zones were served).

--- a/src/include/Rattandeck/journalclient.h
+++ b/src/include/Rattandeck/journalclient.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace Rattandeck {
@@ -28,7 +29,7 @@
 
 struct JournalClientLimits {
     /// Longest wait for enough answers.
-    Milliseconds answerTimeout { 1500 };
+    Milliseconds answerTimeout { 700 };
     /// Copies on disk that a record needs before it counts as written.
     std::size_t copies = 2;
     /// Transcripts kept in memory for the turns that come next, in bytes.
@@ -59,6 +60,8 @@
     /// Takes a set over if its epoch is higher than that of the one in force. Returns whether it was.
     bool setMembers(const JournalSet& set);
     const JournalSet& members() const;
+    /// Whether enough of the members are among `linked` for claims and for turns that are continued.
+    bool canDecide(const std::set<NodeId>& linked) const;
     void onMessage(const NodeId& from, const Message& message);
     /// The link to a member broke: what it has not answered it will not answer.
     void onLinkDown(const NodeId& member);
--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -86,8 +86,8 @@
     std::uint16_t port() const;
     /// Changes the limits of later requests and connections.
     void setLimits(const HttpLimits& limits);
-    /// Later answers carry `Connection: close`; connections are accepted and idle ones kept as before.
-    void closeAfterAnswers();
+    /// Whether later answers carry `Connection: close`; connections are accepted and idle ones kept all the same.
+    void closeAfterAnswers(bool isClosing);
     /// Accepts no more connections. Requests in flight are answered, with `Connection: close`; idle connections close
     /// after a short grace, since a request may be on its way.
     void stopAccepting();
--- a/src/librattandeck/journalclient.cpp
+++ b/src/librattandeck/journalclient.cpp
@@ -328,6 +328,13 @@
 
 const JournalSet& JournalClient::members() const { return this->impl->set; }
 
+bool JournalClient::canDecide(const std::set<NodeId>& linked) const
+{
+    const auto count = std::ranges::count_if(
+        this->impl->set.members, [&linked](const JournalMember& member) { return linked.contains(member.node); });
+    return static_cast<std::size_t>(count) >= this->impl->votesNeeded();
+}
+
 void JournalClient::onMessage(const NodeId& from, const Message& message)
 {
     if (const auto* claims = std::get_if<ClaimsKnown>(&message))
--- a/src/librattandeck/journalclient_test.cpp
+++ b/src/librattandeck/journalclient_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(journalThatKnowsAnOlderSetIsToldAndAskedAgain);
     CPPUNIT_TEST(operationGoesOnInALaterSet);
     CPPUNIT_TEST(lostLinksEndTheWait);
+    CPPUNIT_TEST(twoOfThreeCanDecide);
     CPPUNIT_TEST_SUITE_END();
 
     TimerService timers;
@@ -322,6 +323,17 @@
         this->client->onLinkDown(NodeId("b"));
         CPPUNIT_ASSERT(outcome->has_value() && (*outcome).value().error() == JournalError::Unavailable);
     }
+
+    void twoOfThreeCanDecide()
+    {
+        const NodeId a("a");
+        const NodeId b("b");
+        CPPUNIT_ASSERT(this->client->canDecide({ a, b }));
+        CPPUNIT_ASSERT(!this->client->canDecide({ a, NodeId("elsewhere") }));
+        this->client->setMembers(setOf(2, { "a", "b", "c", "d" }));
+        CPPUNIT_ASSERT(!this->client->canDecide({ a, b }));
+        CPPUNIT_ASSERT(this->client->canDecide({ a, b, NodeId("d") }));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JournalClientTest);
--- a/src/librattandecknet/httpserver.cpp
+++ b/src/librattandecknet/httpserver.cpp
@@ -99,7 +99,7 @@
 
 void HttpServer::setLimits(const HttpLimits& limits) { this->impl->limits = limits; }
 
-void HttpServer::closeAfterAnswers() { this->impl->closesAfterAnswers = true; }
+void HttpServer::closeAfterAnswers(bool isClosing) { this->impl->closesAfterAnswers = isClosing; }
 
 void HttpServer::stopAccepting()
 {
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -57,7 +57,8 @@
 PeerLimits peerLimits()
 {
     PeerLimits limits;
-    limits.silenceLimit = Milliseconds(2500);
+    limits.pingInterval = Milliseconds(400);
+    limits.silenceLimit = Milliseconds(1200);
     limits.reconnectDelay = Milliseconds(60);
     return limits;
 }
@@ -95,6 +96,7 @@
     // Journals
     void onJournalSet(const JournalSet& set);
     void linkToJournals();
+    void checkJournals();
 
     void stop();
     void closeCallers();
@@ -115,6 +117,8 @@
         [this](const NodeId& node, const Message& message) { return this->network.send(node, message); },
         [this](const Bulletin& bulletin) { this->onNews(bulletin); } };
     bool hasEndpoints = false;
+    /// Enough journals are linked for turns to be served.
+    bool canDecide = false;
     bool isStoreReachable = false;
     std::optional<TimePoint> storeRegainedAt;
     std::set<EndpointId> missing;
@@ -159,11 +163,13 @@
         logEvent("journal link up", hello.node.value);
         if (hello.role == Role::Journal)
             this->linkedJournals.insert(hello.node);
+        this->checkJournals();
         this->board.onLinkUp(hello.node);
     };
     handlers.onDown = [this](const NodeId& node) {
         logEvent("journal link down", node.value);
         this->linkedJournals.erase(node);
+        this->checkJournals();
         this->board.onLinkDown(node);
         this->journals.onLinkDown(node);
     };
@@ -228,7 +234,7 @@
 
 bool Daemon::isReady() const
 {
-    return !this->isStopping && this->relay.gateway().configVersion() && this->hasEndpoints;
+    return !this->isStopping && this->relay.gateway().configVersion() && this->hasEndpoints && this->canDecide;
 }
 
 void Daemon::answerReady(const HttpResponder& responder) const
@@ -437,6 +443,21 @@
     logFields(
         "journal set", { { "epoch", std::int64_t(set.epoch.value) }, { "members", std::int64_t(set.members.size()) } });
     this->linkToJournals();
+    this->checkJournals();
+}
+
+/// Without enough journals turns are refused here, so callers are sent to other gateways.
+void Daemon::checkJournals()
+{
+    const bool could = this->canDecide;
+    this->canDecide = this->journals.canDecide(this->linkedJournals);
+    if (this->canDecide == could)
+        return;
+    logFields(this->canDecide ? "journals regained" : "journals lost",
+        { { "linked", std::int64_t(this->linkedJournals.size()) },
+            { "members", std::int64_t(this->journals.members().members.size()) },
+            { "epoch", std::int64_t(this->journals.members().epoch.value) } });
+    this->callers.closeAfterAnswers(this->isStopping || !this->canDecide);
 }
 
 void Daemon::linkToJournals()
@@ -464,7 +485,7 @@
     this->isStopping = true;
     this->stopBegun = this->loop.timers().now();
     logEvent("stop", "planned stop, " + std::to_string(this->relay.gateway().open()) + " calls open");
-    this->callers.closeAfterAnswers();
+    this->callers.closeAfterAnswers(true);
     this->loop.timers().subscribeAfter(stopAcceptingAfter, [this] { this->closeCallers(); });
 }
 
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -43,7 +43,8 @@
 PeerLimits peerLimits()
 {
     PeerLimits limits;
-    limits.silenceLimit = Milliseconds(2500);
+    limits.pingInterval = Milliseconds(400);
+    limits.silenceLimit = Milliseconds(1200);
     limits.reconnectDelay = Milliseconds(60);
     return limits;
 }
