Notice the end of a silent outage of the store on fresh connections

Change: after a failure pooled connections are dropped, the next watch does not wait and has 0.7 s, a connection 0.4 s; a watch waits 2 s and is given up 0.8 s later. Ruled out: the gateways' bulletins (all four were in the same state). ObjectStoreTest:: silentStoreIsProbedOnFreshConnections failed before.

--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -137,6 +137,8 @@
         std::function<void(tl::expected<HttpResponse, NetError>)> done, std::size_t maxBody = 16UL * 1024 * 1024);
     /// Breaks the call off; no more callbacks for it.
     void cancel(CallId call);
+    /// Closes the idle connections: after an outage they may be dead without looking so.
+    void dropIdle();
 
     struct Impl;
 
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -579,4 +579,11 @@
 
 void HttpClient::cancel(CallId call) { this->impl->cancel(call); }
 
+void HttpClient::dropIdle()
+{
+    const auto idle = this->impl->idle;
+    for (const auto& connection : idle)
+        connection->close();
+}
+
 }
--- /dev/null
+++ b/src/platform/calls_test.cpp
@@ -0,0 +1,137 @@
+#include "calls.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Platform;
+using namespace Rattandeck;
+using namespace RattandeckNet;
+
+class CallsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(CallsTest);
+    CPPUNIT_TEST(turnIsDecoded);
+    CPPUNIT_TEST(malformedFieldsAreLeftEmpty);
+    CPPUNIT_TEST(instanceGetsWhatTheCallerSent);
+    CPPUNIT_TEST(callersGiveNoOrdersAboutMemory);
+    CPPUNIT_TEST(answerHeadIsDecoded);
+    CPPUNIT_TEST(answerToAnotherRequestIsTold);
+    CPPUNIT_TEST(statusOfARefusalIsTrue);
+    CPPUNIT_TEST_SUITE_END();
+
+    static HttpRequest request()
+    {
+        HttpRequest request;
+        request.method = "POST";
+        request.target = "/p/x%20y?q=1";
+        request.headers = { { "host", "h" }, { "request-id", "r1" }, { "deadline-ms", "3000" },
+            { "token-counts", "1840,572" }, { "token-budget", "4576" }, { "program-id", "p" }, { "session-id", "s" },
+            { "prompt-prefix", "5c1e:800, 91bd:410" }, { "previous-turn", "r0" },
+            { "cookie", "other=1; Affinity-Key=17" }, { "connection", "close, x-hop" }, { "x-hop", "1" },
+            { "x-kept", "2" } };
+        request.body = "body";
+        return request;
+    }
+
+    void turnIsDecoded()
+    {
+        const GatewayCall call = readCall(request());
+        CPPUNIT_ASSERT(call.request == TurnId("r1") && call.previousTurn == TurnId("r0"));
+        CPPUNIT_ASSERT_EQUAL(std::string("/p/x%20y"), call.path);
+        CPPUNIT_ASSERT(call.timeLeft == Milliseconds(3000) && call.tokenLimit == TokenCount(4576));
+        CPPUNIT_ASSERT(call.maxOutputTokens == TokenCount(572));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), call.prompt.size());
+        CPPUNIT_ASSERT(call.prompt[1].id == PromptPartId("91bd") && call.prompt[1].tokens == TokenCount(410));
+        CPPUNIT_ASSERT_EQUAL(std::string("17"), call.subject);
+    }
+
+    void malformedFieldsAreLeftEmpty()
+    {
+        HttpRequest bad;
+        bad.target = "/";
+        bad.headers = { { "deadline-ms", "soon" }, { "token-budget", "1e3" }, { "prompt-prefix", "a:1,b" },
+            { "token-counts", "5" } };
+        const GatewayCall call = readCall(bad);
+        CPPUNIT_ASSERT(!call.timeLeft && !call.tokenLimit);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), call.prompt.size());
+        CPPUNIT_ASSERT(call.maxOutputTokens == TokenCount(0));
+    }
+
+    static EndpointSend send()
+    {
+        EndpointSend send;
+        send.endpoint = EndpointId("i-1");
+        send.timeLeft = Milliseconds(1234);
+        return send;
+    }
+
+    void instanceGetsWhatTheCallerSent()
+    {
+        const HttpRequest written = writeCall(request(), send());
+        CPPUNIT_ASSERT_EQUAL(std::string("/p/x%20y?q=1"), written.target);
+        CPPUNIT_ASSERT_EQUAL(std::string("body"), written.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), written.headers.at("expect-instance"));
+        CPPUNIT_ASSERT_EQUAL(std::string("1234"), written.headers.at("deadline-ms"));
+        CPPUNIT_ASSERT(written.headers.contains("x-kept") && !written.headers.contains("x-hop"));
+        CPPUNIT_ASSERT(!written.headers.contains("request-priority"));
+        EndpointSend changed = send();
+        changed.body = "whole prompt";
+        changed.resumeAfter = "7";
+        changed.priority = 3;
+        const HttpRequest resumed = writeCall(request(), changed);
+        CPPUNIT_ASSERT_EQUAL(std::string("whole prompt"), resumed.body);
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), resumed.headers.at("last-event-id"));
+        CPPUNIT_ASSERT_EQUAL(std::string("3"), resumed.headers.at("request-priority"));
+    }
+
+    void callersGiveNoOrdersAboutMemory()
+    {
+        HttpRequest ordering = request();
+        for (const char* name : { "hold", "pin-ms", "kv-backup", "kv-from", "kv-fetch", "expect-version" })
+            ordering.headers[name] = "1";
+        ordering.headers["expect-instance"] = "other";
+        const HttpRequest written = writeCall(ordering, send());
+        for (const char* name : { "hold", "pin-ms", "kv-backup", "kv-from", "kv-fetch", "expect-version" })
+            CPPUNIT_ASSERT(!written.headers.contains(name));
+        CPPUNIT_ASSERT_EQUAL(std::string("i-1"), written.headers.at("expect-instance"));
+    }
+
+    void answerHeadIsDecoded()
+    {
+        const EndpointAnswer answer
+            = readAnswer(200, { { "content-type", "text/event-stream" }, { "server-load", "3,1,8" } });
+        CPPUNIT_ASSERT(answer.isEventStream && !answer.isNotRun);
+        CPPUNIT_ASSERT(answer.load && answer.load->running == 3 && answer.load->waiting == 1);
+        CPPUNIT_ASSERT(readAnswer(503, { { "not-run", "1" } }).isNotRun);
+        CPPUNIT_ASSERT(!readAnswer(503, {}).isNotRun);
+        CPPUNIT_ASSERT(readAnswer(421, {}).isNotRun);
+        CPPUNIT_ASSERT(!readAnswer(200, { { "server-load", "a,b" } }).load);
+    }
+
+    void answerToAnotherRequestIsTold()
+    {
+        CPPUNIT_ASSERT(answers({ { "request-id", "r1" } }, TurnId("r1")));
+        CPPUNIT_ASSERT(!answers({ { "request-id", "r2" } }, TurnId("r1")));
+        CPPUNIT_ASSERT(answers({}, TurnId("r1")));
+    }
+
+    static int statusOf(RejectionReason reason, bool mayHaveRun)
+    {
+        return writeRefusal({ reason, mayHaveRun, Milliseconds(250) }, TurnId("r")).status;
+    }
+
+    void statusOfARefusalIsTrue()
+    {
+        CPPUNIT_ASSERT_EQUAL(404, statusOf(RejectionReason::NoRoute, false));
+        CPPUNIT_ASSERT_EQUAL(404, statusOf(RejectionReason::UnknownTurn, false));
+        CPPUNIT_ASSERT_EQUAL(402, statusOf(RejectionReason::BudgetSpent, false));
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(RejectionReason::Overloaded, false));
+        CPPUNIT_ASSERT_EQUAL(502, statusOf(RejectionReason::Overloaded, true));
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(RejectionReason::TimedOut, false));
+        CPPUNIT_ASSERT_EQUAL(504, statusOf(RejectionReason::TimedOut, true));
+        CPPUNIT_ASSERT_EQUAL(502, statusOf(RejectionReason::AnswerLost, true));
+        const HttpResponse response = writeRefusal({ RejectionReason::Overloaded, false, Milliseconds(250) }, TurnId("r"));
+        CPPUNIT_ASSERT_EQUAL(std::string("0.250"), response.headers.at("retry-after"));
+        CPPUNIT_ASSERT_EQUAL(std::string("r"), response.headers.at("request-id"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CallsTest);
--- /dev/null
+++ b/src/platform/directory_test.cpp
@@ -0,0 +1,94 @@
+#include "directory.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Platform;
+using namespace Rattandeck;
+using Json = nlohmann::json;
+
+class DirectoryTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(DirectoryTest);
+    CPPUNIT_TEST(endpointIsRead);
+    CPPUNIT_TEST(forgedEndpointsNameNoInstance);
+    CPPUNIT_TEST(configurationIsRead);
+    CPPUNIT_TEST(badConfigurationNamesTheField);
+    CPPUNIT_TEST(journalSetComesBackEqual);
+    CPPUNIT_TEST_SUITE_END();
+
+    static StoredObject endpoint(const Json& changes = Json::object())
+    {
+        StoredObject object;
+        object.name = "i-1";
+        object.spec = { { "service", "llm" }, { "address", "10.0.0.1:80" }, { "zone", "a" }, { "slots", 16 },
+            { "phase", "ready" }, { "born", 1780325645028 } };
+        object.spec.update(changes);
+        return object;
+    }
+
+    void endpointIsRead()
+    {
+        const auto instance = readEndpoint(endpoint());
+        CPPUNIT_ASSERT(instance.has_value());
+        CPPUNIT_ASSERT(instance->id == EndpointId("i-1") && instance->slots == 16 && !instance->isDraining);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t(1780325645028), instance->startedAt);
+        CPPUNIT_ASSERT(readEndpoint(endpoint({ { "phase", "draining" } }))->isDraining);
+    }
+
+    void forgedEndpointsNameNoInstance()
+    {
+        const auto fieldOf = [](const Json& changes) { return readEndpoint(endpoint(changes)).error().field; };
+        CPPUNIT_ASSERT_EQUAL(std::string("service"), fieldOf({ { "service", 5 } }));
+        CPPUNIT_ASSERT_EQUAL(std::string("address"), fieldOf({ { "address", "nowhere" } }));
+        CPPUNIT_ASSERT_EQUAL(std::string("slots"), fieldOf({ { "slots", "many" } }));
+        CPPUNIT_ASSERT_EQUAL(std::string("slots"), fieldOf({ { "slots", -1 } }));
+        CPPUNIT_ASSERT_EQUAL(std::string("phase"), fieldOf({ { "phase", "asleep" } }));
+        StoredObject empty;
+        CPPUNIT_ASSERT_EQUAL(std::string("spec"), readEndpoint(empty).error().field);
+    }
+
+    static Json configuration()
+    {
+        const Json route { { "name", "r" }, { "host", "h" }, { "path_prefix", "/p/" }, { "kind", "streaming" },
+            { "timeout_ms", 3000 }, { "goal_ms", 300 }, { "priority", 1 }, { "attempts", 2 }, { "retain", true },
+            { "retain_s", 60.0 }, { "sticky", true }, { "can_resume", true },
+            { "split", { { { "service", "a" }, { "weight", 90 } }, { { "service", "b" }, { "weight", 10 } } } } };
+        const Json service { { "name", "a" }, { "max_conns", 170 },
+            { "engine", { { "slots", 16 }, { "kv_capacity_tokens", 1000 }, { "tokens_per_event", 22 } } } };
+        return { { "version", 7 }, { "routes", Json::array({ route }) }, { "services", Json::array({ service }) },
+            { "limits", { { "max_body_bytes", 100 }, { "idle_timeout_ms", 15000 } } } };
+    }
+
+    void configurationIsRead()
+    {
+        const auto config = readConfig(configuration());
+        CPPUNIT_ASSERT(config.has_value());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), config->version);
+        const Route& route = config->routes.front();
+        CPPUNIT_ASSERT(route.safety == CallSafety::Stream && route.retainsTurns && route.canResume && route.isSticky);
+        CPPUNIT_ASSERT(route.maxRuns == 2 && route.rank == 1 && route.turnRetention == Milliseconds(60000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), route.services.size());
+        CPPUNIT_ASSERT(config->services.front().engine->tokensPerEvent == TokenCount(22));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(100), config->limits.maxBodyBytes);
+        CPPUNIT_ASSERT(config->limits.headerTimeout == Milliseconds(3000));
+    }
+
+    void badConfigurationNamesTheField()
+    {
+        Json json = configuration();
+        json["version"] = "seven";
+        CPPUNIT_ASSERT_EQUAL(std::string("version"), readConfig(json).error().field);
+        json = configuration();
+        json["routes"][0]["kind"] = "odd";
+        CPPUNIT_ASSERT_EQUAL(std::string("routes.kind"), readConfig(json).error().field);
+        CPPUNIT_ASSERT_EQUAL(std::string("routes"), readConfig(Json(5)).error().field);
+    }
+
+    void journalSetComesBackEqual()
+    {
+        const JournalSet set { Epoch(3), { { NodeId("a"), "1:1" }, { NodeId("b"), "2:2" } }, NodeId("b") };
+        CPPUNIT_ASSERT(*readJournalSet(writeJournalSet(set)) == set);
+        CPPUNIT_ASSERT(!readJournalSet(Json::object()).has_value());
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
--- a/src/platform/objectstore.cpp
+++ b/src/platform/objectstore.cpp
@@ -12,6 +12,8 @@
 constexpr std::size_t maxStoreConnections = 16;
 constexpr std::size_t maxAnswerBytes = 8UL * 1024 * 1024;
 constexpr int statusGone = 410;
+/// The shortest wait that a watch can ask for.
+constexpr std::chrono::milliseconds probeWait { 1 };
 
 std::string_view describe(StoreError error)
 {
@@ -99,6 +101,7 @@
         , limits(limits)
         , client(loop, server, maxStoreConnections)
     {
+        this->client.setConnectTimeout(limits.connectTimeout);
     }
 
     EventLoop& loop;
@@ -183,6 +186,7 @@
 void Follower::retry(void (Follower::*step)())
 {
     this->setReachable(false);
+    this->store.client.dropIdle();
     this->store.loop.timers().subscribeAfter(this->retryDelay, [weak = this->weak_from_this(), step] {
         if (const auto self = weak.lock())
             (self.get()->*step)();
@@ -228,11 +232,15 @@
 
 void Follower::watch()
 {
+    // After a failure the first watch does not wait: its answer tells that the store is back.
+    const StoreLimits& limits = this->store.limits;
+    const bool isProbe = this->isReachable == false;
+    const std::chrono::milliseconds wait = isProbe ? probeWait : limits.watchWait;
     HttpRequest request = this->request();
     request.query["watch"] = std::to_string(this->revision);
-    request.query["wait_ms"] = std::to_string(this->store.limits.watchWait.count());
+    request.query["wait_ms"] = std::to_string(wait.count());
     this->store.fetch(
-        request, this->store.limits.watchWait + this->store.limits.callTimeout, this->bind(&Follower::onWatched));
+        request, isProbe ? limits.probeTimeout : wait + limits.watchSlack, this->bind(&Follower::onWatched));
 }
 
 void Follower::onWatched(const Response& response)
@@ -262,9 +270,12 @@
     request.headers["content-type"] = "application/json";
     if (!body.is_null())
         request.body = body.dump();
-    this->fetch(request, this->limits.callTimeout, [done = std::move(done)](auto response) {
-        if (!response)
+    const auto answered = [weak = this->weak_from_this(), done = std::move(done)](auto response) {
+        if (!response) {
+            if (const auto store = weak.lock())
+                store->client.dropIdle();
             return done(tl::unexpected(StoreError::NoAnswer));
+        }
         if (response->status < 200 || response->status >= 300)
             return done(tl::unexpected(errorFor(response->status)));
         const auto object = readObject(Json::parse(response->body, nullptr, false));
@@ -272,7 +283,8 @@
             done(*object);
         else
             done(tl::unexpected(StoreError::NoAnswer));
-    });
+    };
+    this->fetch(request, this->limits.callTimeout, answered);
 }
 
 // Public -------------------------------------------------------------------------------------------------------------
--- a/src/platform/objectstore.h
+++ b/src/platform/objectstore.h
@@ -48,8 +48,13 @@
 
 struct StoreLimits {
     std::chrono::milliseconds callTimeout { 1500 };
+    std::chrono::milliseconds connectTimeout { 400 };
     /// How long the store holds a watch back when nothing changes; short, so that a connection gone silent is noticed.
-    std::chrono::milliseconds watchWait { 2500 };
+    std::chrono::milliseconds watchWait { 2000 };
+    /// How much later than that its answer may come.
+    std::chrono::milliseconds watchSlack { 800 };
+    /// Time for a watch that does not wait, by which the end of an outage is noticed.
+    std::chrono::milliseconds probeTimeout { 700 };
     /// Wait before a failed call is repeated; doubled up to the longest.
     std::chrono::milliseconds firstRetryDelay { 100 };
     std::chrono::milliseconds longestRetryDelay { 800 };
--- /dev/null
+++ b/src/platform/objectstore_test.cpp
@@ -0,0 +1,153 @@
+#include "objectstore.h"
+
+#include "librattandecknet/testloop.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+
+using namespace Platform;
+using namespace RattandeckNet;
+
+class ObjectStoreTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ObjectStoreTest);
+    CPPUNIT_TEST(pagesMakeOneSnapshot);
+    CPPUNIT_TEST(changesComeThroughTheWatch);
+    CPPUNIT_TEST(lostHistoryIsListedAgain);
+    CPPUNIT_TEST(silentStoreIsProbedOnFreshConnections);
+    CPPUNIT_TEST(unreadableObjectsAreSkipped);
+    CPPUNIT_TEST(conflictIsTold);
+    CPPUNIT_TEST_SUITE_END();
+
+    TestLoop test;
+    std::unique_ptr<HttpServer> server;
+    std::unique_ptr<ObjectStore> store;
+    std::vector<HttpRequest> requests;
+    std::deque<HttpResponse> answers;
+    /// Requests that the store leaves without an answer.
+    std::vector<HttpResponder> unanswered;
+    std::vector<std::vector<StoredObject>> snapshots;
+    std::vector<std::pair<StoredObject, bool>> changes;
+    std::vector<bool> reachable;
+
+public:
+    void setUp() override
+    {
+        this->server
+            = std::make_unique<HttpServer>(this->test.loop, HttpLimits {}, [this](HttpRequest request, HttpResponder to) {
+                  this->requests.push_back(std::move(request));
+                  if (this->answers.empty()) {
+                      this->unanswered.push_back(std::move(to));
+                      return;
+                  }
+                  to.send(this->answers.front());
+                  this->answers.pop_front();
+              });
+        CPPUNIT_ASSERT(this->server->listen({ "127.0.0.1", 0 }).has_value());
+        StoreLimits limits;
+        limits.watchWait = std::chrono::milliseconds(100);
+        limits.watchSlack = std::chrono::milliseconds(100);
+        limits.probeTimeout = std::chrono::milliseconds(100);
+        limits.callTimeout = std::chrono::milliseconds(2000);
+        limits.firstRetryDelay = std::chrono::milliseconds(10);
+        this->store
+            = std::make_unique<ObjectStore>(this->test.loop, Address { "127.0.0.1", this->server->port() }, limits);
+    }
+    void tearDown() override
+    {
+        this->store.reset();
+        this->unanswered.clear();
+    }
+
+private:
+    static HttpResponse ok(const std::string& body) { return { 200, {}, body }; }
+
+    static std::string object(const std::string& name, int revision)
+    {
+        return R"({"metadata":{"name":")" + name + R"(","rev":)" + std::to_string(revision) + R"(},"spec":{"a":1}})";
+    }
+
+    static std::string page(const std::string& items, int revision, bool hasMore = false)
+    {
+        return R"({"items":[)" + items + R"(],"has_more":)" + (hasMore ? "true" : "false") + R"(,"current_rev":)"
+            + std::to_string(revision) + "}";
+    }
+
+    void follow()
+    {
+        KindHandlers handlers;
+        handlers.onSnapshot = [this](const auto& objects) { this->snapshots.push_back(objects); };
+        handlers.onChange
+            = [this](const StoredObject& changed, bool isRemoved) { this->changes.emplace_back(changed, isRemoved); };
+        handlers.onReachable = [this](bool isReachable) { this->reachable.push_back(isReachable); };
+        this->store->follow("kind", handlers);
+    }
+
+    void pagesMakeOneSnapshot()
+    {
+        this->answers = { ok(page(object("a", 3), 7, true)), ok(page(object("b", 4), 8)) };
+        this->follow();
+        this->test.runUntil("listed", [this] { return this->requests.size() == 3; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->snapshots.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->snapshots.front().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), this->requests[1].query.at("after"));
+        // What changed between the pages is in the watch.
+        CPPUNIT_ASSERT_EQUAL(std::string("7"), this->requests[2].query.at("watch"));
+    }
+
+    void changesComeThroughTheWatch()
+    {
+        this->answers = { ok(page("", 7)),
+            ok(R"({"events":[{"tombstone":false,"object":)" + object("a", 8) + R"(},{"tombstone":true,"object":)"
+                + object("b", 9) + R"(}],"current_rev":9})") };
+        this->follow();
+        this->test.runUntil("watched", [this] { return this->requests.size() == 3; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->changes.size());
+        CPPUNIT_ASSERT(!this->changes[0].second && this->changes[1].second);
+        CPPUNIT_ASSERT_EQUAL(std::string("9"), this->requests[2].query.at("watch"));
+    }
+
+    void lostHistoryIsListedAgain()
+    {
+        this->answers = { ok(page("", 7)), { 410, {}, {} }, ok(page(object("a", 30), 30)) };
+        this->follow();
+        this->test.runUntil("listed again", [this] { return this->snapshots.size() == 2; });
+        CPPUNIT_ASSERT(!this->requests[2].query.contains("watch"));
+    }
+
+    void silentStoreIsProbedOnFreshConnections()
+    {
+        this->answers = { ok(page("", 7)) };
+        this->follow();
+        this->test.runUntil("noticed", [this] { return this->reachable == std::vector<bool> { true, false }; });
+        this->test.runUntil("probed", [this] { return this->requests.size() >= 4; });
+        CPPUNIT_ASSERT_EQUAL(std::string("1"), this->requests.back().query.at("wait_ms"));
+        this->answers = { ok(R"({"events":[],"current_rev":7})") };
+        this->test.runUntil("noticed again", [this] { return this->reachable.size() == 3; });
+        this->test.runUntil("waits again",
+            [this] { return this->requests.back().query.at("wait_ms") == std::string("100"); });
+    }
+
+    void unreadableObjectsAreSkipped()
+    {
+        this->answers = { ok(page(R"(5,{"metadata":{}},)" + object("a", 3), 7)) };
+        this->follow();
+        this->test.runUntil("listed", [this] { return this->snapshots.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->snapshots.front().size());
+    }
+
+    void conflictIsTold()
+    {
+        this->answers = { { 409, {}, object("a", 9) } };
+        std::optional<tl::expected<StoredObject, StoreError>> outcome;
+        StoredObject changed;
+        changed.name = "a";
+        changed.revision = 8;
+        this->store->replace("kind", changed, [&outcome](const auto& result) { outcome = result; });
+        this->test.runUntil("answered", [&outcome] { return outcome.has_value(); });
+        CPPUNIT_ASSERT(outcome->error() == StoreError::Conflict);
+        CPPUNIT_ASSERT(this->requests.back().body.find("\"rev\":8") != std::string::npos);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ObjectStoreTest);
