--- a/src/platform/objectstore.h
+++ b/src/platform/objectstore.h
@@ -14,6 +14,7 @@
 /// Client of the platform's metadata store.
 namespace Platform {
 
+// NOLINTNEXTLINE(bugprone-exception-escape): moving the library's values only asserts.
 struct StoredObject {
     std::string name;
     /// The store's revision at the object's last change.
--- a/src/rattandeckctl/trace.cpp
+++ b/src/rattandeckctl/trace.cpp
@@ -17,6 +17,7 @@
 /// Context is collected from this long before a request's first line until its last one.
 constexpr std::int64_t contextBeforeMs = 5000;
 
+// NOLINTNEXTLINE(bugprone-exception-escape): moving the library's values only asserts.
 struct LogLine {
     std::int64_t timeMs = 0;
     std::string process;
--- a/src/rattandeckctl/trace_test.cpp
+++ b/src/rattandeckctl/trace_test.cpp
@@ -22,6 +22,7 @@
     {
         std::vector<std::istringstream> streams(logs.begin(), logs.end());
         std::vector<std::istream*> pointers;
+        pointers.reserve(streams.size());
         for (std::istringstream& stream : streams)
             pointers.push_back(&stream);
         return collectTrace(pointers, id);
