--- a/src/include/RattandeckApp/daemon.h
+++ b/src/include/RattandeckApp/daemon.h
@@ -5,6 +5,7 @@
 #include "RattandeckApp/metrics.h"
 #include "RattandeckApp/settings.h"
 #include "RattandeckNet/http.h"
+#include "RattandeckNet/peer.h"
 
 #include <functional>
 #include <string>
@@ -69,6 +70,12 @@
 /// Writes "ready NAME=ADDRESS ..." to standard output, for whoever started the process.
 void printReady(const std::vector<ReadyAddress>& addresses);
 
+/// Limits of the links between gateways and journals: callers wait for them, so a silent one is given up soon.
+RattandeckNet::PeerLimits journalLinkLimits();
+
+/// Hands buffered log lines to standard output from now on, until `timers` calls nobody any more.
+void keepLogFlushed(Rattandeck::TimerService& timers);
+
 // Operators ----------------------------------------------------------------------------------------------------------
 
 /// Answers `/healthz`, `/readyz` (503 unless `isReady`) and `/metrics`; other paths get 404.
--- a/src/include/RattandeckNet/address.h
+++ b/src/include/RattandeckNet/address.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace RattandeckNet {
 
@@ -28,6 +29,8 @@
 };
 
 tl::expected<Address, NetError> parseAddress(std::string_view text);
+/// Leaves out texts that are no address.
+std::vector<Address> parseAddresses(const std::vector<std::string>& texts);
 std::string toString(const Address&);
 std::string_view describe(NetError);
 
--- a/src/librattandeckapp/daemon.cpp
+++ b/src/librattandeckapp/daemon.cpp
@@ -85,6 +85,22 @@
     std::cout << std::endl;
 }
 
+PeerLimits journalLinkLimits()
+{
+    PeerLimits limits;
+    limits.pingInterval = Milliseconds(400);
+    limits.silenceLimit = Milliseconds(1200);
+    limits.reconnectDelay = Milliseconds(60);
+    return limits;
+}
+
+void keepLogFlushed(TimerService& timers)
+{
+    constexpr Milliseconds interval { 100 };
+    flushLog();
+    timers.subscribeAfter(interval, [&timers] { keepLogFlushed(timers); });
+}
+
 // Operators ----------------------------------------------------------------------------------------------------------
 
 void answerAdmin(const HttpRequest& request, const HttpResponder& responder, const std::function<bool()>& isReady,
--- a/src/librattandecknet/address.cpp
+++ b/src/librattandecknet/address.cpp
@@ -17,6 +17,16 @@
     return address;
 }
 
+std::vector<Address> parseAddresses(const std::vector<std::string>& texts)
+{
+    std::vector<Address> addresses;
+    for (const std::string& text : texts) {
+        if (const auto address = parseAddress(text))
+            addresses.push_back(*address);
+    }
+    return addresses;
+}
+
 std::string toString(const Address& address) { return address.host + ":" + std::to_string(address.port); }
 
 std::string_view describe(NetError error)
--- a/src/platform/calls_test.cpp
+++ b/src/platform/calls_test.cpp
@@ -128,7 +128,8 @@
         CPPUNIT_ASSERT_EQUAL(503, statusOf(RejectionReason::TimedOut, false));
         CPPUNIT_ASSERT_EQUAL(504, statusOf(RejectionReason::TimedOut, true));
         CPPUNIT_ASSERT_EQUAL(502, statusOf(RejectionReason::AnswerLost, true));
-        const HttpResponse response = writeRefusal({ RejectionReason::Overloaded, false, Milliseconds(250) }, TurnId("r"));
+        const HttpResponse response
+            = writeRefusal({ RejectionReason::Overloaded, false, Milliseconds(250) }, TurnId("r"));
         CPPUNIT_ASSERT_EQUAL(std::string("0.250"), response.headers.at("retry-after"));
         CPPUNIT_ASSERT_EQUAL(std::string("r"), response.headers.at("request-id"));
     }
--- a/src/platform/objectstore_test.cpp
+++ b/src/platform/objectstore_test.cpp
@@ -33,16 +33,16 @@
 public:
     void setUp() override
     {
-        this->server
-            = std::make_unique<HttpServer>(this->test.loop, HttpLimits {}, [this](HttpRequest request, HttpResponder to) {
-                  this->requests.push_back(std::move(request));
-                  if (this->answers.empty()) {
-                      this->unanswered.push_back(std::move(to));
-                      return;
-                  }
-                  to.send(this->answers.front());
-                  this->answers.pop_front();
-              });
+        this->server = std::make_unique<HttpServer>(
+            this->test.loop, HttpLimits {}, [this](HttpRequest request, HttpResponder to) {
+                this->requests.push_back(std::move(request));
+                if (this->answers.empty()) {
+                    this->unanswered.push_back(std::move(to));
+                    return;
+                }
+                to.send(this->answers.front());
+                this->answers.pop_front();
+            });
         CPPUNIT_ASSERT(this->server->listen({ "127.0.0.1", 0 }).has_value());
         StoreLimits limits;
         limits.watchWait = std::chrono::milliseconds(100);
@@ -124,8 +124,8 @@
         CPPUNIT_ASSERT_EQUAL(std::string("1"), this->requests.back().query.at("wait_ms"));
         this->answers = { ok(R"({"events":[],"current_rev":7})") };
         this->test.runUntil("noticed again", [this] { return this->reachable.size() == 3; });
-        this->test.runUntil("waits again",
-            [this] { return this->requests.back().query.at("wait_ms") == std::string("100"); });
+        this->test.runUntil(
+            "waits again", [this] { return this->requests.back().query.at("wait_ms") == std::string("100"); });
     }
 
     void unreadableObjectsAreSkipped()
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -40,7 +40,6 @@
 namespace {
 
 constexpr Milliseconds sweepInterval { 2000 };
-constexpr Milliseconds logFlushInterval { 100 };
 /// Wait before the set of journals is looked for in the store.
 constexpr Milliseconds journalSearchInterval { 500 };
 /// After the store was away, instances may be missing from it for this long although they live.
@@ -54,15 +53,6 @@
 /// Kept at the end of a planned stop for the last bytes.
 constexpr Milliseconds stopReserve { 600 };
 
-PeerLimits peerLimits()
-{
-    PeerLimits limits;
-    limits.pingInterval = Milliseconds(400);
-    limits.silenceLimit = Milliseconds(1200);
-    limits.reconnectDelay = Milliseconds(60);
-    return limits;
-}
-
 // Daemon ---------------------------------------------------------------------------------------------------------
 
 class Daemon {
@@ -80,7 +70,6 @@
     void answerReady(const HttpResponder& responder) const;
     void provideMetrics();
     void sweep();
-    void flushLogs();
 
     // Store
     void followStore(const Address& address);
@@ -128,7 +117,7 @@
 
 Daemon::Daemon(const GatewaySettings& daemonSettings)
     : settings(daemonSettings)
-    , network(this->loop, this->hello(), peerLimits(), this->peerHandlers())
+    , network(this->loop, this->hello(), journalLinkLimits(), this->peerHandlers())
     , journals(this->loop.timers(), {},
           [this](const NodeId& node, const Message& message) { return this->network.send(node, message); })
     , relay(this->loop, this->metrics, this->journals, FailureDomain(daemonSettings.instance.domain),
@@ -217,7 +206,7 @@
     this->followStore(*storeAddress);
     this->findJournals();
     this->sweep();
-    this->flushLogs();
+    keepLogFlushed(this->loop.timers());
     this->loop.onSignal(SIGTERM, [this] { this->stop(); });
     this->loop.onSignal(SIGINT, [this] { this->stop(); });
     this->loop.onSignal(SIGHUP, [] { logEvent("reload", "settings are read at the start only"); });
@@ -272,12 +261,6 @@
     this->loop.timers().subscribeAfter(sweepInterval, [this] { this->sweep(); });
 }
 
-void Daemon::flushLogs()
-{
-    flushLog();
-    this->loop.timers().subscribeAfter(logFlushInterval, [this] { this->flushLogs(); });
-}
-
 // Store --------------------------------------------------------------------------------------------------------------
 
 void Daemon::followStore(const Address& address)
@@ -462,18 +445,12 @@
 
 void Daemon::linkToJournals()
 {
-    std::vector<Address> addresses;
-    const auto add = [&addresses](const std::string& text) {
-        if (const auto address = parseAddress(text))
-            addresses.push_back(*address);
-    };
+    std::vector<std::string> addresses;
     for (const JournalMember& member : this->journals.members().members)
-        add(member.address);
-    if (addresses.empty()) {
-        for (const std::string& seed : this->settings.seeds)
-            add(seed);
-    }
-    this->network.keepLinksTo(addresses);
+        addresses.push_back(member.address);
+    if (addresses.empty())
+        addresses = this->settings.seeds;
+    this->network.keepLinksTo(parseAddresses(addresses));
 }
 
 // Stop ---------------------------------------------------------------------------------------------------------------
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -35,20 +35,10 @@
 
 constexpr Milliseconds expiryInterval { 1000 };
 constexpr Milliseconds retirementCheckInterval { 200 };
-constexpr Milliseconds logFlushInterval { 100 };
 constexpr std::size_t pageRecords = 512;
 /// How long segments are kept beyond the longest retention seen, so that a chain's oldest turns are rarely rewritten.
 constexpr Milliseconds segmentSlack { 60000 };
 
-PeerLimits peerLimits()
-{
-    PeerLimits limits;
-    limits.pingInterval = Milliseconds(400);
-    limits.silenceLimit = Milliseconds(1200);
-    limits.reconnectDelay = Milliseconds(60);
-    return limits;
-}
-
 // Daemon ---------------------------------------------------------------------------------------------------------
 
 class Daemon : private JournalMembershipIo {
@@ -56,7 +46,7 @@
     explicit Daemon(const JournalSettings& settings)
         : settings(settings)
         , notes(settings.folder)
-        , network(this->loop, this->hello({}), peerLimits(), this->peerHandlers())
+        , network(this->loop, this->hello({}), journalLinkLimits(), this->peerHandlers())
     {
     }
 
@@ -98,7 +88,6 @@
     void onTurnsPage(const NodeId& from, const TurnsPage& page);
     JournalCopier::Io copierIo();
     void expire();
-    void flushLogs();
     void removeOldSegments();
     void rewriteThrough(std::uint64_t number);
 
@@ -256,7 +245,7 @@
         return ExitUnavailable;
     this->followRetirements();
     this->expire();
-    this->flushLogs();
+    keepLogFlushed(this->loop.timers());
     this->loop.onSignal(SIGTERM, [this] { this->stop(); });
     this->loop.onSignal(SIGINT, [this] { this->stop(); });
     this->loop.onSignal(SIGHUP, [] { logEvent("reload", "settings are read at the start only"); });
@@ -287,16 +276,10 @@
 
 void Daemon::linkToMembers()
 {
-    std::vector<Address> addresses;
-    const auto add = [&addresses](const std::string& text) {
-        if (const auto address = parseAddress(text))
-            addresses.push_back(*address);
-    };
-    for (const std::string& seed : this->settings.seeds)
-        add(seed);
+    std::vector<std::string> addresses = this->settings.seeds;
     for (const JournalMember& member : this->membership->set().members)
-        add(member.address);
-    this->network.keepLinksTo(addresses);
+        addresses.push_back(member.address);
+    this->network.keepLinksTo(parseAddresses(addresses));
 }
 
 void Daemon::onUp(const Hello& hello)
@@ -460,12 +443,6 @@
     this->loop.timers().subscribeAfter(expiryInterval, [this] { this->expire(); });
 }
 
-void Daemon::flushLogs()
-{
-    flushLog();
-    this->loop.timers().subscribeAfter(logFlushInterval, [this] { this->flushLogs(); });
-}
-
 void Daemon::removeOldSegments()
 {
     const TimePoint now = this->loop.timers().now();
--- a/src/rattandeck-journal/disk.cpp
+++ b/src/rattandeck-journal/disk.cpp
@@ -1,5 +1,6 @@
 #include "disk.h"
 
+#include "files.h"
 #include "RattandeckApp/log.h"
 
 #include <xxhash.h>
@@ -104,30 +105,6 @@
     return bytes;
 }
 
-bool syncFolder(const std::string& folder)
-{
-    const int descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (descriptor < 0)
-        return false;
-    const bool isSynced = fsync(descriptor) == 0;
-    close(descriptor);
-    return isSynced;
-}
-
-bool writeAll(int descriptor, const std::string& bytes)
-{
-    std::size_t written = 0;
-    while (written < bytes.size()) {
-        const ssize_t size = write(descriptor, bytes.data() + written, bytes.size() - written);
-        if (size < 0 && errno == EINTR)
-            continue;
-        if (size <= 0)
-            return false;
-        written += static_cast<std::size_t>(size);
-    }
-    return true;
-}
-
 }
 
 // Writer -------------------------------------------------------------------------------------------------------------
--- a/src/rattandeck-journal/notes.cpp
+++ b/src/rattandeck-journal/notes.cpp
@@ -1,5 +1,7 @@
 #include "notes.h"
 
+#include "files.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstdio>
@@ -20,18 +22,7 @@
     const int descriptor = open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
     if (descriptor < 0)
         return false;
-    const bool isWritten = write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size());
-    const bool isSynced = isWritten && fsync(descriptor) == 0;
-    close(descriptor);
-    return isSynced;
-}
-
-bool syncFolder(const std::string& folder)
-{
-    const int descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (descriptor < 0)
-        return false;
-    const bool isSynced = fsync(descriptor) == 0;
+    const bool isSynced = writeAll(descriptor, text) && fsync(descriptor) == 0;
     close(descriptor);
     return isSynced;
 }
