--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -352,6 +352,7 @@
         const bool isReusable
             = this->parser->keep_alive() && this->buffer.size() == 0 && this->written == ended->bytes.size();
         this->parser.reset();
+        this->buffer.shrink_to_fit();
         if (isReusable) {
             this->idleSince = this->loop.timers.now();
             owner->idle.push_back(self);
--- a/src/librattandecknet/serverconnection.cpp
+++ b/src/librattandecknet/serverconnection.cpp
@@ -34,11 +34,14 @@
 {
     ErrorCode ignored;
     this->socket.set_option(Tcp::no_delay(true), ignored);
+    this->socket.non_blocking(true, ignored);
     this->startReading();
 }
 
 void ServerConnection::refuse()
 {
+    ErrorCode ignored;
+    this->socket.non_blocking(true, ignored);
     this->startReading();
     this->reject(503);
 }
@@ -63,9 +66,32 @@
     if (this->isReadPending || this->state == State::Closed)
         return;
     this->isReadPending = true;
-    this->socket.async_read_some(this->buffer.prepare(readSize),
-        this->loop.bind([self = this->shared_from_this()](
-                            const ErrorCode& error, std::size_t size) { self->onRead(error, size); }));
+    // Memory is taken when there are bytes: most connections are idle most of the time.
+    this->socket.async_wait(
+        Socket::wait_read, this->loop.bind([self = this->shared_from_this()](const ErrorCode& error) {
+            if (error)
+                self->onRead(error, 0);
+            else
+                self->readNow();
+        }));
+}
+
+void ServerConnection::readNow()
+{
+    if (this->state == State::Closed) {
+        this->isReadPending = false;
+        return;
+    }
+    ErrorCode error;
+    const std::size_t size = this->socket.read_some(this->buffer.prepare(readSize), error);
+    if (error == Asio::error::would_block) {
+        this->isReadPending = false;
+        this->read();
+        return;
+    }
+    this->onRead(error, size);
+    if (this->buffer.size() == 0)
+        this->buffer.shrink_to_fit();
 }
 
 void ServerConnection::onRead(const ErrorCode& error, std::size_t size)
--- a/src/librattandecknet/serverconnection.h
+++ b/src/librattandecknet/serverconnection.h
@@ -75,6 +75,7 @@
 
     void startReading();
     void read();
+    void readNow();
     void onRead(const ErrorCode& error, std::size_t size);
     void parse();
     void acceptExpectation();
