Remove state and a query that nothing reads

Cause: a last read of the change found GatewayCallState::begunBy and isStoring, written and never read, and EndpointTable::hasInstances, never called. Change: they are gone; behaviour is the same. Ruled out: one copy of the body for gateway and relay (a call's body is held twice while it is open): larger than what can be checked now. Before/after: 265 unit tests pass, as before; four cases on real processes and the linter on the changed sources were run. Conclusion: kept.

--- a/src/include/Rattandeck/endpoints.h
+++ b/src/include/Rattandeck/endpoints.h
@@ -101,8 +101,6 @@
     std::vector<EndpointId> ids() const;
     const EndpointInstance* find(const EndpointId& id) const;
 
-    /// Whether the service has an instance that takes new calls.
-    bool hasInstances(const ServiceName& service) const;
     /// The instance where the call is expected to end first; nothing when none takes calls.
     std::optional<PlacementChoice> choose(const PlacementQuery& query, TimePoint now) const;
 
--- a/src/librattandeck/endpoints.cpp
+++ b/src/librattandeck/endpoints.cpp
@@ -162,13 +162,6 @@
     return known ? &known->instance : nullptr;
 }
 
-bool EndpointTable::hasInstances(const ServiceName& service) const
-{
-    const auto found = this->impl->byService.find(service);
-    return found != this->impl->byService.end()
-        && std::ranges::any_of(found->second, [](const Known* known) { return !known->instance.isDraining; });
-}
-
 std::optional<PlacementChoice> EndpointTable::choose(const PlacementQuery& query, TimePoint now) const
 {
     const auto candidates = this->impl->byService.find(query.service);
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -39,7 +39,6 @@
     // Too long to be collected; from here on it can't be replaced by another answer.
     if (!call->hasBegun) {
         call->hasBegun = true;
-        call->begunBy = id;
         self.io.begin(call->id, id);
     }
     self.io.write(call->id, call->body);
@@ -116,7 +115,6 @@
 {
     if (!call.hasBegun) {
         call.hasBegun = true;
-        call.begunBy = call.send;
         this->io.begin(call.id, call.send);
     }
     ++call.events;
@@ -151,7 +149,6 @@
 /// The end of the answer promises that the turn can be continued, so it waits for the journals.
 void Gateway::Impl::store(Call& call)
 {
-    call.isStoring = true;
     RetainedTurn turn;
     turn.id = call.call.request;
     turn.previous = call.call.previousTurn;
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -50,14 +50,11 @@
     // Answer
     std::optional<EndpointAnswer> head;
     bool hasBegun = false;
-    /// The sending whose head the caller has got.
-    SendId begunBy;
     std::string body;
     EventSplitter splitter;
     std::string lastEvent;
     std::uint64_t events = 0;
     std::string output;
-    bool isStoring = false;
 };
 
 struct Gateway::Impl {
