Take a success without the instance's signature for no answer

Cause: the platform counts a success only with the instance's signature, but the gateway passed any 2xx on. Instances may hand out bytes that are no answer of theirs; a head that lacks the signature would have reached the caller as a success. Change: the adapter reads whether an answer is signed; a 2xx that is not is treated like a broken one: repeated where the route allows, else 502. Ruled out: asking for a signature on failures too, since an instance's own failures are passed on as they are. Before/after: GatewayTest::unsignedSuccessIsNoAnswer and CallsTest::answerHeadIsDecoded red before, green after.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -68,6 +68,8 @@
     bool isNotRun = false;
     /// The body is a stream of events.
     bool isEventStream = false;
+    /// The instance vouches for the answer. A success without this is none.
+    bool isSigned = false;
     std::optional<EndpointLoad> load;
 };
 
--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -8,6 +8,7 @@
     CPPUNIT_TEST(unknownRouteIsFinal);
     CPPUNIT_TEST(configurationNeverGoesBack);
     CPPUNIT_TEST(answerIsPassedOnWhole);
+    CPPUNIT_TEST(unsignedSuccessIsNoAnswer);
     CPPUNIT_TEST(unsafeCallRunsOnce);
     CPPUNIT_TEST(refusedSendGoesElsewhere);
     CPPUNIT_TEST(refusalByAllIsNotRun);
@@ -78,6 +79,19 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->f->gateway.open());
     }
 
+    void unsignedSuccessIsNoAnswer()
+    {
+        const CallId unsafe = this->callOn("unsafe");
+        this->f->head(this->lastSend(), 200, false, false, false);
+        CPPUNIT_ASSERT(this->caller(unsafe).refusal->reason == RejectionReason::AnswerLost);
+        CPPUNIT_ASSERT(this->caller(unsafe).refusal->mayHaveRun);
+        CPPUNIT_ASSERT(this->lastSend().isCancelled);
+        // A call that may be repeated is.
+        this->callOn("safe");
+        this->f->head(this->lastSend(), 200, false, false, false);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->f->sends.size());
+    }
+
     void unsafeCallRunsOnce()
     {
         const CallId id = this->callOn("unsafe");
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -19,6 +19,10 @@
         self.onSendRefused(*call);
         return;
     }
+    if (isSuccess(answer) && !answer.isSigned) {
+        self.onSendBroken(*call);
+        return;
+    }
     call->head = answer;
 }
 
--- a/src/librattandeck/gatewayfixture_test.h
+++ b/src/librattandeck/gatewayfixture_test.h
@@ -117,12 +117,13 @@
 
     // Instances ------------------------------------------------------------------------------------------------------
 
-    void head(const Sent& sent, int status, bool isStream = false, bool isNotRun = false)
+    void head(const Sent& sent, int status, bool isStream = false, bool isNotRun = false, bool isSigned = true)
     {
         Rattandeck::EndpointAnswer answer;
         answer.status = status;
         answer.isEventStream = isStream;
         answer.isNotRun = isNotRun;
+        answer.isSigned = isSigned;
         this->gateway.onAnswerHead(sent.id, answer);
     }
 
--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -160,6 +160,7 @@
     EndpointAnswer answer;
     answer.status = status;
     answer.isNotRun = status == misdirected || headers.contains(Names::notRun);
+    answer.isSigned = headers.contains(Names::signature);
     answer.isEventStream = field(headers, "content-type").starts_with("text/event-stream");
     answer.load = readLoad(field(headers, Names::load));
     return answer;
--- a/src/platform/calls_test.cpp
+++ b/src/platform/calls_test.cpp
@@ -100,6 +100,7 @@
             = readAnswer(200, { { "content-type", "text/event-stream" }, { "server-load", "3,1,8" } });
         CPPUNIT_ASSERT(answer.isEventStream && !answer.isNotRun);
         CPPUNIT_ASSERT(answer.load && answer.load->running == 3 && answer.load->waiting == 1);
+        CPPUNIT_ASSERT(!answer.isSigned && readAnswer(200, { { "response-seal", "3e1b" } }).isSigned);
         CPPUNIT_ASSERT(readAnswer(503, { { "not-run", "1" } }).isNotRun);
         CPPUNIT_ASSERT(!readAnswer(503, {}).isNotRun);
         CPPUNIT_ASSERT(readAnswer(421, {}).isNotRun);
