Give back the claim of a caller who left before it was made

Cause: a caller that leaves while its turn's claim is on the way ended the call without a settlement; the claim then counted in full for its retention, so that a later turn of the program could be refused for want of budget. Change: a claim that is granted to a call that has ended is settled at 0 tokens. Before/after: GatewayTurnsTest::claimOfACallerWhoLeftIsGivenBack red before, green after.

--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -182,10 +182,17 @@
 
 void Gateway::Impl::claim(Call& call)
 {
-    this->journals.claim(call.call.program, call.call.request, call.call.maxOutputTokens, *call.call.tokenLimit,
-        this->retention(call), [this, id = call.id](const tl::expected<ClaimOutcome, JournalError>& outcome) {
-            this->onClaimed(id, outcome);
-        });
+    const BudgetId program = call.call.program;
+    const TurnId turn = call.call.request;
+    const Milliseconds kept = this->retention(call);
+    const auto onOutcome
+        = [this, id = call.id, program, turn, kept](const tl::expected<ClaimOutcome, JournalError>& outcome) {
+              if (this->find(id))
+                  this->onClaimed(id, outcome);
+              else if (outcome)
+                  this->journals.settle(program, turn, TokenCount(0), kept);
+          };
+    this->journals.claim(program, turn, call.call.maxOutputTokens, *call.call.tokenLimit, kept, onOutcome);
 }
 
 void Gateway::Impl::fetch(Call& call)
@@ -198,8 +205,6 @@
 void Gateway::Impl::onClaimed(CallId id, const tl::expected<ClaimOutcome, JournalError>& outcome)
 {
     Call* call = this->find(id);
-    if (!call)
-        return;
     call->isClaimPending = false;
     if (!outcome) {
         const bool isSpent = outcome.error() == JournalError::BudgetSpent;
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -95,6 +95,7 @@
     void prepare(Call& call);
     void claim(Call& call);
     void fetch(Call& call);
+    /// Precondition: the call is under way.
     void onClaimed(CallId id, const tl::expected<ClaimOutcome, JournalError>& outcome);
     void onFetched(CallId id, tl::expected<std::string, JournalError> outcome);
     void onPrepared(Call& call);
--- a/src/librattandeck/gatewayturns_test.cpp
+++ b/src/librattandeck/gatewayturns_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(turnWaitsForItsClaim);
     CPPUNIT_TEST(spentBudgetIsRefusedWithoutSending);
     CPPUNIT_TEST(usedTokensAreSettled);
+    CPPUNIT_TEST(claimOfACallerWhoLeftIsGivenBack);
     CPPUNIT_TEST(retainedTurnEndsWithTwoCopies);
     CPPUNIT_TEST(continuedTurnGetsTheChain);
     CPPUNIT_TEST(unknownTurnIsRefused);
@@ -149,6 +150,17 @@
             CPPUNIT_ASSERT(claim.isSettled && claim.tokens == TokenCount(10));
     }
 
+    void claimOfACallerWhoLeftIsGivenBack()
+    {
+        const CallId id = this->f->call(turnOn("stream"));
+        this->f->gateway.onCallerGone(id);
+        this->f->runJournals();
+        this->f->runJournals();
+        const auto claims = this->f->states[NodeId("j2")].claims(BudgetId("p"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), claims.size());
+        CPPUNIT_ASSERT(claims.front().isSettled && claims.front().tokens == TokenCount(0));
+    }
+
     CallId runRetained(const std::string& previous)
     {
         const CallId id = this->f->call(turnOn("retained", previous));
