Ask again before a contested claim is admitted; write a known claim once

Change: a claim that finds another one under way asks the journals once more before it is admitted. Whoever asks last sees every claim that was on record, so that what is admitted together exceeds the budget by one claim at most. Ruled out: waiting for all three journals (a lost one would stop every program); settling the order in the platform's store (a priced call for each turn). Only claims beside others under way pay the second question.

--- a/src/librattandeck/journalclient.cpp
+++ b/src/librattandeck/journalclient.cpp
@@ -32,6 +32,8 @@
         TokenCount limit;
         Milliseconds retention { 0 };
         std::map<TurnId, TokenClaim> seen;
+        /// The claim is on record and asks only which others there are.
+        bool isAskedAgain = false;
         ClaimDone claimed;
         StoreDone stored;
         FetchDone fetched;
@@ -82,6 +84,7 @@
     Operation* findAnswered(JournalTicket ticket, const NodeId& from, Epoch epoch);
     void judge(JournalTicket ticket);
     void judgeClaim(JournalTicket ticket, Operation& operation);
+    void askAgain(JournalTicket ticket);
     void fail(JournalTicket ticket, JournalError error);
     Operation take(JournalTicket ticket);
 
@@ -200,16 +203,34 @@
 void JournalClient::Impl::judgeClaim(JournalTicket ticket, Operation& operation)
 {
     std::int64_t others = 0;
+    bool isContested = false;
     for (const auto& [turn, claim] : operation.seen) {
-        if (turn != operation.turn)
-            others += claim.tokens.value;
+        if (turn == operation.turn)
+            continue;
+        others += claim.tokens.value;
+        isContested = isContested || !claim.isSettled;
     }
     if (others + operation.most.value > operation.limit.value)
         this->fail(ticket, JournalError::BudgetSpent);
+    else if (isContested && !operation.isAskedAgain)
+        this->askAgain(ticket);
     else
         this->take(ticket).claimed(ClaimOutcome { others > 0 });
 }
 
+/// Of claims that race, each pair meets at one journal, but a single answer may lack some of them. Asked again, the
+/// journals tell of every claim that was on record before: whoever asks last sees all that were admitted.
+void JournalClient::Impl::askAgain(JournalTicket ticket)
+{
+    Operation claim = this->take(ticket);
+    const JournalTicket next = this->nextTicket();
+    claim.request = ClaimTokens { next, claim.budget, { claim.turn, claim.most, false }, claim.retention };
+    claim.isAskedAgain = true;
+    claim.asked.clear();
+    claim.answered.clear();
+    this->start(next, std::move(claim));
+}
+
 // Answers ------------------------------------------------------------------------------------------------------------
 
 /// Notes that a member has answered. Nothing when the answer does not count.
--- a/src/librattandeck/journalclient_test.cpp
+++ b/src/librattandeck/journalclient_test.cpp
@@ -4,6 +4,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <map>
+#include <utility>
 
 using namespace Rattandeck;
 
@@ -33,7 +34,9 @@
     CPPUNIT_TEST(journalThatDoesNotCountIsNoVote);
     CPPUNIT_TEST(claimsAddUp);
     CPPUNIT_TEST(racingClaimsAreNotBothAdmitted);
+    CPPUNIT_TEST(claimsThatRaceInACircleStayWithinTheBudget);
     CPPUNIT_TEST(settledClaimFreesTheRest);
+    CPPUNIT_TEST(threeCopiesOutliveTwoLosses);
     CPPUNIT_TEST(journalThatKnowsAnOlderSetIsToldAndAskedAgain);
     CPPUNIT_TEST(operationGoesOnInALaterSet);
     CPPUNIT_TEST(lostLinksEndTheWait);
@@ -253,6 +256,10 @@
         const auto third = claim(*this->client, "3", 40, 100);
         this->run("a");
         this->run("b");
+        // The first claim is still under way, so the journals are asked once more.
+        CPPUNIT_ASSERT(!third->has_value());
+        this->run("a");
+        this->run("b");
         CPPUNIT_ASSERT(third->has_value() && (*third)->has_value());
         CPPUNIT_ASSERT((*third)->value().hasOtherTurns);
     }
@@ -269,6 +276,72 @@
         CPPUNIT_ASSERT(!(*mine)->has_value() || !(*other)->has_value());
     }
 
+    /// Six gateways claim at once, each heard first by the two journals given for it. In the answers to its first question
+    /// no claim sees more than three others.
+    void claimsThatRaceInACircleStayWithinTheBudget()
+    {
+        constexpr std::int64_t unit = 25;
+        constexpr std::int64_t limit = 4 * unit;
+        const std::map<std::string, std::vector<std::size_t>> orders
+            = { { "a", { 0, 1, 2, 3 } }, { "b", { 2, 3, 4, 5 } }, { "c", { 4, 5, 0, 1 } } };
+        std::vector<std::map<NodeId, std::vector<Message>>> inboxes(6);
+        std::vector<std::unique_ptr<JournalClient>> gateways;
+        std::vector<std::shared_ptr<Claimed>> outcomes;
+        for (std::size_t i = 0; i < inboxes.size(); ++i) {
+            gateways.push_back(std::make_unique<JournalClient>(
+                this->timers, JournalClientLimits {}, [&inboxes, i](const NodeId& to, const Message& message) {
+                    inboxes[i][to].push_back(message);
+                    return true;
+                }));
+            gateways.back()->setMembers(setOf(1, { "a", "b", "c" }));
+            outcomes.push_back(claim(*gateways.back(), std::to_string(i), unit, limit));
+        }
+        const auto deliver = [this, &inboxes, &gateways](const std::string& journal, std::size_t i) {
+            const auto messages = std::exchange(inboxes[i][NodeId(journal)], {});
+            for (const Message& message : messages)
+                this->handle(*gateways[i], NodeId(journal), message);
+        };
+        for (const auto& [journal, order] : orders) {
+            for (const std::size_t i : order)
+                deliver(journal, i);
+        }
+        for (int round = 0; round < 3; ++round) {
+            for (const char* journal : { "a", "b", "c" }) {
+                for (std::size_t i = 0; i < gateways.size(); ++i)
+                    deliver(journal, i);
+            }
+        }
+        std::int64_t admitted = 0;
+        for (const auto& outcome : outcomes) {
+            CPPUNIT_ASSERT(outcome->has_value());
+            admitted += (*outcome)->has_value() ? unit : 0;
+        }
+        CPPUNIT_ASSERT(admitted <= limit + unit);
+    }
+
+    void threeCopiesOutliveTwoLosses()
+    {
+        JournalClientLimits limits;
+        limits.copies = 3;
+        std::map<NodeId, std::vector<Message>> inbox;
+        JournalClient gateway(this->timers, limits, [&inbox](const NodeId& to, const Message& message) {
+            inbox[to].push_back(message);
+            return true;
+        });
+        gateway.setMembers(setOf(1, { "a", "b", "c", "d", "e" }));
+        bool isStored = false;
+        gateway.store(turn("1", ""), "", [&isStored](const auto& outcome) { isStored = outcome.has_value(); });
+        const auto& request = std::get<StoreTurn>(inbox[NodeId("a")].front());
+        gateway.onMessage(NodeId("a"), TurnStored { request.ticket, Epoch(1) });
+        gateway.onMessage(NodeId("b"), TurnStored { request.ticket, Epoch(1) });
+        CPPUNIT_ASSERT(!isStored);
+        gateway.onMessage(NodeId("d"), TurnStored { request.ticket, Epoch(1) });
+        CPPUNIT_ASSERT(isStored);
+        // Any three of five meet one of three copies.
+        CPPUNIT_ASSERT(!gateway.canDecide({ NodeId("a"), NodeId("c") }));
+        CPPUNIT_ASSERT(gateway.canDecide({ NodeId("a"), NodeId("c"), NodeId("e") }));
+    }
+
     void settledClaimFreesTheRest()
     {
         const auto first = claim(*this->client, "1", 60, 100);
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -28,6 +28,7 @@
     schema.addStringList("peers.seeds", s.seeds, "addresses at which other journals may be found");
     schema.addAddress("platform.object_store", s.objectStore, "address of the platform's store");
     schema.addString("disk.folder", s.folder, "folder for records; used by this process alone");
+    bindToleratedLosses(schema, s.toleratedLosses);
     bindLog(schema, s.instance.log);
 }
 
@@ -125,6 +126,7 @@
     std::map<std::string, Platform::StoredObject> retirements;
     std::string retirementPhase;
     bool isRetirementPending = false;
+    TimerId retirementTimer;
     bool isStopping = false;
 };
 
@@ -193,7 +195,9 @@
 {
     const JournalMember self { NodeId(this->settings.instance.node), address };
     JournalMembershipIo& io = *this;
-    this->membership = std::make_unique<JournalMembership>(this->loop.timers(), io, self, JournalMembershipLimits {});
+    JournalMembershipLimits limits;
+    limits.toleratedLosses = static_cast<std::size_t>(std::max<std::int64_t>(this->settings.toleratedLosses, 1));
+    this->membership = std::make_unique<JournalMembership>(this->loop.timers(), io, self, limits);
     this->linkToMembers();
     this->membership->start(this->notes.set(), this->notes.isComplete());
     this->linkToMembers();
@@ -335,13 +339,12 @@
 void Daemon::onClaim(const NodeId& from, const ClaimTokens& claim)
 {
     const SettleClaim record { claim.budget, claim.claim, claim.retention };
-    this->applyRecord(record);
-    if (!this->membership->counts()) {
+    if (this->applyRecord(record))
         this->disk->append(record, {});
+    if (!this->membership->counts())
         return;
-    }
     const ClaimsKnown answer { claim.ticket, this->membership->set().epoch, this->state.claims(claim.budget) };
-    this->disk->append(record, [this, from, answer] { this->network.send(from, answer); });
+    this->disk->sync([this, from, answer] { this->network.send(from, answer); });
 }
 
 void Daemon::onSettle(const SettleClaim& claim)
@@ -575,8 +578,11 @@
         this->writeRetirement("completed");
     else
         this->writeRetirement("running");
-    if (this->retirementPhase != "completed")
-        this->loop.timers().subscribeAfter(retirementCheckInterval, [this] { this->checkRetirement(); });
+    this->loop.timers().cancel(this->retirementTimer);
+    if (this->retirementPhase != "completed") {
+        this->retirementTimer
+            = this->loop.timers().subscribeAfter(retirementCheckInterval, [this] { this->checkRetirement(); });
+    }
 }
 
 void Daemon::writeRetirement(const std::string& phase)
