Keep as many copies as the deployment tolerates losses of disks

Cause: two copies and three journals were constants, so that a deployment that must bear two lost disks would have lost turns. Change: journals.tolerated_losses, rendered from the platform's field, sets the copies (one more), the usual number of journals (twice as many and one) and how many may be away when a newcomer takes a place.

--- a/src/include/Rattandeck/journalmembership.h
+++ b/src/include/Rattandeck/journalmembership.h
@@ -33,8 +33,8 @@
     Milliseconds replaceAfter { 2000 };
     /// A member beyond the usual number that can't be reached for this long is dropped.
     Milliseconds dropAfter { 4000 };
-    /// Members that are kept even when one of them can't be reached.
-    std::size_t usualMembers = 3;
+    /// Members that may be lost at once. Twice as many and one are kept even when some of them can't be reached.
+    std::size_t toleratedLosses = 1;
     Milliseconds readInterval { 500 };
     /// A page may bring many turns with it.
     Milliseconds pageTimeout { 8000 };
--- a/src/include/RattandeckApp/daemon.h
+++ b/src/include/RattandeckApp/daemon.h
@@ -36,6 +36,8 @@
 /// `dialers` says in the help text who connects.
 void bindPeers(SettingsSchema& schema, InstanceSettings& settings, const std::string& dialers);
 void bindLog(SettingsSchema& schema, LogSettings& settings);
+/// Gateways and journals must be told the same.
+void bindToleratedLosses(SettingsSchema& schema, std::int64_t& losses);
 
 // Starting -----------------------------------------------------------------------------------------------------------
 
--- a/src/librattandeck/journalmembership.cpp
+++ b/src/librattandeck/journalmembership.cpp
@@ -256,16 +256,16 @@
         if (!this->isUp(member.node))
             unreachable.push_back(member.node);
     }
-    const bool mayReplace = unreachable.size() == 1 && !isReplacedSelf && changed.members.size() >= 2
-        && this->isDownFor(unreachable.front(), this->limits.replaceAfter);
+    const auto replaced = std::ranges::find_if(
+        unreachable, [this](const NodeId& node) { return this->isDownFor(node, this->limits.replaceAfter); });
+    const bool mayReplace = unreachable.size() <= this->limits.toleratedLosses && replaced != unreachable.end()
+        && !isReplacedSelf && changed.members.size() > this->limits.toleratedLosses;
     if (!unreachable.empty() && !mayReplace)
         return;
-    if (mayReplace) {
-        std::erase_if(changed.members,
-            [&unreachable](const JournalMember& member) { return member.node == unreachable.front(); });
-    }
+    if (mayReplace)
+        std::erase_if(changed.members, [&replaced](const JournalMember& member) { return member.node == *replaced; });
     changed.members.push_back(this->self);
-    this->propose(changed, mayReplace ? "join for " + unreachable.front().value : "join");
+    this->propose(changed, mayReplace ? "join for " + replaced->value : "join");
 }
 
 void JournalMembership::Impl::considerDropping()
@@ -277,7 +277,7 @@
     }
     const JournalMember* dropped = nullptr;
     for (const JournalMember& member : this->set.members) {
-        const bool isUseless = this->set.members.size() > this->limits.usualMembers
+        const bool isUseless = this->set.members.size() > 2 * this->limits.toleratedLosses + 1
             && this->isDownFor(member.node, this->limits.dropAfter);
         const bool isWanted = this->leaving.contains(member.node) && this->isUp(member.node);
         if (member.node != this->self.node && (isUseless || isWanted)) {
@@ -285,7 +285,8 @@
             break;
         }
     }
-    if (!dropped || this->set.members.size() <= 2)
+    // Each record keeps one copy more than may be lost.
+    if (!dropped || this->set.members.size() <= this->limits.toleratedLosses + 1)
         return;
     for (const NodeId& node : this->others()) {
         if (node != dropped->node && !this->isUp(node))
--- a/src/librattandeck/journalmembership_test.cpp
+++ b/src/librattandeck/journalmembership_test.cpp
@@ -51,6 +51,7 @@
     bool arePagesHeld = false;
     std::set<NodeId> unreachable;
     std::vector<std::function<void()>> due;
+    JournalMembershipLimits limits;
 
     FakeJournal& add(const std::string& name, const std::string& address = {})
     {
@@ -129,7 +130,7 @@
 void FakeJournal::start()
 {
     this->membership = std::make_unique<JournalMembership>(
-        this->cluster.timers, *this, JournalMember { this->node, this->address }, JournalMembershipLimits {});
+        this->cluster.timers, *this, JournalMember { this->node, this->address }, this->cluster.limits);
     this->membership->start(this->notedSet, this->notedComplete);
 }
 
@@ -216,6 +217,7 @@
     CPPUNIT_TEST(sameNodeAtAnotherAddressTakesItsOwnPlace);
     CPPUNIT_TEST(nothingChangesWithoutTheStore);
     CPPUNIT_TEST(leavingJournalIsCopiedByAllBeforeItIsEmpty);
+    CPPUNIT_TEST(fiveStayFiveAndOneOfTwoLostIsReplaced);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<FakeCluster> cluster;
@@ -426,6 +428,31 @@
         CPPUNIT_ASSERT(this->has("a", "1") && this->has("b", "1"));
         CPPUNIT_ASSERT(this->at("a").counts() && this->at("b").counts());
     }
+
+    void fiveStayFiveAndOneOfTwoLostIsReplaced()
+    {
+        this->cluster = std::make_unique<FakeCluster>();
+        this->cluster->limits.toleratedLosses = 2;
+        for (const char* name : { "a", "b", "c", "d", "e" })
+            this->cluster->add(name);
+        this->cluster->run(Milliseconds(5000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), this->cluster->memberCount());
+        this->write("1", { "a", "d", "e" });
+        this->at("d").stop();
+        this->at("e").stop();
+        this->cluster->run(Milliseconds(8000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), this->cluster->memberCount());
+        this->cluster->add("f");
+        this->cluster->run(Milliseconds(5000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), this->cluster->memberCount());
+        CPPUNIT_ASSERT(this->cluster->hasMember("f") && this->has("f", "1"));
+        // It counts only when it has heard all others, the one that is still away included.
+        CPPUNIT_ASSERT(!this->at("f").counts());
+        this->at("d").start();
+        this->at("e").start();
+        this->cluster->run(Milliseconds(5000));
+        CPPUNIT_ASSERT(this->at("f").counts());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JournalMembershipTest);
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -24,6 +24,7 @@
     bindAdmin(schema, s.instance, "health and metrics");
     schema.addStringList("peers.seeds", s.seeds, "addresses at which journals may be found");
     schema.addAddress("platform.object_store", s.objectStore, "address of the platform's store");
+    bindToleratedLosses(schema, s.toleratedLosses);
     schema.addNumber("placement.max_load", s.limits.maxLoad, 0.1, 100,
         "load of an instance, in multiples of its slots, beyond which calls wait here");
     schema.addNumber(
@@ -115,10 +116,17 @@
     TimePoint stopBegun;
 };
 
+JournalClientLimits journalLimits(const GatewaySettings& settings)
+{
+    JournalClientLimits limits;
+    limits.copies = static_cast<std::size_t>(std::max<std::int64_t>(settings.toleratedLosses, 1)) + 1;
+    return limits;
+}
+
 Daemon::Daemon(const GatewaySettings& daemonSettings)
     : settings(daemonSettings)
     , network(this->loop, this->hello(), journalLinkLimits(), this->peerHandlers())
-    , journals(this->loop.timers(), {},
+    , journals(this->loop.timers(), journalLimits(daemonSettings),
           [this](const NodeId& node, const Message& message) { return this->network.send(node, message); })
     , relay(this->loop, this->metrics, this->journals, FailureDomain(daemonSettings.instance.domain),
           daemonSettings.limits)
--- a/src/rattandeck-gateway/daemon.h
+++ b/src/rattandeck-gateway/daemon.h
@@ -12,6 +12,8 @@
     /// Addresses at which journals may be found.
     std::vector<std::string> seeds;
     std::string objectStore;
+    /// Disks that may be lost at once.
+    std::int64_t toleratedLosses = 1;
     Rattandeck::GatewayLimits limits;
     /// How long a planned stop may take.
     Rattandeck::Milliseconds stopLimit { 8000 };
--- a/src/rattandeck-journal/daemon.h
+++ b/src/rattandeck-journal/daemon.h
@@ -8,6 +8,8 @@
     std::vector<std::string> seeds;
     std::string objectStore;
     std::string folder;
+    /// Disks that may be lost at once.
+    std::int64_t toleratedLosses = 1;
 };
 
 void bindSettings(RattandeckApp::SettingsSchema& schema, JournalSettings& settings);
