--- a/src/include/Rattandeck/journalclient.h
+++ b/src/include/Rattandeck/journalclient.h
@@ -44,8 +44,8 @@
 /// on while one of them is away.
 ///
 /// Two claims on one budget meet at a journal that answered both, so at least one of them sees the other. A claim that
-/// meets one under way asks once more before it is admitted; what is admitted together exceeds the limit by one claim at
-/// most.
+/// meets one under way asks once more before it is admitted; what is admitted together exceeds the limit by one claim
+/// at most.
 ///
 /// Thread safety: not synchronised. Callbacks are called from `onMessage`, `onLinkDown` and timers, and from within the
 /// call that starts the operation when its outcome is known at once.
--- a/src/librattandeck/journalclient_test.cpp
+++ b/src/librattandeck/journalclient_test.cpp
@@ -276,8 +276,8 @@
         CPPUNIT_ASSERT(!(*mine)->has_value() || !(*other)->has_value());
     }
 
-    /// Six gateways claim at once, each heard first by the two journals given for it. In the answers to its first question
-    /// no claim sees more than three others.
+    /// Six gateways claim at once, each heard first by the two journals given for it. In the answers to its first
+    /// question no claim sees more than three others.
     void claimsThatRaceInACircleStayWithinTheBudget()
     {
         constexpr std::int64_t unit = 25;
--- a/src/librattandeckapp/daemon.cpp
+++ b/src/librattandeckapp/daemon.cpp
@@ -41,7 +41,8 @@
 {
     constexpr std::int64_t most = 4;
     schema.addInteger("journals.tolerated_losses", losses, 0, most,
-        "disks that may be lost at once, taken for 1 at least; a record has one copy more, and twice as many journals and "
+        "disks that may be lost at once, taken for 1 at least; a record has one copy more, and twice as many journals "
+        "and "
         "one are kept");
 }
 
