--- /dev/null
+++ b/src/librattandeck/journal.cpp
@@ -0,0 +1,281 @@
+#include "Rattandeck/journal.h"
+
+#include "Rattandeck/journalcopier.h"
+
+#include <algorithm>
+
+namespace Rattandeck {
+
+constexpr std::size_t pageRecords = 512;
+
+struct Journal::Impl : private JournalMembershipIo {
+    Impl(TimerService& timers, JournalIo& io, JournalMember self, JournalMembershipLimits limits)
+        : timers(timers)
+        , io(io)
+        , membership(timers, *this, std::move(self), limits)
+        , copier(this->copierIo())
+    {
+    }
+
+    TimerService& timers;
+    JournalIo& io;
+    JournalState state;
+    JournalMembership membership;
+    JournalCopier copier;
+    std::set<NodeId> linked;
+    Milliseconds longestRetention { 0 };
+
+    JournalCopier::Io copierIo();
+
+    /// Each returns whether the record was not known before.
+    bool apply(const SettleClaim& claim);
+    bool apply(const RetainedTurn& turn);
+    bool apply(const CrashReports& crashes);
+    template <typename Record> bool keep(const Record& record);
+
+    void onClaim(const NodeId& from, const ClaimTokens& claim);
+    void onStore(const NodeId& from, const StoreTurn& store);
+    void onFetch(const NodeId& from, const FetchTurn& fetch);
+    void onCrashes(const NodeId& from, const CrashReports& crashes);
+    void onCopyRequest(const NodeId& from, const CopyRequest& request);
+    void onCopyPage(const NodeId& from, const CopyPage& page);
+    void onTurnsRequest(const NodeId& from, const TurnsRequest& request);
+    void onTurnsPage(const NodeId& from, const TurnsPage& page);
+
+    // JournalMembershipIo
+    void readSet() override { this->io.readSet(); }
+    void writeSet(const JournalSet& set) override { this->io.writeSet(set); }
+    bool askForPage(const NodeId& node, const CopyRequest& request) override { return this->io.send(node, request); }
+    void noteComplete(bool isComplete) override { this->io.noteComplete(isComplete); }
+    void onSetChanged(const JournalSet& set) override;
+    void logStep(const std::string& step, const std::string& detail) override { this->io.logStep(step, detail); }
+};
+
+// Records ------------------------------------------------------------------------------------------------------------
+
+bool Journal::Impl::apply(const SettleClaim& claim)
+{
+    this->longestRetention = std::max(this->longestRetention, claim.retention);
+    return this->state.apply(claim, this->timers.now());
+}
+
+bool Journal::Impl::apply(const RetainedTurn& turn)
+{
+    this->longestRetention = std::max(this->longestRetention, turn.retention);
+    return this->state.apply(turn, this->timers.now());
+}
+
+bool Journal::Impl::apply(const CrashReports& crashes)
+{
+    bool isNew = false;
+    for (const CrashReport& report : crashes.reports)
+        isNew = this->state.apply(report, this->timers.now()) || isNew;
+    return isNew;
+}
+
+/// Applies a record, and appends it unless it was known.
+template <typename Record> bool Journal::Impl::keep(const Record& record)
+{
+    const bool isNew = this->apply(record);
+    if (isNew)
+        this->io.append(record);
+    return isNew;
+}
+
+void Journal::Impl::onClaim(const NodeId& from, const ClaimTokens& claim)
+{
+    this->keep(SettleClaim { claim.budget, claim.claim, claim.retention });
+    if (!this->membership.counts())
+        return;
+    const ClaimsKnown answer { claim.ticket, this->membership.set().epoch, this->state.claims(claim.budget) };
+    this->io.sync([this, from, answer] { this->io.send(from, answer); });
+}
+
+void Journal::Impl::onStore(const NodeId& from, const StoreTurn& store)
+{
+    this->keep(store.turn);
+    if (!this->membership.counts())
+        return;
+    const TurnStored answer { store.ticket, this->membership.set().epoch };
+    this->io.sync([this, from, answer] { this->io.send(from, answer); });
+}
+
+void Journal::Impl::onFetch(const NodeId& from, const FetchTurn& fetch)
+{
+    TurnFetched answer;
+    answer.ticket = fetch.ticket;
+    answer.epoch = this->membership.set().epoch;
+    if (auto transcript = this->state.transcript(fetch.turn)) {
+        answer.isFound = true;
+        answer.missing = std::move(transcript->missing);
+        answer.transcript = std::move(transcript->text);
+    }
+    // A journal that does not count must not say that a turn is missing.
+    if (answer.isFound || this->membership.counts())
+        this->io.send(from, answer);
+}
+
+void Journal::Impl::onCrashes(const NodeId& from, const CrashReports& crashes)
+{
+    if (!this->keep(crashes))
+        return;
+    for (const NodeId& node : this->linked) {
+        if (node != from)
+            this->io.send(node, crashes);
+    }
+}
+
+// Copying ------------------------------------------------------------------------------------------------------------
+
+JournalCopier::Io Journal::Impl::copierIo()
+{
+    JournalCopier::Io copierIo;
+    copierIo.isKnown = [this](const TurnId& turn) { return this->state.hasTurn(turn); };
+    copierIo.ask = [this](const NodeId& node, const TurnsRequest& request) { this->io.send(node, request); };
+    copierIo.onCopied = [this](const NodeId& node, const CopyPage& page) {
+        this->io.sync([this, node, page] { this->membership.onPage(node, page); });
+    };
+    return copierIo;
+}
+
+void Journal::Impl::onCopyRequest(const NodeId& from, const CopyRequest& request)
+{
+    CopyPage page = this->state.page(request.cursor, pageRecords);
+    page.round = request.round;
+    page.epoch = this->membership.set().epoch;
+    if (page.isLast)
+        this->membership.onCopiedBy(from);
+    this->io.send(from, page);
+}
+
+void Journal::Impl::onCopyPage(const NodeId& from, const CopyPage& page)
+{
+    for (const SettleClaim& claim : page.claims)
+        this->keep(claim);
+    if (!page.crashes.empty())
+        this->onCrashes(from, { page.crashes });
+    this->copier.onPage(from, page);
+}
+
+void Journal::Impl::onTurnsRequest(const NodeId& from, const TurnsRequest& request)
+{
+    TurnsPage page;
+    for (const TurnId& id : request.turns) {
+        if (auto turn = this->state.turn(id))
+            page.turns.push_back(std::move(*turn));
+    }
+    this->io.send(from, page);
+}
+
+void Journal::Impl::onTurnsPage(const NodeId& from, const TurnsPage& page)
+{
+    for (const RetainedTurn& turn : page.turns)
+        this->keep(turn);
+    this->copier.onTurns(from);
+}
+
+void Journal::Impl::onSetChanged(const JournalSet& set)
+{
+    this->io.noteSet(set);
+    for (const NodeId& node : this->linked)
+        this->io.send(node, set);
+    this->io.onSetChanged(set);
+}
+
+// Public -------------------------------------------------------------------------------------------------------------
+
+Journal::Journal(TimerService& timers, JournalIo& io, JournalMember self, JournalMembershipLimits limits)
+    : impl(std::make_unique<Impl>(timers, io, std::move(self), limits))
+{
+}
+
+Journal::~Journal() = default;
+
+void Journal::restore(const JournalRecord& record)
+{
+    std::visit([this](const auto& known) { this->impl->apply(known); }, record);
+}
+
+void Journal::start(const JournalSet& known, bool wasComplete) { this->impl->membership.start(known, wasComplete); }
+
+void Journal::onSetRead(const std::optional<JournalSet>& set) { this->impl->membership.onSetRead(set); }
+
+void Journal::onSetWritten(const JournalSet& set) { this->impl->membership.onSetWritten(set); }
+
+void Journal::onSetUnread() { this->impl->membership.onSetUnread(); }
+
+void Journal::setLeaving(std::set<NodeId> leaving) { this->impl->membership.setLeaving(std::move(leaving)); }
+
+void Journal::onLinkUp(const NodeId& node, Role role)
+{
+    this->impl->linked.insert(node);
+    if (this->impl->membership.set().epoch.value > 0)
+        this->impl->io.send(node, this->impl->membership.set());
+    if (role == Role::Journal)
+        this->impl->membership.onLinkUp(node);
+    else if (auto crashes = this->impl->state.crashes(); !crashes.empty())
+        this->impl->io.send(node, CrashReports { std::move(crashes) });
+}
+
+void Journal::onLinkDown(const NodeId& node)
+{
+    this->impl->linked.erase(node);
+    this->impl->membership.onLinkDown(node);
+    this->impl->copier.onLinkDown(node);
+}
+
+void Journal::onMessage(const NodeId& from, const Message& message)
+{
+    if (const auto* claim = std::get_if<ClaimTokens>(&message))
+        this->impl->onClaim(from, *claim);
+    else if (const auto* settled = std::get_if<SettleClaim>(&message))
+        this->impl->keep(*settled);
+    else if (const auto* stored = std::get_if<StoreTurn>(&message))
+        this->impl->onStore(from, *stored);
+    else if (const auto* fetch = std::get_if<FetchTurn>(&message))
+        this->impl->onFetch(from, *fetch);
+    else if (const auto* set = std::get_if<JournalSet>(&message))
+        this->impl->membership.onSetTold(*set);
+    else if (const auto* request = std::get_if<CopyRequest>(&message))
+        this->impl->onCopyRequest(from, *request);
+    else if (const auto* page = std::get_if<CopyPage>(&message))
+        this->impl->onCopyPage(from, *page);
+    else if (const auto* turnsRequest = std::get_if<TurnsRequest>(&message))
+        this->impl->onTurnsRequest(from, *turnsRequest);
+    else if (const auto* turns = std::get_if<TurnsPage>(&message))
+        this->impl->onTurnsPage(from, *turns);
+    else if (const auto* crashes = std::get_if<CrashReports>(&message))
+        this->impl->onCrashes(from, *crashes);
+}
+
+void Journal::expire() { this->impl->state.expire(this->impl->timers.now()); }
+
+void Journal::rewriteThrough(std::uint64_t number)
+{
+    const JournalState& state = this->impl->state;
+    if (auto crashes = state.crashes(); !crashes.empty())
+        this->impl->io.append(CrashReports { std::move(crashes) });
+    std::uint64_t cursor = 0;
+    while (cursor < number) {
+        const CopyPage page = state.page(cursor, pageRecords);
+        for (const SettleClaim& claim : page.claims)
+            this->impl->io.append(claim);
+        for (const TurnId& turn : page.turns)
+            this->impl->io.append(*state.turn(turn));
+        if (page.isLast)
+            return;
+        cursor = page.cursor;
+    }
+}
+
+const JournalSet& Journal::set() const { return this->impl->membership.set(); }
+
+bool Journal::counts() const { return this->impl->membership.counts(); }
+
+bool Journal::isEmptied() const { return this->impl->membership.isEmptied(); }
+
+const JournalState& Journal::state() const { return this->impl->state; }
+
+Milliseconds Journal::longestRetention() const { return this->impl->longestRetention; }
+
+}
--- /dev/null
+++ b/src/librattandeck/journal_test.cpp
@@ -0,0 +1,183 @@
+#include "Rattandeck/journal.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <utility>
+#include <vector>
+
+using namespace Rattandeck;
+
+namespace {
+
+constexpr Milliseconds retention { 60000 };
+
+/// Surroundings of one journal, which sync its disk when the test says so.
+struct FakeSurroundings : JournalIo {
+    bool send(const NodeId& to, const Message& message) override
+    {
+        this->sent.emplace_back(to, message);
+        return true;
+    }
+    void append(const JournalRecord& record) override { this->appended.push_back(record); }
+    void sync(std::function<void()> onDurable) override { this->awaiting.push_back(std::move(onDurable)); }
+    void noteComplete(bool isComplete) override { this->notedComplete = isComplete; }
+    void noteSet(const JournalSet& set) override { this->notedSet = set; }
+    void readSet() override { ++this->reads; }
+    void writeSet(const JournalSet& set) override { this->written = set; }
+    void onSetChanged(const JournalSet& set) override { this->linkedTo = set; }
+    void logStep(const std::string&, const std::string&) override { }
+
+    void finishSync()
+    {
+        for (const auto& onDurable : std::exchange(this->awaiting, {}))
+            onDurable();
+    }
+
+    template <typename Kind> std::vector<Kind> sentOfKind() const
+    {
+        std::vector<Kind> found;
+        for (const auto& [to, message] : this->sent) {
+            if (const auto* each = std::get_if<Kind>(&message))
+                found.push_back(*each);
+        }
+        return found;
+    }
+
+    std::vector<std::pair<NodeId, Message>> sent;
+    std::vector<JournalRecord> appended;
+    std::vector<std::function<void()>> awaiting;
+    bool notedComplete = false;
+    JournalSet notedSet;
+    JournalSet linkedTo;
+    JournalSet written;
+    int reads = 0;
+};
+
+}
+
+class JournalTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(JournalTest);
+    CPPUNIT_TEST(answersWhenTheRecordIsOnDisk);
+    CPPUNIT_TEST(knownRecordsAreWrittenOnce);
+    CPPUNIT_TEST(incompleteJournalKeepsRecordsAndIsSilent);
+    CPPUNIT_TEST(incompleteJournalTellsWhatItHas);
+    CPPUNIT_TEST(crashesAreSpreadOnce);
+    CPPUNIT_TEST(linkedProcessIsToldTheSetAndCrashes);
+    CPPUNIT_TEST(wantedRecordsAreWrittenOnceMore);
+    CPPUNIT_TEST_SUITE_END();
+
+    TimerService timers;
+    FakeSurroundings around;
+    std::unique_ptr<Journal> journal;
+    const NodeId gateway { "g" };
+
+    static JournalSet setOfThree()
+    {
+        JournalSet set;
+        set.epoch = Epoch(4);
+        for (const char* name : { "a", "b", "c" })
+            set.members.push_back({ NodeId(name), std::string(name) + ":1" });
+        return set;
+    }
+
+    void start(bool isComplete)
+    {
+        JournalIo& io = this->around;
+        this->journal = std::make_unique<Journal>(
+            this->timers, io, JournalMember { NodeId("a"), "a:1" }, JournalMembershipLimits {});
+        this->journal->start(setOfThree(), isComplete);
+    }
+
+    static StoreTurn storeOf(std::uint64_t ticket, const std::string& turn)
+    {
+        return { JournalTicket(ticket), { TurnId(turn), {}, "in", "out", retention } };
+    }
+
+    static ClaimTokens claimOf(std::uint64_t ticket)
+    {
+        return { JournalTicket(ticket), BudgetId("p"), { TurnId("t"), TokenCount(40), false }, retention };
+    }
+
+    void answersWhenTheRecordIsOnDisk()
+    {
+        this->start(true);
+        this->journal->onMessage(this->gateway, storeOf(1, "t"));
+        this->journal->onMessage(this->gateway, claimOf(2));
+        CPPUNIT_ASSERT(this->around.sent.empty());
+        this->around.finishSync();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->around.sentOfKind<TurnStored>().size());
+        const auto claims = this->around.sentOfKind<ClaimsKnown>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), claims.size());
+        CPPUNIT_ASSERT(claims.front().epoch == Epoch(4) && claims.front().claims.size() == 1);
+    }
+
+    void knownRecordsAreWrittenOnce()
+    {
+        this->start(true);
+        for (const std::uint64_t ticket : { 1, 2 }) {
+            this->journal->onMessage(this->gateway, storeOf(ticket, "t"));
+            this->journal->onMessage(this->gateway, claimOf(ticket));
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->around.appended.size());
+        this->around.finishSync();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->around.sentOfKind<TurnStored>().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->around.sentOfKind<ClaimsKnown>().size());
+    }
+
+    void incompleteJournalKeepsRecordsAndIsSilent()
+    {
+        this->start(false);
+        this->journal->onMessage(this->gateway, storeOf(1, "t"));
+        this->journal->onMessage(this->gateway, claimOf(2));
+        this->journal->onMessage(this->gateway, FetchTurn { JournalTicket(3), TurnId("never") });
+        this->around.finishSync();
+        CPPUNIT_ASSERT(this->around.sent.empty());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->around.appended.size());
+    }
+
+    void incompleteJournalTellsWhatItHas()
+    {
+        this->start(false);
+        this->journal->onMessage(this->gateway, storeOf(1, "t"));
+        this->journal->onMessage(this->gateway, FetchTurn { JournalTicket(2), TurnId("t") });
+        const auto fetched = this->around.sentOfKind<TurnFetched>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fetched.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("inout"), fetched.front().transcript);
+    }
+
+    void crashesAreSpreadOnce()
+    {
+        this->start(true);
+        this->journal->onLinkUp(NodeId("b"), Role::Journal);
+        this->journal->onLinkUp(this->gateway, Role::Gateway);
+        this->around.sent.clear();
+        const CrashReports crashes { { { Fingerprint("f"), "e/1", retention } } };
+        this->journal->onMessage(this->gateway, crashes);
+        this->journal->onMessage(NodeId("b"), crashes);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->around.sent.size());
+        CPPUNIT_ASSERT(this->around.sent.front().first == NodeId("b"));
+    }
+
+    void linkedProcessIsToldTheSetAndCrashes()
+    {
+        this->start(true);
+        this->journal->restore(CrashReports { { { Fingerprint("f"), "e/1", retention } } });
+        this->journal->onLinkUp(this->gateway, Role::Gateway);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->around.sentOfKind<JournalSet>().size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->around.sentOfKind<CrashReports>().size());
+    }
+
+    void wantedRecordsAreWrittenOnceMore()
+    {
+        this->start(true);
+        this->journal->onMessage(this->gateway, storeOf(1, "old"));
+        const std::uint64_t number = this->journal->state().lastNumber();
+        this->journal->onMessage(this->gateway, storeOf(2, "new"));
+        this->around.appended.clear();
+        this->journal->rewriteThrough(number);
+        CPPUNIT_ASSERT(!this->around.appended.empty());
+        CPPUNIT_ASSERT(std::get<RetainedTurn>(this->around.appended.front()).id == TurnId("old"));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JournalTest);
--- a/src/rattandeck-journal/disk.cpp
+++ b/src/rattandeck-journal/disk.cpp
@@ -1,6 +1,5 @@
 #include "disk.h"
 
-#include "files.h"
 #include "RattandeckApp/log.h"
 
 #include <xxhash.h>
@@ -238,12 +237,23 @@
     if (error)
         return tl::unexpected(Error::CannotOpenFolder);
     auto impl = std::make_unique<Impl>(loop, folder, limits);
-    for (const SegmentNumber number : listSegments(folder)) {
+    const std::vector<SegmentNumber> segments = listSegments(folder);
+    for (const SegmentNumber number : segments) {
         const auto bytes = readFile(segmentPath(folder, number));
         if (!bytes)
             return tl::unexpected(Error::CannotReadSegment);
         ++found.segments;
-        if (!readRecords(*bytes, onRecord, found))
+        // Only the last segment may hold what was never synced: the others were closed after their last sync.
+        const bool isLast = number == segments.back();
+        const bool mustRewrite = isLast && !(limits.syncFile(segmentPath(folder, number)) && syncFolder(folder));
+        const auto take = [&impl, &onRecord, &found, mustRewrite](JournalRecord record) {
+            if (mustRewrite) {
+                appendRecord(impl->pending, encodeRecord(record));
+                ++found.rewrittenRecords;
+            }
+            onRecord(std::move(record));
+        };
+        if (!readRecords(*bytes, take, found))
             ++found.tornSegments;
         impl->current.store(number);
     }
@@ -263,14 +273,12 @@
     this->impl->closeSegment();
 }
 
-void JournalDisk::append(const JournalRecord& record, std::function<void()> onDurable)
+void JournalDisk::append(const JournalRecord& record)
 {
     const std::string bytes = encodeRecord(record);
     {
         const std::lock_guard guard(this->impl->mutex);
         appendRecord(this->impl->pending, bytes);
-        if (onDurable)
-            this->impl->pendingDone.push_back(std::move(onDurable));
         ++this->impl->counts.records;
     }
     this->impl->changed.notify_one();
--- a/src/rattandeck-journal/disk.h
+++ b/src/rattandeck-journal/disk.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "files.h"
 #include "Rattandeck/types.h"
 #include "RattandeckNet/eventloop.h"
 #include "record.h"
@@ -21,6 +22,8 @@
         Rattandeck::Milliseconds segmentAge { 15000 };
         /// Wait before a refused write is tried again, in a new segment.
         Rattandeck::Milliseconds retryDelay { 200 };
+        /// Makes a file durable that an earlier process wrote.
+        bool (*syncFile)(const std::string& path) = ::syncFile;
     };
     using SegmentNumber = std::uint64_t;
 
@@ -30,23 +33,27 @@
         std::size_t segments = 0;
         /// Segments whose end was cut short or never written.
         std::size_t tornSegments = 0;
+        /// Records of the last segment that are written once more, since the disk would not sync it.
+        std::size_t rewrittenRecords = 0;
     };
 
     enum class Error { CannotOpenFolder, CannotReadSegment };
 
-    /// Reads every record in `folder`, in the order of writing, and starts the writer.
+    /// Reads every record in `folder`, in the order of writing, and starts the writer. What a process that was killed
+    /// had written and not synced is made durable first, or is written once more.
     ///
     /// Precondition: no other process uses the folder; `loop` outlives this object.
     static tl::expected<std::unique_ptr<JournalDisk>, Error> open(RattandeckNet::EventLoop& loop,
-        const std::string& folder, Limits limits, const std::function<void(JournalRecord)>& onRecord, Found& found);
+        const std::string& folder, Limits limits, const std::function<void(Rattandeck::JournalRecord)>& onRecord,
+        Found& found);
     ~JournalDisk();
     JournalDisk(const JournalDisk&) = delete;
     JournalDisk& operator=(const JournalDisk&) = delete;
 
-    /// Appends a record. `onDurable`, if not empty, is called from the loop once it is on disk.
+    /// Appends a record; it is on disk when a later `sync` says so.
     ///
     /// Thread safety: use from the loop's thread.
-    void append(const JournalRecord& record, std::function<void()> onDurable);
+    void append(const Rattandeck::JournalRecord& record);
 
     /// Calls `onDurable` from the loop once all records appended so far are on disk.
     void sync(std::function<void()> onDurable);
--- a/src/rattandeck-journal/disk_test.cpp
+++ b/src/rattandeck-journal/disk_test.cpp
@@ -18,6 +18,7 @@
     CPPUNIT_TEST(tornEndIsLeftOut);
     CPPUNIT_TEST(nothingBehindAHoleIsRead);
     CPPUNIT_TEST(segmentsGoAsAWhole);
+    CPPUNIT_TEST(whatCantBeSyncedIsWrittenOnceMore);
     CPPUNIT_TEST(folderThatCantBeMadeIsAnError);
     CPPUNIT_TEST_SUITE_END();
 
@@ -54,7 +55,8 @@
     void append(JournalDisk& disk, const JournalRecord& record)
     {
         bool isDurable = false;
-        disk.append(record, [&isDurable] { isDurable = true; });
+        disk.append(record);
+        disk.sync([&isDurable] { isDurable = true; });
         this->test.runUntil("durable", [&isDurable] { return isDurable; });
     }
 
@@ -156,6 +158,25 @@
         CPPUNIT_ASSERT(second.records.back() == claimOf(1));
     }
 
+    void whatCantBeSyncedIsWrittenOnceMore()
+    {
+        {
+            const Opened first = this->open();
+            this->append(*first.disk, turnNamed("1"));
+        }
+        JournalDisk::Limits refusing;
+        refusing.syncFile = [](const std::string&) { return false; };
+        {
+            const Opened second = this->open(refusing);
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), second.found.rewrittenRecords);
+            this->append(*second.disk, turnNamed("2"));
+        }
+        const Opened third = this->open();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), third.found.rewrittenRecords);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), third.records.size());
+        CPPUNIT_ASSERT(third.records[1] == turnNamed("1") && third.records[2] == turnNamed("2"));
+    }
+
     void folderThatCantBeMadeIsAnError()
     {
         JournalDisk::Found found;
--- a/src/rattandeck-journal/files.cpp
+++ b/src/rattandeck-journal/files.cpp
@@ -17,12 +17,16 @@
     return true;
 }
 
-bool syncFolder(const std::string& folder)
+static bool syncPath(const std::string& path, int flags)
 {
-    const int descriptor = open(folder.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    const int descriptor = open(path.c_str(), flags | O_CLOEXEC);
     if (descriptor < 0)
         return false;
     const bool isSynced = fsync(descriptor) == 0;
     close(descriptor);
     return isSynced;
 }
+
+bool syncFile(const std::string& path) { return syncPath(path, O_WRONLY); }
+
+bool syncFolder(const std::string& folder) { return syncPath(folder, O_RDONLY | O_DIRECTORY); }
--- a/src/rattandeck-journal/record.cpp
+++ b/src/rattandeck-journal/record.cpp
@@ -87,7 +87,7 @@
 
 }
 
-std::string encodeRecord(const JournalRecord& record)
+std::string encodeRecord(const Rattandeck::JournalRecord& record)
 {
     std::string bytes(1, recordVersion);
     StringWriter writer(bytes);
@@ -97,13 +97,13 @@
     return bytes;
 }
 
-std::optional<JournalRecord> decodeRecord(std::string_view bytes)
+std::optional<Rattandeck::JournalRecord> decodeRecord(std::string_view bytes)
 {
     if (bytes.empty() || bytes.front() != recordVersion)
         return std::nullopt;
     SpanReader reader(bytes.substr(1));
     std::istream stream(&reader);
-    JournalRecord record;
+    Rattandeck::JournalRecord record;
     try {
         cereal::BinaryInputArchive archive(stream);
         archive(record);
