Model the journals' set; count no answers under a set not yet known

Cause: that the set of journals may change while a disk is lost rested on an argument in docs/PLATFORM.md. The model of one retained turn, one change of the set (replaced, added, emptied) and one lost disk found two conditions that the argument left out: a gateway must not count answers given under a later set than its own (journals tell the set before they answer under it, so that order on a link kept this so far by itself), and a question must time out before a machine that lost its disk can be back, or an acknowledgement from before the loss would count beside a single copy. In the schedules losses may strike at the moment of an answer, a lost disk may come with a loss of power of all others, and every continued turn is read from the journals. Ruled out: taking acknowledgements back when a link goes down (the timeout is shorter than any return of a machine). Before/after: JournalClientTest::answersUnderALaterSetDoNotCount red before.

--- a/src/librattandeck/journalclient.cpp
+++ b/src/librattandeck/journalclient.cpp
@@ -244,7 +244,8 @@
     if (epoch < this->set.epoch && this->send(from, this->set) && this->send(from, operation.request))
         return nullptr;
     operation.asked.erase(from);
-    if (epoch >= this->set.epoch)
+    // Under a later set, which is told before answers are given, other journals may have to be asked.
+    if (epoch == this->set.epoch)
         operation.answered.insert(from);
     return &operation;
 }
--- a/src/librattandeck/journalclient_test.cpp
+++ b/src/librattandeck/journalclient_test.cpp
@@ -38,6 +38,7 @@
     CPPUNIT_TEST(settledClaimFreesTheRest);
     CPPUNIT_TEST(threeCopiesOutliveTwoLosses);
     CPPUNIT_TEST(journalThatKnowsAnOlderSetIsToldAndAskedAgain);
+    CPPUNIT_TEST(answersUnderALaterSetDoNotCount);
     CPPUNIT_TEST(operationGoesOnInALaterSet);
     CPPUNIT_TEST(lostLinksEndTheWait);
     CPPUNIT_TEST(twoOfThreeCanDecide);
@@ -373,6 +374,17 @@
         CPPUNIT_ASSERT(outcome->has_value() && (*outcome).value().error() == JournalError::NotFound);
     }
 
+    void answersUnderALaterSetDoNotCount()
+    {
+        // A turn may stand at a journal that this gateway does not know yet.
+        for (const char* name : { "a", "b", "c" })
+            this->journals.at(NodeId(name)).epoch = Epoch(2);
+        const auto outcome = this->fetch("1");
+        for (const char* name : { "a", "b", "c" })
+            this->run(name);
+        CPPUNIT_ASSERT(outcome->has_value() && (*outcome).value().error() == JournalError::Unavailable);
+    }
+
     void operationGoesOnInALaterSet()
     {
         this->journals[NodeId("d")].epoch = Epoch(2);
--- a/src/rattandeck-provejournals/callers.cpp
+++ b/src/rattandeck-provejournals/callers.cpp
@@ -248,9 +248,11 @@
     // A turn renews the chain that it continues.
     if (const auto before = this->kept.find(attempt.previous); before != this->kept.end())
         before->second.until = this->world.now() + retention;
-    if (attempt.isVisit)
-        return;
-    this->goOn(attempt);
+    // The gateway is still at work here.
+    for (auto& strike : std::exchange(this->strikes, {}))
+        this->world.after(Duration(0), std::move(strike));
+    if (!attempt.isVisit)
+        this->goOn(attempt);
 }
 
 void Callers::goOn(const Attempt& ended)
--- a/src/rattandeck-provejournals/callers.h
+++ b/src/rattandeck-provejournals/callers.h
@@ -27,6 +27,8 @@
 
     /// Programs begin until `lastStart`; from `recovered` on, turns may not be refused for want of journals.
     void start(TimePoint lastStart, TimePoint recovered);
+    /// Calls `strike` at the moment at which the next turn is answered whole.
+    void atNextAnswer(std::function<void()> strike) { this->strikes.push_back(std::move(strike)); }
     /// Continues kept turns, as callers do that come back.
     void revisit(std::size_t turns);
 
@@ -102,6 +104,7 @@
     std::vector<std::unique_ptr<Process>>& processes;
     TimePoint lastStart;
     TimePoint recovered;
+    std::vector<std::function<void()>> strikes;
     std::uint64_t lastCall = 0;
     std::vector<Program> programs;
     std::map<CallId, Attempt> open;
--- a/src/rattandeck-provejournals/process.cpp
+++ b/src/rattandeck-provejournals/process.cpp
@@ -64,7 +64,10 @@
 void Process::startGateway()
 {
     this->gatewayIo = this->effects.makeGatewayIo(*this);
-    this->client = std::make_unique<JournalClient>(*this->timers, JournalClientLimits {},
+    JournalClientLimits limits;
+    // Every continued turn is read from the journals.
+    limits.cacheBytes = 0;
+    this->client = std::make_unique<JournalClient>(*this->timers, limits,
         [this](const NodeId& to, const Message& message) { return this->effects.send(*this, to, message); });
     this->gateway = std::make_unique<Gateway>(
         *this->timers, *this->gatewayIo, *this->client, FailureDomain("here"), GatewayLimits {});
--- a/src/rattandeck-provejournals/trial.cpp
+++ b/src/rattandeck-provejournals/trial.cpp
@@ -18,6 +18,7 @@
     constexpr Milliseconds catchUpTime { 4900 };
     /// Longest time that a fault lasts, so that all are over by the end of the window and this.
     constexpr Milliseconds longestFault { 6000 };
+    constexpr Milliseconds longestDarkness { 2000 };
     constexpr Milliseconds recoveryTime { 12000 };
     constexpr Milliseconds visitTime { 8000 };
     constexpr Milliseconds slowSync { 600 };
@@ -68,6 +69,8 @@
         std::size_t indexOf(const Process& process) const;
 
         bool bring(const Fault& fault);
+        /// Brings a loss about: now, or at the moment at which a turn has just been answered.
+        bool strike(const Fault& fault);
         bool stop(Process& process, bool isPowerLost, Milliseconds away);
         bool losePowerOfAll(Milliseconds away);
         bool freeze(Process& process, Milliseconds length);
@@ -273,17 +276,39 @@
         return true;
     }
 
+    bool Trial::strike(const Fault& fault)
+    {
+        const Milliseconds length = std::min(fault.duration, longestFault);
+        const Milliseconds briefly = std::min(fault.duration, longestDarkness);
+        switch (fault.kind) {
+        case FaultKind::PowerLossOfAll:
+            return this->losePowerOfAll(briefly);
+        case FaultKind::Wipe: {
+            Process& journal = this->targetJournal(fault.node);
+            const bool isLost = this->wipe(journal, length);
+            // The others may lose power with it.
+            if (isLost && fault.peer % 3 == 0)
+                this->losePowerOfAll(briefly);
+            return isLost;
+        }
+        default:
+            return this->stop(this->target(fault.node), fault.kind == FaultKind::PowerLoss, length);
+        }
+    }
+
     bool Trial::bring(const Fault& fault)
     {
         const Milliseconds length = std::min(fault.duration, longestFault);
         Process& process = this->target(fault.node);
         switch (fault.kind) {
         case FaultKind::Kill:
-            return this->stop(process, false, length);
         case FaultKind::PowerLoss:
-            return this->stop(process, true, length);
         case FaultKind::PowerLossOfAll:
-            return this->losePowerOfAll(std::min(length, Milliseconds(2000)));
+        case FaultKind::Wipe:
+            if (fault.peer % 2 == 0)
+                return this->strike(fault);
+            this->callers.atNextAnswer([this, fault] { this->strike(fault); });
+            return true;
         case FaultKind::Freeze:
             return this->freeze(process, length);
         case FaultKind::Cut:
@@ -305,8 +330,6 @@
             this->store.beginLosingAnswers();
             this->world.after(length, [this] { this->store.endLosingAnswers(); });
             return true;
-        case FaultKind::Wipe:
-            return this->wipe(this->targetJournal(fault.node), length);
         case FaultKind::Replace:
             return this->replace(this->targetJournal(fault.node), length);
         case FaultKind::Retire:
