Give up a link's connection attempt early and dial anew

Cause: after a loss of power of all, gateways are up before the journals. Change: PeerLimits::connectTimeout, 200 ms between gateways and journals. Ruled out: a longer TCP retry of the platform's machines is not ours to set; dialling journals twice at once would double links. Before/after: PeerTest::unansweredDialIsRepeated red before.

--- a/src/include/RattandeckNet/peer.h
+++ b/src/include/RattandeckNet/peer.h
@@ -19,6 +19,8 @@
     /// A link that has been silent for this long is broken.
     std::chrono::milliseconds silenceLimit { 4000 };
     std::chrono::milliseconds reconnectDelay { 250 };
+    /// A connection that has not come by then is given up and dialled anew: TCP itself asks again only after a second.
+    std::chrono::milliseconds connectTimeout { 1000 };
 };
 
 struct PeerHandlers {
@@ -56,6 +58,8 @@
     /// nothing is sent then.
     bool send(const Rattandeck::NodeId& to, const Rattandeck::Message& message);
     bool isUp(const Rattandeck::NodeId& node) const;
+    /// Connections tried so far.
+    std::uint64_t dialCount() const;
     /// Writes out what is queued, as far as peers take it within a second, then closes every link. No handler is called
     /// any more.
     void close();
--- a/src/librattandeckapp/daemon.cpp
+++ b/src/librattandeckapp/daemon.cpp
@@ -100,6 +100,7 @@
     limits.pingInterval = Milliseconds(400);
     limits.silenceLimit = Milliseconds(1200);
     limits.reconnectDelay = Milliseconds(60);
+    limits.connectTimeout = Milliseconds(200);
     return limits;
 }
 
--- a/src/librattandecknet/peer.cpp
+++ b/src/librattandecknet/peer.cpp
@@ -48,6 +48,7 @@
     Acceptor acceptor;
     std::uint16_t port = 0;
     bool isClosing = false;
+    /// Connections tried so far; also numbers the links dialled.
     std::uint64_t lastLinkNumber = 0;
     std::unordered_set<std::shared_ptr<PeerLink>> links;
     std::map<NodeId, std::shared_ptr<PeerLink>> up;
@@ -129,15 +130,22 @@
         bool isFlushPosted = false;
         TimePoint lastHeard;
         TimerId tick;
+        TimerId connectTimer;
     };
 
     void PeerLink::connect(const Tcp::endpoint& endpoint)
     {
         this->lastHeard = this->loop.timers.now();
         this->scheduleTick();
+        this->connectTimer
+            = this->loop.timers.subscribeAfter(this->network->limits.connectTimeout, [weak = this->weak_from_this()] {
+                  if (const auto self = weak.lock())
+                      self->close();
+              });
         auto onConnect = [self = this->shared_from_this()](const ErrorCode& error) {
             if (self->state == State::Closed)
                 return;
+            self->loop.timers.cancel(self->connectTimer);
             if (error)
                 self->close();
             else
@@ -330,6 +338,7 @@
     {
         this->state = State::Closed;
         this->loop.timers.cancel(this->tick);
+        this->loop.timers.cancel(this->connectTimer);
         ErrorCode ignored;
         this->socket.close(ignored);
     }
@@ -540,6 +549,8 @@
 
 bool PeerNetwork::isUp(const NodeId& node) const { return this->impl->up.contains(node); }
 
+std::uint64_t PeerNetwork::dialCount() const { return this->impl->lastLinkNumber; }
+
 void PeerNetwork::close()
 {
     if (!this->impl->isClosing)
--- a/src/librattandecknet/peer_test.cpp
+++ b/src/librattandecknet/peer_test.cpp
@@ -52,6 +52,7 @@
     CPPUNIT_TEST(hugeLengthBreaksTheLink);
     CPPUNIT_TEST(malformedMessageBreaksTheLink);
     CPPUNIT_TEST(silentPeerGoesDown);
+    CPPUNIT_TEST(unansweredDialIsRepeated);
     CPPUNIT_TEST(stuckPeerGoesDown);
     CPPUNIT_TEST_SUITE_END();
 
@@ -262,6 +263,28 @@
         this->test.runUntil("the mute one is closed", [&] { return mute.readUntilClosed(); });
     }
 
+    void unansweredDialIsRepeated()
+    {
+        this->limits.connectTimeout = std::chrono::milliseconds(10);
+        this->limits.silenceLimit = std::chrono::hours(1);
+        // The queue of a listener that accepts nobody is full after a few connections.
+        const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        CPPUNIT_ASSERT_EQUAL(0, bind(listener, reinterpret_cast<const sockaddr*>(&address), size));
+        CPPUNIT_ASSERT_EQUAL(0, ::listen(listener, 0));
+        CPPUNIT_ASSERT_EQUAL(0, getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size));
+        const RawSocket first(ntohs(address.sin_port));
+        Peer a(this->test.loop, "a", 1, this->limits);
+        Peer b(this->test.loop, "b", 1, this->limits);
+        for (Peer* peer : { &a, &b })
+            peer->network->keepLinksTo({ Address { "127.0.0.1", ntohs(address.sin_port) } });
+        this->test.runUntil("dialled again", [&] { return a.network->dialCount() + b.network->dialCount() >= 6; });
+        ::close(listener);
+    }
+
     void stuckPeerGoesDown()
     {
         this->limits.maxUnsentBytes = 1 << 20U;
