--- a/src/rattandeck-provejournals/callers.cpp
+++ b/src/rattandeck-provejournals/callers.cpp
@@ -14,6 +14,7 @@
     constexpr double lostAnswers = 0.02;
     constexpr double endlessPrograms = 0.15;
     constexpr double forkingTurns = 0.15;
+    constexpr double returningPrograms = 0.5;
     constexpr Milliseconds callTime { 3000 };
     constexpr const char* routeName = "retained";
 
@@ -164,8 +165,9 @@
     program.isEndless = this->world.chance.happens(endlessPrograms);
     program.turnsLeft = 2 + static_cast<std::uint32_t>(this->world.chance.below(6));
     constexpr std::uint64_t mostUnits = 8;
+    constexpr std::int64_t ampleUnits = 10000;
     const auto units = static_cast<std::int64_t>(2 + this->world.chance.below(mostUnits));
-    program.limit = TokenCount(turnTokens * (program.isEndless ? units : 100));
+    program.limit = TokenCount(turnTokens * (program.isEndless ? units : ampleUnits));
     this->programs.push_back(program);
     Attempt first;
     first.program = this->programs.size() - 1;
@@ -258,11 +260,16 @@
 void Callers::goOn(const Attempt& ended)
 {
     const Program& program = this->programs[ended.program];
-    if (program.isOver || (!program.isEndless && ended.turnsAfter == 0))
+    if (program.isOver)
         return;
+    if (!program.isEndless && ended.turnsAfter == 0) {
+        this->comeBackLater(ended);
+        return;
+    }
     Attempt next;
     next.program = ended.program;
     next.previous = ended.request;
+    next.isMain = ended.isMain;
     next.turnsAfter = program.isEndless ? 1 : ended.turnsAfter - 1;
     const bool forks = program.isEndless || this->world.chance.happens(forkingTurns);
     const std::uint64_t lines = forks ? 2 + this->world.chance.below(5) : 1;
@@ -271,11 +278,25 @@
         for (std::uint64_t i = 0; i < lines; ++i) {
             Attempt line = next;
             line.turnsAfter = i == 0 ? next.turnsAfter : std::min(next.turnsAfter, 1U);
+            line.isMain = next.isMain && i == 0;
             this->sendTurn(std::move(line));
         }
     });
 }
 
+/// A program that has ended goes on from what was said, perhaps after faults.
+void Callers::comeBackLater(const Attempt& ended)
+{
+    if (!ended.isMain || !this->world.chance.happens(returningPrograms))
+        return;
+    Attempt next;
+    next.program = ended.program;
+    next.previous = ended.request;
+    next.turnsAfter = 1;
+    this->world.after(
+        this->world.chance.between(Milliseconds(200), Milliseconds(15000)), [this, next] { this->sendTurn(next); });
+}
+
 void Callers::revisit(std::size_t turns)
 {
     std::vector<TurnId> candidates;
--- a/src/rattandeck-provejournals/callers.h
+++ b/src/rattandeck-provejournals/callers.h
@@ -63,6 +63,8 @@
         std::uint32_t tries = 0;
         std::uint32_t turnsAfter = 0;
         NodeId gateway;
+        /// The program's first line of turns, not that of a sub-agent.
+        bool isMain = true;
         bool isVisit = false;
         bool isServed = false;
     };
@@ -89,6 +91,7 @@
     void retry(Attempt attempt);
     void onWhole(Attempt& attempt);
     void goOn(const Attempt& ended);
+    void comeBackLater(const Attempt& ended);
     void onRefused(CallId call, const CallRefusal& refusal);
     void onBroken(CallId call);
     std::string expectedPrompt(const Attempt& attempt) const;
--- a/src/rattandeck-provejournals/process.cpp
+++ b/src/rattandeck-provejournals/process.cpp
@@ -174,6 +174,7 @@
     this->world.clock.subscribeAt(done, [this, count, sameLife, onDurable = std::move(onDurable)] {
         this->deliver(sameLife, [this, count, onDurable] {
             this->disk.makeDurable(count);
+            this->world.lastDurable = this;
             onDurable();
         });
     });
--- a/src/rattandeck-provejournals/trial.cpp
+++ b/src/rattandeck-provejournals/trial.cpp
@@ -284,10 +284,13 @@
         case FaultKind::PowerLossOfAll:
             return this->losePowerOfAll(briefly);
         case FaultKind::Wipe: {
-            Process& journal = this->targetJournal(fault.node);
+            // Of most worth is the journal that has just acknowledged something.
+            Process* last = this->world.lastDurable;
+            const bool isLastThere = last && last->isAlive && fault.peer % 2 != 0;
+            Process& journal = isLastThere ? *last : this->targetJournal(fault.node);
             const bool isLost = this->wipe(journal, length);
             // The others may lose power with it.
-            if (isLost && fault.peer % 3 == 0)
+            if (isLost && fault.node % 2 == 0)
                 this->losePowerOfAll(briefly);
             return isLost;
         }
--- a/src/rattandeck-provejournals/world.h
+++ b/src/rattandeck-provejournals/world.h
@@ -18,6 +18,8 @@
 
 using namespace Rattandeck;
 
+struct Process;
+
 /// True time, chance and the record of what was found, shared by all parts of a run.
 ///
 /// Thread safety: none; a run is single-threaded.
@@ -41,6 +43,8 @@
 
     TimerService clock;
     Chance chance;
+    /// The journal whose disk made a record durable last.
+    Process* lastDurable = nullptr;
     bool keepLog = false;
     std::vector<std::string> log;
 };
@@ -64,8 +68,6 @@
     void loseTail(Chance& chance, bool mayLoseAll);
 };
 
-struct Process;
-
 /// What happens to a process; the parts of the world subscribe to it.
 struct ProcessEffects {
     std::function<bool(Process& from, const NodeId& to, const Message& message)> send;
