Leave the text of retained turns on disk

Change: JournalState knows of a written turn only its name, what it continues and its place on disk; the text is read when asked for. The disk tells the place when a batch is durable; a start passes over texts. One decoder serves a whole start. The record's format is version 2; no deployment holds version 1. Ruled out: files of their own for texts (two syncs for each batch); compression (texts of the users are not known to shrink). JournalTest, JournalDiskTest and the schedules cover reading back.

--- a/src/include/Rattandeck/journal.h
+++ b/src/include/Rattandeck/journal.h
@@ -13,6 +13,8 @@
 
 /// What a journal writes to its disk.
 using JournalRecord = std::variant<SettleClaim, RetainedTurn, CrashReports>;
+/// What it finds there at a start: of most turns only where they are.
+using FoundRecord = std::variant<SettleClaim, RetainedTurn, CrashReports, TurnOnDisk>;
 
 /// What a journal asks of its surroundings. Calls come from within the journal's own functions and must not call it
 /// back before they return.
@@ -23,8 +25,10 @@
     /// Returns false when no link to the process is up.
     virtual bool send(const NodeId& to, const Message& message) = 0;
 
-    /// Appends a record to the disk.
+    /// Appends a record to the disk; a turn's place is told by `onWritten`.
     virtual void append(const JournalRecord& record) = 0;
+    /// Reads a turn back. Nothing when the disk can't do that now.
+    virtual std::optional<RetainedTurn> readTurn(const DiskPlace& place) = 0;
     /// Calls `onDurable` once all records appended so far outlive a loss of power.
     virtual void sync(std::function<void()> onDurable) = 0;
     /// Note a fact beside the records; it outlives a loss of power when the call returns.
@@ -54,7 +58,7 @@
     Journal& operator=(const Journal&) = delete;
 
     /// Takes over a record that was found on disk. Precondition: `start` has not been called.
-    void restore(const JournalRecord& record);
+    void restore(const FoundRecord& record);
     /// Begins to take part. `known` and `wasComplete` are what was noted last.
     void start(const JournalSet& known, bool wasComplete);
 
@@ -66,6 +70,8 @@
 
     void onLinkUp(const NodeId& node, Role role);
     void onLinkDown(const NodeId& node);
+    /// A turn that was appended is durable, and stands there from now on.
+    void onWritten(const TurnId& turn, const DiskPlace& place);
     /// Messages that are not for journals are ignored.
     void onMessage(const NodeId& from, const Message& message);
 
--- a/src/include/Rattandeck/journalclient.h
+++ b/src/include/Rattandeck/journalclient.h
@@ -28,8 +28,8 @@
 };
 
 struct JournalClientLimits {
-    /// Longest wait for enough answers. Shorter than the time after which a machine that lost its disk can be back: what
-    /// its journal acknowledged before must not count any more then.
+    /// Longest wait for enough answers. Shorter than the time after which a machine that lost its disk can be back:
+    /// what its journal acknowledged before must not count any more then.
     Milliseconds answerTimeout { 700 };
     /// Copies on disk that a record needs before it counts as written.
     std::size_t copies = 2;
--- a/src/librattandeck/journal.cpp
+++ b/src/librattandeck/journal.cpp
@@ -12,6 +12,7 @@
     Impl(TimerService& timers, JournalIo& io, JournalMember self, JournalMembershipLimits limits)
         : timers(timers)
         , io(io)
+        , state([this](const DiskPlace& place) { return this->io.readTurn(place); })
         , membership(timers, *this, std::move(self), limits)
         , copier(this->copierIo())
     {
@@ -30,6 +31,7 @@
     /// Each returns whether the record was not known before.
     bool apply(const SettleClaim& claim);
     bool apply(const RetainedTurn& turn);
+    bool apply(const TurnOnDisk& turn);
     bool apply(const CrashReports& crashes);
     template <typename Record> bool keep(const Record& record);
 
@@ -65,6 +67,12 @@
     return this->state.apply(turn, this->timers.now());
 }
 
+bool Journal::Impl::apply(const TurnOnDisk& turn)
+{
+    this->longestRetention = std::max(this->longestRetention, turn.retention);
+    return this->state.apply(turn, this->timers.now());
+}
+
 bool Journal::Impl::apply(const CrashReports& crashes)
 {
     bool isNew = false;
@@ -110,8 +118,10 @@
         answer.missing = std::move(transcript->missing);
         answer.transcript = std::move(transcript->text);
     }
-    // A journal that does not count must not say that a turn is missing.
-    if (answer.isFound || this->membership.counts())
+    // A journal that does not count must not say that a turn is missing, nor one that can't read it.
+    if (!answer.isFound && this->state.hasTurn(fetch.turn))
+        this->io.logStep("turn can't be read", fetch.turn.value);
+    else if (answer.isFound || this->membership.counts())
         this->io.send(from, answer);
 }
 
@@ -161,8 +171,14 @@
 {
     TurnsPage page;
     for (const TurnId& id : request.turns) {
-        if (auto turn = this->state.turn(id))
+        auto turn = this->state.turn(id);
+        if (turn) {
             page.turns.push_back(std::move(*turn));
+        } else if (this->state.hasTurn(id)) {
+            // An answer without it would say that it has expired. The other journal asks again.
+            this->io.logStep("turn can't be read", id.value);
+            return;
+        }
     }
     this->io.send(from, page);
 }
@@ -191,7 +207,7 @@
 
 Journal::~Journal() = default;
 
-void Journal::restore(const JournalRecord& record)
+void Journal::restore(const FoundRecord& record)
 {
     std::visit([this](const auto& known) { this->impl->apply(known); }, record);
 }
@@ -248,11 +264,13 @@
         this->impl->onCrashes(from, *crashes);
 }
 
+void Journal::onWritten(const TurnId& turn, const DiskPlace& place) { this->impl->state.onWritten(turn, place); }
+
 void Journal::expire() { this->impl->state.expire(this->impl->timers.now()); }
 
 void Journal::rewriteThrough(std::uint64_t number)
 {
-    const JournalState& state = this->impl->state;
+    JournalState& state = this->impl->state;
     if (auto crashes = state.crashes(); !crashes.empty())
         this->impl->io.append(CrashReports { std::move(crashes) });
     std::uint64_t cursor = 0;
@@ -260,8 +278,12 @@
         const CopyPage page = state.page(cursor, pageRecords);
         for (const SettleClaim& claim : page.claims)
             this->impl->io.append(claim);
-        for (const TurnId& turn : page.turns)
-            this->impl->io.append(*state.turn(turn));
+        for (const TurnId& id : page.turns) {
+            if (const auto turn = state.takeFromDisk(id))
+                this->impl->io.append(*turn);
+            else
+                this->impl->io.logStep("turn can't be read", id.value + ", and is not written once more");
+        }
         if (page.isLast)
             return;
         cursor = page.cursor;
--- a/src/librattandeck/journal_test.cpp
+++ b/src/librattandeck/journal_test.cpp
@@ -19,6 +19,12 @@
         return true;
     }
     void append(const JournalRecord& record) override { this->appended.push_back(record); }
+    std::optional<RetainedTurn> readTurn(const DiskPlace& place) override
+    {
+        if (!this->isReadable)
+            return std::nullopt;
+        return std::get<RetainedTurn>(this->appended.at(place.offset));
+    }
     void sync(std::function<void()> onDurable) override { this->awaiting.push_back(std::move(onDurable)); }
     void noteComplete(bool isComplete) override { this->notedComplete = isComplete; }
     void noteSet(const JournalSet& set) override { this->notedSet = set; }
@@ -51,6 +57,7 @@
     JournalSet linkedTo;
     JournalSet written;
     int reads = 0;
+    bool isReadable = true;
 };
 
 }
@@ -64,6 +71,8 @@
     CPPUNIT_TEST(crashesAreSpreadOnce);
     CPPUNIT_TEST(linkedProcessIsToldTheSetAndCrashes);
     CPPUNIT_TEST(wantedRecordsAreWrittenOnceMore);
+    CPPUNIT_TEST(writtenTurnIsReadFromDisk);
+    CPPUNIT_TEST(turnThatCantBeReadIsNotSaidToBeMissing);
     CPPUNIT_TEST_SUITE_END();
 
     TimerService timers;
@@ -178,6 +187,36 @@
         CPPUNIT_ASSERT(!this->around.appended.empty());
         CPPUNIT_ASSERT(std::get<RetainedTurn>(this->around.appended.front()).id == TurnId("old"));
     }
+
+    void writtenTurnIsReadFromDisk()
+    {
+        this->start(true);
+        this->journal->onMessage(this->gateway, storeOf(1, "t"));
+        CPPUNIT_ASSERT(this->journal->state().bytesInMemory() > 0);
+        this->journal->onWritten(TurnId("t"), DiskPlace { 1, 0, 0 });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->journal->state().bytesInMemory());
+        this->journal->onMessage(this->gateway, FetchTurn { JournalTicket(2), TurnId("t") });
+        CPPUNIT_ASSERT_EQUAL(std::string("inout"), this->around.sentOfKind<TurnFetched>().front().transcript);
+    }
+
+    void turnThatCantBeReadIsNotSaidToBeMissing()
+    {
+        this->start(true);
+        this->journal->onMessage(this->gateway, storeOf(1, "t"));
+        this->journal->onWritten(TurnId("t"), DiskPlace { 1, 0, 0 });
+        this->around.isReadable = false;
+        this->journal->onMessage(this->gateway, FetchTurn { JournalTicket(2), TurnId("t") });
+        this->journal->onMessage(NodeId("b"), TurnsRequest { { TurnId("t") } });
+        CPPUNIT_ASSERT(this->around.sentOfKind<TurnFetched>().empty());
+        CPPUNIT_ASSERT(this->around.sentOfKind<TurnsPage>().empty());
+        // A chain that begins before it is asked for elsewhere from there on.
+        this->journal->onMessage(
+            this->gateway, StoreTurn { JournalTicket(3), { TurnId("u"), TurnId("t"), "in2", "out2", retention } });
+        this->journal->onMessage(this->gateway, FetchTurn { JournalTicket(4), TurnId("u") });
+        const auto fetched = this->around.sentOfKind<TurnFetched>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), fetched.size());
+        CPPUNIT_ASSERT(fetched.front().missing == TurnId("t") && fetched.front().transcript == "in2out2");
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JournalTest);
--- a/src/librattandeck/journalstate.cpp
+++ b/src/librattandeck/journalstate.cpp
@@ -11,9 +11,17 @@
 namespace {
 
     struct KnownTurn {
-        RetainedTurn turn;
+        TurnId id;
+        TurnId previous;
+        Milliseconds retention { 0 };
+        std::size_t textBytes = 0;
+        /// The turn with its text, while it is not known to be on disk.
+        std::unique_ptr<RetainedTurn> inMemory;
+        DiskPlace place;
         TimePoint expires;
         std::uint64_t number = 0;
+
+        std::size_t bytes() const { return this->id.value.size() + this->previous.value.size() + this->textBytes; }
     };
 
     struct KnownBudget {
@@ -23,14 +31,12 @@
         std::uint64_t number = 0;
     };
 
-    std::size_t sizeOf(const RetainedTurn& turn)
-    {
-        return turn.id.value.size() + turn.previous.value.size() + turn.input.size() + turn.output.size();
-    }
+    std::size_t textBytesOf(const RetainedTurn& turn) { return turn.input.size() + turn.output.size(); }
 
 }
 
 struct JournalState::Impl {
+    TurnReader reader;
     std::unordered_map<TurnId, KnownTurn> turns;
     std::unordered_map<BudgetId, KnownBudget> budgets;
     /// Every record has a number, in the order in which it was first seen.
@@ -39,13 +45,20 @@
     std::map<std::pair<Fingerprint, std::string>, std::pair<CrashReport, TimePoint>> crashes;
     std::uint64_t lastNumber = 0;
     std::size_t bytes = 0;
+    std::size_t bytesInMemory = 0;
 
+    /// Adds the turn if it is not known. Returns it, and whether it is new.
+    std::pair<KnownTurn*, bool> add(const TurnId& id, const TurnId& previous, std::size_t textBytes);
+    void holdInMemory(KnownTurn& known, const RetainedTurn& turn);
+    void dropFromMemory(KnownTurn& known);
+    std::optional<RetainedTurn> read(const KnownTurn& known) const;
     void renewChain(const TurnId& first, TimePoint expires);
 };
 
-JournalState::JournalState()
+JournalState::JournalState(TurnReader reader)
     : impl(std::make_unique<Impl>())
 {
+    this->impl->reader = std::move(reader);
 }
 
 JournalState::~JournalState() = default;
@@ -71,20 +84,77 @@
     return true;
 }
 
-bool JournalState::apply(const RetainedTurn& turn, TimePoint now)
+std::pair<KnownTurn*, bool> JournalState::Impl::add(const TurnId& id, const TurnId& previous, std::size_t textBytes)
 {
-    const auto [place, isNew] = this->impl->turns.try_emplace(turn.id);
+    const auto [place, isNew] = this->turns.try_emplace(id);
     KnownTurn& known = place->second;
     if (isNew) {
-        known.turn = turn;
-        known.number = ++this->impl->lastNumber;
-        this->impl->turnsByNumber.emplace(known.number, &known);
-        this->impl->bytes += sizeOf(turn);
+        known.id = id;
+        known.previous = previous;
+        known.textBytes = textBytes;
+        known.number = ++this->lastNumber;
+        this->turnsByNumber.emplace(known.number, &known);
+        this->bytes += known.bytes();
     }
+    return { &known, isNew };
+}
+
+bool JournalState::apply(const RetainedTurn& turn, TimePoint now)
+{
+    const auto [known, isNew] = this->impl->add(turn.id, turn.previous, textBytesOf(turn));
+    if (isNew) {
+        known->retention = turn.retention;
+        this->impl->holdInMemory(*known, turn);
+    }
+    this->impl->renewChain(turn.id, now + turn.retention);
+    return isNew;
+}
+
+bool JournalState::apply(const TurnOnDisk& turn, TimePoint now)
+{
+    const auto [known, isNew] = this->impl->add(turn.id, turn.previous, turn.textBytes);
+    known->retention = turn.retention;
+    this->onWritten(turn.id, turn.place);
     this->impl->renewChain(turn.id, now + turn.retention);
     return isNew;
 }
 
+void JournalState::onWritten(const TurnId& turn, const DiskPlace& place)
+{
+    const auto found = this->impl->turns.find(turn);
+    if (found == this->impl->turns.end())
+        return;
+    found->second.place = place;
+    this->impl->dropFromMemory(found->second);
+}
+
+void JournalState::Impl::holdInMemory(KnownTurn& known, const RetainedTurn& turn)
+{
+    if (known.inMemory)
+        return;
+    known.inMemory = std::make_unique<RetainedTurn>(turn);
+    this->bytesInMemory += known.bytes();
+}
+
+void JournalState::Impl::dropFromMemory(KnownTurn& known)
+{
+    if (!known.inMemory)
+        return;
+    known.inMemory.reset();
+    this->bytesInMemory -= known.bytes();
+}
+
+std::optional<RetainedTurn> JournalState::Impl::read(const KnownTurn& known) const
+{
+    if (known.inMemory)
+        return *known.inMemory;
+    auto turn = this->reader ? this->reader(known.place) : std::nullopt;
+    // A place that was used anew holds another record.
+    if (!turn || turn->id != known.id)
+        return std::nullopt;
+    return turn;
+}
+
 bool JournalState::apply(const CrashReport& report, TimePoint now)
 {
     const std::pair entry { report, now + report.retention };
@@ -99,7 +169,7 @@
         if (found == this->turns.end() || found->second.expires >= expires)
             return;
         found->second.expires = expires;
-        id = found->second.turn.previous;
+        id = found->second.previous;
     }
 }
 
@@ -119,16 +189,17 @@
 
 std::optional<ChainTranscript> JournalState::transcript(const TurnId& turn) const
 {
-    std::vector<const RetainedTurn*> chain;
+    std::vector<RetainedTurn> chain;
     std::size_t size = 0;
     TurnId id = turn;
     while (!id.value.empty() && chain.size() < maxChainLength) {
         const auto found = this->impl->turns.find(id);
-        if (found == this->impl->turns.end())
+        auto read = found == this->impl->turns.end() ? std::nullopt : this->impl->read(found->second);
+        if (!read)
             break;
-        chain.push_back(&found->second.turn);
-        size += chain.back()->input.size() + chain.back()->output.size();
-        id = chain.back()->previous;
+        size += textBytesOf(*read);
+        id = read->previous;
+        chain.push_back(std::move(*read));
     }
     if (chain.empty())
         return std::nullopt;
@@ -136,8 +207,8 @@
     transcript.missing = id;
     transcript.text.reserve(size);
     for (auto each = chain.rbegin(); each != chain.rend(); ++each) {
-        transcript.text += (*each)->input;
-        transcript.text += (*each)->output;
+        transcript.text += each->input;
+        transcript.text += each->output;
     }
     return transcript;
 }
@@ -152,6 +223,8 @@
 
 std::size_t JournalState::bytes() const { return this->impl->bytes; }
 
+std::size_t JournalState::bytesInMemory() const { return this->impl->bytesInMemory; }
+
 std::uint64_t JournalState::lastNumber() const { return this->impl->lastNumber; }
 
 std::size_t JournalState::turnCount() const { return this->impl->turns.size(); }
@@ -168,7 +241,8 @@
             ++each;
             continue;
         }
-        this->impl->bytes -= sizeOf(each->second.turn);
+        this->impl->dropFromMemory(each->second);
+        this->impl->bytes -= each->second.bytes();
         this->impl->turnsByNumber.erase(each->second.number);
         each = this->impl->turns.erase(each);
     }
@@ -191,7 +265,15 @@
     const auto found = this->impl->turns.find(turn);
     if (found == this->impl->turns.end())
         return std::nullopt;
-    return found->second.turn;
+    return this->impl->read(found->second);
+}
+
+std::optional<RetainedTurn> JournalState::takeFromDisk(const TurnId& turn)
+{
+    auto read = this->turn(turn);
+    if (read)
+        this->impl->holdInMemory(this->impl->turns.at(turn), *read);
+    return read;
 }
 
 CopyPage JournalState::page(std::uint64_t cursor, std::size_t maxRecords) const
@@ -210,7 +292,7 @@
         }
         if (hasTurn && (!hasBudget || turn->first < budget->first)) {
             page.cursor = turn->first;
-            page.turns.push_back(turn->second->turn.id);
+            page.turns.push_back(turn->second->id);
             ++turn;
             continue;
         }
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -77,6 +77,7 @@
     // JournalIo
     bool send(const NodeId& to, const Message& message) override { return this->network.send(to, message); }
     void append(const JournalRecord& record) override { this->disk->append(record); }
+    std::optional<RetainedTurn> readTurn(const DiskPlace& place) override { return this->disk->read(place); }
     void sync(std::function<void()> onDurable) override { this->disk->sync(std::move(onDurable)); }
     void noteComplete(bool isComplete) override;
     void noteSet(const JournalSet& set) override;
@@ -138,13 +139,15 @@
     JournalDisk::Found found;
     const auto begun = std::chrono::steady_clock::now();
     auto opened = JournalDisk::open(
-        this->loop, this->settings.folder, {}, [this](const JournalRecord& record) { this->journal->restore(record); },
+        this->loop, this->settings.folder, {}, [this](const FoundRecord& record) { this->journal->restore(record); },
         found);
     if (!opened) {
         logError("disk", this->settings.folder + ": can't be read");
         return false;
     }
     this->disk = std::move(*opened);
+    this->disk->setOnTurnWritten(
+        [this](const TurnId& turn, const DiskPlace& place) { this->journal->onWritten(turn, place); });
     const auto taken = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begun);
     logEvent("disk read",
         std::to_string(taken.count()) + " ms, " + std::to_string(found.records) + " records in "
--- a/src/rattandeck-journal/disk.cpp
+++ b/src/rattandeck-journal/disk.cpp
@@ -11,6 +11,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <map>
 #include <mutex>
 #include <optional>
 #include <sys/stat.h>
@@ -43,25 +44,31 @@
     output += bytes;
 }
 
-/// Reads records up to the first that is not whole. Returns whether the segment ended with a whole one.
-bool readRecords(
-    const std::string& segment, const std::function<void(JournalRecord)>& onRecord, JournalDisk::Found& found)
+/// The payload of the record at `at`; nothing when it is not whole.
+std::optional<std::string_view> payloadAt(std::string_view segment, std::size_t at)
+{
+    RecordHeader header;
+    if (at + sizeof(header) > segment.size())
+        return std::nullopt;
+    std::memcpy(&header, segment.data() + at, sizeof(header));
+    const std::size_t start = at + sizeof(header);
+    if (header.length == 0 || header.length > maxRecordBytes || start + header.length > segment.size())
+        return std::nullopt;
+    const std::string_view bytes = segment.substr(start, header.length);
+    if (XXH3_64bits(bytes.data(), bytes.size()) != header.checksum)
+        return std::nullopt;
+    return bytes;
+}
+
+/// Calls `onPayload` for each record up to the first that is not whole. Returns whether the segment ended with a whole
+/// one.
+bool readPayloads(
+    std::string_view segment, const std::function<void(std::string_view payload, std::size_t at)>& onPayload)
 {
     std::size_t at = 0;
-    while (at + sizeof(RecordHeader) <= segment.size()) {
-        RecordHeader header;
-        std::memcpy(&header, segment.data() + at, sizeof(header));
-        const std::size_t start = at + sizeof(header);
-        if (header.length == 0 || header.length > maxRecordBytes || start + header.length > segment.size())
-            return false;
-        const std::string_view bytes = std::string_view(segment).substr(start, header.length);
-        if (XXH3_64bits(bytes.data(), bytes.size()) != header.checksum)
-            return false;
-        if (auto record = decodeRecord(bytes)) {
-            ++found.records;
-            onRecord(std::move(*record));
-        }
-        at = start + header.length;
+    while (const auto payload = payloadAt(segment, at)) {
+        onPayload(*payload, at);
+        at += sizeof(RecordHeader) + payload->size();
     }
     return at == segment.size();
 }
@@ -120,10 +127,23 @@
     std::string folder;
     Limits limits;
 
+    /// A turn in a batch: where its record begins there, and how long it is with its header.
+    struct TurnInBatch {
+        TurnId turn;
+        std::size_t begin = 0;
+        std::size_t length = 0;
+    };
+
+    // Only the loop's
+    OnTurnWritten onTurnWritten;
+    std::map<SegmentNumber, int> openForReading;
+    RecordDecoder decoder;
+
     // Shared with the writer, under `mutex`
     std::mutex mutex;
     std::condition_variable changed;
     std::string pending;
+    std::vector<TurnInBatch> pendingTurns;
     std::vector<std::function<void()>> pendingDone;
     std::vector<SegmentNumber> toRemove;
     bool isStopping = false;
@@ -137,6 +157,10 @@
     std::chrono::steady_clock::time_point segmentOpened;
     std::thread writer;
 
+    /// The mutex is held.
+    void appendPending(const JournalRecord& record);
+    void tellWritten(std::vector<TurnInBatch> turns, std::size_t batchBytes);
+    int descriptorFor(SegmentNumber number);
     bool hasWork() const { return !this->pending.empty() || !this->pendingDone.empty() || !this->toRemove.empty(); }
     void run();
     bool openSegment();
@@ -182,9 +206,43 @@
         unlink(segmentPath(this->folder, number).c_str());
 }
 
+/// Tells the loop where the turns of the batch just written stand.
+void JournalDisk::Impl::tellWritten(std::vector<TurnInBatch> turns, std::size_t batchBytes)
+{
+    if (turns.empty())
+        return;
+    const SegmentNumber segment = this->current.load();
+    const std::size_t base = this->segmentBytes - batchBytes;
+    this->loop.post([this, segment, base, turns = std::move(turns)] {
+        for (const TurnInBatch& each : turns)
+            this->onTurnWritten(each.turn, { segment, base + each.begin, static_cast<std::uint32_t>(each.length) });
+    });
+}
+
+void JournalDisk::Impl::appendPending(const JournalRecord& record)
+{
+    const std::size_t begin = this->pending.size();
+    appendRecord(this->pending, encodeRecord(record));
+    if (const auto* turn = std::get_if<RetainedTurn>(&record))
+        this->pendingTurns.push_back({ turn->id, begin, this->pending.size() - begin });
+    ++this->counts.records;
+}
+
+int JournalDisk::Impl::descriptorFor(SegmentNumber number)
+{
+    const auto known = this->openForReading.find(number);
+    if (known != this->openForReading.end())
+        return known->second;
+    const int opened = ::open(segmentPath(this->folder, number).c_str(), O_RDONLY | O_CLOEXEC);
+    if (opened >= 0)
+        this->openForReading.emplace(number, opened);
+    return opened;
+}
+
 void JournalDisk::Impl::run()
 {
     std::string batch;
+    std::vector<TurnInBatch> turns;
     std::vector<std::function<void()>> done;
     std::vector<SegmentNumber> removed;
     std::unique_lock lock(this->mutex);
@@ -193,6 +251,7 @@
         if (!this->hasWork())
             return;
         batch.swap(this->pending);
+        turns.swap(this->pendingTurns);
         done.swap(this->pendingDone);
         removed.swap(this->toRemove);
         lock.unlock();
@@ -206,6 +265,8 @@
             if (this->isStopping)
                 return;
         }
+        this->tellWritten(std::move(turns), batch.size());
+        turns.clear();
         this->removeSegments(removed);
         removed.clear();
         if (!done.empty()) {
@@ -230,7 +291,7 @@
 }
 
 tl::expected<std::unique_ptr<JournalDisk>, JournalDisk::Error> JournalDisk::open(RattandeckNet::EventLoop& loop,
-    const std::string& folder, Limits limits, const std::function<void(JournalRecord)>& onRecord, Found& found)
+    const std::string& folder, Limits limits, const std::function<void(FoundRecord)>& onRecord, Found& found)
 {
     std::error_code error;
     std::filesystem::create_directories(folder, error);
@@ -246,14 +307,21 @@
         // Only the last segment may hold what was never synced: the others were closed after their last sync.
         const bool isLast = number == segments.back();
         const bool mustRewrite = isLast && !(limits.syncFile(segmentPath(folder, number)) && syncFolder(folder));
-        const auto take = [&impl, &onRecord, &found, mustRewrite](JournalRecord record) {
+        const auto take = [&impl, &onRecord, &found, number, mustRewrite](std::string_view payload, std::size_t at) {
+            const DiskPlace place { number, at, static_cast<std::uint32_t>(sizeof(RecordHeader) + payload.size()) };
             if (mustRewrite) {
-                appendRecord(impl->pending, encodeRecord(record));
+                auto record = impl->decoder.decode(payload);
+                if (!record)
+                    return;
+                impl->appendPending(*record);
                 ++found.rewrittenRecords;
+                std::visit([&onRecord](auto& each) { onRecord(std::move(each)); }, *record);
+            } else if (auto record = impl->decoder.decodeHead(payload, place)) {
+                onRecord(std::move(*record));
             }
-            onRecord(std::move(record));
+            ++found.records;
         };
-        if (!readRecords(*bytes, take, found))
+        if (!readPayloads(*bytes, take))
             ++found.tornSegments;
         impl->current.store(number);
     }
@@ -271,19 +339,37 @@
     this->impl->changed.notify_one();
     this->impl->writer.join();
     this->impl->closeSegment();
+    for (const auto& [number, descriptor] : this->impl->openForReading)
+        close(descriptor);
 }
 
 void JournalDisk::append(const JournalRecord& record)
 {
-    const std::string bytes = encodeRecord(record);
     {
         const std::lock_guard guard(this->impl->mutex);
-        appendRecord(this->impl->pending, bytes);
-        ++this->impl->counts.records;
+        this->impl->appendPending(record);
     }
     this->impl->changed.notify_one();
 }
 
+void JournalDisk::setOnTurnWritten(OnTurnWritten handler) { this->impl->onTurnWritten = std::move(handler); }
+
+std::optional<RetainedTurn> JournalDisk::read(const DiskPlace& place)
+{
+    const int descriptor = this->impl->descriptorFor(place.segment);
+    if (descriptor < 0)
+        return std::nullopt;
+    std::string bytes(place.length, '\0');
+    const ssize_t size = pread(descriptor, bytes.data(), bytes.size(), static_cast<off_t>(place.offset));
+    if (size != static_cast<ssize_t>(bytes.size()))
+        return std::nullopt;
+    const auto payload = payloadAt(bytes, 0);
+    auto record = payload ? this->impl->decoder.decode(*payload) : std::nullopt;
+    if (!record || !std::holds_alternative<RetainedTurn>(*record))
+        return std::nullopt;
+    return std::get<RetainedTurn>(std::move(*record));
+}
+
 void JournalDisk::sync(std::function<void()> onDurable)
 {
     {
@@ -298,6 +384,11 @@
 void JournalDisk::removeBefore(SegmentNumber number)
 {
     const auto segments = listSegments(this->impl->folder);
+    std::erase_if(this->impl->openForReading, [number](const auto& open) {
+        if (open.first < number)
+            close(open.second);
+        return open.first < number;
+    });
     {
         const std::lock_guard guard(this->impl->mutex);
         for (const SegmentNumber segment : segments) {
--- a/src/rattandeck-journal/disk.h
+++ b/src/rattandeck-journal/disk.h
@@ -44,17 +44,26 @@
     ///
     /// Precondition: no other process uses the folder; `loop` outlives this object.
     static tl::expected<std::unique_ptr<JournalDisk>, Error> open(RattandeckNet::EventLoop& loop,
-        const std::string& folder, Limits limits, const std::function<void(Rattandeck::JournalRecord)>& onRecord,
+        const std::string& folder, Limits limits, const std::function<void(Rattandeck::FoundRecord)>& onRecord,
         Found& found);
     ~JournalDisk();
     JournalDisk(const JournalDisk&) = delete;
     JournalDisk& operator=(const JournalDisk&) = delete;
 
+    /// Called from the loop when a turn that was appended is on disk, before a `sync` after it says so.
+    using OnTurnWritten = std::function<void(const Rattandeck::TurnId& turn, const Rattandeck::DiskPlace& place)>;
+    void setOnTurnWritten(OnTurnWritten handler);
+
     /// Appends a record; it is on disk when a later `sync` says so.
     ///
     /// Thread safety: use from the loop's thread.
     void append(const Rattandeck::JournalRecord& record);
 
+    /// Reads a turn back. Nothing when its segment is gone or can't be read.
+    ///
+    /// Thread safety: use from the loop's thread, which waits for the disk.
+    std::optional<Rattandeck::RetainedTurn> read(const Rattandeck::DiskPlace& place);
+
     /// Calls `onDurable` from the loop once all records appended so far are on disk.
     void sync(std::function<void()> onDurable);
 
--- a/src/rattandeck-journal/disk_test.cpp
+++ b/src/rattandeck-journal/disk_test.cpp
@@ -19,6 +19,8 @@
     CPPUNIT_TEST(nothingBehindAHoleIsRead);
     CPPUNIT_TEST(segmentsGoAsAWhole);
     CPPUNIT_TEST(whatCantBeSyncedIsWrittenOnceMore);
+    CPPUNIT_TEST(writtenTurnIsReadBackFromItsPlace);
+    CPPUNIT_TEST(removedSegmentCantBeRead);
     CPPUNIT_TEST(folderThatCantBeMadeIsAnError);
     CPPUNIT_TEST_SUITE_END();
 
@@ -35,8 +37,25 @@
         return SettleClaim { BudgetId("p"), { TurnId("t"), TokenCount(tokens), true }, Milliseconds(1) };
     }
 
+    /// A record as it was written; the text of a turn is read back from disk.
+    static JournalRecord wholeOf(JournalDisk& disk, const FoundRecord& found)
+    {
+        if (const auto* head = std::get_if<TurnOnDisk>(&found)) {
+            const auto turn = disk.read(head->place);
+            CPPUNIT_ASSERT(turn && turn->id == head->id);
+            CPPUNIT_ASSERT_EQUAL(turn->input.size() + turn->output.size(), head->textBytes);
+            return *turn;
+        }
+        if (const auto* claim = std::get_if<SettleClaim>(&found))
+            return *claim;
+        if (const auto* turn = std::get_if<RetainedTurn>(&found))
+            return *turn;
+        return std::get<CrashReports>(found);
+    }
+
     struct Opened {
         std::unique_ptr<JournalDisk> disk;
+        std::vector<FoundRecord> heads;
         std::vector<JournalRecord> records;
         JournalDisk::Found found;
     };
@@ -46,9 +65,12 @@
         Opened opened;
         auto disk = JournalDisk::open(
             this->test.loop, this->folder, limits,
-            [&opened](JournalRecord record) { opened.records.push_back(std::move(record)); }, opened.found);
+            [&opened](FoundRecord record) { opened.heads.push_back(std::move(record)); }, opened.found);
         CPPUNIT_ASSERT(disk.has_value());
         opened.disk = std::move(*disk);
+        opened.disk->setOnTurnWritten([](const TurnId&, const DiskPlace&) {});
+        for (const FoundRecord& head : opened.heads)
+            opened.records.push_back(wholeOf(*opened.disk, head));
         return opened;
     }
 
@@ -82,16 +104,19 @@
     {
         const CrashReports crashes { { { Fingerprint("f"), "e/1", Milliseconds(5) } } };
         for (const JournalRecord& record : { turnNamed("1"), claimOf(-7), JournalRecord(crashes) })
-            CPPUNIT_ASSERT(decodeRecord(encodeRecord(record)) == record);
+            CPPUNIT_ASSERT(RecordDecoder().decode(encodeRecord(record)) == record);
     }
 
     void otherBytesAreNoRecord()
     {
         const std::string bytes = encodeRecord(turnNamed("1"));
         for (std::size_t length = 0; length < bytes.size(); length += 100)
-            CPPUNIT_ASSERT(!decodeRecord(bytes.substr(0, length)));
-        CPPUNIT_ASSERT(!decodeRecord("\x7f" + bytes.substr(1)));
-        CPPUNIT_ASSERT(!decodeRecord(std::string("\x01\x01\x00\x00\x00\xff\xff\xff\xff\xff\xff\xff\x7f", 13)));
+            CPPUNIT_ASSERT(!RecordDecoder().decode(bytes.substr(0, length)));
+        for (std::size_t length = 0; length < bytes.size(); length += 100)
+            CPPUNIT_ASSERT(!RecordDecoder().decodeHead(bytes.substr(0, length), {}));
+        CPPUNIT_ASSERT(!RecordDecoder().decode("\x7f" + bytes.substr(1)));
+        CPPUNIT_ASSERT(
+            !RecordDecoder().decode(std::string("\x01\x01\x00\x00\x00\xff\xff\xff\xff\xff\xff\xff\x7f", 13)));
     }
 
     void whatWasWrittenIsReadBackInOrder()
@@ -177,6 +202,41 @@
         CPPUNIT_ASSERT(third.records[1] == turnNamed("1") && third.records[2] == turnNamed("2"));
     }
 
+    void writtenTurnIsReadBackFromItsPlace()
+    {
+        JournalDisk::Limits limits;
+        limits.segmentBytes = 2500;
+        const Opened opened = this->open(limits);
+        std::map<TurnId, DiskPlace> places;
+        opened.disk->setOnTurnWritten([&places](const TurnId& turn, const DiskPlace& place) { places[turn] = place; });
+        for (const char* id : { "1", "2", "3", "4", "5" }) {
+            opened.disk->append(claimOf(1));
+            this->append(*opened.disk, turnNamed(id));
+            CPPUNIT_ASSERT(places.contains(TurnId(id)));
+        }
+        CPPUNIT_ASSERT(places.at(TurnId("1")).segment < places.at(TurnId("5")).segment);
+        for (const auto& [turn, place] : places)
+            CPPUNIT_ASSERT(JournalRecord(*opened.disk->read(place)) == turnNamed(turn.value));
+    }
+
+    void removedSegmentCantBeRead()
+    {
+        JournalDisk::Limits limits;
+        limits.segmentBytes = 1;
+        const Opened opened = this->open(limits);
+        DiskPlace first;
+        opened.disk->setOnTurnWritten([&first](const TurnId& turn, const DiskPlace& place) {
+            if (turn == TurnId("1"))
+                first = place;
+        });
+        this->append(*opened.disk, turnNamed("1"));
+        this->append(*opened.disk, turnNamed("2"));
+        CPPUNIT_ASSERT(opened.disk->read(first).has_value());
+        opened.disk->removeBefore(opened.disk->currentSegment());
+        this->append(*opened.disk, claimOf(1));
+        CPPUNIT_ASSERT(!opened.disk->read(first).has_value());
+    }
+
     void folderThatCantBeMadeIsAnError()
     {
         JournalDisk::Found found;
--- a/src/rattandeck-journal/record.cpp
+++ b/src/rattandeck-journal/record.cpp
@@ -3,7 +3,6 @@
 #include <cereal/archives/binary.hpp>
 #include <cereal/types/chrono.hpp>
 #include <cereal/types/string.hpp>
-#include <cereal/types/variant.hpp>
 #include <cereal/types/vector.hpp>
 
 #include <istream>
@@ -49,17 +48,28 @@
 
 namespace {
 
-/// Grows with the fields of a record. A later version reads what it knows.
-constexpr char recordVersion = 1;
+/// Changes with the fields of a record.
+constexpr char recordVersion = 2;
+
+enum class RecordKind : std::uint8_t { Claim, Turn, Crashes };
 
 class SpanReader : public std::streambuf {
 public:
-    explicit SpanReader(std::string_view bytes)
+    void reset(std::string_view bytes)
     {
         // The interface of streams is not const, though reading changes nothing.
         char* begin = const_cast<char*>(bytes.data());
         this->setg(begin, begin, begin + bytes.size());
     }
+
+    /// Passes over bytes. Returns false, and passes over none, when there are fewer.
+    bool skip(std::uint64_t size)
+    {
+        if (size > static_cast<std::uint64_t>(this->egptr() - this->gptr()))
+            return false;
+        this->setg(this->eback(), this->gptr() + size, this->egptr());
+        return true;
+    }
 };
 
 class StringWriter : public std::streambuf {
@@ -85,6 +95,10 @@
     std::string& target;
 };
 
+RecordKind kindOf(const Rattandeck::SettleClaim&) { return RecordKind::Claim; }
+RecordKind kindOf(const Rattandeck::RetainedTurn&) { return RecordKind::Turn; }
+RecordKind kindOf(const Rattandeck::CrashReports&) { return RecordKind::Crashes; }
+
 }
 
 std::string encodeRecord(const Rattandeck::JournalRecord& record)
@@ -93,23 +107,86 @@
     StringWriter writer(bytes);
     std::ostream stream(&writer);
     cereal::BinaryOutputArchive archive(stream);
-    archive(record);
+    std::visit([&archive](const auto& fields) { archive(kindOf(fields), fields); }, record);
     return bytes;
 }
 
-std::optional<Rattandeck::JournalRecord> decodeRecord(std::string_view bytes)
-{
-    if (bytes.empty() || bytes.front() != recordVersion)
-        return std::nullopt;
-    SpanReader reader(bytes.substr(1));
-    std::istream stream(&reader);
-    Rattandeck::JournalRecord record;
-    try {
-        cereal::BinaryInputArchive archive(stream);
-        archive(record);
-    } catch (const std::exception&) {
-        // Too short, or a length that memory can't hold.
+// Decoder ------------------------------------------------------------------------------------------------------------
+
+struct RecordDecoder::Impl {
+    SpanReader reader;
+    std::istream stream { &this->reader };
+    cereal::BinaryInputArchive archive { this->stream };
+
+    template <typename Record> Record read()
+    {
+        Record record;
+        this->archive(record);
+        return record;
+    }
+
+    /// Passes over a text. Returns its length.
+    std::size_t skipText()
+    {
+        cereal::size_type size = 0;
+        this->archive(cereal::make_size_tag(size));
+        if (!this->reader.skip(size))
+            throw cereal::Exception("text is cut short");
+        return size;
+    }
+
+    Rattandeck::TurnOnDisk readTurnHead(const Rattandeck::DiskPlace& place)
+    {
+        Rattandeck::TurnOnDisk turn;
+        this->archive(turn.id, turn.previous);
+        turn.textBytes = this->skipText();
+        turn.textBytes += this->skipText();
+        this->archive(turn.retention);
+        turn.place = place;
+        return turn;
+    }
+
+    /// Reads a record whose turns are read by `readTurn`.
+    template <typename Result, typename ReadTurn>
+    std::optional<Result> decode(std::string_view bytes, const ReadTurn& readTurn)
+    {
+        if (bytes.empty() || bytes.front() != recordVersion)
+            return std::nullopt;
+        this->reader.reset(bytes.substr(1));
+        this->stream.clear();
+        try {
+            switch (this->read<RecordKind>()) {
+            case RecordKind::Claim:
+                return this->read<Rattandeck::SettleClaim>();
+            case RecordKind::Turn:
+                return readTurn();
+            case RecordKind::Crashes:
+                return this->read<Rattandeck::CrashReports>();
+            }
+        } catch (const std::exception&) {
+            // Too short, or a length that memory can't hold.
+            return std::nullopt;
+        }
         return std::nullopt;
     }
-    return record;
+};
+
+RecordDecoder::RecordDecoder()
+    : impl(std::make_unique<Impl>())
+{
+}
+
+RecordDecoder::~RecordDecoder() = default;
+
+std::optional<Rattandeck::JournalRecord> RecordDecoder::decode(std::string_view bytes)
+{
+    return this->impl->decode<Rattandeck::JournalRecord>(
+        bytes, [this] { return this->impl->read<Rattandeck::RetainedTurn>(); });
+}
+
+std::optional<Rattandeck::FoundRecord> RecordDecoder::decodeHead(
+    std::string_view bytes, const Rattandeck::DiskPlace& place)
+{
+    return this->impl->decode<Rattandeck::FoundRecord>(
+        bytes, [this, &place] { return this->impl->readTurnHead(place); });
 }
--- a/src/rattandeck-provejournals/process.cpp
+++ b/src/rattandeck-provejournals/process.cpp
@@ -13,6 +13,18 @@
     }
 }
 
+FoundRecord Disk::found(std::size_t index) const
+{
+    const JournalRecord& record = this->durable[index];
+    if (const auto* turn = std::get_if<RetainedTurn>(&record)) {
+        return TurnOnDisk { turn->id, turn->previous, turn->input.size() + turn->output.size(), turn->retention,
+            { 0, index, 0 } };
+    }
+    if (const auto* claim = std::get_if<SettleClaim>(&record))
+        return *claim;
+    return std::get<CrashReports>(record);
+}
+
 void Disk::loseTail(Chance& chance, bool mayLoseAll)
 {
     const bool losesAll = mayLoseAll && chance.happens(0.5);
@@ -56,8 +68,8 @@
     JournalIo& io = *this;
     this->journal = std::make_unique<Journal>(
         *this->timers, io, JournalMember { this->node, this->address() }, JournalMembershipLimits {});
-    for (const JournalRecord& record : this->disk.durable)
-        this->journal->restore(record);
+    for (std::size_t i = 0; i < this->disk.durable.size(); ++i)
+        this->journal->restore(this->disk.found(i));
     this->journal->start(this->disk.notedSet, this->disk.notedComplete);
 }
 
@@ -159,6 +171,11 @@
     this->client->onMessage(from, message);
 }
 
+std::optional<RetainedTurn> Process::readTurn(const DiskPlace& place)
+{
+    return std::get<RetainedTurn>(this->disk.durable.at(place.offset));
+}
+
 void Process::append(const JournalRecord& record)
 {
     this->disk.written.push_back(record);
@@ -173,7 +190,12 @@
     const std::uint64_t sameLife = this->life;
     this->world.clock.subscribeAt(done, [this, count, sameLife, onDurable = std::move(onDurable)] {
         this->deliver(sameLife, [this, count, onDurable] {
+            const std::uint64_t before = this->disk.durable.size();
             this->disk.makeDurable(count);
+            for (std::uint64_t i = before; i < this->disk.durable.size(); ++i) {
+                if (const auto* turn = std::get_if<RetainedTurn>(&this->disk.durable[i]))
+                    this->journal->onWritten(turn->id, { 0, i, 0 });
+            }
             this->world.lastDurable = this;
             onDurable();
         });
--- a/src/rattandeck-provejournals/world.h
+++ b/src/rattandeck-provejournals/world.h
@@ -62,6 +62,8 @@
     Milliseconds syncTime { 2 };
     TimePoint lastSync;
 
+    /// What a start finds of a durable record.
+    FoundRecord found(std::size_t index) const;
     /// Makes the first records that were written durable, up to this count.
     void makeDurable(std::uint64_t count);
     /// The process ended, or the machine lost power: what was not synced is kept up to some record.
@@ -122,6 +124,7 @@
     // JournalIo
     bool send(const NodeId& to, const Message& message) override { return this->effects.send(*this, to, message); }
     void append(const JournalRecord& record) override;
+    std::optional<RetainedTurn> readTurn(const DiskPlace& place) override;
     void sync(std::function<void()> onDurable) override;
     void noteComplete(bool isComplete) override { this->disk.notedComplete = isComplete; }
     void noteSet(const JournalSet& set) override { this->disk.notedSet = set; }
