Serve latency histograms and tell what decisions rest on

Cause: the users ask for latency histograms; the metrics page had estimated quantiles, and with a label its lines were no valid text format (two pairs of braces). Log lines did not tell how old a load report was, nor which journals had answered when a turn was refused. Change: Metrics keeps histograms (Boost.Histogram, nearest to Boost.Accumulators that can do it) and labels. New: time to the first sending and to the first event, calls not answered by reason, questions to the journals by kind and outcome, syncs, reading of the disk, age of the store's last answer, dials. Lines of sendings and refusals carry the age of the load report and the configuration's version; a journals' question that fails is a line of its own with who answered, the set's epoch, and the tokens it rested on. Ruled out: prometheus-cpp (one more package on every machine for thirty lines of text).

--- a/src/include/Rattandeck/endpoints.h
+++ b/src/include/Rattandeck/endpoints.h
@@ -62,6 +62,8 @@
     std::string address;
     /// Calls that the instance is expected to have, this one not counted.
     double expectedLoad = 0;
+    /// Age of the load report that this rests on; nothing when only own calls are known.
+    std::optional<Milliseconds> reportAge;
     std::uint32_t slots = 1;
     /// Prompt tokens that it is expected to have in its memory.
     std::int64_t cachedTokens = 0;
--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -137,6 +137,12 @@
     std::uint32_t sends = 0;
     std::uint64_t events = 0;
     Milliseconds duration { 0 };
+    /// From the arrival to the first sending; nothing when there was none.
+    std::optional<Milliseconds> waited;
+    /// From the arrival to the first event of a stream.
+    std::optional<Milliseconds> firstEvent;
+    /// The configuration that the call was handled under; 0: none.
+    std::uint64_t configVersion = 0;
     /// The best instance when the call was last placed, and the calls that waited here.
     std::optional<PlacementChoice> bestChoice;
     std::size_t queued = 0;
--- a/src/include/Rattandeck/journalclient.h
+++ b/src/include/Rattandeck/journalclient.h
@@ -7,8 +7,11 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace Rattandeck {
 
@@ -27,6 +30,27 @@
     bool hasOtherTurns = false;
 };
 
+/// What became of a question to the journals, for logs and metrics.
+struct JournalOperationEnd {
+    /// "claim", "store" or "fetch".
+    std::string_view kind;
+    TurnId turn;
+    BudgetId budget;
+    /// Nothing on success.
+    std::optional<JournalError> error;
+    Milliseconds duration { 0 };
+    /// The set that it ended under, and the members whose answers counted.
+    Epoch epoch;
+    std::vector<NodeId> answered;
+    std::size_t members = 0;
+    /// Of claims: tokens claimed by other turns, asked for, and allowed.
+    TokenCount others;
+    TokenCount most;
+    TokenCount limit;
+};
+
+std::string_view describe(JournalError error);
+
 struct JournalClientLimits {
     /// Longest wait for enough answers. Shorter than the time after which a machine that lost its disk can be back:
     /// what its journal acknowledged before must not count any more then.
@@ -60,6 +84,9 @@
     JournalClient(const JournalClient&) = delete;
     JournalClient& operator=(const JournalClient&) = delete;
 
+    /// `observer` is called with the end of each question that was asked.
+    void setObserver(std::function<void(const JournalOperationEnd&)> observer);
+
     /// Takes a set over if its epoch is higher than that of the one in force. Returns whether it was.
     bool setMembers(const JournalSet& set);
     const JournalSet& members() const;
--- a/src/include/RattandeckApp/metrics.h
+++ b/src/include/RattandeckApp/metrics.h
@@ -3,22 +3,32 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace RattandeckApp {
 
-/// Counters, gauges and summaries of one process, rendered in the text format that scrapers read. Summaries are
-/// Boost.Accumulators: memory doesn't grow with the number of samples.
+/// Tells members of one family of counters or histograms apart.
+struct MetricLabel {
+    std::string name;
+    std::string value;
+};
+using MetricLabels = std::vector<MetricLabel>;
+
+/// Counters, gauges and latency histograms of one process, rendered in the text format that scrapers read. Memory does
+/// not grow with the number of samples.
 ///
 /// Thread safety: not synchronised; use from the event loop's thread.
 class Metrics {
 public:
     Metrics();
     ~Metrics();
+    Metrics(const Metrics&) = delete;
+    Metrics& operator=(const Metrics&) = delete;
 
-    /// Adds to a counter, which is made at its first use.
-    void count(const std::string& name, double amount = 1);
-    /// Adds a sample to a summary (count, sum, and quantiles 0.5, 0.95, 0.99).
-    void observe(const std::string& name, double sample);
+    /// Adds to a counter, which is made at its first use. Precondition: `name` ends with "_total".
+    void count(const std::string& name, const MetricLabels& labels = {}, double amount = 1);
+    /// Adds a sample to a histogram with buckets from 1 ms to 10 s. Precondition: `name` ends with "_seconds".
+    void observe(const std::string& name, double seconds, const MetricLabels& labels = {});
     /// A value that is read at rendering. `kind` is "gauge" or "counter".
     void provide(const std::string& name, const std::string& kind, std::function<double()> read);
 
--- a/src/librattandeck/endpoints.cpp
+++ b/src/librattandeck/endpoints.cpp
@@ -184,6 +184,8 @@
     choice.endpoint = best->instance.id;
     choice.address = best->instance.address;
     choice.expectedLoad = this->impl->expectedLoad(*best, now);
+    if (best->reportedAt)
+        choice.reportAge = std::chrono::duration_cast<Milliseconds>(now - *best->reportedAt);
     choice.slots = best->instance.slots;
     choice.cachedTokens = this->impl->cachedTokens(*best, query);
     return choice;
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -317,7 +317,14 @@
     end.status = call.head ? call.head->status : 0;
     end.sends = call.sends;
     end.events = call.events;
-    end.duration = std::chrono::duration_cast<Milliseconds>(this->timers.now() - call.arrived);
+    const auto since
+        = [&call](TimePoint when) { return std::chrono::duration_cast<Milliseconds>(when - call.arrived); };
+    end.duration = since(this->timers.now());
+    if (call.firstSent)
+        end.waited = since(*call.firstSent);
+    if (call.firstEvent)
+        end.firstEvent = since(*call.firstEvent);
+    end.configVersion = call.table->config().version;
     end.bestChoice = call.bestChoice;
     end.queued = this->queue.size();
     this->io.logEnd(end);
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -121,6 +121,8 @@
         call.hasBegun = true;
         this->io.begin(call.id, call.send);
     }
+    if (!call.firstEvent)
+        call.firstEvent = this->timers.now();
     ++call.events;
     ++this->counts.events;
     if (!event.id.empty())
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -20,6 +20,8 @@
     const Route* route = nullptr;
     ServiceName service;
     TimePoint arrived;
+    std::optional<TimePoint> firstSent;
+    std::optional<TimePoint> firstEvent;
     TimePoint deadline;
     TimerId deadlineTimer;
 
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -47,6 +47,8 @@
         return;
     }
     call.send = SendId(++this->lastSend);
+    if (!call.firstSent)
+        call.firstSent = this->timers.now();
     call.endpoint = choice.endpoint;
     call.head.reset();
     call.body.clear();
--- a/src/librattandeck/journalclient.cpp
+++ b/src/librattandeck/journalclient.cpp
@@ -8,6 +8,19 @@
 
 namespace Rattandeck {
 
+std::string_view describe(JournalError error)
+{
+    switch (error) {
+    case JournalError::Unavailable:
+        return "too few journals answered";
+    case JournalError::NotFound:
+        return "no such turn";
+    case JournalError::BudgetSpent:
+        return "budget spent";
+    }
+    return "unknown";
+}
+
 // Operations under way -----------------------------------------------------------------------------------------------
 
 namespace {
@@ -19,6 +32,7 @@
     struct Operation {
         enum class Kind { Claim, Store, Fetch };
         Kind kind = Kind::Claim;
+        TimePoint begun;
         TimerId timer;
         Message request;
         /// Members that were asked and have not answered.
@@ -63,6 +77,7 @@
     JournalSet set;
     std::uint64_t lastTicket = 0;
     std::unordered_map<JournalTicket, Operation> operations;
+    std::function<void(const JournalOperationEnd&)> observer;
 
     std::unordered_map<TurnId, CachedTranscript> cache;
     /// Oldest first.
@@ -87,6 +102,8 @@
     void askAgain(JournalTicket ticket);
     void fail(JournalTicket ticket, JournalError error);
     Operation take(JournalTicket ticket);
+    /// Takes an operation that has come to its end.
+    Operation finish(JournalTicket ticket, std::optional<JournalError> error);
 
     void onClaims(const NodeId& from, const ClaimsKnown& answer);
     void onStored(const NodeId& from, const TurnStored& answer);
@@ -102,6 +119,8 @@
 
 void JournalClient::Impl::start(JournalTicket ticket, Operation operation)
 {
+    if (operation.begun == TimePoint())
+        operation.begun = this->timers.now();
     operation.timer = this->timers.subscribeAfter(this->limits.answerTimeout, [weak = this->weak_from_this(), ticket] {
         if (const auto self = weak.lock())
             self->fail(ticket, JournalError::Unavailable);
@@ -153,11 +172,54 @@
     return operation;
 }
 
+static std::string_view nameOf(Operation::Kind kind)
+{
+    switch (kind) {
+    case Operation::Kind::Claim:
+        return "claim";
+    case Operation::Kind::Store:
+        return "store";
+    case Operation::Kind::Fetch:
+        return "fetch";
+    }
+    return "unknown";
+}
+
+/// Tokens claimed by other turns, as far as the answers tell.
+static TokenCount othersOf(const Operation& operation)
+{
+    std::int64_t others = 0;
+    for (const auto& [turn, claim] : operation.seen)
+        others += turn == operation.turn ? 0 : claim.tokens.value;
+    return TokenCount(others);
+}
+
+Operation JournalClient::Impl::finish(JournalTicket ticket, std::optional<JournalError> error)
+{
+    Operation operation = this->take(ticket);
+    if (!this->observer)
+        return operation;
+    JournalOperationEnd end;
+    end.kind = nameOf(operation.kind);
+    end.turn = operation.turn;
+    end.budget = operation.budget;
+    end.error = error;
+    end.duration = std::chrono::duration_cast<Milliseconds>(this->timers.now() - operation.begun);
+    end.epoch = this->set.epoch;
+    end.answered.assign(operation.answered.begin(), operation.answered.end());
+    end.members = this->set.members.size();
+    end.others = othersOf(operation);
+    end.most = operation.most;
+    end.limit = operation.limit;
+    this->observer(end);
+    return operation;
+}
+
 void JournalClient::Impl::fail(JournalTicket ticket, JournalError error)
 {
     if (!this->operations.contains(ticket))
         return;
-    const Operation operation = this->take(ticket);
+    const Operation operation = this->finish(ticket, error);
     if (operation.kind == Operation::Kind::Claim) {
         const SettleClaim withdrawal { operation.budget, { operation.turn, TokenCount(0), true }, operation.retention };
         for (const JournalMember& member : this->set.members)
@@ -191,7 +253,7 @@
         this->judgeClaim(ticket, operation);
         break;
     case Operation::Kind::Store:
-        this->take(ticket).stored({});
+        this->finish(ticket, std::nullopt).stored({});
         break;
     case Operation::Kind::Fetch:
         // A chain whose end is known once had a beginning: that none of those who answered has it is no proof.
@@ -202,20 +264,15 @@
 
 void JournalClient::Impl::judgeClaim(JournalTicket ticket, Operation& operation)
 {
-    std::int64_t others = 0;
-    bool isContested = false;
-    for (const auto& [turn, claim] : operation.seen) {
-        if (turn == operation.turn)
-            continue;
-        others += claim.tokens.value;
-        isContested = isContested || !claim.isSettled;
-    }
-    if (others + operation.most.value > operation.limit.value)
+    const TokenCount others = othersOf(operation);
+    const bool isContested = std::ranges::any_of(operation.seen,
+        [&operation](const auto& entry) { return entry.first != operation.turn && !entry.second.isSettled; });
+    if (others.value + operation.most.value > operation.limit.value)
         this->fail(ticket, JournalError::BudgetSpent);
     else if (isContested && !operation.isAskedAgain)
         this->askAgain(ticket);
     else
-        this->take(ticket).claimed(ClaimOutcome { others > 0 });
+        this->finish(ticket, std::nullopt).claimed(ClaimOutcome { others.value > 0 });
 }
 
 /// Of claims that race, each pair meets at one journal, but a single answer may lack some of them. Asked again, the
@@ -278,7 +335,7 @@
         return;
     }
     if (answer.missing.value.empty()) {
-        const Operation operation = this->take(answer.ticket);
+        const Operation operation = this->finish(answer.ticket, std::nullopt);
         operation.fetched(answer.transcript + operation.suffix);
         return;
     }
@@ -340,6 +397,11 @@
 
 JournalClient::~JournalClient() = default;
 
+void JournalClient::setObserver(std::function<void(const JournalOperationEnd&)> observer)
+{
+    this->impl->observer = std::move(observer);
+}
+
 bool JournalClient::setMembers(const JournalSet& set)
 {
     if (set.epoch <= this->impl->set.epoch)
--- a/src/librattandeckapp/metrics.cpp
+++ b/src/librattandeckapp/metrics.cpp
@@ -1,36 +1,82 @@
 #include "RattandeckApp/metrics.h"
 
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
-#include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 
-#include <array>
+#include <cmath>
 #include <map>
 #include <sstream>
 
 namespace RattandeckApp {
 
-namespace Accumulators = boost::accumulators;
+namespace Histogram = boost::histogram;
 
 namespace {
 
-    constexpr std::array<double, 3> quantiles { 0.5, 0.95, 0.99 };
+    /// Upper bounds of the buckets, in seconds.
+    const std::vector<double> bucketBounds { 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10 };
 
-    using Summary = Accumulators::accumulator_set<double,
-        Accumulators::stats<Accumulators::tag::count, Accumulators::tag::sum, Accumulators::tag::extended_p_square>>;
+    using Axis = Histogram::axis::variable<double>;
+    using Buckets = decltype(Histogram::make_histogram(Axis(bucketBounds)));
+
+    struct Latency {
+        Buckets buckets = Histogram::make_histogram(Axis(bucketBounds));
+        double sum = 0;
+        std::uint64_t count = 0;
+    };
 
     struct Provided {
         std::string kind;
         std::function<double()> read;
     };
 
+    std::string escaped(const std::string& value)
+    {
+        std::string text;
+        for (const char letter : value) {
+            if (letter == '\\' || letter == '"')
+                text += '\\';
+            if (letter == '\n')
+                text += "\\n";
+            else
+                text += letter;
+        }
+        return text;
+    }
+
+    /// The labels as they stand between braces.
+    std::string textOf(const MetricLabels& labels)
+    {
+        std::string text;
+        for (const MetricLabel& label : labels) {
+            text += text.empty() ? "" : ",";
+            text += label.name + "=\"" + escaped(label.value) + "\"";
+        }
+        return text;
+    }
+
+    std::string inBraces(const std::string& labels) { return labels.empty() ? std::string() : "{" + labels + "}"; }
+
+    void renderLatency(
+        std::ostringstream& out, const std::string& name, const std::string& labels, const Latency& latency)
+    {
+        const std::string prefix = name + "_bucket{" + (labels.empty() ? "" : labels + ",") + "le=\"";
+        // Buckets are cumulative. The first one counts what lies below all bounds.
+        double upTo = latency.buckets.at(-1);
+        for (std::size_t i = 0; i < bucketBounds.size(); ++i) {
+            out << prefix << bucketBounds[i] << "\"} " << upTo << '\n';
+            upTo += latency.buckets.at(static_cast<int>(i));
+        }
+        out << prefix << "+Inf\"} " << latency.count << '\n';
+        out << name << "_sum" << inBraces(labels) << ' ' << latency.sum << '\n';
+        out << name << "_count" << inBraces(labels) << ' ' << latency.count << '\n';
+    }
+
 }
 
 struct Metrics::Impl {
-    std::map<std::string, double> counters;
-    std::map<std::string, Summary> summaries;
+    /// By name, then by labels.
+    std::map<std::string, std::map<std::string, double>> counters;
+    std::map<std::string, std::map<std::string, Latency>> latencies;
     std::map<std::string, Provided> provided;
 };
 
@@ -41,13 +87,18 @@
 
 Metrics::~Metrics() = default;
 
-void Metrics::count(const std::string& name, double amount) { this->impl->counters[name] += amount; }
+void Metrics::count(const std::string& name, const MetricLabels& labels, double amount)
+{
+    this->impl->counters[name][textOf(labels)] += amount;
+}
 
-void Metrics::observe(const std::string& name, double sample)
+void Metrics::observe(const std::string& name, double seconds, const MetricLabels& labels)
 {
-    const auto [summary, isNew]
-        = this->impl->summaries.try_emplace(name, Accumulators::extended_p_square_probabilities = quantiles);
-    summary->second(sample);
+    Latency& latency = this->impl->latencies[name][textOf(labels)];
+    // A bucket holds its upper bound; the library's intervals hold their lower one.
+    latency.buckets(std::nextafter(seconds, 0.0));
+    latency.sum += seconds;
+    ++latency.count;
 }
 
 void Metrics::provide(const std::string& name, const std::string& kind, std::function<double()> read)
@@ -58,18 +109,17 @@
 std::string Metrics::render() const
 {
     std::ostringstream out;
-    for (const auto& [name, value] : this->impl->counters)
-        out << "# TYPE " << name << " counter\n" << name << ' ' << value << '\n';
+    for (const auto& [name, family] : this->impl->counters) {
+        out << "# TYPE " << name << " counter\n";
+        for (const auto& [labels, value] : family)
+            out << name << inBraces(labels) << ' ' << value << '\n';
+    }
     for (const auto& [name, provided] : this->impl->provided)
         out << "# TYPE " << name << ' ' << provided.kind << '\n' << name << ' ' << provided.read() << '\n';
-    for (const auto& [name, summary] : this->impl->summaries) {
-        out << "# TYPE " << name << " summary\n";
-        for (std::ptrdiff_t i = 0; i < std::ssize(quantiles); ++i) {
-            out << name << "{quantile=\"" << quantiles[static_cast<std::size_t>(i)] << "\"} "
-                << Accumulators::extended_p_square(summary)[i] << '\n';
-        }
-        out << name << "_sum " << Accumulators::sum(summary) << '\n';
-        out << name << "_count " << Accumulators::count(summary) << '\n';
+    for (const auto& [name, family] : this->impl->latencies) {
+        out << "# TYPE " << name << " histogram\n";
+        for (const auto& [labels, latency] : family)
+            renderLatency(out, name, labels, latency);
     }
     return out.str();
 }
--- a/src/platform/objectstore.cpp
+++ b/src/platform/objectstore.cpp
@@ -108,6 +108,7 @@
     StoreLimits limits;
     HttpClient client;
     std::uint64_t callCount = 0;
+    std::optional<Rattandeck::TimePoint> answeredAt;
     std::vector<std::shared_ptr<Follower>> followers;
 
     using Fetched = std::function<void(tl::expected<HttpResponse, NetError>)>;
@@ -115,7 +116,14 @@
     void fetch(const HttpRequest& request, std::chrono::milliseconds timeout, Fetched done)
     {
         ++this->callCount;
-        this->client.fetch(request, timeout, std::move(done), maxAnswerBytes);
+        const auto noted
+            = [weak = this->weak_from_this(), done = std::move(done)](tl::expected<HttpResponse, NetError> response) {
+                  const auto store = weak.lock();
+                  if (store && response)
+                      store->answeredAt = store->loop.timers().now();
+                  done(std::move(response));
+              };
+        this->client.fetch(request, timeout, noted, maxAnswerBytes);
     }
 
     void change(HttpRequest request, const Json& body, Done done);
@@ -339,4 +347,18 @@
 
 std::uint64_t ObjectStore::callCount() const { return this->impl->callCount; }
 
+std::optional<std::chrono::milliseconds> ObjectStore::answerAge() const
+{
+    if (!this->impl->answeredAt)
+        return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->impl->loop.timers().now() - *this->impl->answeredAt);
+}
+
+double answerAgeSeconds(const ObjectStore& store)
+{
+    const auto age = store.answerAge();
+    return age ? std::chrono::duration<double>(*age).count() : -1;
+}
+
 }
--- a/src/platform/objectstore.h
+++ b/src/platform/objectstore.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -80,6 +81,8 @@
 
     /// Calls made so far.
     std::uint64_t callCount() const;
+    /// Time since the store answered last; nothing before its first answer.
+    std::optional<std::chrono::milliseconds> answerAge() const;
 
     struct Impl;
 
@@ -87,4 +90,7 @@
     std::shared_ptr<Impl> impl;
 };
 
+/// `answerAge` in seconds for a metric; -1 before the first answer.
+double answerAgeSeconds(const ObjectStore& store);
+
 }
--- a/src/platform/objectstore_test.cpp
+++ b/src/platform/objectstore_test.cpp
@@ -91,6 +91,7 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->snapshots.size());
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->snapshots.front().size());
         CPPUNIT_ASSERT_EQUAL(std::string("a"), this->requests[1].query.at("after"));
+        CPPUNIT_ASSERT(this->store->answerAge().has_value());
         // What changed between the pages is in the watch.
         CPPUNIT_ASSERT_EQUAL(std::string("7"), this->requests[2].query.at("watch"));
     }
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -85,6 +85,7 @@
 
     // Journals
     void onJournalSet(const JournalSet& set);
+    void onJournalOperation(const JournalOperationEnd& end);
     void linkToJournals();
     void checkJournals();
 
@@ -206,6 +207,7 @@
     if (!isListening)
         return ExitUnavailable;
     this->provideMetrics();
+    this->journals.setObserver([this](const JournalOperationEnd& end) { this->onJournalOperation(end); });
     this->relay.onCrashReports([this](const CrashReports& crashes) {
         for (const NodeId& node : this->linkedJournals)
             this->network.send(node, crashes);
@@ -261,6 +263,9 @@
     provide("rattandeck_journal_epoch", "gauge", [this] { return double(this->journals.members().epoch.value); });
     provide("rattandeck_log_lines_dropped_total", "counter", [] { return double(droppedLogLines()); });
     provide("rattandeck_store_calls_total", "counter", [this] { return double(this->store->callCount()); });
+    provide(
+        "rattandeck_store_answer_age_seconds", "gauge", [this] { return Platform::answerAgeSeconds(*this->store); });
+    provide("rattandeck_link_dials_total", "counter", [this] { return double(this->network.dialCount()); });
 }
 
 void Daemon::sweep()
@@ -437,6 +442,23 @@
     this->checkJournals();
 }
 
+void Daemon::onJournalOperation(const JournalOperationEnd& end)
+{
+    this->metrics.observe("rattandeck_journal_operation_seconds", std::chrono::duration<double>(end.duration).count(),
+        { { "kind", std::string(end.kind) }, { "outcome", std::string(end.error ? describe(*end.error) : "done") } });
+    if (!end.error)
+        return;
+    std::string answered;
+    for (const NodeId& node : end.answered)
+        answered += (answered.empty() ? "" : " ") + node.value;
+    logFields("journals' answer",
+        { { "request", end.turn.value }, { "program", end.budget.value }, { "kind", std::string(end.kind) },
+            { "outcome", std::string(describe(*end.error)) }, { "answered", answered },
+            { "members", std::int64_t(end.members) }, { "epoch", std::int64_t(end.epoch.value) },
+            { "duration_ms", std::int64_t(end.duration.count()) }, { "tokens_of_others", end.others.value },
+            { "tokens_asked", end.most.value }, { "token_limit", end.limit.value } });
+}
+
 /// Without enough journals turns are refused here, so callers are sent to other gateways.
 void Daemon::checkJournals()
 {
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -193,25 +193,36 @@
     logFields("send",
         { { "request", decision.request.value }, { "program", decision.program.value }, { "route", decision.route },
             { "config", std::int64_t(decision.configVersion) }, { "endpoint", decision.choice.endpoint.value },
-            { "load", decision.choice.expectedLoad }, { "slots", std::int64_t(decision.choice.slots) },
-            { "cached_tokens", decision.choice.cachedTokens }, { "attempt", std::int64_t(decision.attempt) },
-            { "waited_ms", std::int64_t(decision.waited.count()) },
+            { "load", decision.choice.expectedLoad },
+            { "load_age_ms", std::int64_t(decision.choice.reportAge.value_or(Milliseconds(-1)).count()) },
+            { "slots", std::int64_t(decision.choice.slots) }, { "cached_tokens", decision.choice.cachedTokens },
+            { "attempt", std::int64_t(decision.attempt) }, { "waited_ms", std::int64_t(decision.waited.count()) },
             { "time_left_ms", std::int64_t(decision.timeLeft.count()) } });
 }
 
 void Relay::logEnd(const CallEnd& end)
 {
-    this->metrics.observe("rattandeck_call_seconds{outcome=\"" + std::string(end.outcome) + "\"}",
-        std::chrono::duration<double>(end.duration).count());
+    const auto seconds = [](Milliseconds time) { return std::chrono::duration<double>(time).count(); };
+    this->metrics.observe(
+        "rattandeck_call_seconds", seconds(end.duration), { { "outcome", std::string(end.outcome) } });
+    if (end.waited)
+        this->metrics.observe("rattandeck_call_wait_seconds", seconds(*end.waited));
+    if (end.firstEvent)
+        this->metrics.observe("rattandeck_first_event_seconds", seconds(*end.firstEvent));
+    if (!end.reason.empty())
+        this->metrics.count("rattandeck_calls_not_answered_total", { { "reason", std::string(end.reason) } });
     std::vector<LogField> fields { { "request", end.request.value }, { "program", end.program.value },
         { "route", end.route }, { "outcome", std::string(end.outcome) }, { "reason", std::string(end.reason) },
         { "endpoint", end.endpoint }, { "status", std::int64_t(end.status) }, { "sends", std::int64_t(end.sends) },
-        { "events", std::int64_t(end.events) }, { "duration_ms", std::int64_t(end.duration.count()) } };
+        { "events", std::int64_t(end.events) }, { "duration_ms", std::int64_t(end.duration.count()) },
+        { "config", std::int64_t(end.configVersion) } };
     // What a refusal rests on.
     if (end.outcome == "refused") {
         fields.push_back({ "queued", std::int64_t(end.queued) });
         fields.push_back({ "best_endpoint", end.bestChoice ? end.bestChoice->endpoint.value : std::string() });
         fields.push_back({ "best_load", end.bestChoice ? end.bestChoice->expectedLoad : 0.0 });
+        const auto age = end.bestChoice ? end.bestChoice->reportAge : std::nullopt;
+        fields.push_back({ "best_load_age_ms", std::int64_t(age.value_or(Milliseconds(-1)).count()) });
         fields.push_back({ "best_slots", std::int64_t(end.bestChoice ? end.bestChoice->slots : 0) });
     }
     logFields("call", fields);
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -78,7 +78,7 @@
     bool send(const NodeId& to, const Message& message) override { return this->network.send(to, message); }
     void append(const JournalRecord& record) override { this->disk->append(record); }
     std::optional<RetainedTurn> readTurn(const DiskPlace& place) override { return this->disk->read(place); }
-    void sync(std::function<void()> onDurable) override { this->disk->sync(std::move(onDurable)); }
+    void sync(std::function<void()> onDurable) override;
     void noteComplete(bool isComplete) override;
     void noteSet(const JournalSet& set) override;
     void readSet() override;
@@ -149,6 +149,7 @@
     this->disk->setOnTurnWritten(
         [this](const TurnId& turn, const DiskPlace& place) { this->journal->onWritten(turn, place); });
     const auto taken = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begun);
+    this->metrics.observe("rattandeck_disk_read_seconds", std::chrono::duration<double>(taken).count());
     logEvent("disk read",
         std::to_string(taken.count()) + " ms, " + std::to_string(found.records) + " records in "
             + std::to_string(found.segments) + " segments, " + std::to_string(found.tornSegments) + " torn; "
@@ -182,6 +183,10 @@
         "rattandeck_disk_written_bytes_total", "counter", [this] { return double(this->disk->counts().bytes); });
     this->metrics.provide(
         "rattandeck_store_calls_total", "counter", [this] { return double(this->store->callCount()); });
+    this->metrics.provide(
+        "rattandeck_store_answer_age_seconds", "gauge", [this] { return Platform::answerAgeSeconds(*this->store); });
+    this->metrics.provide("rattandeck_journal_bytes_in_memory", "gauge",
+        [this] { return double(this->journal->state().bytesInMemory()); });
 }
 
 int Daemon::run()
@@ -293,6 +298,16 @@
     }
 }
 
+void Daemon::sync(std::function<void()> onDurable)
+{
+    const TimePoint begun = this->loop.timers().now();
+    this->disk->sync([this, begun, onDurable = std::move(onDurable)] {
+        const std::chrono::duration<double> taken = this->loop.timers().now() - begun;
+        this->metrics.observe("rattandeck_disk_sync_seconds", taken.count());
+        onDurable();
+    });
+}
+
 // The set in the store -----------------------------------------------------------------------------------------------
 
 void Daemon::readSet()
