--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -240,6 +240,8 @@
     Gateway(const Gateway&) = delete;
     Gateway& operator=(const Gateway&) = delete;
 
+    /// Takes other limits over; calls under way go on under them.
+    void setLimits(const GatewayLimits& limits);
     /// Takes a configuration over unless a later one is in force. Returns whether it did.
     bool setConfig(RoutingConfig config);
     /// The version in force; nothing before the first.
--- a/src/include/RattandeckApp/log.h
+++ b/src/include/RattandeckApp/log.h
@@ -32,6 +32,9 @@
 /// Sets the process's log up. Returns false when the file can't be opened.
 bool startLog(const LogSettings& settings, const std::string& process);
 
+/// Takes over level and byte rate of other settings while the process runs; the rest needs a restart.
+void adjustLog(const LogSettings& settings);
+
 /// Thread safety: all of these may be called from any thread after `startLog`.
 void logPlacement(const Rattandeck::PlacementDecision& decision);
 void logAdmission(const Rattandeck::AdmissionDecision& decision);
--- a/src/include/RattandeckApp/settings.h
+++ b/src/include/RattandeckApp/settings.h
@@ -82,6 +82,9 @@
     /// As `load` for a single "key = value" line given by hand; required keys need not be among it.
     tl::expected<void, std::vector<SettingsError>> override(const std::string& line);
 
+    /// Keys whose values differ from those of another schema. Precondition: both bind the same keys in the same order.
+    std::vector<std::string> differences(const SettingsSchema& other) const;
+
     /// The present values as TOML, with help texts as comments. `load` reads it back.
     std::string print() const;
 
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -41,6 +41,8 @@
 
 Gateway::~Gateway() = default;
 
+void Gateway::setLimits(const GatewayLimits& limits) { this->impl->limits = limits; }
+
 bool Gateway::setConfig(RoutingConfig config)
 {
     if (this->impl->table && config.version <= this->impl->table->config().version)
--- a/src/librattandeckapp/commandline.cpp
+++ b/src/librattandeckapp/commandline.cpp
@@ -27,52 +27,68 @@
 
 }
 
-std::optional<int> readCommandLine(int argc, char** argv, const ProgramInfo& program, SettingsSchema& schema)
+static tl::expected<void, std::vector<SettingsError>> loadOverrides(
+    SettingsSchema& schema, const std::vector<std::string>& overrides)
 {
-    std::string path;
-    std::vector<std::string> overrides;
+    for (const std::string& line : overrides) {
+        if (auto loaded = schema.override(line); !loaded)
+            return loaded;
+    }
+    return {};
+}
+
+tl::expected<void, std::vector<SettingsError>> loadSettings(SettingsSchema& schema, const SettingsSource& source)
+{
+    auto loaded = source.path.empty() ? schema.load("", "(no settings file)") : schema.loadFile(source.path);
+    if (!loaded)
+        return loaded;
+    return loadOverrides(schema, source.overrides);
+}
+
+std::optional<int> readCommandLine(
+    int argc, char** argv, const ProgramInfo& program, SettingsSchema& schema, SettingsSource* source)
+{
+    SettingsSource given;
     Options::options_description described("Options");
     auto add = described.add_options();
-    add("settings", Options::value(&path)->value_name("FILE"), "read settings from a TOML file");
-    add("set", Options::value(&overrides)->value_name("KEY=VALUE"), "a setting as TOML, such as log.level='\"debug\"'");
+    add("settings", Options::value(&given.path)->value_name("FILE"), "read settings from a TOML file");
+    add("set", Options::value(&given.overrides)->value_name("KEY=VALUE"),
+        "a setting as TOML, such as log.level='\"debug\"'");
     add("check", "check the settings and exit");
     add("print-settings", "print the settings in force, with their meaning, and exit");
     add("version", "print the version and exit");
     add("help", "print this text and exit");
 
-    Options::variables_map given;
+    Options::variables_map options;
     try {
-        Options::store(Options::parse_command_line(argc, argv, described), given);
-        Options::notify(given);
+        Options::store(Options::parse_command_line(argc, argv, described), options);
+        Options::notify(options);
     } catch (const Options::error& error) {
         std::cerr << program.name << ": " << error.what() << "; see --help\n";
         return ExitUsage;
     }
-    if (given.contains("help")) {
+    if (options.contains("help")) {
         std::cout << program.name << ": " << program.summary << "\n\n" << described << '\n' << exitCodeHelp << '\n';
         return ExitSuccess;
     }
-    if (given.contains("version")) {
+    if (options.contains("version")) {
         std::cout << program.name << ' ' << version() << '\n';
         return ExitSuccess;
     }
 
     // Printing the defaults needs no file, although some keys have none.
-    const bool printing = given.contains("print-settings");
-    if (!path.empty() || !printing) {
-        const auto loaded = path.empty() ? schema.load("", "(no settings file)") : schema.loadFile(path);
-        if (const auto code = report(loaded))
-            return code;
-    }
-    for (const std::string& line : overrides) {
-        if (const auto code = report(schema.override(line)))
-            return code;
-    }
+    const bool printing = options.contains("print-settings");
+    const bool mayBeIncomplete = given.path.empty() && printing;
+    const auto loaded = mayBeIncomplete ? loadOverrides(schema, given.overrides) : loadSettings(schema, given);
+    if (const auto code = report(loaded))
+        return code;
+    if (source)
+        *source = given;
     if (printing) {
         std::cout << schema.print();
         return ExitSuccess;
     }
-    if (given.contains("check")) {
+    if (options.contains("check")) {
         std::cout << "settings are valid\n";
         return ExitSuccess;
     }
--- a/src/librattandeckapp/log.cpp
+++ b/src/librattandeckapp/log.cpp
@@ -42,6 +42,12 @@
 
         std::uint64_t droppedLines() const { return this->dropped; }
 
+        void setBytesPerSecond(std::int64_t rate)
+        {
+            const std::lock_guard guard(this->mutex_);
+            this->bytesPerSecond = static_cast<double>(rate);
+        }
+
     protected:
         void sink_it_(const spdlog::details::log_msg& message) override
         {
@@ -133,6 +139,13 @@
     return true;
 }
 
+void adjustLog(const LogSettings& settings)
+{
+    spdlog::default_logger()->set_level(levelOf(settings.level));
+    if (standardOutput)
+        standardOutput->setBytesPerSecond(settings.bytesPerSecond);
+}
+
 // Decisions ----------------------------------------------------------------------------------------------------------
 
 namespace {
--- a/src/librattandeckapp/settings.cpp
+++ b/src/librattandeckapp/settings.cpp
@@ -338,6 +338,16 @@
     return this->load(text.str(), path);
 }
 
+std::vector<std::string> SettingsSchema::differences(const SettingsSchema& other) const
+{
+    std::vector<std::string> keys;
+    for (std::size_t i = 0; i < this->entries.size(); ++i) {
+        if (this->entries[i].format() != other.entries[i].format())
+            keys.push_back(this->entries[i].key);
+    }
+    return keys;
+}
+
 // Printing -----------------------------------------------------------------------------------------------------------
 
 std::string SettingsSchema::print() const
--- a/src/librattandeckapp/settings_test.cpp
+++ b/src/librattandeckapp/settings_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(syntaxErrorHasItsPlace);
     CPPUNIT_TEST(requiredKeyMustBeGiven);
     CPPUNIT_TEST(printedSettingsLoadAgain);
+    CPPUNIT_TEST(differingKeysAreNamed);
     CPPUNIT_TEST_SUITE_END();
 
     std::int64_t limit = 5;
@@ -89,5 +90,17 @@
         CPPUNIT_ASSERT(this->schema.load(printed, "printed.toml"));
         CPPUNIT_ASSERT_EQUAL(printed, this->schema.print());
     }
+
+    void differingKeysAreNamed()
+    {
+        std::int64_t otherLimit = 5;
+        SettingsSchema one;
+        SettingsSchema other;
+        one.addInteger("limits.calls", this->limit, 1, 10, "calls at once");
+        other.addInteger("limits.calls", otherLimit, 1, 10, "calls at once");
+        CPPUNIT_ASSERT(one.differences(other).empty());
+        otherLimit = 6;
+        CPPUNIT_ASSERT(one.differences(other) == std::vector<std::string> { "limits.calls" });
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(SettingsTest);
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -3,7 +3,7 @@
 #include "platform/directory.h"
 #include "platform/names.h"
 #include "Rattandeck/bulletins.h"
-#include "RattandeckApp/commandline.h"
+#include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
 #include "relay.h"
 
@@ -58,7 +58,7 @@
 
 class Daemon {
 public:
-    explicit Daemon(const GatewaySettings& settings);
+    Daemon(const GatewaySettings& settings, const SettingsSource& source);
 
     int run();
 
@@ -89,6 +89,8 @@
     void linkToJournals();
     void checkJournals();
 
+    SettingsReload<GatewaySettings>::Parts reloadParts(const SettingsSource& source);
+    void apply(const GatewaySettings& fresh);
     void stop();
     void closeCallers();
     void endWhenDrained();
@@ -113,6 +115,7 @@
     bool isStoreReachable = false;
     std::optional<TimePoint> storeRegainedAt;
     std::set<EndpointId> missing;
+    SettingsReload<GatewaySettings> reload;
     bool isStopping = false;
     TimePoint stopBegun;
 };
@@ -124,7 +127,7 @@
     return limits;
 }
 
-Daemon::Daemon(const GatewaySettings& daemonSettings)
+Daemon::Daemon(const GatewaySettings& daemonSettings, const SettingsSource& source)
     : settings(daemonSettings)
     , network(this->loop, this->hello(), journalLinkLimits(), this->peerHandlers())
     , journals(this->loop.timers(), journalLimits(daemonSettings),
@@ -137,11 +140,38 @@
           })
     , ready(this->loop, HttpLimits {},
           [this](const HttpRequest&, const HttpResponder& responder) { this->answerReady(responder); })
-    , admin(this->loop, HttpLimits {}, [this](const HttpRequest& request, const HttpResponder& responder) {
-        answerAdmin(
-            request, responder, [this] { return this->isReady(); }, this->metrics);
-    })
+    , admin(this->loop, HttpLimits {},
+          [this](const HttpRequest& request, const HttpResponder& responder) {
+              answerAdmin(
+                  request, responder, [this] { return this->isReady(); }, this->metrics);
+          })
+    , reload(this->loop.timers(), this->reloadParts(source), daemonSettings)
+{
+}
+
+// Settings while it runs ---------------------------------------------------------------------------------------------
+
+SettingsReload<GatewaySettings>::Parts Daemon::reloadParts(const SettingsSource& source)
 {
+    SettingsReload<GatewaySettings>::Parts parts;
+    parts.source = source;
+    parts.bind = bindSettings;
+    parts.appliedKeys = { "callers.max_connections", "peers.seeds", "placement.max_load", "placement.opening_load",
+        "placement.priorities", "placement.queue_part", "calls.repeat_ratio", "stop.limit_ms", "log.level",
+        "log.bytes_per_second" };
+    parts.apply = [this](const GatewaySettings& fresh) { this->apply(fresh); };
+    return parts;
+}
+
+void Daemon::apply(const GatewaySettings& fresh)
+{
+    this->settings.maxConnections = fresh.maxConnections;
+    this->settings.seeds = fresh.seeds;
+    this->settings.stopLimit = fresh.stopLimit;
+    this->relay.gateway().setLimits(fresh.limits);
+    this->callers.setLimits(this->httpLimits());
+    adjustLog(fresh.instance.log);
+    this->linkToJournals();
 }
 
 Hello Daemon::hello() const
@@ -219,7 +249,8 @@
     keepLogFlushed(this->loop.timers());
     this->loop.onSignal(SIGTERM, [this] { this->stop(); });
     this->loop.onSignal(SIGINT, [this] { this->stop(); });
-    this->loop.onSignal(SIGHUP, [] { logEvent("reload", "settings are read at the start only"); });
+    this->loop.onSignal(SIGHUP, [this] { this->reload.reload("signal"); });
+    this->reload.watch();
     logEvent("start", std::string("version ") + RATTANDECK_VERSION + ", node " + this->settings.instance.node);
     printReady({ { "callers", boundAddress(this->settings.callersListen, this->callers.port()) },
         { "ready", boundAddress(this->settings.readyListen, this->ready.port()) } });
@@ -516,10 +547,10 @@
 
 }
 
-int runDaemon(const GatewaySettings& settings)
+int runDaemon(const GatewaySettings& settings, const SettingsSource& source)
 {
     if (!startInstanceLog(settings.instance))
         return ExitSettings;
-    Daemon daemon(settings);
+    Daemon daemon(settings, source);
     return daemon.run();
 }
--- a/src/rattandeck-gateway/daemon.h
+++ b/src/rattandeck-gateway/daemon.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Rattandeck/gateway.h"
+#include "RattandeckApp/commandline.h"
 #include "RattandeckApp/daemon.h"
 
 struct GatewaySettings {
@@ -21,5 +22,5 @@
 
 void bindSettings(RattandeckApp::SettingsSchema& schema, GatewaySettings& settings);
 
-/// Runs until a planned stop. Returns the exit code.
-int runDaemon(const GatewaySettings& settings);
+/// Runs until a planned stop. Returns the exit code. `source` is read again on SIGHUP and when its file changes.
+int runDaemon(const GatewaySettings& settings, const RattandeckApp::SettingsSource& source);
--- a/src/rattandeck-gateway/rattandeck-gateway.cpp
+++ b/src/rattandeck-gateway/rattandeck-gateway.cpp
@@ -9,7 +9,8 @@
     RattandeckApp::SettingsSchema schema;
     bindSettings(schema, settings);
     const RattandeckApp::ProgramInfo program { "rattandeck-gateway", "relays agent programs' calls to endpoints" };
-    if (const auto exitCode = RattandeckApp::readCommandLine(argc, argv, program, schema))
+    RattandeckApp::SettingsSource source;
+    if (const auto exitCode = RattandeckApp::readCommandLine(argc, argv, program, schema, &source))
         return *exitCode;
-    return runDaemon(settings);
+    return runDaemon(settings, source);
 }
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -6,7 +6,7 @@
 #include "platform/names.h"
 #include "Rattandeck/bulletins.h"
 #include "Rattandeck/journal.h"
-#include "RattandeckApp/commandline.h"
+#include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
 
 #include <csignal>
@@ -41,10 +41,11 @@
 
 class Daemon : private JournalIo {
 public:
-    explicit Daemon(const JournalSettings& settings)
+    Daemon(const JournalSettings& settings, const SettingsSource& source)
         : settings(settings)
         , notes(settings.folder)
         , network(this->loop, this->hello({}), journalLinkLimits(), this->peerHandlers())
+        , reload(this->loop.timers(), this->reloadParts(source), settings)
     {
     }
 
@@ -63,6 +64,7 @@
     bool openDisk();
     void startAdmin();
     void followRetirements();
+    SettingsReload<JournalSettings>::Parts reloadParts(const SettingsSource& source);
     void stop();
 
     // Links
@@ -109,6 +111,7 @@
     std::string retirementPhase;
     bool isRetirementPending = false;
     TimerId retirementTimer;
+    SettingsReload<JournalSettings> reload;
     bool isStopping = false;
 };
 
@@ -220,7 +223,8 @@
     keepLogFlushed(this->loop.timers());
     this->loop.onSignal(SIGTERM, [this] { this->stop(); });
     this->loop.onSignal(SIGINT, [this] { this->stop(); });
-    this->loop.onSignal(SIGHUP, [] { logEvent("reload", "settings are read at the start only"); });
+    this->loop.onSignal(SIGHUP, [this] { this->reload.reload("signal"); });
+    this->reload.watch();
     logEvent("start",
         std::string("version ") + RATTANDECK_VERSION + ", node " + this->settings.instance.node + ", peers " + address);
     printReady({ { "peers", address } });
@@ -230,6 +234,20 @@
     return ExitSuccess;
 }
 
+SettingsReload<JournalSettings>::Parts Daemon::reloadParts(const SettingsSource& source)
+{
+    SettingsReload<JournalSettings>::Parts parts;
+    parts.source = source;
+    parts.bind = bindSettings;
+    parts.appliedKeys = { "peers.seeds", "log.level", "log.bytes_per_second" };
+    parts.apply = [this](const JournalSettings& fresh) {
+        this->settings.seeds = fresh.seeds;
+        adjustLog(fresh.instance.log);
+        this->linkTo(this->journal->set());
+    };
+    return parts;
+}
+
 void Daemon::stop()
 {
     if (this->isStopping)
@@ -427,10 +445,10 @@
 
 }
 
-int runDaemon(const JournalSettings& settings)
+int runDaemon(const JournalSettings& settings, const SettingsSource& source)
 {
     if (!startInstanceLog(settings.instance))
         return ExitSettings;
-    Daemon daemon(settings);
+    Daemon daemon(settings, source);
     return daemon.run();
 }
--- a/src/rattandeck-journal/daemon.h
+++ b/src/rattandeck-journal/daemon.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RattandeckApp/commandline.h"
 #include "RattandeckApp/daemon.h"
 
 struct JournalSettings {
@@ -14,5 +15,5 @@
 
 void bindSettings(RattandeckApp::SettingsSchema& schema, JournalSettings& settings);
 
-/// Runs until a planned stop. Returns the exit code.
-int runDaemon(const JournalSettings& settings);
+/// Runs until a planned stop. Returns the exit code. `source` is read again on SIGHUP and when its file changes.
+int runDaemon(const JournalSettings& settings, const RattandeckApp::SettingsSource& source);
