Let a leaving entry write lifted gaps, and the last one stay for its successor

Change: lifted gaps are written as long as the lease holds; an entry that sees no other stays up to its longest stay (10 s). Ruled out: a longer bound in the checker. A single entry now takes up to 10 s longer to stop.

--- a/src/librattandeck/entryimpl.h
+++ b/src/librattandeck/entryimpl.h
@@ -177,6 +177,8 @@
     };
     std::optional<ClaimGround> groundFor(ShardId shard, const ShardSlot& slot);
     std::optional<Claim> claimFor(ShardId shard, const ShardSlot& slot);
+    /// The lease is valid and the object API can be reached, so that this entry's word may go into the map.
+    bool holdsLease() const;
     bool mayTakeShards() const;
     bool ownSlotsTaken() const;
     ObjectVersion writtenCompleteThrough() const;
--- a/src/librattandeck/entrylease.cpp
+++ b/src/librattandeck/entrylease.cpp
@@ -206,8 +206,9 @@
     // Nobody can take a shard over now; its successor will ask for what this entry holds once the store is back.
     if (!this->storeReachable)
         return false;
+    // The last one to leave stays for a successor that may come.
     if (others.empty())
-        return true;
+        return false;
     const bool covered = std::all_of(others.begin(), others.end(),
         [&](const NodeId& entry) { return this->observed.at(entry).lease.completeThrough >= this->ownEnd; });
     // A shard whose home has died needs what this entry holds for it until its successor has asked.
--- a/src/librattandeck/entryshards.cpp
+++ b/src/librattandeck/entryshards.cpp
@@ -121,13 +121,17 @@
 
 // Whether and when to claim ----------------------------------------------------------------------------------------
 
+bool EntryCore::Impl::holdsLease() const
+{
+    return !this->superseded && this->storeReachable && this->now() < this->lease.validUntil;
+}
+
 bool EntryCore::Impl::mayTakeShards() const
 {
     const bool ready = this->selfRegistered && this->membersListed && this->configListed && this->leaseFirstHeld;
-    if (!ready || this->shuttingDown || this->superseded || this->releaseWanted)
+    if (!ready || this->shuttingDown || this->releaseWanted)
         return false;
-    const bool settled = this->now() >= *this->leaseFirstHeld + settlingTime;
-    return settled && this->storeReachable && this->now() < this->lease.validUntil;
+    return this->holdsLease() && this->now() >= *this->leaseFirstHeld + settlingTime;
 }
 
 std::vector<NodeId> EntryCore::Impl::liveEntries(const NodeId& except) const
@@ -214,14 +218,15 @@
 
 void EntryCore::Impl::reviewShards()
 {
+    // An entry that leaves takes no shards, but its successors rely on what the map says of its gaps.
+    if (this->holdsLease() && !this->claim && !this->gapsUnwritten.empty())
+        this->writeGap(*this->gapsUnwritten.begin());
     if (!this->mayTakeShards() || this->claim)
         return;
     if (this->map.slots.empty()) {
         this->readMap([](bool) {});
         return;
     }
-    if (!this->gapsUnwritten.empty())
-        this->writeGap(*this->gapsUnwritten.begin());
     const bool formerOver = this->formerLease && this->now() >= this->formerLease->lapsesAt(this->settings.clockMargin);
     if (formerOver && this->ownSlotsTaken())
         this->formerLease.reset();
