Don't say that a turn is missing before all members of a changed set have been copied

Cause: when one of four journals is dropped, two votes suffice in place of three, while a turn that the dropped one had acknowledged may stand at a single remaining member. Ruled out: letting no member count until it has copied (a pause of turns at every change); answers that tell which votes are settled (nobody waits for a 404).

--- a/spec/journals.pml
+++ b/spec/journals.pml
@@ -2,7 +2,8 @@
  * One retained turn and a change of the set of journals, with one lost disk.
  *
  * Journals 0, 1 and 2 are the set of epoch 1. In epoch 2 journal 3 takes the place of 2, which is gone; or it joins; or 2
- * leaves at the operator's wish. A writer stores the turn at the members that it knows and is done with two copies. A
+ * leaves at the operator's wish. With FOUR_MEMBERS (journals-drop.pml) all four are the set, and 3 is dropped when the
+ * others can't reach it. A writer stores the turn at the members that it knows and is done with two copies. A
  * reader that begins afterwards asks all but one of the members that it knows; it must not find the turn missing.
  *
  * Messages are the two halves of a question: an answer is made at one step and arrives at a later one.
@@ -43,6 +44,8 @@
 
 /* Journal 2 leaves in order: the others copy it although it is no member. */
 bool isLeaving = false;
+/* Journal 3 can't be reached by other journals. */
+bool isCut = false;
 /* A disk is lost, or a machine with one, and its data has not been made up for. */
 bool isLossOpen = false;
 
@@ -54,6 +57,18 @@
 
 #define MEMBER(j, epoch) HAS(sets[epoch], j)
 #define COUNTS(j) (complete[j] && !gone[j] && knows[j] > 0 && MEMBER(j, knows[j]))
+/* With four members, a journal must have copied all others since it knows the set before it says that the turn is missing. */
+#ifdef FOUR_MEMBERS
+#define COPIES_NOW(j) (knows[j] == 2)
+#ifdef MISSES_UNCOPIED
+#define MAY_MISS(j) COUNTS(j)
+#else
+#define MAY_MISS(j) (COUNTS(j) && (knows[j] == 1 || HAS_COPIED(j)))
+#endif
+#else
+#define COPIES_NOW(j) isLeaving
+#define MAY_MISS(j) COUNTS(j)
+#endif
 #define SOURCES(j) ((sets[knows[j]] | (isLeaving -> BIT(2) : 0)) & ~BIT(j))
 
 #ifdef NO_COPY_OF_ALL
@@ -76,28 +91,34 @@
         knows[j] = epoch;
         copied[j] = 0;
         if
-        :: !MEMBER(j, epoch) || proposer == j -> complete[j] = false
+        :: !MEMBER(j, epoch) || (proposer == j && epoch == 2 && !MEMBER(j, 1)) -> complete[j] = false
         :: else
         fi
     :: else
     fi
 }
 
-/* A gateway hears of a set. What journals have said counts on if they stay members. */
-inline learn(set, counted)
+/* A gateway hears of a set. An acknowledgement counts on if its journal stays a member; that the turn is missing has to be
+ * said anew. */
+#ifdef VOTES_CARRY_OVER
+#define STAYS(mayStay) true
+#else
+#define STAYS(mayStay) mayStay
+#endif
+inline learn(set, counted, mayStay)
 {
     epoch = set;
-    asked = asked & sets[epoch];
-    counted = counted & sets[epoch]
+    asked = (STAYS(mayStay) -> asked & sets[epoch] : 0);
+    counted = (STAYS(mayStay) -> counted & sets[epoch] : 0)
 }
 
 /* An answer arrives, after the set that its sender knew. A journal that knows an older one does not count: it is told and
  * asked again. */
-inline take(counted)
+inline take(counted, mayStay)
 {
 #ifndef NO_SET_BEFORE_ANSWERS
     if
-    :: answer[j] > epoch -> learn(answer[j], counted)
+    :: answer[j] > epoch -> learn(answer[j], counted, mayStay)
     :: else
     fi;
 #endif
@@ -129,13 +150,13 @@
 end:
     do
     /* It hears of the newest set. */
-    :: atomic { !gone[j] && knows[j] < storedEpoch && !RETURNS_EARLY(j) -> adopt(j, storedEpoch) }
+    :: atomic { !gone[j] && knows[j] < storedEpoch && !RETURNS_EARLY(j) && !(isCut && j == 3) -> adopt(j, storedEpoch) }
     /* It copies all that another journal has. */
     :: atomic {
-        !gone[j] && knows[j] > 0 && MEMBER(j, knows[j]) && (!complete[j] || isLeaving) ->
+        !gone[j] && knows[j] > 0 && MEMBER(j, knows[j]) && (!complete[j] || COPIES_NOW(j)) ->
         choose(s);
         if
-        :: HAS(SOURCES(j), s) && !HAS(copied[j], s) && !gone[s] ->
+        :: HAS(SOURCES(j), s) && !HAS(copied[j], s) && !gone[s] && !(isCut && (s == 3 || j == 3)) ->
             has[j] = has[j] || has[s];
 #ifdef NO_COPY_OF_THE_SAME_SET
             copied[j] = copied[j] | BIT(s)
@@ -153,7 +174,7 @@
     :: atomic {
         !gone[j] && knows[j] > 0 && MEMBER(j, knows[j]) && !complete[j] && HAS_COPIED(j)
         -> complete[j] = true;
-        isLossOpen = false
+        isLossOpen = isCut
         }
     od
 }
@@ -162,6 +183,11 @@
 proctype Change()
 {
 end:
+#ifdef FOUR_MEMBERS
+    /* 3 can't be reached by the others; writers and readers may still reach it until they know that it is dropped. */
+    atomic { !isLossOpen -> isLossOpen = true; isCut = true };
+    atomic { sets[2] = 7; proposer = 0; storedEpoch = 2; adopt(0, 2) }
+#else
     if
     /* Journal 2 is gone with its disk; 3 takes its place. */
     :: atomic { !isLossOpen -> gone[2] = true; has[2] = false; complete[2] = false; isLossOpen = true; sets[2] = 11 };
@@ -186,6 +212,7 @@
 #endif
             -> gone[2] = true; has[2] = false; isLeaving = false }
     fi
+#endif
 }
 
 /* A machine loses its disk and comes back empty. */
@@ -236,12 +263,12 @@
         choose(j);
         if
         :: answer[j] > 0 ->
-            take(acks);
+            take(acks, true);
             answer[j] = 0
         :: else
         fi;
         j = 0 }
-    :: atomic { epoch < storedEpoch -> learn(storedEpoch, acks) }
+    :: atomic { epoch < storedEpoch -> learn(storedEpoch, acks, true) }
     :: atomic { COUNT(acks) >= COPIES -> isAcked = true; isWriteOver = true; break }
     :: atomic { isWriteOver = true; break }
     od
@@ -266,7 +293,7 @@
             asked = asked | BIT(j);
             if
             :: has[j] -> break
-            :: else -> answer[j] = (COUNTS(j) -> knows[j] : 0)
+            :: else -> answer[j] = (MAY_MISS(j) -> knows[j] : 0)
             fi
         :: else
         fi;
@@ -275,14 +302,14 @@
         choose(j);
         if
         :: answer[j] > 0 ->
-            take(votes);
+            take(votes, false);
             answer[j] = 0;
             assert(COUNT(votes) < VOTES(sets[epoch]))
         :: else
         fi;
         j = 0 }
     :: atomic { epoch < storedEpoch ->
-        learn(storedEpoch, votes);
+        learn(storedEpoch, votes, false);
         assert(COUNT(votes) < VOTES(sets[epoch])) }
     od
 }
@@ -297,6 +324,11 @@
             knows[j] = 1
         }
         j = 0;
+#ifdef FOUR_MEMBERS
+        sets[1] = 15;
+        complete[3] = true;
+        knows[3] = 1;
+#endif
         run Journal(0);
         run Journal(1);
         run Journal(2);
--- a/src/include/Rattandeck/journal.h
+++ b/src/include/Rattandeck/journal.h
@@ -32,7 +32,7 @@
     /// Calls `onDurable` once all records appended so far outlive a loss of power.
     virtual void sync(std::function<void()> onDurable) = 0;
     /// Note a fact beside the records; it outlives a loss of power when the call returns.
-    virtual void noteComplete(bool isComplete) = 0;
+    virtual void noteStanding(const JournalStanding& standing) = 0;
     virtual void noteSet(const JournalSet& set) = 0;
 
     /// Reads the set of journals from the platform's store; answered by `onSetRead` or `onSetUnread`.
@@ -59,8 +59,8 @@
 
     /// Takes over a record that was found on disk. Precondition: `start` has not been called.
     void restore(const FoundRecord& record);
-    /// Begins to take part. `known` and `wasComplete` are what was noted last.
-    void start(const JournalSet& known, bool wasComplete);
+    /// Begins to take part. `known` and `standing` are what was noted last.
+    void start(const JournalSet& known, const JournalStanding& standing);
 
     /// As the functions of the same names of `JournalMembership`.
     void onSetRead(const std::optional<JournalSet>& set);
--- a/src/include/Rattandeck/journalmembership.h
+++ b/src/include/Rattandeck/journalmembership.h
@@ -10,6 +10,15 @@
 
 namespace Rattandeck {
 
+/// How far a journal may be relied on; kept on its disk.
+struct JournalStanding {
+    /// It has all records that it should have, and may acknowledge others.
+    bool isComplete = false;
+    /// The set since which it has copied all other members.
+    Epoch copiedIn;
+    bool operator==(const JournalStanding&) const = default;
+};
+
 /// What a journal asks of its surroundings to become and stay a member of the set of journals.
 class JournalMembershipIo {
 public:
@@ -21,8 +30,8 @@
     virtual void writeSet(const JournalSet& set) = 0;
     /// Asks a journal for a page of its records; answered by `onPage`.
     virtual bool askForPage(const NodeId& node, const CopyRequest& request) = 0;
-    /// Notes on disk whether this journal has all records that it should have.
-    virtual void noteComplete(bool isComplete) = 0;
+    /// Keeps the standing on disk.
+    virtual void noteStanding(const JournalStanding& standing) = 0;
     /// A later set is in force here: to be kept on disk and told to all processes that are linked.
     virtual void onSetChanged(const JournalSet& set) = 0;
     virtual void logStep(const std::string& step, const std::string& detail) = 0;
@@ -43,11 +52,13 @@
 /// Decides which journals keep the records. The set stands in the platform's store and changes one member at a time by
 /// conditional update; a record with two copies stays readable through every change:
 ///
-/// - Whoever proposes a change counts for nothing until it has copied the records of every other member, from pages
-///   made when that member knew the change already. Until then readers need all the others.
-/// - So a copy that a dropped member acknowledged to a gateway that did not know of the change is found at the other
-///   member that acknowledged it, and a newcomer's acknowledgement counts only when any vote under the old set would
-///   meet a member that knows the new one.
+/// - A newcomer counts for nothing until it has copied the records of every other member, from pages made when that
+///   member knew the change already. So its acknowledgement counts only when any vote under the old set would meet a
+///   member that knows the new one.
+/// - After any change a member says that a record is missing only when it has copied all others in the same way. So the
+///   one copy that is left of a record that a dropped member had acknowledged too is found.
+///
+/// `spec/journals.pml` shows that each of these matters.
 ///
 /// An emptied disk refills from all other members before its journal counts again. Without the store nothing changes
 /// and nothing needs to.
@@ -61,8 +72,8 @@
     JournalMembership(const JournalMembership&) = delete;
     JournalMembership& operator=(const JournalMembership&) = delete;
 
-    /// Starts with what the disk holds: the last set known, and whether this journal was complete.
-    void start(const JournalSet& known, bool wasComplete);
+    /// Starts with what the disk holds: the last set known, and the last standing.
+    void start(const JournalSet& known, const JournalStanding& standing);
 
     /// Nothing: the store holds no set.
     void onSetRead(const std::optional<JournalSet>& set);
@@ -82,8 +93,10 @@
 
     const JournalSet& set() const;
     bool isMember() const;
-    /// This journal may acknowledge records and vote on what is missing.
+    /// This journal may acknowledge records and tell which claims there are.
     bool counts() const;
+    /// It counts, and has copied all other members since it knows the set: what it lacks, none of them held.
+    bool maySayMissing() const;
     /// This journal has left the set at the operator's wish, and all members have copied what it held.
     bool isEmptied() const;
 
--- a/src/librattandeck/journal.cpp
+++ b/src/librattandeck/journal.cpp
@@ -48,7 +48,7 @@
     void readSet() override { this->io.readSet(); }
     void writeSet(const JournalSet& set) override { this->io.writeSet(set); }
     bool askForPage(const NodeId& node, const CopyRequest& request) override { return this->io.send(node, request); }
-    void noteComplete(bool isComplete) override { this->io.noteComplete(isComplete); }
+    void noteStanding(const JournalStanding& standing) override { this->io.noteStanding(standing); }
     void onSetChanged(const JournalSet& set) override;
     void logStep(const std::string& step, const std::string& detail) override { this->io.logStep(step, detail); }
 };
@@ -118,10 +118,10 @@
         answer.missing = std::move(transcript->missing);
         answer.transcript = std::move(transcript->text);
     }
-    // A journal that does not count must not say that a turn is missing, nor one that can't read it.
+    // A journal that may lack what others hold must not say that a turn is missing, nor one that can't read it.
     if (!answer.isFound && this->state.hasTurn(fetch.turn))
         this->io.logStep("turn can't be read", fetch.turn.value);
-    else if (answer.isFound || this->membership.counts())
+    else if (answer.isFound || this->membership.maySayMissing())
         this->io.send(from, answer);
 }
 
@@ -212,7 +212,10 @@
     std::visit([this](const auto& known) { this->impl->apply(known); }, record);
 }
 
-void Journal::start(const JournalSet& known, bool wasComplete) { this->impl->membership.start(known, wasComplete); }
+void Journal::start(const JournalSet& known, const JournalStanding& standing)
+{
+    this->impl->membership.start(known, standing);
+}
 
 void Journal::onSetRead(const std::optional<JournalSet>& set) { this->impl->membership.onSetRead(set); }
 
--- a/src/librattandeck/journal_test.cpp
+++ b/src/librattandeck/journal_test.cpp
@@ -26,7 +26,7 @@
         return std::get<RetainedTurn>(this->appended.at(place.offset));
     }
     void sync(std::function<void()> onDurable) override { this->awaiting.push_back(std::move(onDurable)); }
-    void noteComplete(bool isComplete) override { this->notedComplete = isComplete; }
+    void noteStanding(const JournalStanding& standing) override { this->notedStanding = standing; }
     void noteSet(const JournalSet& set) override { this->notedSet = set; }
     void readSet() override { ++this->reads; }
     void writeSet(const JournalSet& set) override { this->written = set; }
@@ -52,7 +52,7 @@
     std::vector<std::pair<NodeId, Message>> sent;
     std::vector<JournalRecord> appended;
     std::vector<std::function<void()>> awaiting;
-    bool notedComplete = false;
+    JournalStanding notedStanding;
     JournalSet notedSet;
     JournalSet linkedTo;
     JournalSet written;
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(knownRecordsAreWrittenOnce);
     CPPUNIT_TEST(incompleteJournalKeepsRecordsAndIsSilent);
     CPPUNIT_TEST(incompleteJournalTellsWhatItHas);
+    CPPUNIT_TEST(nothingIsSaidToBeMissingAfterAChange);
     CPPUNIT_TEST(crashesAreSpreadOnce);
     CPPUNIT_TEST(linkedProcessIsToldTheSetAndCrashes);
     CPPUNIT_TEST(wantedRecordsAreWrittenOnceMore);
@@ -94,7 +95,7 @@
         JournalIo& io = this->around;
         this->journal = std::make_unique<Journal>(
             this->timers, io, JournalMember { NodeId("a"), "a:1" }, JournalMembershipLimits {});
-        this->journal->start(setOfThree(), isComplete);
+        this->journal->start(setOfThree(), { isComplete, isComplete ? setOfThree().epoch : Epoch(0) });
     }
 
     static StoreTurn storeOf(std::uint64_t ticket, const std::string& turn)
@@ -154,6 +155,23 @@
         CPPUNIT_ASSERT_EQUAL(std::string("inout"), fetched.front().transcript);
     }
 
+    void nothingIsSaidToBeMissingAfterAChange()
+    {
+        this->start(true);
+        this->journal->onMessage(this->gateway, FetchTurn { JournalTicket(1), TurnId("never") });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->around.sentOfKind<TurnFetched>().size());
+        JournalSet later = setOfThree();
+        later.epoch = Epoch(5);
+        later.members.pop_back();
+        later.proposer = NodeId("b");
+        this->journal->onMessage(NodeId("b"), later);
+        this->journal->onMessage(this->gateway, FetchTurn { JournalTicket(2), TurnId("never") });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->around.sentOfKind<TurnFetched>().size());
+        this->journal->onMessage(this->gateway, storeOf(3, "t"));
+        this->around.finishSync();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->around.sentOfKind<TurnStored>().size());
+    }
+
     void crashesAreSpreadOnce()
     {
         this->start(true);
--- a/src/librattandeck/journalclient.cpp
+++ b/src/librattandeck/journalclient.cpp
@@ -146,16 +146,18 @@
     this->judge(ticket);
 }
 
-/// Operations under way go on with the new set. Answers of members that stay count: whoever joins copies what they
-/// hold.
+/// Operations under way go on with the new set. Acknowledgements and claims told by members that stay count: whoever
+/// joins copies what they hold. That a turn is missing has to be said anew, since fewer may say so now.
 void JournalClient::Impl::adopt(const JournalSet& later)
 {
     this->set = later;
     std::vector<JournalTicket> tickets;
     for (auto& [ticket, operation] : this->operations) {
         tickets.push_back(ticket);
-        std::erase_if(operation.asked, [this](const NodeId& node) { return !this->isMember(node); });
-        std::erase_if(operation.answered, [this](const NodeId& node) { return !this->isMember(node); });
+        const bool isFetch = operation.kind == Operation::Kind::Fetch;
+        const auto isOver = [this, isFetch](const NodeId& node) { return isFetch || !this->isMember(node); };
+        std::erase_if(operation.asked, isOver);
+        std::erase_if(operation.answered, isOver);
     }
     for (const JournalTicket ticket : tickets) {
         if (this->operations.contains(ticket))
--- a/src/librattandeck/journalclient_test.cpp
+++ b/src/librattandeck/journalclient_test.cpp
@@ -39,6 +39,7 @@
     CPPUNIT_TEST(threeCopiesOutliveTwoLosses);
     CPPUNIT_TEST(journalThatKnowsAnOlderSetIsToldAndAskedAgain);
     CPPUNIT_TEST(answersUnderALaterSetDoNotCount);
+    CPPUNIT_TEST(votesOfAnEarlierSetDoNotCount);
     CPPUNIT_TEST(operationGoesOnInALaterSet);
     CPPUNIT_TEST(lostLinksEndTheWait);
     CPPUNIT_TEST(twoOfThreeCanDecide);
@@ -385,6 +386,25 @@
         CPPUNIT_ASSERT(outcome->has_value() && (*outcome).value().error() == JournalError::Unavailable);
     }
 
+    void votesOfAnEarlierSetDoNotCount()
+    {
+        this->journals[NodeId("d")];
+        this->client->setMembers(setOf(2, { "a", "b", "c", "d" }));
+        for (auto& [node, journal] : this->journals)
+            journal.epoch = Epoch(2);
+        const auto outcome = this->fetch("1");
+        this->run("a");
+        this->run("b");
+        // Fewer votes are needed without d, but c may hold the one copy that is left.
+        this->client->setMembers(setOf(3, { "a", "b", "c" }));
+        CPPUNIT_ASSERT(!outcome->has_value());
+        for (auto& [node, journal] : this->journals)
+            journal.epoch = Epoch(3);
+        this->give("c", turn("1", ""));
+        this->run("c");
+        CPPUNIT_ASSERT(outcome->has_value() && (*outcome)->has_value());
+    }
+
     void operationGoesOnInALaterSet()
     {
         this->journals[NodeId("d")].epoch = Epoch(2);
--- a/src/librattandeck/journalmembership.cpp
+++ b/src/librattandeck/journalmembership.cpp
@@ -44,9 +44,7 @@
     JournalSet set;
     TimePoint startedAt;
     TimerId ticker;
-    bool isComplete = false;
-    /// Records are to be copied again from all members before this journal counts.
-    bool needsCopy = false;
+    JournalStanding standing;
     /// The stored set has been read since the last failed attempt, so that a change may be proposed.
     bool isSetRead = false;
     bool isStoreEmpty = false;
@@ -71,6 +69,8 @@
     void copy();
     void askNext(const NodeId& node, Source& source);
     bool hasCopiedAll(Epoch since) const;
+    /// Copies of the other members' records are to be made, perhaps in the background.
+    bool mustCopy() const { return !this->standing.isComplete || this->standing.copiedIn < this->set.epoch; }
     void becomeComplete();
     void consider();
     void considerJoining();
@@ -138,16 +138,15 @@
     this->copiedBy.clear();
     if (wasMember && !this->isMember())
         this->leftIn = later.epoch;
-    // Without this journal, records are written that it does not get; a proposer may lack some that others hold.
-    if (!this->isMember() || later.proposer == this->self.node) {
-        this->isComplete = false;
-        this->io.noteComplete(false);
+    // Without this journal, records are written that it does not get; a newcomer lacks what others hold.
+    const bool hasJoined = later.proposer == this->self.node && !wasMember;
+    if (!this->isMember() || hasJoined) {
+        this->standing = {};
+        this->io.noteStanding(this->standing);
     }
     this->io.logStep("journal set",
         "epoch " + std::to_string(later.epoch.value) + ", " + std::to_string(later.members.size()) + " members");
     this->io.onSetChanged(later);
-    // A set that has lost a member: its copies of records are made anew, in the background.
-    this->needsCopy = this->isMember();
 }
 
 void JournalMembership::Impl::readSetNow()
@@ -207,10 +206,11 @@
     });
 }
 
+/// All other members have been copied since this journal knows the set.
 void JournalMembership::Impl::becomeComplete()
 {
-    this->isComplete = true;
-    this->io.noteComplete(true);
+    this->standing = { true, this->set.epoch };
+    this->io.noteStanding(this->standing);
     this->io.logStep("journal complete", "epoch " + std::to_string(this->set.epoch.value));
 }
 
@@ -223,15 +223,11 @@
         this->readSetNow();
         return;
     }
-    const bool mustCopy = !this->isComplete || this->needsCopy;
     const bool hasLeft = this->leftIn.value > 0 && this->leaving.contains(this->self.node);
-    if (mustCopy && !hasLeft)
+    if (this->mustCopy() && !hasLeft)
         this->copy();
-    if (this->isMember() && mustCopy && this->hasCopiedAll(this->set.epoch)) {
-        this->needsCopy = false;
-        if (!this->isComplete)
-            this->becomeComplete();
-    }
+    if (this->isMember() && this->mustCopy() && this->hasCopiedAll(this->set.epoch))
+        this->becomeComplete();
     this->consider();
 }
 
@@ -241,7 +237,7 @@
         return;
     if (!this->isMember())
         this->considerJoining();
-    else if (this->isComplete)
+    else if (this->standing.isComplete)
         this->considerDropping();
 }
 
@@ -307,11 +303,12 @@
 
 JournalMembership::~JournalMembership() { this->impl->timers.cancel(this->impl->ticker); }
 
-void JournalMembership::start(const JournalSet& known, bool wasComplete)
+void JournalMembership::start(const JournalSet& known, const JournalStanding& standing)
 {
     this->impl->startedAt = this->impl->timers.now();
     this->impl->set = known;
-    this->impl->isComplete = wasComplete && known.epoch.value > 0 && this->impl->isMember();
+    if (known.epoch.value > 0 && this->impl->isMember())
+        this->impl->standing = standing;
     this->impl->tick();
 }
 
@@ -379,7 +376,9 @@
 
 bool JournalMembership::isMember() const { return this->impl->isMember(); }
 
-bool JournalMembership::counts() const { return this->impl->isComplete && this->impl->isMember(); }
+bool JournalMembership::counts() const { return this->impl->standing.isComplete && this->impl->isMember(); }
+
+bool JournalMembership::maySayMissing() const { return this->counts() && !this->impl->mustCopy(); }
 
 bool JournalMembership::isEmptied() const
 {
--- a/src/librattandeck/journalmembership_test.cpp
+++ b/src/librattandeck/journalmembership_test.cpp
@@ -28,7 +28,7 @@
     void readSet() override;
     void writeSet(const JournalSet& set) override;
     bool askForPage(const NodeId& node, const CopyRequest& request) override;
-    void noteComplete(bool isComplete) override { this->notedComplete = isComplete; }
+    void noteStanding(const JournalStanding& standing) override { this->notedStanding = standing; }
     void onSetChanged(const JournalSet& set) override;
     void logStep(const std::string&, const std::string&) override { }
 
@@ -38,7 +38,7 @@
     std::unique_ptr<JournalMembership> membership;
     JournalState state;
     JournalSet notedSet;
-    bool notedComplete = false;
+    JournalStanding notedStanding;
 };
 
 /// Journals, the links between them and the store; messages arrive with the next step.
@@ -131,7 +131,7 @@
 {
     this->membership = std::make_unique<JournalMembership>(
         this->cluster.timers, *this, JournalMember { this->node, this->address }, this->cluster.limits);
-    this->membership->start(this->notedSet, this->notedComplete);
+    this->membership->start(this->notedSet, this->notedStanding);
 }
 
 void FakeJournal::readSet()
@@ -212,6 +212,7 @@
     CPPUNIT_TEST(newcomerDoesNotCountBeforeItHasCopied);
     CPPUNIT_TEST(shortAbsenceChangesNothing);
     CPPUNIT_TEST(memberBeyondTheUsualNumberIsDropped);
+    CPPUNIT_TEST(whoDropsAMemberGoesOnCounting);
     CPPUNIT_TEST(threeStayThreeWhenOneIsGone);
     CPPUNIT_TEST(droppedJournalRejoinsWithACopy);
     CPPUNIT_TEST(sameNodeAtAnotherAddressTakesItsOwnPlace);
@@ -366,6 +367,33 @@
         CPPUNIT_ASSERT(this->has("a", "1"));
     }
 
+    void whoDropsAMemberGoesOnCounting()
+    {
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(3000));
+        for (const char* name : { "a", "b", "c", "d" })
+            CPPUNIT_ASSERT(this->at(name).membership->maySayMissing());
+        this->write("1", { "c", "d" });
+        this->cluster->arePagesHeld = true;
+        this->at("d").stop();
+        this->cluster->run(Milliseconds(8000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->cluster->memberCount());
+        // The only copy left is at c: until all have copied it, a and b must not say that there is none.
+        for (const char* name : { "a", "b", "c" }) {
+            CPPUNIT_ASSERT(this->at(name).counts());
+            CPPUNIT_ASSERT(!this->at(name).membership->maySayMissing());
+        }
+        // A restart must not make it forget that.
+        this->at("a").stop();
+        this->cluster->run(Milliseconds(100));
+        this->at("a").start();
+        CPPUNIT_ASSERT(this->at("a").counts() && !this->at("a").membership->maySayMissing());
+        this->cluster->arePagesHeld = false;
+        this->cluster->run(Milliseconds(10000));
+        for (const char* name : { "a", "b", "c" })
+            CPPUNIT_ASSERT(this->at(name).membership->maySayMissing() && this->has(name, "1"));
+    }
+
     void threeStayThreeWhenOneIsGone()
     {
         this->at("c").stop();
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -81,7 +81,7 @@
     void append(const JournalRecord& record) override { this->disk->append(record); }
     std::optional<RetainedTurn> readTurn(const DiskPlace& place) override { return this->disk->read(place); }
     void sync(std::function<void()> onDurable) override;
-    void noteComplete(bool isComplete) override;
+    void noteStanding(const JournalStanding& standing) override;
     void noteSet(const JournalSet& set) override;
     void readSet() override;
     void writeSet(const JournalSet& set) override;
@@ -157,8 +157,9 @@
         std::to_string(taken.count()) + " ms, " + std::to_string(found.records) + " records in "
             + std::to_string(found.segments) + " segments, " + std::to_string(found.tornSegments) + " torn; "
             + std::to_string(this->journal->state().turnCount()) + " turns, "
-            + std::to_string(this->journal->state().budgetCount()) + " budgets; complete: "
-            + (this->notes.isComplete() ? "yes" : "no") + ", epoch " + std::to_string(this->notes.set().epoch.value));
+            + std::to_string(this->journal->state().budgetCount())
+            + " budgets; complete: " + (this->notes.standing().isComplete ? "yes" : "no") + ", epoch "
+            + std::to_string(this->notes.set().epoch.value));
     return true;
 }
 
@@ -214,7 +215,7 @@
     storeLimits.watchWait = std::chrono::milliseconds(10000);
     this->store = std::make_unique<Platform::ObjectStore>(this->loop, *storeAddress, storeLimits);
     this->linkTo(this->notes.set());
-    this->journal->start(this->notes.set(), this->notes.isComplete());
+    this->journal->start(this->notes.set(), this->notes.standing());
     this->startAdmin();
     if (!listenAt(this->settings.instance.adminListen, *this->admin))
         return ExitUnavailable;
@@ -368,9 +369,9 @@
         this->journal->onSetRead(*set);
 }
 
-void Daemon::noteComplete(bool isComplete)
+void Daemon::noteStanding(const JournalStanding& standing)
 {
-    if (!this->notes.noteComplete(isComplete))
+    if (!this->notes.noteStanding(standing))
         logError("disk", "notes can't be written");
 }
 
--- a/src/rattandeck-journal/notes.cpp
+++ b/src/rattandeck-journal/notes.cpp
@@ -36,7 +36,8 @@
     const Json json = Json::parse(file, nullptr, false);
     if (!json.is_object() || !json.contains("members") || !json["members"].is_array())
         return;
-    this->complete = json.value("complete", false);
+    this->knownStanding.isComplete = json.value("complete", false);
+    this->knownStanding.copiedIn = Epoch(json.value("copied_in", std::uint64_t(0)));
     this->knownSet.epoch = Epoch(json.value("epoch", std::uint64_t(0)));
     this->knownSet.proposer = NodeId(json.value("proposer", std::string()));
     for (const Json& member : json["members"])
@@ -49,11 +50,11 @@
     return this->write();
 }
 
-bool JournalNotes::noteComplete(bool isComplete)
+bool JournalNotes::noteStanding(const JournalStanding& standing)
 {
-    if (this->complete == isComplete)
+    if (this->knownStanding == standing)
         return true;
-    this->complete = isComplete;
+    this->knownStanding = standing;
     return this->write();
 }
 
@@ -62,7 +63,8 @@
     Json members = Json::array();
     for (const JournalMember& member : this->knownSet.members)
         members.push_back({ { "node", member.node.value }, { "address", member.address } });
-    const Json json { { "complete", this->complete }, { "epoch", this->knownSet.epoch.value },
+    const Json json { { "complete", this->knownStanding.isComplete },
+        { "copied_in", this->knownStanding.copiedIn.value }, { "epoch", this->knownSet.epoch.value },
         { "proposer", this->knownSet.proposer.value }, { "members", members } };
     // The old notes hold until the new ones are whole on disk.
     const std::string draft = this->folder + draftName;
--- a/src/rattandeck-provejournals/process.cpp
+++ b/src/rattandeck-provejournals/process.cpp
@@ -70,7 +70,7 @@
         *this->timers, io, JournalMember { this->node, this->address() }, JournalMembershipLimits {});
     for (std::size_t i = 0; i < this->disk.durable.size(); ++i)
         this->journal->restore(this->disk.found(i));
-    this->journal->start(this->disk.notedSet, this->disk.notedComplete);
+    this->journal->start(this->disk.notedSet, this->disk.notedStanding);
 }
 
 void Process::startGateway()
--- a/src/rattandeck-provejournals/world.h
+++ b/src/rattandeck-provejournals/world.h
@@ -58,7 +58,7 @@
     std::uint64_t appendedCount = 0;
     std::uint64_t durableCount = 0;
     JournalSet notedSet;
-    bool notedComplete = false;
+    JournalStanding notedStanding;
     Milliseconds syncTime { 2 };
     TimePoint lastSync;
 
@@ -126,7 +126,7 @@
     void append(const JournalRecord& record) override;
     std::optional<RetainedTurn> readTurn(const DiskPlace& place) override;
     void sync(std::function<void()> onDurable) override;
-    void noteComplete(bool isComplete) override { this->disk.notedComplete = isComplete; }
+    void noteStanding(const JournalStanding& standing) override { this->disk.notedStanding = standing; }
     void noteSet(const JournalSet& set) override { this->disk.notedSet = set; }
     void readSet() override { this->effects.readSet(*this); }
     void writeSet(const JournalSet& set) override { this->effects.writeSet(*this, set); }
