--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -98,6 +98,13 @@
     bool operator==(const TurnFetched&) const = default;
 };
 
+/// Journal to gateway: the journal can't answer the question of this ticket now, since it may lack what others hold. A
+/// record that came with the question is kept all the same.
+struct JournalUnsure {
+    JournalTicket ticket;
+    bool operator==(const JournalUnsure&) const = default;
+};
+
 /// Tells requests with the same content from others.
 using Fingerprint = Strong<struct FingerprintTag, std::string>;
 
--- a/src/include/Rattandeck/messages.h
+++ b/src/include/Rattandeck/messages.h
@@ -434,6 +434,6 @@
     HoldPrefix, LoadReport, CensusRequest, CensusAnswer, CopyRecords, CopyAnswer, PromiseRequest, PromiseAnswer,
     ReleaseRequest, ReleaseAnswer, ConfigUpdate, ForwardRequest, ForwardCancel, ForwardEvent, ClaimTokens, ClaimsKnown,
     SettleClaim, StoreTurn, TurnStored, FetchTurn, TurnFetched, JournalSet, CopyRequest, CopyPage, TurnsRequest,
-    TurnsPage, BulletinOffers, BulletinsWanted, Bulletins, CrashReports>;
+    TurnsPage, BulletinOffers, BulletinsWanted, Bulletins, CrashReports, JournalUnsure>;
 
 }
--- a/src/librattandeck/journal.cpp
+++ b/src/librattandeck/journal.cpp
@@ -93,8 +93,10 @@
 void Journal::Impl::onClaim(const NodeId& from, const ClaimTokens& claim)
 {
     this->keep(SettleClaim { claim.budget, claim.claim, claim.retention });
-    if (!this->membership.counts())
+    if (!this->membership.counts()) {
+        this->io.send(from, JournalUnsure { claim.ticket });
         return;
+    }
     const ClaimsKnown answer { claim.ticket, this->membership.set().epoch, this->state.claims(claim.budget) };
     this->io.sync([this, from, answer] { this->io.send(from, answer); });
 }
@@ -102,8 +104,10 @@
 void Journal::Impl::onStore(const NodeId& from, const StoreTurn& store)
 {
     this->keep(store.turn);
-    if (!this->membership.counts())
+    if (!this->membership.counts()) {
+        this->io.send(from, JournalUnsure { store.ticket });
         return;
+    }
     const TurnStored answer { store.ticket, this->membership.set().epoch };
     this->io.sync([this, from, answer] { this->io.send(from, answer); });
 }
@@ -118,11 +122,14 @@
         answer.missing = std::move(transcript->missing);
         answer.transcript = std::move(transcript->text);
     }
-    // A journal that may lack what others hold must not say that a turn is missing, nor one that can't read it.
-    if (!answer.isFound && this->state.hasTurn(fetch.turn))
+    const bool isUnreadable = !answer.isFound && this->state.hasTurn(fetch.turn);
+    if (isUnreadable)
         this->io.logStep("turn can't be read", fetch.turn.value);
-    else if (answer.isFound || this->membership.maySayMissing())
+    // A journal that may lack what others hold must not say that a turn is missing, nor one that can't read it.
+    if (answer.isFound || (this->membership.maySayMissing() && !isUnreadable))
         this->io.send(from, answer);
+    else
+        this->io.send(from, JournalUnsure { fetch.ticket });
 }
 
 void Journal::Impl::onCrashes(const NodeId& from, const CrashReports& crashes)
--- a/src/librattandeck/journalclient.cpp
+++ b/src/librattandeck/journalclient.cpp
@@ -108,6 +108,7 @@
     void onClaims(const NodeId& from, const ClaimsKnown& answer);
     void onStored(const NodeId& from, const TurnStored& answer);
     void onFetched(const NodeId& from, const TurnFetched& answer);
+    void onUnsure(const NodeId& from, const JournalUnsure& answer);
     void fetchRest(JournalTicket ticket, const TurnFetched& answer);
 
     void remember(const TurnId& turn, std::string transcript);
@@ -344,6 +345,14 @@
     this->fetchRest(answer.ticket, answer);
 }
 
+/// The journal's answer would not count, so that nobody needs to wait for it.
+void JournalClient::Impl::onUnsure(const NodeId& from, const JournalUnsure& answer)
+{
+    const auto found = this->operations.find(answer.ticket);
+    if (found != this->operations.end() && found->second.asked.erase(from) > 0)
+        this->judge(answer.ticket);
+}
+
 /// A journal has the end of a chain; its beginning is asked of all of them.
 void JournalClient::Impl::fetchRest(JournalTicket ticket, const TurnFetched& answer)
 {
@@ -429,6 +438,8 @@
         this->impl->onStored(from, *stored);
     else if (const auto* fetched = std::get_if<TurnFetched>(&message))
         this->impl->onFetched(from, *fetched);
+    else if (const auto* unsure = std::get_if<JournalUnsure>(&message))
+        this->impl->onUnsure(from, *unsure);
 }
 
 void JournalClient::onLinkDown(const NodeId& member)
--- a/src/librattandeck/journalclient_test.cpp
+++ b/src/librattandeck/journalclient_test.cpp
@@ -42,6 +42,7 @@
     CPPUNIT_TEST(votesOfAnEarlierSetDoNotCount);
     CPPUNIT_TEST(operationGoesOnInALaterSet);
     CPPUNIT_TEST(lostLinksEndTheWait);
+    CPPUNIT_TEST(unsureJournalsEndTheWait);
     CPPUNIT_TEST(twoOfThreeCanDecide);
     CPPUNIT_TEST_SUITE_END();
 
@@ -429,6 +430,18 @@
         CPPUNIT_ASSERT(outcome->has_value() && (*outcome).value().error() == JournalError::Unavailable);
     }
 
+    void unsureJournalsEndTheWait()
+    {
+        const auto outcome = this->fetch("1");
+        this->run("a");
+        for (const char* name : { "b", "c" }) {
+            const auto& request = std::get<FetchTurn>(this->journals.at(NodeId(name)).inbox.front());
+            CPPUNIT_ASSERT(!outcome->has_value());
+            this->client->onMessage(NodeId(name), JournalUnsure { request.ticket });
+        }
+        CPPUNIT_ASSERT(outcome->has_value() && (*outcome).value().error() == JournalError::Unavailable);
+    }
+
     void twoOfThreeCanDecide()
     {
         const NodeId a("a");
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -424,6 +424,8 @@
     visit("retention", m.retention);
 }
 
+template <typename Visitor> void visitFields(Visitor& visit, JournalUnsure& m) { visit("ticket", m.ticket); }
+
 template <typename Visitor> void visitFields(Visitor& visit, CrashReports& m) { visit("reports", m.reports); }
 
 // Tags ---------------------------------------------------------------------------------------------------------
@@ -466,6 +468,7 @@
 template <> inline constexpr const char* tag<BulletinsWanted> = "wanted";
 template <> inline constexpr const char* tag<Bulletins> = "bulletins";
 template <> inline constexpr const char* tag<CrashReports> = "crashes";
+template <> inline constexpr const char* tag<JournalUnsure> = "unsure";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
 template <> inline constexpr const char* tag<Problem> = "problem";
