Show how journals came and went in a request's trace

Change: lines that name another request are no context; those on journals' disks, completeness, starts and stops are, whatever process wrote them. The cases share how they hold streams.

--- a/src/rattandeckctl/trace.cpp
+++ b/src/rattandeckctl/trace.cpp
@@ -54,6 +54,12 @@
     return textOf(line.fields, "request") == id || textOf(line.fields, "program") == id;
 }
 
+/// Whether the line tells how a journal, which may have been asked by any gateway, came or went.
+bool isAboutRecords(const std::string& event)
+{
+    return event.starts_with("journal complete") || event.starts_with("disk") || event == "start" || event == "stop";
+}
+
 /// What the lines of a request say of where and when it was.
 struct Scope {
     std::set<std::string> processes;
@@ -74,12 +80,13 @@
     {
         if (line.timeMs < this->first - contextBeforeMs || line.timeMs > this->last)
             return false;
-        if (line.event == "send" || line.event == "call")
+        // Lines of other requests.
+        if (line.fields.contains("request"))
             return false;
         const std::string endpoint = textOf(line.fields, "endpoint");
         if (!endpoint.empty())
             return this->endpoints.contains(endpoint);
-        return this->processes.contains(line.process);
+        return this->processes.contains(line.process) || isAboutRecords(line.event);
     }
 };
 
--- a/src/rattandeckctl/trace_test.cpp
+++ b/src/rattandeckctl/trace_test.cpp
@@ -46,12 +46,15 @@
             + line(9000, "g2", "endpoint gone", R"("endpoint":"e2")")
             + line(9500, "g1", "journal link down", R"("detail":"j1")")
             + line(1000, "g1", "journal link down", R"("detail":"j2")")
+            + line(9600, "g1", "journals' answer", R"("request":"other")")
+            + line(9700, "j1", "disk read", R"("detail":"90 ms")")
             + line(10100, "g1", "call", R"("request":"r","outcome":"broken")");
         const Trace trace = collect({ log }, "r");
-        CPPUNIT_ASSERT_EQUAL(std::size_t(4), trace.lines.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(5), trace.lines.size());
         CPPUNIT_ASSERT(trace.lines[0].isContext && trace.lines[1].isContext);
         CPPUNIT_ASSERT(trace.lines[0].fields.find("e1") != std::string::npos);
         CPPUNIT_ASSERT(trace.lines[1].fields.find("j1") != std::string::npos);
+        CPPUNIT_ASSERT(trace.lines[2].isContext && trace.lines[2].event == "disk read");
     }
 
     void missingEndIsNamed()
--- a/testsuite/platform-reload/case.py
+++ b/testsuite/platform-reload/case.py
@@ -18,9 +18,7 @@
 
 def run(build):
     with Deployment(build) as deployment:
-        runners = [runner for runner in deployment.runners if runner.service == "llm"]
-        for runner in runners:
-            runner.may_end.clear()
+        let_end = deployment.hold_streams()
         answers = []
         before = len(deployment.bodies())
         call = threading.Thread(target=lambda: answers.append(deployment.turn("gateway-1", "p")))
@@ -38,8 +36,7 @@
             deployment.processes[name].signal(signal.SIGHUP)
             wait_until(lambda: '"event":"settings read","reason":"signal"' in deployment.log_of(name), f"{name} reads")
 
-        for runner in runners:
-            runner.may_end.set()
+        let_end()
         call.join(30)
         expect(answers[0].status == 200 and answers[0].is_whole, "a reload cut an answer")
         expect(deployment.turn("gateway-1", "p").status == 200, "nothing is served after a reload")
--- a/testsuite/platform-stop/case.py
+++ b/testsuite/platform-stop/case.py
@@ -8,9 +8,7 @@
 
 def run(build):
     with Deployment(build) as deployment:
-        runners = [runner for runner in deployment.runners if runner.service == "llm"]
-        for runner in runners:
-            runner.may_end.clear()
+        let_end = deployment.hold_streams()
         answers = []
         calls = [threading.Thread(target=lambda n=n: answers.append(deployment.turn("gateway-1", f"p{n}")))
                  for n in range(4)]
@@ -24,8 +22,7 @@
         late = deployment.call("gateway-1", "/read/")
         expect(late.status == 200, f"a call that came before the balancer knew is answered {late.status}")
         expect(late.headers.get("connection") == "close", "a stopping gateway keeps a connection")
-        for runner in runners:
-            runner.may_end.set()
+        let_end()
         for call in calls:
             call.join(30)
         expect(all(answer.status == 200 and answer.is_whole for answer in answers), "a stop cut an answer")
--- a/testsuite/platform-trace/case.py
+++ b/testsuite/platform-trace/case.py
@@ -24,9 +24,7 @@
 
 
 def refused_under_load(deployment):
-    runners = [runner for runner in deployment.runners if runner.service == "llm"]
-    for runner in runners:
-        runner.may_end.clear()
+    let_end = deployment.hold_streams()
     before = len(deployment.bodies())
     # First turns fill an instance of 8 slots up to 7.
     calls = [threading.Thread(target=deployment.turn, args=("gateway-1", f"full-{number}")) for number in range(14)]
@@ -35,8 +33,7 @@
     wait_until(lambda: len(deployment.bodies()) == before + len(calls), "all places of first turns are taken")
     refused = deployment.turn("gateway-1", "late", request="late-1")
     expect(refused.status == 503 and "retry-after" in refused.headers, f"answered {refused.status} {refused.headers}")
-    for runner in runners:
-        runner.may_end.set()
+    let_end()
     for call in calls:
         call.join(30)
     traced(deployment, "late-1", '"outcome":"refused"', '"reason":"no instance has room"', '"best_load":7', '"sends":0')
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -366,6 +366,13 @@
             headers["Request-Id"] = request
         return self.call(gateway, f"/{route_name}/x", "POST", body, headers)
 
+    def hold_streams(self):
+        """Streams wait before their last event from now on. Returns a function that lets them end."""
+        runners = [runner for runner in self.runners if runner.service == "llm"]
+        for runner in runners:
+            runner.may_end.clear()
+        return lambda: [runner.may_end.set() for runner in runners]
+
     def bodies(self, service="llm"):
         return [body for runner in self.runners if runner.service == service for body in runner.bodies()]
 
