--- a/src/rattandeck-provejournals/links.cpp
+++ b/src/rattandeck-provejournals/links.cpp
@@ -6,6 +6,9 @@
 
     constexpr Milliseconds shortestDelay { 1 };
     constexpr Milliseconds longestDelay { 6 };
+    /// Some links are slow, so that one journal may be well behind the others.
+    constexpr double slowLinks = 0.25;
+    constexpr Milliseconds longestSlowDelay { 120 };
     constexpr Milliseconds shortestConnect { 40 };
     constexpr Milliseconds longestConnect { 150 };
     /// A link that hears nothing for this long is given up.
@@ -45,8 +48,8 @@
     const std::size_t toSide = *receiver == key.first ? 0 : 1;
     if (!link.isUp.at(1 - toSide))
         return false;
-    const TimePoint when = std::max(
-        this->world.now() + this->world.chance.between(shortestDelay, longestDelay), link.lastArrival.at(toSide));
+    const Duration jitter = this->world.chance.between(Milliseconds(0), shortestDelay);
+    const TimePoint when = std::max(this->world.now() + link.delay + jitter, link.lastArrival.at(toSide));
     link.lastArrival.at(toSide) = when;
     this->world.clock.subscribeAt(
         when, [this, key, toSide, held = Held { message, link.generation }] { this->arrive(key, toSide, held); });
@@ -86,6 +89,8 @@
     link.isUp = { true, true };
     link.lastHealthy = this->world.now();
     link.lastArrival = {};
+    const bool isSlow = this->world.chance.happens(slowLinks);
+    link.delay = this->world.chance.between(shortestDelay, isSlow ? longestSlowDelay : longestDelay);
     Process& first = this->at(key.first);
     Process& second = this->at(key.second);
     link.lives = { first.life, second.life };
--- a/src/rattandeck-provejournals/links.h
+++ b/src/rattandeck-provejournals/links.h
@@ -44,6 +44,8 @@
         std::array<TimePoint, 2> lastArrival {};
         TimePoint lastHealthy;
         std::optional<TimePoint> readyAt;
+        /// One way.
+        Duration delay { 0 };
     };
 
     static Key keyOf(std::size_t one, std::size_t other) { return { std::min(one, other), std::max(one, other) }; }
