Tell the loop where turns stand through what outlives the disk object; halve the segments

Cause: what the disk's writer posts to the loop referred to the disk object, which may have gone before the loop runs it. Ruled out: reading a segment in pieces (a record has to be checked whole).

--- a/src/rattandeck-journal/disk.cpp
+++ b/src/rattandeck-journal/disk.cpp
@@ -134,8 +134,10 @@
         std::size_t length = 0;
     };
 
+    /// Called on the loop; shared with what is posted there, which may outlive this object.
+    std::shared_ptr<OnTurnWritten> onTurnWritten = std::make_shared<OnTurnWritten>();
+
     // Only the loop's
-    OnTurnWritten onTurnWritten;
     std::map<SegmentNumber, int> openForReading;
     RecordDecoder decoder;
 
@@ -213,9 +215,9 @@
         return;
     const SegmentNumber segment = this->current.load();
     const std::size_t base = this->segmentBytes - batchBytes;
-    this->loop.post([this, segment, base, turns = std::move(turns)] {
+    this->loop.post([handler = this->onTurnWritten, segment, base, turns = std::move(turns)] {
         for (const TurnInBatch& each : turns)
-            this->onTurnWritten(each.turn, { segment, base + each.begin, static_cast<std::uint32_t>(each.length) });
+            (*handler)(each.turn, { segment, base + each.begin, static_cast<std::uint32_t>(each.length) });
     });
 }
 
@@ -352,7 +354,7 @@
     this->impl->changed.notify_one();
 }
 
-void JournalDisk::setOnTurnWritten(OnTurnWritten handler) { this->impl->onTurnWritten = std::move(handler); }
+void JournalDisk::setOnTurnWritten(OnTurnWritten handler) { *this->impl->onTurnWritten = std::move(handler); }
 
 std::optional<RetainedTurn> JournalDisk::read(const DiskPlace& place)
 {
--- a/src/rattandeck-journal/disk.h
+++ b/src/rattandeck-journal/disk.h
@@ -18,7 +18,8 @@
 class JournalDisk {
 public:
     struct Limits {
-        std::size_t segmentBytes = 8UL * 1024 * 1024;
+        /// A start reads one segment after the other whole into memory.
+        std::size_t segmentBytes = 4UL * 1024 * 1024;
         Rattandeck::Milliseconds segmentAge { 15000 };
         /// Wait before a refused write is tried again, in a new segment.
         Rattandeck::Milliseconds retryDelay { 200 };
@@ -50,7 +51,8 @@
     JournalDisk(const JournalDisk&) = delete;
     JournalDisk& operator=(const JournalDisk&) = delete;
 
-    /// Called from the loop when a turn that was appended is on disk, before a `sync` after it says so.
+    /// Called from the loop when a turn that was appended is on disk, before a `sync` after it says so. Precondition:
+    /// set before the loop runs.
     using OnTurnWritten = std::function<void(const Rattandeck::TurnId& turn, const Rattandeck::DiskPlace& place)>;
     void setOnTurnWritten(OnTurnWritten handler);
 
