Give calls up in one place; write what the change had written twice once

Cause: a reading of the whole change. Change: giveUp, complete, one template for records, toleratedLosses, readJournalSet and writeJournalSet for the notes too (same bytes), writeRetirementStatus with a test in the adapter; a named constant is used where its text stood. No behaviour changes, but for notes that are damaged: one without an epoch or with a member that can't be read is now no set at all, where it was read in part.

--- a/src/include/RattandeckApp/daemon.h
+++ b/src/include/RattandeckApp/daemon.h
@@ -38,6 +38,8 @@
 void bindLog(SettingsSchema& schema, LogSettings& settings);
 /// Gateways and journals must be told the same.
 void bindToleratedLosses(SettingsSchema& schema, std::int64_t& losses);
+/// What the setting stands for: 1 at least.
+std::size_t toleratedLosses(std::int64_t setting);
 
 // Starting -----------------------------------------------------------------------------------------------------------
 
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -171,7 +171,7 @@
     call.isClaimPending = isTurn && call.call.tokenLimit.has_value();
     call.isFetchPending = isTurn && !call.call.previousTurn.value.empty();
     if (!call.isClaimPending && !call.isFetchPending) {
-        this->onPrepared(call);
+        this->place(call);
         return;
     }
     // Either may end the call at once.
@@ -216,7 +216,7 @@
     call->isClaimed = true;
     call->isOpening = !outcome->hasOtherTurns;
     if (!call->isFetchPending)
-        this->onPrepared(*call);
+        this->place(*call);
 }
 
 void Gateway::Impl::onFetched(CallId id, tl::expected<std::string, JournalError> outcome)
@@ -232,11 +232,9 @@
     }
     call->transcript = std::move(*outcome);
     if (!call->isClaimPending)
-        this->onPrepared(*call);
+        this->place(*call);
 }
 
-void Gateway::Impl::onPrepared(Call& call) { this->place(call); }
-
 // End ----------------------------------------------------------------------------------------------------------------
 
 Milliseconds Gateway::Impl::timeLeft(const Call& call) const
@@ -251,17 +249,8 @@
 
 void Gateway::Impl::onDeadline(CallId id)
 {
-    Call* call = this->find(id);
-    if (!call)
-        return;
-    this->dropSend(*call, true);
-    if (!call->hasBegun) {
-        this->refuse(*call, RejectionReason::TimedOut);
-        return;
-    }
-    ++this->counts.broken;
-    this->io.breakOff(id);
-    this->finish(*call, "broken", describe(RejectionReason::TimedOut));
+    if (Call* call = this->find(id))
+        this->giveUp(*call, RejectionReason::TimedOut);
 }
 
 void Gateway::Impl::refuseUnrouted(CallId id, const GatewayCall& call, RejectionReason reason)
@@ -291,6 +280,18 @@
     this->finish(call, "refused", describe(reason));
 }
 
+void Gateway::Impl::giveUp(Call& call, RejectionReason reason)
+{
+    if (!call.hasBegun) {
+        this->refuse(call, reason);
+        return;
+    }
+    this->dropSend(call, true);
+    ++this->counts.broken;
+    this->io.breakOff(call.id);
+    this->finish(call, "broken", describe(reason));
+}
+
 /// Gives back what the turn's claim did not use.
 void Gateway::Impl::settle(Call& call)
 {
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -147,6 +147,11 @@
         this->store(call);
         return;
     }
+    this->complete(call);
+}
+
+void Gateway::Impl::complete(Call& call)
+{
     ++this->counts.answered;
     this->io.end(call.id);
     this->finish(call, "answered", {});
@@ -170,15 +175,10 @@
     Call* call = this->find(id);
     if (!call)
         return;
-    if (!outcome) {
-        ++this->counts.broken;
-        this->io.breakOff(id);
-        this->finish(*call, "broken", describe(RejectionReason::JournalsUnavailable));
-        return;
-    }
-    ++this->counts.answered;
-    this->io.end(id);
-    this->finish(*call, "answered", {});
+    if (outcome)
+        this->complete(*call);
+    else
+        this->giveUp(*call, RejectionReason::JournalsUnavailable);
 }
 
 }
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -46,8 +46,6 @@
     /// Sendings that may have run.
     std::uint32_t runs = 0;
     TimerId stallTimer;
-    /// Empty until it is needed.
-    Fingerprint fingerprint;
 
     // Answer
     std::optional<EndpointAnswer> head;
@@ -100,10 +98,11 @@
     /// Precondition: the call is under way.
     void onClaimed(CallId id, const tl::expected<ClaimOutcome, JournalError>& outcome);
     void onFetched(CallId id, tl::expected<std::string, JournalError> outcome);
-    void onPrepared(Call& call);
     void onDeadline(CallId id);
     void onDead(const EndpointId& id);
     void refuse(Call& call, RejectionReason reason);
+    /// Refuses the call, or breaks its answer off where that has begun.
+    void giveUp(Call& call, RejectionReason reason);
     void settle(Call& call);
     void finish(Call& call, std::string_view outcome, std::string_view reason);
     Milliseconds timeLeft(const Call& call) const;
@@ -131,6 +130,8 @@
     void passOn(Call& call, const StreamEvent& event);
     void onWholeAnswer(Call& call);
     void onStreamEnd(Call& call);
+    /// The whole stream has been passed on.
+    void complete(Call& call);
     void store(Call& call);
     void onStored(CallId id, const tl::expected<void, JournalError>& outcome);
 };
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -26,9 +26,7 @@
     }
     if (call.hasBegun) {
         // A stream that was broken by its instance and can't go on elsewhere.
-        ++this->counts.broken;
-        this->io.breakOff(call.id);
-        this->finish(call, "broken", describe(RejectionReason::Overloaded));
+        this->giveUp(call, RejectionReason::Overloaded);
         return;
     }
     if (!choice) {
@@ -167,17 +165,10 @@
     call.query.excluded.insert(call.endpoint);
     this->dropSend(call, false);
     const bool mayTryAgain = call.sends < call.route->maxRuns + this->limits.maxRefusedSends;
-    if (mayTryAgain && this->timeLeft(call) > Milliseconds(0)) {
+    if (mayTryAgain && this->timeLeft(call) > Milliseconds(0))
         this->place(call);
-        return;
-    }
-    if (!call.hasBegun) {
-        this->refuse(call, RejectionReason::Overloaded);
-        return;
-    }
-    ++this->counts.broken;
-    this->io.breakOff(call.id);
-    this->finish(call, "broken", describe(RejectionReason::Overloaded));
+    else
+        this->giveUp(call, RejectionReason::Overloaded);
 }
 
 bool Gateway::Impl::takeRepeat()
@@ -198,10 +189,9 @@
 
 void Gateway::Impl::suspectCrash(Call& call)
 {
-    if (call.fingerprint.value.empty())
-        call.fingerprint = fingerprintOf(call.call);
     const EndpointInstance* instance = this->endpoints.find(call.endpoint);
-    this->crashes.onLost(call.fingerprint, call.endpoint, instance ? instance->startedAt : 0, this->timers.now());
+    const std::int64_t startedAt = instance ? instance->startedAt : 0;
+    this->crashes.onLost(fingerprintOf(call.call), call.endpoint, startedAt, this->timers.now());
 }
 
 /// The call may have run, and its answer is missing or incomplete.
@@ -212,17 +202,10 @@
         this->suspectCrash(call);
     call.query.excluded.insert(call.endpoint);
     this->dropSend(call, true);
-    if (this->mayRunAgain(call) && this->takeRepeat()) {
+    if (this->mayRunAgain(call) && this->takeRepeat())
         this->place(call);
-        return;
-    }
-    if (!call.hasBegun) {
-        this->refuse(call, RejectionReason::AnswerLost);
-        return;
-    }
-    ++this->counts.broken;
-    this->io.breakOff(call.id);
-    this->finish(call, "broken", describe(RejectionReason::AnswerLost));
+    else
+        this->giveUp(call, RejectionReason::AnswerLost);
 }
 
 // Stalls -------------------------------------------------------------------------------------------------------------
--- a/src/librattandeck/journal.cpp
+++ b/src/librattandeck/journal.cpp
@@ -29,9 +29,7 @@
     JournalCopier::Io copierIo();
 
     /// Each returns whether the record was not known before.
-    bool apply(const SettleClaim& claim);
-    bool apply(const RetainedTurn& turn);
-    bool apply(const TurnOnDisk& turn);
+    template <typename Record> bool apply(const Record& record);
     bool apply(const CrashReports& crashes);
     template <typename Record> bool keep(const Record& record);
 
@@ -55,22 +53,10 @@
 
 // Records ------------------------------------------------------------------------------------------------------------
 
-bool Journal::Impl::apply(const SettleClaim& claim)
+template <typename Record> bool Journal::Impl::apply(const Record& record)
 {
-    this->longestRetention = std::max(this->longestRetention, claim.retention);
-    return this->state.apply(claim, this->timers.now());
-}
-
-bool Journal::Impl::apply(const RetainedTurn& turn)
-{
-    this->longestRetention = std::max(this->longestRetention, turn.retention);
-    return this->state.apply(turn, this->timers.now());
-}
-
-bool Journal::Impl::apply(const TurnOnDisk& turn)
-{
-    this->longestRetention = std::max(this->longestRetention, turn.retention);
-    return this->state.apply(turn, this->timers.now());
+    this->longestRetention = std::max(this->longestRetention, record.retention);
+    return this->state.apply(record, this->timers.now());
 }
 
 bool Journal::Impl::apply(const CrashReports& crashes)
--- a/src/librattandeckapp/daemon.cpp
+++ b/src/librattandeckapp/daemon.cpp
@@ -41,9 +41,13 @@
 {
     constexpr std::int64_t most = 4;
     schema.addInteger("journals.tolerated_losses", losses, 0, most,
-        "disks that may be lost at once, taken for 1 at least; a record has one copy more, and twice as many journals "
-        "and "
-        "one are kept");
+        "disks that may be lost at once, taken for 1 at least; a record has one copy more, and twice as many "
+        "journals and one are kept");
+}
+
+std::size_t toleratedLosses(std::int64_t setting)
+{
+    return static_cast<std::size_t>(std::max<std::int64_t>(setting, 1));
 }
 
 // Starting -----------------------------------------------------------------------------------------------------------
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -316,7 +316,7 @@
     {
         std::chrono::milliseconds kept = unstatedKeepAlive;
         const auto field = headers.find("keep-alive");
-        const std::size_t mark = field == headers.end() ? std::string::npos : field->second.find("timeout=");
+        const std::size_t mark = field == headers.end() ? std::string::npos : field->second.find(timeoutKey);
         if (mark != std::string::npos) {
             const std::string& text = field->second;
             long long seconds = 0;
--- a/src/platform/directory.cpp
+++ b/src/platform/directory.cpp
@@ -240,4 +240,9 @@
     return { { "epoch", set.epoch.value }, { "proposer", set.proposer.value }, { "members", members } };
 }
 
+Json writeRetirementStatus(bool isEmptied)
+{
+    return Json::object({ { "phase", isEmptied ? "completed" : "running" } });
+}
+
 }
--- a/src/platform/directory.h
+++ b/src/platform/directory.h
@@ -22,4 +22,7 @@
 tl::expected<Rattandeck::JournalSet, BadObject> readJournalSet(const nlohmann::json& spec);
 nlohmann::json writeJournalSet(const Rattandeck::JournalSet& set);
 
+/// The status of a retirement, told by the journal that is to be emptied.
+nlohmann::json writeRetirementStatus(bool isEmptied);
+
 }
--- a/src/platform/directory_test.cpp
+++ b/src/platform/directory_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(configurationIsRead);
     CPPUNIT_TEST(badConfigurationNamesTheField);
     CPPUNIT_TEST(journalSetComesBackEqual);
+    CPPUNIT_TEST(retirementTellsItsPhase);
     CPPUNIT_TEST_SUITE_END();
 
     static StoredObject endpoint(const Json& changes = Json::object())
@@ -89,6 +90,12 @@
         CPPUNIT_ASSERT(*readJournalSet(writeJournalSet(set)) == set);
         CPPUNIT_ASSERT(!readJournalSet(Json::object()).has_value());
     }
+
+    void retirementTellsItsPhase()
+    {
+        CPPUNIT_ASSERT(writeRetirementStatus(false) == Json::parse(R"({"phase": "running"})"));
+        CPPUNIT_ASSERT(writeRetirementStatus(true) == Json::parse(R"({"phase": "completed"})"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DirectoryTest);
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -123,7 +123,7 @@
 JournalClientLimits journalLimits(const GatewaySettings& settings)
 {
     JournalClientLimits limits;
-    limits.copies = static_cast<std::size_t>(std::max<std::int64_t>(settings.toleratedLosses, 1)) + 1;
+    limits.copies = toleratedLosses(settings.toleratedLosses) + 1;
     return limits;
 }
 
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -92,7 +92,7 @@
     // Retirement
     void onRetirement(const Platform::StoredObject& object, bool isRemoved);
     void checkRetirement();
-    void writeRetirement(const std::string& phase);
+    void writeRetirement(bool isEmptied);
 
     JournalSettings settings;
     EventLoop loop;
@@ -108,7 +108,8 @@
     std::optional<Platform::StoredObject> storedSet;
     std::unique_ptr<HttpServer> admin;
     std::map<std::string, Platform::StoredObject> retirements;
-    std::string retirementPhase;
+    /// What the store was told of this journal's retirement last.
+    std::optional<bool> toldEmptied;
     bool isRetirementPending = false;
     TimerId retirementTimer;
     SettingsReload<JournalSettings> reload;
@@ -205,7 +206,7 @@
     const std::string address = peersAddress(this->settings.instance, this->network.port());
     this->network.setSelf(this->hello(address));
     JournalMembershipLimits limits;
-    limits.toleratedLosses = static_cast<std::size_t>(std::max<std::int64_t>(this->settings.toleratedLosses, 1));
+    limits.toleratedLosses = toleratedLosses(this->settings.toleratedLosses);
     JournalIo& io = *this;
     this->journal = std::make_unique<Journal>(
         this->loop.timers(), io, JournalMember { NodeId(this->settings.instance.node), address }, limits);
@@ -417,29 +418,27 @@
     this->journal->setLeaving(leaving);
     if (!this->retirements.contains(this->settings.instance.node))
         return;
-    if (this->journal->isEmptied())
-        this->writeRetirement("completed");
-    else
-        this->writeRetirement("running");
+    this->writeRetirement(this->journal->isEmptied());
     this->loop.timers().cancel(this->retirementTimer);
-    if (this->retirementPhase != "completed") {
+    if (!this->toldEmptied.value_or(false)) {
         this->retirementTimer
             = this->loop.timers().subscribeAfter(retirementCheckInterval, [this] { this->checkRetirement(); });
     }
 }
 
-void Daemon::writeRetirement(const std::string& phase)
+void Daemon::writeRetirement(bool isEmptied)
 {
-    if (this->retirementPhase == phase || this->isRetirementPending)
+    if (this->toldEmptied == isEmptied || this->isRetirementPending)
         return;
     Platform::StoredObject object = this->retirements.at(this->settings.instance.node);
     object.revision = 0;
-    object.status = { { "phase", phase } };
+    object.status = Platform::writeRetirementStatus(isEmptied);
     this->isRetirementPending = true;
-    this->store->replaceStatus(Platform::Names::retirementsKind, object, [this, phase](const auto& result) {
+    this->store->replaceStatus(Platform::Names::retirementsKind, object, [this, isEmptied](const auto& result) {
         this->isRetirementPending = false;
         if (result)
-            this->retirementPhase = phase;
+            this->toldEmptied = isEmptied;
+        const std::string phase = isEmptied ? "completed" : "running";
         logEvent("retirement", phase + (result ? "" : ": " + std::string(Platform::describe(result.error()))));
     });
 }
--- a/src/rattandeck-journal/notes.cpp
+++ b/src/rattandeck-journal/notes.cpp
@@ -1,6 +1,7 @@
 #include "notes.h"
 
 #include "files.h"
+#include "platform/directory.h"
 
 #include <nlohmann/json.hpp>
 
@@ -34,14 +35,12 @@
 {
     std::ifstream file(this->folder + fileName);
     const Json json = Json::parse(file, nullptr, false);
-    if (!json.is_object() || !json.contains("members") || !json["members"].is_array())
+    const auto set = Platform::readJournalSet(json);
+    if (!set)
         return;
+    this->knownSet = *set;
     this->knownStanding.isComplete = json.value("complete", false);
     this->knownStanding.copiedIn = Epoch(json.value("copied_in", std::uint64_t(0)));
-    this->knownSet.epoch = Epoch(json.value("epoch", std::uint64_t(0)));
-    this->knownSet.proposer = NodeId(json.value("proposer", std::string()));
-    for (const Json& member : json["members"])
-        this->knownSet.members.push_back({ NodeId(member.value("node", "")), member.value("address", "") });
 }
 
 bool JournalNotes::noteSet(const JournalSet& set)
@@ -60,12 +59,9 @@
 
 bool JournalNotes::write() const
 {
-    Json members = Json::array();
-    for (const JournalMember& member : this->knownSet.members)
-        members.push_back({ { "node", member.node.value }, { "address", member.address } });
-    const Json json { { "complete", this->knownStanding.isComplete },
-        { "copied_in", this->knownStanding.copiedIn.value }, { "epoch", this->knownSet.epoch.value },
-        { "proposer", this->knownSet.proposer.value }, { "members", members } };
+    Json json = Platform::writeJournalSet(this->knownSet);
+    json["complete"] = this->knownStanding.isComplete;
+    json["copied_in"] = this->knownStanding.copiedIn.value;
     // The old notes hold until the new ones are whole on disk.
     const std::string draft = this->folder + draftName;
     return writeAndSync(draft, json.dump()) && std::rename(draft.c_str(), (this->folder + fileName).c_str()) == 0
