--- a/src/rattandeck-provejournals/callers.cpp
+++ b/src/rattandeck-provejournals/callers.cpp
@@ -99,12 +99,8 @@
     }
     void end(CallId call) override
     {
-        const auto found = this->callers.open.find(call);
-        if (found == this->callers.open.end())
-            return;
-        Attempt attempt = std::move(found->second);
-        this->callers.open.erase(found);
-        this->callers.onWhole(attempt);
+        if (auto attempt = this->callers.take(call))
+            this->callers.onWhole(*attempt);
     }
     void breakOff(CallId call) override { this->callers.onBroken(call); }
     void refuse(CallId call, const CallRefusal& refusal) override { this->callers.onRefused(call, refusal); }
@@ -243,6 +239,14 @@
     return found != this->kept.end() && found->second.until > this->world.now();
 }
 
+std::optional<Callers::Attempt> Callers::take(CallId call)
+{
+    auto taken = this->open.extract(call);
+    if (taken.empty())
+        return std::nullopt;
+    return std::move(taken.mapped());
+}
+
 void Callers::onWhole(Attempt& attempt)
 {
     this->kept[attempt.request]
@@ -325,11 +329,10 @@
 
 void Callers::onRefused(CallId call, const CallRefusal& refusal)
 {
-    const auto found = this->open.find(call);
-    if (found == this->open.end())
+    auto taken = this->take(call);
+    if (!taken)
         return;
-    Attempt attempt = std::move(found->second);
-    this->open.erase(found);
+    Attempt& attempt = *taken;
     if (!refusal.mayHaveRun) {
         this->checked(Promise::RefusalsAreTrue);
         this->refusedAsNotRun.insert(attempt.request);
@@ -354,12 +357,8 @@
 
 void Callers::onBroken(CallId call)
 {
-    const auto found = this->open.find(call);
-    if (found == this->open.end())
-        return;
-    Attempt attempt = std::move(found->second);
-    this->open.erase(found);
-    this->retry(std::move(attempt));
+    if (auto attempt = this->take(call))
+        this->retry(std::move(*attempt));
 }
 
 std::vector<PromiseReport> Callers::reports() const
--- a/src/rattandeck-provejournals/callers.h
+++ b/src/rattandeck-provejournals/callers.h
@@ -89,6 +89,8 @@
     void sendTurn(Attempt attempt);
     Process* chooseGateway();
     void retry(Attempt attempt);
+    /// Takes an attempt that is under way; nothing when its caller has left.
+    std::optional<Attempt> take(CallId call);
     void onWhole(Attempt& attempt);
     void goOn(const Attempt& ended);
     void comeBackLater(const Attempt& ended);
--- a/src/rattandeck-provejournals/trial.cpp
+++ b/src/rattandeck-provejournals/trial.cpp
@@ -80,7 +80,8 @@
         bool replace(Process& journal, Milliseconds away);
         bool retire(Process& journal);
         bool slowDisk(Process& journal, Milliseconds length);
-        bool mayLoseDisk() const { return !this->isDiskLost; }
+        /// Takes a machine's power, and its disk with it. Returns false when another disk is still lost.
+        bool loseDisk(Process& journal);
         void noteCalm();
 
         const Schedule& schedule;
@@ -232,13 +233,20 @@
         return true;
     }
 
-    bool Trial::wipe(Process& journal, Milliseconds away)
+    bool Trial::loseDisk(Process& journal)
     {
-        if (!this->mayLoseDisk())
+        if (this->isDiskLost)
             return false;
         this->isDiskLost = true;
         journal.kill(true);
         journal.disk = {};
+        return true;
+    }
+
+    bool Trial::wipe(Process& journal, Milliseconds away)
+    {
+        if (!this->loseDisk(journal))
+            return false;
         this->world.note(journal.node.value + " loses its disk");
         this->disturbFor(away);
         this->world.after(away, [&journal] { journal.start(); });
@@ -247,10 +255,8 @@
 
     bool Trial::replace(Process& journal, Milliseconds away)
     {
-        if (!this->mayLoseDisk())
+        if (!this->loseDisk(journal))
             return false;
-        this->isDiskLost = true;
-        journal.kill(true);
         journal.isRemoved = true;
         this->store.retirements.erase(journal.node);
         this->world.note(journal.node.value + " goes for good");
--- a/testsuite/platform-path/case.py
+++ b/testsuite/platform-path/case.py
@@ -1,9 +1,8 @@
 """The whole path on the users' platform: plain calls, streams, chains of turns, budgets, and a change of routes."""
 
 from harness import expect, wait_until
-from platform_standins import Deployment, EVENTS, TOKENS_PER_EVENT, USUAL_ROUTES, configuration, route
+from platform_standins import Deployment, EVENTS, STREAM, TOKENS_PER_EVENT, USUAL_ROUTES, configuration, route
 
-STREAM = b"".join(b"id: %d\ndata: d%d\n\n" % (number, number) for number in range(1, EVENTS + 1))
 OUTPUT = b"".join(b"d%d\n" % number for number in range(1, EVENTS + 1))
 
 
--- a/testsuite/platform-resume/case.py
+++ b/testsuite/platform-resume/case.py
@@ -1,9 +1,7 @@
 """Broken answers: a resumable stream goes on elsewhere, any other is cut, and a write is never sent twice."""
 
 from harness import expect
-from platform_standins import Deployment, EVENTS
-
-STREAM = b"".join(b"id: %d\ndata: d%d\n\n" % (number, number) for number in range(1, EVENTS + 1))
+from platform_standins import Deployment, STREAM
 
 
 def break_after_two_events(request):
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -17,6 +17,8 @@
 HOST = "calls.example"
 EVENTS = 4
 TOKENS_PER_EVENT = 10
+# What an endpoint instance streams.
+STREAM = b"".join(b"id: %d\ndata: d%d\n\n" % (number, number) for number in range(1, EVENTS + 1))
 
 
 class Server:
