Count bytes of each kind of message on links, and log why sends fail

Change: rattandeck_link_bytes_total by direction and kind at gateways and journals, rattandeck_send_failures_total and a line 'send failed' with cause, age, time left and retry budget, prepared_ms and stored_ms in the line 'call', and counters of operations on the journals, which stand at the head of the metrics page. Conclusion: no logic changed.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -125,6 +125,36 @@
     Milliseconds waited { 0 };
 };
 
+/// Why a send ended without an answer that could be passed on.
+enum class SendFailureCause {
+    /// The instance states that it did not run the call.
+    Refused,
+    NotSent,
+    Unreachable,
+    /// The answer is missing, incomplete or unsigned.
+    Interrupted,
+    /// No answer or event arrived within the time-out for it.
+    Stalled,
+};
+
+std::string_view describe(SendFailureCause cause);
+
+struct SendFailure {
+    TurnId request;
+    BudgetId program;
+    std::string route;
+    EndpointId endpoint;
+    SendFailureCause cause = SendFailureCause::Interrupted;
+    std::uint32_t attempt = 1;
+    /// Events received from this and earlier sends of the call.
+    std::uint64_t events = 0;
+    /// Time since the send.
+    Milliseconds age { 0 };
+    Milliseconds timeLeft { 0 };
+    /// Retries that the budget allows at this moment.
+    double retryBudget = 0;
+};
+
 struct CallEnd {
     TurnId request;
     BudgetId program;
@@ -141,6 +171,10 @@
     std::optional<Milliseconds> waited;
     /// Time from the arrival to the first event of a stream.
     std::optional<Milliseconds> firstEvent;
+    /// Time from the arrival until its tokens were claimed and its transcript fetched.
+    std::optional<Milliseconds> prepared;
+    /// Time that the journals took to store the turn.
+    std::optional<Milliseconds> stored;
     /// Version of the configuration under which the call was handled; 0 when there was none.
     std::uint64_t configVersion = 0;
     /// Best instance at the last placement of the call.
@@ -176,6 +210,7 @@
     virtual void reportCrashes(const std::vector<CrashReport>& reports) = 0;
 
     virtual void logSend(const SendDecision& decision) = 0;
+    virtual void logSendFailure(const SendFailure& failure) = 0;
     virtual void logEnd(const CallEnd& end) = 0;
 };
 
--- a/src/include/Rattandeck/wire.h
+++ b/src/include/Rattandeck/wire.h
@@ -20,6 +20,8 @@
 
 /// Encodes a message as MessagePack. Long strings are appended to the document as raw attachments.
 std::string encode(const Message& message);
+/// Returns the name of the message's kind on the wire, for metrics.
+std::string_view kindName(const Message& message);
 /// Decodes a message encoded by this or another version. Does not throw on malformed input; allocates memory in
 /// proportion to the size of `bytes`.
 tl::expected<Message, WireError> decode(std::string_view bytes);
--- a/src/include/RattandeckApp/daemon.h
+++ b/src/include/RattandeckApp/daemon.h
@@ -87,6 +87,10 @@
 void answerAdmin(const RattandeckNet::HttpRequest& request, const RattandeckNet::HttpResponder& responder,
     const std::function<bool()>& isReady, const Metrics& metrics);
 
+/// Provides `rattandeck_link_bytes_total`: the bytes of messages on the links of `network`, by direction and kind.
+/// Precondition: `network` outlives the last rendering of `metrics`.
+void provideLinkTraffic(Metrics& metrics, const RattandeckNet::PeerNetwork& network);
+
 // Stopping -----------------------------------------------------------------------------------------------------------
 
 /// Maximum time that a planned stop waits for links and connections to close.
--- a/src/include/RattandeckApp/metrics.h
+++ b/src/include/RattandeckApp/metrics.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace RattandeckApp {
@@ -32,6 +33,10 @@
     /// Registers a value that `read` returns at each rendering. `kind` is "gauge" or "counter".
     void provide(const std::string& name, const std::string& kind, std::function<double()> read);
 
+    /// As `provide`, for several time series. `read` returns the labels and the value of each.
+    void provideFamily(const std::string& name, const std::string& kind,
+        std::function<std::vector<std::pair<MetricLabels, double>>()> read);
+
     std::string render() const;
 
 private:
--- a/src/include/RattandeckNet/peer.h
+++ b/src/include/RattandeckNet/peer.h
@@ -5,7 +5,9 @@
 #include "RattandeckNet/eventloop.h"
 
 #include <functional>
+#include <map>
 #include <memory>
+#include <string_view>
 #include <vector>
 
 namespace RattandeckNet {
@@ -24,6 +26,14 @@
     std::chrono::milliseconds connectTimeout { 1000 };
 };
 
+/// Messages of one kind that were sent or received, and their encoded size.
+struct PeerTraffic {
+    std::uint64_t messages = 0;
+    std::uint64_t bytes = 0;
+};
+/// Keyed by the kind of the messages (`Rattandeck::kindName`).
+using PeerTrafficByKind = std::map<std::string_view, PeerTraffic>;
+
 struct PeerHandlers {
     /// Called when the peer's `Hello` has been received. If the link replaces an earlier one to the same node, `onDown`
     /// is called first for that one.
@@ -63,6 +73,9 @@
     bool isUp(const Rattandeck::NodeId& node) const;
     /// Number of connection attempts so far.
     std::uint64_t dialCount() const;
+    /// Traffic on all links so far, those that have been closed included.
+    const PeerTrafficByKind& sentTraffic() const;
+    const PeerTrafficByKind& receivedTraffic() const;
     /// Writes the queued messages for at most one second, then closes every link. Handlers are no longer called.
     void close();
     /// Returns whether `close` has finished: every link is closed.
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -31,6 +31,23 @@
     return "unknown";
 }
 
+std::string_view describe(SendFailureCause cause)
+{
+    switch (cause) {
+    case SendFailureCause::Refused:
+        return "refused by the instance";
+    case SendFailureCause::NotSent:
+        return "not sent";
+    case SendFailureCause::Unreachable:
+        return "unreachable";
+    case SendFailureCause::Interrupted:
+        return "interrupted";
+    case SendFailureCause::Stalled:
+        return "stalled";
+    }
+    return "unknown";
+}
+
 // Public -------------------------------------------------------------------------------------------------------------
 
 Gateway::Gateway(
@@ -216,7 +233,7 @@
     call->isClaimed = true;
     call->isFirstTurn = !outcome->hasOtherTurns;
     if (!call->isFetchPending)
-        this->place(*call);
+        this->onPrepared(*call);
 }
 
 void Gateway::Impl::onFetched(CallId id, tl::expected<std::string, JournalError> outcome)
@@ -232,7 +249,13 @@
     }
     call->transcript = std::move(*outcome);
     if (!call->isClaimPending)
-        this->place(*call);
+        this->onPrepared(*call);
+}
+
+void Gateway::Impl::onPrepared(Call& call)
+{
+    call.preparedAt = this->timers.now();
+    this->place(call);
 }
 
 // End ----------------------------------------------------------------------------------------------------------------
@@ -327,6 +350,12 @@
         end.waited = since(*call.firstSent);
     if (call.firstEvent)
         end.firstEvent = since(*call.firstEvent);
+    if (call.preparedAt)
+        end.prepared = since(*call.preparedAt);
+    if (call.storeStarted) {
+        const TimePoint until = call.storeEnded.value_or(this->timers.now());
+        end.stored = std::chrono::duration_cast<Milliseconds>(until - *call.storeStarted);
+    }
     end.configVersion = call.table->config().version;
     end.bestChoice = call.bestChoice;
     end.queued = this->queue.size();
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -16,11 +16,11 @@
         self.endpoints.onLoad(call->endpoint, *answer.load, self.timers.now());
     if (answer.isNotRun) {
         self.endpoints.onFull(call->endpoint, self.timers.now());
-        self.onSendRefused(*call);
+        self.onSendRefused(*call, SendFailureCause::Refused);
         return;
     }
     if (isSuccess(answer) && !answer.isSigned) {
-        self.onSendInterrupted(*call);
+        self.onSendInterrupted(*call, SendFailureCause::Interrupted);
         return;
     }
     call->head = answer;
@@ -59,11 +59,12 @@
         self.onInstanceFailed(call->endpoint);
     if (outcome == SendOutcome::NotSent || outcome == SendOutcome::Unreachable) {
         self.endpoints.onFailure(call->endpoint, self.timers.now());
-        self.onSendRefused(*call);
+        const bool isUnreachable = outcome == SendOutcome::Unreachable;
+        self.onSendRefused(*call, isUnreachable ? SendFailureCause::Unreachable : SendFailureCause::NotSent);
         return;
     }
     if (outcome == SendOutcome::Broken || !call->head) {
-        self.onSendInterrupted(*call);
+        self.onSendInterrupted(*call, SendFailureCause::Interrupted);
         return;
     }
     if (!self.crashes.isEmpty())
@@ -87,7 +88,7 @@
     }
     if (call.events > 0) {
         // A stream that has delivered events can't be continued with an answer that is not a stream.
-        this->onSendInterrupted(call);
+        this->onSendInterrupted(call, SendFailureCause::Interrupted);
         return;
     }
     ++this->counts.answered;
@@ -138,7 +139,7 @@
 {
     // A stream without events, or with an incomplete last event, was interrupted.
     if (call.splitter.pendingBytes() > 0 || call.events == 0) {
-        this->onSendInterrupted(call);
+        this->onSendInterrupted(call, SendFailureCause::Interrupted);
         return;
     }
     this->dropSend(call, false);
@@ -161,6 +162,7 @@
 /// be continued.
 void Gateway::Impl::store(Call& call)
 {
+    call.storeStarted = this->timers.now();
     RetainedTurn turn;
     turn.id = call.call.request;
     turn.previous = call.call.previousTurn;
@@ -176,6 +178,7 @@
     Call* call = this->find(id);
     if (!call)
         return;
+    call->storeEnded = this->timers.now();
     if (outcome)
         this->complete(*call);
     else
--- a/src/librattandeck/gatewayfixture_test.h
+++ b/src/librattandeck/gatewayfixture_test.h
@@ -29,6 +29,7 @@
     std::vector<Sent> sends;
     std::map<Rattandeck::CallId, Caller> callers;
     std::vector<Rattandeck::CallEnd> ends;
+    std::vector<Rattandeck::SendFailure> failures;
     std::vector<Rattandeck::CrashReport> reports;
     std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> toJournals;
     std::map<Rattandeck::NodeId, Rattandeck::JournalState> states;
@@ -193,6 +194,7 @@
         this->reports.insert(this->reports.end(), reports.begin(), reports.end());
     }
     void logSend(const Rattandeck::SendDecision&) override { }
+    void logSendFailure(const Rattandeck::SendFailure& failure) override { this->failures.push_back(failure); }
     void logEnd(const Rattandeck::CallEnd& end) override { this->ends.push_back(end); }
 
 private:
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -32,6 +32,7 @@
     /// The call is the first turn of its program.
     bool isFirstTurn = false;
     std::string transcript;
+    std::optional<TimePoint> preparedAt;
 
     // Queue
     bool isQueued = false;
@@ -45,6 +46,7 @@
     std::uint32_t sends = 0;
     /// Sends that may have run.
     std::uint32_t runs = 0;
+    TimePoint sentAt;
     TimerId stallTimer;
 
     // Answer
@@ -55,6 +57,8 @@
     std::string lastEvent;
     std::uint64_t events = 0;
     std::string output;
+    std::optional<TimePoint> storeStarted;
+    std::optional<TimePoint> storeEnded;
 };
 
 struct Gateway::Impl {
@@ -99,6 +103,7 @@
     /// Precondition: the call is open.
     void onClaimed(CallId id, const tl::expected<ClaimOutcome, JournalError>& outcome);
     void onFetched(CallId id, tl::expected<std::string, JournalError> outcome);
+    void onPrepared(Call& call);
     void onDeadline(CallId id);
     void onInstanceFailed(const EndpointId& id);
     void refuse(Call& call, RejectionReason reason);
@@ -118,8 +123,9 @@
     void scheduleQueue();
     void processQueue();
     void dropSend(Call& call, bool cancel);
-    void onSendRefused(Call& call);
-    void onSendInterrupted(Call& call);
+    void onSendRefused(Call& call, SendFailureCause cause);
+    void onSendInterrupted(Call& call, SendFailureCause cause);
+    void logFailure(const Call& call, SendFailureCause cause);
     void recordLostAnswer(Call& call);
     bool tryWithdrawRetry();
     bool mayRunAgain(const Call& call) const;
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -45,8 +45,9 @@
         return;
     }
     call.send = SendId(++this->lastSend);
+    call.sentAt = this->timers.now();
     if (!call.firstSent)
-        call.firstSent = this->timers.now();
+        call.firstSent = call.sentAt;
     call.endpoint = choice.endpoint;
     call.head.reset();
     call.body.clear();
@@ -158,9 +159,26 @@
     call.send = {};
 }
 
+void Gateway::Impl::logFailure(const Call& call, SendFailureCause cause)
+{
+    SendFailure failure;
+    failure.request = call.call.request;
+    failure.program = call.call.program;
+    failure.route = call.route->name;
+    failure.endpoint = call.endpoint;
+    failure.cause = cause;
+    failure.attempt = call.sends;
+    failure.events = call.events;
+    failure.age = std::chrono::duration_cast<Milliseconds>(this->timers.now() - call.sentAt);
+    failure.timeLeft = this->timeLeft(call);
+    failure.retryBudget = this->retryBudget;
+    this->io.logSendFailure(failure);
+}
+
 /// The instance did not run the call: places it again, if sends and time are left.
-void Gateway::Impl::onSendRefused(Call& call)
+void Gateway::Impl::onSendRefused(Call& call, SendFailureCause cause)
 {
+    this->logFailure(call, cause);
     --call.runs;
     call.query.excluded.insert(call.endpoint);
     this->dropSend(call, false);
@@ -195,8 +213,9 @@
 }
 
 /// The call may have run, and its answer is missing or incomplete: retries it if route and retry budget allow it.
-void Gateway::Impl::onSendInterrupted(Call& call)
+void Gateway::Impl::onSendInterrupted(Call& call, SendFailureCause cause)
 {
+    this->logFailure(call, cause);
     this->endpoints.onFailure(call.endpoint, this->timers.now());
     if (call.events == 0)
         this->recordLostAnswer(call);
@@ -227,7 +246,7 @@
 {
     Call* call = this->find(id);
     if (call && call->send.value != 0)
-        this->onSendInterrupted(*call);
+        this->onSendInterrupted(*call, SendFailureCause::Stalled);
 }
 
 }
--- a/src/librattandeck/wire.cpp
+++ b/src/librattandeck/wire.cpp
@@ -399,6 +399,12 @@
     return framed;
 }
 
+std::string_view kindName(const Message& message)
+{
+    return std::visit(
+        [](const auto& alternative) { return std::string_view(tag<std::decay_t<decltype(alternative)>>); }, message);
+}
+
 tl::expected<Message, WireError> decode(std::string_view bytes)
 {
     std::string_view attachments;
--- a/src/librattandeckapp/daemon.cpp
+++ b/src/librattandeckapp/daemon.cpp
@@ -132,6 +132,21 @@
     responder.send({ 404, text, "no such page\n" });
 }
 
+void provideLinkTraffic(Metrics& metrics, const PeerNetwork& network)
+{
+    metrics.provideFamily("rattandeck_link_bytes_total", "counter", [&network] {
+        std::vector<std::pair<MetricLabels, double>> values;
+        const auto add = [&values](const char* direction, const PeerTrafficByKind& traffic) {
+            for (const auto& [kind, ofKind] : traffic)
+                values.emplace_back(
+                    MetricLabels { { "direction", direction }, { "kind", std::string(kind) } }, double(ofKind.bytes));
+        };
+        add("received", network.receivedTraffic());
+        add("sent", network.sentTraffic());
+        return values;
+    });
+}
+
 // Stopping -----------------------------------------------------------------------------------------------------------
 
 namespace {
--- a/src/librattandeckapp/metrics.cpp
+++ b/src/librattandeckapp/metrics.cpp
@@ -26,7 +26,7 @@
 
     struct Provided {
         std::string kind;
-        std::function<double()> read;
+        std::function<std::vector<std::pair<MetricLabels, double>>()> read;
     };
 
     std::string escaped(const std::string& value)
@@ -102,6 +102,14 @@
 }
 
 void Metrics::provide(const std::string& name, const std::string& kind, std::function<double()> read)
+{
+    this->provideFamily(name, kind, [read = std::move(read)] {
+        return std::vector<std::pair<MetricLabels, double>> { { MetricLabels {}, read() } };
+    });
+}
+
+void Metrics::provideFamily(const std::string& name, const std::string& kind,
+    std::function<std::vector<std::pair<MetricLabels, double>>()> read)
 {
     this->impl->provided[name] = { kind, std::move(read) };
 }
@@ -114,8 +122,11 @@
         for (const auto& [labels, value] : family)
             out << name << inBraces(labels) << ' ' << value << '\n';
     }
-    for (const auto& [name, provided] : this->impl->provided)
-        out << "# TYPE " << name << ' ' << provided.kind << '\n' << name << ' ' << provided.read() << '\n';
+    for (const auto& [name, provided] : this->impl->provided) {
+        out << "# TYPE " << name << ' ' << provided.kind << '\n';
+        for (const auto& [labels, value] : provided.read())
+            out << name << inBraces(textOf(labels)) << ' ' << value << '\n';
+    }
     for (const auto& [name, family] : this->impl->latencies) {
         out << "# TYPE " << name << " histogram\n";
         for (const auto& [labels, latency] : family)
--- a/src/librattandeckapp/metrics_test.cpp
+++ b/src/librattandeckapp/metrics_test.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(rendersEveryKind);
     CPPUNIT_TEST(bucketsAreCumulative);
     CPPUNIT_TEST(labelsShareOneFamily);
+    CPPUNIT_TEST(providedFamilyHasOneLineForEachSeries);
     CPPUNIT_TEST(labelValuesAreEscaped);
     CPPUNIT_TEST_SUITE_END();
 
@@ -57,6 +58,17 @@
         CPPUNIT_ASSERT(has(text, "refusals_total{reason=\"no route\"} 1\n"));
     }
 
+    void providedFamilyHasOneLineForEachSeries()
+    {
+        Metrics metrics;
+        metrics.provideFamily("bytes_total", "counter", [] {
+            return std::vector<std::pair<MetricLabels, double>> { { { { "kind", "a" } }, 1 },
+                { { { "kind", "b" } }, 2 } };
+        });
+        CPPUNIT_ASSERT(has(
+            metrics.render(), "# TYPE bytes_total counter\nbytes_total{kind=\"a\"} 1\nbytes_total{kind=\"b\"} 2\n"));
+    }
+
     void labelValuesAreEscaped()
     {
         Metrics metrics;
--- a/src/librattandecknet/peer.cpp
+++ b/src/librattandecknet/peer.cpp
@@ -51,6 +51,8 @@
     bool isClosing = false;
     /// Number of connection attempts so far; also the number of the last dialled link.
     std::uint64_t lastLinkNumber = 0;
+    PeerTrafficByKind sent;
+    PeerTrafficByKind received;
     std::unordered_set<std::shared_ptr<PeerLink>> links;
     std::map<NodeId, std::shared_ptr<PeerLink>> upLinks;
     /// Keyed by "host:port".
@@ -77,6 +79,13 @@
 
     using NetworkImpl = PeerNetwork::Impl;
 
+    void count(PeerTrafficByKind& traffic, const Message& message, std::size_t bytes)
+    {
+        PeerTraffic& ofKind = traffic[kindName(message)];
+        ++ofKind.messages;
+        ofKind.bytes += bytes;
+    }
+
     class PeerLink : public std::enable_shared_from_this<PeerLink> {
     public:
         enum class State { Connecting, AwaitingHello, Up, Draining, Closed };
@@ -226,6 +235,7 @@
                 isIntact = false;
                 break;
             }
+            count(this->network->received, *message, bytes.size());
             this->deliver(*message);
             if (this->state == State::Closed)
                 return;
@@ -265,6 +275,7 @@
             Asio::post(this->loop.context, this->loop.bind([self = this->shared_from_this()] { self->close(); }));
             return false;
         }
+        count(this->network->sent, message, bytes.size());
         this->session.queue(bytes);
         this->postFlush();
         return true;
@@ -553,6 +564,10 @@
 
 std::uint64_t PeerNetwork::dialCount() const { return this->impl->lastLinkNumber; }
 
+const PeerTrafficByKind& PeerNetwork::sentTraffic() const { return this->impl->sent; }
+
+const PeerTrafficByKind& PeerNetwork::receivedTraffic() const { return this->impl->received; }
+
 void PeerNetwork::close()
 {
     if (!this->impl->isClosing)
--- a/src/librattandecknet/peer_test.cpp
+++ b/src/librattandecknet/peer_test.cpp
@@ -43,6 +43,7 @@
 class PeerTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(PeerTest);
     CPPUNIT_TEST(messagesArriveInOrder);
+    CPPUNIT_TEST(trafficIsCountedByKind);
     CPPUNIT_TEST(oneLinkIsKeptWhenBothEndsDial);
     CPPUNIT_TEST(lostLinkIsReportedAtBothEndsAndRedialled);
     CPPUNIT_TEST(closeWritesQueuedMessages);
@@ -84,6 +85,23 @@
         CPPUNIT_ASSERT(!a.network->send(NodeId("c"), CancelOrder {}));
     }
 
+    void trafficIsCountedByKind()
+    {
+        Peer a(this->test.loop, "a", 1, this->limits);
+        Peer b(this->test.loop, "b", 1, this->limits);
+        a.network->keepLinksTo({ b.address() });
+        this->test.runUntil("up", [&] { return a.isUp(b) && b.isUp(a); });
+        constexpr std::size_t size = 10000;
+        a.send(b, 1, std::string(size, 'x'));
+        a.send(b, 2, std::string(size, 'x'));
+        this->test.runUntil("both arrive", [&] { return b.received.size() == 2; });
+        const auto kind = kindName(OrderTokens {});
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), a.network->sentTraffic().at(kind).messages);
+        CPPUNIT_ASSERT(a.network->sentTraffic().at(kind).bytes > 2 * size);
+        CPPUNIT_ASSERT_EQUAL(a.network->sentTraffic().at(kind).bytes, b.network->receivedTraffic().at(kind).bytes);
+        CPPUNIT_ASSERT(!b.network->sentTraffic().contains(kind));
+    }
+
     void oneLinkIsKeptWhenBothEndsDial()
     {
         Peer a(this->test.loop, "a", 1, this->limits);
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -301,6 +301,7 @@
     provide(
         "rattandeck_store_answer_age_seconds", "gauge", [this] { return Platform::answerAgeSeconds(*this->store); });
     provide("rattandeck_link_dials_total", "counter", [this] { return double(this->network.dialCount()); });
+    provideLinkTraffic(this->metrics, this->network);
 }
 
 void Daemon::sweep()
@@ -481,10 +482,12 @@
 
 void Daemon::onJournalOperation(const JournalOperationResult& result)
 {
-    this->metrics.observe("rattandeck_journal_operation_seconds",
-        std::chrono::duration<double>(result.duration).count(),
-        { { "kind", std::string(result.kind) },
-            { "outcome", std::string(result.error ? describe(*result.error) : "done") } });
+    const double seconds = std::chrono::duration<double>(result.duration).count();
+    const MetricLabels labels { { "kind", std::string(result.kind) },
+        { "outcome", std::string(result.error ? describe(*result.error) : "done") } };
+    this->metrics.observe("rattandeck_journal_operation_seconds", seconds, labels);
+    this->metrics.count("rattandeck_journal_operations_total", labels);
+    this->metrics.count("rattandeck_journal_operation_seconds_total", labels, seconds);
     if (!result.error)
         return;
     std::string answered;
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -203,6 +203,17 @@
             { "time_left_ms", std::int64_t(decision.timeLeft.count()) } });
 }
 
+void Relay::logSendFailure(const SendFailure& failure)
+{
+    const std::string cause(describe(failure.cause));
+    this->metrics.count("rattandeck_send_failures_total", { { "cause", cause } });
+    logFields("send failed",
+        { { "request", failure.request.value }, { "program", failure.program.value }, { "route", failure.route },
+            { "endpoint", failure.endpoint.value }, { "cause", cause }, { "attempt", std::int64_t(failure.attempt) },
+            { "events", std::int64_t(failure.events) }, { "age_ms", std::int64_t(failure.age.count()) },
+            { "time_left_ms", std::int64_t(failure.timeLeft.count()) }, { "retry_budget", failure.retryBudget } });
+}
+
 void Relay::logEnd(const CallEnd& end)
 {
     const auto seconds = [](Milliseconds time) { return std::chrono::duration<double>(time).count(); };
@@ -219,6 +230,10 @@
         { "endpoint", end.endpoint }, { "status", std::int64_t(end.status) }, { "sends", std::int64_t(end.sends) },
         { "events", std::int64_t(end.events) }, { "duration_ms", std::int64_t(end.duration.count()) },
         { "config", std::int64_t(end.configVersion) } };
+    if (end.prepared)
+        fields.push_back({ "prepared_ms", std::int64_t(end.prepared->count()) });
+    if (end.stored)
+        fields.push_back({ "stored_ms", std::int64_t(end.stored->count()) });
     // Inputs of the decision to refuse.
     if (end.outcome == "refused") {
         fields.push_back({ "queued", std::int64_t(end.queued) });
--- a/src/rattandeck-gateway/relay.h
+++ b/src/rattandeck-gateway/relay.h
@@ -51,6 +51,7 @@
     void refuse(Rattandeck::CallId call, const Rattandeck::CallRefusal& refusal) override;
     void reportCrashes(const std::vector<Rattandeck::CrashReport>& reports) override;
     void logSend(const Rattandeck::SendDecision& decision) override;
+    void logSendFailure(const Rattandeck::SendFailure& failure) override;
     void logEnd(const Rattandeck::CallEnd& end) override;
 
     RattandeckNet::HttpCallbacks callbacks(Rattandeck::SendId send, const Rattandeck::TurnId& requestId);
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -193,6 +193,7 @@
         "rattandeck_store_answer_age_seconds", "gauge", [this] { return Platform::answerAgeSeconds(*this->store); });
     this->metrics.provide("rattandeck_journal_bytes_in_memory", "gauge",
         [this] { return double(this->journal->state().bytesInMemory()); });
+    provideLinkTraffic(this->metrics, this->network);
 }
 
 int Daemon::run()
--- a/src/rattandeck-provejournals/callers.cpp
+++ b/src/rattandeck-provejournals/callers.cpp
@@ -106,6 +106,7 @@
     void refuse(CallId call, const CallRefusal& refusal) override { this->callers.onRefused(call, refusal); }
     void reportCrashes(const std::vector<CrashReport>&) override { }
     void logSend(const SendDecision&) override { }
+    void logSendFailure(const SendFailure&) override { }
     void logEnd(const CallEnd& end) override
     {
         ++this->callers.eventCount;
