--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(safeCallIsRetriedUpToMaxRuns);
     CPPUNIT_TEST(stalledSafeCallIsRetried);
     CPPUNIT_TEST(retriesAreLimitedByTheBudget);
+    CPPUNIT_TEST(stalledCallIsNotGivenUpWhenNoRetryIsAllowed);
+    CPPUNIT_TEST(stalledCallIsNotGivenUpWhenNoOtherInstanceHasCapacity);
     CPPUNIT_TEST(drainingInstanceGetsNoCalls);
     CPPUNIT_TEST(deadlineEndsTheCall);
     CPPUNIT_TEST(timeLeftIsTheShorterOfDeadlineAndTimeout);
@@ -167,6 +169,35 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(calls + 3), bounded.sends.size());
     }
 
+    void stalledCallIsNotGivenUpWhenNoRetryIsAllowed()
+    {
+        GatewayLimits limits;
+        limits.retryBurst = 0;
+        limits.retryRatio = 0;
+        GatewayFixture bounded(limits);
+        bounded.configure({ GatewayFixture::route("safe", CallSafety::Safe) });
+        bounded.addInstance("e1");
+        bounded.addInstance("e2");
+        const CallId id = bounded.call(GatewayFixture::callOn("safe"));
+        bounded.advance(Milliseconds(1000));
+        CPPUNIT_ASSERT(!bounded.callers.at(id).refusal && !bounded.sends.front().isCancelled);
+        bounded.head(bounded.sends.front(), 200);
+        bounded.end(bounded.sends.front());
+        CPPUNIT_ASSERT(bounded.callers.at(id).isEnded);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), bounded.sends.size());
+    }
+
+    void stalledCallIsNotGivenUpWhenNoOtherInstanceHasCapacity()
+    {
+        this->f->addInstance("e2", true);
+        const CallId id = this->callOn("safe");
+        this->f->advance(Milliseconds(1000));
+        CPPUNIT_ASSERT(!this->caller(id).refusal && !this->lastSend().isCancelled);
+        this->f->head(this->lastSend(), 200);
+        this->f->end(this->lastSend());
+        CPPUNIT_ASSERT(this->caller(id).isEnded);
+    }
+
     void drainingInstanceGetsNoCalls()
     {
         this->f->addInstance("e1", true);
--- a/src/librattandeck/gatewayturns_test.cpp
+++ b/src/librattandeck/gatewayturns_test.cpp
@@ -10,11 +10,14 @@
     CPPUNIT_TEST(streamThatEndsWithinAnEventIsAborted);
     CPPUNIT_TEST(interruptedStreamIsResumedAtAnotherInstance);
     CPPUNIT_TEST(stalledStreamIsResumedAtAnotherInstance);
+    CPPUNIT_TEST(stalledStreamIsNotCutWhenNoRetryIsAllowed);
     CPPUNIT_TEST(turnIsNotSentBeforeItsClaimIsGranted);
     CPPUNIT_TEST(turnBeyondTheBudgetIsRefusedWithoutSending);
     CPPUNIT_TEST(claimIsSettledWithTheTokensUsed);
     CPPUNIT_TEST(claimIsReleasedWhenTheCallerDisconnects);
     CPPUNIT_TEST(retainedTurnEndsAfterTwoJournalsStoredIt);
+    CPPUNIT_TEST(completeAnswerIsNotCutWhileItsTurnIsStoredLate);
+    CPPUNIT_TEST(answerIsCutAtItsDeadlineWhenItsTurnIsNotStored);
     CPPUNIT_TEST(continuedTurnIsSentWithTheWholeTranscript);
     CPPUNIT_TEST(unknownPreviousTurnIsRefused);
     CPPUNIT_TEST(turnWithoutJournalsIsRefusedAsUnavailable);
@@ -112,6 +115,28 @@
         CPPUNIT_ASSERT(this->f->sends.front().isCancelled);
     }
 
+    void stalledStreamIsNotCutWhenNoRetryIsAllowed()
+    {
+        GatewayLimits limits;
+        limits.retryBurst = 0;
+        limits.retryRatio = 0;
+        GatewayFixture bounded(limits);
+        Route resumable = GatewayFixture::route("resumable", CallSafety::Stream);
+        resumable.canResume = true;
+        bounded.configure({ resumable });
+        bounded.addInstance("e1");
+        bounded.addInstance("e2");
+        const CallId id = bounded.call(GatewayFixture::callOn("resumable"));
+        bounded.head(bounded.sends.front(), 200, true);
+        bounded.event(bounded.sends.front(), 1);
+        bounded.advance(limits.streamStallTimeout * 2);
+        CPPUNIT_ASSERT(!bounded.callers.at(id).isBroken && !bounded.sends.front().isCancelled);
+        bounded.event(bounded.sends.front(), 2);
+        bounded.end(bounded.sends.front());
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n"), bounded.callers.at(id).bytes);
+        CPPUNIT_ASSERT(bounded.callers.at(id).isEnded);
+    }
+
     void turnIsNotSentBeforeItsClaimIsGranted()
     {
         this->f->call(turnOn("stream"));
@@ -181,6 +206,23 @@
         CPPUNIT_ASSERT(this->caller(id).isEnded);
     }
 
+    void completeAnswerIsNotCutWhileItsTurnIsStoredLate()
+    {
+        const CallId id = this->runRetained({});
+        this->f->advance(JournalClientLimits().answerTimeout + Milliseconds(300));
+        CPPUNIT_ASSERT(!this->caller(id).isBroken);
+        this->f->runJournals();
+        CPPUNIT_ASSERT(this->caller(id).isEnded && !this->caller(id).isBroken);
+    }
+
+    void answerIsCutAtItsDeadlineWhenItsTurnIsNotStored()
+    {
+        const CallId id = this->runRetained({});
+        this->f->advance(Milliseconds(3001));
+        CPPUNIT_ASSERT(this->caller(id).isBroken && !this->caller(id).isEnded);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->f->gateway.openCalls());
+    }
+
     void continuedTurnIsSentWithTheWholeTranscript()
     {
         this->runRetained({});
