Keep waiting for a slow instance when a call can't be sent to another one

Cause: a call that passed its time-out for silence was taken from its instance first, and only then was it asked whether another send is allowed. When the retry budget was spent, or no other instance had room, the call was given up although its instance was still working. Class of fault: a time-out for a better alternative taken as proof of failure. Change: a stalled call is moved only if the route, the retry budget and the load of another instance allow it at this moment; else the time-out starts again. Ruled out: a larger retry budget, which only moves the point at which the same loss begins.

--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -131,6 +131,7 @@
     bool mayRunAgain(const Call& call) const;
     void restartStallTimer(Call& call);
     void onStall(CallId id);
+    bool canMove(const Call& call) const;
 
     // gatewayanswers.cpp: relaying of answers
     void forwardEvents(Call& call);
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -245,8 +245,23 @@
 void Gateway::Impl::onStall(CallId id)
 {
     Call* call = this->find(id);
-    if (call && call->send.value != 0)
+    if (!call || call->send.value == 0)
+        return;
+    if (this->canMove(*call))
         this->onSendInterrupted(*call, SendFailureCause::Stalled);
+    else
+        this->restartStallTimer(*call);
+}
+
+/// Whether a call whose instance is slow can be sent to another one now. If not, the instance may still answer.
+bool Gateway::Impl::canMove(const Call& call) const
+{
+    if (!this->mayRunAgain(call) || this->retryBudget < 1)
+        return false;
+    PlacementQuery query = call.query;
+    query.excluded.insert(call.endpoint);
+    const auto choice = this->endpoints.choose(query, this->timers.now());
+    return choice && this->hasCapacity(call, *choice);
 }
 
 }
