Store a retained turn again until the deadline of its call

Cause: the end of the answer waits until the journals have the turn; the write has 700 ms, after which the answer was aborted. 700 ms bounds one write, so that an acknowledgement from before the loss of a disk is never counted after it; it says nothing about how long the caller waits. Class of fault: a time-out of one attempt taken as the end of the operation. The other operations on the journals stand before a run and end in a refusal that is true and tells the caller when to come back, so they stay as they are.

--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -272,8 +272,11 @@
 
 void Gateway::Impl::onDeadline(CallId id)
 {
-    if (Call* call = this->find(id))
-        this->failCall(*call, RejectionReason::TimedOut);
+    Call* call = this->find(id);
+    if (!call)
+        return;
+    const bool isBeingStored = call->storeStarted && !call->storeEnded;
+    this->failCall(*call, isBeingStored ? RejectionReason::JournalsUnavailable : RejectionReason::TimedOut);
 }
 
 void Gateway::Impl::refuseUnrouted(CallId id, const GatewayCall& call, RejectionReason reason)
@@ -333,6 +336,7 @@
     this->dequeue(call);
     this->timers.cancel(call.deadlineTimer);
     this->timers.cancel(call.stallTimer);
+    this->timers.cancel(call.storeTimer);
     CallEnd end;
     end.request = call.call.request;
     end.program = call.call.program;
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -2,6 +2,9 @@
 
 namespace Rattandeck {
 
+/// Pause before a turn that too few journals have acknowledged is stored again.
+constexpr Milliseconds storeRetryDelay { 50 };
+
 static bool isSuccess(const EndpointAnswer& answer) { return answer.status >= 200 && answer.status < 300; }
 
 // Public -------------------------------------------------------------------------------------------------------------
@@ -159,17 +162,22 @@
 }
 
 /// Stores the turn in the journals. The answer ends only after that, since its end tells the caller that the turn can
-/// be continued.
+/// be continued. Until the call's deadline the turn is stored again when too few journals have acknowledged it.
 void Gateway::Impl::store(Call& call)
 {
     call.storeStarted = this->timers.now();
-    RetainedTurn turn;
+    RetainedTurn& turn = call.retained;
     turn.id = call.call.request;
     turn.previous = call.call.previousTurn;
     turn.input = std::move(call.call.body);
     turn.output = std::move(call.output);
     turn.retention = this->retention(call);
-    this->journals.store(turn, call.transcript,
+    this->sendToStore(call);
+}
+
+void Gateway::Impl::sendToStore(Call& call)
+{
+    this->journals.store(call.retained, call.transcript,
         [this, id = call.id](tl::expected<void, JournalError> outcome) { this->onStored(id, outcome); });
 }
 
@@ -178,11 +186,15 @@
     Call* call = this->find(id);
     if (!call)
         return;
-    call->storeEnded = this->timers.now();
-    if (outcome)
+    if (outcome) {
+        call->storeEnded = this->timers.now();
         this->complete(*call);
-    else
-        this->failCall(*call, RejectionReason::JournalsUnavailable);
+        return;
+    }
+    call->storeTimer = this->timers.subscribeAfter(storeRetryDelay, [this, id] {
+        if (Call* open = this->find(id))
+            this->sendToStore(*open);
+    });
 }
 
 }
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -57,8 +57,10 @@
     std::string lastEvent;
     std::uint64_t events = 0;
     std::string output;
+    RetainedTurn retained;
     std::optional<TimePoint> storeStarted;
     std::optional<TimePoint> storeEnded;
+    TimerId storeTimer;
 };
 
 struct Gateway::Impl {
@@ -141,6 +143,7 @@
     /// Ends the answer of a stream whose events have all been relayed.
     void complete(Call& call);
     void store(Call& call);
+    void sendToStore(Call& call);
     void onStored(CallId id, const tl::expected<void, JournalError>& outcome);
 };
 
