--- a/src/include/Rattandeck/journalclient.h
+++ b/src/include/Rattandeck/journalclient.h
@@ -55,6 +55,8 @@
     /// Time-out for a quorum of answers. It must be shorter than the time in which a machine that lost its disk can
     /// restart. Otherwise an operation could include an acknowledgement for a copy that was lost with the disk.
     Milliseconds answerTimeout { 700 };
+    /// A fetch asks one more member whenever this time has passed without the turn.
+    Milliseconds hedgeDelay { 150 };
     /// Copies on disk that a record needs before its write is reported as successful.
     std::size_t copies = 2;
     /// Size of the in-memory cache of transcripts, which serves the next turns of their chains, in bytes.
@@ -64,10 +66,11 @@
     Milliseconds cacheRetention { 15000 };
 };
 
-/// A gateway's client of the journals. Every record is sent to all members; a write succeeds once
-/// `JournalClientLimits::copies` members have it on disk. A negative answer (no such turn, no other claims) needs a
-/// quorum that overlaps with every possible set of copies: with two copies, all members but one. There is no leader, so
-/// no election is needed while a member is unreachable.
+/// A gateway's client of the journals. Every record is sent to all members, and a transcript is fetched from one of
+/// them, others being asked only when it lacks the turn or is slow. A write succeeds once `JournalClientLimits::copies`
+/// members have it on disk. A negative answer (no such turn, no other claims) needs a quorum that overlaps with every
+/// possible set of copies: with two copies, all members but one. There is no leader, so no election is needed while a
+/// member is unreachable.
 ///
 /// Two concurrent claims on one budget are both answered by at least one common journal, so at least one of them sees
 /// the other. A claim that sees another unsettled claim is sent a second time before it is admitted. Together,
@@ -93,6 +96,8 @@
     const JournalSet& members() const;
     /// Whether the members among `linked` form a quorum. Claiming tokens and continuing a turn need a quorum.
     bool hasQuorum(const std::set<NodeId>& linked) const;
+    /// Tells that a member is in the same failure domain as this gateway. Fetches ask such members first.
+    void setNear(const NodeId& member);
     void onMessage(const NodeId& from, const Message& message);
     /// The link to a member broke: its outstanding answers will not arrive.
     void onLinkDown(const NodeId& member);
--- a/src/librattandeck/journalclient.cpp
+++ b/src/librattandeck/journalclient.cpp
@@ -39,6 +39,9 @@
         std::set<NodeId> awaited;
         /// Members whose answers count towards the quorum.
         std::set<NodeId> answered;
+        /// For fetches: the members that have been asked under this set, with any outcome.
+        std::set<NodeId> asked;
+        TimerId hedgeTimer;
 
         BudgetId budget;
         TurnId turn;
@@ -78,6 +81,10 @@
     std::uint64_t lastTicket = 0;
     std::unordered_map<JournalTicket, Operation> operations;
     std::function<void(const JournalOperationResult&)> observer;
+    /// Members in this gateway's failure domain.
+    std::set<NodeId> nearMembers;
+    /// Position in the set at which the next fetch begins, so that fetches are spread over the members.
+    std::size_t nextFirst = 0;
 
     std::unordered_map<TurnId, CachedTranscript> cache;
     /// Keys of `cache`, the oldest entry first.
@@ -95,10 +102,16 @@
     JournalTicket nextTicket() { return JournalTicket(++this->lastTicket); }
     void start(JournalTicket ticket, Operation operation);
     void sendToMembers(JournalTicket ticket);
+    std::vector<NodeId> fetchOrder();
+    void askMore(Operation& fetch, std::size_t count);
+    void askFurther(JournalTicket ticket);
+    void scheduleHedge(JournalTicket ticket, Operation& fetch);
+    void hedge(JournalTicket ticket);
     void adopt(const JournalSet& later);
     bool isMember(const NodeId& node) const;
     Operation* recordAnswer(JournalTicket ticket, const NodeId& from, Epoch epoch);
     void evaluate(JournalTicket ticket);
+    std::size_t unasked(const Operation& operation) const;
     void evaluateClaim(JournalTicket ticket, Operation& operation);
     void repeatClaim(JournalTicket ticket);
     void fail(JournalTicket ticket, JournalError error);
@@ -127,8 +140,70 @@
         if (const auto self = weak.lock())
             self->fail(ticket, JournalError::Unavailable);
     });
-    this->operations.emplace(ticket, std::move(operation));
-    this->sendToMembers(ticket);
+    const bool isFetch = operation.kind == Operation::Kind::Fetch;
+    Operation& started = this->operations.emplace(ticket, std::move(operation)).first->second;
+    if (!isFetch) {
+        this->sendToMembers(ticket);
+        return;
+    }
+    this->askMore(started, 1);
+    this->scheduleHedge(ticket, started);
+    this->evaluate(ticket);
+}
+
+/// A fetch has waited for `hedgeDelay`: asks one more member.
+void JournalClient::Impl::hedge(JournalTicket ticket)
+{
+    const auto found = this->operations.find(ticket);
+    if (found == this->operations.end())
+        return;
+    this->askMore(found->second, 1);
+    this->scheduleHedge(ticket, found->second);
+}
+
+/// The members in the order in which a fetch asks them: near ones first, beginning at a different one each time.
+std::vector<NodeId> JournalClient::Impl::fetchOrder()
+{
+    const auto& members = this->set.members;
+    std::vector<NodeId> order;
+    std::vector<NodeId> remote;
+    const std::size_t first = this->nextFirst++;
+    for (std::size_t i = 0; i < members.size(); ++i) {
+        const NodeId& node = members[(first + i) % members.size()].node;
+        (this->nearMembers.contains(node) ? order : remote).push_back(node);
+    }
+    order.insert(order.end(), remote.begin(), remote.end());
+    return order;
+}
+
+/// Sends a fetch to `count` further members, as far as there are any with a link.
+void JournalClient::Impl::askMore(Operation& fetch, std::size_t count)
+{
+    for (const NodeId& node : this->fetchOrder()) {
+        if (count == 0)
+            return;
+        if (!fetch.asked.insert(node).second || !this->send(node, fetch.request))
+            continue;
+        fetch.awaited.insert(node);
+        --count;
+    }
+}
+
+/// A member could not give the turn: asks as many further members as have been asked, since a quorum is needed to tell
+/// that the turn is missing.
+void JournalClient::Impl::askFurther(JournalTicket ticket)
+{
+    const auto found = this->operations.find(ticket);
+    if (found != this->operations.end() && found->second.kind == Operation::Kind::Fetch)
+        this->askMore(found->second, std::max<std::size_t>(found->second.asked.size(), 1));
+}
+
+void JournalClient::Impl::scheduleHedge(JournalTicket ticket, Operation& fetch)
+{
+    fetch.hedgeTimer = this->timers.subscribeAfter(this->limits.hedgeDelay, [weak = this->weak_from_this(), ticket] {
+        if (const auto self = weak.lock())
+            self->hedge(ticket);
+    });
 }
 
 bool JournalClient::Impl::isMember(const NodeId& node) const
@@ -163,8 +238,17 @@
         std::erase_if(operation.answered, isDiscarded);
     }
     for (const JournalTicket ticket : tickets) {
-        if (this->operations.contains(ticket))
+        const auto found = this->operations.find(ticket);
+        if (found == this->operations.end())
+            continue;
+        if (found->second.kind != Operation::Kind::Fetch) {
             this->sendToMembers(ticket);
+            continue;
+        }
+        const std::size_t asked = std::max<std::size_t>(found->second.asked.size(), 1);
+        found->second.asked.clear();
+        this->askMore(found->second, asked);
+        this->evaluate(ticket);
     }
 }
 
@@ -174,6 +258,7 @@
     Operation operation = std::move(found->second);
     this->operations.erase(found);
     this->timers.cancel(operation.timer);
+    this->timers.cancel(operation.hedgeTimer);
     return operation;
 }
 
@@ -247,7 +332,7 @@
     Operation& operation = found->second;
     const bool isStore = operation.kind == Operation::Kind::Store;
     const std::size_t needed = isStore ? this->limits.copies : this->quorumSize();
-    if (operation.answered.size() + operation.awaited.size() < needed) {
+    if (operation.answered.size() + operation.awaited.size() + this->unasked(operation) < needed) {
         this->fail(ticket, JournalError::Unavailable);
         return;
     }
@@ -268,6 +353,16 @@
     }
 }
 
+/// The number of members that a fetch may still ask.
+std::size_t JournalClient::Impl::unasked(const Operation& operation) const
+{
+    if (operation.kind != Operation::Kind::Fetch)
+        return 0;
+    const auto count = std::ranges::count_if(this->set.members,
+        [&operation](const JournalMember& member) { return !operation.asked.contains(member.node); });
+    return static_cast<std::size_t>(count);
+}
+
 void JournalClient::Impl::evaluateClaim(JournalTicket ticket, Operation& operation)
 {
     const TokenCount tokensOfOthers = sumOtherClaims(operation);
@@ -340,6 +435,7 @@
     if (!this->recordAnswer(answer.ticket, from, answer.epoch))
         return;
     if (!answer.isFound) {
+        this->askFurther(answer.ticket);
         this->evaluate(answer.ticket);
         return;
     }
@@ -355,8 +451,10 @@
 void JournalClient::Impl::onInconclusive(const NodeId& from, const JournalInconclusive& answer)
 {
     const auto found = this->operations.find(answer.ticket);
-    if (found != this->operations.end() && found->second.awaited.erase(from) > 0)
-        this->evaluate(answer.ticket);
+    if (found == this->operations.end() || found->second.awaited.erase(from) == 0)
+        return;
+    this->askFurther(answer.ticket);
+    this->evaluate(answer.ticket);
 }
 
 /// A journal has only the end of a chain. Requests the missing beginning from all members.
@@ -367,6 +465,7 @@
     rest.suffix = answer.transcript + rest.suffix;
     rest.awaited.clear();
     rest.answered.clear();
+    rest.asked.clear();
     const JournalTicket next = this->nextTicket();
     rest.request = FetchTurn { next, rest.turn };
     this->start(next, std::move(rest));
@@ -448,6 +547,8 @@
         this->impl->onInconclusive(from, *inconclusive);
 }
 
+void JournalClient::setNear(const NodeId& member) { this->impl->nearMembers.insert(member); }
+
 void JournalClient::onLinkDown(const NodeId& member)
 {
     std::vector<JournalTicket> affected;
@@ -455,8 +556,10 @@
         if (operation.awaited.erase(member) > 0)
             affected.push_back(ticket);
     }
-    for (const JournalTicket ticket : affected)
+    for (const JournalTicket ticket : affected) {
+        this->impl->askFurther(ticket);
         this->impl->evaluate(ticket);
+    }
 }
 
 void JournalClient::claim(const BudgetId& budget, const TurnId& turn, TokenCount maxTokens, TokenCount limit,
--- a/src/librattandeck/journalclient_test.cpp
+++ b/src/librattandeck/journalclient_test.cpp
@@ -29,6 +29,8 @@
     CPPUNIT_TEST(storeFailsWithOneCopy);
     CPPUNIT_TEST(notFoundNeedsAllMembersButOne);
     CPPUNIT_TEST(fetchSucceedsWithOneJournal);
+    CPPUNIT_TEST(fetchAsksOneMemberAtATimeWhileTheyAreSilent);
+    CPPUNIT_TEST(fetchAsksAnotherMemberWhenALinkBreaks);
     CPPUNIT_TEST(chainSplitAcrossJournalsIsJoined);
     CPPUNIT_TEST(chainWithoutBeginningIsUnavailable);
     CPPUNIT_TEST(nonVotingJournalIsNotPartOfAQuorum);
@@ -201,11 +203,41 @@
     void fetchSucceedsWithOneJournal()
     {
         this->addRecord("c", turn("1", ""));
+        this->client->setNear(NodeId("c"));
         const auto outcome = this->fetch("1");
         this->run("c");
         CPPUNIT_ASSERT(outcome->has_value() && ***outcome == std::string("in-1 out-1\n"));
     }
 
+    /// Lets a fetch ask further members while those that it has asked are silent.
+    void advanceByHedges(int count)
+    {
+        this->timers.advanceTo(this->timers.now() + count * JournalClientLimits().hedgeDelay);
+    }
+
+    std::size_t inboxSize(const char* name) { return this->journals.at(NodeId(name)).inbox.size(); }
+
+    void fetchAsksOneMemberAtATimeWhileTheyAreSilent()
+    {
+        const auto outcome = this->fetch("1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->inboxSize("a") + this->inboxSize("b") + this->inboxSize("c"));
+        this->advanceByHedges(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->inboxSize("a") + this->inboxSize("b") + this->inboxSize("c"));
+        this->advanceByHedges(1);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->inboxSize("a") + this->inboxSize("b") + this->inboxSize("c"));
+        CPPUNIT_ASSERT(!outcome->has_value());
+    }
+
+    void fetchAsksAnotherMemberWhenALinkBreaks()
+    {
+        this->addRecord("b", turn("1", ""));
+        const auto outcome = this->fetch("1");
+        this->journals.at(NodeId("a")).isUp = false;
+        this->client->onLinkDown(NodeId("a"));
+        this->run("b");
+        CPPUNIT_ASSERT(outcome->has_value() && (*outcome)->has_value());
+    }
+
     void chainSplitAcrossJournalsIsJoined()
     {
         // Each turn has two copies, but no journal has the whole chain.
@@ -237,6 +269,7 @@
     {
         this->journals.at(NodeId("a")).isVoting = false;
         const auto outcome = this->fetch("1");
+        this->advanceByHedges(2);
         this->run("a");
         this->run("b");
         CPPUNIT_ASSERT(!outcome->has_value());
@@ -362,6 +395,7 @@
     {
         this->client->setMembers(setOf(2, { "a", "b", "c" }));
         const auto outcome = this->fetch("1");
+        this->advanceByHedges(2);
         this->run("a");
         this->run("b");
         CPPUNIT_ASSERT(!outcome->has_value());
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -195,6 +195,8 @@
         logEvent("journal link up", hello.node.value);
         if (hello.role == Role::Journal)
             this->linkedJournals.insert(hello.node);
+        if (hello.domain.value == this->settings.instance.domain)
+            this->journals.setNear(hello.node);
         this->checkJournals();
         this->gossip.onLinkUp(hello.node);
     };
