Prefer one instance for all turns of a program, at every gateway

Change: of a service's instances, the one with the highest hash of its id and the program (rendezvous hashing) is counted as having the prefix; reading a prompt costs in proportion to the calls that wait for it; a stale report counts as the mean load, not as no load.

--- a/src/include/Rattandeck/endpoints.h
+++ b/src/include/Rattandeck/endpoints.h
@@ -54,6 +54,9 @@
     std::string subject;
     /// The caller's failure domain.
     FailureDomain domain;
+    /// Calls with the same key share the beginning of their prompts, beyond what all calls share. All processes prefer
+    /// the same instance for a key. Empty if there is no such key.
+    std::string prefixKey;
     /// Instances that this call has been sent to already.
     std::set<EndpointId> excluded;
 };
@@ -73,10 +76,11 @@
 /// Cost model of the placement. Each value in milliseconds estimates how much latency a property of the instance adds
 /// to a call.
 struct EndpointCosts {
-    /// Latency added by each other call in the engine's batch.
+    /// Latency that each other call in the engine's batch adds.
     double batchedCallMs = 8.5;
     /// Latency added by each call that waits for a slot.
     double queuedCallMs = 30;
+    /// Rate at which an engine reads the part of a prompt that it has not cached. The batch waits meanwhile.
     double prefillTokensPerMs = 400;
     double crossDomainMs = 7;
     /// Time saved by an instance that has recently served the same subject.
@@ -84,12 +88,17 @@
     /// Penalty for an instance that failed within `failurePenaltyPeriod`.
     double recentFailureMs = 150;
     Milliseconds failurePenaltyPeriod { 2000 };
-    /// The weight of a load report falls linearly with its age, to zero at this age.
+    /// The weight of a load report falls linearly with its age, to zero at this age. The rest of the weight is that of
+    /// the mean load of the other instances.
     Milliseconds maxReportAge { 2000 };
 };
 
 /// The instances of all services, with an estimate of their load.
 ///
+/// A call with a `prefixKey` is preferably sent to the instance with the highest hash of its id and the key, its home
+/// (rendezvous hashing: Thaler and Ravishankar, 1998), so that the turns of a program find their prefix cached although
+/// different processes place them. A home that is busier than others by more than the prefix is worth is passed over.
+///
 /// Thread safety: not synchronised.
 class EndpointTable {
 public:
--- a/src/librattandeck/endpoints.cpp
+++ b/src/librattandeck/endpoints.cpp
@@ -48,6 +48,13 @@
         RecentParts parts;
     };
 
+    /// Load of a service's instances at one moment.
+    struct ServiceLoad {
+        TimePoint now;
+        /// Mean number of calls of other processes at the instances that have reported recently.
+        double meanOtherCalls = 0;
+    };
+
     double age(TimePoint since, TimePoint now) { return std::chrono::duration<double>(now - since).count(); }
 
 }
@@ -70,20 +77,63 @@
         return found == this->instances.end() ? nullptr : &found->second;
     }
 
-    double expectedLoad(const InstanceState& state, TimePoint now) const;
+    ServiceLoad loadOf(const std::vector<InstanceState*>& instances, TimePoint now) const;
+    double expectedLoad(const InstanceState& state, const ServiceLoad& service) const;
     std::int64_t cachedTokens(const InstanceState& state, const PlacementQuery& query) const;
-    double cost(const InstanceState& state, const PlacementQuery& query, TimePoint now) const;
+    double cost(const InstanceState& state, const PlacementQuery& query, const ServiceLoad& service, bool isHome) const;
 };
 
 // Estimates ------------------------------------------------------------------------------------------------------
 
-double EndpointTable::Impl::expectedLoad(const InstanceState& state, TimePoint now) const
+ServiceLoad EndpointTable::Impl::loadOf(const std::vector<InstanceState*>& instances, TimePoint now) const
+{
+    double calls = 0;
+    std::size_t reports = 0;
+    for (const InstanceState* state : instances) {
+        if (!state->reportedAt || now - *state->reportedAt >= this->costs.maxReportAge)
+            continue;
+        calls += state->otherCalls;
+        ++reports;
+    }
+    return { now, reports == 0 ? 0 : calls / static_cast<double>(reports) };
+}
+
+double EndpointTable::Impl::expectedLoad(const InstanceState& state, const ServiceLoad& service) const
 {
     if (!state.reportedAt)
         return state.ownCalls;
     const double maxAge = std::chrono::duration<double>(this->costs.maxReportAge).count();
-    const double weight = std::max(0.0, 1 - age(*state.reportedAt, now) / maxAge);
-    return state.ownCalls + state.otherCalls * weight;
+    const double weight = std::max(0.0, 1 - age(*state.reportedAt, service.now) / maxAge);
+    return state.ownCalls + state.otherCalls * weight + service.meanOtherCalls * (1 - weight);
+}
+
+/// The instance that all processes prefer for the query's key; null if there is none.
+static const InstanceState* homeOf(const PlacementQuery& query, const std::vector<InstanceState*>& instances)
+{
+    if (query.prefixKey.empty() || query.prompt.empty())
+        return nullptr;
+    const InstanceState* home = nullptr;
+    XXH64_hash_t highest = 0;
+    const XXH64_hash_t seed = XXH3_64bits(query.prefixKey.data(), query.prefixKey.size());
+    for (const InstanceState* state : instances) {
+        if (state->instance.isDraining)
+            continue;
+        const std::string& id = state->instance.id.value;
+        const XXH64_hash_t hash = XXH3_64bits_withSeed(id.data(), id.size(), seed);
+        if (home && hash <= highest)
+            continue;
+        home = state;
+        highest = hash;
+    }
+    return home;
+}
+
+static std::int64_t promptTokens(const PlacementQuery& query)
+{
+    std::int64_t tokens = 0;
+    for (const PromptPart& part : query.prompt)
+        tokens += part.tokens.value;
+    return tokens;
 }
 
 std::int64_t EndpointTable::Impl::cachedTokens(const InstanceState& state, const PlacementQuery& query) const
@@ -98,21 +148,25 @@
     return cached;
 }
 
-double EndpointTable::Impl::cost(const InstanceState& state, const PlacementQuery& query, TimePoint now) const
+double EndpointTable::Impl::cost(
+    const InstanceState& state, const PlacementQuery& query, const ServiceLoad& service, bool isHome) const
 {
-    const double load = this->expectedLoad(state, now);
+    const double load = this->expectedLoad(state, service);
     const double slots = std::max<std::uint32_t>(state.instance.slots, 1);
-    double cost = std::min(load, slots) * this->costs.batchedCallMs;
+    const double batch = std::min(load, slots);
+    double cost = batch * this->costs.batchedCallMs;
     cost += std::max(0.0, load - slots + 1) * this->costs.queuedCallMs;
-    std::int64_t promptTokens = 0;
-    for (const PromptPart& part : query.prompt)
-        promptTokens += part.tokens.value;
-    cost += static_cast<double>(promptTokens - this->cachedTokens(state, query)) / this->costs.prefillTokensPerMs;
+    const std::int64_t prompt = promptTokens(query);
+    std::int64_t cached = this->cachedTokens(state, query);
+    // Earlier turns of the program were probably sent to its home by other processes: only the last part is new there.
+    if (isHome)
+        cached = std::max(cached, prompt - query.prompt.back().tokens.value);
+    cost += static_cast<double>(prompt - cached) / this->costs.prefillTokensPerMs * (1 + batch);
     if (state.instance.domain != query.domain)
         cost += this->costs.crossDomainMs;
     if (!query.subject.empty() && state.parts.contains(PromptPartId(query.subject)))
         cost -= this->costs.subjectAffinityMs;
-    if (state.failedAt && now - *state.failedAt < this->costs.failurePenaltyPeriod)
+    if (state.failedAt && service.now - *state.failedAt < this->costs.failurePenaltyPeriod)
         cost += this->costs.recentFailureMs;
     return cost;
 }
@@ -167,12 +221,14 @@
     const auto candidates = this->impl->byService.find(query.service);
     if (candidates == this->impl->byService.end())
         return std::nullopt;
+    const ServiceLoad service = this->impl->loadOf(candidates->second, now);
+    const InstanceState* home = homeOf(query, candidates->second);
     const InstanceState* best = nullptr;
     double bestCost = 0;
     for (const InstanceState* state : candidates->second) {
         if (state->instance.isDraining || query.excluded.contains(state->instance.id))
             continue;
-        const double cost = this->impl->cost(*state, query, now);
+        const double cost = this->impl->cost(*state, query, service, state == home);
         if (best && cost >= bestCost)
             continue;
         best = state;
@@ -183,7 +239,7 @@
     PlacementChoice choice;
     choice.endpoint = best->instance.id;
     choice.address = best->instance.address;
-    choice.expectedLoad = this->impl->expectedLoad(*best, now);
+    choice.expectedLoad = this->impl->expectedLoad(*best, service);
     if (best->reportedAt)
         choice.reportAge = std::chrono::duration_cast<Milliseconds>(now - *best->reportedAt);
     choice.slots = best->instance.slots;
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -134,6 +134,7 @@
     if (route->isSticky)
         state->query.subject = call.subject;
     state->query.domain = self.domain;
+    state->query.prefixKey = call.program.value;
     state->call = std::move(call);
     state->lastEvent = state->call.resumeAfter;
     state->deadlineTimer
