Don't take a connection that is not made in time for a crash

Cause: a connection attempt that took over 250 ms was reported like a refused one, and any lost answers at that instance within the last seconds then counted as crashes of their requests. Three of them for one request would have refused it for good. Change: such an attempt ends as not sent; only a refused connection, a restart or a removal is evidence of a crash. That a request was refused for this reason has not been seen.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -78,7 +78,7 @@
     Complete,
     /// No byte of the call was sent.
     NotSent,
-    /// No connection to the instance could be established, so that nothing was sent.
+    /// The instance's machine refused the connection, so that nothing was sent: no process listens there.
     Unreachable,
     /// The answer is missing or incomplete; the call may have run.
     Broken,
--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -128,7 +128,7 @@
     HttpClient(EventLoop& loop, Address server, std::size_t maxConnections = 64);
     ~HttpClient();
 
-    /// Sets a timeout for new connections; a call whose connection exceeds it fails with `ConnectFailed`. By default
+    /// Sets a timeout for new connections; a call whose connection exceeds it fails with `NotSent`. By default
     /// only the timeout of the call applies.
     void setConnectTimeout(std::chrono::milliseconds timeout);
 
--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(urgentCallsLeaveTheQueueFirst);
     CPPUNIT_TEST(requestThatCrashesInstancesIsQuarantined);
     CPPUNIT_TEST(lostAnswersAloneDoNotQuarantine);
+    CPPUNIT_TEST(onlyARefusedConnectionIsEvidenceOfACrash);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<GatewayFixture> f;
@@ -313,6 +314,21 @@
         this->callOn("unsafe");
         CPPUNIT_ASSERT_EQUAL(before + 1, this->f->sends.size());
     }
+
+    void onlyARefusedConnectionIsEvidenceOfACrash()
+    {
+        GatewayFixture one;
+        one.configure({ GatewayFixture::route("unsafe", CallSafety::Unsafe) });
+        one.addInstance("e1");
+        one.call(GatewayFixture::callOn("unsafe"));
+        one.end(one.sends.back(), SendOutcome::Broken);
+        one.call(GatewayFixture::callOn("unsafe"));
+        one.end(one.sends.back(), SendOutcome::NotSent);
+        CPPUNIT_ASSERT(one.reports.empty());
+        one.call(GatewayFixture::callOn("unsafe"));
+        one.end(one.sends.back(), SendOutcome::Unreachable);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), one.reports.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
