Add a failing test for the time-out of calls started outside handlers

Cause: KNOWN-RED entry errorTellsWhetherTheRequestWasSent. HttpClient::start counts the time-out from TimerService::now(), which the event loop sets only when a handler begins. Test fixtures are all made before the first test runs, so in a run of the whole suite the time-outs of 200 and 100 ms were over when the loop began: both calls ended 1.1 ms after their start (200.2 to 200.7 ms when the test ran alone), and the test passed only because the server's handler ran before the first check, 1 ms later. Evidence: a busy pause of 2 ms in the first check of runUntil makes the whole suite fail exactly as listed (expected 1, got 0), since the check is then due with the time-outs and ends the test before the server has read; the test alone passes with pauses of 2 and 250 ms. That is why pauses in runs of the test alone did not reproduce it. Change: a test of the documented promise that the time-out covers the whole call, with a sleep of twice the time-out before the call. It asserts a lower bound only, so a slow machine can't fail it.

--- a/src/librattandecknet/http_test.cpp
+++ b/src/librattandecknet/http_test.cpp
@@ -3,6 +3,7 @@
 #include "testloop.h"
 
 #include <ctime>
+#include <thread>
 #include <vector>
 
 using namespace RattandeckNet;
@@ -24,6 +25,7 @@
     CPPUNIT_TEST(cancelledCallIsReportedToTheServer);
     CPPUNIT_TEST(slowReaderIsDisconnected);
     CPPUNIT_TEST(errorTellsWhetherTheRequestWasSent);
+    CPPUNIT_TEST(callStartedLongAfterTheLastHandlerHasItsWholeTimeout);
     CPPUNIT_TEST(closedIdleConnectionIsReplaced);
     CPPUNIT_TEST(unsolicitedResponseIsNotDeliveredToALaterCall);
     CPPUNIT_TEST(answerToAnotherCallIsSkipped);
@@ -282,6 +284,19 @@
         CPPUNIT_ASSERT(this->fetch(nowhere, {}).error() == NetError::BadAddress);
     }
 
+    void callStartedLongAfterTheLastHandlerHasItsWholeTimeout()
+    {
+        constexpr std::chrono::milliseconds timeout { 100 };
+        std::vector<HttpResponder> unanswered;
+        const auto port
+            = this->serve([&](const HttpRequest&, const HttpResponder& responder) { unanswered.push_back(responder); });
+        HttpClient client(this->test.loop, { "127.0.0.1", port });
+        std::this_thread::sleep_for(2 * timeout);
+        const auto startedAt = std::chrono::steady_clock::now();
+        CPPUNIT_ASSERT(!this->fetch(client, {}, timeout).has_value());
+        CPPUNIT_ASSERT(std::chrono::steady_clock::now() - startedAt >= timeout);
+    }
+
     void closedIdleConnectionIsReplaced()
     {
         const auto answer = [](const HttpRequest&, const HttpResponder& responder) { responder.send({}); };
