Count the time-out of an HTTP call from its start, also outside handlers

Seen: a call of 100 ms that was started 200 ms after the loop's last handler ended at once; in a test program, two calls of 200 and 100 ms ended after 1 ms. Cause: HttpClient::start adds the time-out to TimerService::now(), which only the beginning of a handler sets. Before the first run of the loop it is the time at which the loop was made. Class of fault: a cached time used where nothing refreshes it. Change: HttpClient::start sets the timers' time first; the function that does so is named after what it does (updateTime, formerly beforeHandler). Calls from handlers see the present, too, rather than the time at which the handler began.

--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -132,7 +132,8 @@
     /// only the timeout of the call applies.
     void setConnectTimeout(std::chrono::milliseconds timeout);
 
-    /// Streams the response to `callbacks`, never within this call. `timeout` covers the whole call.
+    /// Streams the response to `callbacks`, never within this call. `timeout` covers the whole call and counts from
+    /// now, also outside the loop's handlers.
     CallId start(const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallbacks callbacks);
     /// Collects the whole response, with a body of at most `maxBody` bytes.
     CallId fetch(const HttpRequest& request, std::chrono::milliseconds timeout,
--- a/src/librattandecknet/eventloop.cpp
+++ b/src/librattandecknet/eventloop.cpp
@@ -49,11 +49,11 @@
     : work(this->context.get_executor())
     , alarm(this->context.get_executor(), createAlarm())
 {
-    this->timers.updateNow(bootTime());
+    this->updateTime();
     this->waitForAlarm();
 }
 
-void EventLoop::Impl::beforeHandler() { this->timers.updateNow(bootTime()); }
+void EventLoop::Impl::updateTime() { this->timers.updateNow(bootTime()); }
 
 void EventLoop::Impl::afterHandler()
 {
@@ -74,7 +74,7 @@
         if (read(this->alarm.native_handle(), &expirations, sizeof(expirations)) > 0)
             this->alarmTime.reset();
         // If the process was paused, subscribers must see the current time, not the time at which they were due.
-        this->timers.updateNow(bootTime());
+        this->updateTime();
         this->timers.advanceTo(bootTime());
         this->afterHandler();
         this->waitForAlarm();
@@ -115,7 +115,7 @@
 
 void EventLoop::run()
 {
-    this->impl->beforeHandler();
+    this->impl->updateTime();
     this->impl->afterHandler();
     this->impl->context.run();
     this->impl->context.restart();
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -532,6 +532,8 @@
     call->isHead = request.method == "HEAD";
     call->callbacks = std::move(callbacks);
     const std::weak_ptr<Impl> weak = this->impl;
+    // Outside handlers the timers still have the time of the last one.
+    this->impl->loop.updateTime();
     call->timer = this->impl->loop.timers.subscribeAfter(timeout, [weak, id = call->id] {
         if (const auto client = weak.lock())
             client->expire(id);
--- a/src/librattandecknet/loopimpl.h
+++ b/src/librattandecknet/loopimpl.h
@@ -31,8 +31,8 @@
     boost::asio::executor_work_guard<Executor> work;
     boost::asio::posix::basic_stream_descriptor<Executor> alarm;
 
-    /// Updates the timers' current time for the handler that runs next.
-    void beforeHandler();
+    /// Sets the timers' time to the present.
+    void updateTime();
     /// Sets the alarm for timers subscribed by the handler.
     void afterHandler();
     void waitForAlarm();
@@ -41,7 +41,7 @@
     template <typename Handler> auto bind(Handler handler)
     {
         return [this, handler = std::move(handler)](auto&&... arguments) mutable {
-            this->beforeHandler();
+            this->updateTime();
             handler(std::forward<decltype(arguments)>(arguments)...);
             this->afterHandler();
         };
