Move the gateway's feed of configuration and instances to a class of its own

Change: StoreFeed holds the second job with its state (the time of the reconnection, instances that the store omits, the gossip table).

--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -2,10 +2,10 @@
 
 #include "platform/names.h"
 #include "platform/objectcodec.h"
-#include "Rattandeck/gossip.h"
 #include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
 #include "relay.h"
+#include "storefeed.h"
 
 #include <csignal>
 
@@ -45,13 +45,6 @@
 constexpr Milliseconds sweepInterval { 2000 };
 /// Interval at which the journal set is read from the store while it is unknown or no journal is connected.
 constexpr Milliseconds journalSearchInterval { 500 };
-/// The store may omit running instances for some time after an outage. An instance that disappears from the store
-/// within this period is therefore kept until the period ends.
-constexpr Milliseconds relistGracePeriod { 2000 };
-/// Delay before an update is requested from another process, since it usually arrives from the store in the meantime.
-constexpr Milliseconds gossipRequestDelay { 250 };
-constexpr const char* configTopic = "config";
-constexpr std::string_view endpointTopicPrefix = "endpoint/";
 /// Delay from the start of a planned stop until connections are no longer accepted: the load balancer removes the
 /// gateway only after two failed readiness checks.
 constexpr Milliseconds stopAcceptingDelay { 3500 };
@@ -78,13 +71,6 @@
 
     // Store
     void watchStore(const Address& address);
-    void onConfig(const Platform::StoredObject& object);
-    void onEndpoints(const std::vector<Platform::StoredObject>& objects);
-    void onEndpoint(const Platform::StoredObject& object, bool isRemoved);
-    void removeEndpoint(const EndpointId& id);
-    void dropEndpoint(const EndpointId& id);
-    void onGossip(const GossipItem& item);
-    void onStoreReachable(bool isReachable);
     void findJournals();
 
     // Journals
@@ -110,15 +96,11 @@
     HttpServer admin;
     std::unique_ptr<Platform::ObjectStore> store;
     std::set<NodeId> linkedJournals;
-    GossipTable gossip { this->loop.timers(), { gossipRequestDelay },
+    StoreFeed feed { this->loop, this->relay.gateway(),
         [this](const NodeId& node, const Message& message) { return this->network.send(node, message); },
-        [this](const GossipItem& item) { this->onGossip(item); } };
-    bool hasEndpoints = false;
+        [this] { this->callers.setLimits(this->httpLimits()); } };
     /// Whether enough journals are connected to serve turns.
     bool hasJournalQuorum = false;
-    bool isStoreReachable = false;
-    std::optional<TimePoint> storeReconnectedAt;
-    std::set<EndpointId> unlistedEndpoints;
     SettingsReload<GatewaySettings> reload;
     bool isStopping = false;
     TimePoint stopStartedAt;
@@ -198,13 +180,13 @@
         if (hello.domain.value == this->settings.instance.domain)
             this->journals.setNear(hello.node);
         this->checkJournals();
-        this->gossip.onLinkUp(hello.node);
+        this->feed.onLinkUp(hello.node);
     };
     handlers.onDown = [this](const NodeId& node) {
         logEvent("journal link down", node.value);
         this->linkedJournals.erase(node);
         this->checkJournals();
-        this->gossip.onLinkDown(node);
+        this->feed.onLinkDown(node);
         this->journals.onLinkDown(node);
     };
     handlers.onMessage = [this](const NodeId& from, const Message& message) {
@@ -213,7 +195,7 @@
         if (const auto* crashes = std::get_if<CrashReports>(&message))
             this->relay.gateway().onCrashReports(*crashes);
         this->journals.onMessage(from, message);
-        this->gossip.onMessage(from, message);
+        this->feed.onMessage(from, message);
     };
     return handlers;
 }
@@ -270,7 +252,8 @@
 
 bool Daemon::isReady() const
 {
-    return !this->isStopping && this->relay.gateway().configVersion() && this->hasEndpoints && this->hasJournalQuorum;
+    return !this->isStopping && this->relay.gateway().configVersion() && this->feed.hasEndpoints()
+        && this->hasJournalQuorum;
 }
 
 void Daemon::answerReady(const HttpResponder& responder) const
@@ -317,143 +300,7 @@
 void Daemon::watchStore(const Address& address)
 {
     this->store = std::make_unique<Platform::ObjectStore>(this->loop, address);
-    Platform::KindHandlers config;
-    config.onSnapshot = [this](const std::vector<Platform::StoredObject>& objects) {
-        for (const Platform::StoredObject& object : objects)
-            this->onConfig(object);
-    };
-    config.onChange = [this](const Platform::StoredObject& object, bool isRemoved) {
-        if (!isRemoved)
-            this->onConfig(object);
-    };
-    this->store->follow(Platform::Names::configKind, config);
-
-    Platform::KindHandlers endpoints;
-    endpoints.onSnapshot = [this](const std::vector<Platform::StoredObject>& objects) { this->onEndpoints(objects); };
-    endpoints.onChange
-        = [this](const Platform::StoredObject& object, bool isRemoved) { this->onEndpoint(object, isRemoved); };
-    endpoints.onReachable = [this](bool isReachable) { this->onStoreReachable(isReachable); };
-    this->store->follow(Platform::Names::endpointsKind, endpoints);
-}
-
-void Daemon::onConfig(const Platform::StoredObject& object)
-{
-    if (object.name != Platform::Names::configName)
-        return;
-    this->gossip.publish({ configTopic, object.revision, false, object.spec.dump() });
-    auto config = Platform::readConfig(object.spec);
-    if (!config) {
-        logError("configuration",
-            "revision " + std::to_string(object.revision) + ": missing or invalid field " + config.error().field);
-        return;
-    }
-    const std::uint64_t version = config->version;
-    const std::size_t routes = config->routes.size();
-    if (!this->relay.gateway().setConfig(std::move(*config)))
-        return;
-    this->callers.setLimits(this->httpLimits());
-    logFields("configuration",
-        { { "version", std::int64_t(version) }, { "routes", std::int64_t(routes) },
-            { "revision", std::int64_t(object.revision) } });
-}
-
-static std::string endpointTopic(const EndpointId& id) { return std::string(endpointTopicPrefix) + id.value; }
-
-void Daemon::onEndpoints(const std::vector<Platform::StoredObject>& objects)
-{
-    std::set<EndpointId> listed;
-    for (const Platform::StoredObject& object : objects) {
-        listed.insert(EndpointId(object.name));
-        this->onEndpoint(object, false);
-    }
-    for (const EndpointId& id : this->relay.gateway().endpoints().ids()) {
-        if (!listed.contains(id))
-            this->removeEndpoint(id);
-    }
-    this->hasEndpoints = true;
-}
-
-void Daemon::onEndpoint(const Platform::StoredObject& object, bool isRemoved)
-{
-    const EndpointId id(object.name);
-    if (isRemoved) {
-        this->removeEndpoint(id);
-        return;
-    }
-    this->gossip.publish({ endpointTopic(id), object.revision, false, object.spec.dump() });
-    const auto instance = Platform::readEndpoint(object);
-    if (!instance) {
-        logEvent("endpoint unreadable", object.name + ": missing or invalid field " + instance.error().field);
-        this->relay.gateway().onInstanceRemoved(id);
-        return;
-    }
-    this->unlistedEndpoints.erase(id);
-    const EndpointInstance* known = this->relay.gateway().endpoints().find(id);
-    if (known && *known == *instance)
-        return;
-    this->relay.gateway().onInstance(*instance);
-    logFields("endpoint",
-        { { "endpoint", id.value }, { "service", instance->service.value }, { "address", instance->address },
-            { "draining", std::int64_t(instance->isDraining) }, { "revision", std::int64_t(object.revision) } });
-}
-
-void Daemon::removeEndpoint(const EndpointId& id)
-{
-    const EndpointInstance* known = this->relay.gateway().endpoints().find(id);
-    if (!known)
-        return;
-    const TimePoint now = this->loop.timers().now();
-    const bool mayReappear
-        = this->storeReconnectedAt && now - *this->storeReconnectedAt < relistGracePeriod && !known->isDraining;
-    logFields("endpoint gone", { { "endpoint", id.value }, { "may_be_back", std::int64_t(mayReappear) } });
-    if (!mayReappear) {
-        this->dropEndpoint(id);
-        return;
-    }
-    this->unlistedEndpoints.insert(id);
-    this->loop.timers().subscribeAt(*this->storeReconnectedAt + relistGracePeriod, [this, id] {
-        if (this->unlistedEndpoints.erase(id) > 0)
-            this->dropEndpoint(id);
-    });
-}
-
-void Daemon::dropEndpoint(const EndpointId& id)
-{
-    this->gossip.publishRemoval(endpointTopic(id));
-    this->relay.gateway().onInstanceRemoved(id);
-}
-
-/// Takes an update that another process has read from the store, which may be unreachable from this one.
-void Daemon::onGossip(const GossipItem& item)
-{
-    logFields("news",
-        { { "topic", item.topic }, { "version", std::int64_t(item.version) },
-            { "removed", std::int64_t(item.isRemoved) } });
-    Platform::StoredObject object;
-    object.revision = item.version;
-    object.spec = nlohmann::json::parse(item.text, nullptr, false);
-    if (item.topic == configTopic) {
-        object.name = Platform::Names::configName;
-        this->onConfig(object);
-        return;
-    }
-    if (!item.topic.starts_with(endpointTopicPrefix))
-        return;
-    object.name = item.topic.substr(endpointTopicPrefix.size());
-    if (item.isRemoved) {
-        this->relay.gateway().onInstanceRemoved(EndpointId(object.name));
-        return;
-    }
-    this->onEndpoint(object, false);
-    this->hasEndpoints = true;
-}
-
-void Daemon::onStoreReachable(bool isReachable)
-{
-    logEvent("platform store", isReachable ? "reachable" : "lost");
-    if (isReachable && !this->isStoreReachable && this->hasEndpoints)
-        this->storeReconnectedAt = this->loop.timers().now();
-    this->isStoreReachable = isReachable;
+    this->feed.follow(*this->store);
 }
 
 // Journals -----------------------------------------------------------------------------------------------------------
