Let the test of NotSent and TimedOut wait for requests, not for times

TimedOut says that it is unknown whether the server processed the request, not that it has. Change: equally strict, with events in place of times. The first call holds the only connection until the test ends it, so the second can't be sent, whatever the pause, and must be NotSent. The call that times out runs on a connection that is open, so that it is sent at once, and must be TimedOut; its request must arrive at the server. The server must see these two requests by their paths and no third. New: requestOfATimedOutCallMayArriveLater forces the order that failed: the server's own loop stands still until the call has timed out, so the server has no request then, and gets it afterwards.

--- a/src/librattandecknet/http_test.cpp
+++ b/src/librattandecknet/http_test.cpp
@@ -3,6 +3,7 @@
 #include "testloop.h"
 
 #include <ctime>
+#include <map>
 #include <thread>
 #include <vector>
 
@@ -25,6 +26,7 @@
     CPPUNIT_TEST(cancelledCallIsReportedToTheServer);
     CPPUNIT_TEST(slowReaderIsDisconnected);
     CPPUNIT_TEST(errorTellsWhetherTheRequestWasSent);
+    CPPUNIT_TEST(requestOfATimedOutCallMayArriveLater);
     CPPUNIT_TEST(callStartedLongAfterTheLastHandlerHasItsWholeTimeout);
     CPPUNIT_TEST(closedIdleConnectionIsReplaced);
     CPPUNIT_TEST(unsolicitedResponseIsNotDeliveredToALaterCall);
@@ -263,20 +265,43 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->server->openConnections());
     }
 
+    /// Answers `/answered` and keeps the responders of all other requests. The client may reuse the connection of the
+    /// answered call for as long as a test can last.
+    static HttpServer::Handler keepUnanswered(std::map<std::string, HttpResponder>& unanswered)
+    {
+        return [&unanswered](const HttpRequest& request, const HttpResponder& responder) {
+            if (request.path == "/answered")
+                responder.send({ 200, { { "keep-alive", "timeout=3600" } }, "" });
+            else
+                unanswered.emplace(request.path, responder);
+        };
+    }
+
+    static HttpRequest get(std::string path)
+    {
+        HttpRequest request;
+        request.path = std::move(path);
+        return request;
+    }
+
     void errorTellsWhetherTheRequestWasSent()
     {
-        std::vector<HttpResponder> unanswered;
-        const auto port
-            = this->serve([&](const HttpRequest&, const HttpResponder& responder) { unanswered.push_back(responder); });
+        std::map<std::string, HttpResponder> unanswered;
+        const auto port = this->serve(keepUnanswered(unanswered));
         HttpClient client(this->test.loop, { "127.0.0.1", port }, 1);
-        Outcome first;
-        Outcome second;
-        client.fetch({}, std::chrono::milliseconds(200), [&](auto result) { first = result; });
-        client.fetch({}, std::chrono::milliseconds(100), [&](auto result) { second = result; });
-        this->test.runUntil("both end", [&] { return first && second; });
-        CPPUNIT_ASSERT(first->error() == NetError::TimedOut);
-        CPPUNIT_ASSERT(second->error() == NetError::NotSent);
-        CPPUNIT_ASSERT_EQUAL(std::size_t(1), unanswered.size());
+        const auto held = client.fetch(get("/held"), longTime, [](const auto&) {});
+        this->test.runUntil("the first arrives", [&] { return unanswered.contains("/held"); });
+        const auto waiting = this->fetch(client, get("/waiting"), std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT(waiting.error() == NetError::NotSent);
+        client.cancel(held);
+
+        CPPUNIT_ASSERT_EQUAL(200, this->fetch(client, get("/answered"))->status);
+        // A call on an open connection is sent at once, so that it can't time out before.
+        const auto sent = this->fetch(client, get("/sent"), std::chrono::milliseconds(200));
+        CPPUNIT_ASSERT(sent.error() == NetError::TimedOut);
+        // The server may read the request later than the client gives it up.
+        this->test.runUntil("the sent one arrives", [&] { return unanswered.contains("/sent"); });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), unanswered.size());
 
         this->server.reset();
         CPPUNIT_ASSERT(this->fetch(client, {}).error() == NetError::ConnectFailed);
@@ -284,6 +309,28 @@
         CPPUNIT_ASSERT(this->fetch(nowhere, {}).error() == NetError::BadAddress);
     }
 
+    void requestOfATimedOutCallMayArriveLater()
+    {
+        std::map<std::string, HttpResponder> unanswered;
+        TestLoop serverLoop;
+        HttpServer slowServer(serverLoop.loop, {}, keepUnanswered(unanswered));
+        CPPUNIT_ASSERT(slowServer.listen({ "127.0.0.1", 0 }).has_value());
+        HttpClient client(this->test.loop, { "127.0.0.1", slowServer.port() }, 1);
+        Outcome answered;
+        client.fetch(get("/answered"), longTime, [&](auto result) { answered = std::move(result); });
+        this->test.runUntil("the connection is open", [&] {
+            serverLoop.loop.post([&] { serverLoop.loop.stop(); });
+            serverLoop.loop.run();
+            return answered.has_value();
+        });
+
+        // The server's loop doesn't run until the call has timed out.
+        const auto sent = this->fetch(client, get("/sent"), std::chrono::milliseconds(100));
+        CPPUNIT_ASSERT(sent.error() == NetError::TimedOut);
+        CPPUNIT_ASSERT(unanswered.empty());
+        serverLoop.runUntil("the request arrives", [&] { return unanswered.contains("/sent"); });
+    }
+
     void callStartedLongAfterTheLastHandlerHasItsWholeTimeout()
     {
         constexpr std::chrono::milliseconds timeout { 100 };
