Play gateways with narrow links in an end-to-end case

Change: platform-narrow-link runs two gateways and nine journals (two losses tolerated) behind link proxies of our own, which share one rate in each direction among all links of a gateway (half of 30 Mbit/s). Instances of reads take 300 ms against an objective of 200 ms. Checked from what callers see. The proxies (testsuite/linkproxy.py) also delay, hold back and reset, for the soak that follows.

--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -242,21 +242,24 @@
 
 
 class Deployment:
-    """A store, instances of two services, journals with a folder each, and gateways. It is a context manager."""
+    """A store, instances of two services, journals with a folder each, and gateways. It is a context manager.
 
-    def __init__(self, build, gateways=1, journals=3):
+    With `links` (`LinkProxies`), all links to journals pass through proxies; the nodes keep their names there."""
+
+    def __init__(self, build, gateways=1, journals=3, tolerated_losses=1, links=None):
+        self.tolerated_losses = tolerated_losses
+        self.links = links
+        # The address that others dial, of each journal behind a proxy.
+        self.advertised = {}
         self.build = pathlib.Path(build)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rattandeck-platform-"))
-        self.store = Store()
-        self.runners = []
+        self.store = self.make_store()
         self.processes = {}
         self.ports = {}
         self.last_request = 0
         self.lock = threading.Lock()
         self.store.put("config", "main", configuration(1, DEFAULT_ROUTES))
-        for number in (1, 2):
-            self.runners.append(Runner(self.store, "llm", f"llm-{number}"))
-            self.runners.append(Runner(self.store, "app", f"app-{number}"))
+        self.runners = self.make_runners()
         for number in range(1, journals + 1):
             self.start_journal(f"journal-{number}")
         for number in range(1, gateways + 1):
@@ -277,6 +280,14 @@
             server.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
+    # Stand-ins
+
+    def make_store(self):
+        return Store()
+
+    def make_runners(self):
+        return [Runner(self.store, service, f"{service}-{number}") for number in (1, 2) for service in ("llm", "app")]
+
     # Processes
 
     def start(self, program, name, settings):
@@ -291,35 +302,57 @@
         return self.folder / f"disk-{name}"
 
     def start_journal(self, name):
-        # A restarted journal listens on its previous address.
-        port = self.ports.get(name, 0)
         process = self.start("rattandeck-journal", name, f"""
 node = "{name}"
-domain = "a"
+domain = "{self.domain(name)}"
 [peers]
-listen = "127.0.0.1:{port}"
-seeds = {json.dumps([p.field("peers") for n, p in self.processes.items() if n.startswith("journal")])}
+{self.peer_addresses(name)}
+seeds = {json.dumps(self.seeds())}
+[journals]
+tolerated_losses = {self.tolerated_losses}
 [platform]
 object_store = "{self.store.address}"
 [disk]
 folder = "{self.disk(name)}"
 [log]
 format = "json"
-""")
+{self.more_settings(name)}""")
         self.ports[name] = process.field("peers").split(":")[1]
 
+    def domain(self, _name):
+        return "a"
+
+    def more_settings(self, _name):
+        return ""
+
+    def peer_addresses(self, name):
+        """Settings of a journal's address. A restarted journal listens on its previous one."""
+        if not self.links:
+            return f'listen = "127.0.0.1:{self.ports.get(name, 0)}"'
+        if name not in self.advertised:
+            self.advertised[name] = self.links.add(name)
+        address = self.advertised[name]
+        return f'listen = "127.0.0.2:{address.split(":")[1]}"\nadvertise = "{address}"'
+
+    def seeds(self):
+        return [self.advertised.get(name) or process.field("peers")
+                for name, process in self.processes.items() if name.startswith("journal")]
+
     def start_gateway(self, name, store=None):
-        journals = [p.field("peers") for n, p in self.processes.items() if n.startswith("journal")]
+        if self.links:
+            self.links.name(name)
         self.start("rattandeck-gateway", name, f"""
 node = "{name}"
-domain = "a"
+domain = "{self.domain(name)}"
 [peers]
-seeds = {json.dumps(journals)}
+seeds = {json.dumps(self.seeds())}
+[journals]
+tolerated_losses = {self.tolerated_losses}
 [platform]
 object_store = "{store or self.store.address}"
 [log]
 format = "json"
-""")
+{self.more_settings(name)}""")
 
     def wait_ready(self):
         def all_members():
@@ -363,9 +396,9 @@
             connection.close()
 
     def turn(self, gateway, program, previous=None, request=None, budget=1000,
-             max_output_tokens=EVENTS * TOKENS_PER_EVENT, body="input ", route_name="turns"):
+             max_output_tokens=EVENTS * TOKENS_PER_EVENT, body="input ", route_name="turns", deadline_ms=20000):
         headers = {"Model": "m", "Program-Id": program, "Session-Id": "s", "Token-Budget": str(budget),
-                   "Token-Counts": f"100,{max_output_tokens}"}
+                   "Token-Counts": f"100,{max_output_tokens}", "Deadline-Ms": str(deadline_ms)}
         if previous:
             headers["Previous-Turn"] = previous
         if request:
