Run gateways and journals by one function, and provide the store's metrics in one place

Change: runUntilStopped (RattandeckApp/daemon.h) and Platform::provideStoreMetrics; keepLogFlushed and answerAgeSeconds are no longer public. Log lines, names and order are the same.

--- a/src/include/RattandeckApp/daemon.h
+++ b/src/include/RattandeckApp/daemon.h
@@ -78,8 +78,24 @@
 /// than the defaults and an unresponsive link is dropped early.
 RattandeckNet::PeerLimits journalLinkLimits();
 
-/// Flushes buffered log lines to standard output periodically, for as long as `timers` runs its timers.
-void keepLogFlushed(Rattandeck::TimerService& timers);
+// Running ------------------------------------------------------------------------------------------------------------
+
+/// What a daemon that reloads its settings gives to `runUntilStopped`.
+struct DaemonRun {
+    std::string node;
+    /// Appended to the log line of the start.
+    std::string startDetail;
+    /// Passed to `printReady`.
+    std::vector<ReadyAddress> addresses;
+    /// Called on each SIGTERM and SIGINT. Ends the loop when the daemon has stopped.
+    std::function<void()> onStop;
+    /// Called on each SIGHUP.
+    std::function<void()> onReload;
+};
+
+/// Handles signals, keeps the log flushed, logs the start and the end, prints that the daemon is ready, and runs `loop`
+/// until it is stopped. Precondition: the daemon listens already.
+void runUntilStopped(RattandeckNet::EventLoop& loop, const DaemonRun& run);
 
 // Operators ----------------------------------------------------------------------------------------------------------
 
--- a/src/librattandeckapp/daemon.cpp
+++ b/src/librattandeckapp/daemon.cpp
@@ -1,6 +1,9 @@
 #include "RattandeckApp/daemon.h"
 
+#include "RattandeckApp/version.h"
+
 #include <chrono>
+#include <csignal>
 #include <iostream>
 #include <memory>
 
@@ -108,13 +111,29 @@
     return limits;
 }
 
-void keepLogFlushed(TimerService& timers)
+// Running ------------------------------------------------------------------------------------------------------------
+
+/// Flushes buffered log lines to standard output periodically, for as long as `timers` runs its timers.
+static void keepLogFlushed(TimerService& timers)
 {
     constexpr Milliseconds interval { 100 };
     flushLog();
     timers.subscribeAfter(interval, [&timers] { keepLogFlushed(timers); });
 }
 
+void runUntilStopped(EventLoop& loop, const DaemonRun& run)
+{
+    keepLogFlushed(loop.timers());
+    loop.onSignal(SIGTERM, run.onStop);
+    loop.onSignal(SIGINT, run.onStop);
+    loop.onSignal(SIGHUP, run.onReload);
+    logEvent("start", "version " + std::string(version()) + ", node " + run.node + run.startDetail);
+    printReady(run.addresses);
+    loop.run();
+    logEvent("stopped", run.node);
+    flushLog();
+}
+
 // Operators ----------------------------------------------------------------------------------------------------------
 
 void answerAdmin(const HttpRequest& request, const HttpResponder& responder, const std::function<bool()>& isReady,
--- a/src/platform/objectstore.cpp
+++ b/src/platform/objectstore.cpp
@@ -356,10 +356,16 @@
         this->impl->loop.timers().now() - *this->impl->answeredAt);
 }
 
-double answerAgeSeconds(const ObjectStore& store)
+static double answerAgeSeconds(const ObjectStore& store)
 {
     const auto age = store.answerAge();
     return age ? std::chrono::duration<double>(*age).count() : -1;
 }
 
+void provideStoreMetrics(RattandeckApp::Metrics& metrics, const ObjectStore& store)
+{
+    metrics.provide("rattandeck_store_calls_total", "counter", [&store] { return double(store.callCount()); });
+    metrics.provide("rattandeck_store_answer_age_seconds", "gauge", [&store] { return answerAgeSeconds(store); });
+}
+
 }
--- a/src/platform/objectstore.h
+++ b/src/platform/objectstore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "RattandeckApp/metrics.h"
 #include "RattandeckNet/http.h"
 
 #include <nlohmann/json.hpp>
@@ -91,7 +92,8 @@
     std::shared_ptr<Impl> impl;
 };
 
-/// Returns `answerAge` in seconds for a metric, or -1 before the first answer.
-double answerAgeSeconds(const ObjectStore& store);
+/// Provides `rattandeck_store_calls_total` and `rattandeck_store_answer_age_seconds`, which is -1 before the first
+/// answer. Precondition: `store` outlives the last rendering of `metrics`.
+void provideStoreMetrics(RattandeckApp::Metrics& metrics, const ObjectStore& store);
 
 }
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -7,8 +7,6 @@
 #include "relay.h"
 #include "storefeed.h"
 
-#include <csignal>
-
 using namespace Rattandeck;
 using namespace RattandeckApp;
 using namespace RattandeckNet;
@@ -234,17 +232,14 @@
     this->watchStore(*storeAddress);
     this->findJournals();
     this->sweep();
-    keepLogFlushed(this->loop.timers());
-    this->loop.onSignal(SIGTERM, [this] { this->stop(); });
-    this->loop.onSignal(SIGINT, [this] { this->stop(); });
-    this->loop.onSignal(SIGHUP, [this] { this->reload.reload("signal"); });
     this->reload.watch();
-    logEvent("start", std::string("version ") + RATTANDECK_VERSION + ", node " + this->settings.instance.node);
-    printReady({ { "callers", boundAddress(this->settings.callersListen, this->callers.port()) },
-        { "ready", boundAddress(this->settings.readyListen, this->ready.port()) } });
-    this->loop.run();
-    logEvent("stopped", this->settings.instance.node);
-    flushLog();
+    DaemonRun run;
+    run.node = this->settings.instance.node;
+    run.addresses = { { "callers", boundAddress(this->settings.callersListen, this->callers.port()) },
+        { "ready", boundAddress(this->settings.readyListen, this->ready.port()) } };
+    run.onStop = [this] { this->stop(); };
+    run.onReload = [this] { this->reload.reload("signal"); };
+    runUntilStopped(this->loop, run);
     return ExitSuccess;
 }
 
@@ -282,9 +277,6 @@
     provide("rattandeck_journals_linked", "gauge", [this] { return double(this->linkedJournals.size()); });
     provide("rattandeck_journal_epoch", "gauge", [this] { return double(this->journals.members().epoch.value); });
     provide("rattandeck_log_lines_dropped_total", "counter", [] { return double(droppedLogLines()); });
-    provide("rattandeck_store_calls_total", "counter", [this] { return double(this->store->callCount()); });
-    provide(
-        "rattandeck_store_answer_age_seconds", "gauge", [this] { return Platform::answerAgeSeconds(*this->store); });
     provide("rattandeck_link_dials_total", "counter", [this] { return double(this->network.dialCount()); });
     provideLinkTraffic(this->metrics, this->network);
 }
@@ -300,6 +292,7 @@
 void Daemon::watchStore(const Address& address)
 {
     this->store = std::make_unique<Platform::ObjectStore>(this->loop, address);
+    Platform::provideStoreMetrics(this->metrics, *this->store);
     this->feed.follow(*this->store);
 }
 
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -9,7 +9,6 @@
 #include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
 
-#include <csignal>
 #include <deque>
 
 using namespace Rattandeck;
@@ -187,12 +186,9 @@
         "rattandeck_disk_failures_total", "counter", [this] { return double(this->disk->stats().failures); });
     this->metrics.provide(
         "rattandeck_disk_written_bytes_total", "counter", [this] { return double(this->disk->stats().bytes); });
-    this->metrics.provide(
-        "rattandeck_store_calls_total", "counter", [this] { return double(this->store->callCount()); });
-    this->metrics.provide(
-        "rattandeck_store_answer_age_seconds", "gauge", [this] { return Platform::answerAgeSeconds(*this->store); });
     this->metrics.provide("rattandeck_journal_bytes_in_memory", "gauge",
         [this] { return double(this->journal->state().bytesInMemory()); });
+    Platform::provideStoreMetrics(this->metrics, *this->store);
     provideLinkTraffic(this->metrics, this->network);
 }
 
@@ -224,17 +220,14 @@
         return ExitUnavailable;
     this->watchRetirements();
     this->expire();
-    keepLogFlushed(this->loop.timers());
-    this->loop.onSignal(SIGTERM, [this] { this->stop(); });
-    this->loop.onSignal(SIGINT, [this] { this->stop(); });
-    this->loop.onSignal(SIGHUP, [this] { this->reload.reload("signal"); });
     this->reload.watch();
-    logEvent("start",
-        std::string("version ") + RATTANDECK_VERSION + ", node " + this->settings.instance.node + ", peers " + address);
-    printReady({ { "peers", address } });
-    this->loop.run();
-    logEvent("stopped", this->settings.instance.node);
-    flushLog();
+    DaemonRun run;
+    run.node = this->settings.instance.node;
+    run.startDetail = ", peers " + address;
+    run.addresses = { { "peers", address } };
+    run.onStop = [this] { this->stop(); };
+    run.onReload = [this] { this->reload.reload("signal"); };
+    runUntilStopped(this->loop, run);
     return ExitSuccess;
 }
 
