Split the reading of command lines into steps

Change: describeOptions, printInformation, readArguments and readAddresses; no text, order or exit code is changed.

--- a/src/librattandeckapp/commandline.cpp
+++ b/src/librattandeckapp/commandline.cpp
@@ -25,6 +25,33 @@
         return ExitSettings;
     }
 
+    Options::options_description describeOptions(SettingsSource& given)
+    {
+        Options::options_description described("Options");
+        auto add = described.add_options();
+        add("settings", Options::value(&given.path)->value_name("FILE"), "read settings from a TOML file");
+        add("set", Options::value(&given.overrides)->value_name("KEY=VALUE"),
+            "a setting as TOML, such as log.level='\"debug\"'");
+        add("check", "check the settings and exit");
+        add("print-settings", "print the effective settings with their descriptions and exit");
+        add("version", "print the version and exit");
+        add("help", "print this text and exit");
+        return described;
+    }
+
+    // Answers the options that need no settings. Returns the exit code if one is given.
+    std::optional<int> printInformation(const ProgramInfo& program, const Options::options_description& described,
+        const Options::variables_map& options)
+    {
+        if (options.contains("help"))
+            std::cout << program.name << ": " << program.summary << "\n\n" << described << '\n' << exitCodeHelp << '\n';
+        else if (options.contains("version"))
+            std::cout << program.name << ' ' << version() << '\n';
+        else
+            return std::nullopt;
+        return ExitSuccess;
+    }
+
 }
 
 static tl::expected<void, std::vector<SettingsError>> loadOverrides(
@@ -49,16 +76,7 @@
     int argc, char** argv, const ProgramInfo& program, SettingsSchema& schema, SettingsSource* source)
 {
     SettingsSource given;
-    Options::options_description described("Options");
-    auto add = described.add_options();
-    add("settings", Options::value(&given.path)->value_name("FILE"), "read settings from a TOML file");
-    add("set", Options::value(&given.overrides)->value_name("KEY=VALUE"),
-        "a setting as TOML, such as log.level='\"debug\"'");
-    add("check", "check the settings and exit");
-    add("print-settings", "print the effective settings with their descriptions and exit");
-    add("version", "print the version and exit");
-    add("help", "print this text and exit");
-
+    const Options::options_description described = describeOptions(given);
     Options::variables_map options;
     try {
         Options::store(Options::parse_command_line(argc, argv, described), options);
@@ -67,14 +85,8 @@
         std::cerr << program.name << ": " << error.what() << "; see --help\n";
         return ExitUsage;
     }
-    if (options.contains("help")) {
-        std::cout << program.name << ": " << program.summary << "\n\n" << described << '\n' << exitCodeHelp << '\n';
-        return ExitSuccess;
-    }
-    if (options.contains("version")) {
-        std::cout << program.name << ' ' << version() << '\n';
-        return ExitSuccess;
-    }
+    if (const auto code = printInformation(program, described, options))
+        return code;
 
     // Required keys have no default; without a file, `--print-settings` prints the defaults and does not ask for them.
     const bool printing = options.contains("print-settings");
--- a/src/rattandeckctl/rattandeckctl.cpp
+++ b/src/rattandeckctl/rattandeckctl.cpp
@@ -7,7 +7,6 @@
 
 #include <boost/program_options.hpp>
 
-#include <algorithm>
 #include <iostream>
 
 namespace Options = boost::program_options;
@@ -78,7 +77,7 @@
     return reportUsage("unknown command or missing argument");
 }
 
-// Parses `text` into `address`, which stays unset if the text is empty. Returns false if the text is not an address.
+/// Parses `text` into `address`, which stays unset if the text is empty. Returns false if the text is not an address.
 bool readAddress(const std::string& text, std::optional<RattandeckNet::Address>& address)
 {
     if (text.empty())
@@ -89,59 +88,85 @@
     return parsed.has_value();
 }
 
-}
-
-int main(int argc, char** argv)
-{
-    CommandOptions options;
+/// The command line, with addresses as text.
+struct Given {
     Command command;
+    CommandOptions options;
     std::string objects;
     std::string instances;
     std::vector<std::string> entries;
+};
+
+Options::options_description describeOptions(Given& given)
+{
     Options::options_description described("Options");
     auto add = described.add_options();
-    add("objects", Options::value(&objects)->value_name("HOST:PORT"), "the object API");
-    add("instances", Options::value(&instances)->value_name("HOST:PORT"), "the instance list, for dry runs");
-    add("entry", Options::value(&entries)->value_name("HOST:PORT"), "admin address of an entry; repeatable");
-    add("file,f", Options::value(&options.file)->value_name("FILE"), "objects in TOML");
-    add("dry-run", Options::bool_switch(&options.dryRun), "apply: show what would change and which endpoints match");
-    add("overwrite", Options::bool_switch(&options.overwrite),
+    add("objects", Options::value(&given.objects)->value_name("HOST:PORT"), "the object API");
+    add("instances", Options::value(&given.instances)->value_name("HOST:PORT"), "the instance list, for dry runs");
+    add("entry", Options::value(&given.entries)->value_name("HOST:PORT"), "admin address of an entry; repeatable");
+    add("file,f", Options::value(&given.options.file)->value_name("FILE"), "objects in TOML");
+    add("dry-run", Options::bool_switch(&given.options.dryRun),
+        "apply: show what would change and which endpoints match");
+    add("overwrite", Options::bool_switch(&given.options.overwrite),
         "apply: replace objects regardless of their stored version");
-    add("version-read", Options::value(&options.version.value)->value_name("N"), "delete: the version as last read");
+    add("version-read", Options::value(&given.options.version.value)->value_name("N"),
+        "delete: the version as last read");
     add("version", "print the version");
     add("help", "print this text");
-    Options::options_description hidden;
-    hidden.add_options()("command", Options::value(&command.name))("arguments", Options::value(&command.arguments));
+    return described;
+}
+
+/// Reads `described` and the positional arguments. Throws `Options::error`.
+Options::variables_map readArguments(
+    int argc, char** argv, const Options::options_description& described, Command& command)
+{
+    Options::options_description all;
+    all.add(described);
+    all.add_options()("command", Options::value(&command.name))("arguments", Options::value(&command.arguments));
     Options::positional_options_description positions;
     positions.add("command", 1).add("arguments", -1);
+    Options::variables_map values;
+    Options::store(Options::command_line_parser(argc, argv).options(all).positional(positions).run(), values);
+    Options::notify(values);
+    return values;
+}
 
-    Options::options_description all;
-    all.add(described).add(hidden);
-    Options::variables_map given;
+/// Parses the addresses into the options. Returns false if one is not an address.
+bool readAddresses(Given& given)
+{
+    for (const std::string& text : given.entries) {
+        std::optional<RattandeckNet::Address> address;
+        if (!readAddress(text, address) || !address)
+            return false;
+        given.options.entryAdmins.push_back(*address);
+    }
+    return readAddress(given.objects, given.options.objectApi)
+        && readAddress(given.instances, given.options.instanceList);
+}
+
+}
+
+int main(int argc, char** argv)
+{
+    Given given;
+    const Options::options_description described = describeOptions(given);
+    Options::variables_map values;
     try {
-        Options::store(Options::command_line_parser(argc, argv).options(all).positional(positions).run(), given);
-        Options::notify(given);
+        values = readArguments(argc, argv, described, given.command);
     } catch (const Options::error& error) {
         return reportUsage(error.what());
     }
-    if (given.contains("help")) {
+    if (values.contains("help")) {
         std::cout << usage << '\n'
                   << described << "\nExit codes: 0 success, 1 failure, 2 usage, 3 settings, "
                   << "4 unavailable, 5 conflict.\n";
         return ExitSuccess;
     }
-    if (given.contains("version")) {
+    if (values.contains("version")) {
         std::cout << "rattandeckctl " << RattandeckApp::version() << '\n';
         return ExitSuccess;
     }
-    const bool entriesValid = std::all_of(entries.begin(), entries.end(), [&](const std::string& text) {
-        std::optional<RattandeckNet::Address> address;
-        if (!readAddress(text, address) || !address)
-            return false;
-        options.entryAdmins.push_back(*address);
-        return true;
-    });
-    if (!entriesValid || !readAddress(objects, options.objectApi) || !readAddress(instances, options.instanceList))
+    if (!readAddresses(given))
         return reportUsage("an address must look like 127.0.0.1:8080");
-    return run(command, options);
+    return run(given.command, given.options);
 }
