--- a/src/rattandeck-journal/disk.cpp
+++ b/src/rattandeck-journal/disk.cpp
@@ -134,6 +134,24 @@
         std::size_t length = 0;
     };
 
+    /// Work that the writer thread does in one step, in the order of the members.
+    struct Batch {
+        std::string bytes;
+        std::vector<TurnInBatch> turns;
+        std::vector<SegmentNumber> segmentsToRemove;
+        /// Called on the loop once `bytes` are synced.
+        std::vector<std::function<void()>> callbacks;
+
+        /// Keeps the memory of `bytes` for the next batch.
+        void clear()
+        {
+            this->bytes.clear();
+            this->turns.clear();
+            this->segmentsToRemove.clear();
+            this->callbacks.clear();
+        }
+    };
+
     /// Called on the loop. Shared with the tasks that are posted there, which may outlive this object.
     std::shared_ptr<OnTurnWritten> onTurnWritten = std::make_shared<OnTurnWritten>();
 
@@ -144,10 +162,7 @@
     // Shared with the writer thread, guarded by `mutex`
     std::mutex mutex;
     std::condition_variable workAvailable;
-    std::string pending;
-    std::vector<TurnInBatch> pendingTurns;
-    std::vector<std::function<void()>> pendingCallbacks;
-    std::vector<SegmentNumber> segmentsToRemove;
+    Batch pending;
     bool isStopping = false;
     Stats stats;
 
@@ -162,15 +177,19 @@
     /// Precondition: `mutex` is held, or the writer thread has not been started.
     void appendPending(const JournalRecord& record);
     void postWritten(std::vector<TurnInBatch> turns, std::size_t batchBytes);
+    void postCallbacks(std::vector<std::function<void()>> callbacks);
     int descriptorFor(SegmentNumber number);
     bool hasWork() const
     {
-        return !this->pending.empty() || !this->pendingCallbacks.empty() || !this->segmentsToRemove.empty();
+        return !this->pending.bytes.empty() || !this->pending.callbacks.empty()
+            || !this->pending.segmentsToRemove.empty();
     }
     void run();
     bool openSegment();
     void closeSegment();
     bool writeBatch(const std::string& batch);
+    /// Repeats failed writes. Returns false if the disk is being closed meanwhile.
+    bool writeUntilSynced(const std::string& bytes);
     void removeSegments(const std::vector<SegmentNumber>& numbers) const;
 };
 
@@ -224,12 +243,22 @@
     });
 }
 
+void JournalDisk::Impl::postCallbacks(std::vector<std::function<void()>> callbacks)
+{
+    if (callbacks.empty())
+        return;
+    this->loop.post([callbacks = std::move(callbacks)] {
+        for (const auto& callback : callbacks)
+            callback();
+    });
+}
+
 void JournalDisk::Impl::appendPending(const JournalRecord& record)
 {
-    const std::size_t begin = this->pending.size();
-    appendRecord(this->pending, encodeRecord(record));
+    const std::size_t begin = this->pending.bytes.size();
+    appendRecord(this->pending.bytes, encodeRecord(record));
     if (const auto* turn = std::get_if<RetainedTurn>(&record))
-        this->pendingTurns.push_back({ turn->id, begin, this->pending.size() - begin });
+        this->pending.turns.push_back({ turn->id, begin, this->pending.bytes.size() - begin });
     ++this->stats.records;
 }
 
@@ -244,47 +273,40 @@
     return opened;
 }
 
+bool JournalDisk::Impl::writeUntilSynced(const std::string& bytes)
+{
+    while (!bytes.empty() && !this->writeBatch(bytes)) {
+        // The batch may have been written partially, and recovery reads nothing after a torn record, so the batch is
+        // written again to a new segment.
+        this->closeSegment();
+        this->loop.post([error = errno] { logError("disk refused a write", std::strerror(error)); });
+        std::this_thread::sleep_for(this->limits.retryDelay);
+        const std::lock_guard guard(this->mutex);
+        ++this->stats.failures;
+        if (this->isStopping)
+            return false;
+    }
+    return true;
+}
+
 void JournalDisk::Impl::run()
 {
-    std::string batch;
-    std::vector<TurnInBatch> turns;
-    std::vector<std::function<void()>> done;
-    std::vector<SegmentNumber> removed;
+    Batch batch;
     std::unique_lock lock(this->mutex);
     while (true) {
         this->workAvailable.wait(lock, [this] { return this->isStopping || this->hasWork(); });
         if (!this->hasWork())
             return;
-        batch.swap(this->pending);
-        turns.swap(this->pendingTurns);
-        done.swap(this->pendingCallbacks);
-        removed.swap(this->segmentsToRemove);
+        std::swap(batch, this->pending);
         lock.unlock();
-        while (!batch.empty() && !this->writeBatch(batch)) {
-            // The batch may have been written partially, and recovery reads nothing after a torn record, so the batch
-            // is written again to a new segment.
-            this->closeSegment();
-            this->loop.post([error = errno] { logError("disk refused a write", std::strerror(error)); });
-            std::this_thread::sleep_for(this->limits.retryDelay);
-            const std::lock_guard guard(this->mutex);
-            ++this->stats.failures;
-            if (this->isStopping)
-                return;
-        }
-        this->postWritten(std::move(turns), batch.size());
-        turns.clear();
-        this->removeSegments(removed);
-        removed.clear();
-        if (!done.empty()) {
-            this->loop.post([done = std::move(done)] {
-                for (const auto& callback : done)
-                    callback();
-            });
-        }
-        done.clear();
+        if (!this->writeUntilSynced(batch.bytes))
+            return;
+        this->postWritten(std::move(batch.turns), batch.bytes.size());
+        this->removeSegments(batch.segmentsToRemove);
+        this->postCallbacks(std::move(batch.callbacks));
         lock.lock();
         ++this->stats.syncs;
-        this->stats.bytes += batch.size();
+        this->stats.bytes += batch.bytes.size();
         batch.clear();
     }
 }
@@ -383,7 +405,7 @@
 {
     {
         const std::lock_guard guard(this->impl->mutex);
-        this->impl->pendingCallbacks.push_back(std::move(onDurable));
+        this->impl->pending.callbacks.push_back(std::move(onDurable));
     }
     this->impl->workAvailable.notify_one();
 }
@@ -402,7 +424,7 @@
         const std::lock_guard guard(this->impl->mutex);
         for (const SegmentNumber segment : segments) {
             if (segment < number)
-                this->impl->segmentsToRemove.push_back(segment);
+                this->impl->pending.segmentsToRemove.push_back(segment);
         }
     }
     this->impl->workAvailable.notify_one();
