--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -33,6 +33,8 @@
 
 constexpr Milliseconds expiryInterval { 1000 };
 constexpr Milliseconds retirementCheckInterval { 200 };
+/// How long the store holds a watch of retirements: each journal makes one call in this time.
+constexpr Milliseconds retirementWatchWait { 10000 };
 /// A closed segment is kept for twice the longest retention seen plus this margin, so that the oldest turns of a chain
 /// are rarely rewritten.
 constexpr Milliseconds segmentRetentionMargin { 60000 };
@@ -61,6 +63,8 @@
 
     Hello hello(const std::string& address) const;
     PeerHandlers peerHandlers();
+    void createJournal(const std::string& address);
+    void createStore(const Address& address);
     bool openDisk();
     void startAdmin();
     void watchRetirements();
@@ -192,6 +196,22 @@
     provideLinkTraffic(this->metrics, this->network);
 }
 
+void Daemon::createJournal(const std::string& address)
+{
+    JournalMembershipLimits limits;
+    limits.toleratedLosses = toleratedLosses(this->settings.toleratedLosses);
+    JournalIo& io = *this;
+    this->journal = std::make_unique<Journal>(
+        this->loop.timers(), io, JournalMember { NodeId(this->settings.instance.node), address }, limits);
+}
+
+void Daemon::createStore(const Address& address)
+{
+    Platform::StoreLimits limits;
+    limits.watchWait = retirementWatchWait;
+    this->store = std::make_unique<Platform::ObjectStore>(this->loop, address, limits);
+}
+
 int Daemon::run()
 {
     const auto storeAddress = parseAddress(this->settings.objectStore);
@@ -203,16 +223,10 @@
         return ExitUnavailable;
     const std::string address = peersAddress(this->settings.instance, this->network.port());
     this->network.setSelf(this->hello(address));
-    JournalMembershipLimits limits;
-    limits.toleratedLosses = toleratedLosses(this->settings.toleratedLosses);
-    JournalIo& io = *this;
-    this->journal = std::make_unique<Journal>(
-        this->loop.timers(), io, JournalMember { NodeId(this->settings.instance.node), address }, limits);
+    this->createJournal(address);
     if (!this->openDisk())
         return ExitUnavailable;
-    Platform::StoreLimits storeLimits;
-    storeLimits.watchWait = std::chrono::milliseconds(10000);
-    this->store = std::make_unique<Platform::ObjectStore>(this->loop, *storeAddress, storeLimits);
+    this->createStore(*storeAddress);
     this->updateLinks(this->metadata.set());
     this->journal->start(this->metadata.set(), this->metadata.syncState());
     this->startAdmin();
