--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -9,7 +9,6 @@
 #include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
 
-#include <csignal>
 #include <deque>
 
 using namespace Rattandeck;
@@ -34,6 +33,8 @@
 
 constexpr Milliseconds expiryInterval { 1000 };
 constexpr Milliseconds retirementCheckInterval { 200 };
+/// How long the store holds a watch of retirements: each journal makes one call in this time.
+constexpr Milliseconds retirementWatchWait { 10000 };
 /// A closed segment is kept for twice the longest retention seen plus this margin, so that the oldest turns of a chain
 /// are rarely rewritten.
 constexpr Milliseconds segmentRetentionMargin { 60000 };
@@ -62,6 +63,8 @@
 
     Hello hello(const std::string& address) const;
     PeerHandlers peerHandlers();
+    void createJournal(const std::string& address);
+    void createStore(const Address& address);
     bool openDisk();
     void startAdmin();
     void watchRetirements();
@@ -187,15 +190,28 @@
         "rattandeck_disk_failures_total", "counter", [this] { return double(this->disk->stats().failures); });
     this->metrics.provide(
         "rattandeck_disk_written_bytes_total", "counter", [this] { return double(this->disk->stats().bytes); });
-    this->metrics.provide(
-        "rattandeck_store_calls_total", "counter", [this] { return double(this->store->callCount()); });
-    this->metrics.provide(
-        "rattandeck_store_answer_age_seconds", "gauge", [this] { return Platform::answerAgeSeconds(*this->store); });
     this->metrics.provide("rattandeck_journal_bytes_in_memory", "gauge",
         [this] { return double(this->journal->state().bytesInMemory()); });
+    Platform::provideStoreMetrics(this->metrics, *this->store);
     provideLinkTraffic(this->metrics, this->network);
 }
 
+void Daemon::createJournal(const std::string& address)
+{
+    JournalMembershipLimits limits;
+    limits.toleratedLosses = toleratedLosses(this->settings.toleratedLosses);
+    JournalIo& io = *this;
+    this->journal = std::make_unique<Journal>(
+        this->loop.timers(), io, JournalMember { NodeId(this->settings.instance.node), address }, limits);
+}
+
+void Daemon::createStore(const Address& address)
+{
+    Platform::StoreLimits limits;
+    limits.watchWait = retirementWatchWait;
+    this->store = std::make_unique<Platform::ObjectStore>(this->loop, address, limits);
+}
+
 int Daemon::run()
 {
     const auto storeAddress = parseAddress(this->settings.objectStore);
@@ -207,16 +223,10 @@
         return ExitUnavailable;
     const std::string address = peersAddress(this->settings.instance, this->network.port());
     this->network.setSelf(this->hello(address));
-    JournalMembershipLimits limits;
-    limits.toleratedLosses = toleratedLosses(this->settings.toleratedLosses);
-    JournalIo& io = *this;
-    this->journal = std::make_unique<Journal>(
-        this->loop.timers(), io, JournalMember { NodeId(this->settings.instance.node), address }, limits);
+    this->createJournal(address);
     if (!this->openDisk())
         return ExitUnavailable;
-    Platform::StoreLimits storeLimits;
-    storeLimits.watchWait = std::chrono::milliseconds(10000);
-    this->store = std::make_unique<Platform::ObjectStore>(this->loop, *storeAddress, storeLimits);
+    this->createStore(*storeAddress);
     this->updateLinks(this->metadata.set());
     this->journal->start(this->metadata.set(), this->metadata.syncState());
     this->startAdmin();
@@ -224,17 +234,14 @@
         return ExitUnavailable;
     this->watchRetirements();
     this->expire();
-    keepLogFlushed(this->loop.timers());
-    this->loop.onSignal(SIGTERM, [this] { this->stop(); });
-    this->loop.onSignal(SIGINT, [this] { this->stop(); });
-    this->loop.onSignal(SIGHUP, [this] { this->reload.reload("signal"); });
     this->reload.watch();
-    logEvent("start",
-        std::string("version ") + RATTANDECK_VERSION + ", node " + this->settings.instance.node + ", peers " + address);
-    printReady({ { "peers", address } });
-    this->loop.run();
-    logEvent("stopped", this->settings.instance.node);
-    flushLog();
+    DaemonRun run;
+    run.node = this->settings.instance.node;
+    run.startDetail = ", peers " + address;
+    run.addresses = { { "peers", address } };
+    run.onStop = [this] { this->stop(); };
+    run.onReload = [this] { this->reload.reload("signal"); };
+    runUntilStopped(this->loop, run);
     return ExitSuccess;
 }
 
