--- a/testsuite/platform-narrow-link/case.py
+++ b/testsuite/platform-narrow-link/case.py
@@ -6,7 +6,7 @@
 
 from harness import expect, wait_until
 from linkproxy import LinkProxies
-from platform_standins import Deployment, MEMORY_FOLDER, configuration, route
+from platform_standins import Deployment, configuration, route
 
 # Half of a link of 30 Mbit/s, and half of the load that is recorded for such a gateway.
 LINK_BYTES_PER_S = 30_000_000 / 8 / 2
@@ -138,8 +138,7 @@
 def run(build):
     links = LinkProxies()
     try:
-        with Deployment(build, len(GATEWAYS), JOURNALS, tolerated_losses=2, links=links,
-                        disks=MEMORY_FOLDER) as deployment:
+        with Deployment(build, len(GATEWAYS), JOURNALS, tolerated_losses=2, links=links) as deployment:
             deployment.store.put("config", "main", configuration(2, ROUTES))
             for gateway in GATEWAYS:
                 wait_until(lambda: '"version":2' in deployment.log_of(gateway), f"{gateway} has the configuration")
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -17,8 +17,6 @@
 from harness import Process, wait_until
 
 HOST = "calls.example"
-# In memory: for cases that must not depend on how busy the machine's own disk is, since a sync of over 700 ms refuses all turns.
-MEMORY_FOLDER = "/dev/shm" if os.path.isdir("/dev/shm") else None
 EVENTS = 4
 TOKENS_PER_EVENT = 10
 # The response body that an endpoint instance streams.
@@ -247,16 +245,15 @@
 class Deployment:
     """A store, instances of two services, journals with a folder each, and gateways. It is a context manager.
 
-    With `links` (`LinkProxies`), all links to journals pass through proxies; the nodes keep their names there. `disks` is
-    where the folder for logs, settings and disks is made, if not in the system's temporary folder."""
+    With `links` (`LinkProxies`), all links to journals pass through proxies; the nodes keep their names there."""
 
-    def __init__(self, build, gateways=1, journals=3, tolerated_losses=1, links=None, disks=None):
+    def __init__(self, build, gateways=1, journals=3, tolerated_losses=1, links=None):
         self.tolerated_losses = tolerated_losses
         self.links = links
         # The address that others dial, of each journal behind a proxy.
         self.advertised = {}
         self.build = pathlib.Path(build)
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rattandeck-platform-", dir=disks))
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rattandeck-platform-"))
         self.store = self.make_store()
         self.processes = {}
         self.ports = {}
