--- a/src/include/Rattandeck/journalcopier.h
+++ b/src/include/Rattandeck/journalcopier.h
@@ -24,10 +24,11 @@
     explicit JournalCopier(Io io);
     ~JournalCopier();
 
-    /// A new page of a journal replaces its previous page.
+    /// A new page of a journal replaces its previous page. Turns that the journal was asked for and has not sent are
+    /// requested again, from another journal if one lists them.
     void onPage(const NodeId& from, const CopyPage& page);
     /// Precondition: the turns have been applied.
-    void onTurns(const NodeId& from);
+    void onTurns(const NodeId& from, const TurnsPage& page);
     void onLinkDown(const NodeId& node);
 
 private:
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -171,9 +171,11 @@
     bool operator==(const TurnsRequest&) const = default;
 };
 
-/// The requested turns that the sender has.
+/// Answers a `TurnsRequest`.
 struct TurnsPage {
     std::vector<RetainedTurn> turns;
+    /// The requested turns that have expired at the sender.
+    std::vector<TurnId> expired;
     bool operator==(const TurnsPage&) const = default;
 };
 
--- a/src/librattandeck/journal.cpp
+++ b/src/librattandeck/journal.cpp
@@ -167,8 +167,11 @@
         auto turn = this->state.turn(id);
         if (turn) {
             page.turns.push_back(std::move(*turn));
-        } else if (this->state.hasTurn(id)) {
-            // Omitting the turn would mean that it has expired. Without an answer the requester times out and retries.
+        } else if (!this->state.hasTurn(id)) {
+            page.expired.push_back(id);
+        } else {
+            // Without an answer, the requester asks again, or another journal. An answer without the turn would mean to
+            // an older version that the turn has expired.
             this->io.logStep("turn can't be read", id.value);
             return;
         }
@@ -180,7 +183,7 @@
 {
     for (const RetainedTurn& turn : page.turns)
         this->applyAndAppend(turn);
-    this->copier.onTurns(from);
+    this->copier.onTurns(from, page);
 }
 
 void Journal::Impl::onSetChanged(const JournalSet& set)
--- a/src/librattandeck/journal_test.cpp
+++ b/src/librattandeck/journal_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(retainedRecordsAreRewritten);
     CPPUNIT_TEST(writtenTurnIsReadFromDisk);
     CPPUNIT_TEST(unreadableTurnIsNotReportedMissing);
+    CPPUNIT_TEST(expiredTurnIsNamedToTheJournalThatCopiesIt);
     CPPUNIT_TEST_SUITE_END();
 
     TimerService timers;
@@ -237,6 +238,17 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fetched.size());
         CPPUNIT_ASSERT(fetched.front().missing == TurnId("t") && fetched.front().transcript == "in2out2");
     }
+
+    void expiredTurnIsNamedToTheJournalThatCopiesIt()
+    {
+        this->start(true);
+        this->journal->onMessage(this->gateway, makeStore(1, "t"));
+        this->journal->onMessage(NodeId("b"), TurnsRequest { { TurnId("t"), TurnId("gone") } });
+        const auto pages = this->fakeIo.sentOfKind<TurnsPage>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), pages.size());
+        CPPUNIT_ASSERT(pages.front().turns.size() == 1 && pages.front().turns.front().id == TurnId("t"));
+        CPPUNIT_ASSERT(pages.front().expired == std::vector<TurnId> { TurnId("gone") });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JournalTest);
--- a/src/librattandeck/journalcopier.cpp
+++ b/src/librattandeck/journalcopier.cpp
@@ -15,8 +15,8 @@
         CopyPage page;
         /// Turns of the page that are still to be copied.
         std::vector<TurnId> missing;
-        /// Turns of the outstanding request to this journal.
-        std::vector<TurnId> requested;
+        /// Turns that this journal has been asked for and has not answered.
+        std::set<TurnId> requested;
     };
 
 }
@@ -29,26 +29,33 @@
 
     Io io;
     std::map<NodeId, Source> sources;
+    /// The turns that any journal has been asked for and has not answered.
     std::set<TurnId> inFlight;
 
     void advance();
     /// Returns whether all turns of the page have been copied.
     bool advance(const NodeId& node, Source& source);
+    /// Allows other journals to be asked for the turns that this one has not answered.
+    void release(Source& source);
 };
 
 bool JournalCopier::Impl::advance(const NodeId& node, Source& source)
 {
-    if (!source.requested.empty())
-        return false;
     std::erase_if(source.missing, [this](const TurnId& turn) { return this->io.isKnown(turn); });
-    if (source.missing.empty())
+    if (source.missing.empty()) {
+        this->release(source);
         return true;
-    for (const TurnId& turn : source.missing) {
-        if (source.requested.size() < batchSize && this->inFlight.insert(turn).second)
-            source.requested.push_back(turn);
     }
     if (!source.requested.empty())
-        this->io.requestTurns(node, { source.requested });
+        return false;
+    TurnsRequest request;
+    for (const TurnId& turn : source.missing) {
+        if (request.turns.size() < batchSize && this->inFlight.insert(turn).second)
+            request.turns.push_back(turn);
+    }
+    source.requested.insert(request.turns.begin(), request.turns.end());
+    if (!request.turns.empty())
+        this->io.requestTurns(node, request);
     return false;
 }
 
@@ -67,6 +74,13 @@
         this->io.onCopied(node, page);
 }
 
+void JournalCopier::Impl::release(Source& source)
+{
+    for (const TurnId& turn : source.requested)
+        this->inFlight.erase(turn);
+    source.requested.clear();
+}
+
 JournalCopier::JournalCopier(Io io)
     : impl(std::make_unique<Impl>(std::move(io)))
 {
@@ -76,24 +90,29 @@
 
 void JournalCopier::onPage(const NodeId& from, const CopyPage& page)
 {
+    this->onLinkDown(from);
     Source& source = this->impl->sources[from];
     source.page = page;
     source.missing = page.turns;
     this->impl->advance();
 }
 
-void JournalCopier::onTurns(const NodeId& from)
+void JournalCopier::onTurns(const NodeId& from, const TurnsPage& page)
 {
     const auto found = this->impl->sources.find(from);
     if (found == this->impl->sources.end())
         return;
     Source& source = found->second;
-    for (const TurnId& turn : source.requested) {
-        this->impl->inFlight.erase(turn);
-        // A turn that the journal did not send has expired there.
+    // A turn that the page does not name stays requested: the journal may be unable to read it now.
+    const auto settle = [this, &source](const TurnId& turn) {
+        if (source.requested.erase(turn) > 0)
+            this->impl->inFlight.erase(turn);
         std::erase(source.missing, turn);
-    }
-    source.requested.clear();
+    };
+    for (const RetainedTurn& turn : page.turns)
+        settle(turn.id);
+    for (const TurnId& turn : page.expired)
+        settle(turn);
     this->impl->advance();
 }
 
@@ -102,8 +121,7 @@
     const auto found = this->impl->sources.find(node);
     if (found == this->impl->sources.end())
         return;
-    for (const TurnId& turn : found->second.requested)
-        this->impl->inFlight.erase(turn);
+    this->impl->release(found->second);
     this->impl->sources.erase(found);
     this->impl->advance();
 }
--- a/src/librattandeck/journalcopier_test.cpp
+++ b/src/librattandeck/journalcopier_test.cpp
@@ -89,7 +89,7 @@
         this->answers.send(page, [this, page] {
             for (const RetainedTurn& turn : page.turns)
                 this->to.apply(turn, this->timers.now());
-            this->copier->onTurns(this->node);
+            this->copier->onTurns(this->node, page);
         });
     }
 
@@ -151,9 +151,12 @@
             return 0;
         const TurnsRequest request = found->second;
         this->requested.erase(found);
-        for (const TurnId& turn : request.turns)
+        TurnsPage page;
+        for (const TurnId& turn : request.turns) {
             this->known.insert(turn);
-        this->copier->onTurns(node);
+            page.turns.push_back({ turn, {}, {}, {}, Milliseconds(600000) });
+        }
+        this->copier->onTurns(node, page);
         return request.turns.size();
     }
 
@@ -193,7 +196,7 @@
     void pageIsCopiedWhenItsTurnsHaveExpired()
     {
         this->copier->onPage(this->a, makePage(5));
-        this->copier->onTurns(this->a);
+        this->copier->onTurns(this->a, TurnsPage { {}, makePage(5).turns });
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->copied.size());
     }
 
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -395,7 +395,11 @@
 
 template <typename Visitor> void visitFields(Visitor& visit, TurnsRequest& m) { visit("turns", m.turns); }
 
-template <typename Visitor> void visitFields(Visitor& visit, TurnsPage& m) { visit("turns", m.turns); }
+template <typename Visitor> void visitFields(Visitor& visit, TurnsPage& m)
+{
+    visit("turns", m.turns);
+    visit("expired", m.expired);
+}
 
 template <typename Visitor> void visitFields(Visitor& visit, GossipItem& m)
 {
