Add failing tests for a member taken out while another one has not copied

Trace: r1121 is stored at 13.476 s by journals 1 and 3, the whole set (epoch 4). 15.080: journal1 loses its disk. 18.066: journal7 joins for journal1 (epoch 5: 3 and 7) and is frozen before it has copied anything. 21.080: journal1 is back, empty and no member. 21.407: journal3 is isolated. 24.630: journal1 joins for journal3 (epoch 6: 7 and 1), the only one that has r1121. 24.730 and 24.866: 1 and 7 have copied each other, which have nothing, and count as complete. 26.953: all start after a loss of power, journal3 is no member. 27.143: 1 and 7 answer a fetch of r1121 with "missing", a quorum of the set. Here there were two losses, and one is tolerated. Class of fault: a change of the set that relies on the former one being complete. The same question is not asked where a surplus or a retiring member is removed.

--- a/src/librattandeck/journalmembership_test.cpp
+++ b/src/librattandeck/journalmembership_test.cpp
@@ -219,6 +219,10 @@
     CPPUNIT_TEST(setDoesNotChangeWithoutTheStore);
     CPPUNIT_TEST(retirementCompletesAfterAllMembersHaveCopied);
     CPPUNIT_TEST(oneOfTwoLostMembersOfFiveIsReplaced);
+    CPPUNIT_TEST(memberIsNotReplacedBeforeAnEarlierReplacementHasCopiedIt);
+    CPPUNIT_TEST(surplusMemberIsNotRemovedBeforeAWipedOneHasCopiedIt);
+    CPPUNIT_TEST(retiringMemberIsNotRemovedBeforeAWipedOneHasCopiedIt);
+    CPPUNIT_TEST(memberIsReplacedAlthoughAnAddedOneHasNotCopied);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<FakeCluster> cluster;
@@ -481,6 +485,84 @@
         this->cluster->run(Milliseconds(5000));
         CPPUNIT_ASSERT(this->at("f").isVoting());
     }
+
+    void memberIsNotReplacedBeforeAnEarlierReplacementHasCopiedIt()
+    {
+        this->write("1", { "b", "c" });
+        this->at("c").stop();
+        this->cluster->arePagesBlocked = true;
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(4500));
+        CPPUNIT_ASSERT(!this->cluster->hasMember("c") && this->cluster->hasMember("d"));
+        // The only reachable copy is on b.
+        this->cluster->cut("b");
+        this->cluster->add("e");
+        this->cluster->run(Milliseconds(8000));
+        CPPUNIT_ASSERT(this->cluster->hasMember("b"));
+        this->cluster->arePagesBlocked = false;
+        this->cluster->run(Milliseconds(10000));
+        for (const char* name : { "a", "d", "e" })
+            CPPUNIT_ASSERT(!this->at(name).membership->canConfirmAbsence());
+        this->cluster->heal("b");
+        this->cluster->run(Milliseconds(10000));
+        for (const char* name : { "a", "b", "d", "e" })
+            CPPUNIT_ASSERT(this->at(name).membership->canConfirmAbsence() && this->has(name, "1"));
+    }
+
+    /// Adds d, and then wipes c while it can't copy.
+    void loseDiskOfOneOfFour()
+    {
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(3000));
+        this->write("1", { "c", "d" });
+        this->cluster->arePagesBlocked = true;
+        this->wipe("c");
+        this->cluster->run(Milliseconds(500));
+    }
+
+    void surplusMemberIsNotRemovedBeforeAWipedOneHasCopiedIt()
+    {
+        this->loseDiskOfOneOfFour();
+        this->cluster->cut("d");
+        this->cluster->run(Milliseconds(8000));
+        CPPUNIT_ASSERT(this->cluster->hasMember("d"));
+        this->cluster->heal("d");
+        this->cluster->arePagesBlocked = false;
+        this->cluster->run(Milliseconds(10000));
+        CPPUNIT_ASSERT(this->at("c").isVoting() && this->has("c", "1"));
+    }
+
+    void retiringMemberIsNotRemovedBeforeAWipedOneHasCopiedIt()
+    {
+        this->loseDiskOfOneOfFour();
+        for (const char* name : { "a", "b", "c", "d" })
+            this->at(name).membership->setRetiring({ NodeId("d") });
+        this->cluster->run(Milliseconds(3000));
+        CPPUNIT_ASSERT(this->cluster->hasMember("d"));
+        this->cluster->arePagesBlocked = false;
+        this->cluster->run(Milliseconds(10000));
+        CPPUNIT_ASSERT(!this->cluster->hasMember("d") && this->has("c", "1"));
+    }
+
+    void memberIsReplacedAlthoughAnAddedOneHasNotCopied()
+    {
+        this->write("1", { "b", "c" });
+        this->cluster->arePagesBlocked = true;
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(3000));
+        CPPUNIT_ASSERT(this->cluster->hasMember("d") && !this->at("d").isVoting());
+        this->at("d").stop();
+        this->cluster->run(Milliseconds(100));
+        this->at("d").start();
+        this->at("c").stop();
+        this->cluster->add("e");
+        this->cluster->run(Milliseconds(4500));
+        CPPUNIT_ASSERT(!this->cluster->hasMember("c"));
+        this->cluster->arePagesBlocked = false;
+        this->cluster->run(Milliseconds(10000));
+        for (const char* name : { "a", "b", "d", "e" })
+            CPPUNIT_ASSERT(this->at(name).membership->canConfirmAbsence() && this->has(name, "1"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JournalMembershipTest);
