--- a/src/include/Rattandeck/journalcopier.h
+++ b/src/include/Rattandeck/journalcopier.h
@@ -10,6 +10,9 @@
 /// Fetches the turns that are listed in pages of other journals and missing here. A turn that several journals list is
 /// fetched from only one of them, and the fetches are distributed among the journals.
 ///
+/// Several requests are under way at a journal, so that a long link is used, with a limit on their bytes, so that other
+/// messages on the link don't wait long.
+///
 /// Thread safety: not synchronised. The functions in `Io` are called from within the member functions.
 class JournalCopier {
 public:
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -160,6 +160,8 @@
     std::vector<SettleClaim> claims;
     /// Ids of turns. The receiver requests the turns that it lacks.
     std::vector<TurnId> turns;
+    /// The size of each turn in `turns`, in bytes.
+    std::vector<std::uint64_t> turnBytes;
     /// All crash reports; sent with the last page only.
     std::vector<CrashReport> crashes;
     bool operator==(const CopyPage&) const = default;
--- a/src/librattandeck/journalcopier_test.cpp
+++ b/src/librattandeck/journalcopier_test.cpp
@@ -129,7 +129,10 @@
     {
         JournalCopier::Io io;
         io.isKnown = [this](const TurnId& turn) { return this->known.contains(turn); };
-        io.requestTurns = [this](const NodeId& node, const TurnsRequest& request) { this->requested[node] = request; };
+        io.requestTurns = [this](const NodeId& node, const TurnsRequest& request) {
+            auto& turns = this->requested[node].turns;
+            turns.insert(turns.end(), request.turns.begin(), request.turns.end());
+        };
         io.onCopied = [this](const NodeId& node, const CopyPage&) { this->copied.push_back(node); };
         this->copier = std::make_unique<JournalCopier>(io);
     }
@@ -143,7 +146,7 @@
         return page;
     }
 
-    /// Answers the outstanding request to a journal. Returns the number of turns in it.
+    /// Answers the outstanding requests to a journal. Returns the number of turns in them.
     std::size_t answer(const NodeId& node)
     {
         const auto found = this->requested.find(node);
--- a/src/librattandeck/journalstate.cpp
+++ b/src/librattandeck/journalstate.cpp
@@ -293,6 +293,7 @@
         if (hasTurn && (!hasBudget || turn->first < budget->first)) {
             page.cursor = turn->first;
             page.turns.push_back(turn->second->id);
+            page.turnBytes.push_back(turn->second->bytes());
             ++turn;
             continue;
         }
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -390,6 +390,7 @@
     visit("isLast", m.isLast);
     visit("claims", m.claims);
     visit("turns", m.turns);
+    visit("turnBytes", m.turnBytes);
     visit("crashes", m.crashes);
 }
 
