--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -160,6 +160,8 @@
     std::vector<SettleClaim> claims;
     /// Ids of turns. The receiver requests the turns that it lacks.
     std::vector<TurnId> turns;
+    /// The size of each turn in `turns`, in bytes.
+    std::vector<std::uint64_t> turnBytes;
     /// All crash reports; sent with the last page only.
     std::vector<CrashReport> crashes;
     bool operator==(const CopyPage&) const = default;
@@ -171,9 +173,11 @@
     bool operator==(const TurnsRequest&) const = default;
 };
 
-/// The requested turns that the sender has.
+/// Answers a `TurnsRequest`.
 struct TurnsPage {
     std::vector<RetainedTurn> turns;
+    /// The requested turns that have expired at the sender.
+    std::vector<TurnId> expired;
     bool operator==(const TurnsPage&) const = default;
 };
 
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -390,12 +390,17 @@
     visit("isLast", m.isLast);
     visit("claims", m.claims);
     visit("turns", m.turns);
+    visit("turnBytes", m.turnBytes);
     visit("crashes", m.crashes);
 }
 
 template <typename Visitor> void visitFields(Visitor& visit, TurnsRequest& m) { visit("turns", m.turns); }
 
-template <typename Visitor> void visitFields(Visitor& visit, TurnsPage& m) { visit("turns", m.turns); }
+template <typename Visitor> void visitFields(Visitor& visit, TurnsPage& m)
+{
+    visit("turns", m.turns);
+    visit("expired", m.expired);
+}
 
 template <typename Visitor> void visitFields(Visitor& visit, GossipItem& m)
 {
