Copy only the records that differ between two journals

Cause of what the failing tests show: after a change each member copied the names of all turns and all claims of every other one. A round counts for the epoch of the source's first answer, since only what the source held then is covered. JournalMembership and JournalCopier are unchanged. A member of an earlier version ignores the digests and sends pages of all its records, and gets such pages. A source that is to be emptied now counts a copy when the other one has said that it has stored the records; before, it counted it when it sent the names of the last ones.

--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -142,11 +142,24 @@
     bool operator==(const JournalSet&) const = default;
 };
 
-/// Journal to journal: requests the records after a cursor (0: from the start).
+/// Journal to journal: one step of copying the records of another journal. The requester compares its records with
+/// those of the receiver (`digests`, for one range of buckets after the other), requests the ones that it lacks
+/// (`wanted`), and reports that it has stored them (`isCopied`). A request with none of these fields comes from an
+/// earlier version and asks for the records after a cursor (0: from the start); an earlier version answers every
+/// request in that way.
 struct CopyRequest {
     /// Correlates the page with the current copy round of the requester.
     std::uint64_t round = 0;
     std::uint64_t cursor = 0;
+    /// Digests of the requester's records, one for each bucket; see `RecordDigests`.
+    std::string digests;
+    /// The first bucket to compare.
+    std::uint32_t firstBucket = 0;
+    /// Names of records.
+    std::string wanted;
+    /// The requester has stored all records that the receiver held when it knew the set of this epoch.
+    bool isCopied = false;
+    Epoch copiedEpoch;
     bool operator==(const CopyRequest&) const = default;
 };
 
@@ -154,14 +167,22 @@
     std::uint64_t round = 0;
     /// The epoch of the set that the sender knew when it made the page.
     Epoch epoch;
-    /// The cursor for the next request.
+    /// The cursor for the next request; if `isComparison`, the cursor of the request that the page answers.
     std::uint64_t cursor = 0;
     bool isLast = false;
     std::vector<SettleClaim> claims;
     /// Ids of turns. The receiver requests the turns that it lacks.
     std::vector<TurnId> turns;
-    /// All crash reports; sent with the last page only.
+    /// Without comparison, all crash reports; sent with the last page only.
     std::vector<CrashReport> crashes;
+    /// The page answers the further fields of the request, which earlier versions ignore.
+    bool isComparison = false;
+    /// For a request with digests: the names of all records in the buckets from `firstBucket` to before `nextBucket`
+    /// whose digests differ.
+    std::string names;
+    std::uint32_t firstBucket = 0;
+    std::uint32_t nextBucket = 0;
+    bool areAllCompared = false;
     bool operator==(const CopyPage&) const = default;
 };
 
--- a/src/include/Rattandeck/journalstate.h
+++ b/src/include/Rattandeck/journalstate.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Rattandeck {
@@ -90,6 +91,15 @@
     /// `maxRecords` records at most; the claims of one budget are not split.
     CopyPage page(std::uint64_t cursor, std::size_t maxRecords) const;
 
+    /// Comparison with the records of another journal; see `RecordDigests`.
+    std::string digests() const;
+    /// The names of the records in the buckets that differ, from `firstBucket` on.
+    CopyPage compare(const std::string& otherDigests, std::uint32_t firstBucket, std::size_t maxNames) const;
+    /// Those of the names whose records, or settlements, are missing here.
+    std::string lackingNames(std::string_view names) const;
+    /// The records with these names; unknown ones are omitted.
+    CopyPage recordsOf(std::string_view names) const;
+
 private:
     struct Impl;
     std::unique_ptr<Impl> impl;
--- a/src/librattandeck/journal.cpp
+++ b/src/librattandeck/journal.cpp
@@ -1,12 +1,15 @@
 #include "Rattandeck/journal.h"
 
 #include "Rattandeck/journalcopier.h"
+#include "Rattandeck/journaltransfer.h"
 
 #include <algorithm>
 
 namespace Rattandeck {
 
 constexpr std::size_t pageRecords = 512;
+/// Names per answer to a comparison. They take 64 kB, so that they don't delay other messages on a narrow link.
+constexpr std::size_t pageNames = 4096;
 
 struct Journal::Impl : private JournalMembershipIo {
     Impl(TimerService& timers, JournalIo& io, JournalMember self, JournalMembershipLimits limits)
@@ -14,6 +17,7 @@
         , io(io)
         , state([this](const DiskLocation& location) { return this->io.readTurn(location); })
         , membership(timers, *this, std::move(self), limits)
+        , transfer(this->transferIo())
         , copier(this->copierIo())
     {
     }
@@ -22,10 +26,12 @@
     JournalIo& io;
     JournalState state;
     JournalMembership membership;
+    JournalTransfer transfer;
     JournalCopier copier;
     std::set<NodeId> linked;
     Milliseconds longestRetention { 0 };
 
+    JournalTransfer::Io transferIo();
     JournalCopier::Io copierIo();
 
     /// Each returns whether the record is new.
@@ -38,14 +44,20 @@
     void onFetch(const NodeId& from, const FetchTurn& fetch);
     void onCrashes(const NodeId& from, const CrashReports& crashes);
     void onCopyRequest(const NodeId& from, const CopyRequest& request);
-    void onCopyPage(const NodeId& from, const CopyPage& page);
+    /// Returns the page that answers a request for copying.
+    CopyPage copyPage(const NodeId& from, const CopyRequest& request);
+    void onCopyPage(const NodeId& from, CopyPage page);
+    void onStored(const NodeId& from, const CopyPage& page);
     void onTurnsRequest(const NodeId& from, const TurnsRequest& request);
     void onTurnsPage(const NodeId& from, const TurnsPage& page);
 
     // JournalMembershipIo
     void readSet() override { this->io.readSet(); }
     void writeSet(const JournalSet& set) override { this->io.writeSet(set); }
-    bool requestPage(const NodeId& node, const CopyRequest& request) override { return this->io.send(node, request); }
+    bool requestPage(const NodeId& node, const CopyRequest& request) override
+    {
+        return this->transfer.requestPage(node, request);
+    }
     void persistSyncState(const JournalSyncState& syncState) override { this->io.persistSyncState(syncState); }
     void onSetChanged(const JournalSet& set) override;
     void logStep(const std::string& step, const std::string& detail) override { this->io.logStep(step, detail); }
@@ -130,34 +142,70 @@
 
 // Copying ------------------------------------------------------------------------------------------------------------
 
+JournalTransfer::Io Journal::Impl::transferIo()
+{
+    JournalTransfer::Io transferIo;
+    transferIo.digests = [this] { return this->state.digests(); };
+    transferIo.lackingNames = [this](std::string_view names) { return this->state.lackingNames(names); };
+    transferIo.send = [this](const NodeId& node, const CopyRequest& request) { return this->io.send(node, request); };
+    return transferIo;
+}
+
 JournalCopier::Io Journal::Impl::copierIo()
 {
     JournalCopier::Io copierIo;
     copierIo.isKnown = [this](const TurnId& turn) { return this->state.hasTurn(turn); };
     copierIo.requestTurns = [this](const NodeId& node, const TurnsRequest& request) { this->io.send(node, request); };
     copierIo.onCopied = [this](const NodeId& node, const CopyPage& page) {
-        this->io.sync([this, node, page] { this->membership.onPage(node, page); });
+        this->io.sync([this, node, page] { this->onStored(node, page); });
     };
     return copierIo;
 }
 
 void Journal::Impl::onCopyRequest(const NodeId& from, const CopyRequest& request)
 {
-    CopyPage page = this->state.page(request.cursor, pageRecords);
+    CopyPage page = this->copyPage(from, request);
     page.round = request.round;
     page.epoch = this->membership.set().epoch;
+    if (page.isComparison)
+        page.cursor = request.cursor;
+    this->io.send(from, page);
+}
+
+CopyPage Journal::Impl::copyPage(const NodeId& from, const CopyRequest& request)
+{
+    if (!request.digests.empty()) {
+        CopyPage page = this->state.compare(request.digests, request.firstBucket, pageNames);
+        if (page.firstBucket == 0 && page.areAllCompared && page.names.empty())
+            this->membership.onCopiedBy(from);
+        return page;
+    }
+    if (!request.wanted.empty() || request.isCopied) {
+        // Records that arrived before this journal knew the set may not have been copied under an earlier one.
+        if (request.isCopied && request.copiedEpoch >= this->membership.set().epoch)
+            this->membership.onCopiedBy(from);
+        return this->state.recordsOf(request.wanted);
+    }
+    CopyPage page = this->state.page(request.cursor, pageRecords);
     if (page.isLast)
         this->membership.onCopiedBy(from);
-    this->io.send(from, page);
+    return page;
 }
 
-void Journal::Impl::onCopyPage(const NodeId& from, const CopyPage& page)
+void Journal::Impl::onCopyPage(const NodeId& from, CopyPage page)
 {
     for (const SettleClaim& claim : page.claims)
         this->applyAndAppend(claim);
     if (!page.crashes.empty())
         this->onCrashes(from, { page.crashes });
-    this->copier.onPage(from, page);
+    if (this->transfer.accept(from, page))
+        this->copier.onPage(from, page);
+}
+
+void Journal::Impl::onStored(const NodeId& from, const CopyPage& page)
+{
+    if (const auto progress = this->transfer.onStored(from, page))
+        this->membership.onPage(from, *progress);
 }
 
 void Journal::Impl::onTurnsRequest(const NodeId& from, const TurnsRequest& request)
@@ -233,6 +281,7 @@
 {
     this->impl->linked.erase(node);
     this->impl->membership.onLinkDown(node);
+    this->impl->transfer.onLinkDown(node);
     this->impl->copier.onLinkDown(node);
 }
 
--- a/src/librattandeck/journal_test.cpp
+++ b/src/librattandeck/journal_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(retainedRecordsAreRewritten);
     CPPUNIT_TEST(writtenTurnIsReadFromDisk);
     CPPUNIT_TEST(unreadableTurnIsNotReportedMissing);
+    CPPUNIT_TEST(retirementIsCompleteOnlyWhenAllHaveStoredTheRecords);
     CPPUNIT_TEST_SUITE_END();
 
     TimerService timers;
@@ -237,6 +238,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), fetched.size());
         CPPUNIT_ASSERT(fetched.front().missing == TurnId("t") && fetched.front().transcript == "in2out2");
     }
+
+    void retirementIsCompleteOnlyWhenAllHaveStoredTheRecords()
+    {
+        this->start(true);
+        this->journal->onMessage(this->gateway, makeStore(1, "t"));
+        JournalSet later = setOfThree();
+        later.epoch = Epoch(5);
+        std::erase_if(later.members, [](const JournalMember& member) { return member.node == NodeId("a"); });
+        this->journal->onMessage(NodeId("b"), later);
+        CopyRequest compare;
+        compare.digests = JournalState().digests();
+        CopyRequest confirm;
+        confirm.isCopied = true;
+        confirm.copiedEpoch = Epoch(4);
+        for (const char* member : { "b", "c" }) {
+            this->journal->onMessage(NodeId(member), compare);
+            this->journal->onMessage(NodeId(member), confirm);
+        }
+        CPPUNIT_ASSERT(!this->journal->isRetirementComplete());
+        confirm.copiedEpoch = Epoch(5);
+        this->journal->onMessage(NodeId("b"), confirm);
+        CPPUNIT_ASSERT(!this->journal->isRetirementComplete());
+        // A member with the same records has nothing to confirm.
+        compare.digests = this->journal->state().digests();
+        this->journal->onMessage(NodeId("c"), compare);
+        CPPUNIT_ASSERT(this->journal->isRetirementComplete());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JournalTest);
--- a/src/librattandeck/journalstate.cpp
+++ b/src/librattandeck/journalstate.cpp
@@ -1,5 +1,7 @@
 #include "Rattandeck/journalstate.h"
 
+#include "recorddigests.h"
+
 #include <map>
 #include <unordered_map>
 
@@ -43,6 +45,7 @@
     std::map<std::uint64_t, const TurnEntry*> turnsBySequence;
     std::map<std::uint64_t, const std::pair<const BudgetId, BudgetEntry>*> budgetsBySequence;
     std::map<std::pair<Fingerprint, std::string>, std::pair<CrashReport, TimePoint>> crashes;
+    RecordDigests digests;
     std::uint64_t lastSequence = 0;
     std::size_t bytes = 0;
     std::size_t bytesInMemory = 0;
@@ -53,6 +56,10 @@
     void releaseFromMemory(TurnEntry& known);
     std::optional<RetainedTurn> read(const TurnEntry& known) const;
     void renewChain(const TurnId& first, TimePoint expires);
+    /// Updates the digests after a claim was added or settled.
+    void digest(const BudgetId& budget, const TokenClaim& claim, bool isNew);
+    void removeDigests(const BudgetId& id, const BudgetEntry& budget);
+    void addTo(CopyPage& page, const RecordReference& record) const;
 };
 
 JournalState::JournalState(TurnReader reader)
@@ -76,6 +83,7 @@
     if (!isNewClaim && !isSettlement)
         return false;
     known->second = claim.claim;
+    this->impl->digest(entry->first, known->second, isNewClaim);
     // A changed budget gets a new sequence number, so that journals that copy from a cursor receive the change.
     if (!isNew)
         this->impl->budgetsBySequence.erase(budget.sequence);
@@ -94,6 +102,7 @@
         known.textBytes = textBytes;
         known.sequence = ++this->lastSequence;
         this->turnsBySequence.emplace(known.sequence, &known);
+        this->digests.add(nameOf(known.id), &known.id);
         this->bytes += known.bytes();
     }
     return { &known, isNew };
@@ -158,7 +167,10 @@
 bool JournalState::apply(const CrashReport& report, TimePoint now)
 {
     const std::pair entry { report, now + report.retention };
-    return this->impl->crashes.insert_or_assign(std::pair(report.request, report.crash), entry).second;
+    const auto [known, isNew] = this->impl->crashes.insert_or_assign(std::pair(report.request, report.crash), entry);
+    if (isNew)
+        this->impl->digests.add(nameOf(report), &known->second.first);
+    return isNew;
 }
 
 void JournalState::Impl::renewChain(const TurnId& first, TimePoint expires)
@@ -235,7 +247,12 @@
 
 void JournalState::expire(TimePoint now)
 {
-    std::erase_if(this->impl->crashes, [now](const auto& entry) { return entry.second.second <= now; });
+    std::erase_if(this->impl->crashes, [this, now](const auto& entry) {
+        const auto& [report, expires] = entry.second;
+        if (expires <= now)
+            this->impl->digests.remove(nameOf(report), &report);
+        return expires <= now;
+    });
     for (auto each = this->impl->turns.begin(); each != this->impl->turns.end();) {
         if (each->second.expires > now) {
             ++each;
@@ -244,6 +261,7 @@
         this->impl->releaseFromMemory(each->second);
         this->impl->bytes -= each->second.bytes();
         this->impl->turnsBySequence.erase(each->second.sequence);
+        this->impl->digests.remove(nameOf(each->second.id), &each->second.id);
         each = this->impl->turns.erase(each);
     }
     for (auto each = this->impl->budgets.begin(); each != this->impl->budgets.end();) {
@@ -252,6 +270,7 @@
             continue;
         }
         this->impl->budgetsBySequence.erase(each->second.sequence);
+        this->impl->removeDigests(each->first, each->second);
         each = this->impl->budgets.erase(each);
     }
 }
@@ -305,4 +324,52 @@
     return page;
 }
 
+// Comparing ----------------------------------------------------------------------------------------------------------
+
+void JournalState::Impl::digest(const BudgetId& budget, const TokenClaim& claim, bool isNew)
+{
+    const RecordName name = nameOf(budget, claim);
+    const ClaimReference record { &budget, &claim };
+    if (!isNew)
+        this->digests.remove(name, record);
+    this->digests.add(name, record);
+}
+
+void JournalState::Impl::removeDigests(const BudgetId& id, const BudgetEntry& budget)
+{
+    for (const auto& [turn, claim] : budget.claims)
+        this->digests.remove(nameOf(id, claim), ClaimReference { &id, &claim });
+}
+
+void JournalState::Impl::addTo(CopyPage& page, const RecordReference& record) const
+{
+    if (const auto* turn = std::get_if<const TurnId*>(&record))
+        page.turns.push_back(**turn);
+    else if (const auto* claim = std::get_if<ClaimReference>(&record))
+        page.claims.push_back({ *claim->budget, *claim->claim, this->budgets.at(*claim->budget).retention });
+    else if (const auto* crash = std::get_if<const CrashReport*>(&record))
+        page.crashes.push_back(**crash);
+}
+
+std::string JournalState::digests() const { return this->impl->digests.digests(); }
+
+CopyPage JournalState::compare(const std::string& otherDigests, std::uint32_t firstBucket, std::size_t maxNames) const
+{
+    CopyPage page;
+    page.isComparison = true;
+    this->impl->digests.compare(otherDigests, firstBucket, maxNames, page);
+    return page;
+}
+
+std::string JournalState::lackingNames(std::string_view names) const { return this->impl->digests.lackingNames(names); }
+
+CopyPage JournalState::recordsOf(std::string_view names) const
+{
+    CopyPage page;
+    page.isComparison = true;
+    for (const RecordReference& record : this->impl->digests.find(names))
+        this->impl->addTo(page, record);
+    return page;
+}
+
 }
--- a/src/librattandeck/journalstate_test.cpp
+++ b/src/librattandeck/journalstate_test.cpp
@@ -32,6 +32,8 @@
     CPPUNIT_TEST(pagesContainEachRecordOnce);
     CPPUNIT_TEST(changedBudgetIsCopiedAgain);
     CPPUNIT_TEST(mutualCopyingTerminates);
+    CPPUNIT_TEST(expiredRecordsAreNotCompared);
+    CPPUNIT_TEST(comparisonFindsTheLackingRecords);
     CPPUNIT_TEST_SUITE_END();
 
     JournalState state;
@@ -142,6 +144,39 @@
         CPPUNIT_ASSERT_EQUAL(
             std::size_t(0), copy(this->state, other, cursorOfState) + copy(other, this->state, cursorOfOther));
     }
+
+    void addRecords(JournalState& to)
+    {
+        to.apply(turn("1", ""), at(0));
+        to.apply(claim("1", 10, false), at(0));
+        to.apply(claim("1", 5, true), at(0));
+        to.apply(claim("2", 10, false), at(0));
+        to.apply(CrashReport { Fingerprint("f"), "e/1", retention }, at(0));
+    }
+
+    void expiredRecordsAreNotCompared()
+    {
+        const std::string empty = this->state.digests();
+        this->addRecords(this->state);
+        CPPUNIT_ASSERT(this->state.digests() != empty);
+        this->state.expire(at(61));
+        CPPUNIT_ASSERT(this->state.digests() == empty);
+    }
+
+    void comparisonFindsTheLackingRecords()
+    {
+        constexpr std::size_t maxNames = 100;
+        this->addRecords(this->state);
+        JournalState other;
+        const std::string names = this->state.compare(other.digests(), 0, maxNames).names;
+        const CopyPage page = this->state.recordsOf(other.lackingNames(names));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.turns.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), page.claims.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), page.crashes.size());
+        this->addRecords(other);
+        CPPUNIT_ASSERT(other.lackingNames(names).empty());
+        CPPUNIT_ASSERT(this->state.compare(other.digests(), 0, maxNames).names.empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JournalStateTest);
--- a/src/librattandeck/journaltransfer_test.cpp
+++ b/src/librattandeck/journaltransfer_test.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t maxBytesOfAnEqualPair = 24UL * 1024;
 /// Bytes that a record may cost for each member that lacks it and each source, beside its own text.
 constexpr std::size_t maxBytesOfADifference = 2048;
+/// Bytes for naming a record.
+constexpr std::size_t maxBytesOfAName = 24;
+/// Bytes of a whole record, requested and sent.
+constexpr std::size_t maxBytesOfARecord = 400;
 
 /// Journals with fake disks that sync at once, linked without delay. Counts the coded bytes of all messages.
 class Members {
@@ -68,6 +72,16 @@
             node->journal->onMessage(this->set.proposer, this->set);
     }
 
+    /// The last member has been removed from the set, and stays.
+    void retireLast()
+    {
+        this->set.members.pop_back();
+        this->set.epoch = Epoch(this->set.epoch.value + 1);
+        this->set.proposer = this->set.members.front().node;
+        for (auto& [name, node] : this->nodes)
+            node->journal->onMessage(this->set.proposer, this->set);
+    }
+
     bool areAllComplete() const
     {
         return std::ranges::all_of(this->nodes, [this](const auto& entry) {
@@ -96,7 +110,10 @@
 
     TimerService timers;
     JournalSet set;
+    /// Members that start with an empty disk: the first ones.
     std::set<NodeId> emptied;
+    /// A member that neither sends nor reads the fields with which journals compare their records.
+    NodeId earlierVersion;
     std::size_t messages = 0;
 
 private:
@@ -136,8 +153,11 @@
         std::string coded;
     };
 
-    void send(const NodeId& from, const NodeId& to, const Message& message)
+    void send(const NodeId& from, const NodeId& to, Message message)
     {
+        auto* request = std::get_if<CopyRequest>(&message);
+        if (request && (from == this->earlierVersion || to == this->earlierVersion))
+            *request = { request->round, request->cursor };
         this->sent.push_back({ from, to, encode(message) });
         this->bytes += this->sent.back().coded.size();
         ++this->messages;
@@ -176,6 +196,11 @@
     CPPUNIT_TEST_SUITE(JournalTransferTest);
     CPPUNIT_TEST(equalMembersExchangeNoRecordsAfterAChange);
     CPPUNIT_TEST(membersExchangeOnlyTheirDifferences);
+    CPPUNIT_TEST(emptiedMemberReceivesEachRecordOnce);
+    CPPUNIT_TEST(memberOfAnEarlierVersionIsCopied);
+    CPPUNIT_TEST(expiredRecordsDoNotPreventCopying);
+    CPPUNIT_TEST(crashReportsAreCopied);
+    CPPUNIT_TEST(retiredMemberWaitsUntilAllHaveItsRecords);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr std::size_t memberCount = 12;
@@ -191,10 +216,10 @@
         return name + std::string(idLength - name.size(), '-');
     }
 
-    /// Gives each member the same turns and claims.
+    /// Gives each member, except emptied ones, the same turns and claims.
     static void fill(Members& members)
     {
-        for (std::size_t i = 0; i < memberCount; ++i) {
+        for (std::size_t i = members.emptied.size(); i < memberCount; ++i) {
             for (std::size_t turn = 0; turn < turnCount; ++turn)
                 members.at(i).restore(makeTurn(idOf("turn-", turn)));
             for (std::size_t claim = 0; claim < budgetCount * claimsPerBudget; ++claim)
@@ -247,6 +272,87 @@
         }
     }
 
+    void emptiedMemberReceivesEachRecordOnce()
+    {
+        Members members(memberCount);
+        members.emptied.insert(Members::nodeOf(0));
+        fill(members);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), members.at(0).state().turnCount());
+        members.takeBytes();
+        members.start();
+        members.runUntilAllAreComplete();
+        CPPUNIT_ASSERT_EQUAL(turnCount, members.at(0).state().turnCount());
+        CPPUNIT_ASSERT_EQUAL(budgetCount, members.at(0).state().budgetCount());
+        // Each source names its records; the records themselves come once.
+        constexpr std::size_t sources = memberCount - 1;
+        constexpr std::size_t records = turnCount + budgetCount * claimsPerBudget;
+        CPPUNIT_ASSERT_LESSEQUAL(
+            sources * (maxBytesOfAnEqualPair + records * maxBytesOfAName) + records * maxBytesOfARecord,
+            members.takeBytes());
+    }
+
+    void memberOfAnEarlierVersionIsCopied()
+    {
+        constexpr std::size_t smallSet = 4;
+        Members members(smallSet);
+        members.earlierVersion = Members::nodeOf(1);
+        for (std::size_t i = 0; i < smallSet; ++i) {
+            members.at(i).restore(makeTurn(idOf("turn-", i)));
+            members.at(i).restore(makeClaim(idOf("budget-", 0), idOf("turn-", i), false));
+        }
+        members.start();
+        members.removeLast();
+        members.runUntilAllAreComplete();
+        for (std::size_t i = 0; i + 1 < smallSet; ++i) {
+            CPPUNIT_ASSERT_EQUAL(smallSet - 1, members.at(i).state().turnCount());
+            CPPUNIT_ASSERT_EQUAL(smallSet - 1, members.at(i).state().claims(BudgetId(idOf("budget-", 0))).size());
+        }
+    }
+
+    void expiredRecordsDoNotPreventCopying()
+    {
+        constexpr std::size_t smallSet = 4;
+        constexpr std::size_t expired = 20000;
+        Members members(smallSet);
+        // One member still has records, in all buckets, that have expired at the others.
+        for (std::size_t i = 0; i < expired; ++i)
+            members.at(1).restore(makeTurn(idOf("old-", i)));
+        members.at(2).restore(makeTurn("kept"));
+        members.start();
+        members.removeLast();
+        members.runUntilAllAreComplete();
+        for (std::size_t i = 0; i + 1 < smallSet; ++i)
+            CPPUNIT_ASSERT(members.at(i).state().hasTurn(TurnId("kept")));
+    }
+
+    void crashReportsAreCopied()
+    {
+        Members members(4);
+        members.at(1).restore(CrashReports { { { Fingerprint("f"), "e/1", retention } } });
+        members.start();
+        members.removeLast();
+        members.runUntilAllAreComplete();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), members.at(0).state().crashes().size());
+    }
+
+    void retiredMemberWaitsUntilAllHaveItsRecords()
+    {
+        constexpr std::size_t smallSet = 4;
+        constexpr std::size_t retired = smallSet - 1;
+        Members members(smallSet);
+        for (std::size_t i = 0; i < turnCount; ++i)
+            members.at(retired).restore(makeTurn(idOf("turn-", i)));
+        members.start();
+        for (std::size_t i = 0; i < smallSet; ++i)
+            members.at(i).setRetiring({ Members::nodeOf(retired) });
+        members.retireLast();
+        for (int steps = 0; steps < 1000 && !members.at(retired).isRetirementComplete(); ++steps)
+            members.run(step);
+        CPPUNIT_ASSERT(members.at(retired).isRetirementComplete());
+        for (std::size_t i = 0; i < retired; ++i)
+            CPPUNIT_ASSERT_EQUAL(turnCount, members.at(i).state().turnCount());
+    }
+
     static bool isSettled(const JournalState& state, std::size_t number)
     {
         const TurnId turn(idOf("turn-", number + budgetCount));
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -380,6 +380,11 @@
 {
     visit("round", m.round);
     visit("cursor", m.cursor);
+    visit("digests", m.digests);
+    visit("firstBucket", m.firstBucket);
+    visit("wanted", m.wanted);
+    visit("isCopied", m.isCopied);
+    visit("copiedEpoch", m.copiedEpoch);
 }
 
 template <typename Visitor> void visitFields(Visitor& visit, CopyPage& m)
@@ -391,6 +396,11 @@
     visit("claims", m.claims);
     visit("turns", m.turns);
     visit("crashes", m.crashes);
+    visit("isComparison", m.isComparison);
+    visit("names", m.names);
+    visit("firstBucket", m.firstBucket);
+    visit("nextBucket", m.nextBucket);
+    visit("areAllCompared", m.areAllCompared);
 }
 
 template <typename Visitor> void visitFields(Visitor& visit, TurnsRequest& m) { visit("turns", m.turns); }
