Give up a member only while the others hold the records of earlier losses

So two holders of a turn could be given up one after the other, although the second one was only isolated. Change: journals tell each other whether they lack records (JournalStanding, on each new link and at each change, valid under one epoch). A member is replaced only if the unreachable members and those that lack records are together at most the tolerated losses; a surplus or retiring one is removed by the same count. Why the exceptions: without the first, a machine that is lost while another one joins is never replaced, since the one that joins waits for it (memberIsReplacedAlthoughAnAddedOneHasNotCopied). Tests: memberIsNotReplacedBeforeAnEarlierReplacementHasCopiedIt, surplusMemberIsNotRemovedBeforeAWipedOneHasCopiedIt and retiringMemberIsNotRemovedBeforeAWipedOneHasCopiedIt failed before and pass. New: replacedMemberReturnsForALostOneBeforeItsReplacementHasCopied. Cost: a second unreachable member is not replaced before the first replacement has copied; a deployment that really loses both waits for an operator, as with two unreachable members before. While older versions run beside new ones, no member is replaced or retired.

--- a/src/include/Rattandeck/journalmembership.h
+++ b/src/include/Rattandeck/journalmembership.h
@@ -16,6 +16,12 @@
     bool isComplete = false;
     /// The epoch of the latest set under which it has copied all other members.
     Epoch copiedEpoch;
+    /// It joined without replacing another member, so it may lack only records that it has never held.
+    bool isAddition = false;
+    /// The member that it replaced when it joined, until it is complete.
+    NodeId replaced;
+    /// It is not a member, and was complete when it was removed. Its disk holds what it held then.
+    bool wasComplete = false;
     bool operator==(const JournalSyncState&) const = default;
 };
 
@@ -30,6 +36,8 @@
     virtual void writeSet(const JournalSet& set) = 0;
     /// Requests a page of records from a journal. Answered by `onPage`.
     virtual bool requestPage(const NodeId& node, const CopyRequest& request) = 0;
+    /// Tells a linked journal whether this one lacks records.
+    virtual void sendStanding(const NodeId& node, const JournalStanding& standing) = 0;
     /// Writes the synchronisation state to disk.
     virtual void persistSyncState(const JournalSyncState& syncState) = 0;
     /// A set with a higher epoch is in force here. It has to be written to disk and sent to all linked processes.
@@ -60,7 +68,12 @@
 /// - After any change, a member reports a record as missing only after it has copied all other members in the same way.
 ///   A removed member may have held one of only two copies of a record; this copying finds the remaining one.
 ///
-/// `spec/journals.pml` shows that each of these rules is necessary.
+/// - An unreachable member is replaced or removed only if it and the members that lack records of a lost disk or of an
+///   earlier replacement are together at most `toleratedLosses`; else it may hold the only copy of a record. A member
+///   that was only added and has not copied yet doesn't count, since no copy was lost with it, nor does one that lacks
+///   only records that are brought back: by the joining journal, which was replaced, or by a replaced one that retires.
+///
+/// `spec/journals.pml` shows that each of the first two rules is necessary.
 ///
 /// A journal with an empty disk copies the records of all other members before it becomes voting again. While the store
 /// is unavailable the set does not change; the members continue to work with the set that they know.
@@ -81,6 +94,7 @@
     void onSetRead(const std::optional<JournalSet>& set);
     void onSetWritten(const JournalSet& set);
     void onSetCallFailed();
+    void onStanding(const NodeId& from, const JournalStanding& standing);
     /// Another process sent the set that it knows.
     void onSetReceived(const JournalSet& set);
 
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -142,6 +142,17 @@
     bool operator==(const JournalSet&) const = default;
 };
 
+/// Journal to journal: whether the sender lacks records. Sent when a link is up and when the set or the answer changes.
+struct JournalStanding {
+    /// The set that the sender knows.
+    Epoch epoch;
+    /// The sender has not yet copied all records that it, or a member that it has replaced, held before.
+    bool lacksRecords = true;
+    /// The member whose records it lacks because it has replaced it; empty when it is not for this reason alone.
+    NodeId replaced;
+    bool operator==(const JournalStanding&) const = default;
+};
+
 /// Journal to journal: requests the records after a cursor (0: from the start).
 struct CopyRequest {
     /// Correlates the page with the current copy round of the requester.
--- a/src/include/Rattandeck/messages.h
+++ b/src/include/Rattandeck/messages.h
@@ -439,6 +439,7 @@
     HoldPrefix, LoadReport, RecoveryRequest, RecoveryAnswer, CopyRecords, CopyAnswer, PromiseRequest, PromiseAnswer,
     PromiseReleaseRequest, PromiseReleaseAnswer, ConfigUpdate, ForwardRequest, ForwardCancel, ForwardEvent, ClaimTokens,
     ClaimsKnown, SettleClaim, StoreTurn, TurnStored, FetchTurn, TurnFetched, JournalSet, CopyRequest, CopyPage,
-    TurnsRequest, TurnsPage, GossipOffers, GossipRequest, GossipItems, CrashReports, JournalInconclusive>;
+    TurnsRequest, TurnsPage, GossipOffers, GossipRequest, GossipItems, CrashReports, JournalInconclusive,
+    JournalStanding>;
 
 }
--- a/src/librattandeck/journal.cpp
+++ b/src/librattandeck/journal.cpp
@@ -46,6 +46,7 @@
     void readSet() override { this->io.readSet(); }
     void writeSet(const JournalSet& set) override { this->io.writeSet(set); }
     bool requestPage(const NodeId& node, const CopyRequest& request) override { return this->io.send(node, request); }
+    void sendStanding(const NodeId& node, const JournalStanding& standing) override { this->io.send(node, standing); }
     void persistSyncState(const JournalSyncState& syncState) override { this->io.persistSyncState(syncState); }
     void onSetChanged(const JournalSet& set) override;
     void logStep(const std::string& step, const std::string& detail) override { this->io.logStep(step, detail); }
@@ -251,6 +252,8 @@
         this->impl->onFetch(from, *fetch);
     else if (const auto* set = std::get_if<JournalSet>(&message))
         this->impl->membership.onSetReceived(*set);
+    else if (const auto* standing = std::get_if<JournalStanding>(&message))
+        this->impl->membership.onStanding(from, *standing);
     else if (const auto* request = std::get_if<CopyRequest>(&message))
         this->impl->onCopyRequest(from, *request);
     else if (const auto* page = std::get_if<CopyPage>(&message))
--- a/src/librattandeck/journalmembership.cpp
+++ b/src/librattandeck/journalmembership.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 namespace Rattandeck {
 
@@ -23,6 +24,8 @@
     struct Peer {
         bool isUp = false;
         TimePoint linkChangedAt;
+        /// The latest standing that it has told over the current link.
+        std::optional<JournalStanding> standing;
         CopyProgress copyProgress;
     };
 
@@ -55,6 +58,8 @@
     std::map<NodeId, Peer> peers;
     std::set<NodeId> retiring;
     std::set<NodeId> copiedBy;
+    /// The standing that all linked journals have been told.
+    JournalStanding announced;
     Epoch removedInEpoch;
 
     const JournalMember* findMember(const NodeId& node) const;
@@ -64,9 +69,19 @@
     std::vector<NodeId> others() const;
     /// The journals to copy records from: the other members, and reachable retiring journals that have been removed.
     std::vector<NodeId> sources() const;
+    bool lacksRecords() const;
+    /// What a linked journal has told under the present set.
+    std::optional<JournalStanding> standingOf(const NodeId& node) const;
+    /// Whether a replaced journal that has its records is this one, which joins with them, or a retiring one that the
+    /// members copy.
+    bool bringsBack(const NodeId& node) const;
+    /// The number of reachable members besides this journal and `except` that lack records or have not told under the
+    /// present set that they don't, except those that lack only records that are brought back.
+    std::size_t countLacking(const NodeId& except) const;
 
     void tick();
     void adopt(const JournalSet& newSet);
+    void announceStanding();
     void copy();
     void requestNextPage(const NodeId& node, CopyProgress& copyProgress);
     bool hasCopiedAll(Epoch since) const;
@@ -128,14 +143,68 @@
     return nodes;
 }
 
+bool JournalMembership::Impl::lacksRecords() const
+{
+    if (!this->isMember())
+        return !this->syncState.wasComplete;
+    return !this->syncState.isComplete && !this->syncState.isAddition;
+}
+
+std::optional<JournalStanding> JournalMembership::Impl::standingOf(const NodeId& node) const
+{
+    const auto found = this->peers.find(node);
+    const bool isKnown = found != this->peers.end() && found->second.isUp && found->second.standing
+        && found->second.standing->epoch == this->set.epoch;
+    return isKnown ? found->second.standing : std::nullopt;
+}
+
+bool JournalMembership::Impl::bringsBack(const NodeId& node) const
+{
+    if (node == this->self.node)
+        return this->syncState.wasComplete;
+    const auto standing = this->standingOf(node);
+    return !this->findMember(node) && this->retiring.contains(node) && standing && !standing->lacksRecords;
+}
+
+std::size_t JournalMembership::Impl::countLacking(const NodeId& except) const
+{
+    std::size_t count = 0;
+    for (const NodeId& node : this->others()) {
+        if (node == except || !this->isUp(node))
+            continue;
+        const auto standing = this->standingOf(node);
+        const bool isHarmless = standing && (!standing->lacksRecords || this->bringsBack(standing->replaced));
+        count += isHarmless ? 0 : 1;
+    }
+    return count;
+}
+
 // Sets -----------------------------------------------------------------------------------------------------------
 
+/// How a journal has joined with the set `later`. Nothing is known of it unless `later` directly follows `former`.
+static JournalSyncState stateAfterJoining(const JournalSet& former, const JournalSet& later)
+{
+    JournalSyncState joined;
+    if (later.epoch.value != former.epoch.value + 1)
+        return joined;
+    std::vector<NodeId> removed;
+    for (const JournalMember& member : former.members) {
+        if (std::ranges::find(later.members, member) == later.members.end())
+            removed.push_back(member.node);
+    }
+    joined.isAddition = removed.empty();
+    // A journal with a new address replaces itself; its former disk does not return.
+    if (removed.size() == 1 && removed.front() != later.proposer)
+        joined.replaced = removed.front();
+    return joined;
+}
+
 void JournalMembership::Impl::adopt(const JournalSet& newSet)
 {
     if (newSet.epoch <= this->set.epoch)
         return;
     const bool wasMember = this->isMember();
-    this->set = newSet;
+    const JournalSet former = std::exchange(this->set, newSet);
     this->copiedBy.clear();
     if (wasMember && !this->isMember())
         this->removedInEpoch = newSet.epoch;
@@ -143,12 +212,27 @@
     // ones. Both must copy the records of the members before they vote.
     const bool hasJoined = newSet.proposer == this->self.node && !wasMember;
     if (!this->isMember() || hasJoined) {
-        this->syncState = {};
+        const bool wasComplete = wasMember ? this->syncState.isComplete : this->syncState.wasComplete;
+        this->syncState = hasJoined ? stateAfterJoining(former, newSet) : JournalSyncState {};
+        this->syncState.wasComplete = wasComplete && !this->isMember();
         this->io.persistSyncState(this->syncState);
     }
     this->io.logStep("journal set",
         "epoch " + std::to_string(newSet.epoch.value) + ", " + std::to_string(newSet.members.size()) + " members");
     this->io.onSetChanged(newSet);
+    this->announceStanding();
+}
+
+void JournalMembership::Impl::announceStanding()
+{
+    const JournalStanding standing { this->set.epoch, this->lacksRecords(), this->syncState.replaced };
+    if (standing == this->announced)
+        return;
+    this->announced = standing;
+    for (const auto& [node, peer] : this->peers) {
+        if (peer.isUp)
+            this->io.sendStanding(node, standing);
+    }
 }
 
 void JournalMembership::Impl::requestSetRead()
@@ -215,6 +299,7 @@
 {
     this->syncState = { true, this->set.epoch };
     this->io.persistSyncState(this->syncState);
+    this->announceStanding();
     this->io.logStep("journal complete", "epoch " + std::to_string(this->set.epoch.value));
 }
 
@@ -258,8 +343,9 @@
     }
     const auto replaced = std::ranges::find_if(
         unreachable, [this](const NodeId& node) { return this->isDownFor(node, this->limits.replaceAfter); });
-    const bool mayReplace = unreachable.size() <= this->limits.toleratedLosses && replaced != unreachable.end()
-        && !isOwnReplacement && changed.members.size() > this->limits.toleratedLosses;
+    const std::size_t losses = unreachable.size() + this->countLacking(this->self.node);
+    const bool mayReplace = losses <= this->limits.toleratedLosses && replaced != unreachable.end() && !isOwnReplacement
+        && changed.members.size() > this->limits.toleratedLosses;
     if (!unreachable.empty() && !mayReplace)
         return;
     if (mayReplace)
@@ -292,6 +378,10 @@
         if (node != removed->node && !this->isUp(node))
             return;
     }
+    // A member that lacks records may have lost a copy of any record of the removed one.
+    const std::size_t lacking = this->countLacking(removed->node);
+    if (lacking > 0 && lacking + 1 > this->limits.toleratedLosses)
+        return;
     JournalSet changed = this->set;
     std::erase(changed.members, *removed);
     this->propose(changed, "drop " + removed->node.value);
@@ -311,8 +401,11 @@
 {
     this->impl->startedAt = this->impl->timers.now();
     this->impl->set = persistedSet;
-    if (persistedSet.epoch.value > 0 && this->impl->isMember())
+    if (persistedSet.epoch.value > 0)
         this->impl->syncState = syncState;
+    if (!this->impl->isMember())
+        this->impl->syncState = { .wasComplete = this->impl->syncState.wasComplete };
+    this->impl->announceStanding();
     this->impl->tick();
 }
 
@@ -338,6 +431,11 @@
     this->impl->isStoredSetCurrent = false;
 }
 
+void JournalMembership::onStanding(const NodeId& from, const JournalStanding& standing)
+{
+    this->impl->peers[from].standing = standing;
+}
+
 void JournalMembership::onSetReceived(const JournalSet& set) { this->impl->adopt(set); }
 
 void JournalMembership::onLinkUp(const NodeId& node)
@@ -347,6 +445,8 @@
     peer.linkChangedAt = this->impl->timers.now();
     // The process may have restarted, in which case its records have different sequence numbers.
     peer.copyProgress = {};
+    peer.standing.reset();
+    this->impl->io.sendStanding(node, this->impl->announced);
 }
 
 void JournalMembership::onLinkDown(const NodeId& node)
--- a/src/librattandeck/journalmembership_test.cpp
+++ b/src/librattandeck/journalmembership_test.cpp
@@ -28,6 +28,7 @@
     void readSet() override;
     void writeSet(const JournalSet& set) override;
     bool requestPage(const NodeId& node, const CopyRequest& request) override;
+    void sendStanding(const NodeId& to, const JournalStanding& standing) override;
     void persistSyncState(const JournalSyncState& syncState) override { this->persistedSyncState = syncState; }
     void onSetChanged(const JournalSet& set) override;
     void logStep(const std::string&, const std::string&) override { }
@@ -182,6 +183,14 @@
     return true;
 }
 
+void FakeJournal::sendStanding(const NodeId& to, const JournalStanding& standing)
+{
+    this->cluster.tasks.push_back([this, to, standing] {
+        if (this->cluster.areLinked(this->node, to))
+            this->cluster.journals.at(to)->membership->onStanding(this->node, standing);
+    });
+}
+
 void FakeJournal::onSetChanged(const JournalSet& set)
 {
     this->persistedSet = set;
@@ -223,6 +232,7 @@
     CPPUNIT_TEST(surplusMemberIsNotRemovedBeforeAWipedOneHasCopiedIt);
     CPPUNIT_TEST(retiringMemberIsNotRemovedBeforeAWipedOneHasCopiedIt);
     CPPUNIT_TEST(memberIsReplacedAlthoughAnAddedOneHasNotCopied);
+    CPPUNIT_TEST(replacedMemberReturnsForALostOneBeforeItsReplacementHasCopied);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<FakeCluster> cluster;
@@ -544,6 +554,28 @@
         CPPUNIT_ASSERT(!this->cluster->hasMember("d") && this->has("c", "1"));
     }
 
+    void replacedMemberReturnsForALostOneBeforeItsReplacementHasCopied()
+    {
+        this->write("1", { "b", "c" });
+        this->at("c").stop();
+        this->cluster->arePagesBlocked = true;
+        this->cluster->add("d");
+        this->cluster->run(Milliseconds(4500));
+        CPPUNIT_ASSERT(!this->cluster->hasMember("c") && this->cluster->hasMember("d"));
+        this->at("b").stop();
+        // What d knows must survive a restart.
+        this->at("d").stop();
+        this->cluster->run(Milliseconds(100));
+        this->at("d").start();
+        this->at("c").start();
+        this->cluster->run(Milliseconds(4500));
+        CPPUNIT_ASSERT(!this->cluster->hasMember("b") && this->cluster->hasMember("c"));
+        this->cluster->arePagesBlocked = false;
+        this->cluster->run(Milliseconds(10000));
+        for (const char* name : { "a", "c", "d" })
+            CPPUNIT_ASSERT(this->at(name).membership->canConfirmAbsence() && this->has(name, "1"));
+    }
+
     void memberIsReplacedAlthoughAnAddedOneHasNotCopied()
     {
         this->write("1", { "b", "c" });
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -376,6 +376,13 @@
     visit("proposer", m.proposer);
 }
 
+template <typename Visitor> void visitFields(Visitor& visit, JournalStanding& m)
+{
+    visit("epoch", m.epoch);
+    visit("lacksRecords", m.lacksRecords);
+    visit("replaced", m.replaced);
+}
+
 template <typename Visitor> void visitFields(Visitor& visit, CopyRequest& m)
 {
     visit("round", m.round);
@@ -474,6 +481,7 @@
 template <> inline constexpr const char* tag<GossipItems> = "bulletins";
 template <> inline constexpr const char* tag<CrashReports> = "crashes";
 template <> inline constexpr const char* tag<JournalInconclusive> = "unsure";
+template <> inline constexpr const char* tag<JournalStanding> = "standing";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
 template <> inline constexpr const char* tag<Problem> = "problem";
--- a/src/rattandeck-journal/metadata.cpp
+++ b/src/rattandeck-journal/metadata.cpp
@@ -41,6 +41,9 @@
     this->currentSet = *set;
     this->currentSyncState.isComplete = json.value("complete", false);
     this->currentSyncState.copiedEpoch = Epoch(json.value("copied_in", std::uint64_t(0)));
+    this->currentSyncState.isAddition = json.value("added", false);
+    this->currentSyncState.replaced = NodeId(json.value("replaced", std::string()));
+    this->currentSyncState.wasComplete = json.value("was_complete", false);
 }
 
 bool JournalMetadata::persistSet(const JournalSet& set)
@@ -62,6 +65,9 @@
     Json json = Platform::writeJournalSet(this->currentSet);
     json["complete"] = this->currentSyncState.isComplete;
     json["copied_in"] = this->currentSyncState.copiedEpoch.value;
+    json["added"] = this->currentSyncState.isAddition;
+    json["replaced"] = this->currentSyncState.replaced.value;
+    json["was_complete"] = this->currentSyncState.wasComplete;
     // The rename replaces the old file only after the new one is completely on disk.
     const std::string temporaryPath = this->folder + temporaryName;
     return writeAndSync(temporaryPath, json.dump())
