Add a soak of real gateways and journals under random faults

Change: testsuite/soak runs gateways and journals as processes behind the link proxies, with stand-ins of store, instances and callers, and injects series of overlapping faults drawn from a seed. The judge checks the promises from what callers and instances see.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: help install build test demo prove bench bench-recovery capacity bench-path plots format check-format lint clean
+.PHONY: help install build test demo prove soak bench bench-recovery capacity bench-path plots format check-format lint clean
 
 help:
 	@echo "install       install the Debian packages that the build needs (root)"
@@ -11,6 +11,7 @@
 	@echo "test          build, then run unit, model and end-to-end tests"
 	@echo "demo          install, build, and run both workloads on local processes"
 	@echo "prove         check the models and run fault schedules (PROVE_SEEDS= sets their number)"
+	@echo "soak          real gateways and journals under random faults (SOAK= sets the options of testsuite/soak/run)"
 	@echo "bench         compare scheduling policies under virtual time; plots draws the CSV"
 	@echo "capacity      measure the coefficients of docs/CAPACITY.md"
 	@echo "bench-path    latency and CPU that entry and sidecar add to a direct call"
@@ -34,6 +35,12 @@
 prove: build
 	./tools/prove --build $(BUILD)
 
+SOAK ?= --seeds 50 --seconds 60
+
+soak: build
+	./testsuite/soak/run --build $(BUILD) --regressions --keep-logs $(BUILD)/soak
+	./testsuite/soak/run --build $(BUILD) --keep-logs $(BUILD)/soak $(SOAK)
+
 bench: build
 	$(BUILD)/src/rattandeck-bench --output $(BUILD)/bench
 
--- /dev/null
+++ b/testsuite/soak/callers.py
@@ -0,0 +1,221 @@
+"""Callers: programs with chains of turns, resumable streams, reads and writes, on connections that stay open."""
+
+import http.client
+import itertools
+import random
+import socket
+import threading
+import time
+
+from platform_standins import HOST
+
+from content import MAX_TURN_TOKENS, Plan
+from judge import RETENTION_CHECKED_S, Request
+
+DEADLINE_S = 4.0
+# After its deadline a caller waits this much longer before it gives an open connection up.
+PATIENCE_S = 3.0
+AMPLE_BUDGET = 1_000_000
+TIGHT_TURNS = 2
+
+
+class Turn:
+    """A retained turn that was answered whole, which others may continue."""
+
+    def __init__(self, request, chain, program):
+        self.name = request.name
+        self.at = request.ended_at
+        self.chain = chain
+        self.program = program
+
+    def is_kept(self, within_s):
+        return time.monotonic() + within_s - self.at < RETENTION_CHECKED_S
+
+
+class Callers:
+    """All callers, each a thread of its own. Turns that were answered whole are shared among them."""
+
+    def __init__(self, deployment, judge, seed, count):
+        self.deployment = deployment
+        self.judge = judge
+        self.numbers = itertools.count(1)
+        self.turns = []
+        self.stopping = threading.Event()
+        self.callers = [Caller(self, random.Random(f"caller {seed} {number}")) for number in range(count)]
+        self.callers += [SeldomCaller(self, random.Random(f"seldom {seed} {number}")) for number in range(2 * count)]
+
+    def start(self):
+        for caller in self.callers:
+            caller.start()
+
+    def stop(self):
+        self.stopping.set()
+        for caller in self.callers:
+            if caller.is_alive():
+                caller.join()
+
+    def kept_turns(self, within_s):
+        self.turns = [turn for turn in self.turns if turn.is_kept(0)]
+        return [turn for turn in self.turns if turn.is_kept(within_s)]
+
+
+class Caller(threading.Thread):
+    """One caller, with a connection to each gateway that it has used."""
+
+    def __init__(self, callers, chance):
+        super().__init__(daemon=True)
+        self.callers = callers
+        self.judge = callers.judge
+        self.chance = chance
+        # Gateway to its address and the open connection.
+        self.connections = {}
+
+    def run(self):
+        activities = [self.program] * 4 + [self.race, self.old_turn, self.stream, self.stream, self.read, self.read,
+                                           self.write, self.write]
+        while not self.callers.stopping.is_set():
+            self.chance.choice(activities)()
+            time.sleep(self.chance.uniform(0, 0.1))
+
+    # Activities
+
+    def program(self):
+        program = f"p{next(self.callers.numbers)}"
+        turn = None
+        for _ in range(self.chance.randint(2, 5)):
+            request, after = self.turn(program, AMPLE_BUDGET, turn)
+            turn = after or turn
+            if self.callers.stopping.is_set():
+                return
+            time.sleep(self.chance.uniform(0, 0.3) if request.status == 200 else 0.2)
+
+    def race(self):
+        """Turns of one program that race for a budget of fewer."""
+        program = f"p{next(self.callers.numbers)}"
+        racers = [Caller(self.callers, random.Random(self.chance.random())) for _ in range(4)]
+        threads = [threading.Thread(target=racer.turn, args=(program, TIGHT_TURNS * MAX_TURN_TOKENS)) for racer in racers]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        for racer in racers:
+            racer.close()
+
+    def old_turn(self):
+        turns = self.callers.kept_turns(DEADLINE_S + PATIENCE_S)
+        if turns:
+            turn = self.chance.choice(turns)
+            self.turn(turn.program, AMPLE_BUDGET, turn)
+
+    def turn(self, program, budget, previous=None, gateway=None):
+        """Sends a turn. Returns its request, and a `Turn` if it was answered whole."""
+        request = self.request("turns", gateway, program=program, budget=budget)
+        if previous:
+            request.previous, request.previous_at = previous.name, previous.at
+        chain = previous.chain if previous else b""
+        body = b"input of %s " % request.name.encode()
+        headers = {"Model": "m", "Program-Id": program, "Session-Id": "s", "Token-Budget": str(budget),
+                   "Token-Counts": f"100,{MAX_TURN_TOKENS}"}
+        if previous:
+            headers["Previous-Turn"] = previous.name
+        self.send(request, "POST", body, headers, chain + body)
+        if request.status != 200 or not request.is_complete:
+            return request, None
+        turn = Turn(request, chain + body + Plan(request.name).output(), program)
+        if budget == AMPLE_BUDGET:
+            self.callers.turns.append(turn)
+        return request, turn
+
+    def stream(self, gateway=None):
+        return self.send(self.request("streams", gateway), "POST", b"stream", {"Model": "m"})
+
+    def read(self, gateway=None):
+        return self.send(self.request("read", gateway), "GET", None, {})
+
+    def write(self, gateway=None):
+        return self.send(self.request("write", gateway), "POST", b"slip", {})
+
+    # Requests
+
+    def request(self, kind, gateway, **fields):
+        gateway = gateway or self.chance.choice(self.callers.deployment.names("gateway"))
+        return Request(f"r{next(self.callers.numbers)}.", kind, gateway, **fields)
+
+    def send(self, request, method, body, headers, prompt=None):
+        headers = dict(headers, **{"Host": HOST, "Request-Id": request.name, "Deadline-Ms": str(int(DEADLINE_S * 1000))})
+        request.sent_at = time.monotonic()
+        self.judge.on_send(request, prompt)
+        connection = None
+        try:
+            connection = self.connect(request.gateway)
+            request.is_connected = True
+            connection.request(method, f"/{request.kind}/{request.name}", body, headers)
+            response = connection.getresponse()
+            request.status = response.status
+            self.read_body(request, response)
+            if response.will_close or not request.is_complete:
+                self.forget(request.gateway)
+        except (OSError, http.client.HTTPException) as error:
+            request.failure = repr(error)
+            self.forget(request.gateway)
+        request.ended_at = time.monotonic()
+        self.judge.on_end(request)
+        return request
+
+    @staticmethod
+    def read_body(request, response):
+        parts = []
+        try:
+            while part := response.read1(65536):
+                parts.append(part)
+            # Without chunks, a body that ends early shows only by its length.
+            request.is_complete = not response.length
+            response.close()
+        finally:
+            request.body = b"".join(parts)
+
+    def connect(self, gateway):
+        address = self.callers.deployment.processes[gateway].field("callers")
+        known = self.connections.get(gateway)
+        if known and known[0] == address:
+            return known[1]
+        self.forget(gateway)
+        connection = http.client.HTTPConnection(address, timeout=DEADLINE_S + PATIENCE_S)
+        connection.connect()
+        connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # An open connection is used until the gateway closes it.
+        connection.auto_open = 0
+        self.connections[gateway] = (address, connection)
+        return connection
+
+    def forget(self, gateway):
+        if gateway in self.connections:
+            self.connections.pop(gateway)[1].close()
+
+    def close(self):
+        for gateway in list(self.connections):
+            self.forget(gateway)
+
+
+class SeldomCaller(Caller):
+    """A caller that uses its open connection after a long pause, also when its gateway is to stop meanwhile."""
+
+    MAX_PAUSE_S = 9.0
+
+    def run(self):
+        while not self.callers.stopping.is_set():
+            gateway = self.chance.choice(self.callers.deployment.names("gateway"))
+            try:
+                self.connect(gateway)
+            except OSError:
+                time.sleep(0.2)
+                continue
+            self.callers.stopping.wait(self.chance.uniform(0, self.MAX_PAUSE_S))
+            if gateway in self.connections and not self.callers.stopping.is_set():
+                self.use(gateway)
+
+    def use(self, gateway):
+        if self.chance.random() < 0.5:
+            self.turn(f"p{next(self.callers.numbers)}", AMPLE_BUDGET, gateway=gateway)
+        else:
+            self.chance.choice([self.stream, self.read, self.write])(gateway)
