--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -198,7 +198,8 @@
 
 
 class SeldomCaller(Caller):
-    """A caller that uses its open connection after a long pause, also when its gateway is to stop meanwhile."""
+    """A caller that uses an open connection after a long pause, also when its gateway is to stop meanwhile. The pause is shorter
+    than the time after which gateways close idle connections."""
 
     MAX_PAUSE_S = 9.0
 
@@ -211,8 +212,9 @@
                 time.sleep(0.2)
                 continue
             self.callers.stopping.wait(self.chance.uniform(0, self.MAX_PAUSE_S))
-            if gateway in self.connections and not self.callers.stopping.is_set():
+            if not self.callers.stopping.is_set():
                 self.use(gateway)
+            self.close()
 
     def use(self, gateway):
         if self.chance.random() < 0.5:
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -166,8 +166,8 @@
                 self.inject(fault)
             finally:
                 entry[1] = time.monotonic()
-        except (CaseFailed, OSError) as error:
-            self.errors.append(f"{text}: {error}")
+        except Exception as error:  # noqa: BLE001 a fault that can't be injected or ended fails the run
+            self.errors.append(f"{text}: {error!r}")
         finally:
             with self.lock:
                 self.busy.discard(key)
