--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -245,15 +245,16 @@
 class Deployment:
     """A store, instances of two services, journals with a folder each, and gateways. It is a context manager.
 
-    With `links` (`LinkProxies`), all links to journals pass through proxies; the nodes keep their names there."""
+    With `links` (`LinkProxies`), all links to journals pass through proxies; the nodes keep their names there. `disks` is
+    where the folder for logs, settings and disks is made, if not in the system's temporary folder."""
 
-    def __init__(self, build, gateways=1, journals=3, tolerated_losses=1, links=None):
+    def __init__(self, build, gateways=1, journals=3, tolerated_losses=1, links=None, disks=None):
         self.tolerated_losses = tolerated_losses
         self.links = links
         # The address that others dial, of each journal behind a proxy.
         self.advertised = {}
         self.build = pathlib.Path(build)
-        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rattandeck-platform-"))
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="rattandeck-platform-", dir=disks))
         self.store = self.make_store()
         self.processes = {}
         self.ports = {}
--- a/testsuite/soak/options.py
+++ b/testsuite/soak/options.py
@@ -7,8 +7,6 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path[:0] = [str(HERE), str(HERE.parent)]
 
-from platform_standins import MEMORY_FOLDER  # noqa: E402
-
 SEEDS_FILE = HERE / "seeds.txt"
 
 
@@ -24,8 +22,8 @@
     result.add_argument("--callers", type=int, default=12)
     result.add_argument("--only", choices=["planned", "links", "processes", "disks", "mixed"],
                         help="one kind of episode (default: all kinds)")
-    result.add_argument("--disks", metavar="FOLDER", default=MEMORY_FOLDER,
-                        help="where logs and the journals' disks are (default: in memory)")
+    result.add_argument("--disks", metavar="FOLDER",
+                        help="where logs and the journals' disks are (default: the system's temporary folder)")
     result.add_argument("--keep-logs", metavar="FOLDER", help="keep the logs of runs that fail here")
     result.add_argument("--regressions", action="store_true", help="run the seeds of seeds.txt instead")
     return result
