--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -376,10 +376,22 @@
     visit("proposer", m.proposer);
 }
 
+template <typename Visitor> void visitFields(Visitor& visit, JournalStanding& m)
+{
+    visit("epoch", m.epoch);
+    visit("lacksRecords", m.lacksRecords);
+    visit("replaced", m.replaced);
+}
+
 template <typename Visitor> void visitFields(Visitor& visit, CopyRequest& m)
 {
     visit("round", m.round);
     visit("cursor", m.cursor);
+    visit("digests", m.digests);
+    visit("firstBucket", m.firstBucket);
+    visit("wanted", m.wanted);
+    visit("isCopied", m.isCopied);
+    visit("copiedEpoch", m.copiedEpoch);
 }
 
 template <typename Visitor> void visitFields(Visitor& visit, CopyPage& m)
@@ -390,12 +402,22 @@
     visit("isLast", m.isLast);
     visit("claims", m.claims);
     visit("turns", m.turns);
+    visit("turnBytes", m.turnBytes);
     visit("crashes", m.crashes);
+    visit("isComparison", m.isComparison);
+    visit("names", m.names);
+    visit("firstBucket", m.firstBucket);
+    visit("nextBucket", m.nextBucket);
+    visit("areAllCompared", m.areAllCompared);
 }
 
 template <typename Visitor> void visitFields(Visitor& visit, TurnsRequest& m) { visit("turns", m.turns); }
 
-template <typename Visitor> void visitFields(Visitor& visit, TurnsPage& m) { visit("turns", m.turns); }
+template <typename Visitor> void visitFields(Visitor& visit, TurnsPage& m)
+{
+    visit("turns", m.turns);
+    visit("expired", m.expired);
+}
 
 template <typename Visitor> void visitFields(Visitor& visit, GossipItem& m)
 {
@@ -469,6 +491,7 @@
 template <> inline constexpr const char* tag<GossipItems> = "bulletins";
 template <> inline constexpr const char* tag<CrashReports> = "crashes";
 template <> inline constexpr const char* tag<JournalInconclusive> = "unsure";
+template <> inline constexpr const char* tag<JournalStanding> = "standing";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
 template <> inline constexpr const char* tag<Problem> = "problem";
