Build the digests of records at the first comparison

Cause: each record read changed the digests, a settlement twice. Change: they are built from the records when they are first compared, and kept from then on. Measured: JournalStateTest::digestsBuiltLateEqualThoseKept; 343 tests pass.

--- a/src/librattandeck/journalstate.cpp
+++ b/src/librattandeck/journalstate.cpp
@@ -45,7 +45,8 @@
     std::map<std::uint64_t, const TurnEntry*> turnsBySequence;
     std::map<std::uint64_t, const std::pair<const BudgetId, BudgetEntry>*> budgetsBySequence;
     std::map<std::pair<Fingerprint, std::string>, std::pair<CrashReport, TimePoint>> crashes;
-    RecordDigests digests;
+    /// Built at the first comparison and kept up to date from then on, so that a start reads its disk without them.
+    std::optional<RecordDigests> digests;
     std::uint64_t lastSequence = 0;
     std::size_t bytes = 0;
     std::size_t bytesInMemory = 0;
@@ -56,6 +57,7 @@
     void releaseFromMemory(TurnEntry& known);
     std::optional<RetainedTurn> read(const TurnEntry& known) const;
     void renewChain(const TurnId& first, TimePoint expires);
+    RecordDigests& buildDigests();
     /// Updates the digests after a claim was added or settled.
     void digest(const BudgetId& budget, const TokenClaim& claim, bool isNew);
     void removeDigests(const BudgetId& id, const BudgetEntry& budget);
@@ -102,7 +104,8 @@
         known.textBytes = textBytes;
         known.sequence = ++this->lastSequence;
         this->turnsBySequence.emplace(known.sequence, &known);
-        this->digests.add(nameOf(known.id), &known.id);
+        if (this->digests)
+            this->digests->add(nameOf(known.id), &known.id);
         this->bytes += known.bytes();
     }
     return { &known, isNew };
@@ -168,8 +171,8 @@
 {
     const std::pair entry { report, now + report.retention };
     const auto [known, isNew] = this->impl->crashes.insert_or_assign(std::pair(report.request, report.crash), entry);
-    if (isNew)
-        this->impl->digests.add(nameOf(report), &known->second.first);
+    if (isNew && this->impl->digests)
+        this->impl->digests->add(nameOf(report), &known->second.first);
     return isNew;
 }
 
@@ -249,8 +252,8 @@
 {
     std::erase_if(this->impl->crashes, [this, now](const auto& entry) {
         const auto& [report, expires] = entry.second;
-        if (expires <= now)
-            this->impl->digests.remove(nameOf(report), &report);
+        if (expires <= now && this->impl->digests)
+            this->impl->digests->remove(nameOf(report), &report);
         return expires <= now;
     });
     for (auto each = this->impl->turns.begin(); each != this->impl->turns.end();) {
@@ -261,7 +264,8 @@
         this->impl->releaseFromMemory(each->second);
         this->impl->bytes -= each->second.bytes();
         this->impl->turnsBySequence.erase(each->second.sequence);
-        this->impl->digests.remove(nameOf(each->second.id), &each->second.id);
+        if (this->impl->digests)
+            this->impl->digests->remove(nameOf(each->second.id), &each->second.id);
         each = this->impl->turns.erase(each);
     }
     for (auto each = this->impl->budgets.begin(); each != this->impl->budgets.end();) {
@@ -329,17 +333,37 @@
 
 void JournalState::Impl::digest(const BudgetId& budget, const TokenClaim& claim, bool isNew)
 {
+    if (!this->digests)
+        return;
     const RecordName name = nameOf(budget, claim);
     const ClaimReference record { &budget, &claim };
     if (!isNew)
-        this->digests.remove(name, record);
-    this->digests.add(name, record);
+        this->digests->remove(name, record);
+    this->digests->add(name, record);
 }
 
 void JournalState::Impl::removeDigests(const BudgetId& id, const BudgetEntry& budget)
 {
+    if (!this->digests)
+        return;
     for (const auto& [turn, claim] : budget.claims)
-        this->digests.remove(nameOf(id, claim), ClaimReference { &id, &claim });
+        this->digests->remove(nameOf(id, claim), ClaimReference { &id, &claim });
+}
+
+RecordDigests& JournalState::Impl::buildDigests()
+{
+    if (this->digests)
+        return *this->digests;
+    this->digests.emplace();
+    for (const auto& [id, turn] : this->turns)
+        this->digests->add(nameOf(id), &turn.id);
+    for (const auto& [id, budget] : this->budgets) {
+        for (const auto& [turn, claim] : budget.claims)
+            this->digests->add(nameOf(id, claim), ClaimReference { &id, &claim });
+    }
+    for (const auto& [id, crash] : this->crashes)
+        this->digests->add(nameOf(crash.first), &crash.first);
+    return *this->digests;
 }
 
 void JournalState::Impl::addTo(CopyPage& page, const RecordReference& record) const
@@ -352,23 +376,26 @@
         page.crashes.push_back(**crash);
 }
 
-std::string JournalState::digests() const { return this->impl->digests.digests(); }
+std::string JournalState::digests() const { return this->impl->buildDigests().digests(); }
 
 CopyPage JournalState::compare(const std::string& otherDigests, std::uint32_t firstBucket, std::size_t maxNames) const
 {
     CopyPage page;
     page.isComparison = true;
-    this->impl->digests.compare(otherDigests, firstBucket, maxNames, page);
+    this->impl->buildDigests().compare(otherDigests, firstBucket, maxNames, page);
     return page;
 }
 
-std::string JournalState::lackingNames(std::string_view names) const { return this->impl->digests.lackingNames(names); }
+std::string JournalState::lackingNames(std::string_view names) const
+{
+    return this->impl->buildDigests().lackingNames(names);
+}
 
 CopyPage JournalState::recordsOf(std::string_view names) const
 {
     CopyPage page;
     page.isComparison = true;
-    for (const RecordReference& record : this->impl->digests.find(names))
+    for (const RecordReference& record : this->impl->buildDigests().find(names))
         this->impl->addTo(page, record);
     return page;
 }
--- a/src/librattandeck/journalstate_test.cpp
+++ b/src/librattandeck/journalstate_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(changedBudgetIsCopiedAgain);
     CPPUNIT_TEST(mutualCopyingTerminates);
     CPPUNIT_TEST(expiredRecordsAreNotCompared);
+    CPPUNIT_TEST(digestsBuiltLateEqualThoseKept);
     CPPUNIT_TEST(comparisonFindsTheLackingRecords);
     CPPUNIT_TEST_SUITE_END();
 
@@ -163,6 +164,18 @@
         CPPUNIT_ASSERT(this->state.digests() == empty);
     }
 
+    void digestsBuiltLateEqualThoseKept()
+    {
+        this->state.digests();
+        this->addRecords(this->state);
+        JournalState other;
+        this->addRecords(other);
+        CPPUNIT_ASSERT(this->state.digests() == other.digests());
+        const std::string empty = JournalState().digests();
+        other.expire(at(61));
+        CPPUNIT_ASSERT(other.digests() == empty);
+    }
+
     void comparisonFindsTheLackingRecords()
     {
         constexpr std::size_t maxNames = 100;
