Limit the hedges of fetches by a budget

Change: hedges are a tenth of the fetches, and 20 saved up. Near members are asked in turn: the rotation ran over the whole set, so that of four near members the first got 7 of 10 requests. Tests: narrowLinkRecoversFromABurst (35 of 35 late without the budget), hedgesAreLimitedByTheirBudget, firstRequestsAreSpreadOverNearMembers.

--- a/src/include/Rattandeck/journalclient.h
+++ b/src/include/Rattandeck/journalclient.h
@@ -57,6 +57,10 @@
     Milliseconds answerTimeout { 700 };
     /// A fetch asks one more member whenever this time has passed without the turn.
     Milliseconds hedgeDelay { 150 };
+    /// Hedges allowed per fetch, on average.
+    double hedgeRatio = 0.1;
+    /// Upper bound on the unused hedges; also their number at start-up.
+    double hedgeBurst = 20;
     /// Copies on disk that a record needs before its write is reported as successful.
     std::size_t copies = 2;
     /// Size of the in-memory cache of transcripts, which serves the next turns of their chains, in bytes.
--- a/src/librattandeck/journalclient.cpp
+++ b/src/librattandeck/journalclient.cpp
@@ -71,6 +71,7 @@
         : timers(timers)
         , limits(limits)
         , send(std::move(send))
+        , hedgeBudget(limits.hedgeBurst)
     {
     }
 
@@ -85,6 +86,8 @@
     std::set<NodeId> nearMembers;
     /// Position in the set at which the next fetch begins, so that fetches are spread over the members.
     std::size_t nextFirst = 0;
+    /// Hedges that may be spent: see `JournalClientLimits::hedgeRatio`.
+    double hedgeBudget = 0;
 
     std::unordered_map<TurnId, CachedTranscript> cache;
     /// Keys of `cache`, the oldest entry first.
@@ -146,31 +149,38 @@
         this->sendToMembers(ticket);
         return;
     }
+    this->hedgeBudget = std::min(this->limits.hedgeBurst, this->hedgeBudget + this->limits.hedgeRatio);
     this->askMore(started, 1);
     this->scheduleHedge(ticket, started);
     this->evaluate(ticket);
 }
 
-/// A fetch has waited for `hedgeDelay`: asks one more member.
+/// A fetch has waited for `hedgeDelay`: asks one more member if the budget allows it. Without a bound, the further
+/// transcripts would keep a link full that is slow because it is full.
 void JournalClient::Impl::hedge(JournalTicket ticket)
 {
     const auto found = this->operations.find(ticket);
     if (found == this->operations.end())
         return;
-    this->askMore(found->second, 1);
+    if (this->hedgeBudget >= 1) {
+        this->hedgeBudget -= 1;
+        this->askMore(found->second, 1);
+    }
     this->scheduleHedge(ticket, found->second);
 }
 
 /// The members in the order in which a fetch asks them: near ones first, beginning at a different one each time.
 std::vector<NodeId> JournalClient::Impl::fetchOrder()
 {
-    const auto& members = this->set.members;
     std::vector<NodeId> order;
     std::vector<NodeId> remote;
+    for (const JournalMember& member : this->set.members)
+        (this->nearMembers.contains(member.node) ? order : remote).push_back(member.node);
     const std::size_t first = this->nextFirst++;
-    for (std::size_t i = 0; i < members.size(); ++i) {
-        const NodeId& node = members[(first + i) % members.size()].node;
-        (this->nearMembers.contains(node) ? order : remote).push_back(node);
+    for (std::vector<NodeId>* nodes : { &order, &remote }) {
+        if (!nodes->empty())
+            std::rotate(
+                nodes->begin(), nodes->begin() + static_cast<std::ptrdiff_t>(first % nodes->size()), nodes->end());
     }
     order.insert(order.end(), remote.begin(), remote.end());
     return order;
--- a/src/librattandeck/journalclient_test.cpp
+++ b/src/librattandeck/journalclient_test.cpp
@@ -31,6 +31,8 @@
     CPPUNIT_TEST(fetchSucceedsWithOneJournal);
     CPPUNIT_TEST(fetchAsksOneMemberAtATimeWhileTheyAreSilent);
     CPPUNIT_TEST(fetchAsksAnotherMemberWhenALinkBreaks);
+    CPPUNIT_TEST(hedgesAreLimitedByTheirBudget);
+    CPPUNIT_TEST(firstRequestsAreSpreadOverNearMembers);
     CPPUNIT_TEST(chainSplitAcrossJournalsIsJoined);
     CPPUNIT_TEST(chainWithoutBeginningIsUnavailable);
     CPPUNIT_TEST(nonVotingJournalIsNotPartOfAQuorum);
@@ -228,6 +230,28 @@
         CPPUNIT_ASSERT(!outcome->has_value());
     }
 
+    void hedgesAreLimitedByTheirBudget()
+    {
+        constexpr std::size_t count = 100;
+        for (std::size_t i = 0; i < count; ++i)
+            this->fetch("t" + std::to_string(i));
+        this->advanceByHedges(4);
+        const std::size_t requests = this->inboxSize("a") + this->inboxSize("b") + this->inboxSize("c");
+        CPPUNIT_ASSERT(requests > count);
+        CPPUNIT_ASSERT(
+            double(requests) <= count + JournalClientLimits().hedgeBurst + count * JournalClientLimits().hedgeRatio);
+    }
+
+    void firstRequestsAreSpreadOverNearMembers()
+    {
+        for (const char* name : { "a", "b" })
+            this->client->setNear(NodeId(name));
+        for (int i = 0; i < 30; ++i)
+            this->fetch("t" + std::to_string(i));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(15), this->inboxSize("a"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(15), this->inboxSize("b"));
+    }
+
     void fetchAsksAnotherMemberWhenALinkBreaks()
     {
         this->addRecord("b", turn("1", ""));
--- a/src/librattandeck/journalload_test.cpp
+++ b/src/librattandeck/journalload_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST_SUITE(JournalLoadTest);
     CPPUNIT_TEST(fetchTransfersOneTranscript);
     CPPUNIT_TEST(narrowLinkIsNotSaturatedByTranscripts);
+    CPPUNIT_TEST(narrowLinkRecoversFromABurst);
     CPPUNIT_TEST_SUITE_END();
 
     TimerService timers;
@@ -137,6 +138,47 @@
         CPPUNIT_ASSERT_EQUAL(0, failed);
         CPPUNIT_ASSERT_EQUAL(0, late);
     }
+
+    /// Other messages that arrive at the gateway all the time.
+    void addOtherTraffic(std::size_t bytesPerSecond)
+    {
+        constexpr Milliseconds interval { 10 };
+        this->toGateway.transfer(this->timers.now(), bytesPerSecond / 100);
+        this->timers.subscribeAfter(interval, [this, bytesPerSecond] { this->addOtherTraffic(bytesPerSecond); });
+    }
+
+    /// Fetches at a fixed rate for a second. Returns how many took longer than is acceptable.
+    std::shared_ptr<int> fetchForOneSecond(const std::string& prefix, int count)
+    {
+        constexpr std::size_t transcriptBytes = 20000;
+        static constexpr Milliseconds acceptableDelay { 100 };
+        auto late = std::make_shared<int>(0);
+        const TimePoint begin = this->timers.now();
+        for (int i = 0; i < count; ++i) {
+            const std::string id = prefix + std::to_string(i);
+            this->addTurn(id, transcriptBytes);
+            this->client->fetch(TurnId(id), [this, late, startedAt = this->timers.now()](const auto& outcome) {
+                *late += !outcome || this->timers.now() - startedAt > acceptableDelay ? 1 : 0;
+            });
+            this->timers.advanceTo(begin + std::chrono::microseconds(1000000 * (i + 1) / count));
+        }
+        return late;
+    }
+
+    void narrowLinkRecoversFromABurst()
+    {
+        constexpr std::size_t otherBytesPerSecond = 700000;
+        constexpr int burst = 240;
+        constexpr int usual = 35;
+        constexpr int secondsToRecover = 10;
+        this->addOtherTraffic(otherBytesPerSecond);
+        this->fetchForOneSecond("burst", burst);
+        for (int i = 0; i < secondsToRecover; ++i)
+            this->fetchForOneSecond("after" + std::to_string(i) + ".", usual);
+        const auto late = this->fetchForOneSecond("end", usual);
+        this->timers.advanceTo(this->timers.now() + std::chrono::seconds(1));
+        CPPUNIT_ASSERT_EQUAL(0, *late);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(JournalLoadTest);
