Repeat the store of a turn at growing intervals

Cause: each attempt that fails at once was repeated after 50 ms. Change: the pause doubles, from 50 ms to 1.6 s. A repeat still sends the whole turn to all members; asking by name whether a turn is on disk would send little (open).

--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -1,9 +1,12 @@
 #include "gatewayimpl.h"
 
+#include <algorithm>
+
 namespace Rattandeck {
 
-/// Pause before a turn that too few journals have acknowledged is stored again.
-constexpr Milliseconds storeRetryDelay { 50 };
+/// Pause before a turn that too few journals have acknowledged is stored again. It doubles with each attempt.
+constexpr Milliseconds firstStoreRetryDelay { 50 };
+constexpr std::uint32_t maxDelayDoublings = 5;
 
 static bool isSuccess(const EndpointAnswer& answer) { return answer.status >= 200 && answer.status < 300; }
 
@@ -191,7 +194,8 @@
         this->complete(*call);
         return;
     }
-    call->storeTimer = this->timers.subscribeAfter(storeRetryDelay, [this, id] {
+    const Milliseconds delay = firstStoreRetryDelay * (1U << std::min(call->storeRetries++, maxDelayDoublings));
+    call->storeTimer = this->timers.subscribeAfter(delay, [this, id] {
         if (Call* open = this->find(id))
             this->sendToStore(*open);
     });
--- a/src/librattandeck/gatewayfixture_test.h
+++ b/src/librattandeck/gatewayfixture_test.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 /// A gateway with simulated callers, instances and journals.
@@ -33,6 +34,8 @@
     std::vector<Rattandeck::CrashReport> reports;
     std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> toJournals;
     std::map<Rattandeck::NodeId, Rattandeck::JournalState> states;
+    /// Journals to which no link is up.
+    std::set<Rattandeck::NodeId> unlinked;
     Rattandeck::JournalClient journals;
     Rattandeck::Gateway gateway;
     std::uint64_t lastCall = 0;
@@ -40,6 +43,8 @@
     explicit GatewayFixture(const Rattandeck::GatewayLimits& limits = {})
         : journals(this->timers, {},
             [this](const Rattandeck::NodeId& node, const Rattandeck::Message& message) {
+                if (this->unlinked.contains(node))
+                    return false;
                 this->toJournals.emplace_back(node, message);
                 return true;
             })
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -60,6 +60,7 @@
     RetainedTurn retained;
     std::optional<TimePoint> storeStarted;
     std::optional<TimePoint> storeEnded;
+    std::uint32_t storeRetries = 0;
     TimerId storeTimer;
 };
 
--- a/src/librattandeck/gatewayturns_test.cpp
+++ b/src/librattandeck/gatewayturns_test.cpp
@@ -17,6 +17,8 @@
     CPPUNIT_TEST(claimIsReleasedWhenTheCallerDisconnects);
     CPPUNIT_TEST(retainedTurnEndsAfterTwoJournalsStoredIt);
     CPPUNIT_TEST(completeAnswerIsNotCutWhileItsTurnIsStoredLate);
+    CPPUNIT_TEST(turnIsStoredAfterSeveralFailedAttempts);
+    CPPUNIT_TEST(storesAreRepeatedAtGrowingIntervals);
     CPPUNIT_TEST(answerIsCutAtItsDeadlineWhenItsTurnIsNotStored);
     CPPUNIT_TEST(continuedTurnIsSentWithTheWholeTranscript);
     CPPUNIT_TEST(unknownPreviousTurnIsRefused);
@@ -215,6 +217,38 @@
         CPPUNIT_ASSERT(this->caller(id).isEnded && !this->caller(id).isBroken);
     }
 
+    std::size_t countStores()
+    {
+        std::size_t stores = 0;
+        for (const auto& [node, message] : this->f->toJournals)
+            stores += std::holds_alternative<StoreTurn>(message) ? 1 : 0;
+        return stores;
+    }
+
+    void turnIsStoredAfterSeveralFailedAttempts()
+    {
+        constexpr std::size_t members = 3;
+        const CallId id = this->runRetained({});
+        this->f->advance(JournalClientLimits().answerTimeout * 2 + Milliseconds(300));
+        CPPUNIT_ASSERT(this->countStores() >= 3 * members);
+        this->f->toJournals.erase(this->f->toJournals.begin(), this->f->toJournals.end() - members);
+        this->f->runJournals();
+        CPPUNIT_ASSERT(this->caller(id).isEnded);
+    }
+
+    void storesAreRepeatedAtGrowingIntervals()
+    {
+        // With one journal left each attempt fails at once.
+        this->f->runJournals();
+        const CallId id = this->runRetained({});
+        this->f->toJournals.clear();
+        for (const char* name : { "j1", "j2", "j3" })
+            this->f->journals.onLinkDown(NodeId(name));
+        this->f->unlinked = { NodeId("j1"), NodeId("j2") };
+        this->f->advance(Milliseconds(2900));
+        CPPUNIT_ASSERT(!this->caller(id).isEnded && this->countStores() < 10);
+    }
+
     void answerIsCutAtItsDeadlineWhenItsTurnIsNotStored()
     {
         const CallId id = this->runRetained({});
