Don't take a planned leave for a crash

Cause: every removal of an instance made crashes of the answers that were lost there within the last seconds. Change: the removal of a draining instance is no evidence. Test: plannedLeaveIsNoEvidenceOfACrash.

--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -92,7 +92,10 @@
 
 void Gateway::onInstanceRemoved(const EndpointId& id)
 {
-    this->impl->onInstanceFailed(id);
+    // An instance that has announced its leave did not crash.
+    const EndpointInstance* known = this->impl->endpoints.find(id);
+    if (!known || !known->isDraining)
+        this->impl->onInstanceFailed(id);
     this->impl->endpoints.remove(id);
 }
 
--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<GatewayFixture> f;
+    CPPUNIT_TEST(plannedLeaveIsNoEvidenceOfACrash);
 
 public:
     void setUp() override
@@ -332,3 +333,13 @@
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
+
+    void plannedLeaveIsNoEvidenceOfACrash()
+    {
+        this->callOn("unsafe");
+        const std::string leaving = this->lastSend().details.endpoint.value;
+        this->f->end(this->lastSend(), SendOutcome::Broken);
+        this->f->addInstance(leaving, true);
+        this->f->gateway.onInstanceRemoved(EndpointId(leaving));
+        CPPUNIT_ASSERT(this->f->reports.empty());
+    }
