--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -18,6 +18,9 @@
     CPPUNIT_TEST(retriesAreLimitedByTheBudget);
     CPPUNIT_TEST(stalledCallIsNotGivenUpWhenNoRetryIsAllowed);
     CPPUNIT_TEST(stalledCallIsNotGivenUpWhenNoOtherInstanceHasCapacity);
+    CPPUNIT_TEST(stalledCallIsNotGivenUpWhenOtherInstancesAreFull);
+    CPPUNIT_TEST(laterCallsAvoidAnInstanceThatKeepsAStalledOne);
+    CPPUNIT_TEST(errorAnswerIsPassedOnWhenNoOtherInstanceHasCapacity);
     CPPUNIT_TEST(drainingInstanceGetsNoCalls);
     CPPUNIT_TEST(deadlineEndsTheCall);
     CPPUNIT_TEST(timeLeftIsTheShorterOfDeadlineAndTimeout);
@@ -200,6 +203,47 @@
         CPPUNIT_ASSERT(this->caller(id).isEnded);
     }
 
+    void stalledCallIsNotGivenUpWhenOtherInstancesAreFull()
+    {
+        const CallId id = this->callOn("safe");
+        const GatewayFixture::Sent first = this->lastSend();
+        for (int i = 0; i < 8; ++i)
+            this->callOn("unsafe");
+        this->f->advance(Milliseconds(1000));
+        CPPUNIT_ASSERT(!this->caller(id).refusal);
+        this->f->head(first, 200);
+        this->f->end(first);
+        CPPUNIT_ASSERT(this->caller(id).isEnded);
+    }
+
+    void laterCallsAvoidAnInstanceThatKeepsAStalledOne()
+    {
+        GatewayLimits limits;
+        limits.retryBurst = 0;
+        limits.retryRatio = 0;
+        GatewayFixture bounded(limits);
+        bounded.configure({ GatewayFixture::route("safe", CallSafety::Safe) });
+        bounded.addInstance("e1", false, 16);
+        bounded.addInstance("e2", false, 16);
+        bounded.call(GatewayFixture::callOn("safe"));
+        const EndpointId slow = bounded.sends.back().details.endpoint;
+        bounded.advance(Milliseconds(201));
+        CPPUNIT_ASSERT(bounded.failures.back().cause == SendFailureCause::StalledAndKept);
+        for (int i = 0; i < 3; ++i) {
+            bounded.call(GatewayFixture::callOn("safe"));
+            CPPUNIT_ASSERT(bounded.sends.back().details.endpoint != slow);
+        }
+    }
+
+    void errorAnswerIsPassedOnWhenNoOtherInstanceHasCapacity()
+    {
+        this->f->addInstance("e2", true);
+        const CallId id = this->callOn("safe");
+        this->f->head(this->lastSend(), 500);
+        this->f->end(this->lastSend());
+        CPPUNIT_ASSERT(this->caller(id).isEnded && !this->caller(id).refusal);
+    }
+
     void drainingInstanceGetsNoCalls()
     {
         this->f->addInstance("e1", true);
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -86,7 +86,7 @@
 void Gateway::Impl::onCompleteAnswer(Call& call)
 {
     const bool isFailure = call.head->status >= 500;
-    if (isFailure && !call.hasAnswerBegun && this->mayRunAgain(call) && this->tryWithdrawRetry()) {
+    if (isFailure && !call.hasAnswerBegun && this->canMove(call) && this->tryWithdrawRetry()) {
         call.query.excluded.insert(call.endpoint);
         this->dropSend(call, false);
         this->place(call);
