Avoid an instance that keeps a stalled call

Change: a call that stalls and stays is a line 'send failed' with the cause 'stalled, kept', and later calls avoid the instance for a while, as after other failures.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -125,7 +125,7 @@
     Milliseconds waited { 0 };
 };
 
-/// Why a send ended without an answer that could be passed on.
+/// Why a send has brought no answer that could be passed on.
 enum class SendFailureCause {
     /// The instance states that it did not run the call.
     Refused,
@@ -133,8 +133,10 @@
     Unreachable,
     /// The answer is missing, incomplete or unsigned.
     Interrupted,
-    /// No answer or event arrived within the time-out for it.
+    /// No answer or event arrived within the time-out for it, and the call was sent to another instance.
     Stalled,
+    /// As `Stalled`, but no other instance could take the call, or no retry was allowed: it stays where it is.
+    StalledAndKept,
 };
 
 std::string_view describe(SendFailureCause cause);
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -44,6 +44,8 @@
         return "interrupted";
     case SendFailureCause::Stalled:
         return "stalled";
+    case SendFailureCause::StalledAndKept:
+        return "stalled, kept";
     }
     return "unknown";
 }
--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -31,10 +31,10 @@
     CPPUNIT_TEST(requestThatCrashesInstancesIsQuarantined);
     CPPUNIT_TEST(lostAnswersAloneDoNotQuarantine);
     CPPUNIT_TEST(onlyARefusedConnectionIsEvidenceOfACrash);
+    CPPUNIT_TEST(plannedLeaveIsNoEvidenceOfACrash);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<GatewayFixture> f;
-    CPPUNIT_TEST(plannedLeaveIsNoEvidenceOfACrash);
 
 public:
     void setUp() override
@@ -374,9 +374,6 @@
         one.end(one.sends.back(), SendOutcome::Unreachable);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), one.reports.size());
     }
-};
-
-CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
 
     void plannedLeaveIsNoEvidenceOfACrash()
     {
@@ -387,3 +384,6 @@
         this->f->gateway.onInstanceRemoved(EndpointId(leaving));
         CPPUNIT_ASSERT(this->f->reports.empty());
     }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -135,6 +135,7 @@
     void restartStallTimer(Call& call);
     void onStall(CallId id);
     bool canMove(const Call& call) const;
+    void keepStalled(Call& call);
 
     // gatewayanswers.cpp: relaying of answers
     void forwardEvents(Call& call);
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -250,7 +250,15 @@
     if (this->canMove(*call))
         this->onSendInterrupted(*call, SendFailureCause::Stalled);
     else
-        this->restartStallTimer(*call);
+        this->keepStalled(*call);
+}
+
+/// The call stays at its slow instance, which later calls avoid for a while.
+void Gateway::Impl::keepStalled(Call& call)
+{
+    this->logFailure(call, SendFailureCause::StalledAndKept);
+    this->endpoints.onFailure(call.endpoint, this->timers.now());
+    this->restartStallTimer(call);
 }
 
 /// Whether a call whose instance is slow can be sent to another one now. If not, the instance may still answer.
