--- a/src/include/Rattandeck/endpoints.h
+++ b/src/include/Rattandeck/endpoints.h
@@ -95,9 +95,10 @@
 
 /// The instances of all services, with an estimate of their load.
 ///
-/// A call with a `prefixKey` is preferably sent to the instance with the highest hash of its id and the key, its home
+/// A call with a `prefixKey` is preferably sent to the instance with the highest hash of its id and the key
 /// (rendezvous hashing: Thaler and Ravishankar, 1998), so that the turns of a program find their prefix cached although
-/// different processes place them. A home that is busier than others by more than the prefix is worth is passed over.
+/// different processes place them. A preferred instance that is busier than others by more than the prefix is worth is
+/// passed over.
 ///
 /// Thread safety: not synchronised.
 class EndpointTable {
--- a/src/librattandeck/endpoints.cpp
+++ b/src/librattandeck/endpoints.cpp
@@ -80,7 +80,8 @@
     ServiceLoad loadOf(const std::vector<InstanceState*>& instances, TimePoint now) const;
     double expectedLoad(const InstanceState& state, const ServiceLoad& service) const;
     std::int64_t cachedTokens(const InstanceState& state, const PlacementQuery& query) const;
-    double cost(const InstanceState& state, const PlacementQuery& query, const ServiceLoad& service, bool isHome) const;
+    double cost(
+        const InstanceState& state, const PlacementQuery& query, const ServiceLoad& service, bool isPreferred) const;
 };
 
 // Estimates ------------------------------------------------------------------------------------------------------
@@ -108,11 +109,11 @@
 }
 
 /// The instance that all processes prefer for the query's key; null if there is none.
-static const InstanceState* homeOf(const PlacementQuery& query, const std::vector<InstanceState*>& instances)
+static const InstanceState* preferredInstance(const PlacementQuery& query, const std::vector<InstanceState*>& instances)
 {
     if (query.prefixKey.empty() || query.prompt.empty())
         return nullptr;
-    const InstanceState* home = nullptr;
+    const InstanceState* preferred = nullptr;
     XXH64_hash_t highest = 0;
     const XXH64_hash_t seed = XXH3_64bits(query.prefixKey.data(), query.prefixKey.size());
     for (const InstanceState* state : instances) {
@@ -120,12 +121,12 @@
             continue;
         const std::string& id = state->instance.id.value;
         const XXH64_hash_t hash = XXH3_64bits_withSeed(id.data(), id.size(), seed);
-        if (home && hash <= highest)
+        if (preferred && hash <= highest)
             continue;
-        home = state;
+        preferred = state;
         highest = hash;
     }
-    return home;
+    return preferred;
 }
 
 static std::int64_t promptTokens(const PlacementQuery& query)
@@ -149,7 +150,7 @@
 }
 
 double EndpointTable::Impl::cost(
-    const InstanceState& state, const PlacementQuery& query, const ServiceLoad& service, bool isHome) const
+    const InstanceState& state, const PlacementQuery& query, const ServiceLoad& service, bool isPreferred) const
 {
     const double load = this->expectedLoad(state, service);
     const double slots = std::max<std::uint32_t>(state.instance.slots, 1);
@@ -158,8 +159,9 @@
     cost += std::max(0.0, load - slots + 1) * this->costs.queuedCallMs;
     const std::int64_t prompt = promptTokens(query);
     std::int64_t cached = this->cachedTokens(state, query);
-    // Earlier turns of the program were probably sent to its home by other processes: only the last part is new there.
-    if (isHome)
+    // Earlier turns of the program were probably sent to its preferred instance by other processes: only the last part
+    // is new there.
+    if (isPreferred)
         cached = std::max(cached, prompt - query.prompt.back().tokens.value);
     cost += static_cast<double>(prompt - cached) / this->costs.prefillTokensPerMs * (1 + batch);
     if (state.instance.domain != query.domain)
@@ -222,13 +224,13 @@
     if (candidates == this->impl->byService.end())
         return std::nullopt;
     const ServiceLoad service = this->impl->loadOf(candidates->second, now);
-    const InstanceState* home = homeOf(query, candidates->second);
+    const InstanceState* preferred = preferredInstance(query, candidates->second);
     const InstanceState* best = nullptr;
     double bestCost = 0;
     for (const InstanceState* state : candidates->second) {
         if (state->instance.isDraining || query.excluded.contains(state->instance.id))
             continue;
-        const double cost = this->impl->cost(*state, query, service, state == home);
+        const double cost = this->impl->cost(*state, query, service, state == preferred);
         if (best && cost >= bestCost)
             continue;
         best = state;
--- a/src/librattandeck/endpoints_test.cpp
+++ b/src/librattandeck/endpoints_test.cpp
@@ -57,16 +57,16 @@
 
 class EndpointTableTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(EndpointTableTest);
-    CPPUNIT_TEST(processesAgreeOnTheHomeOfAProgram);
+    CPPUNIT_TEST(processesAgreeOnTheInstanceOfAProgram);
     CPPUNIT_TEST(removedInstanceMovesOnlyItsOwnPrograms);
-    CPPUNIT_TEST(drainingInstanceIsNoHome);
-    CPPUNIT_TEST(busyHomeIsPassedOver);
+    CPPUNIT_TEST(drainingInstanceIsNotPreferred);
+    CPPUNIT_TEST(busyInstanceIsPassedOver);
     CPPUNIT_TEST(longPrefixOutweighsAModerateLoad);
     CPPUNIT_TEST(staleReportCountsAsTheMeanLoad);
-    CPPUNIT_TEST(turnsOfManyGatewaysStayAtTheirHomesUnderLoad);
+    CPPUNIT_TEST(turnsOfManyGatewaysStayAtTheirInstancesUnderLoad);
     CPPUNIT_TEST_SUITE_END();
 
-    void processesAgreeOnTheHomeOfAProgram()
+    void processesAgreeOnTheInstanceOfAProgram()
     {
         EndpointTable first;
         EndpointTable second;
@@ -74,13 +74,13 @@
         addInstances(first, count);
         for (int i = count; i-- > 0;)
             second.put(instance(i));
-        std::set<std::string> homes;
+        std::set<std::string> preferredInstances;
         for (int program = 0; program < 400; ++program) {
             const PlacementQuery query = turn("p" + std::to_string(program), 3);
-            homes.insert(chosen(first, query));
+            preferredInstances.insert(chosen(first, query));
             CPPUNIT_ASSERT_EQUAL(chosen(first, query), chosen(second, query));
         }
-        CPPUNIT_ASSERT_EQUAL(std::size_t(count), homes.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(count), preferredInstances.size());
     }
 
     void removedInstanceMovesOnlyItsOwnPrograms()
@@ -92,13 +92,13 @@
         after.remove(EndpointId(instanceName(4)));
         for (int program = 0; program < 200; ++program) {
             const PlacementQuery query = turn("p" + std::to_string(program), 3);
-            const std::string home = chosen(before, query);
-            if (home != instanceName(4))
-                CPPUNIT_ASSERT_EQUAL(home, chosen(after, query));
+            const std::string preferred = chosen(before, query);
+            if (preferred != instanceName(4))
+                CPPUNIT_ASSERT_EQUAL(preferred, chosen(after, query));
         }
     }
 
-    void drainingInstanceIsNoHome()
+    void drainingInstanceIsNotPreferred()
     {
         EndpointTable table;
         addInstances(table, 2);
@@ -109,14 +109,14 @@
             CPPUNIT_ASSERT_EQUAL(instanceName(1), chosen(table, turn("p" + std::to_string(program), 3)));
     }
 
-    void busyHomeIsPassedOver()
+    void busyInstanceIsPassedOver()
     {
         EndpointTable table;
         addInstances(table, 5);
         const PlacementQuery query = turn("p", 1);
-        const std::string home = chosen(table, query);
-        table.onLoad(EndpointId(home), { 2 * slots, 0, slots }, {});
-        CPPUNIT_ASSERT(chosen(table, query) != home);
+        const std::string preferred = chosen(table, query);
+        table.onLoad(EndpointId(preferred), { 2 * slots, 0, slots }, {});
+        CPPUNIT_ASSERT(chosen(table, query) != preferred);
     }
 
     void longPrefixOutweighsAModerateLoad()
@@ -124,11 +124,11 @@
         EndpointTable table;
         addInstances(table, 5);
         const PlacementQuery query = turn("p", 5);
-        const std::string home = chosen(table, query);
+        const std::string preferred = chosen(table, query);
         for (int i = 0; i < 5; ++i)
             table.onLoad(EndpointId(instanceName(i)), { 4, 0, slots }, {});
-        table.onLoad(EndpointId(home), { 7, 0, slots }, {});
-        CPPUNIT_ASSERT_EQUAL(home, chosen(table, query));
+        table.onLoad(EndpointId(preferred), { 7, 0, slots }, {});
+        CPPUNIT_ASSERT_EQUAL(preferred, chosen(table, query));
     }
 
     void staleReportCountsAsTheMeanLoad()
@@ -213,7 +213,7 @@
         }
     };
 
-    void turnsOfManyGatewaysStayAtTheirHomesUnderLoad()
+    void turnsOfManyGatewaysStayAtTheirInstancesUnderLoad()
     {
         // 900 turns a second of 0.4 s each take half of the slots of 43 instances.
         Simulation simulation;
