Let the stand-ins accept bursts of connections

Cause: traced with the line 'send failed': the fifteenth send ended as 'not sent' after 250 ms. The stand-ins' listening sockets had the library's queue of five; seven connections come at once, and on a busy machine one is dropped and repeated by TCP only after a second, beyond the gateway's 250 ms. Not the disk, as suspected before. Change: a queue of 128.

--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -23,6 +23,12 @@
 STREAM = b"".join(b"id: %d\ndata: d%d\n\n" % (number, number) for number in range(1, EVENTS + 1))
 
 
+class ListeningServer(ThreadingHTTPServer):
+    """Accepts bursts of connections: beyond the queue, a connection attempt is repeated only after a second."""
+
+    request_queue_size = 128
+
+
 class Server:
     """An HTTP/1.1 server on a free loopback port. Subclasses answer a request in `handle(request)`."""
 
@@ -54,7 +60,7 @@
                 self.wfile.write(body)
                 self.wfile.flush()
 
-        self.server = ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+        self.server = ListeningServer(("127.0.0.1", 0), Handler)
         self.server.daemon_threads = True
         self.address = f"127.0.0.1:{self.server.server_address[1]}"
         threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
