Log and count the limits that instances state

Change: the adapter decodes the limit; a line 'endpoint limit' when one is known, changes or ends, a line and a counter for values that are no rate, a gauge of limited instances. Header fields that are given twice are joined as a list instead of the last one winning, so that a limit given twice is no number. No decision depends on the limit yet.

--- a/src/include/Rattandeck/endpoints.h
+++ b/src/include/Rattandeck/endpoints.h
@@ -12,8 +12,6 @@
 /// Endpoint instances that are called directly: their addresses, their load, and the choice of one for a call.
 namespace Rattandeck {
 
-/// Identifies an endpoint instance.
-using EndpointId = Strong<struct EndpointIdTag, std::string>;
 /// Identifies a part of a prompt that several calls may share.
 using PromptPartId = Strong<struct PromptPartIdTag, std::string>;
 
--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -71,6 +71,10 @@
     /// The answer carries the instance's signature. A success status without it is treated as a lost answer.
     bool isSigned = false;
     std::optional<EndpointLoad> load;
+    /// Rate of calls that the instance takes from all gateways together. Empty when the answer states no limit.
+    std::optional<CallRate> limit;
+    /// Text of a stated limit that is not a rate, for the log; empty if there is none. Such a limit is ignored.
+    std::string invalidLimit;
 };
 
 enum class SendOutcome {
@@ -157,6 +161,18 @@
     double retryBudget = 0;
 };
 
+/// The limit that an instance states has become known, has changed or has ended.
+struct LimitChange {
+    EndpointId endpoint;
+    /// Empty when there was or is none.
+    std::optional<CallRate> previous;
+    std::optional<CallRate> limit;
+    /// Time since the answer that stated it.
+    Milliseconds age { 0 };
+    /// Process that has received that answer: "answer" for this one, or the journal that passed it on.
+    std::string learntFrom;
+};
+
 struct CallEnd {
     TurnId request;
     BudgetId program;
@@ -214,6 +230,9 @@
     virtual void logSend(const SendDecision& decision) = 0;
     virtual void logSendFailure(const SendFailure& failure) = 0;
     virtual void logEnd(const CallEnd& end) = 0;
+    virtual void logLimit(const LimitChange& change) = 0;
+    /// An instance states a limit that is not a rate; it is ignored.
+    virtual void logInvalidLimit(const EndpointId& endpoint, const std::string& text) = 0;
 };
 
 struct GatewayLimits {
@@ -309,6 +328,8 @@
     /// Number of open calls.
     std::size_t openCalls() const;
     std::size_t queuedCalls() const;
+    /// Number of instances that state a limit.
+    std::size_t limitedInstances() const;
     const GatewayCounts& counts() const;
 
 private:
--- a/src/include/Rattandeck/types.h
+++ b/src/include/Rattandeck/types.h
@@ -45,6 +45,10 @@
 using ObjectVersion = Strong<struct ObjectVersionTag, std::uint64_t>;
 /// Identifies a caller's pending request at the entry that received it.
 using CallerTicket = Strong<struct CallerTicketTag, std::uint64_t>;
+/// Identifies an endpoint instance.
+using EndpointId = Strong<struct EndpointIdTag, std::string>;
+/// Calls per second.
+using CallRate = Strong<struct CallRateTag, double>;
 using TokenCount = Strong<struct TokenCountTag, std::int64_t>;
 
 /// Clock that keeps running while the machine is suspended. It has no `now()`: `TimerService` supplies the time.
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -99,6 +99,7 @@
     if (!known || !known->isDraining)
         this->impl->onInstanceFailed(id);
     this->impl->endpoints.remove(id);
+    this->impl->statedLimits.erase(id);
 }
 
 void Gateway::onCrashReports(const CrashReports& crashes)
@@ -111,6 +112,8 @@
 
 std::size_t Gateway::queuedCalls() const { return this->impl->queue.size(); }
 
+std::size_t Gateway::limitedInstances() const { return this->impl->statedLimits.size(); }
+
 const GatewayCounts& Gateway::counts() const { return this->impl->counts; }
 
 void Gateway::onCall(CallId id, GatewayCall call)
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -20,6 +20,7 @@
         return;
     if (answer.load)
         self.endpoints.onLoad(call->endpoint, *answer.load, self.timers.now());
+    self.noteLimit(call->endpoint, answer);
     if (answer.isNotRun) {
         self.endpoints.onFull(call->endpoint, self.timers.now());
         self.onSendRefused(*call, SendFailureCause::Refused);
@@ -81,6 +82,25 @@
         self.onCompleteAnswer(*call);
 }
 
+// Limits of instances ------------------------------------------------------------------------------------------------
+
+void Gateway::Impl::noteLimit(const EndpointId& endpoint, const EndpointAnswer& answer)
+{
+    if (!answer.invalidLimit.empty())
+        this->io.logInvalidLimit(endpoint, answer.invalidLimit);
+    if (!this->endpoints.find(endpoint))
+        return;
+    const auto known = this->statedLimits.find(endpoint);
+    const auto previous = known == this->statedLimits.end() ? std::nullopt : std::optional(known->second);
+    if (previous == answer.limit)
+        return;
+    if (answer.limit)
+        this->statedLimits[endpoint] = *answer.limit;
+    else
+        this->statedLimits.erase(endpoint);
+    this->io.logLimit({ endpoint, previous, answer.limit, Milliseconds(0), "answer" });
+}
+
 // Complete answers ---------------------------------------------------------------------------------------------------
 
 void Gateway::Impl::onCompleteAnswer(Call& call)
--- a/src/librattandeck/gatewayfixture_test.h
+++ b/src/librattandeck/gatewayfixture_test.h
@@ -32,6 +32,8 @@
     std::vector<Rattandeck::CallEnd> ends;
     std::vector<Rattandeck::SendFailure> failures;
     std::vector<Rattandeck::CrashReport> reports;
+    std::vector<Rattandeck::LimitChange> limitChanges;
+    std::vector<std::string> invalidLimits;
     std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> toJournals;
     std::map<Rattandeck::NodeId, Rattandeck::JournalState> states;
     /// Journals to which no link is up.
@@ -201,6 +203,11 @@
     void logSend(const Rattandeck::SendDecision&) override { }
     void logSendFailure(const Rattandeck::SendFailure& failure) override { this->failures.push_back(failure); }
     void logEnd(const Rattandeck::CallEnd& end) override { this->ends.push_back(end); }
+    void logLimit(const Rattandeck::LimitChange& change) override { this->limitChanges.push_back(change); }
+    void logInvalidLimit(const Rattandeck::EndpointId&, const std::string& text) override
+    {
+        this->invalidLimits.push_back(text);
+    }
 
 private:
     void answerAsJournal(const Rattandeck::NodeId& node, const Rattandeck::Message& message)
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -85,6 +85,8 @@
     std::shared_ptr<const RouteTable> table;
     EndpointTable endpoints;
     CrashWatch crashes;
+    /// Limits that instances have stated in their latest answers.
+    std::map<EndpointId, CallRate> statedLimits;
     GatewayCounts counts;
     /// Retries that may be spent: see `GatewayLimits::retryRatio`.
     double retryBudget;
@@ -138,6 +140,7 @@
     void keepStalled(Call& call);
 
     // gatewayanswers.cpp: relaying of answers
+    void noteLimit(const EndpointId& endpoint, const EndpointAnswer& answer);
     void forwardEvents(Call& call);
     void forwardEvent(Call& call, const StreamEvent& event);
     void onCompleteAnswer(Call& call);
--- a/src/librattandecknet/httpcommon.cpp
+++ b/src/librattandecknet/httpcommon.cpp
@@ -11,7 +11,12 @@
         std::string name(field.name_string());
         for (char& letter : name)
             letter = static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
-        headers.insert_or_assign(std::move(name), std::string(field.value()));
+        const auto [known, isNew] = headers.try_emplace(std::move(name), std::string(field.value()));
+        if (isNew)
+            continue;
+        // Several fields of one name are a list (RFC 9110, 5.3), except that cookies are separated by semicolons.
+        known->second += known->first == "cookie" ? "; " : ", ";
+        known->second += field.value();
     }
     return headers;
 }
--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <cctype>
 #include <charconv>
+#include <cmath>
 
 using namespace Rattandeck;
 using namespace RattandeckNet;
@@ -83,6 +84,18 @@
         return EndpointLoad { *running, *waiting, *slots };
     }
 
+    /// Reads a decimal number of calls a second. Signs, exponents and the names of special values are no such number.
+    std::optional<CallRate> readLimit(std::string_view text)
+    {
+        constexpr double maxLimit = 1e9;
+        if (text.empty() || text.find_first_not_of("0123456789.") != std::string_view::npos)
+            return std::nullopt;
+        const auto rate = readNumber<double>(text);
+        if (!rate || !std::isfinite(*rate) || *rate > maxLimit)
+            return std::nullopt;
+        return CallRate(*rate);
+    }
+
     constexpr std::array<const char*, 8> connectionHeaders { "connection", "keep-alive", "proxy-connection", "te",
         "trailer", "transfer-encoding", "upgrade", "content-length" };
 
@@ -163,6 +176,11 @@
     answer.isSigned = headers.contains(Names::signature);
     answer.isEventStream = field(headers, "content-type").starts_with("text/event-stream");
     answer.load = readLoad(field(headers, Names::load));
+    if (const auto stated = headers.find(Names::limit); stated != headers.end()) {
+        answer.limit = readLimit(trim(stated->second));
+        if (!answer.limit)
+            answer.invalidLimit = stated->second.empty() ? "(empty)" : stated->second;
+    }
     return answer;
 }
 
--- a/src/platform/calls_test.cpp
+++ b/src/platform/calls_test.cpp
@@ -13,6 +13,8 @@
     CPPUNIT_TEST(requestToTheInstanceKeepsTheCallersFields);
     CPPUNIT_TEST(memoryControlHeadersOfCallersAreRemoved);
     CPPUNIT_TEST(answerHeadersAreDecoded);
+    CPPUNIT_TEST(limitIsDecoded);
+    CPPUNIT_TEST(valuesThatAreNoLimitAreIgnored);
     CPPUNIT_TEST(answerToAnotherRequestIsDetected);
     CPPUNIT_TEST(refusalStatusMatchesItsReason);
     CPPUNIT_TEST_SUITE_END();
@@ -107,6 +109,26 @@
         CPPUNIT_ASSERT(!readAnswer(200, { { "server-load", "a,b" } }).load);
     }
 
+    void limitIsDecoded()
+    {
+        CPPUNIT_ASSERT(!readAnswer(200, {}).limit && readAnswer(200, {}).invalidLimit.empty());
+        CPPUNIT_ASSERT_EQUAL(6.5, readAnswer(200, { { "server-limit", "6.5" } }).limit->value);
+        CPPUNIT_ASSERT_EQUAL(0.0, readAnswer(200, { { "server-limit", "0" } }).limit->value);
+        CPPUNIT_ASSERT_EQUAL(120.0, readAnswer(200, { { "server-limit", " 120 " } }).limit->value);
+    }
+
+    void valuesThatAreNoLimitAreIgnored()
+    {
+        const std::string huge(400, '9');
+        for (const std::string& text : { std::string("-3"), std::string("nan"), std::string("inf"), std::string("1e400"),
+                 std::string(""), std::string("6, 6"), std::string("6 a second"), std::string("1.2.3"), std::string("."),
+                 huge }) {
+            const EndpointAnswer answer = readAnswer(200, { { "server-limit", text } });
+            CPPUNIT_ASSERT_MESSAGE(text, !answer.limit);
+            CPPUNIT_ASSERT_MESSAGE(text, !answer.invalidLimit.empty());
+        }
+    }
+
     void answerToAnotherRequestIsDetected()
     {
         CPPUNIT_ASSERT(isAnswerTo({ { "request-id", "r1" } }, TurnId("r1")));
--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -11,6 +11,8 @@
 constexpr const char* priority = "request-priority";
 constexpr const char* notRun = "not-run";
 constexpr const char* load = "server-load";
+/// Requests a second that an instance takes from all machines together, as a decimal number.
+constexpr const char* limit = "server-limit";
 /// The instance's signature on its answer.
 constexpr const char* signature = "response-seal";
 constexpr const char* instance = "instance-id";
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -272,6 +272,8 @@
     provide("rattandeck_events_total", "counter", [&counts] { return double(counts.events); });
     provide("rattandeck_calls_open", "gauge", [this] { return double(this->relay.gateway().openCalls()); });
     provide("rattandeck_calls_queued", "gauge", [this] { return double(this->relay.gateway().queuedCalls()); });
+    provide("rattandeck_endpoints_limited", "gauge",
+        [this] { return double(this->relay.gateway().limitedInstances()); });
     provide("rattandeck_config_version", "gauge",
         [this] { return double(this->relay.gateway().configVersion().value_or(0)); });
     provide("rattandeck_journals_linked", "gauge", [this] { return double(this->linkedJournals.size()); });
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -245,3 +245,19 @@
     }
     logFields("call", fields);
 }
+
+void Relay::logLimit(const LimitChange& change)
+{
+    const auto rate = [](const std::optional<CallRate>& limit) { return limit ? limit->value : -1.0; };
+    logFields("endpoint limit",
+        { { "endpoint", change.endpoint.value }, { "limit", rate(change.limit) },
+            { "previous", rate(change.previous) }, { "age_ms", std::int64_t(change.age.count()) },
+            { "learnt_from", change.learntFrom } });
+}
+
+void Relay::logInvalidLimit(const EndpointId& endpoint, const std::string& text)
+{
+    constexpr std::size_t maxText = 64;
+    this->metrics.count("rattandeck_invalid_limits_total");
+    logFields("endpoint limit ignored", { { "endpoint", endpoint.value }, { "text", text.substr(0, maxText) } });
+}
--- a/src/rattandeck-gateway/relay.h
+++ b/src/rattandeck-gateway/relay.h
@@ -53,6 +53,8 @@
     void logSend(const Rattandeck::SendDecision& decision) override;
     void logSendFailure(const Rattandeck::SendFailure& failure) override;
     void logEnd(const Rattandeck::CallEnd& end) override;
+    void logLimit(const Rattandeck::LimitChange& change) override;
+    void logInvalidLimit(const Rattandeck::EndpointId& endpoint, const std::string& text) override;
 
     RattandeckNet::HttpCallbacks callbacks(Rattandeck::SendId send, const Rattandeck::TurnId& requestId);
     Client& clientFor(const std::string& address, std::size_t maxConnections);
--- a/src/rattandeck-provejournals/callers.cpp
+++ b/src/rattandeck-provejournals/callers.cpp
@@ -113,6 +113,8 @@
         this->callers.world.note(this->gateway.node.value + " " + end.request.value + " " + std::string(end.outcome)
             + " " + std::string(end.reason));
     }
+    void logLimit(const LimitChange&) override { }
+    void logInvalidLimit(const EndpointId&, const std::string&) override { }
 
 private:
     Callers& callers;
