--- a/src/include/Rattandeck/endpoints.h
+++ b/src/include/Rattandeck/endpoints.h
@@ -2,6 +2,8 @@
 
 #include "Rattandeck/types.h"
 
+#include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -57,6 +59,8 @@
     std::string prefixKey;
     /// Instances that this call has been sent to already.
     std::set<EndpointId> excluded;
+    /// Load up to which an instance has room for the call, in multiples of its slots.
+    double maxLoad = std::numeric_limits<double>::infinity();
 };
 
 struct PlacementChoice {
@@ -69,8 +73,23 @@
     std::uint32_t slots = 1;
     /// Prompt tokens that the instance is expected to have in its cache.
     std::int64_t cachedTokens = 0;
+    /// Its load is below the `maxLoad` of the query.
+    bool hasRoom = true;
+    /// Expected time until the instance may be sent the call.
+    Milliseconds wait { 0 };
+    /// The limited instance that would have been chosen if no call had to wait; empty if there is none.
+    EndpointId passedOver;
 };
 
+/// Room that the limit of an instance leaves for a call.
+struct LimitRoom {
+    /// The instance states a limit of calls a second.
+    bool isLimited = false;
+    /// Expected time until the instance may be sent the call; empty if that is not expected in time.
+    std::optional<Milliseconds> wait = Milliseconds(0);
+};
+using LimitRooms = std::function<LimitRoom(const EndpointId&)>;
+
 /// Cost model of the placement. Each value in milliseconds estimates how much latency a property of the instance adds
 /// to a call.
 struct EndpointCosts {
@@ -96,7 +115,8 @@
 /// A call with a `prefixKey` is preferably sent to the instance with the highest hash of its id and the key
 /// (rendezvous hashing: Thaler and Ravishankar, 1998), so that the turns of a program find their prefix cached although
 /// different processes place them. A preferred instance that is busier than others by more than the prefix is worth is
-/// passed over.
+/// passed over. While some instances state no limit, one of them is preferred: the turns of a program would alternate
+/// between a limited instance and others.
 ///
 /// Thread safety: not synchronised.
 class EndpointTable {
@@ -112,8 +132,11 @@
     std::vector<EndpointId> ids() const;
     const EndpointInstance* find(const EndpointId& id) const;
 
-    /// Returns the instance with the lowest expected latency for the call; empty when no instance takes calls.
-    std::optional<PlacementChoice> choose(const PlacementQuery& query, TimePoint now) const;
+    /// Returns the instance with the lowest expected latency for the call, the wait for its limit included. Instances
+    /// with `query.maxLoad` or more are chosen only if there are no others. Empty when no instance takes calls. Without
+    /// `rooms`, no instance is limited.
+    std::optional<PlacementChoice> choose(
+        const PlacementQuery& query, TimePoint now, const LimitRooms& rooms = {}) const;
 
     void onSent(const EndpointId& id, const PlacementQuery& query);
     /// A call that was sent to the instance has ended, with any outcome.
--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -3,6 +3,7 @@
 #include "Rattandeck/crashwatch.h"
 #include "Rattandeck/endpoints.h"
 #include "Rattandeck/journalclient.h"
+#include "Rattandeck/permitholder.h"
 #include "Rattandeck/routing.h"
 #include "Rattandeck/timer.h"
 
@@ -59,6 +60,8 @@
     std::optional<std::string> resumeAfter;
     /// Maximum number of connections from this process to the instance.
     std::uint32_t maxConnections = 1;
+    /// The call must not be written to its connection after this time: its permit has expired then.
+    std::optional<TimePoint> writeBy;
 };
 
 /// Status and headers of an instance's answer.
@@ -93,6 +96,8 @@
     NotReady,
     Overloaded,
     NoInstance,
+    /// The limits that instances state leave no room for the call in time.
+    RateLimited,
     BudgetSpent,
     UnknownTurn,
     JournalsUnavailable,
@@ -127,6 +132,9 @@
     std::uint32_t attempt = 1;
     Milliseconds timeLeft { 0 };
     Milliseconds waited { 0 };
+    /// Limit that the instance states, and the permits that this process still holds for it.
+    std::optional<CallRate> limit;
+    std::uint32_t permitsLeft = 0;
 };
 
 /// Why a send has brought no answer that could be passed on.
@@ -161,18 +169,6 @@
     double retryBudget = 0;
 };
 
-/// The limit that an instance states has become known, has changed or has ended.
-struct LimitChange {
-    EndpointId endpoint;
-    /// Empty when there was or is none.
-    std::optional<CallRate> previous;
-    std::optional<CallRate> limit;
-    /// Time since the answer that stated it.
-    Milliseconds age { 0 };
-    /// Process that has received that answer: "answer" for this one, or the journal that passed it on.
-    std::string learntFrom;
-};
-
 struct CallEnd {
     TurnId request;
     BudgetId program;
@@ -195,8 +191,9 @@
     std::optional<Milliseconds> stored;
     /// Version of the configuration under which the call was handled; 0 when there was none.
     std::uint64_t configVersion = 0;
-    /// Best instance at the last placement of the call.
+    /// Best instance at the last placement of the call, and the limit that it states.
     std::optional<PlacementChoice> bestChoice;
+    std::optional<CallRate> bestLimit;
     /// Calls in the gateway's queue when the call ended.
     std::size_t queued = 0;
 };
@@ -226,6 +223,8 @@
 
     /// Reports crashes to the journals, which store them and forward them to the other gateways.
     virtual void reportCrashes(const std::vector<CrashReport>& reports) = 0;
+    /// Returns false when no link to the journal is up.
+    virtual bool sendToJournal(const NodeId& journal, const Message& message) = 0;
 
     virtual void logSend(const SendDecision& decision) = 0;
     virtual void logSendFailure(const SendFailure& failure) = 0;
@@ -242,6 +241,9 @@
     std::size_t maxQueued = 400;
     /// Maximum time that a call waits in the queue, as a fraction of the latency objective of its route.
     double maxQueueWaitRatio = 0.25;
+    /// Maximum time that a call waits for a permit to be sent to a limited instance, as a fraction of the latency
+    /// objective of its route. A call that would have to wait longer is refused at once.
+    double maxPermitWaitRatio = 1.0;
     /// Maximum load of an instance, in multiples of its slots. Calls wait in the gateway's queue while the best
     /// instance has this load or more.
     double maxLoad = 1.5;
@@ -286,6 +288,8 @@
     std::uint64_t sends = 0;
     std::uint64_t retries = 0;
     std::uint64_t events = 0;
+    /// Sends to another instance than the best one, because the limit of that one left no room in time.
+    std::uint64_t passedOver = 0;
 };
 
 /// Relays calls to endpoint instances: finds the route, checks the program's token budget, rebuilds the prompt of a
@@ -317,6 +321,12 @@
     /// Takes crash reports that a journal forwarded.
     void onCrashReports(const CrashReports& crashes);
 
+    /// Journals in the set, links to them, and messages about permits (`PermitHolder`); other messages are ignored.
+    void setJournals(const std::vector<JournalMember>& members);
+    void onJournalUp(const NodeId& journal);
+    void onJournalDown(const NodeId& journal);
+    void onJournalMessage(const NodeId& from, const Message& message);
+
     void onCall(CallId id, GatewayCall call);
     /// The caller disconnected. Ignored for calls that have ended.
     void onCallerDisconnected(CallId id);
@@ -328,8 +338,7 @@
     /// Number of open calls.
     std::size_t openCalls() const;
     std::size_t queuedCalls() const;
-    /// Number of instances that state a limit.
-    std::size_t limitedInstances() const;
+    const PermitHolder& permits() const;
     const GatewayCounts& counts() const;
 
 private:
--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -133,8 +134,9 @@
     void setConnectTimeout(std::chrono::milliseconds timeout);
 
     /// Streams the response to `callbacks`, never within this call. `timeout` covers the whole call and counts from
-    /// now, also outside the loop's handlers.
-    CallId start(const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallbacks callbacks);
+    /// now, also outside the loop's handlers. A call that would be written after `writeBy` fails with `NotSent`.
+    CallId start(const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallbacks callbacks,
+        std::optional<Rattandeck::TimePoint> writeBy = std::nullopt);
     /// Collects the whole response, with a body of at most `maxBody` bytes.
     CallId fetch(const HttpRequest& request, std::chrono::milliseconds timeout,
         std::function<void(tl::expected<HttpResponse, NetError>)> done, std::size_t maxBody = 16UL * 1024 * 1024);
--- a/src/librattandeck/endpoints.cpp
+++ b/src/librattandeck/endpoints.cpp
@@ -108,22 +108,46 @@
     return state.ownCalls + state.otherCalls * weight + service.meanOtherCalls * (1 - weight);
 }
 
+namespace {
+
+    /// An instance that may get the call.
+    struct Candidate {
+        const InstanceState* state = nullptr;
+        LimitRoom room;
+    };
+
+    std::vector<Candidate> candidatesFor(
+        const PlacementQuery& query, const std::vector<InstanceState*>& instances, const LimitRooms& rooms)
+    {
+        std::vector<Candidate> candidates;
+        candidates.reserve(instances.size());
+        for (const InstanceState* state : instances) {
+            if (!state->instance.isDraining)
+                candidates.push_back({ state, rooms ? rooms(state->instance.id) : LimitRoom() });
+        }
+        return candidates;
+    }
+
+}
+
 /// The instance that all processes prefer for the query's key; null if there is none.
-static const InstanceState* preferredInstance(const PlacementQuery& query, const std::vector<InstanceState*>& instances)
+static const InstanceState* preferredInstance(const PlacementQuery& query, const std::vector<Candidate>& candidates)
 {
     if (query.prefixKey.empty() || query.prompt.empty())
         return nullptr;
+    const bool areAllLimited
+        = std::ranges::all_of(candidates, [](const Candidate& candidate) { return candidate.room.isLimited; });
     const InstanceState* preferred = nullptr;
     XXH64_hash_t highest = 0;
     const XXH64_hash_t seed = XXH3_64bits(query.prefixKey.data(), query.prefixKey.size());
-    for (const InstanceState* state : instances) {
-        if (state->instance.isDraining)
+    for (const Candidate& candidate : candidates) {
+        if (candidate.room.isLimited && !areAllLimited)
             continue;
-        const std::string& id = state->instance.id.value;
+        const std::string& id = candidate.state->instance.id.value;
         const XXH64_hash_t hash = XXH3_64bits_withSeed(id.data(), id.size(), seed);
         if (preferred && hash <= highest)
             continue;
-        preferred = state;
+        preferred = candidate.state;
         highest = hash;
     }
     return preferred;
@@ -218,34 +242,65 @@
     return state ? &state->instance : nullptr;
 }
 
-std::optional<PlacementChoice> EndpointTable::choose(const PlacementQuery& query, TimePoint now) const
+namespace {
+
+    /// The cheapest instance of those considered so far.
+    struct Cheapest {
+        const Candidate* candidate = nullptr;
+        double cost = 0;
+
+        void consider(const Candidate& other, double otherCost)
+        {
+            if (this->candidate && otherCost >= this->cost)
+                return;
+            this->candidate = &other;
+            this->cost = otherCost;
+        }
+    };
+
+}
+
+std::optional<PlacementChoice> EndpointTable::choose(
+    const PlacementQuery& query, TimePoint now, const LimitRooms& rooms) const
 {
-    const auto candidates = this->impl->byService.find(query.service);
-    if (candidates == this->impl->byService.end())
+    const auto instances = this->impl->byService.find(query.service);
+    if (instances == this->impl->byService.end())
         return std::nullopt;
-    const ServiceLoad service = this->impl->loadOf(candidates->second, now);
-    const InstanceState* preferred = preferredInstance(query, candidates->second);
-    const InstanceState* best = nullptr;
-    double bestCost = 0;
-    for (const InstanceState* state : candidates->second) {
-        if (state->instance.isDraining || query.excluded.contains(state->instance.id))
+    const ServiceLoad service = this->impl->loadOf(instances->second, now);
+    const std::vector<Candidate> candidates = candidatesFor(query, instances->second, rooms);
+    const InstanceState* preferred = preferredInstance(query, candidates);
+    Cheapest withRoom;
+    Cheapest withoutRoom;
+    Cheapest withoutWait;
+    for (const Candidate& candidate : candidates) {
+        const InstanceState& state = *candidate.state;
+        if (query.excluded.contains(state.instance.id))
             continue;
-        const double cost = this->impl->cost(*state, query, service, state == preferred);
-        if (best && cost >= bestCost)
+        const double cost = this->impl->cost(state, query, service, &state == preferred);
+        withoutWait.consider(candidate, cost);
+        if (!candidate.room.wait)
             continue;
-        best = state;
-        bestCost = cost;
+        const double slots = std::max<std::uint32_t>(state.instance.slots, 1);
+        const bool hasRoom = this->impl->expectedLoad(state, service) < query.maxLoad * slots;
+        Cheapest& cheapest = hasRoom ? withRoom : withoutRoom;
+        cheapest.consider(candidate, cost + static_cast<double>(candidate.room.wait->count()));
     }
+    const Candidate* best = withRoom.candidate ? withRoom.candidate : withoutRoom.candidate;
     if (!best)
         return std::nullopt;
+    const InstanceState& state = *best->state;
     PlacementChoice choice;
-    choice.endpoint = best->instance.id;
-    choice.address = best->instance.address;
-    choice.expectedLoad = this->impl->expectedLoad(*best, service);
-    if (best->reportedAt)
-        choice.reportAge = std::chrono::duration_cast<Milliseconds>(now - *best->reportedAt);
-    choice.slots = best->instance.slots;
-    choice.cachedTokens = this->impl->cachedTokens(*best, query);
+    choice.endpoint = state.instance.id;
+    choice.address = state.instance.address;
+    choice.expectedLoad = this->impl->expectedLoad(state, service);
+    if (state.reportedAt)
+        choice.reportAge = std::chrono::duration_cast<Milliseconds>(now - *state.reportedAt);
+    choice.slots = state.instance.slots;
+    choice.cachedTokens = this->impl->cachedTokens(state, query);
+    choice.wait = *best->room.wait;
+    choice.hasRoom = withRoom.candidate != nullptr;
+    if (withoutWait.candidate->room.isLimited && withoutWait.candidate != best)
+        choice.passedOver = withoutWait.candidate->state->instance.id;
     return choice;
 }
 
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -2,6 +2,8 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
+
 namespace Rattandeck {
 
 std::string_view describe(RejectionReason reason)
@@ -15,6 +17,8 @@
         return "no instance has room";
     case RejectionReason::NoInstance:
         return "no instance";
+    case RejectionReason::RateLimited:
+        return "limits of instances reached";
     case RejectionReason::BudgetSpent:
         return "token budget spent";
     case RejectionReason::UnknownTurn:
@@ -87,8 +91,10 @@
 void Gateway::onInstance(const EndpointInstance& instance)
 {
     const EndpointInstance* known = this->impl->endpoints.find(instance.id);
-    if (known && known->startedAt != instance.startedAt)
+    if (known && known->startedAt != instance.startedAt) {
         this->impl->onInstanceFailed(instance.id);
+        this->impl->permits.forget(instance.id);
+    }
     this->impl->endpoints.put(instance);
 }
 
@@ -99,7 +105,7 @@
     if (!known || !known->isDraining)
         this->impl->onInstanceFailed(id);
     this->impl->endpoints.remove(id);
-    this->impl->statedLimits.erase(id);
+    this->impl->permits.forget(id);
 }
 
 void Gateway::onCrashReports(const CrashReports& crashes)
@@ -112,7 +118,18 @@
 
 std::size_t Gateway::queuedCalls() const { return this->impl->queue.size(); }
 
-std::size_t Gateway::limitedInstances() const { return this->impl->statedLimits.size(); }
+const PermitHolder& Gateway::permits() const { return this->impl->permits; }
+
+void Gateway::setJournals(const std::vector<JournalMember>& members) { this->impl->permits.setMembers(members); }
+
+void Gateway::onJournalUp(const NodeId& journal) { this->impl->permits.onLinkUp(journal); }
+
+void Gateway::onJournalDown(const NodeId& journal) { this->impl->permits.onLinkDown(journal); }
+
+void Gateway::onJournalMessage(const NodeId& from, const Message& message)
+{
+    this->impl->permits.onMessage(from, message);
+}
 
 const GatewayCounts& Gateway::counts() const { return this->impl->counts; }
 
@@ -200,6 +217,7 @@
         this->place(call);
         return;
     }
+    this->anticipatePermit(call);
     // Either step may end the call before it returns.
     const CallId id = call.id;
     if (call.isFetchPending)
@@ -309,12 +327,27 @@
     refusal.mayHaveRun = call.runs > 0;
     const bool isFinal = reason == RejectionReason::BudgetSpent || reason == RejectionReason::UnknownTurn;
     if (!isFinal && !refusal.mayHaveRun)
-        refusal.retryAfter = call.isFirstTurn ? this->limits.firstTurnRetryAfter : this->limits.retryAfter;
+        refusal.retryAfter = this->retryDelay(call, reason);
     ++this->counts.refused;
     this->io.refuse(call.id, refusal);
     this->finish(call, "refused", describe(reason));
 }
 
+/// Delay after which the caller of a refused call may retry. Callers that are refused for the limits of instances are
+/// spread over the time in which as many permits are expected as are missing now.
+Milliseconds Gateway::Impl::retryDelay(const Call& call, RejectionReason reason) const
+{
+    const Milliseconds least = call.isFirstTurn ? this->limits.firstTurnRetryAfter : this->limits.retryAfter;
+    if (reason != RejectionReason::RateLimited)
+        return least;
+    constexpr std::uint64_t steps = 1024;
+    const std::string& request = call.call.request.value;
+    const std::uint64_t position = XXH3_64bits(request.data(), request.size()) % steps;
+    const Milliseconds spread = std::max(least, call.bestChoice ? call.bestChoice->wait : Milliseconds(0));
+    return least
+        + Milliseconds(spread.count() * static_cast<std::int64_t>(position) / static_cast<std::int64_t>(steps));
+}
+
 void Gateway::Impl::failCall(Call& call, RejectionReason reason)
 {
     if (!call.hasAnswerBegun) {
@@ -343,6 +376,7 @@
 {
     this->settle(call);
     this->dequeue(call);
+    this->stopAwaiting(call);
     this->timers.cancel(call.deadlineTimer);
     this->timers.cancel(call.stallTimer);
     this->timers.cancel(call.storeTimer);
@@ -371,6 +405,8 @@
     }
     end.configVersion = call.table->config().version;
     end.bestChoice = call.bestChoice;
+    if (call.bestChoice)
+        end.bestLimit = this->permits.limitOf(call.bestChoice->endpoint);
     end.queued = this->queue.size();
     this->io.logEnd(end);
     this->calls.erase(call.id);
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -20,7 +20,7 @@
         return;
     if (answer.load)
         self.endpoints.onLoad(call->endpoint, *answer.load, self.timers.now());
-    self.noteLimit(call->endpoint, answer);
+    self.noteLimit(*call, answer);
     if (answer.isNotRun) {
         self.endpoints.onFull(call->endpoint, self.timers.now());
         self.onSendRefused(*call, SendFailureCause::Refused);
@@ -84,21 +84,12 @@
 
 // Limits of instances ------------------------------------------------------------------------------------------------
 
-void Gateway::Impl::noteLimit(const EndpointId& endpoint, const EndpointAnswer& answer)
+void Gateway::Impl::noteLimit(const Call& call, const EndpointAnswer& answer)
 {
     if (!answer.invalidLimit.empty())
-        this->io.logInvalidLimit(endpoint, answer.invalidLimit);
-    if (!this->endpoints.find(endpoint))
-        return;
-    const auto known = this->statedLimits.find(endpoint);
-    const auto previous = known == this->statedLimits.end() ? std::nullopt : std::optional(known->second);
-    if (previous == answer.limit)
-        return;
-    if (answer.limit)
-        this->statedLimits[endpoint] = *answer.limit;
-    else
-        this->statedLimits.erase(endpoint);
-    this->io.logLimit({ endpoint, previous, answer.limit, Milliseconds(0), "answer" });
+        this->io.logInvalidLimit(call.endpoint, answer.invalidLimit);
+    if (const EndpointInstance* instance = this->endpoints.find(call.endpoint))
+        this->permits.onAnswer(call.endpoint, instance->startedAt, answer.limit, call.sentAt);
 }
 
 // Complete answers ---------------------------------------------------------------------------------------------------
--- a/src/librattandeck/gatewayfixture_test.h
+++ b/src/librattandeck/gatewayfixture_test.h
@@ -35,6 +35,9 @@
     std::vector<Rattandeck::LimitChange> limitChanges;
     std::vector<std::string> invalidLimits;
     std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> toJournals;
+    /// Messages about permits.
+    std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> toIssuers;
+    std::vector<Rattandeck::SendDecision> decisions;
     std::map<Rattandeck::NodeId, Rattandeck::JournalState> states;
     /// Journals to which no link is up.
     std::set<Rattandeck::NodeId> unlinked;
@@ -200,7 +203,12 @@
     {
         this->reports.insert(this->reports.end(), reports.begin(), reports.end());
     }
-    void logSend(const Rattandeck::SendDecision&) override { }
+    bool sendToJournal(const Rattandeck::NodeId& journal, const Rattandeck::Message& message) override
+    {
+        this->toIssuers.emplace_back(journal, message);
+        return true;
+    }
+    void logSend(const Rattandeck::SendDecision& decision) override { this->decisions.push_back(decision); }
     void logSendFailure(const Rattandeck::SendFailure& failure) override { this->failures.push_back(failure); }
     void logEnd(const Rattandeck::CallEnd& end) override { this->ends.push_back(end); }
     void logLimit(const Rattandeck::LimitChange& change) override { this->limitChanges.push_back(change); }
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -37,6 +37,9 @@
     // Queue
     bool isQueued = false;
     TimePoint queuedAt;
+    /// Instance for which the call waits for a permit; empty if there is none.
+    EndpointId awaited;
+    std::size_t awaitedUrgency = 0;
 
     // Sends
     PlacementQuery query;
@@ -71,6 +74,7 @@
         , journals(journals)
         , domain(std::move(domain))
         , limits(limits)
+        , permits(timers, this->permitIo())
         , retryBudget(limits.retryBurst)
     {
     }
@@ -85,8 +89,7 @@
     std::shared_ptr<const RouteTable> table;
     EndpointTable endpoints;
     CrashWatch crashes;
-    /// Limits that instances have stated in their latest answers.
-    std::map<EndpointId, CallRate> statedLimits;
+    PermitHolder permits;
     GatewayCounts counts;
     /// Retries that may be spent: see `GatewayLimits::retryRatio`.
     double retryBudget;
@@ -94,8 +97,10 @@
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
     std::unordered_map<SendId, CallId> callOfSend;
     std::uint64_t lastSend = 0;
-    /// Calls that wait for capacity, in the order of their routes' rank, then of their time in the queue.
-    std::map<std::tuple<std::uint32_t, TimePoint, CallId>, CallId> queue;
+    /// Calls that wait for capacity or a permit, in the order of their routes' rank, then first turns after the others,
+    /// then in that of their time in the queue.
+    using QueueKey = std::tuple<std::uint32_t, bool, TimePoint, CallId>;
+    std::map<QueueKey, CallId> queue;
     TimerId queueTimer;
 
     // gateway.cpp: start and end of a call
@@ -121,7 +126,19 @@
 
     // gatewaysends.cpp: placement, queue and sends
     void place(Call& call);
-    bool hasCapacity(const Call& call, const PlacementChoice& choice) const;
+    PermitHolder::Io permitIo();
+    std::optional<PlacementChoice> choose(const Call& call, PlacementQuery query) const;
+    LimitRoom roomAt(const Call& call, const EndpointId& endpoint) const;
+    void placeWithoutChoice(Call& call);
+    /// Whether the call may wait for a permit that is expected after `wait`.
+    bool mayAwaitPermit(const Call& call, Milliseconds wait) const;
+    Duration maxQueueWait(const Call& call) const;
+    void awaitPermit(Call& call, const EndpointId& endpoint);
+    void stopAwaiting(Call& call);
+    /// Requests a permit for the call while its tokens are claimed and its transcript is fetched.
+    void anticipatePermit(Call& call);
+    Milliseconds retryDelay(const Call& call, RejectionReason reason) const;
+    static QueueKey queueKey(const Call& call);
     void sendTo(Call& call, const PlacementChoice& choice);
     void enqueue(Call& call);
     void dequeue(Call& call);
@@ -140,7 +157,7 @@
     void keepStalled(Call& call);
 
     // gatewayanswers.cpp: relaying of answers
-    void noteLimit(const EndpointId& endpoint, const EndpointAnswer& answer);
+    void noteLimit(const Call& call, const EndpointAnswer& answer);
     void forwardEvents(Call& call);
     void forwardEvent(Call& call, const StreamEvent& event);
     void onCompleteAnswer(Call& call);
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -9,39 +9,121 @@
 
 // Placement ----------------------------------------------------------------------------------------------------------
 
-bool Gateway::Impl::hasCapacity(const Call& call, const PlacementChoice& choice) const
+std::optional<PlacementChoice> Gateway::Impl::choose(const Call& call, PlacementQuery query) const
 {
-    const double bound = call.isFirstTurn ? this->limits.firstTurnMaxLoad : this->limits.maxLoad;
-    return choice.expectedLoad < bound * choice.slots;
+    query.maxLoad = call.isFirstTurn ? this->limits.firstTurnMaxLoad : this->limits.maxLoad;
+    if (this->permits.limitedInstances() == 0)
+        return this->endpoints.choose(query, this->timers.now());
+    return this->endpoints.choose(
+        query, this->timers.now(), [this, &call](const EndpointId& endpoint) { return this->roomAt(call, endpoint); });
+}
+
+LimitRoom Gateway::Impl::roomAt(const Call& call, const EndpointId& endpoint) const
+{
+    LimitRoom room;
+    room.isLimited = this->permits.limitOf(endpoint).has_value();
+    if (!room.isLimited)
+        return room;
+    const std::size_t urgency = urgencyOf(call.route->rank, call.isFirstTurn);
+    const bool isWaiting = endpoint == call.awaited && urgency == call.awaitedUrgency;
+    room.wait = this->permits.expectedWait(endpoint, urgency, isWaiting);
+    if (room.wait && !this->mayAwaitPermit(call, *room.wait))
+        room.wait.reset();
+    return room;
 }
 
 void Gateway::Impl::place(Call& call)
 {
-    const auto choice = this->endpoints.choose(call.query, this->timers.now());
+    const auto choice = this->choose(call, call.query);
     call.bestChoice = choice;
-    if (choice && this->hasCapacity(call, *choice)) {
-        this->dequeue(call);
-        this->sendTo(call, *choice);
+    if (!choice) {
+        this->placeWithoutChoice(call);
         return;
     }
-    if (call.hasAnswerBegun) {
-        // The stream was interrupted and no other instance has capacity to resume it.
-        this->failCall(call, RejectionReason::Overloaded);
+    if (!choice->hasRoom) {
+        this->stopAwaiting(call);
+        this->enqueue(call);
         return;
     }
-    if (!choice) {
-        const bool isRetry = !call.query.excluded.empty();
-        this->refuse(call, isRetry ? RejectionReason::Overloaded : RejectionReason::NoInstance);
+    if (choice->wait <= Milliseconds(0)) {
+        this->dequeue(call);
+        this->stopAwaiting(call);
+        this->sendTo(call, *choice);
         return;
     }
+    this->awaitPermit(call, choice->endpoint);
     this->enqueue(call);
 }
 
+/// No instance takes the call, now or after a wait.
+void Gateway::Impl::placeWithoutChoice(Call& call)
+{
+    call.bestChoice = this->endpoints.choose(call.query, this->timers.now());
+    if (!call.bestChoice) {
+        this->failCall(call, call.query.excluded.empty() ? RejectionReason::NoInstance : RejectionReason::Overloaded);
+        return;
+    }
+    const std::size_t urgency = urgencyOf(call.route->rank, call.isFirstTurn);
+    const auto wait = this->permits.expectedWait(call.bestChoice->endpoint, urgency, false);
+    call.bestChoice->wait = wait.value_or(call.route->objective);
+    this->failCall(call, RejectionReason::RateLimited);
+}
+
+// Permits ------------------------------------------------------------------------------------------------------------
+
+PermitHolder::Io Gateway::Impl::permitIo()
+{
+    PermitHolder::Io permitIo;
+    permitIo.send
+        = [this](const NodeId& journal, const Message& message) { return this->io.sendToJournal(journal, message); };
+    permitIo.onChange = [this] { this->processQueue(); };
+    permitIo.onLimit = [this](const LimitChange& change) { this->io.logLimit(change); };
+    return permitIo;
+}
+
+bool Gateway::Impl::mayAwaitPermit(const Call& call, Milliseconds wait) const
+{
+    const Duration waited = call.isQueued ? this->timers.now() - call.queuedAt : Duration(0);
+    return waited + wait <= call.route->objective * this->limits.maxPermitWaitRatio && wait < this->timeLeft(call);
+}
+
+void Gateway::Impl::awaitPermit(Call& call, const EndpointId& endpoint)
+{
+    const std::size_t urgency = urgencyOf(call.route->rank, call.isFirstTurn);
+    if (call.awaited == endpoint && call.awaitedUrgency == urgency)
+        return;
+    this->stopAwaiting(call);
+    call.awaited = endpoint;
+    call.awaitedUrgency = urgency;
+    this->permits.want(endpoint, urgency);
+}
+
+void Gateway::Impl::stopAwaiting(Call& call)
+{
+    if (call.awaited.value.empty())
+        return;
+    this->permits.unwant(call.awaited, call.awaitedUrgency);
+    call.awaited = {};
+}
+
+void Gateway::Impl::anticipatePermit(Call& call)
+{
+    if (this->permits.limitedInstances() == 0)
+        return;
+    // Whether it is the first turn is known only when its tokens are claimed.
+    call.isFirstTurn = call.call.previousTurn.value.empty();
+    const auto choice = this->choose(call, call.query);
+    if (choice && this->permits.limitOf(choice->endpoint))
+        this->awaitPermit(call, choice->endpoint);
+}
+
+// Sends --------------------------------------------------------------------------------------------------------------
+
 void Gateway::Impl::sendTo(Call& call, const PlacementChoice& choice)
 {
     const Milliseconds left = this->timeLeft(call);
     if (left <= Milliseconds(0)) {
-        this->refuse(call, RejectionReason::TimedOut);
+        this->failCall(call, RejectionReason::TimedOut);
         return;
     }
     call.send = SendId(++this->lastSend);
@@ -71,6 +153,11 @@
     const ServiceConfig* service = call.table->service(call.service);
     const std::uint32_t shared = service ? service->maxConnections : 1;
     details.maxConnections = std::max(1U, shared / this->limits.gatewayCount);
+    const auto limit = this->permits.limitOf(choice.endpoint);
+    if (limit)
+        details.writeBy = this->permits.take(choice.endpoint);
+    if (!choice.passedOver.value.empty())
+        ++this->counts.passedOver;
 
     SendDecision decision;
     decision.call = call.id;
@@ -82,6 +169,8 @@
     decision.attempt = call.sends;
     decision.timeLeft = left;
     decision.waited = std::chrono::duration_cast<Milliseconds>(this->timers.now() - call.arrived);
+    decision.limit = limit;
+    decision.permitsLeft = this->permits.heldPermits(choice.endpoint);
     this->io.logSend(decision);
 
     this->endpoints.onSent(choice.endpoint, call.query);
@@ -96,12 +185,12 @@
     if (call.isQueued)
         return;
     if (this->queue.size() >= this->limits.maxQueued) {
-        this->refuse(call, RejectionReason::Overloaded);
+        this->failCall(call, RejectionReason::Overloaded);
         return;
     }
     call.isQueued = true;
     call.queuedAt = this->timers.now();
-    this->queue.emplace(std::make_tuple(call.route->rank, call.queuedAt, call.id), call.id);
+    this->queue.emplace(queueKey(call), call.id);
     this->scheduleQueue();
 }
 
@@ -110,7 +199,18 @@
     if (!call.isQueued)
         return;
     call.isQueued = false;
-    this->queue.erase(std::make_tuple(call.route->rank, call.queuedAt, call.id));
+    this->queue.erase(queueKey(call));
+}
+
+Gateway::Impl::QueueKey Gateway::Impl::queueKey(const Call& call)
+{
+    return { call.route->rank, call.isFirstTurn, call.queuedAt, call.id };
+}
+
+Duration Gateway::Impl::maxQueueWait(const Call& call) const
+{
+    const double ratio = call.awaited.value.empty() ? this->limits.maxQueueWaitRatio : this->limits.maxPermitWaitRatio;
+    return std::chrono::duration_cast<Duration>(call.route->objective * ratio);
 }
 
 void Gateway::Impl::scheduleQueue()
@@ -138,9 +238,10 @@
         call = this->find(id);
         if (!call || !call->isQueued)
             continue;
-        const auto maxWait = call->route->objective * this->limits.maxQueueWaitRatio;
-        if (this->timers.now() - call->queuedAt >= maxWait)
-            this->refuse(*call, RejectionReason::Overloaded);
+        if (this->timers.now() - call->queuedAt < this->maxQueueWait(*call))
+            continue;
+        const bool awaitsPermit = !call->awaited.value.empty();
+        this->failCall(*call, awaitsPermit ? RejectionReason::RateLimited : RejectionReason::Overloaded);
     }
 }
 
@@ -268,8 +369,8 @@
         return false;
     PlacementQuery query = call.query;
     query.excluded.insert(call.endpoint);
-    const auto choice = this->endpoints.choose(query, this->timers.now());
-    return choice && this->hasCapacity(call, *choice);
+    const auto choice = this->choose(call, query);
+    return choice && choice->hasRoom && choice->wait <= Milliseconds(0);
 }
 
 }
--- /dev/null
+++ b/src/librattandeck/ratelimit.cpp
@@ -0,0 +1,75 @@
+#include "Rattandeck/ratelimit.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace Rattandeck {
+
+static double seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
+
+// Token bucket -------------------------------------------------------------------------------------------------------
+
+double bucketSize(CallRate rate, const PermitSettings& settings)
+{
+    return 1 + rate.value * seconds(settings.burstTime);
+}
+
+void refill(TokenBucket& bucket, CallRate rate, const PermitSettings& settings, TimePoint now)
+{
+    const double accrued = rate.value * std::max(0.0, seconds(now - bucket.updatedAt));
+    bucket.tokens = std::min(bucket.tokens + accrued, bucketSize(rate, settings));
+    bucket.updatedAt = std::max(bucket.updatedAt, now);
+}
+
+void giveBack(TokenBucket& bucket, double tokens, CallRate rate, const PermitSettings& settings)
+{
+    bucket.tokens = std::min(bucket.tokens + tokens, bucketSize(rate, settings));
+}
+
+Duration timeToNextToken(const TokenBucket& bucket, CallRate rate)
+{
+    const std::chrono::duration<double> wait(std::max(0.0, 1 - bucket.tokens) / rate.value);
+    return std::chrono::ceil<Milliseconds>(wait);
+}
+
+// Issuers ------------------------------------------------------------------------------------------------------------
+
+PermitIssuers issuersOf(const std::vector<JournalMember>& members, const EndpointId& endpoint)
+{
+    PermitIssuers issuers;
+    XXH64_hash_t highest = 0;
+    XXH64_hash_t second = 0;
+    const XXH64_hash_t seed = XXH3_64bits(endpoint.value.data(), endpoint.value.size());
+    for (const JournalMember& member : members) {
+        const std::string& node = member.node.value;
+        const XXH64_hash_t hash = XXH3_64bits_withSeed(node.data(), node.size(), seed);
+        if (issuers.primary.value.empty() || hash > highest) {
+            issuers.standby = std::exchange(issuers.primary, member.node);
+            second = std::exchange(highest, hash);
+        } else if (issuers.standby.value.empty() || hash > second) {
+            issuers.standby = member.node;
+            second = hash;
+        }
+    }
+    return issuers;
+}
+
+CallRate issuingRate(const PermitIssuers& issuers, const NodeId& node, CallRate limit, const PermitSettings& settings)
+{
+    const double rate = std::max(limit.value, settings.minRate.value);
+    if (node == issuers.primary)
+        return CallRate(rate);
+    return CallRate(node == issuers.standby ? rate * settings.standbyShare : 0);
+}
+
+// Stated limits ------------------------------------------------------------------------------------------------------
+
+bool supersedes(const StatedLimit& update, const StatedLimit& known)
+{
+    if (update.startedAt != known.startedAt)
+        return update.startedAt > known.startedAt;
+    return update.statedAt > known.statedAt;
+}
+
+}
--- a/src/librattandeck/wire.cpp
+++ b/src/librattandeck/wire.cpp
@@ -180,6 +180,11 @@
             return true;
         }
 
+        bool read(Json& json, std::int64_t& value)
+        {
+            return readSigned(json, std::numeric_limits<std::int64_t>::max(), value);
+        }
+
         bool read(Json& json, TokenCount& value) { return readSigned(json, maxTokens, value.value); }
 
         bool read(Json& json, Milliseconds& value)
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -450,6 +450,41 @@
 
 template <typename Visitor> void visitFields(Visitor& visit, CrashReports& m) { visit("reports", m.reports); }
 
+template <typename Visitor> void visitFields(Visitor& visit, PermitRequest& m)
+{
+    visit("endpoint", m.endpoint);
+    visit("startedAt", m.startedAt);
+    visit("isLimited", m.isLimited);
+    visit("limit", m.limit);
+    visit("age", m.age);
+    visit("received", m.received);
+    visit("unused", m.unused);
+    visit("wanted", m.wanted);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, PermitRequests& m)
+{
+    visit("ticket", m.ticket);
+    visit("requests", m.requests);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, PermitGrant& m)
+{
+    visit("endpoint", m.endpoint);
+    visit("startedAt", m.startedAt);
+    visit("isLimited", m.isLimited);
+    visit("limit", m.limit);
+    visit("age", m.age);
+    visit("permits", m.permits);
+    visit("ticket", m.ticket);
+    visit("heldFor", m.heldFor);
+    visit("backlog", m.backlog);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, PermitGrants& m) { visit("grants", m.grants); }
+
+template <typename Visitor> void visitFields(Visitor& visit, GatewaysLinked& m) { visit("count", m.count); }
+
 // Tags ---------------------------------------------------------------------------------------------------------
 
 template <typename Alternative> inline constexpr const char* tag = nullptr;
@@ -492,6 +527,9 @@
 template <> inline constexpr const char* tag<CrashReports> = "crashes";
 template <> inline constexpr const char* tag<JournalInconclusive> = "unsure";
 template <> inline constexpr const char* tag<JournalStanding> = "standing";
+template <> inline constexpr const char* tag<PermitRequests> = "permitsFor";
+template <> inline constexpr const char* tag<PermitGrants> = "permits";
+template <> inline constexpr const char* tag<GatewaysLinked> = "gateways";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
 template <> inline constexpr const char* tag<Problem> = "problem";
--- a/src/librattandeck/wire_test.cpp
+++ b/src/librattandeck/wire_test.cpp
@@ -19,6 +19,7 @@
     void operator()(double& value) { value = *rc::gen::inRange(-100000, 100000) / 16.0; }
     void operator()(std::uint32_t& value) { value = *rc::gen::arbitrary<std::uint32_t>(); }
     void operator()(std::uint64_t& value) { value = *rc::gen::arbitrary<std::uint64_t>(); }
+    void operator()(std::int64_t& value) { value = *rc::gen::inRange<std::int64_t>(-1LL << 50U, 1LL << 50U); }
     void operator()(TokenCount& value) { value.value = *rc::gen::inRange<std::int64_t>(-1LL << 50U, 1LL << 50U); }
     void operator()(Milliseconds& value) { value = Milliseconds(*rc::gen::inRange(-1000000, 1000000)); }
     void operator()(Role& value) { value = *rc::gen::element(Role::Entry, Role::Sidecar); }
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -34,6 +34,7 @@
         bool isHead = false;
         HttpCallbacks callbacks;
         Rattandeck::TimerId timer;
+        std::optional<Rattandeck::TimePoint> writeBy;
         /// Set when the first write starts. Reset only if that write fails without sending a byte.
         bool mayBeSent = false;
         bool isEnded = false;
@@ -107,6 +108,8 @@
         void onPeerClosed(const ErrorCode& error);
         void finish();
         void fail(NetError error);
+        /// As `fail`, but from the loop: the call's callbacks must not be called within `HttpClient::start`.
+        void failLater(NetError error);
         void waitIdle();
 
         std::shared_ptr<ClientImpl> client;
@@ -159,6 +162,12 @@
     {
         ++this->useCount;
         this->call = std::move(next);
+        // The process may have been suspended, or the connection may have taken long.
+        this->loop.updateTime();
+        if (this->call->writeBy && this->loop.timers.now() > *this->call->writeBy) {
+            this->failLater(NetError::NotSent);
+            return;
+        }
         this->written = 0;
         this->buffer.clear();
         this->resetParser();
@@ -374,6 +383,14 @@
         owner->end(ended, tl::unexpected(error));
     }
 
+    void Connection::failLater(NetError error)
+    {
+        Asio::post(this->loop.context, this->loop.bind([self = this->shared_from_this(), error] {
+            if (!self->isClosed)
+                self->fail(error);
+        }));
+    }
+
     void Connection::waitIdle()
     {
         // Waits without reading: data received while idle must not be taken as the response to a later request.
@@ -523,14 +540,15 @@
 
 void HttpClient::setConnectTimeout(std::chrono::milliseconds timeout) { this->impl->connectTimeout = timeout; }
 
-HttpClient::CallId HttpClient::start(
-    const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallbacks callbacks)
+HttpClient::CallId HttpClient::start(const HttpRequest& request, std::chrono::milliseconds timeout,
+    HttpCallbacks callbacks, std::optional<Rattandeck::TimePoint> writeBy)
 {
     const auto call = std::make_shared<Call>();
     call->id = ++this->impl->lastId;
     call->bytes = this->impl->serialise(request);
     call->isHead = request.method == "HEAD";
     call->callbacks = std::move(callbacks);
+    call->writeBy = writeBy;
     const std::weak_ptr<Impl> weak = this->impl;
     // Outside handlers the timers still have the time of the last one.
     this->impl->loop.updateTime();
--- a/src/platform/calls_test.cpp
+++ b/src/platform/calls_test.cpp
@@ -120,9 +120,9 @@
     void valuesThatAreNoLimitAreIgnored()
     {
         const std::string huge(400, '9');
-        for (const std::string& text : { std::string("-3"), std::string("nan"), std::string("inf"), std::string("1e400"),
-                 std::string(""), std::string("6, 6"), std::string("6 a second"), std::string("1.2.3"), std::string("."),
-                 huge }) {
+        for (const std::string& text :
+            { std::string("-3"), std::string("nan"), std::string("inf"), std::string("1e400"), std::string(""),
+                std::string("6, 6"), std::string("6 a second"), std::string("1.2.3"), std::string("."), huge }) {
             const EndpointAnswer answer = readAnswer(200, { { "server-limit", text } });
             CPPUNIT_ASSERT_MESSAGE(text, !answer.limit);
             CPPUNIT_ASSERT_MESSAGE(text, !answer.invalidLimit.empty());
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -173,8 +173,10 @@
     PeerHandlers handlers;
     handlers.onUp = [this](const Hello& hello) {
         logEvent("journal link up", hello.node.value);
-        if (hello.role == Role::Journal)
+        if (hello.role == Role::Journal) {
             this->linkedJournals.insert(hello.node);
+            this->relay.gateway().onJournalUp(hello.node);
+        }
         if (hello.domain.value == this->settings.instance.domain)
             this->journals.setNear(hello.node);
         this->checkJournals();
@@ -183,6 +185,7 @@
     handlers.onDown = [this](const NodeId& node) {
         logEvent("journal link down", node.value);
         this->linkedJournals.erase(node);
+        this->relay.gateway().onJournalDown(node);
         this->checkJournals();
         this->feed.onLinkDown(node);
         this->journals.onLinkDown(node);
@@ -192,6 +195,7 @@
             this->onJournalSet(*set);
         if (const auto* crashes = std::get_if<CrashReports>(&message))
             this->relay.gateway().onCrashReports(*crashes);
+        this->relay.gateway().onJournalMessage(from, message);
         this->journals.onMessage(from, message);
         this->feed.onMessage(from, message);
     };
@@ -228,6 +232,8 @@
         for (const NodeId& node : this->linkedJournals)
             this->network.send(node, crashes);
     });
+    this->relay.onJournalMessage(
+        [this](const NodeId& journal, const Message& message) { return this->network.send(journal, message); });
     this->linkToJournals();
     this->watchStore(*storeAddress);
     this->findJournals();
@@ -273,7 +279,10 @@
     provide("rattandeck_calls_open", "gauge", [this] { return double(this->relay.gateway().openCalls()); });
     provide("rattandeck_calls_queued", "gauge", [this] { return double(this->relay.gateway().queuedCalls()); });
     provide("rattandeck_endpoints_limited", "gauge",
-        [this] { return double(this->relay.gateway().limitedInstances()); });
+        [this] { return double(this->relay.gateway().permits().limitedInstances()); });
+    provide("rattandeck_calls_passed_over_total", "counter", [&counts] { return double(counts.passedOver); });
+    provide("rattandeck_gateways", "gauge",
+        [this] { return double(this->relay.gateway().permits().gatewayCount().value_or(0)); });
     provide("rattandeck_config_version", "gauge",
         [this] { return double(this->relay.gateway().configVersion().value_or(0)); });
     provide("rattandeck_journals_linked", "gauge", [this] { return double(this->linkedJournals.size()); });
@@ -318,6 +327,7 @@
 {
     if (!this->journals.setMembers(set))
         return;
+    this->relay.gateway().setJournals(set.members);
     logFields(
         "journal set", { { "epoch", std::int64_t(set.epoch.value) }, { "members", std::int64_t(set.members.size()) } });
     this->linkToJournals();
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -145,8 +145,8 @@
     const HttpRequest request = Platform::writeCall(open->request, details);
     OpenSend& sent = this->sends[send];
     sent.address = details.address;
-    sent.httpCall
-        = client.http->start(request, details.timeLeft + clientTimeoutSlack, this->callbacks(send, open->requestId));
+    sent.httpCall = client.http->start(
+        request, details.timeLeft + clientTimeoutSlack, this->callbacks(send, open->requestId), details.writeBy);
 }
 
 void Relay::cancelSend(SendId send)
@@ -189,18 +189,34 @@
         this->crashHandler({ reports });
 }
 
+void Relay::onJournalMessage(std::function<bool(const NodeId& journal, const Message& message)> handler)
+{
+    this->journalSender = std::move(handler);
+}
+
+bool Relay::sendToJournal(const NodeId& journal, const Message& message)
+{
+    return this->journalSender && this->journalSender(journal, message);
+}
+
 // Log ----------------------------------------------------------------------------------------------------------------
 
 void Relay::logSend(const SendDecision& decision)
 {
-    logFields("send",
-        { { "request", decision.request.value }, { "program", decision.program.value }, { "route", decision.route },
-            { "config", std::int64_t(decision.configVersion) }, { "endpoint", decision.choice.endpoint.value },
-            { "load", decision.choice.expectedLoad },
-            { "load_age_ms", std::int64_t(decision.choice.reportAge.value_or(Milliseconds(-1)).count()) },
-            { "slots", std::int64_t(decision.choice.slots) }, { "cached_tokens", decision.choice.cachedTokens },
-            { "attempt", std::int64_t(decision.attempt) }, { "waited_ms", std::int64_t(decision.waited.count()) },
-            { "time_left_ms", std::int64_t(decision.timeLeft.count()) } });
+    std::vector<LogField> fields { { "request", decision.request.value }, { "program", decision.program.value },
+        { "route", decision.route }, { "config", std::int64_t(decision.configVersion) },
+        { "endpoint", decision.choice.endpoint.value }, { "load", decision.choice.expectedLoad },
+        { "load_age_ms", std::int64_t(decision.choice.reportAge.value_or(Milliseconds(-1)).count()) },
+        { "slots", std::int64_t(decision.choice.slots) }, { "cached_tokens", decision.choice.cachedTokens },
+        { "attempt", std::int64_t(decision.attempt) }, { "waited_ms", std::int64_t(decision.waited.count()) },
+        { "time_left_ms", std::int64_t(decision.timeLeft.count()) } };
+    if (decision.limit) {
+        fields.push_back({ "limit", decision.limit->value });
+        fields.push_back({ "permits_left", std::int64_t(decision.permitsLeft) });
+    }
+    if (!decision.choice.passedOver.value.empty())
+        fields.push_back({ "passed_over", decision.choice.passedOver.value });
+    logFields("send", fields);
 }
 
 void Relay::logSendFailure(const SendFailure& failure)
@@ -241,6 +257,8 @@
         fields.push_back({ "best_load", end.bestChoice ? end.bestChoice->expectedLoad : 0.0 });
         const auto age = end.bestChoice ? end.bestChoice->reportAge : std::nullopt;
         fields.push_back({ "best_load_age_ms", std::int64_t(age.value_or(Milliseconds(-1)).count()) });
+        fields.push_back({ "best_limit", end.bestLimit ? end.bestLimit->value : -1.0 });
+        fields.push_back({ "best_wait_ms", std::int64_t(end.bestChoice ? end.bestChoice->wait.count() : 0) });
         fields.push_back({ "best_slots", std::int64_t(end.bestChoice ? end.bestChoice->slots : 0) });
     }
     logFields("call", fields);
@@ -250,9 +268,8 @@
 {
     const auto rate = [](const std::optional<CallRate>& limit) { return limit ? limit->value : -1.0; };
     logFields("endpoint limit",
-        { { "endpoint", change.endpoint.value }, { "limit", rate(change.limit) },
-            { "previous", rate(change.previous) }, { "age_ms", std::int64_t(change.age.count()) },
-            { "learnt_from", change.learntFrom } });
+        { { "endpoint", change.endpoint.value }, { "limit", rate(change.limit) }, { "previous", rate(change.previous) },
+            { "age_ms", std::int64_t(change.age.count()) }, { "learnt_from", change.learntFrom } });
 }
 
 void Relay::logInvalidLimit(const EndpointId& endpoint, const std::string& text)
--- a/src/rattandeck-gateway/relay.h
+++ b/src/rattandeck-gateway/relay.h
@@ -20,6 +20,9 @@
     void onRequest(RattandeckNet::HttpRequest request, const RattandeckNet::HttpResponder& responder);
     /// Sets the handler for crash reports that are to be sent to the journals.
     void onCrashReports(std::function<void(const Rattandeck::CrashReports&)> handler);
+    /// Sets the function that sends messages about permits to journals. It returns false when no link is up.
+    void onJournalMessage(
+        std::function<bool(const Rattandeck::NodeId& journal, const Rattandeck::Message& message)> handler);
     /// Closes connections to addresses that no known instance uses.
     void closeUnusedClients();
 
@@ -50,6 +53,7 @@
     void abortAnswer(Rattandeck::CallId call) override;
     void refuse(Rattandeck::CallId call, const Rattandeck::CallRefusal& refusal) override;
     void reportCrashes(const std::vector<Rattandeck::CrashReport>& reports) override;
+    bool sendToJournal(const Rattandeck::NodeId& journal, const Rattandeck::Message& message) override;
     void logSend(const Rattandeck::SendDecision& decision) override;
     void logSendFailure(const Rattandeck::SendFailure& failure) override;
     void logEnd(const Rattandeck::CallEnd& end) override;
@@ -69,4 +73,5 @@
     std::unordered_map<Rattandeck::SendId, OpenSend> sends;
     std::map<std::string, Client> clients;
     std::function<void(const Rattandeck::CrashReports&)> crashHandler;
+    std::function<bool(const Rattandeck::NodeId&, const Rattandeck::Message&)> journalSender;
 };
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -6,6 +6,7 @@
 #include "platform/objectcodec.h"
 #include "Rattandeck/gossip.h"
 #include "Rattandeck/journal.h"
+#include "Rattandeck/permitissuer.h"
 #include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
 
@@ -108,6 +109,8 @@
     PeerNetwork network;
     GossipTable gossip { this->loop.timers(), {},
         [this](const NodeId& node, const Message& message) { return this->network.send(node, message); }, {} };
+    PermitIssuer permits { this->loop.timers(), NodeId(this->settings.instance.node),
+        [this](const NodeId& node, const Message& message) { return this->network.send(node, message); } };
     std::unique_ptr<Platform::ObjectStore> store;
     std::optional<Platform::StoredObject> storedSet;
     std::unique_ptr<HttpServer> admin;
@@ -192,6 +195,11 @@
         "rattandeck_disk_written_bytes_total", "counter", [this] { return double(this->disk->stats().bytes); });
     this->metrics.provide("rattandeck_journal_bytes_in_memory", "gauge",
         [this] { return double(this->journal->state().bytesInMemory()); });
+    this->metrics.provide(
+        "rattandeck_endpoints_limited", "gauge", [this] { return double(this->permits.limitedInstances()); });
+    this->metrics.provide(
+        "rattandeck_permits_issued_total", "counter", [this] { return double(this->permits.issuedPermits()); });
+    this->metrics.provide("rattandeck_largest_limit_use", "gauge", [this] { return this->permits.takeLargestUse(); });
     Platform::provideStoreMetrics(this->metrics, *this->store);
     provideLinkTraffic(this->metrics, this->network);
 }
@@ -228,6 +236,7 @@
         return ExitUnavailable;
     this->createStore(*storeAddress);
     this->updateLinks(this->metadata.set());
+    this->permits.setMembers(this->metadata.set().members);
     this->journal->start(this->metadata.set(), this->metadata.syncState());
     this->startAdmin();
     if (!listenAt(this->settings.instance.adminListen, *this->admin))
@@ -287,6 +296,7 @@
 {
     logEvent("link up", hello.node.value);
     this->gossip.onLinkUp(hello.node);
+    this->permits.onLinkUp(hello.node, hello.role);
     this->journal->onLinkUp(hello.node, hello.role);
 }
 
@@ -294,6 +304,7 @@
 {
     logEvent("link down", node.value);
     this->gossip.onLinkDown(node);
+    this->permits.onLinkDown(node);
     this->journal->onLinkDown(node);
 }
 
@@ -301,6 +312,7 @@
 {
     this->journal->onMessage(from, message);
     this->gossip.onMessage(from, message);
+    this->permits.onMessage(from, message);
 }
 
 // Segments -----------------------------------------------------------------------------------------------------------
@@ -391,7 +403,11 @@
         logError("disk", "notes can't be written");
 }
 
-void Daemon::onSetChanged(const JournalSet& set) { this->updateLinks(set); }
+void Daemon::onSetChanged(const JournalSet& set)
+{
+    this->updateLinks(set);
+    this->permits.setMembers(set.members);
+}
 
 // Retirement ---------------------------------------------------------------------------------------------------------
 
--- a/src/rattandeck-provejournals/callers.cpp
+++ b/src/rattandeck-provejournals/callers.cpp
@@ -105,6 +105,7 @@
     void abortAnswer(CallId call) override { this->callers.onBroken(call); }
     void refuse(CallId call, const CallRefusal& refusal) override { this->callers.onRefused(call, refusal); }
     void reportCrashes(const std::vector<CrashReport>&) override { }
+    bool sendToJournal(const NodeId&, const Message&) override { return false; }
     void logSend(const SendDecision&) override { }
     void logSendFailure(const SendFailure&) override { }
     void logEnd(const CallEnd& end) override
--- a/testsuite/platform-shared-limit/case.py
+++ b/testsuite/platform-shared-limit/case.py
@@ -17,7 +17,7 @@
 ALLOWED_PER_SPAN = 1.5 * LIMIT_PER_S * SPAN_S + 5
 # From then on after an instance first stated its limit.
 GRACE_S = 4.0
-WORK_S = 0.03
+WORK_S = 0.1
 READS_PER_S = 60
 PHASE_S = 11
 # Share of the callers that are served while one instance has no limit.
@@ -37,6 +37,7 @@
         self.limit = None
         self.stated_at = None
         self.arrivals = []
+        self.running = 0
         runner.fault_handler = self.handle
 
     def state(self, limit):
@@ -48,10 +49,13 @@
     def handle(self, request):
         with self.lock:
             self.arrivals.append(time.monotonic())
+            self.running += 1
             limit = self.limit
         time.sleep(WORK_S)
-        headers = {"Request-Id": request.headers["Request-Id"], "Response-Seal": "seal",
-                   "Server-Load": f"1,0,{SLOTS}"}
+        with self.lock:
+            self.running -= 1
+            load = f"{min(self.running, SLOTS)},{max(0, self.running - SLOTS)},{SLOTS}"
+        headers = {"Request-Id": request.headers["Request-Id"], "Response-Seal": "seal", "Server-Load": load}
         if limit is not None:
             headers["Server-Limit"] = limit
             with self.lock:
