--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -268,7 +268,7 @@
     Milliseconds retryAfter { 250 };
     /// As `retryAfter`, for the first turn of a program.
     Milliseconds firstTurnRetryAfter { 500 };
-    /// Number of gateways that share the connections of an instance.
+    /// Number of gateways that share the connections of an instance, until a journal has told it.
     std::uint32_t gatewayCount = 5;
     /// Largest answer that is buffered until it is complete; longer ones are streamed to the caller. Does not apply to
     /// routes whose calls are answered by an event stream.
--- a/src/librattandeck/gatewaylimits_test.cpp
+++ b/src/librattandeck/gatewaylimits_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(thePermitOfATurnIsRequestedWhileItIsPrepared);
     CPPUNIT_TEST(aCallThatLeavesDoesNotKeepItsPermit);
     CPPUNIT_TEST(limitsAndInvalidLimitsAreLogged);
+    CPPUNIT_TEST(connectionsAreDividedByTheNumberOfGateways);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<GatewayFixture> f;
@@ -235,6 +236,16 @@
         this->f->gateway.onAnswerHead(this->lastSend().id, answer);
         CPPUNIT_ASSERT(this->f->invalidLimits == std::vector<std::string>({ "nan" }));
     }
+
+    void connectionsAreDividedByTheNumberOfGateways()
+    {
+        this->f->addInstance("a", false, 100);
+        this->callOn("safe");
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(20), this->lastSend().details.maxConnections);
+        this->f->gateway.onJournalMessage(NodeId("j1"), GatewaysLinked { 25 });
+        this->callOn("safe");
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t(4), this->lastSend().details.maxConnections);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayLimitsTest);
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -152,7 +152,8 @@
         details.resumeAfter = call.lastEvent;
     const ServiceConfig* service = call.table->service(call.service);
     const std::uint32_t shared = service ? service->maxConnections : 1;
-    details.maxConnections = std::max(1U, shared / this->limits.gatewayCount);
+    const std::uint32_t gateways = this->permits.gatewayCount().value_or(this->limits.gatewayCount);
+    details.maxConnections = std::max(1U, shared / std::max(1U, gateways));
     const auto limit = this->permits.limitOf(choice.endpoint);
     if (limit)
         details.writeBy = this->permits.take(choice.endpoint);
