Bound answers of instances that never end

Seen in tests that failed before: interim answers and an answer to another call were read without end (until the call's timeout: 4 MB and more), an event, a body without events on a route of streams, and the output of a retained turn grew in memory without bound. Cause: the client bounded only heads, the gateway only buffered answers of plain routes. Change: an answer may have 1 MiB of bytes that bring no data to its call, and 16 for each byte of data, so that sound streams of small chunks pass; an event and an answer without events may have 1 MiB, a retained output 8 MiB. Beyond that the connection is closed and the call counts as interrupted: it is retried where that is allowed. Bytes that come one a second end at the deadline, as before. The event splitter no longer searches an incomplete event from its start with each piece. Status lines, header fields, chunk extensions and trailers without end had been bounded already.

--- a/src/include/Rattandeck/eventstream.h
+++ b/src/include/Rattandeck/eventstream.h
@@ -30,7 +30,12 @@
 
 private:
     std::string buffer;
+    /// End of the last event that was returned.
     std::size_t consumed = 0;
+    /// Start of the first line that is not known to be complete.
+    std::size_t lineStart = 0;
+    /// Position up to which no further line end was found.
+    std::size_t searched = 0;
 };
 
 }
--- a/src/librattandeck/eventstream.cpp
+++ b/src/librattandeck/eventstream.cpp
@@ -5,6 +5,8 @@
 void EventSplitter::add(std::string_view bytes)
 {
     this->buffer.erase(0, this->consumed);
+    this->lineStart -= this->consumed;
+    this->searched -= this->consumed;
     this->consumed = 0;
     this->buffer += bytes;
 }
@@ -33,27 +35,44 @@
     hasData = true;
 }
 
-std::optional<StreamEvent> EventSplitter::next()
+static std::string_view withoutCarriageReturn(std::string_view line)
+{
+    if (line.ends_with('\r'))
+        line.remove_suffix(1);
+    return line;
+}
+
+static StreamEvent readEvent(std::string_view bytes)
 {
-    const std::string_view pending = std::string_view(this->buffer).substr(this->consumed);
     StreamEvent event;
+    event.bytes = bytes;
     bool hasData = false;
-    std::size_t start = 0;
-    while (true) {
-        const std::size_t lineEnd = pending.find('\n', start);
-        if (lineEnd == std::string_view::npos)
-            return std::nullopt;
-        std::string_view line = pending.substr(start, lineEnd - start);
-        if (line.ends_with('\r'))
-            line.remove_suffix(1);
+    for (std::size_t start = 0; start < bytes.size();) {
+        const std::size_t lineEnd = bytes.find('\n', start);
+        readLine(withoutCarriageReturn(bytes.substr(start, lineEnd - start)), event, hasData);
         start = lineEnd + 1;
-        if (line.empty())
-            break;
-        readLine(line, event, hasData);
     }
-    event.bytes = pending.substr(0, start);
-    this->consumed += start;
     return event;
 }
 
+std::optional<StreamEvent> EventSplitter::next()
+{
+    const std::string_view all = this->buffer;
+    while (true) {
+        const std::size_t lineEnd = all.find('\n', this->searched);
+        if (lineEnd == std::string_view::npos) {
+            this->searched = all.size();
+            return std::nullopt;
+        }
+        const bool isBlank = withoutCarriageReturn(all.substr(this->lineStart, lineEnd - this->lineStart)).empty();
+        this->lineStart = lineEnd + 1;
+        this->searched = this->lineStart;
+        if (!isBlank)
+            continue;
+        const StreamEvent event = readEvent(all.substr(this->consumed, this->lineStart - this->consumed));
+        this->consumed = this->lineStart;
+        return event;
+    }
+}
+
 }
--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -32,6 +32,10 @@
     CPPUNIT_TEST(lostAnswersAloneDoNotQuarantine);
     CPPUNIT_TEST(onlyARefusedConnectionIsEvidenceOfACrash);
     CPPUNIT_TEST(plannedLeaveIsNoEvidenceOfACrash);
+    CPPUNIT_TEST(eventWithoutEndInterruptsTheStream);
+    CPPUNIT_TEST(bodyWithoutEndOnAStreamRouteInterruptsTheSend);
+    CPPUNIT_TEST(retainedOutputIsBounded);
+    CPPUNIT_TEST(longSoundStreamIsNotCut);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<GatewayFixture> f;
@@ -384,6 +388,68 @@
         this->f->gateway.onInstanceRemoved(EndpointId(leaving));
         CPPUNIT_ASSERT(this->f->reports.empty());
     }
+
+    /// Sends `part` as data of the last send until the send is cancelled, at most 64 MiB. Returns whether it was.
+    bool isCutWithoutEnd(const std::string& part)
+    {
+        const SendId send = this->lastSend().id;
+        for (std::size_t sent = 0; sent < 64UL << 20U; sent += part.size()) {
+            this->f->gateway.onAnswerData(send, part);
+            for (const auto& each : this->f->sends) {
+                if (each.id == send && each.isCancelled)
+                    return true;
+            }
+        }
+        return false;
+    }
+
+    void configureStream(bool canResume, bool retainsTurns)
+    {
+        Route stream = GatewayFixture::route("stream", CallSafety::Stream);
+        stream.canResume = canResume;
+        stream.retainsTurns = retainsTurns;
+        this->f->configure({ stream }, 9);
+    }
+
+    void eventWithoutEndInterruptsTheStream()
+    {
+        this->configureStream(true, false);
+        const CallId id = this->callOn("stream");
+        this->f->head(this->lastSend(), 200, true);
+        this->f->event(this->lastSend(), 1);
+        CPPUNIT_ASSERT(this->isCutWithoutEnd("data: " + std::string(16384, 'x')));
+        // It is resumed elsewhere.
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->f->sends.size());
+        CPPUNIT_ASSERT(!this->caller(id).isBroken);
+    }
+
+    void bodyWithoutEndOnAStreamRouteInterruptsTheSend()
+    {
+        this->configureStream(false, false);
+        const CallId id = this->callOn("stream");
+        this->f->head(this->lastSend(), 500);
+        CPPUNIT_ASSERT(this->isCutWithoutEnd(std::string(16384, 'x')));
+        CPPUNIT_ASSERT(this->caller(id).refusal->reason == RejectionReason::AnswerLost);
+    }
+
+    void retainedOutputIsBounded()
+    {
+        this->configureStream(false, true);
+        const CallId id = this->callOn("stream");
+        this->f->head(this->lastSend(), 200, true);
+        CPPUNIT_ASSERT(this->isCutWithoutEnd("data: " + std::string(16384, 'x') + "\n\n"));
+        CPPUNIT_ASSERT(this->caller(id).isBroken);
+    }
+
+    void longSoundStreamIsNotCut()
+    {
+        this->configureStream(false, false);
+        const CallId id = this->callOn("stream");
+        this->f->head(this->lastSend(), 200, true);
+        CPPUNIT_ASSERT(!this->isCutWithoutEnd("data: " + std::string(16384, 'x') + "\n\n"));
+        this->f->end(this->lastSend());
+        CPPUNIT_ASSERT(this->caller(id).isEnded);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -42,9 +42,15 @@
     if (call->head->isEventStream && isSuccess(*call->head)) {
         call->splitter.add(bytes);
         self.forwardEvents(*call);
+        if (call->splitter.pendingBytes() > self.limits.maxEvent || call->output.size() > self.limits.maxRetainedOutput)
+            self.onSendInterrupted(*call, SendFailureCause::Interrupted);
         return;
     }
     call->body += bytes;
+    if (call->route->safety == CallSafety::Stream && call->body.size() > self.limits.maxEvent) {
+        self.onSendInterrupted(*call, SendFailureCause::Interrupted);
+        return;
+    }
     if (call->body.size() <= self.limits.maxBufferedAnswer || call->route->safety == CallSafety::Stream)
         return;
     // The answer exceeds the buffer limit and is streamed, after which it can't be replaced by that of a retry.
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -19,6 +19,10 @@
 
 constexpr std::size_t readSize = 16UL * 1024;
 constexpr std::size_t maxHeaderBytes = 64UL * 1024;
+/// Bytes of a response that bring no data to the call: heads, interim responses, responses to other calls and chunk
+/// framing, the last in proportion to the data.
+constexpr std::size_t maxOverheadBytes = 1024UL * 1024;
+constexpr std::size_t maxOverheadPerDataByte = 16;
 /// How long an idle connection is reused if the server sends no `Keep-Alive: timeout`.
 constexpr std::chrono::milliseconds defaultKeepAlive { 400 };
 /// An idle connection is no longer reused this long before the server is expected to close it.
@@ -119,6 +123,9 @@
         std::optional<Parser> parser;
         std::shared_ptr<Call> call;
         std::size_t written = 0;
+        /// Bytes parsed and data delivered for the current call.
+        std::size_t parsedBytes = 0;
+        std::size_t dataBytes = 0;
         std::uint64_t useCount = 0;
         Rattandeck::TimerId connectTimer;
         bool isReadPending = false;
@@ -169,6 +176,8 @@
             return;
         }
         this->written = 0;
+        this->parsedBytes = 0;
+        this->dataBytes = 0;
         this->buffer.clear();
         this->resetParser();
         this->call->mayBeSent = true;
@@ -256,7 +265,10 @@
             ErrorCode error;
             const std::size_t used = this->parser->put(this->buffer.data(), error);
             this->buffer.consume(used);
-            if (error && error != Http::error::need_more) {
+            this->parsedBytes += used;
+            const bool isInvalid = error && error != Http::error::need_more;
+            if (isInvalid
+                || this->parsedBytes > this->dataBytes * maxOverheadPerDataByte + maxOverheadBytes + readSize) {
                 this->fail(NetError::Malformed);
                 return;
             }
@@ -305,6 +317,7 @@
         }
         const std::string chunk = std::move(this->parser->get().body());
         this->parser->get().body().clear();
+        this->dataBytes += chunk.size();
         if (!chunk.empty() && current->callbacks.onData)
             current->callbacks.onData(chunk);
         return !this->isClosed && this->call == current;
