--- a/src/rattandeck-bench/rattandeck-bench.cpp
+++ b/src/rattandeck-bench/rattandeck-bench.cpp
@@ -1,4 +1,5 @@
 #include "decision.h"
+#include "sharedlimits.h"
 #include "table.h"
 
 #include <boost/program_options.hpp>
@@ -120,6 +121,7 @@
     add("seeds", Options::value(&seedCount), "seeds per cell");
     add("quick", "run few short runs, as a smoke test");
     add("decision", "measure the time of one placement decision by size of the fleet");
+    add("limits", "compare ways to keep a rate of calls over many gateways");
     add("only", Options::value(&only), "kind of runs: loads, ablations or faults");
     Options::variables_map given;
     Options::store(Options::parse_command_line(argc, argv, described), given);
@@ -133,6 +135,11 @@
         return 0;
     }
 
+    if (given.contains("limits")) {
+        printSharedLimits(std::cout, seedCount);
+        return 0;
+    }
+
     std::vector<std::uint64_t> seeds;
     for (unsigned i = 1; i <= seedCount; ++i)
         seeds.push_back(i);
