--- a/src/include/Rattandeck/ratelimit.h
+++ b/src/include/Rattandeck/ratelimit.h
@@ -19,7 +19,8 @@
     Milliseconds permitLifetime { 400 };
     /// Part of the rate that the standby issues.
     double standbyShare = 0.2;
-    /// Time for which an unused rate is saved up, in addition to one permit.
+    /// Unused permits that are saved up, in addition to those that accrue in `burstTime`.
+    double burstPermits = 2;
     Milliseconds burstTime { 100 };
     /// Rate of permits for an instance that states less, also zero: the answers to these calls show when the limit is
     /// over.
--- a/src/librattandeck/permitholder.cpp
+++ b/src/librattandeck/permitholder.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <deque>
 #include <map>
+#include <random>
 #include <set>
 
 namespace Rattandeck {
@@ -43,7 +44,8 @@
         /// The issuer's backlog at each urgency, as of `backlogAt`.
         std::vector<Milliseconds> backlog;
         TimePoint backlogAt;
-        TimePoint nextProbeAt;
+        /// When the next call is let through without an issuer; empty while one is linked.
+        std::optional<TimePoint> nextProbeAt;
 
         std::uint32_t held() const
         {
@@ -90,6 +92,7 @@
     std::set<EndpointId> pending;
     TimerId batchTimer;
     TimerId repeatTimer;
+    std::minstd_rand random { std::random_device {}() };
 
     KnownInstance* findLimited(const EndpointId& endpoint);
     const KnownInstance* findLimited(const EndpointId& endpoint) const;
@@ -97,6 +100,7 @@
     /// The linked issuer with the higher rate; empty if neither is linked.
     NodeId issuerOf(const EndpointId& endpoint) const;
     Milliseconds probeInterval() const;
+    bool isProbeDue(KnownInstance& instance);
     void dropExpired(KnownInstance& instance);
 
     void schedule(const EndpointId& endpoint);
@@ -155,6 +159,17 @@
     return std::max(minProbeInterval, probeIntervalPerGateway * this->gateways.value_or(1));
 }
 
+/// Whether a call may be let through without an issuer. The first time is drawn, since many gateways may lose the
+/// issuers at the same moment.
+bool PermitHolder::Impl::isProbeDue(KnownInstance& instance)
+{
+    if (!instance.nextProbeAt) {
+        std::uniform_int_distribution<std::int64_t> delay(0, this->probeInterval().count());
+        instance.nextProbeAt = this->timers.now() + Milliseconds(delay(this->random));
+    }
+    return this->timers.now() >= *instance.nextProbeAt;
+}
+
 // Requests -----------------------------------------------------------------------------------------------------------
 
 void PermitHolder::Impl::schedule(const EndpointId& endpoint)
@@ -393,7 +408,8 @@
     if (instance->held() > ahead)
         return Milliseconds(0);
     if (this->impl->issuerOf(endpoint).value.empty())
-        return now >= instance->nextProbeAt ? std::optional(Milliseconds(0)) : std::nullopt;
+        return this->impl->isProbeDue(*instance) ? std::optional(Milliseconds(0)) : std::nullopt;
+    instance->nextProbeAt.reset();
     // Calls that began to wait here lately are not in the issuer's backlog yet.
     const double rate = std::max(instance->stated.limit->value, this->impl->settings.minRate.value);
     Milliseconds wait(static_cast<std::int64_t>(1000.0 * ahead / rate));
--- a/src/librattandeck/permitholder_test.cpp
+++ b/src/librattandeck/permitholder_test.cpp
@@ -255,6 +255,8 @@
         HolderFixture f;
         f.state(10);
         f.holder.onLinkDown(onlyJournal);
+        CPPUNIT_ASSERT(!f.wait());
+        f.advance(5000);
         CPPUNIT_ASSERT(f.wait() == Milliseconds(0));
         f.holder.take(instance);
         CPPUNIT_ASSERT(!f.wait());
--- a/src/librattandeck/ratelimit.cpp
+++ b/src/librattandeck/ratelimit.cpp
@@ -12,7 +12,7 @@
 
 double bucketSize(CallRate rate, const PermitSettings& settings)
 {
-    return 1 + rate.value * seconds(settings.burstTime);
+    return settings.burstPermits + rate.value * seconds(settings.burstTime);
 }
 
 void refill(TokenBucket& bucket, CallRate rate, const PermitSettings& settings, TimePoint now)
