--- a/src/librattandeck/gossip_test.cpp
+++ b/src/librattandeck/gossip_test.cpp
@@ -14,6 +14,7 @@
     CPPUNIT_TEST(newPeerReceivesExistingItems);
     CPPUNIT_TEST(removalReachesPeers);
     CPPUNIT_TEST(removedTopicCanReturnAndItsTombstoneExpires);
+    CPPUNIT_TEST(aPeerThatWasAwayDoesNotBringBackWhatWasRemoved);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Milliseconds requestDelay { 300 };
@@ -28,12 +29,12 @@
     std::map<NodeId, Node> nodes;
     std::vector<std::function<void()>> due;
 
-    void add(const std::string& name, Milliseconds wait)
+    void add(const std::string& name, Milliseconds wait, std::chrono::hours tombstoneRetention = std::chrono::hours(1))
     {
         const NodeId id(name);
         Node& node = this->nodes[id];
         node.table = std::make_unique<GossipTable>(
-            this->timers, GossipTable::Settings { wait, Milliseconds(60000) },
+            this->timers, GossipTable::Settings { wait, tombstoneRetention },
             [this, id](const NodeId& to, const Message& message) {
                 this->due.push_back([this, id, to, message] {
                     Node& target = this->nodes.at(to);
@@ -132,9 +133,29 @@
         this->run(Milliseconds(500));
         CPPUNIT_ASSERT_EQUAL(std::string("again"), this->at("g2").updates.back().text);
         this->at("g1").table->publishRemoval("endpoint/1");
-        this->run(Milliseconds(61000));
+        this->run(Milliseconds(61 * 60 * 1000));
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->at("g2").table->topicCount());
     }
+
+    void aPeerThatWasAwayDoesNotBringBackWhatWasRemoved()
+    {
+        const auto retention = GossipTable::Settings().tombstoneRetention;
+        for (const char* name : { "j1", "j2", "g3" })
+            this->add(name, Milliseconds(0), retention);
+        this->link("j1", "j2");
+        this->link("j1", "g3");
+        this->at("g3").table->publish({ "endpoint/1", 7, false, "text" });
+        this->run(Milliseconds(500));
+        this->at("j1").table->onLinkDown(NodeId("j2"));
+        this->at("j2").table->onLinkDown(NodeId("j1"));
+        this->at("g3").table->publishRemoval("endpoint/1");
+        // Longer than the outage of a region.
+        this->run(Milliseconds(15 * 60 * 1000));
+        this->link("j1", "j2");
+        this->run(Milliseconds(500));
+        CPPUNIT_ASSERT(this->at("g3").updates.empty());
+        CPPUNIT_ASSERT(this->at("j2").updates.back().isRemoved);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GossipTest);
