Don't take comments for progress of a stream

Found while looking for stalled streams that send a byte now and then: each comment or blank line of an event stream restarted the stall timer, so that a resumable stream stayed at its stalled instance until the deadline. Test: commentsDoNotKeepAStalledStreamAtItsInstance, red before (1 send, 2 expected). Change: only events with an id or data restart the timer.

--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -36,6 +36,7 @@
     CPPUNIT_TEST(bodyWithoutEndOnAStreamRouteInterruptsTheSend);
     CPPUNIT_TEST(retainedOutputIsBounded);
     CPPUNIT_TEST(longSoundStreamIsNotCut);
+    CPPUNIT_TEST(commentsDoNotKeepAStalledStreamAtItsInstance);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<GatewayFixture> f;
@@ -450,6 +451,20 @@
         this->f->end(this->lastSend());
         CPPUNIT_ASSERT(this->caller(id).isEnded);
     }
+
+    void commentsDoNotKeepAStalledStreamAtItsInstance()
+    {
+        this->configureStream(true, false);
+        const CallId id = this->callOn("stream");
+        this->f->head(this->lastSend(), 200, true);
+        this->f->event(this->lastSend(), 1);
+        for (int i = 0; i < 10; ++i) {
+            this->f->advance(Milliseconds(100));
+            this->f->gateway.onAnswerData(this->f->sends.front().id, ":\n\n");
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->f->sends.size());
+        CPPUNIT_ASSERT(this->lastSend().details.resumeAfter == "1" && !this->caller(id).isBroken);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GatewayTest);
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -130,12 +130,13 @@
 
 void Gateway::Impl::forwardEvents(Call& call)
 {
-    bool hasEvents = false;
+    bool hasProgress = false;
     while (const auto event = call.splitter.next()) {
         this->forwardEvent(call, *event);
-        hasEvents = true;
+        // Comments and blank lines don't show that the call goes on.
+        hasProgress = hasProgress || !event->id.empty() || !event->data.empty();
     }
-    if (hasEvents)
+    if (hasProgress)
         this->restartStallTimer(call);
 }
 
