Bear fields of another type and unreadable bytes from the store

Found while looking for messages that take a process down.

Tests: fieldsOfAnotherTypeAreHarmless (json type_error.302 before), bytesThatAreNoTextSpoilOnlyTheirObject (never listed before). Change: such a field counts as false; such bytes are replaced before the body is parsed again.

--- a/src/platform/objectstore.cpp
+++ b/src/platform/objectstore.cpp
@@ -34,6 +34,24 @@
 
 namespace {
 
+    /// Reads a body. Bytes that are no UTF-8 text are replaced, so that they spoil only the field that contains them.
+    Json readBody(std::string body)
+    {
+        Json json = Json::parse(body, nullptr, false);
+        if (!json.is_discarded())
+            return json;
+        constexpr unsigned char firstNonAscii = 0x80;
+        std::ranges::replace_if(
+            body, [](char byte) { return static_cast<unsigned char>(byte) >= firstNonAscii; }, '?');
+        return Json::parse(body, nullptr, false);
+    }
+
+    bool readFlag(const Json& json, const char* name)
+    {
+        const auto found = json.find(name);
+        return found != json.end() && found->is_boolean() && found->get<bool>();
+    }
+
     std::optional<StoredObject> readObject(const Json& json)
     {
         if (!json.is_object() || !json.contains("metadata") || !json["metadata"].is_object())
@@ -45,8 +63,7 @@
         object.name = metadata["name"].get<std::string>();
         if (metadata.contains("rev") && metadata["rev"].is_number_unsigned())
             object.revision = metadata["rev"].get<std::uint64_t>();
-        if (metadata.contains("deleting") && metadata["deleting"].is_boolean())
-            object.isBeingDeleted = metadata["deleting"].get<bool>();
+        object.isBeingDeleted = readFlag(metadata, "deleting");
         if (metadata.contains("finalizers") && metadata["finalizers"].is_array()) {
             for (const Json& finalizer : metadata["finalizers"]) {
                 if (finalizer.is_string())
@@ -220,7 +237,7 @@
 
 void Follower::onPage(const Response& response)
 {
-    const Json page = response && response->status == 200 ? Json::parse(response->body, nullptr, false) : Json();
+    const Json page = response && response->status == 200 ? readBody(response->body) : Json();
     if (!page.is_object() || !page.contains("items") || !page["items"].is_array())
         return this->retry(&Follower::list);
     if (this->listRevision == 0)
@@ -229,8 +246,7 @@
         if (const auto object = readObject(item))
             this->listed.push_back(*object);
     }
-    const bool hasMore = page.value("has_more", false);
-    if (hasMore && !this->listed.empty())
+    if (readFlag(page, "has_more") && !this->listed.empty())
         return this->listPage(this->listed.back().name);
     this->setReachable(true);
     this->revision = this->listRevision;
@@ -256,7 +272,7 @@
 {
     if (response && response->status == statusGone)
         return this->list();
-    const Json answer = response && response->status == 200 ? Json::parse(response->body, nullptr, false) : Json();
+    const Json answer = response && response->status == 200 ? readBody(response->body) : Json();
     if (!answer.is_object() || !answer.contains("events") || !answer["events"].is_array())
         return this->retry(&Follower::watch);
     this->setReachable(true);
@@ -265,9 +281,8 @@
         if (!event.is_object() || !event.contains("object"))
             continue;
         const auto object = readObject(event["object"]);
-        const auto removed = event.find("tombstone");
         if (object)
-            this->handlers.onChange(*object, removed != event.end() && removed->is_boolean() && removed->get<bool>());
+            this->handlers.onChange(*object, readFlag(event, "tombstone"));
     }
     this->watch();
 }
@@ -287,7 +302,7 @@
         }
         if (response->status < 200 || response->status >= 300)
             return done(tl::unexpected(errorFor(response->status)));
-        const auto object = readObject(Json::parse(response->body, nullptr, false));
+        const auto object = readObject(readBody(response->body));
         if (object)
             done(*object);
         else
--- a/src/platform/objectstore_test.cpp
+++ b/src/platform/objectstore_test.cpp
@@ -16,6 +16,8 @@
     CPPUNIT_TEST(kindIsListedAgainWhenItsHistoryIsGone);
     CPPUNIT_TEST(unresponsiveStoreIsProbedUntilItAnswers);
     CPPUNIT_TEST(invalidObjectsAreSkipped);
+    CPPUNIT_TEST(fieldsOfAnotherTypeAreHarmless);
+    CPPUNIT_TEST(bytesThatAreNoTextSpoilOnlyTheirObject);
     CPPUNIT_TEST(conflictIsReported);
     CPPUNIT_TEST_SUITE_END();
 
@@ -137,6 +139,30 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->snapshots.front().size());
     }
 
+    void fieldsOfAnotherTypeAreHarmless()
+    {
+        this->answers = { ok(R"({"items":[)" + object("a", 3) + R"(],"has_more":"yes","current_rev":"7"})"),
+            ok(R"({"events":[{"object":5,"tombstone":3},7,{"tombstone":true}],"current_rev":[]})") };
+        this->follow();
+        this->test.runUntil("watched", [this] { return this->requests.size() == 3; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->snapshots.size());
+        CPPUNIT_ASSERT(this->changes.empty());
+    }
+
+    void bytesThatAreNoTextSpoilOnlyTheirObject()
+    {
+        const std::string bad = R"({"metadata":{"name":"bad","rev":3},"spec":{"service":")"
+                                "\xff\xfe"
+                                R"("}})";
+        this->answers = { ok(page(bad + "," + object("a", 4), 7)) };
+        this->follow();
+        this->test.runUntil("listed", [this] { return this->snapshots.size() == 1; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->snapshots.front().size());
+        CPPUNIT_ASSERT_EQUAL(std::string("a"), this->snapshots.front().back().name);
+        // It can be passed on to other processes.
+        CPPUNIT_ASSERT(!this->snapshots.front().front().spec.dump().empty());
+    }
+
     void conflictIsReported()
     {
         this->answers = { { 409, {}, object("a", 9) } };
