Go on after an unexpected error in a handler

Cause: an exception that left any handler or timer ended the process, with all calls under way. Test: anErrorInAHandlerDoesNotEndTheLoop, red before (the exception left run()). Change: daemons log it ('unexpected error') and the loop goes on; timers that were due still run, and signals stay subscribed. Without a handler for it, as in tests, the exception still leaves the loop.

--- a/src/librattandeckapp/daemon.cpp
+++ b/src/librattandeckapp/daemon.cpp
@@ -124,6 +124,7 @@
 void runUntilStopped(EventLoop& loop, const DaemonRun& run)
 {
     keepLogFlushed(loop.timers());
+    loop.onHandlerError([](const std::exception& error) { logError("unexpected error", error.what()); });
     loop.onSignal(SIGTERM, run.onStop);
     loop.onSignal(SIGINT, run.onStop);
     loop.onSignal(SIGHUP, run.onReload);
--- a/src/librattandecknet/eventloop.cpp
+++ b/src/librattandecknet/eventloop.cpp
@@ -75,7 +75,11 @@
             this->alarmTime.reset();
         // If the process was paused, subscribers must see the current time, not the time at which they were due.
         this->updateTime();
-        this->timers.advanceTo(bootTime());
+        const auto present = bootTime();
+        // After an exception the timers that are due still run.
+        do {
+            this->guard([&] { this->timers.advanceTo(present); });
+        } while (this->timers.nextDue().value_or(Rattandeck::TimePoint::max()) <= present);
         this->afterHandler();
         this->waitForAlarm();
     });
@@ -102,8 +106,8 @@
         loop.bind([&loop, signals = std::move(signals), handler = std::move(handler)](const ErrorCode& error, int) {
             if (error)
                 return;
-            handler();
             waitForSignal(loop, signals, handler);
+            handler();
         }));
 }
 
@@ -113,6 +117,11 @@
     waitForSignal(*this->impl, std::move(signals), std::move(handler));
 }
 
+void EventLoop::onHandlerError(std::function<void(const std::exception&)> handler)
+{
+    this->impl->errorHandler = std::move(handler);
+}
+
 void EventLoop::run()
 {
     this->impl->updateTime();
--- a/src/librattandecknet/loopimpl.h
+++ b/src/librattandecknet/loopimpl.h
@@ -31,6 +31,8 @@
     boost::asio::executor_work_guard<Executor> work;
     boost::asio::posix::basic_stream_descriptor<Executor> alarm;
 
+    std::function<void(const std::exception&)> errorHandler;
+
     /// Sets the timers' time to the present.
     void updateTime();
     /// Sets the alarm for timers subscribed by the handler.
@@ -42,10 +44,24 @@
     {
         return [this, handler = std::move(handler)](auto&&... arguments) mutable {
             this->updateTime();
-            handler(std::forward<decltype(arguments)>(arguments)...);
+            this->guard([&] { handler(std::forward<decltype(arguments)>(arguments)...); });
             this->afterHandler();
         };
     }
+
+    /// Runs a handler. An exception of it is passed to `errorHandler`, if that is set.
+    template <typename Handler> void guard(Handler handler)
+    {
+        if (!this->errorHandler) {
+            handler();
+            return;
+        }
+        try {
+            handler();
+        } catch (const std::exception& error) {
+            this->errorHandler(error);
+        }
+    }
 };
 
 /// Converts an IP address and port; host names are not resolved.
