Share the store's rate among gateways that look for the journals

Cause: each gateway without journals read the set every 0.5 s, and failed watches were repeated at fixed delays: the sum grows with the gateways (350 gateways: 700 reads a second, in step after an outage, of about 2,000). Change: all gateways together read the set at most 40 times a second, by the number that the journals have told; both delays are drawn around their mean. Below 20 gateways the mean is as before. Not measured at that size.

--- a/src/platform/objectstore.cpp
+++ b/src/platform/objectstore.cpp
@@ -3,6 +3,7 @@
 #include "names.h"
 
 #include <algorithm>
+#include <random>
 
 using namespace RattandeckNet;
 using Json = nlohmann::json;
@@ -127,6 +128,7 @@
     std::uint64_t callCount = 0;
     std::optional<Rattandeck::TimePoint> answeredAt;
     std::vector<std::shared_ptr<Follower>> followers;
+    std::minstd_rand random { std::random_device {}() };
 
     using Fetched = std::function<void(tl::expected<HttpResponse, NetError>)>;
 
@@ -213,10 +215,13 @@
 {
     this->setReachable(false);
     this->store.client.dropIdle();
-    this->store.loop.timers().subscribeAfter(this->retryDelay, [weak = this->weak_from_this(), step] {
-        if (const auto self = weak.lock())
-            (self.get()->*step)();
-    });
+    // Drawn, so that processes that fail at the same moment don't call in step: they share the rate of the store.
+    std::uniform_int_distribution<std::int64_t> delay(this->retryDelay.count() / 2, this->retryDelay.count() * 3 / 2);
+    this->store.loop.timers().subscribeAfter(
+        std::chrono::milliseconds(delay(this->store.random)), [weak = this->weak_from_this(), step] {
+            if (const auto self = weak.lock())
+                (self.get()->*step)();
+        });
     this->retryDelay = std::min(this->retryDelay * 2, this->store.limits.maxRetryDelay);
 }
 
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -7,6 +7,8 @@
 #include "relay.h"
 #include "storefeed.h"
 
+#include <random>
+
 using namespace Rattandeck;
 using namespace RattandeckApp;
 using namespace RattandeckNet;
@@ -41,8 +43,10 @@
 namespace {
 
 constexpr Milliseconds sweepInterval { 2000 };
-/// Interval at which the journal set is read from the store while it is unknown or no journal is connected.
-constexpr Milliseconds journalSearchInterval { 500 };
+/// Interval at which the journal set is read from the store while it is unknown or no journal is connected. All
+/// gateways together make at most 40 such calls a second, since they share the rate of the store.
+constexpr Milliseconds minJournalSearchInterval { 500 };
+constexpr Milliseconds journalSearchIntervalPerGateway { 25 };
 /// Delay from the start of a planned stop until connections are no longer accepted: the load balancer removes the
 /// gateway only after two failed readiness checks.
 constexpr Milliseconds stopAcceptingDelay { 3500 };
@@ -100,6 +104,7 @@
     /// Whether enough journals are connected to serve turns.
     bool hasJournalQuorum = false;
     SettingsReload<GatewaySettings> reload;
+    std::minstd_rand random { std::random_device {}() };
     bool isStopping = false;
     TimePoint stopStartedAt;
 };
@@ -320,7 +325,11 @@
                 this->onJournalSet(*set);
         });
     }
-    this->loop.timers().subscribeAfter(journalSearchInterval, [this] { this->findJournals(); });
+    // Drawn, so that gateways that lose the journals at the same moment don't read in step.
+    const std::uint32_t gateways = this->relay.gateway().permits().gatewayCount().value_or(1);
+    const Milliseconds mean = std::max(minJournalSearchInterval, journalSearchIntervalPerGateway * gateways);
+    std::uniform_int_distribution<std::int64_t> delay(mean.count() / 2, mean.count() * 3 / 2);
+    this->loop.timers().subscribeAfter(Milliseconds(delay(this->random)), [this] { this->findJournals(); });
 }
 
 void Daemon::onJournalSet(const JournalSet& set)
