--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -88,16 +88,6 @@
         self.onCompleteAnswer(*call);
 }
 
-// Limits of instances ------------------------------------------------------------------------------------------------
-
-void Gateway::Impl::noteLimit(const Call& call, const EndpointAnswer& answer)
-{
-    if (!answer.invalidLimit.empty())
-        this->io.logInvalidLimit(call.endpoint, answer.invalidLimit);
-    if (const EndpointInstance* instance = this->endpoints.find(call.endpoint))
-        this->permits.onAnswer(call.endpoint, instance->startedAt, answer.limit, call.sentAt);
-}
-
 // Complete answers ---------------------------------------------------------------------------------------------------
 
 void Gateway::Impl::onCompleteAnswer(Call& call)
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -126,20 +126,11 @@
 
     // gatewaysends.cpp: placement, queue and sends
     void place(Call& call);
-    PermitHolder::Io permitIo();
     std::optional<PlacementChoice> choose(const Call& call, PlacementQuery query) const;
-    LimitRoom roomAt(const Call& call, const EndpointId& endpoint) const;
     void placeWithoutChoice(Call& call);
-    /// Whether the call may wait for a permit that is expected after `wait`.
-    bool mayAwaitPermit(const Call& call, Milliseconds wait) const;
-    Duration maxQueueWait(const Call& call) const;
-    void awaitPermit(Call& call, const EndpointId& endpoint);
-    void stopAwaiting(Call& call);
-    /// Requests a permit for the call while its tokens are claimed and its transcript is fetched.
-    void anticipatePermit(Call& call);
-    Milliseconds retryDelay(const Call& call, RejectionReason reason) const;
-    static QueueKey queueKey(const Call& call);
     void sendTo(Call& call, const PlacementChoice& choice);
+    static QueueKey queueKey(const Call& call);
+    Duration maxQueueWait(const Call& call) const;
     void enqueue(Call& call);
     void dequeue(Call& call);
     void scheduleQueue();
@@ -156,8 +147,20 @@
     bool canMove(const Call& call) const;
     void keepStalled(Call& call);
 
-    // gatewayanswers.cpp: relaying of answers
+    // gatewaylimits.cpp: instances that state a limit
+    PermitHolder::Io permitIo();
     void noteLimit(const Call& call, const EndpointAnswer& answer);
+    LimitRoom roomAt(const Call& call, const EndpointId& endpoint) const;
+    /// Whether the call may wait for a permit that is expected after `wait`.
+    bool mayAwaitPermit(const Call& call, Milliseconds wait) const;
+    void awaitPermit(Call& call, const EndpointId& endpoint);
+    void stopAwaiting(Call& call);
+    /// Requests a permit for the call while its tokens are claimed and its transcript is fetched.
+    void anticipatePermit(Call& call);
+    /// Delay after which the caller of a refused call may retry.
+    Milliseconds retryDelay(const Call& call, RejectionReason reason) const;
+
+    // gatewayanswers.cpp: relaying of answers
     void forwardEvents(Call& call);
     void forwardEvent(Call& call, const StreamEvent& event);
     void onCompleteAnswer(Call& call);
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -18,20 +18,6 @@
         query, this->timers.now(), [this, &call](const EndpointId& endpoint) { return this->roomAt(call, endpoint); });
 }
 
-LimitRoom Gateway::Impl::roomAt(const Call& call, const EndpointId& endpoint) const
-{
-    LimitRoom room;
-    room.isLimited = this->permits.limitOf(endpoint).has_value();
-    if (!room.isLimited)
-        return room;
-    const std::size_t urgency = urgencyOf(call.route->rank, call.isFirstTurn);
-    const bool isWaiting = endpoint == call.awaited && urgency == call.awaitedUrgency;
-    room.wait = this->permits.expectedWait(endpoint, urgency, isWaiting);
-    if (room.wait && !this->mayAwaitPermit(call, *room.wait))
-        room.wait.reset();
-    return room;
-}
-
 void Gateway::Impl::place(Call& call)
 {
     const auto choice = this->choose(call, call.query);
@@ -69,54 +55,6 @@
     this->failCall(call, RejectionReason::RateLimited);
 }
 
-// Permits ------------------------------------------------------------------------------------------------------------
-
-PermitHolder::Io Gateway::Impl::permitIo()
-{
-    PermitHolder::Io permitIo;
-    permitIo.send
-        = [this](const NodeId& journal, const Message& message) { return this->io.sendToJournal(journal, message); };
-    permitIo.onChange = [this] { this->processQueue(); };
-    permitIo.onLimit = [this](const LimitChange& change) { this->io.logLimit(change); };
-    return permitIo;
-}
-
-bool Gateway::Impl::mayAwaitPermit(const Call& call, Milliseconds wait) const
-{
-    const Duration waited = call.isQueued ? this->timers.now() - call.queuedAt : Duration(0);
-    return waited + wait <= call.route->objective * this->limits.maxPermitWaitRatio && wait < this->timeLeft(call);
-}
-
-void Gateway::Impl::awaitPermit(Call& call, const EndpointId& endpoint)
-{
-    const std::size_t urgency = urgencyOf(call.route->rank, call.isFirstTurn);
-    if (call.awaited == endpoint && call.awaitedUrgency == urgency)
-        return;
-    this->stopAwaiting(call);
-    call.awaited = endpoint;
-    call.awaitedUrgency = urgency;
-    this->permits.want(endpoint, urgency);
-}
-
-void Gateway::Impl::stopAwaiting(Call& call)
-{
-    if (call.awaited.value.empty())
-        return;
-    this->permits.unwant(call.awaited, call.awaitedUrgency);
-    call.awaited = {};
-}
-
-void Gateway::Impl::anticipatePermit(Call& call)
-{
-    if (this->permits.limitedInstances() == 0)
-        return;
-    // Whether it is the first turn is known only when its tokens are claimed.
-    call.isFirstTurn = call.call.previousTurn.value.empty();
-    const auto choice = this->choose(call, call.query);
-    if (choice && this->permits.limitOf(choice->endpoint))
-        this->awaitPermit(call, choice->endpoint);
-}
-
 // Sends --------------------------------------------------------------------------------------------------------------
 
 void Gateway::Impl::sendTo(Call& call, const PlacementChoice& choice)
