Count a send as a run only once it is written

Test: callThatWaitsForAConnectionHasNotRun, red before (mayHaveRun true). Change: the HTTP client tells when it begins to write; a send that ends before that doesn't count. The refusal is then 503 with a time to come back, which is true: the client never writes a call that has ended.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -201,7 +201,8 @@
 // Gateway --------------------------------------------------------------------------------------------------------
 
 /// I/O that the gateway needs: connections to callers, instances and journals, and the log. The gateway calls these
-/// functions from within its member functions; an implementation must not call the gateway before it returns.
+/// functions from within its member functions; an implementation must not call the gateway before it returns, except
+/// `Gateway::onSendWritten` from `send`.
 class GatewayIo {
 public:
     virtual ~GatewayIo() = default;
@@ -336,6 +337,8 @@
     /// The caller disconnected. Ignored for calls that have ended.
     void onCallerDisconnected(CallId id);
 
+    /// The call is about to be written to its connection. Until then it can't have run.
+    void onSendWritten(SendId id);
     void onAnswerHead(SendId id, const EndpointAnswer& answer);
     void onAnswerData(SendId id, std::string_view bytes);
     void onAnswerEnd(SendId id, SendOutcome outcome);
--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -109,6 +109,9 @@
     /// Returns whether a response belongs to this call. Other responses, such as a late one to an earlier call on the
     /// same connection, are skipped. If empty, every response is accepted.
     std::function<bool(const HttpHeaders&)> isOwn;
+    /// Called before the first byte of the call is written, possibly within `start`. Until then the server can't have
+    /// received it.
+    std::function<void()> onWrite;
     std::function<void(int status, const HttpHeaders&)> onHead;
     std::function<void(std::string_view chunk)> onData;
     /// Called exactly once, unless the call was cancelled.
--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(errorAnswerIsPassedOnWhenNoOtherInstanceHasCapacity);
     CPPUNIT_TEST(drainingInstanceGetsNoCalls);
     CPPUNIT_TEST(deadlineEndsTheCall);
+    CPPUNIT_TEST(callThatWaitsForAConnectionHasNotRun);
     CPPUNIT_TEST(timeLeftIsTheShorterOfDeadlineAndTimeout);
     CPPUNIT_TEST(callerDisconnectCancelsTheSend);
     CPPUNIT_TEST(callIsQueuedUntilCapacityIsFree);
@@ -269,6 +270,23 @@
         CPPUNIT_ASSERT(this->lastSend().isCancelled);
     }
 
+    void callThatWaitsForAConnectionHasNotRun()
+    {
+        this->f->hasConnections = false;
+        const CallId id = this->callOn("unsafe");
+        this->f->advance(Milliseconds(3000));
+        CPPUNIT_ASSERT(this->lastSend().isCancelled);
+        CPPUNIT_ASSERT(this->caller(id).refusal && !this->caller(id).refusal->mayHaveRun);
+        // A send that was never written doesn't count for the route's two runs.
+        this->f->addInstance("e3");
+        this->callOn("safe");
+        this->f->advance(Milliseconds(250));
+        this->f->hasConnections = true;
+        this->f->gateway.onSendWritten(this->lastSend().id);
+        this->f->end(this->lastSend(), SendOutcome::Broken);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(4), this->f->sends.size());
+    }
+
     void timeLeftIsTheShorterOfDeadlineAndTimeout()
     {
         GatewayCall call = GatewayFixture::callOn("unsafe");
--- a/src/librattandeck/gatewayanswers.cpp
+++ b/src/librattandeck/gatewayanswers.cpp
@@ -12,6 +12,12 @@
 
 // Public -------------------------------------------------------------------------------------------------------------
 
+void Gateway::onSendWritten(SendId id)
+{
+    if (Impl::Call* call = this->impl->findBySend(id))
+        call->isWritten = true;
+}
+
 void Gateway::onAnswerHead(SendId id, const EndpointAnswer& answer)
 {
     auto& self = *this->impl;
--- a/src/librattandeck/gatewayfixture_test.h
+++ b/src/librattandeck/gatewayfixture_test.h
@@ -39,6 +39,8 @@
     std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> toIssuers;
     std::vector<Rattandeck::SendDecision> decisions;
     std::map<Rattandeck::NodeId, Rattandeck::JournalState> states;
+    /// Calls are written at once. Otherwise they wait for a connection.
+    bool hasConnections = true;
     /// Journals to which no link is up.
     std::set<Rattandeck::NodeId> unlinked;
     Rattandeck::JournalClient journals;
@@ -179,6 +181,8 @@
     void send(Rattandeck::CallId call, Rattandeck::SendId send, Rattandeck::EndpointSend details) override
     {
         this->sends.push_back({ call, send, std::move(details) });
+        if (this->hasConnections)
+            this->gateway.onSendWritten(send);
     }
     void cancelSend(Rattandeck::SendId send) override
     {
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -47,8 +47,10 @@
     SendId send;
     EndpointId endpoint;
     std::uint32_t sends = 0;
-    /// Sends that may have run.
+    /// Sends that may have run; while the current one has not been written, it is counted too.
     std::uint32_t runs = 0;
+    /// The current send has been written to its connection.
+    bool isWritten = false;
     TimePoint sentAt;
     TimerId stallTimer;
 
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -74,6 +74,7 @@
     call.splitter = {};
     ++call.sends;
     ++call.runs;
+    call.isWritten = false;
     this->callOfSend.emplace(call.send, call.id);
     ++this->counts.sends;
     this->retryBudget = std::min(this->limits.retryBurst, this->retryBudget + this->limits.retryRatio);
@@ -194,6 +195,8 @@
         return;
     if (cancel)
         this->io.cancelSend(call.send);
+    if (!call.isWritten)
+        --call.runs;
     this->callOfSend.erase(call.send);
     this->endpoints.onEnded(call.endpoint);
     call.send = {};
@@ -219,7 +222,7 @@
 void Gateway::Impl::onSendRefused(Call& call, SendFailureCause cause)
 {
     this->logFailure(call, cause);
-    --call.runs;
+    call.isWritten = false;
     call.query.excluded.insert(call.endpoint);
     this->dropSend(call, false);
     const bool mayTryAgain = call.sends < call.route->maxRuns + this->limits.maxExtraSends;
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -181,6 +181,8 @@
         this->buffer.clear();
         this->resetParser();
         this->call->mayBeSent = true;
+        if (this->call->callbacks.onWrite)
+            this->call->callbacks.onWrite();
         this->write();
         this->read();
     }
--- a/src/rattandeck-provejournals/callers.cpp
+++ b/src/rattandeck-provejournals/callers.cpp
@@ -74,6 +74,7 @@
     void send(CallId call, SendId send, EndpointSend what) override
     {
         this->callers.run(this->gateway, call, send, what);
+        this->gateway.gateway->onSendWritten(send);
     }
     void cancelSend(SendId send) override
     {
