Let longer calls wait for limited instances

Cause: a permit is worth a call, whatever its length; the instances without a limit were full while permits went to calls as they came. Change: while an instance is limited, the load of an instance weighs by the call's expected length (the caller's estimate, else the upper bound) over the mean, so that of two calls the longer one waits for a permit.

--- a/src/include/Rattandeck/endpoints.h
+++ b/src/include/Rattandeck/endpoints.h
@@ -59,6 +59,9 @@
     std::string prefixKey;
     /// Instances that this call has been sent to already.
     std::set<EndpointId> excluded;
+    /// Expected number of tokens that the call generates, relative to the mean of the calls of its service. The load of
+    /// an instance delays a longer call by more, so that of two calls the longer one waits for a limited instance.
+    double relativeLength = 1;
     /// Load up to which an instance has room for the call, in multiples of its slots.
     double maxLoad = std::numeric_limits<double>::infinity();
 };
--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -39,6 +39,8 @@
     std::optional<TokenCount> tokenLimit;
     /// Upper bound on the tokens that this turn generates.
     TokenCount maxOutputTokens;
+    /// The caller's estimate of the tokens that this turn generates; often far off.
+    std::optional<TokenCount> expectedOutputTokens;
     std::vector<PromptPart> prompt;
     std::string subject;
     /// Turn that this one continues; empty for the first turn of a chain.
--- a/src/librattandeck/endpoints.cpp
+++ b/src/librattandeck/endpoints.cpp
@@ -179,7 +179,7 @@
     const double load = this->expectedLoad(state, service);
     const double slots = std::max<std::uint32_t>(state.instance.slots, 1);
     const double batch = std::min(load, slots);
-    double cost = batch * this->costs.batchedCallMs;
+    double cost = batch * this->costs.batchedCallMs * query.relativeLength;
     cost += std::max(0.0, load - slots + 1) * this->costs.queuedCallMs;
     const std::int64_t prompt = promptTokens(query);
     std::int64_t cached = this->cachedTokens(state, query);
--- a/src/librattandeck/gateway.cpp
+++ b/src/librattandeck/gateway.cpp
@@ -164,6 +164,9 @@
     state->lastEvent = state->call.resumeAfter;
     state->deadlineTimer
         = self.timers.subscribeAt(state->deadline, [gateway = this->impl.get(), id] { gateway->onDeadline(id); });
+    const double length = self.relativeLength(*state);
+    if (self.permits.limitedInstances() > 0)
+        state->query.relativeLength = length;
     Impl::Call& added = *state;
     self.calls.emplace(id, std::move(state));
     self.prepare(added);
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -90,6 +90,8 @@
     GatewayLimits limits;
     std::shared_ptr<const RouteTable> table;
     EndpointTable endpoints;
+    /// Moving average of the tokens that turns are expected to generate, by service.
+    std::unordered_map<ServiceName, double> meanOutputTokens;
     CrashWatch crashes;
     PermitHolder permits;
     GatewayCounts counts;
@@ -152,6 +154,8 @@
     // gatewaylimits.cpp: instances that state a limit
     PermitHolder::Io permitIo();
     void noteLimit(const Call& call, const EndpointAnswer& answer);
+    /// Notes the length of a call, and returns it in relation to the mean.
+    double relativeLength(const Call& call);
     LimitRoom roomAt(const Call& call, const EndpointId& endpoint) const;
     /// Whether the call may wait for a permit that is expected after `wait`.
     bool mayAwaitPermit(const Call& call, Milliseconds wait) const;
--- a/src/librattandeck/gatewaylimits.cpp
+++ b/src/librattandeck/gatewaylimits.cpp
@@ -15,6 +15,19 @@
         this->permits.onAnswer(call.endpoint, instance->startedAt, answer.limit, call.sentAt);
 }
 
+double Gateway::Impl::relativeLength(const Call& call)
+{
+    constexpr double weight = 0.02;
+    constexpr double least = 0.25;
+    constexpr double most = 4;
+    const auto tokens = static_cast<double>(call.call.expectedOutputTokens.value_or(call.call.maxOutputTokens).value);
+    if (tokens <= 0)
+        return 1;
+    double& mean = this->meanOutputTokens.try_emplace(call.service, tokens).first->second;
+    mean += weight * (tokens - mean);
+    return std::clamp(tokens / mean, least, most);
+}
+
 LimitRoom Gateway::Impl::roomAt(const Call& call, const EndpointId& endpoint) const
 {
     LimitRoom room;
--- a/src/librattandeck/gatewaylimits_test.cpp
+++ b/src/librattandeck/gatewaylimits_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(aResumedStreamWaitsForItsPermit);
     CPPUNIT_TEST(thePermitOfATurnIsRequestedWhileItIsPrepared);
     CPPUNIT_TEST(aCallThatLeavesDoesNotKeepItsPermit);
+    CPPUNIT_TEST(theLongerOfTwoCallsWaitsForTheLimitedInstance);
     CPPUNIT_TEST(limitsAndInvalidLimitsAreLogged);
     CPPUNIT_TEST(connectionsAreDividedByTheNumberOfGateways);
     CPPUNIT_TEST_SUITE_END();
@@ -216,6 +217,27 @@
         CPPUNIT_ASSERT(this->lastSend().call != first);
     }
 
+    void theLongerOfTwoCallsWaitsForTheLimitedInstance()
+    {
+        this->addLimited("a");
+        this->f->addInstance("b", false, 100);
+        // Both lengths are known before the limited instance matters.
+        GatewayCall call = GatewayFixture::callOn("unsafe");
+        for (const int tokens : { 100, 100, 100, 100, 100, 100 }) {
+            call.expectedOutputTokens = TokenCount(tokens);
+            this->f->call(call);
+        }
+        this->receive("a", 0, 10, this->backlogOf(60));
+        const std::size_t before = this->sendCount();
+        call.expectedOutputTokens = TokenCount(50);
+        this->f->call(call);
+        CPPUNIT_ASSERT_EQUAL(before + 1, this->sendCount());
+        CPPUNIT_ASSERT(this->lastSend().details.endpoint == EndpointId("b"));
+        call.expectedOutputTokens = TokenCount(400);
+        this->f->call(call);
+        CPPUNIT_ASSERT_EQUAL(before + 1, this->sendCount());
+    }
+
     void limitsAndInvalidLimitsAreLogged()
     {
         this->f->addInstance("a");
--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -138,6 +138,8 @@
     std::string_view counts = field(headers, Names::tokenCounts);
     takePart(counts, ',');
     call.maxOutputTokens = TokenCount(readNumber<std::int64_t>(trim(counts)).value_or(0));
+    if (const auto expected = readNumber<std::int64_t>(trim(field(headers, Names::lengthHint))))
+        call.expectedOutputTokens = TokenCount(*expected);
     call.prompt = readPrompt(field(headers, Names::prompt));
     call.subject = readCookie(field(headers, "cookie"), Names::subjectCookie);
     call.previousTurn = TurnId(std::string(field(headers, Names::previousTurn)));
--- a/src/platform/calls_test.cpp
+++ b/src/platform/calls_test.cpp
@@ -25,8 +25,8 @@
         request.method = "POST";
         request.target = "/p/x%20y?q=1";
         request.headers = { { "host", "h" }, { "request-id", "r1" }, { "deadline-ms", "3000" },
-            { "token-counts", "1840,572" }, { "token-budget", "4576" }, { "program-id", "p" }, { "session-id", "s" },
-            { "prompt-prefix", "5c1e:800, 91bd:410" }, { "previous-turn", "r0" },
+            { "token-counts", "1840,572" }, { "length-hint", "240" }, { "token-budget", "4576" }, { "program-id", "p" },
+            { "session-id", "s" }, { "prompt-prefix", "5c1e:800, 91bd:410" }, { "previous-turn", "r0" },
             { "cookie", "other=1; Affinity-Key=17" }, { "connection", "close, x-hop" }, { "x-hop", "1" },
             { "x-kept", "2" } };
         request.body = "body";
@@ -40,6 +40,7 @@
         CPPUNIT_ASSERT_EQUAL(std::string("/p/x%20y"), call.path);
         CPPUNIT_ASSERT(call.timeLeft == Milliseconds(3000) && call.tokenLimit == TokenCount(4576));
         CPPUNIT_ASSERT(call.maxOutputTokens == TokenCount(572));
+        CPPUNIT_ASSERT(call.expectedOutputTokens == TokenCount(240));
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), call.prompt.size());
         CPPUNIT_ASSERT(call.prompt[1].id == PromptPartId("91bd") && call.prompt[1].tokens == TokenCount(410));
         CPPUNIT_ASSERT_EQUAL(std::string("17"), call.subject);
@@ -50,11 +51,12 @@
         HttpRequest bad;
         bad.target = "/";
         bad.headers = { { "deadline-ms", "soon" }, { "token-budget", "1e3" }, { "prompt-prefix", "a:1,b" },
-            { "token-counts", "5" } };
+            { "token-counts", "5" }, { "length-hint", "long" } };
         const GatewayCall call = readCall(bad);
         CPPUNIT_ASSERT(!call.timeLeft && !call.tokenLimit);
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), call.prompt.size());
         CPPUNIT_ASSERT(call.maxOutputTokens == TokenCount(0));
+        CPPUNIT_ASSERT(!call.expectedOutputTokens);
     }
 
     static EndpointSend send()
--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -19,6 +19,8 @@
 constexpr const char* prompt = "prompt-prefix";
 /// Number of prompt tokens and maximum number of output tokens.
 constexpr const char* tokenCounts = "token-counts";
+/// The caller's estimate of the number of output tokens.
+constexpr const char* lengthHint = "length-hint";
 constexpr const char* lastEvent = "last-event-id";
 constexpr const char* program = "program-id";
 constexpr const char* session = "session-id";
