--- a/src/rattandeckctl/trace.cpp
+++ b/src/rattandeckctl/trace.cpp
@@ -72,14 +72,19 @@
     void add(const LogLine& line)
     {
         this->processes.insert(line.process);
-        if (const std::string endpoint = textOf(line.fields, "endpoint"); !endpoint.empty())
-            this->endpoints.insert(endpoint);
+        for (const char* name : { "endpoint", "best_endpoint", "passed_over" }) {
+            if (const std::string endpoint = textOf(line.fields, name); !endpoint.empty())
+                this->endpoints.insert(endpoint);
+        }
         this->first = std::min(this->first, line.timeMs);
         this->last = std::max(this->last, line.timeMs);
     }
 
     bool covers(const LogLine& line) const
     {
+        // A limit is in force until it changes, however long ago it became known.
+        if (line.event == "endpoint limit")
+            return line.timeMs <= this->last && this->endpoints.contains(textOf(line.fields, "endpoint"));
         if (line.timeMs < this->first - contextBeforeMs || line.timeMs > this->last)
             return false;
         // The line belongs to another request.
--- a/src/rattandeckctl/trace_test.cpp
+++ b/src/rattandeckctl/trace_test.cpp
@@ -8,6 +8,7 @@
     CPPUNIT_TEST_SUITE(TraceTest);
     CPPUNIT_TEST(linesOfARequestAreOrderedByTime);
     CPPUNIT_TEST(contextCoversProcessesAndEndpointsOfTheRequest);
+    CPPUNIT_TEST(limitsOfARefusedRequestAreFound);
     CPPUNIT_TEST(missingEndOfRequestIsReported);
     CPPUNIT_TEST(textBeforeJsonAndInvalidLinesAreSkipped);
     CPPUNIT_TEST_SUITE_END();
@@ -57,6 +58,17 @@
         CPPUNIT_ASSERT(trace.lines[2].isContext && trace.lines[2].event == "disk read");
     }
 
+    void limitsOfARefusedRequestAreFound()
+    {
+        const std::string log = line(1000, "g2", "endpoint limit", R"("endpoint":"e1","limit":6.5)")
+            + line(1000, "g2", "endpoint limit", R"("endpoint":"e2","limit":7.5)")
+            + line(90000, "g1", "call", R"("request":"r","outcome":"refused","endpoint":"","best_endpoint":"e1")")
+            + line(90001, "g2", "endpoint limit", R"("endpoint":"e1","limit":-1)");
+        const Trace trace = collect({ log }, "r");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), trace.lines.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("endpoint limit"), trace.lines[0].event);
+    }
+
     void missingEndOfRequestIsReported()
     {
         const Trace trace = collect({ line(1, "g", "send", R"("request":"r","program":"p")") }, "p");
