Wake the issuer of permits only for instances that are asked for

Cause: each message to an issuer looked at all limited instances and their gateways, which grows with both (430 instances and 350 gateways at the two-year size). Change: it keeps the instances with open demands. Besides, sendTo is split into what the instance gets and what the log gets, and comments are wrapped. No change of behaviour; unit tests pass.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -276,8 +276,8 @@
     /// Largest answer that is buffered until it is complete; longer ones are streamed to the caller. Does not apply to
     /// routes whose calls are answered by an event stream.
     std::size_t maxBufferedAnswer = 256UL * 1024;
-    /// Largest single event of a stream, and largest answer without events on a route of streams. An answer that exceeds
-    /// it counts as interrupted.
+    /// Largest single event of a stream, and largest answer without events on a route of streams. An answer that
+    /// exceeds it counts as interrupted.
     std::size_t maxEvent = 1024UL * 1024;
     /// Largest output of a turn that is retained; a longer one is interrupted.
     std::size_t maxRetainedOutput = 8UL * 1024 * 1024;
--- a/src/include/Rattandeck/gossip.h
+++ b/src/include/Rattandeck/gossip.h
@@ -19,8 +19,8 @@
     struct Settings {
         /// Delay before an offered version is requested, since it usually arrives from the store in the meantime.
         Milliseconds requestDelay { 0 };
-        /// Time for which the tombstone of a removed topic is kept. A peer that was cut off for longer brings back what it
-        /// still has.
+        /// Time for which the tombstone of a removed topic is kept. A peer that was cut off for longer brings back what
+        /// it still has.
         std::chrono::hours tombstoneRetention { 24 };
     };
     using Send = std::function<bool(const NodeId& node, const Message& message)>;
--- a/src/include/RattandeckNet/eventloop.h
+++ b/src/include/RattandeckNet/eventloop.h
@@ -26,8 +26,8 @@
     /// Calls `handler` on the loop each time the process receives the signal `signalNumber`.
     void onSignal(int signalNumber, std::function<void()> handler);
 
-    /// Sets a function that is told of exceptions that leave handlers and timers; the loop goes on after it. Without one
-    /// they leave `run`. Precondition: the loop doesn't run yet.
+    /// Sets a function that is told of exceptions that leave handlers and timers; the loop goes on after it. Without
+    /// one they leave `run`. Precondition: the loop doesn't run yet.
     void onHandlerError(std::function<void(const std::exception&)> handler);
 
     /// Runs handlers until `stop` is called.
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -133,6 +133,8 @@
     std::optional<PlacementChoice> choose(const Call& call, PlacementQuery query) const;
     void placeWithoutChoice(Call& call);
     void sendTo(Call& call, const PlacementChoice& choice);
+    EndpointSend detailsOf(const Call& call, const PlacementChoice& choice) const;
+    SendDecision decisionOf(const Call& call, const PlacementChoice& choice) const;
     static QueueKey queueKey(const Call& call);
     Duration maxQueueWait(const Call& call) const;
     void enqueue(Call& call);
--- a/src/librattandeck/gatewaysends.cpp
+++ b/src/librattandeck/gatewaysends.cpp
@@ -59,8 +59,7 @@
 
 void Gateway::Impl::sendTo(Call& call, const PlacementChoice& choice)
 {
-    const Milliseconds left = this->timeLeft(call);
-    if (left <= Milliseconds(0)) {
+    if (this->timeLeft(call) <= Milliseconds(0)) {
         this->failCall(call, RejectionReason::TimedOut);
         return;
     }
@@ -79,10 +78,23 @@
     ++this->counts.sends;
     this->retryBudget = std::min(this->limits.retryBurst, this->retryBudget + this->limits.retryRatio);
 
+    EndpointSend details = this->detailsOf(call, choice);
+    if (this->permits.limitOf(choice.endpoint))
+        details.writeBy = this->permits.take(choice.endpoint);
+    if (!choice.passedOver.value.empty())
+        ++this->counts.passedOver;
+    this->io.logSend(this->decisionOf(call, choice));
+    this->endpoints.onSent(choice.endpoint, call.query);
+    this->restartStallTimer(call);
+    this->io.send(call.id, call.send, std::move(details));
+}
+
+EndpointSend Gateway::Impl::detailsOf(const Call& call, const PlacementChoice& choice) const
+{
     EndpointSend details;
     details.endpoint = choice.endpoint;
     details.address = choice.address;
-    details.timeLeft = left;
+    details.timeLeft = this->timeLeft(call);
     if (this->limits.forwardsPriorities)
         details.priority = std::min(call.route->rank, maxPriority);
     if (!call.call.previousTurn.value.empty())
@@ -93,12 +105,11 @@
     const std::uint32_t shared = service ? service->maxConnections : 1;
     const std::uint32_t gateways = this->permits.gatewayCount().value_or(this->limits.gatewayCount);
     details.maxConnections = std::max(1U, shared / std::max(1U, gateways));
-    const auto limit = this->permits.limitOf(choice.endpoint);
-    if (limit)
-        details.writeBy = this->permits.take(choice.endpoint);
-    if (!choice.passedOver.value.empty())
-        ++this->counts.passedOver;
+    return details;
+}
 
+SendDecision Gateway::Impl::decisionOf(const Call& call, const PlacementChoice& choice) const
+{
     SendDecision decision;
     decision.call = call.id;
     decision.request = call.call.request;
@@ -107,15 +118,11 @@
     decision.configVersion = call.table->config().version;
     decision.choice = choice;
     decision.attempt = call.sends;
-    decision.timeLeft = left;
+    decision.timeLeft = this->timeLeft(call);
     decision.waited = std::chrono::duration_cast<Milliseconds>(this->timers.now() - call.arrived);
-    decision.limit = limit;
+    decision.limit = this->permits.limitOf(choice.endpoint);
     decision.permitsLeft = this->permits.heldPermits(choice.endpoint);
-    this->io.logSend(decision);
-
-    this->endpoints.onSent(choice.endpoint, call.query);
-    this->restartStallTimer(call);
-    this->io.send(call.id, call.send, std::move(details));
+    return decision;
 }
 
 // Queue --------------------------------------------------------------------------------------------------------------
--- a/src/librattandeck/permitissuer.cpp
+++ b/src/librattandeck/permitissuer.cpp
@@ -74,6 +74,8 @@
     std::vector<JournalMember> members;
     std::set<NodeId> gateways;
     std::map<EndpointId, LimitedInstance> instances;
+    /// Instances for which gateways may want permits that have not been issued yet.
+    std::set<EndpointId> wanted;
     /// Instances whose limit has become known, has changed or has ended since the last news.
     std::set<EndpointId> changed;
     bool hasCountChanged = false;
@@ -94,6 +96,7 @@
     std::vector<Milliseconds> backlogOf(const EndpointId& endpoint, const LimitedInstance& instance) const;
     void flush();
     void scheduleIssue();
+    bool isWanted(const EndpointId& endpoint) const;
     void issueAll();
     void scheduleNews();
     void sendNews();
@@ -160,6 +163,7 @@
     const GatewayDemand& demand = instance.demands[from];
     if (demand.isEmpty())
         return;
+    this->wanted.insert(request.endpoint);
     // Tells the gateway how long the rest will take.
     PermitGrant notice = this->grantFor(request.endpoint, instance);
     notice.ticket = ticket;
@@ -286,14 +290,11 @@
 {
     if (this->issueTimer.value != 0)
         return;
+    std::erase_if(this->wanted, [this](const EndpointId& endpoint) { return !this->isWanted(endpoint); });
     std::optional<Duration> wait;
-    for (const auto& [endpoint, instance] : this->instances) {
-        const bool isWanted
-            = std::ranges::any_of(instance.demands, [](const auto& entry) { return !entry.second.isEmpty(); });
-        const CallRate rate = isWanted ? this->rateOf(endpoint, instance) : CallRate(0);
-        if (rate.value <= 0)
-            continue;
-        const Duration next = timeToNextToken(instance.bucket, rate);
+    for (const EndpointId& endpoint : this->wanted) {
+        const LimitedInstance& instance = this->instances.at(endpoint);
+        const Duration next = timeToNextToken(instance.bucket, this->rateOf(endpoint, instance));
         wait = std::min(wait.value_or(next), next);
     }
     if (!wait)
@@ -305,11 +306,23 @@
     });
 }
 
+/// Whether permits for the instance are wanted and may be issued here.
+bool PermitIssuer::Impl::isWanted(const EndpointId& endpoint) const
+{
+    const auto found = this->instances.find(endpoint);
+    if (found == this->instances.end() || this->rateOf(endpoint, found->second).value <= 0)
+        return false;
+    return std::ranges::any_of(found->second.demands, [](const auto& entry) { return !entry.second.isEmpty(); });
+}
+
 void PermitIssuer::Impl::issueAll()
 {
     this->issueTimer = {};
-    for (auto& [endpoint, instance] : this->instances)
-        this->issue(endpoint, instance);
+    for (const EndpointId& endpoint : this->wanted) {
+        const auto found = this->instances.find(endpoint);
+        if (found != this->instances.end())
+            this->issue(endpoint, found->second);
+    }
     this->flush();
 }
 
