--- a/src/include/Rattandeck/permitholder.h
+++ b/src/include/Rattandeck/permitholder.h
@@ -23,7 +23,7 @@
     std::optional<CallRate> limit;
     /// Time since the answer that stated it.
     Milliseconds age { 0 };
-    /// "answer" if this process received that answer, otherwise the journal that passed the news on.
+    /// "answer" if this process received that answer, "instance gone", or the journal that passed the news on.
     std::string learntFrom;
 };
 
--- a/src/include/Rattandeck/ratelimit.h
+++ b/src/include/Rattandeck/ratelimit.h
@@ -10,8 +10,8 @@
 /// An instance may state how many calls a second it takes from all gateways together. A gateway sends it a call only
 /// with a permit, which one of two journals issues: the primary issues at the stated rate, the standby, for gateways
 /// that have no link to the primary, at a fixed part of it. Both parts together, the permits that are still valid and
-/// the bursts of the buckets stay below the bound whatever gateways and journals know of each other, so that no
-/// agreement is needed. `PermitIssuer` runs at journals, `PermitHolder` at gateways.
+/// the bursts of the buckets stay within 1.5 times the limit and five calls in any 4 s, whatever gateways and journals
+/// know of each other, so that no agreement is needed. `PermitIssuer` runs at journals, `PermitHolder` at gateways.
 namespace Rattandeck {
 
 struct PermitSettings {
