--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -281,6 +281,8 @@
     std::size_t maxEvent = 1024UL * 1024;
     /// Largest output of a turn that is retained; a longer one is interrupted.
     std::size_t maxRetainedOutput = 8UL * 1024 * 1024;
+    /// Settings of the permits for limited instances; those at the start hold.
+    PermitSettings permits;
     /// Minimum time for which journals keep claims and turns.
     Milliseconds minRetention { 60000 };
 };
--- a/src/include/Rattandeck/ratelimit.h
+++ b/src/include/Rattandeck/ratelimit.h
@@ -31,6 +31,8 @@
     Milliseconds requestInterval { 150 };
     /// Time for which requests of a gateway are collected, and permits at a journal.
     Milliseconds batchInterval { 5 };
+    /// Seed of the times that are drawn. It has to differ between gateways.
+    std::uint32_t seed = 1;
     /// Time for which news of limits and of the number of gateways are collected.
     Milliseconds newsInterval { 200 };
 };
--- a/src/librattandeck/gateway_test.cpp
+++ b/src/librattandeck/gateway_test.cpp
@@ -36,6 +36,8 @@
     CPPUNIT_TEST(eventWithoutEndInterruptsTheStream);
     CPPUNIT_TEST(bodyWithoutEndOnAStreamRouteInterruptsTheSend);
     CPPUNIT_TEST(retainedOutputIsBounded);
+    CPPUNIT_TEST(bodyWithoutEndOnAPlainRouteIsNotHeld);
+    CPPUNIT_TEST(callAtAnInstanceThatLeavesTheListGoesOn);
     CPPUNIT_TEST(longSoundStreamIsNotCut);
     CPPUNIT_TEST(commentsDoNotKeepAStalledStreamAtItsInstance);
     CPPUNIT_TEST_SUITE_END();
@@ -460,6 +462,37 @@
         CPPUNIT_ASSERT(this->caller(id).isBroken);
     }
 
+    void bodyWithoutEndOnAPlainRouteIsNotHeld()
+    {
+        const CallId endless = this->callOn("unsafe");
+        const GatewayFixture::Sent sent = this->lastSend();
+        const CallId other = this->callOn("safe");
+        this->f->head(sent, 200);
+        const std::string part(16384, 'x');
+        std::size_t received = 0;
+        for (; received < 8UL << 20U; received += part.size())
+            this->f->gateway.onAnswerData(sent.id, part);
+        const std::size_t held = received - this->caller(endless).bytes.size();
+        CPPUNIT_ASSERT(held <= GatewayLimits().maxBufferedAnswer + part.size());
+        // It ends at its deadline, as incomplete; another call is answered meanwhile.
+        this->f->head(this->lastSend(), 200);
+        this->f->end(this->lastSend());
+        CPPUNIT_ASSERT(this->caller(other).isEnded);
+        this->f->advance(Milliseconds(3000));
+        CPPUNIT_ASSERT(this->caller(endless).isBroken && !this->caller(endless).isEnded);
+    }
+
+    void callAtAnInstanceThatLeavesTheListGoesOn()
+    {
+        const CallId id = this->callOn("unsafe");
+        this->f->gateway.onInstanceRemoved(this->lastSend().details.endpoint);
+        CPPUNIT_ASSERT(!this->lastSend().isCancelled);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->f->sends.size());
+        this->f->head(this->lastSend(), 200);
+        this->f->end(this->lastSend());
+        CPPUNIT_ASSERT(this->caller(id).isEnded);
+    }
+
     void longSoundStreamIsNotCut()
     {
         this->configureStream(false, false);
--- a/src/librattandeck/gatewayimpl.h
+++ b/src/librattandeck/gatewayimpl.h
@@ -76,7 +76,7 @@
         , journals(journals)
         , domain(std::move(domain))
         , limits(limits)
-        , permits(timers, this->permitIo())
+        , permits(timers, this->permitIo(), limits.permits)
         , retryBudget(limits.retryBurst)
     {
     }
--- a/src/librattandeck/gatewaylimits_test.cpp
+++ b/src/librattandeck/gatewaylimits_test.cpp
@@ -17,6 +17,7 @@
     CPPUNIT_TEST(thePermitOfATurnIsRequestedWhileItIsPrepared);
     CPPUNIT_TEST(aCallThatLeavesDoesNotKeepItsPermit);
     CPPUNIT_TEST(theLongerOfTwoCallsWaitsForTheLimitedInstance);
+    CPPUNIT_TEST(aLimitThatEndedUnseenIsOverWithTheNextAnswer);
     CPPUNIT_TEST(limitsAndInvalidLimitsAreLogged);
     CPPUNIT_TEST(connectionsAreDividedByTheNumberOfGateways);
     CPPUNIT_TEST_SUITE_END();
@@ -46,8 +47,8 @@
     }
 
     /// The journal tells of the limit and issues permits for the last request.
-    void receive(
-        const std::string& id, std::uint32_t permits, double limit = 10, const std::vector<Milliseconds>& backlog = {})
+    void receive(const std::string& id, std::uint32_t permits, double limit = 10,
+        const std::vector<Milliseconds>& backlog = {}, Milliseconds age = Milliseconds(0))
     {
         PermitGrant grant;
         grant.endpoint = EndpointId(id);
@@ -56,6 +57,7 @@
         grant.permits = permits;
         grant.ticket = this->f->toIssuers.size();
         grant.backlog = backlog;
+        grant.age = age;
         this->f->gateway.onJournalMessage(NodeId("j1"), PermitGrants { { grant } });
     }
 
@@ -238,6 +240,27 @@
         CPPUNIT_ASSERT_EQUAL(before + 1, this->sendCount());
     }
 
+    void aLimitThatEndedUnseenIsOverWithTheNextAnswer()
+    {
+        this->addLimited("a", 0.1);
+        // No call is sent for a long time, in which the instance stops stating its limit.
+        this->f->advance(Milliseconds(600000));
+        this->callOn("unsafe");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->sendCount());
+        this->f->advance(Milliseconds(10));
+        this->receive("a", 1, 0.1, {}, Milliseconds(600000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->sendCount());
+        this->f->advance(Milliseconds(10));
+        this->f->head(this->lastSend(), 200);
+        CPPUNIT_ASSERT(!this->f->gateway.permits().limitOf(EndpointId("a")));
+        this->callOn("unsafe");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->sendCount());
+        // The journals are told, and through them the other gateways.
+        this->f->advance(Milliseconds(10));
+        const auto& told = std::get<PermitRequests>(this->f->toIssuers.back().second).requests.front();
+        CPPUNIT_ASSERT(told.endpoint == EndpointId("a") && !told.isLimited);
+    }
+
     void limitsAndInvalidLimitsAreLogged()
     {
         this->f->addInstance("a");
--- a/src/librattandeck/permitholder.cpp
+++ b/src/librattandeck/permitholder.cpp
@@ -92,7 +92,7 @@
     std::set<EndpointId> pending;
     TimerId batchTimer;
     TimerId repeatTimer;
-    std::minstd_rand random { std::random_device {}() };
+    std::mt19937 random { this->settings.seed };
 
     KnownInstance* findLimited(const EndpointId& endpoint);
     const KnownInstance* findLimited(const EndpointId& endpoint) const;
--- a/src/librattandeck/sharedlimit_test.cpp
+++ b/src/librattandeck/sharedlimit_test.cpp
@@ -180,7 +180,9 @@
         };
         io.onChange = [] {};
         io.onLimit = [](const LimitChange&) {};
-        gateway.holder = std::make_unique<PermitHolder>(this->timers, io);
+        PermitSettings settings;
+        settings.seed = static_cast<std::uint32_t>(this->random());
+        gateway.holder = std::make_unique<PermitHolder>(this->timers, io, settings);
         gateway.holder->setMembers(this->members);
         for (int journal = 0; journal < this->scenario.journals; ++journal)
             this->linkUp(number, journal);
--- a/src/librattandecknet/http_test.cpp
+++ b/src/librattandecknet/http_test.cpp
@@ -4,7 +4,6 @@
 
 #include <ctime>
 #include <map>
-#include <thread>
 #include <vector>
 
 using namespace RattandeckNet;
@@ -338,7 +337,9 @@
         const auto port
             = this->serve([&](const HttpRequest&, const HttpResponder& responder) { unanswered.push_back(responder); });
         HttpClient client(this->test.loop, { "127.0.0.1", port });
-        std::this_thread::sleep_for(2 * timeout);
+        // The loop doesn't run meanwhile.
+        const auto pauseEnd = std::chrono::steady_clock::now() + 2 * timeout;
+        while (std::chrono::steady_clock::now() < pauseEnd) { }
         const auto startedAt = std::chrono::steady_clock::now();
         CPPUNIT_ASSERT(!this->fetch(client, {}, timeout).has_value());
         CPPUNIT_ASSERT(std::chrono::steady_clock::now() - startedAt >= timeout);
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -109,6 +109,14 @@
     TimePoint stopStartedAt;
 };
 
+/// Gateways that lose the issuers of permits at the same moment must not send their next calls in step.
+GatewayLimits gatewayLimits(const GatewaySettings& settings)
+{
+    GatewayLimits limits = settings.limits;
+    limits.permits.seed = std::random_device {}();
+    return limits;
+}
+
 JournalClientLimits journalLimits(const GatewaySettings& settings)
 {
     JournalClientLimits limits;
@@ -122,7 +130,7 @@
     , journals(this->loop.timers(), journalLimits(daemonSettings),
           [this](const NodeId& node, const Message& message) { return this->network.send(node, message); })
     , relay(this->loop, this->metrics, this->journals, FailureDomain(daemonSettings.instance.domain),
-          daemonSettings.limits)
+          gatewayLimits(daemonSettings))
     , callers(this->loop, this->httpLimits(),
           [this](HttpRequest request, const HttpResponder& responder) {
               this->relay.onRequest(std::move(request), responder);
