Don't let repeated news renew a stated limit

Cause: gateways and journals pass on the age of a statement, which loses the time that the message takes. Each exchange so made the statement some 10 ms younger and replaced the known one; with many exchanges a limit that had ended looked newer than the calls whose answers no longer stated it, and those answers were ignored. Test: repeatedNewsDoNotRenewAStatement, red before (30 exchanges of 20 ms, the limit stays). Change: a statement that is passed on counts as newer only beyond 200 ms; a gateway's own answers count as before.

--- a/src/include/Rattandeck/ratelimit.h
+++ b/src/include/Rattandeck/ratelimit.h
@@ -27,6 +27,9 @@
     CallRate minRate { 0.2 };
     /// A stated limit that no answer has confirmed for this long is forgotten.
     Milliseconds statementLifetime { 30000 };
+    /// A statement that another process passes on looks younger by the time that the messages took. It counts as newer
+    /// than a known one only beyond this difference.
+    Milliseconds relayTolerance { 200 };
     /// A gateway repeats its request at this interval while calls wait.
     Milliseconds requestInterval { 150 };
     /// Time for which requests of a gateway are collected, and permits at a journal.
@@ -81,5 +84,7 @@
 
 /// Whether `update` replaces `known`: it is about a later process of the instance, or about the same one and newer.
 bool supersedes(const StatedLimit& update, const StatedLimit& known);
+/// As `supersedes`, for an update that another process has passed on.
+bool relayedSupersedes(const StatedLimit& update, const StatedLimit& known, const PermitSettings& settings);
 
 }
--- a/src/librattandeck/permitholder.cpp
+++ b/src/librattandeck/permitholder.cpp
@@ -273,7 +273,10 @@
     if (grant.isLimited)
         stated.limit = CallRate(std::max(0.0, grant.limit.value));
     stated.statedAt = this->timers.now() - std::max(grant.age, Milliseconds(0));
-    const bool isChange = this->learn(grant.endpoint, stated, from.value);
+    const auto known = this->instances.find(grant.endpoint);
+    const bool isNew
+        = known == this->instances.end() || relayedSupersedes(stated, known->second.stated, this->settings);
+    const bool isChange = isNew && this->learn(grant.endpoint, stated, from.value);
     KnownInstance* instance = this->findLimited(grant.endpoint);
     if (!instance || instance->stated.startedAt != grant.startedAt)
         return isChange;
--- a/src/librattandeck/permitholder_test.cpp
+++ b/src/librattandeck/permitholder_test.cpp
@@ -72,6 +72,7 @@
     CPPUNIT_TEST(anAnswerToAnEarlierCallDoesNotEndTheLimit);
     CPPUNIT_TEST(anAnswerWithoutLimitEndsItForAllGateways);
     CPPUNIT_TEST(newsOfOtherGatewaysAreTaken);
+    CPPUNIT_TEST(repeatedNewsDoNotRenewAStatement);
     CPPUNIT_TEST(aRestartedInstanceHasNoLimit);
     CPPUNIT_TEST(theStandbyIsAskedWhileThePrimaryIsAway);
     CPPUNIT_TEST(withoutIssuersOneCallPassesNowAndThen);
@@ -211,13 +212,32 @@
         f.receive(f.grant(0));
         CPPUNIT_ASSERT(f.holder.limitOf(instance) == CallRate(10));
         CPPUNIT_ASSERT_EQUAL(std::string("j1"), f.changes.back().learntFrom);
-        f.advance(10);
+        f.advance(300);
         PermitGrant ended = f.grant(0);
         ended.isLimited = false;
         f.receive(ended);
         CPPUNIT_ASSERT(!f.holder.limitOf(instance));
     }
 
+    void repeatedNewsDoNotRenewAStatement()
+    {
+        HolderFixture f;
+        f.state(10);
+        // Each exchange with a journal makes the statement look younger by the time that the messages take.
+        const TimePoint sentAt = f.timers.now() + Milliseconds(1);
+        for (int round = 0; round < 30; ++round) {
+            f.holder.want(instance, 0);
+            f.advance(10);
+            PermitGrant echo = f.grant(0);
+            echo.age = f.sent.back().requests.front().age;
+            f.advance(10);
+            f.receive(echo);
+            f.holder.unwant(instance, 0);
+        }
+        f.holder.onAnswer(instance, 1, std::nullopt, sentAt);
+        CPPUNIT_ASSERT(!f.holder.limitOf(instance));
+    }
+
     void aRestartedInstanceHasNoLimit()
     {
         HolderFixture f;
--- a/src/librattandeck/permitissuer.cpp
+++ b/src/librattandeck/permitissuer.cpp
@@ -125,7 +125,7 @@
         added.reportedAt = this->timers.now();
     } else {
         StatedLimit& known = found->second.stated;
-        if (!supersedes(update, known))
+        if (!relayedSupersedes(update, known, this->settings))
             return known.limit.has_value();
         const bool isSame = known.limit == update.limit && known.startedAt == update.startedAt;
         // What has accrued so far did so at the previous rate.
--- a/src/librattandeck/ratelimit.cpp
+++ b/src/librattandeck/ratelimit.cpp
@@ -72,4 +72,11 @@
     return update.statedAt > known.statedAt;
 }
 
+bool relayedSupersedes(const StatedLimit& update, const StatedLimit& known, const PermitSettings& settings)
+{
+    StatedLimit earliest = update;
+    earliest.statedAt -= settings.relayTolerance;
+    return supersedes(earliest, known);
+}
+
 }
