Count a gateway's permits from where its counts stand

Tests, red before: unusedPermitsOfAnEarlierLimitAreNotIssuedAgain (88 permits in 4 s at 10 a second, 40 expected), aGatewayThatCountsAnewGetsPermits (none). Change: counts are taken from those of the first request, and again when they fall; only received permits can be unused.

--- a/src/librattandeck/permitissuer.cpp
+++ b/src/librattandeck/permitissuer.cpp
@@ -17,9 +17,13 @@
         std::uint64_t ticket = 0;
         TimePoint askedAt;
         PermitCounts wanted {};
-        /// Permits issued on this link, and those of them that the gateway has reported as unused.
+        /// Permits issued since the gateway's counts were `receivedBefore` and `unusedBefore`, and those of them that
+        /// it has reported as received and as unused.
         std::uint64_t issued = 0;
+        std::uint64_t received = 0;
         std::uint64_t unused = 0;
+        std::uint64_t receivedBefore = 0;
+        std::uint64_t unusedBefore = 0;
 
         bool isEmpty() const
         {
@@ -37,6 +41,22 @@
         TimePoint reportedAt;
     };
 
+    /// Starts to count a gateway's permits from its present counts: it is new here, or it has begun to count anew.
+    GatewayDemand newDemand(const PermitRequest& request)
+    {
+        GatewayDemand demand;
+        demand.receivedBefore = request.received;
+        demand.unusedBefore = request.unused;
+        return demand;
+    }
+
+    /// Whether the counts of a request can't follow those that the gateway reported before.
+    bool hasCountedAnew(const GatewayDemand& demand, const PermitRequest& request)
+    {
+        return request.received < demand.receivedBefore + demand.received
+            || request.unused < demand.unusedBefore + demand.unused;
+    }
+
     /// Counts of a request; the least urgent level stands for any beyond it.
     PermitCounts countsOf(const std::vector<std::uint32_t>& wanted)
     {
@@ -174,12 +194,15 @@
 void PermitIssuer::Impl::accept(
     LimitedInstance& instance, const NodeId& from, std::uint64_t ticket, const PermitRequest& request)
 {
-    GatewayDemand& demand = instance.demands[from];
+    GatewayDemand& demand = instance.demands.try_emplace(from, newDemand(request)).first->second;
+    if (hasCountedAnew(demand, request))
+        demand = newDemand(request);
     demand.ticket = ticket;
     demand.askedAt = this->timers.now();
     demand.wanted = countsOf(request.wanted);
-    removeInFlight(demand.wanted, demand.issued - std::min(request.received, demand.issued));
-    const std::uint64_t unused = std::min(request.unused, demand.issued);
+    demand.received = std::min(request.received - demand.receivedBefore, demand.issued);
+    removeInFlight(demand.wanted, demand.issued - demand.received);
+    const std::uint64_t unused = std::min(request.unused - demand.unusedBefore, demand.received);
     if (unused > demand.unused) {
         const CallRate rate = this->rateOf(request.endpoint, instance);
         giveBack(instance.bucket, static_cast<double>(unused - demand.unused), rate, this->settings);
--- a/src/librattandeck/permitissuer_test.cpp
+++ b/src/librattandeck/permitissuer_test.cpp
@@ -74,6 +74,8 @@
     CPPUNIT_TEST(equallyUrgentGatewaysTakeTurns);
     CPPUNIT_TEST(permitsOnTheWayAreNotIssuedAgain);
     CPPUNIT_TEST(unusedPermitsAreIssuedAgain);
+    CPPUNIT_TEST(unusedPermitsOfAnEarlierLimitAreNotIssuedAgain);
+    CPPUNIT_TEST(aGatewayThatCountsAnewGetsPermits);
     CPPUNIT_TEST(requestsThatAreNotRepeatedLapse);
     CPPUNIT_TEST(backlogTellsHowLongAPermitTakes);
     CPPUNIT_TEST(gatewaysAreToldOfLimitsThatBeginChangeAndEnd);
@@ -171,6 +173,43 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t(1), f.issuedTo("g2"));
     }
 
+    void unusedPermitsOfAnEarlierLimitAreNotIssuedAgain()
+    {
+        IssuerFixture f;
+        f.ask("g1", IssuerFixture::request({ 1 }));
+        f.advance(1000);
+        PermitRequest ended = IssuerFixture::request({});
+        ended.isLimited = false;
+        f.ask("g1", ended);
+        f.advance(1000);
+        // The gateway's counts go on from those of the first limit.
+        const std::uint32_t before = f.issuedTo("g1");
+        for (int round = 0; round < 40; ++round) {
+            auto request = IssuerFixture::request({ 50 });
+            request.received = 60 + f.issuedTo("g1");
+            request.unused = 60;
+            f.ask("g1", request);
+            f.advance(100);
+        }
+        CPPUNIT_ASSERT_DOUBLES_EQUAL(40, f.issuedTo("g1") - before, 4);
+    }
+
+    void aGatewayThatCountsAnewGetsPermits()
+    {
+        IssuerFixture f;
+        for (int round = 0; round < 20; ++round) {
+            auto request = IssuerFixture::request({ 5 });
+            request.received = f.issuedTo("g1");
+            f.ask("g1", request);
+            f.advance(100);
+        }
+        const std::uint32_t before = f.issuedTo("g1");
+        // It has asked another issuer meanwhile.
+        f.ask("g1", IssuerFixture::request({ 1 }));
+        f.advance(300);
+        CPPUNIT_ASSERT(f.issuedTo("g1") > before);
+    }
+
     void requestsThatAreNotRepeatedLapse()
     {
         IssuerFixture f;
