Report only an issuer's own permits as unused

Cause: permits of an earlier issuer or link that expired were reported to the present one as unused, which issued as many again. Test: permitsOfAnEarlierIssuerAreNotReportedAsUnused, red before (3 reported, none expected). Change: a permit remembers whether the present counts include it.

--- a/src/librattandeck/permitholder.cpp
+++ b/src/librattandeck/permitholder.cpp
@@ -31,6 +31,8 @@
     struct PermitBatch {
         TimePoint useBy;
         std::uint32_t count = 0;
+        /// The permits are in `KnownInstance::received`.
+        bool isCounted = true;
     };
 
     struct KnownInstance {
@@ -194,7 +196,9 @@
             continue;
         KnownInstance& instance = found->second;
         if (instance.issuer != issuer) {
-            // Permits of another issuer stay valid, but are not reported to this one.
+            // Permits of another issuer, or of an earlier link, stay valid, but are not reported to this one.
+            for (PermitBatch& batch : instance.permits)
+                batch.isCounted = false;
             instance.issuer = issuer;
             instance.received = 0;
             instance.unused = 0;
@@ -259,11 +263,10 @@
 {
     const TimePoint now = this->timers.now();
     while (!instance.permits.empty() && instance.permits.front().useBy <= now) {
-        instance.unused += instance.permits.front().count;
+        if (instance.permits.front().isCounted)
+            instance.unused += instance.permits.front().count;
         instance.permits.pop_front();
     }
-    // Permits of an earlier issuer are counted too; a journal gives back no more than it has issued.
-    instance.unused = std::min(instance.unused, instance.received);
 }
 
 bool PermitHolder::Impl::onGrant(const NodeId& from, const PermitGrant& grant)
--- a/src/librattandeck/permitholder_test.cpp
+++ b/src/librattandeck/permitholder_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(repeatedNewsDoNotRenewAStatement);
     CPPUNIT_TEST(aRestartedInstanceHasNoLimit);
     CPPUNIT_TEST(theStandbyIsAskedWhileThePrimaryIsAway);
+    CPPUNIT_TEST(permitsOfAnEarlierIssuerAreNotReportedAsUnused);
     CPPUNIT_TEST(withoutIssuersOneCallPassesNowAndThen);
     CPPUNIT_TEST(theHighestNumberOfGatewaysHolds);
     CPPUNIT_TEST(oddGrantsAreHarmless);
@@ -270,6 +271,28 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), f.sent.back().ticket);
     }
 
+    void permitsOfAnEarlierIssuerAreNotReportedAsUnused()
+    {
+        HolderFixture f;
+        f.state(10);
+        f.holder.want(instance, 0);
+        f.advance(10);
+        f.receive(f.grant(5));
+        f.holder.onLinkDown(onlyJournal);
+        f.holder.onLinkUp(onlyJournal);
+        f.holder.want(instance, 0);
+        f.advance(10);
+        PermitGrant later = f.grant(3);
+        later.heldFor = Milliseconds(300);
+        f.receive(later);
+        // The five expire, the three don't yet.
+        f.advance(500);
+        f.holder.want(instance, 0);
+        f.advance(10);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), f.sent.back().requests.front().received);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), f.sent.back().requests.front().unused);
+    }
+
     void withoutIssuersOneCallPassesNowAndThen()
     {
         HolderFixture f;
