Play limits that end and come again, and changes of the set of journals

Cause: the simulated runs of permits had one limit that stayed, and one set of journals. Change: SharedLimitTest plays pauses of the limit and changes of the set, with and without the other faults.

--- a/src/librattandeck/sharedlimit_test.cpp
+++ b/src/librattandeck/sharedlimit_test.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds awareness { 500 };
 constexpr Milliseconds tick { 10 };
 constexpr Milliseconds answerTime { 40 };
+/// In scenarios with pauses, the instance states its limit in the first part of each period only.
+constexpr Milliseconds period { 12000 };
+constexpr Milliseconds statedPart { 9000 };
 
 struct Scenario {
     int gateways = 5;
@@ -29,6 +32,7 @@
     /// Demand of the busiest gateway, relative to that of the others.
     double skew = 1;
     bool hasFaults = false;
+    bool hasPauses = false;
 };
 
 /// Gateways and journals on a simulated network, and one instance that states a limit from the start on.
@@ -40,6 +44,7 @@
     {
         for (int number = 0; number < scenario.journals; ++number)
             this->members.push_back({ NodeId("j" + std::to_string(number)), {} });
+        this->inForce = this->members;
         for (int number = 0; number < scenario.journals; ++number)
             this->startJournal(number);
         this->gateways.resize(static_cast<std::size_t>(scenario.gateways));
@@ -96,6 +101,14 @@
     {
         return Milliseconds(std::uniform_int_distribution<int>(least, most)(this->random));
     }
+    /// Start of the time in which the instance states its limit; empty if it states none now.
+    std::optional<TimePoint> statedSince(TimePoint time) const
+    {
+        if (!this->scenario.hasPauses)
+            return TimePoint();
+        const auto since = time.time_since_epoch() % Duration(period);
+        return since < Duration(statedPart) ? std::optional(time - since) : std::nullopt;
+    }
     bool isUp(int gateway, int journal) const { return !this->cut.contains({ gateway, journal }); }
 
     // Network --------------------------------------------------------------------------------------------------------
@@ -146,7 +159,7 @@
                 this->deliver(gateway, number, false, message);
                 return true;
             });
-        this->issuers[number]->setMembers(this->members);
+        this->issuers[number]->setMembers(this->inForce);
     }
 
     void restartJournal(int number)
@@ -183,7 +196,7 @@
         PermitSettings settings;
         settings.seed = static_cast<std::uint32_t>(this->random());
         gateway.holder = std::make_unique<PermitHolder>(this->timers, io, settings);
-        gateway.holder->setMembers(this->members);
+        gateway.holder->setMembers(this->inForce);
         for (int journal = 0; journal < this->scenario.journals; ++journal)
             this->linkUp(number, journal);
     }
@@ -228,18 +241,25 @@
         const TimePoint written = this->timers.now() + (isSlow ? this->between(1, 600) : Milliseconds(1));
         if (written > useBy)
             return;
-        if (written >= this->statedAt + grace)
+        const auto since = this->statedSince(written);
+        const bool isAfterGrace = since && written >= *since + grace;
+        if (isAfterGrace)
             ++this->sentAfterGrace;
         const bool isAware = gateway.awareSince && written >= *gateway.awareSince + awareness;
-        if (isAware && written >= this->statedAt + grace)
+        if (isAware && isAfterGrace)
             this->counted.push_back(written);
         const std::uint64_t incarnation = gateway.incarnation;
         this->timers.subscribeAt(written + answerTime, [this, number, incarnation, written] {
             Gateway& receiver = this->gateways[number];
             if (receiver.incarnation != incarnation)
                 return;
-            receiver.holder->onAnswer(instance, 1, CallRate(this->scenario.limit), written);
-            receiver.awareSince = receiver.awareSince.value_or(this->timers.now());
+            const bool isStated = this->statedSince(this->timers.now()).has_value();
+            const auto limit = isStated ? std::optional(CallRate(this->scenario.limit)) : std::nullopt;
+            receiver.holder->onAnswer(instance, 1, limit, written);
+            if (isStated)
+                receiver.awareSince = receiver.awareSince.value_or(this->timers.now());
+            else
+                receiver.awareSince.reset();
         });
     }
 
@@ -252,7 +272,7 @@
             return;
         const int gateway = static_cast<int>(this->between(0, this->scenario.gateways - 1).count());
         const int journal = static_cast<int>(this->between(0, this->scenario.journals - 1).count());
-        switch (this->between(0, 5).count()) {
+        switch (this->between(0, 6).count()) {
         case 0:
             this->restartJournal(journal);
             break;
@@ -270,11 +290,39 @@
             for (int each = 0; each < this->scenario.gateways; each += 2)
                 this->cutFor(each, journal, this->between(500, 4000));
             break;
+        case 5:
+            this->changeSet(journal);
+            break;
         default:
             this->cutFor(gateway, journal, this->between(100, 3000));
         }
     }
 
+    /// One journal leaves the set for some seconds. The processes learn of it one after the other.
+    void changeSet(int journal)
+    {
+        if (this->inForce.size() < this->members.size() || this->members.size() < 3)
+            return;
+        this->inForce.erase(this->inForce.begin() + journal);
+        this->spreadSet();
+        this->timers.subscribeAfter(this->between(500, 4000), [this] {
+            this->inForce = this->members;
+            this->spreadSet();
+        });
+    }
+
+    void spreadSet()
+    {
+        for (int each = 0; each < this->scenario.gateways; ++each) {
+            this->timers.subscribeAfter(this->between(0, 50),
+                [this, each, set = this->inForce] { this->gateways[each].holder->setMembers(set); });
+        }
+        for (int each = 0; each < this->scenario.journals; ++each) {
+            this->timers.subscribeAfter(
+                this->between(0, 50), [this, each, set = this->inForce] { this->issuers[each]->setMembers(set); });
+        }
+    }
+
     void cutFor(int gateway, int journal, Milliseconds duration)
     {
         if (!this->isUp(gateway, journal))
@@ -289,6 +337,8 @@
     Scenario scenario;
     std::mt19937 random;
     std::vector<JournalMember> members;
+    /// The set of journals without the one that has left.
+    std::vector<JournalMember> inForce;
     std::vector<std::unique_ptr<PermitIssuer>> issuers;
     std::vector<Gateway> gateways;
     std::set<std::pair<int, int>> cut;
@@ -296,7 +346,6 @@
     std::map<std::tuple<int, int, bool>, TimePoint> lastDelivery;
     std::vector<TimePoint> counted;
     std::size_t sentAfterGrace = 0;
-    TimePoint statedAt;
 };
 
 }
@@ -306,11 +355,13 @@
     CPPUNIT_TEST(allGatewaysTogetherStayWithinTheLimit);
     CPPUNIT_TEST(theLimitHoldsThroughFaults);
     CPPUNIT_TEST(aLimitBelowOneCallPerGatewayIsUsed);
+    CPPUNIT_TEST(aLimitThatEndsAndComesAgainHolds);
     CPPUNIT_TEST_SUITE_END();
 
-    static constexpr Milliseconds duration { 14000 };
+    static constexpr Milliseconds shortRun { 14000 };
+    static constexpr Milliseconds longRun { 45000 };
 
-    static void check(const Scenario& scenario, unsigned seed, double minUsed)
+    static void check(const Scenario& scenario, unsigned seed, double minUsed, Milliseconds duration = shortRun)
     {
         World world(scenario, seed);
         world.run(duration);
@@ -342,6 +393,15 @@
         }
     }
 
+    void aLimitThatEndsAndComesAgainHolds()
+    {
+        for (unsigned seed = 1; seed <= 12; ++seed) {
+            const int gateways = seed % 2 == 0 ? 5 : 20;
+            const double limit = seed % 3 == 0 ? 3.0 : seed % 3 == 1 ? 12.0 : 60.0;
+            check({ gateways, 3, limit, 4 * limit, 1, seed > 6, true }, seed, 0.1, longRun);
+        }
+    }
+
     void aLimitBelowOneCallPerGatewayIsUsed() { check({ 60, 3, 3, 30, 1, false }, 7, 0.8); }
 };
 
