Make a link cheap for the process at its other end

Change: links share one read buffer and wait for the socket to become readable; empty buffers above 4 KiB are released; a target that drops links within 2 s of their connection is dialled at drawn delays that double up to 2 s. Dials without an answer are repeated as fast as before, since a dark machine must be found soon. Tests, red before: idleLinksNeedLittleMemory (93,950 bytes an end, now under 40 KiB), memoryOfALargeMessageIsReleased (13.9 MB kept after one message of 5 MB), peerThatDropsEachLinkIsDialledLessAndLess (196 dials a second, now at most 12). Ruled out: assigning an empty string to release a buffer; it keeps the memory.

--- a/src/include/RattandeckNet/peer.h
+++ b/src/include/RattandeckNet/peer.h
@@ -21,6 +21,12 @@
     /// A link that has received nothing for this long is closed.
     std::chrono::milliseconds silenceLimit { 4000 };
     std::chrono::milliseconds reconnectDelay { 250 };
+    /// Maximum delay before a node is dialled again that has dropped its links soon after they were connected: the
+    /// delay doubles each time, and is drawn, so that a node that is too busy to keep its links is not kept busy by
+    /// them. A dial that is not answered costs the node nothing and is repeated after `reconnectDelay`.
+    std::chrono::milliseconds maxReconnectDelay { 2000 };
+    /// Time after which a link counts as kept.
+    std::chrono::milliseconds stableTime { 2000 };
     /// Maximum time to establish a connection before it is dialled again. TCP itself retransmits a lost SYN only after
     /// a second.
     std::chrono::milliseconds connectTimeout { 1000 };
@@ -63,7 +69,7 @@
 
     /// Changes the `Hello` sent on later links, for example with an address that is known only after `listen`.
     void setSelf(Rattandeck::Hello self);
-    /// Maintains a link to each of these addresses, redialling after `reconnectDelay`. Closes dialled links to other
+    /// Maintains a link to each of these addresses, redialling as the limits say. Closes dialled links to other
     /// addresses.
     void keepLinksTo(const std::vector<Address>& addresses);
 
--- a/src/librattandecknet/peer.cpp
+++ b/src/librattandecknet/peer.cpp
@@ -7,8 +7,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <map>
 #include <optional>
+#include <random>
 #include <unordered_set>
 
 namespace RattandeckNet {
@@ -35,6 +37,8 @@
         /// Set if the node at this address turned out to be this node, or to have another link already. The address is
         /// not dialled while that link is up, and never if the node is this one.
         NodeId duplicateOf;
+        /// Number of links in a row that were dropped soon after they had been connected.
+        std::uint32_t dropped = 0;
     };
 
 }
@@ -53,6 +57,9 @@
     std::uint64_t lastLinkNumber = 0;
     PeerTrafficByKind sent;
     PeerTrafficByKind received;
+    /// Bytes just read, of any link: a buffer for each would be the largest part of a link.
+    std::string input = std::string(readSize, '\0');
+    std::minstd_rand random { std::random_device {}() };
     std::unordered_set<std::shared_ptr<PeerLink>> links;
     std::map<NodeId, std::shared_ptr<PeerLink>> upLinks;
     /// Keyed by "host:port".
@@ -63,6 +70,7 @@
     void dial(const std::string& name);
     bool shouldSkipDial(const std::string& name, const Target& target) const;
     void scheduleDial(const std::string& name, Duration delay);
+    Duration drawRedialDelay(Target& target, const PeerLink& link);
     void onHello(const std::shared_ptr<PeerLink>& link, const Hello& hello);
     bool isPreferred(const PeerLink& later, const PeerLink& earlier) const;
     void markDuplicate(const PeerLink& link, const NodeId& node);
@@ -96,7 +104,6 @@
             , socket(std::move(socket))
             , side(side)
             , session(side, number, this->network->limits.maxMessageBytes)
-            , input(readSize, '\0')
         {
         }
 
@@ -105,6 +112,9 @@
         Hello hello;
         State state = State::Connecting;
 
+        /// When the connection was established; empty before.
+        std::optional<TimePoint> connectedAt;
+
         bool isDialled() const { return this->side == PeerSession::Side::Dialler; }
         std::uint64_t number() const { return this->session.linkNumber(); }
 
@@ -122,7 +132,8 @@
         void scheduleTick();
         void onTick(TimePoint expected);
         void read();
-        void onRead(const ErrorCode& error, std::size_t size);
+        void onReadable(const ErrorCode& error);
+        void onRead(std::string_view bytes);
         void deliver(const Message& message);
         void postFlush();
         void flush();
@@ -134,7 +145,6 @@
         Socket socket;
         PeerSession::Side side;
         PeerSession session;
-        std::string input;
         std::string writing;
         bool isWriting = false;
         bool isFlushPosted = false;
@@ -168,10 +178,12 @@
     {
         this->state = State::AwaitingHello;
         this->lastReceived = this->loop.timers.now();
+        this->connectedAt = this->lastReceived;
         if (this->tick.value == 0)
             this->scheduleTick();
         ErrorCode ignored;
         this->socket.set_option(Tcp::no_delay(true), ignored);
+        this->socket.non_blocking(true, ignored);
         this->session.queue(encode(this->network->self));
         this->flush();
         this->read();
@@ -208,23 +220,36 @@
 
     void PeerLink::read()
     {
-        this->socket.async_read_some(Asio::buffer(this->input),
-            this->loop.bind([self = this->shared_from_this()](const ErrorCode& error, std::size_t size) {
+        this->socket.async_wait(
+            Socket::wait_read, this->loop.bind([self = this->shared_from_this()](const ErrorCode& error) {
                 if (self->state != State::Closed)
-                    self->onRead(error, size);
+                    self->onReadable(error);
             }));
     }
 
-    void PeerLink::onRead(const ErrorCode& error, std::size_t size)
+    void PeerLink::onReadable(const ErrorCode& error)
     {
         if (error) {
             this->close();
             return;
         }
+        ErrorCode readError;
+        std::string& input = this->network->input;
+        const std::size_t size = this->socket.read_some(Asio::buffer(input), readError);
+        if (readError == Asio::error::would_block)
+            this->read();
+        else if (readError)
+            this->close();
+        else
+            this->onRead(std::string_view(input).substr(0, size));
+    }
+
+    void PeerLink::onRead(std::string_view input)
+    {
         // Data received before the peer's `Hello` does not count as activity, so a peer that only pings times out.
         if (this->state != State::AwaitingHello)
             this->lastReceived = this->loop.timers.now();
-        bool isIntact = this->session.receive(std::string_view(this->input).substr(0, size));
+        bool isIntact = this->session.receive(input);
         std::string bytes;
         auto next = this->session.nextMessage(bytes);
         for (; next == PeerSession::Next::Message; next = this->session.nextMessage(bytes)) {
@@ -303,6 +328,7 @@
             return;
         }
         if (this->writing.empty()) {
+            releaseIfLarge(this->writing);
             this->onDrained();
             return;
         }
@@ -391,6 +417,24 @@
     });
 }
 
+/// Counts the end of a link, and draws the delay before its target is dialled again.
+Duration PeerNetwork::Impl::drawRedialDelay(Target& target, const PeerLink& link)
+{
+    if (!link.connectedAt)
+        return this->limits.reconnectDelay;
+    if (this->loop.timers.now() - *link.connectedAt >= this->limits.stableTime) {
+        target.dropped = 0;
+        return this->limits.reconnectDelay;
+    }
+    Duration longest = this->limits.reconnectDelay;
+    for (std::uint32_t i = 0; i < target.dropped && longest < this->limits.maxReconnectDelay; ++i)
+        longest *= 2;
+    ++target.dropped;
+    longest = std::min<Duration>(longest, this->limits.maxReconnectDelay);
+    std::uniform_int_distribution<Duration::rep> delay(longest.count() / 2, longest.count());
+    return Duration(delay(this->random));
+}
+
 bool PeerNetwork::Impl::shouldSkipDial(const std::string& name, const Target& target) const
 {
     if (name == this->self.address || target.duplicateOf == this->self.node
@@ -473,7 +517,7 @@
     const auto target = this->targets.find(link->target);
     if (target != this->targets.end() && target->second.link == link) {
         target->second.link = nullptr;
-        this->scheduleDial(link->target, this->limits.reconnectDelay);
+        this->scheduleDial(link->target, this->drawRedialDelay(target->second, *link));
     }
     const auto found = this->upLinks.find(link->hello.node);
     if (found == this->upLinks.end() || found->second != link)
@@ -543,7 +587,7 @@
             this->impl->targets.insert(std::move(known));
             continue;
         }
-        if (this->impl->targets.try_emplace(name, Target { address, nullptr, {}, {} }).second)
+        if (this->impl->targets.try_emplace(name, Target { address, nullptr, {}, {}, 0 }).second)
             this->impl->scheduleDial(name, Duration(0));
     }
     for (auto& [name, target] : dropped) {
--- a/src/librattandecknet/peer_test.cpp
+++ b/src/librattandecknet/peer_test.cpp
@@ -4,6 +4,9 @@
 #include "Rattandeck/wire.h"
 #include "testloop.h"
 
+#include <algorithm>
+#include <malloc.h>
+#include <optional>
 #include <vector>
 
 using namespace RattandeckNet;
@@ -54,7 +57,10 @@
     CPPUNIT_TEST(malformedMessageClosesTheLink);
     CPPUNIT_TEST(silentPeerGoesDown);
     CPPUNIT_TEST(unansweredDialIsRepeated);
+    CPPUNIT_TEST(peerThatDropsEachLinkIsDialledLessAndLess);
     CPPUNIT_TEST(stuckPeerGoesDown);
+    CPPUNIT_TEST(idleLinksNeedLittleMemory);
+    CPPUNIT_TEST(memoryOfALargeMessageIsReleased);
     CPPUNIT_TEST_SUITE_END();
 
     TestLoop test;
@@ -304,6 +310,34 @@
         ::close(listener);
     }
 
+    /// A journal that is too busy to keep its links must not be kept busy by them.
+    void peerThatDropsEachLinkIsDialledLessAndLess()
+    {
+        constexpr std::uint64_t maxDials = 12;
+        const int listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(address);
+        CPPUNIT_ASSERT_EQUAL(0, bind(listener, reinterpret_cast<const sockaddr*>(&address), size));
+        CPPUNIT_ASSERT_EQUAL(0, ::listen(listener, SOMAXCONN));
+        CPPUNIT_ASSERT_EQUAL(0, getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size));
+        Peer a(this->test.loop, "a", 1, this->limits);
+        a.network->keepLinksTo({ Address { "127.0.0.1", ntohs(address.sin_port) } });
+        std::optional<TimePoint> end;
+        this->test.runUntil("a second has passed", [&] {
+            if (!end)
+                end = this->test.loop.timers().now() + std::chrono::seconds(1);
+            const int accepted = accept(listener, nullptr, nullptr);
+            if (accepted >= 0)
+                ::close(accepted);
+            return this->test.loop.timers().now() >= *end;
+        });
+        ::close(listener);
+        const std::uint64_t dials = a.network->dialCount();
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(dials) + " dials", dials > 2 && dials <= maxDials);
+    }
+
     void stuckPeerGoesDown()
     {
         this->limits.maxUnsentBytes = 1 << 20U;
@@ -317,5 +351,45 @@
             CPPUNIT_ASSERT(++sent < 200);
         this->expectDown(a);
     }
+
+    /// A journal of the size of two years from now has a link to each of 350 gateways, within 256 MB.
+    void idleLinksNeedLittleMemory()
+    {
+        constexpr std::size_t peers = 50;
+        constexpr std::size_t maxBytesPerEnd = 40UL * 1024;
+        Peer journal(this->test.loop, "journal", 1, this->limits);
+        std::vector<std::unique_ptr<Peer>> gateways;
+        for (std::size_t i = 0; i < peers; ++i)
+            gateways.push_back(std::make_unique<Peer>(this->test.loop, "g" + std::to_string(i), 1, this->limits));
+        const std::size_t before = mallinfo2().uordblks;
+        for (const auto& gateway : gateways)
+            gateway->network->keepLinksTo({ journal.address() });
+        this->test.runUntil("up", [&] {
+            return std::ranges::all_of(
+                gateways, [&](const auto& gateway) { return gateway->isUp(journal) && journal.isUp(*gateway); });
+        });
+        const std::size_t used = mallinfo2().uordblks - before;
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(used / (2 * peers)) + " bytes an end", used < 2 * peers * maxBytesPerEnd);
+    }
+
+    void memoryOfALargeMessageIsReleased()
+    {
+        Peer a(this->test.loop, "a", 1, this->limits);
+        Peer b(this->test.loop, "b", 1, this->limits);
+        a.network->keepLinksTo({ b.address() });
+        this->test.runUntil("up", [&] { return a.isUp(b) && b.isUp(a); });
+        const std::size_t before = mallinfo2().uordblks + mallinfo2().hblkhd;
+        a.send(b, 1, std::string(5 << 20U, 'x'));
+        this->test.runUntil("it arrives", [&] { return b.received.size() == 1; });
+        b.received.clear();
+        b.received.shrink_to_fit();
+        // The last write may still be under way when the message has arrived.
+        a.send(b, 2);
+        this->test.runUntil("a small one arrives", [&] { return b.received.size() == 1; });
+        const std::size_t after = mallinfo2().uordblks + mallinfo2().hblkhd;
+        constexpr std::size_t maxRetained = 128UL * 1024;
+        const std::size_t retained = after - std::min(after, before);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(retained) + " bytes", retained < maxRetained);
+    }
 };
 CPPUNIT_TEST_SUITE_REGISTRATION(PeerTest);
--- a/src/librattandecknet/peersession.cpp
+++ b/src/librattandecknet/peersession.cpp
@@ -13,6 +13,8 @@
 constexpr std::size_t prefixBytes = 4;
 /// Consumed bytes at the front of a buffer are erased only beyond this size.
 constexpr std::size_t compactBytes = 1024UL * 1024;
+/// Memory that a buffer keeps while it is empty.
+constexpr std::size_t maxIdleBufferBytes = 4096;
 constexpr std::string_view linkPath = "/rattandeck/link";
 constexpr std::string_view linkNumberHeader = "rattandeck-link-number";
 
@@ -34,6 +36,8 @@
                 this->bytes.erase(0, this->taken);
                 this->taken = 0;
             }
+            if (this->bytes.empty())
+                releaseIfLarge(this->bytes);
         }
     };
 
@@ -183,6 +187,13 @@
 
 PeerSession::~PeerSession() = default;
 
+void releaseIfLarge(std::string& buffer)
+{
+    // Assigning an empty string would keep the memory.
+    if (buffer.capacity() > maxIdleBufferBytes)
+        std::string().swap(buffer);
+}
+
 bool PeerSession::receive(std::string_view bytes)
 {
     const auto* data = reinterpret_cast<const std::uint8_t*>(bytes.data());
--- a/src/librattandecknet/peersession.h
+++ b/src/librattandecknet/peersession.h
@@ -7,6 +7,10 @@
 
 namespace RattandeckNet {
 
+/// Releases the memory of an empty buffer, unless it is small: a process has hundreds of links, and each is idle most
+/// of the time.
+void releaseIfLarge(std::string& buffer);
+
 /// HTTP/2 protocol of one link, independent of its socket: converts between the connection's bytes and the
 /// length-prefixed messages of its single stream.
 ///
