Let a few journals follow the store for all processes

What one process costs all others grew with the fleet. Change: three journals, by a hashed order of their ids, follow the store and report the age of their view five times a second (StoreFollowing); all others hear the news by gossip and follow the store themselves only without a view younger than 1.5 s: journals at once, gateways after 0.5 s and a drawn time. A version that several peers offer is requested from one of them at a time; offers of one moment share a message; gateways, which are linked to journals alone, do not pass on what they received. Tests: StoreFollowingTest plays fleets with killed, frozen and cut followers; GossipTest and StoreGossipTest the messages and the store's races.

--- a/src/include/Rattandeck/gossip.h
+++ b/src/include/Rattandeck/gossip.h
@@ -6,12 +6,14 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace Rattandeck {
 
-/// Gossip protocol that distributes objects of the platform's store to processes that can't reach the store. A process
-/// that gets a new version of a topic offers it to its peers; a peer that has not read that version from the store
-/// within `requestDelay` requests it. Of two versions of a topic, the higher one is kept.
+/// Gossip protocol that distributes objects of the platform's store to processes that don't read it themselves. A
+/// process that gets a new version of a topic offers it to its peers; a peer that has not read that version from the
+/// store within the request delay requests it, from one of those that offered it at a time. Of two versions of a topic,
+/// the higher one is kept.
 ///
 /// Thread safety: not synchronised; use from the thread that advances the timers.
 class GossipTable {
@@ -22,6 +24,16 @@
         /// Time for which the tombstone of a removed topic is kept. A peer that was cut off for longer brings back what
         /// it still has.
         std::chrono::hours tombstoneRetention { 24 };
+        /// Time after which a request without an answer is repeated at another peer that offered the version.
+        Milliseconds requestTimeout { 300 };
+        /// Delay before a version that was received from a peer is offered to others, which mostly have it from the
+        /// same peer by then. What is offered within this time goes into one message.
+        Milliseconds relayDelay { 150 };
+        /// Same for versions that this process has read from the store itself.
+        Milliseconds publishDelay { 10 };
+        /// A leaf does not offer what it received from a peer. For processes that are linked only to peers that are
+        /// linked with each other.
+        bool isLeaf = false;
     };
     using Send = std::function<bool(const NodeId& node, const Message& message)>;
     /// Called for new versions received from a peer, but not for those published by this process.
@@ -36,6 +48,13 @@
     void publish(const GossipItem& item);
     /// Publishes a tombstone for a topic, with the version that follows the current one. Ignored for unknown topics.
     void publishRemoval(const std::string& topic);
+    /// Changes the delay before an offered version is requested.
+    void setRequestDelay(Milliseconds delay);
+    /// The topics that begin with `prefix` and have not been removed.
+    std::vector<GossipItem> items(const std::string& prefix) const;
+    /// The current version of a topic, which may be a tombstone; null if the topic is unknown. Valid until the next
+    /// call.
+    const GossipItem* find(const std::string& topic) const;
 
     void onLinkUp(const NodeId& node);
     void onLinkDown(const NodeId& node);
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -304,4 +304,12 @@
     bool operator==(const GossipItems&) const = default;
 };
 
+/// Tells a peer how old the sender's view of the platform's store is. What the sender has read by then was offered on
+/// the same link before.
+struct StoreView {
+    /// Time since the last answer of the store.
+    Milliseconds age { 0 };
+    bool operator==(const StoreView&) const = default;
+};
+
 }
--- a/src/librattandeck/gossip_test.cpp
+++ b/src/librattandeck/gossip_test.cpp
@@ -15,6 +15,11 @@
     CPPUNIT_TEST(removalReachesPeers);
     CPPUNIT_TEST(removedTopicCanReturnAndItsTombstoneExpires);
     CPPUNIT_TEST(aPeerThatWasAwayDoesNotBringBackWhatWasRemoved);
+    CPPUNIT_TEST(versionOfferedByManyIsRequestedOnce);
+    CPPUNIT_TEST(requestWithoutAnAnswerIsRepeatedAtAnotherPeer);
+    CPPUNIT_TEST(leavesOfferOnlyWhatTheyHaveRead);
+    CPPUNIT_TEST(newsOfOneMomentIsOfferedInOneMessage);
+    CPPUNIT_TEST(itemsAreFoundByPrefix);
     CPPUNIT_TEST_SUITE_END();
 
     static constexpr Milliseconds requestDelay { 300 };
@@ -23,6 +28,10 @@
         std::unique_ptr<GossipTable> table;
         std::vector<GossipItem> updates;
         std::size_t received = 0;
+        std::size_t offers = 0;
+        std::size_t requests = 0;
+        /// Receives nothing.
+        bool isDeaf = false;
     };
 
     TimerService timers;
@@ -30,15 +39,27 @@
     std::vector<std::function<void()>> due;
 
     void add(const std::string& name, Milliseconds wait, std::chrono::hours tombstoneRetention = std::chrono::hours(1))
+    {
+        GossipTable::Settings settings;
+        settings.requestDelay = wait;
+        settings.tombstoneRetention = tombstoneRetention;
+        this->add(name, settings);
+    }
+
+    void add(const std::string& name, const GossipTable::Settings& settings)
     {
         const NodeId id(name);
         Node& node = this->nodes[id];
         node.table = std::make_unique<GossipTable>(
-            this->timers, GossipTable::Settings { wait, tombstoneRetention },
+            this->timers, settings,
             [this, id](const NodeId& to, const Message& message) {
                 this->due.push_back([this, id, to, message] {
                     Node& target = this->nodes.at(to);
+                    if (target.isDeaf)
+                        return;
                     target.received += std::holds_alternative<GossipItems>(message) ? 1 : 0;
+                    target.offers += std::holds_alternative<GossipOffers>(message) ? 1 : 0;
+                    target.requests += std::holds_alternative<GossipRequest>(message) ? 1 : 0;
                     target.table->onMessage(id, message);
                 });
                 return true;
@@ -156,6 +177,80 @@
         CPPUNIT_ASSERT(this->at("g3").updates.empty());
         CPPUNIT_ASSERT(this->at("j2").updates.back().isRemoved);
     }
+
+    void versionOfferedByManyIsRequestedOnce()
+    {
+        for (const char* name : { "j1", "j2", "j3", "g3" })
+            this->add(name, Milliseconds(0));
+        for (const char* name : { "j1", "j2", "j3" }) {
+            this->link(name, "g3");
+            this->at(name).table->publish({ "config", 7, false, "text" });
+        }
+        this->run(Milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->at("g3").received);
+        CPPUNIT_ASSERT_EQUAL(
+            std::size_t(1), this->at("j1").requests + this->at("j2").requests + this->at("j3").requests);
+    }
+
+    void requestWithoutAnAnswerIsRepeatedAtAnotherPeer()
+    {
+        for (const char* name : { "j1", "j2", "g3" })
+            this->add(name, Milliseconds(0));
+        this->link("j1", "g3");
+        this->link("j2", "g3");
+        this->at("j1").isDeaf = true;
+        this->at("j1").table->publish({ "config", 7, false, "text" });
+        this->run(Milliseconds(100));
+        this->at("j2").table->publish({ "config", 7, false, "text" });
+        this->run(Milliseconds(100));
+        CPPUNIT_ASSERT(this->at("g3").updates.empty());
+        this->run(Milliseconds(400));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->at("g3").updates.size());
+    }
+
+    void leavesOfferOnlyWhatTheyHaveRead()
+    {
+        GossipTable::Settings leaf;
+        leaf.isLeaf = true;
+        for (const char* name : { "j1", "j2" })
+            this->add(name, Milliseconds(0));
+        this->add("leaf", leaf);
+        this->link("j1", "leaf");
+        this->link("j2", "leaf");
+        this->at("j1").table->publish({ "endpoint/1", 7, false, "text" });
+        this->run(Milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->at("leaf").updates.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->at("j2").offers);
+        this->at("leaf").table->publish({ "endpoint/1", 8, false, "text" });
+        this->run(Milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->at("j1").updates.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->at("j2").updates.size());
+    }
+
+    /// At the start of a fleet all instances register within a second or two.
+    void newsOfOneMomentIsOfferedInOneMessage()
+    {
+        constexpr std::uint64_t instances = 166;
+        for (std::uint64_t i = 0; i < instances; ++i)
+            this->at("g1").table->publish({ "endpoint/" + std::to_string(i), i + 1, false, "text" });
+        this->run(Milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(instances), this->at("g2").updates.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->at("journal").offers);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->at("g2").offers);
+    }
+
+    void itemsAreFoundByPrefix()
+    {
+        GossipTable& table = *this->at("g1").table;
+        table.publish({ "config", 1, false, "c" });
+        table.publish({ "endpoint/1", 2, false, "a" });
+        table.publish({ "endpoint/2", 3, false, "b" });
+        table.publishRemoval("endpoint/1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), table.items("endpoint/").size());
+        CPPUNIT_ASSERT_EQUAL(std::string("b"), table.items("endpoint/").front().text);
+        CPPUNIT_ASSERT(table.find("endpoint/1")->isRemoved);
+        CPPUNIT_ASSERT(!table.find("endpoint/3"));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(GossipTest);
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -439,6 +439,8 @@
 
 template <typename Visitor> void visitFields(Visitor& visit, GossipItems& m) { visit("bulletins", m.items); }
 
+template <typename Visitor> void visitFields(Visitor& visit, StoreView& m) { visit("age", m.age); }
+
 template <typename Visitor> void visitFields(Visitor& visit, CrashReport& m)
 {
     visit("request", m.request);
@@ -530,6 +532,7 @@
 template <> inline constexpr const char* tag<PermitRequests> = "permitsFor";
 template <> inline constexpr const char* tag<PermitGrants> = "permits";
 template <> inline constexpr const char* tag<GatewaysLinked> = "gateways";
+template <> inline constexpr const char* tag<StoreView> = "storeView";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
 template <> inline constexpr const char* tag<Problem> = "problem";
--- a/src/platform/objectstore.cpp
+++ b/src/platform/objectstore.cpp
@@ -3,7 +3,9 @@
 #include "names.h"
 
 #include <algorithm>
+#include <map>
 #include <random>
+#include <utility>
 
 using namespace RattandeckNet;
 using Json = nlohmann::json;
@@ -127,7 +129,8 @@
     HttpClient client;
     std::uint64_t callCount = 0;
     std::optional<Rattandeck::TimePoint> answeredAt;
-    std::vector<std::shared_ptr<Follower>> followers;
+    /// Keyed by kind.
+    std::map<std::string, std::shared_ptr<Follower>> followers;
     std::minstd_rand random { std::random_device {}() };
 
     using Fetched = std::function<void(tl::expected<HttpResponse, NetError>)>;
@@ -152,15 +155,18 @@
 /// the changes since the watched revision.
 class Follower : public std::enable_shared_from_this<Follower> {
 public:
-    Follower(ObjectStore::Impl& store, std::string kind, KindHandlers handlers)
+    Follower(ObjectStore::Impl& store, std::string kind, KindHandlers handlers, std::chrono::milliseconds watchWait)
         : store(store)
         , kind(std::move(kind))
         , handlers(std::move(handlers))
+        , watchWait(watchWait)
         , retryDelay(store.limits.minRetryDelay)
     {
     }
 
     void list();
+    /// When the store answered last; empty before the first list is complete.
+    std::optional<Rattandeck::TimePoint> answeredAt() const { return this->lastAnswerAt; }
 
 private:
     using Response = tl::expected<HttpResponse, NetError>;
@@ -177,6 +183,8 @@
     ObjectStore::Impl& store;
     std::string kind;
     KindHandlers handlers;
+    std::chrono::milliseconds watchWait;
+    std::optional<Rattandeck::TimePoint> lastAnswerAt;
     std::chrono::milliseconds retryDelay;
     std::vector<StoredObject> listed;
     /// Revision of the first page. The watch starts here, since later pages may lack changes made after it.
@@ -202,8 +210,10 @@
 
 void Follower::setReachable(bool isReachable)
 {
-    if (isReachable)
+    if (isReachable) {
         this->retryDelay = this->store.limits.minRetryDelay;
+        this->lastAnswerAt = this->store.loop.timers().now();
+    }
     if (this->isReachable == isReachable)
         return;
     this->isReachable = isReachable;
@@ -255,8 +265,7 @@
         return this->listPage(this->listed.back().name);
     this->setReachable(true);
     this->revision = this->listRevision;
-    this->handlers.onSnapshot(this->listed);
-    this->listed.clear();
+    this->handlers.onSnapshot(std::exchange(this->listed, {}), this->listRevision);
     this->watch();
 }
 
@@ -265,7 +274,7 @@
     // After a failure the first watch is a probe that returns at once, to detect that the store is reachable again.
     const StoreLimits& limits = this->store.limits;
     const bool isProbe = this->isReachable == false;
-    const std::chrono::milliseconds wait = isProbe ? probeWait : limits.watchWait;
+    const std::chrono::milliseconds wait = isProbe ? probeWait : this->watchWait;
     HttpRequest request = this->request();
     request.query["watch"] = std::to_string(this->revision);
     request.query["wait_ms"] = std::to_string(wait.count());
@@ -359,13 +368,26 @@
     this->impl->change(std::move(request), writeObject(object), std::move(done));
 }
 
-void ObjectStore::follow(const std::string& kind, KindHandlers handlers)
+void ObjectStore::follow(
+    const std::string& kind, KindHandlers handlers, std::optional<std::chrono::milliseconds> watchWait)
 {
-    const auto follower = std::make_shared<Follower>(*this->impl, kind, std::move(handlers));
-    this->impl->followers.push_back(follower);
+    const auto follower = std::make_shared<Follower>(
+        *this->impl, kind, std::move(handlers), watchWait.value_or(this->impl->limits.watchWait));
+    this->impl->followers[kind] = follower;
     follower->list();
 }
 
+void ObjectStore::unfollow(const std::string& kind) { this->impl->followers.erase(kind); }
+
+std::optional<std::chrono::milliseconds> ObjectStore::viewAge(const std::string& kind) const
+{
+    const auto found = this->impl->followers.find(kind);
+    if (found == this->impl->followers.end() || !found->second->answeredAt())
+        return std::nullopt;
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->impl->loop.timers().now() - *found->second->answeredAt());
+}
+
 std::uint64_t ObjectStore::callCount() const { return this->impl->callCount; }
 
 std::optional<std::chrono::milliseconds> ObjectStore::answerAge() const
--- a/src/platform/objectstore.h
+++ b/src/platform/objectstore.h
@@ -42,8 +42,9 @@
 
 /// Callbacks for a followed kind. Each change is reported at least once.
 struct KindHandlers {
-    /// Receives all objects of the kind as of one revision. Objects that it does not contain have been removed.
-    std::function<void(const std::vector<StoredObject>&)> onSnapshot;
+    /// Receives all objects of the kind as of `revision`. Objects that it does not contain have been removed, if they
+    /// were not created after it.
+    std::function<void(const std::vector<StoredObject>&, std::uint64_t revision)> onSnapshot;
     std::function<void(const StoredObject&, bool isRemoved)> onChange;
     /// Called when the store becomes reachable or unreachable.
     std::function<void(bool isReachable)> onReachable;
@@ -78,8 +79,15 @@
     void replace(const std::string& kind, const StoredObject& object, Done done);
     /// Replaces the status if the object's revision is `object.revision`.
     void replaceStatus(const std::string& kind, const StoredObject& object, Done done);
-    /// Lists a kind, then watches it.
-    void follow(const std::string& kind, KindHandlers handlers);
+    /// Lists a kind, then watches it. The store answers a watch after `watchWait` when nothing changes; the default is
+    /// that of the limits. Precondition: the kind is not followed.
+    void follow(
+        const std::string& kind, KindHandlers handlers, std::optional<std::chrono::milliseconds> watchWait = {});
+    /// Stops following a kind; its handlers are no longer called. Ignored for a kind that is not followed.
+    void unfollow(const std::string& kind);
+    /// Time since the store last answered for the followed kind; empty before the kind has been listed, and for a kind
+    /// that is not followed.
+    std::optional<std::chrono::milliseconds> viewAge(const std::string& kind) const;
 
     /// Number of calls made.
     std::uint64_t callCount() const;
--- a/src/platform/objectstore_test.cpp
+++ b/src/platform/objectstore_test.cpp
@@ -78,7 +78,7 @@
     void follow()
     {
         KindHandlers handlers;
-        handlers.onSnapshot = [this](const auto& objects) { this->snapshots.push_back(objects); };
+        handlers.onSnapshot = [this](const auto& objects, std::uint64_t) { this->snapshots.push_back(objects); };
         handlers.onChange
             = [this](const StoredObject& changed, bool isRemoved) { this->changes.emplace_back(changed, isRemoved); };
         handlers.onReachable = [this](bool isReachable) { this->reachable.push_back(isReachable); };
--- /dev/null
+++ b/src/platform/storegossip.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "objectstore.h"
+#include "Rattandeck/gossip.h"
+#include "Rattandeck/storefollowing.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+
+namespace Platform {
+
+/// What a process does with news of the store. Handlers may be empty.
+struct StoreNewsHandlers {
+    std::function<void(const StoredObject&)> onConfig;
+    std::function<void(const StoredObject&)> onEndpoint;
+    std::function<void(const Rattandeck::EndpointId&)> onEndpointRemoved;
+};
+
+/// Keeps a process informed of the configuration and the endpoint instances in the platform's store: a few journals
+/// follow the store (`StoreFollowing`) and pass on what they read (`GossipTable`), all others hear it from them. A
+/// process that hears from no follower follows the store itself.
+///
+/// Thread safety: use from the loop's thread. Precondition: the loop outlives this object, and doesn't run after its
+/// destruction.
+class StoreGossip {
+public:
+    using GatewayCount = std::function<std::uint32_t()>;
+
+    StoreGossip(RattandeckNet::EventLoop& loop, const Rattandeck::NodeId& self, Rattandeck::Role role,
+        Rattandeck::GossipTable::Send send, GatewayCount gatewayCount, StoreNewsHandlers handlers);
+
+    /// Precondition: called once; `store` outlives this object's last use.
+    void start(ObjectStore& store);
+
+    void onLinkUp(const Rattandeck::NodeId& node);
+    void onLinkDown(const Rattandeck::NodeId& node);
+    /// Ignores messages that are not part of the protocol.
+    void onMessage(const Rattandeck::NodeId& from, const Rattandeck::Message& message);
+
+    /// Provides `rattandeck_store_followed` and `rattandeck_store_view_age_seconds`, which is -1 without any view.
+    /// Precondition: this object outlives the last rendering of `metrics`.
+    void provideMetrics(RattandeckApp::Metrics& metrics) const;
+
+private:
+    Rattandeck::StoreFollowing::Io followingIo(
+        const Rattandeck::GossipTable::Send& send, const GatewayCount& gatewayCount);
+    void setFollowing(bool isFollowing);
+    std::optional<Rattandeck::Milliseconds> ownViewAge() const;
+    void publish(const std::string& topic, const StoredObject& object);
+
+    void onConfig(const StoredObject& object);
+    void onEndpoints(const std::vector<StoredObject>& objects, std::uint64_t revision);
+    void onEndpoint(const StoredObject& object, bool isRemoved);
+    void removeEndpoint(const Rattandeck::GossipItem& known);
+    void dropEndpoint(const Rattandeck::EndpointId& id);
+    void onNews(const Rattandeck::GossipItem& item);
+    void onStoreReachable(bool isReachable);
+
+    Rattandeck::TimerService& timers;
+    StoreNewsHandlers handlers;
+    Rattandeck::GossipTable gossip;
+    Rattandeck::StoreFollowing following;
+    Rattandeck::Milliseconds watchWait;
+    ObjectStore* store = nullptr;
+    bool isStoreReachable = false;
+    std::optional<Rattandeck::TimePoint> storeReconnectedAt;
+    /// Instances that the store has omitted since it was reached again, and that are kept for now.
+    std::set<Rattandeck::EndpointId> unlistedEndpoints;
+};
+
+}
--- /dev/null
+++ b/src/platform/storegossip_test.cpp
@@ -0,0 +1,222 @@
+#include "storegossip.h"
+
+#include "librattandecknet/testloop.h"
+#include "names.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+
+using namespace Platform;
+using namespace Rattandeck;
+using namespace RattandeckNet;
+
+/// A journal or gateway beside a store that answers as the test says, and a peer whose messages the test makes.
+class StoreGossipTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(StoreGossipTest);
+    CPPUNIT_TEST(journalReadsTheStoreAndOffersWhatItRead);
+    CPPUNIT_TEST(gatewayWithARecentViewMakesNoCall);
+    CPPUNIT_TEST(gatewayWithoutAViewReadsTheStore);
+    CPPUNIT_TEST(instanceHeardOfAfterTheListIsKept);
+    CPPUNIT_TEST(instanceMissingFromTheListIsRemoved);
+    CPPUNIT_TEST(removalOlderThanTheInstanceIsIgnored);
+    CPPUNIT_TEST(removalIsPassedOn);
+    CPPUNIT_TEST(olderStateOfAnInstanceIsIgnored);
+    CPPUNIT_TEST_SUITE_END();
+
+    TestLoop test;
+    std::unique_ptr<HttpServer> server;
+    std::unique_ptr<ObjectStore> store;
+    std::unique_ptr<StoreGossip> news;
+    std::vector<HttpRequest> requests;
+    /// Answers to lists and watches of instances, in this order; further requests wait.
+    std::deque<std::string> endpointAnswers;
+    std::vector<HttpResponder> waitingForEndpoints;
+    std::vector<HttpResponder> waitingForConfig;
+    std::vector<Message> sent;
+    std::vector<std::string> steps;
+    NodeId peer { "peer" };
+
+public:
+    void setUp() override
+    {
+        this->server = std::make_unique<HttpServer>(
+            this->test.loop, HttpLimits {}, [this](const HttpRequest& request, const HttpResponder& responder) {
+                this->requests.push_back(request);
+                this->answer(request, responder);
+            });
+        CPPUNIT_ASSERT(this->server->listen({ "127.0.0.1", 0 }).has_value());
+        this->store = std::make_unique<ObjectStore>(this->test.loop, Address { "127.0.0.1", this->server->port() });
+    }
+    void tearDown() override
+    {
+        this->news.reset();
+        this->store.reset();
+        this->waitingForEndpoints.clear();
+        this->waitingForConfig.clear();
+    }
+
+private:
+    void answer(const HttpRequest& request, const HttpResponder& responder)
+    {
+        const bool isConfig = request.path == std::string(Names::objectsPath) + Names::configKind;
+        if (isConfig && !request.query.contains("watch")) {
+            responder.send({ 200, {}, R"({"items":[],"has_more":false,"current_rev":20})" });
+        } else if (!isConfig && !this->endpointAnswers.empty()) {
+            responder.send({ 200, {}, this->endpointAnswers.front() });
+            this->endpointAnswers.pop_front();
+        } else {
+            (isConfig ? this->waitingForConfig : this->waitingForEndpoints).push_back(responder);
+        }
+    }
+
+    static std::string object(const std::string& name, int revision)
+    {
+        return R"({"metadata":{"name":")" + name + R"(","rev":)" + std::to_string(revision)
+            + R"(},"spec":{"service":"app","address":"127.0.0.1:80","zone":"z","slots":4,"phase":"ready"}})";
+    }
+    static std::string list(const std::string& items, int revision)
+    {
+        return R"({"items":[)" + items + R"(],"has_more":false,"current_rev":)" + std::to_string(revision) + "}";
+    }
+    static std::string change(const std::string& changed, bool isRemoved, int revision)
+    {
+        return R"({"events":[{"tombstone":)" + std::string(isRemoved ? "true" : "false") + R"(,"object":)" + changed
+            + R"(}],"current_rev":)" + std::to_string(revision) + "}";
+    }
+
+    void start(Role role)
+    {
+        StoreNewsHandlers handlers;
+        handlers.onEndpoint = [this](const StoredObject& object) {
+            this->steps.push_back(object.name + "@" + std::to_string(object.revision));
+        };
+        handlers.onEndpointRemoved = [this](const EndpointId& id) { this->steps.push_back(id.value + " removed"); };
+        this->news = std::make_unique<StoreGossip>(
+            this->test.loop, NodeId("self"), role,
+            [this](const NodeId&, const Message& message) {
+                this->sent.push_back(message);
+                return true;
+            },
+            [] { return 1U; }, handlers);
+        this->news->onLinkUp(this->peer);
+        this->news->start(*this->store);
+    }
+
+    /// Receives the state of an instance from the peer.
+    void hear(const std::string& name, std::uint64_t version)
+    {
+        const auto json = nlohmann::json::parse(object(name, 0));
+        this->news->onMessage(
+            this->peer, GossipItems { { { "endpoint/" + name, version, false, json["spec"].dump() } } });
+    }
+
+    void runFor(Milliseconds time)
+    {
+        const TimePoint end = this->test.loop.timers().now() + time;
+        this->test.runUntil("time passed", [&] { return this->test.loop.timers().now() >= end; });
+    }
+
+    void awaitSteps(std::size_t count)
+    {
+        this->test.runUntil("steps", [&] { return this->steps.size() >= count; });
+    }
+
+    void answerWatch(const std::string& body)
+    {
+        this->test.runUntil("watched", [this] { return !this->waitingForEndpoints.empty(); });
+        this->waitingForEndpoints.back().send({ 200, {}, body });
+    }
+
+    template <typename Kind> bool hasSent() const
+    {
+        return std::ranges::any_of(
+            this->sent, [](const Message& message) { return std::holds_alternative<Kind>(message); });
+    }
+
+    void journalReadsTheStoreAndOffersWhatItRead()
+    {
+        this->endpointAnswers = { list(object("e1", 7), 20) };
+        this->start(Role::Journal);
+        this->awaitSteps(1);
+        this->test.runUntil("offered", [this] { return this->hasSent<GossipOffers>(); });
+        this->test.runUntil("view reported", [this] { return this->hasSent<StoreView>(); });
+        CPPUNIT_ASSERT_EQUAL(std::string("e1@7"), this->steps.front());
+    }
+
+    void gatewayWithARecentViewMakesNoCall()
+    {
+        this->start(Role::Gateway);
+        for (int i = 0; i < 10; ++i) {
+            this->news->onMessage(this->peer, StoreView { Milliseconds(300) });
+            this->runFor(Milliseconds(100));
+        }
+        this->hear("e1", 7);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->requests.size());
+        CPPUNIT_ASSERT_EQUAL(std::string("e1@7"), this->steps.front());
+    }
+
+    void gatewayWithoutAViewReadsTheStore()
+    {
+        this->endpointAnswers = { list(object("e1", 7), 20) };
+        this->start(Role::Gateway);
+        this->awaitSteps(1);
+        CPPUNIT_ASSERT(!this->hasSent<StoreView>());
+    }
+
+    void instanceHeardOfAfterTheListIsKept()
+    {
+        this->endpointAnswers = { list(object("e1", 7), 20) };
+        this->start(Role::Journal);
+        this->hear("e2", 21);
+        this->awaitSteps(2);
+        this->runFor(Milliseconds(100));
+        CPPUNIT_ASSERT((std::vector<std::string> { "e2@21", "e1@7" }) == this->steps);
+    }
+
+    void instanceMissingFromTheListIsRemoved()
+    {
+        this->endpointAnswers = { list(object("e1", 7), 20) };
+        this->start(Role::Journal);
+        this->hear("e2", 19);
+        // It is kept for a while, since the store may have been away.
+        this->awaitSteps(3);
+        CPPUNIT_ASSERT((std::vector<std::string> { "e2@19", "e1@7", "e2 removed" }) == this->steps);
+    }
+
+    void removalOlderThanTheInstanceIsIgnored()
+    {
+        this->endpointAnswers = { list(object("e1", 7), 7) };
+        this->start(Role::Journal);
+        this->awaitSteps(1);
+        // The instance has left and come back, which a peer has read sooner.
+        this->hear("e1", 22);
+        this->answerWatch(change(object("e1", 21), true, 21));
+        this->runFor(Milliseconds(100));
+        CPPUNIT_ASSERT((std::vector<std::string> { "e1@7", "e1@22" }) == this->steps);
+    }
+
+    void removalIsPassedOn()
+    {
+        this->endpointAnswers = { list(object("e1", 7), 7) };
+        this->start(Role::Journal);
+        this->awaitSteps(1);
+        this->runFor(Milliseconds(100));
+        this->sent.clear();
+        this->answerWatch(change(object("e1", 21), true, 21));
+        this->awaitSteps(2);
+        this->test.runUntil("offered", [this] { return this->hasSent<GossipOffers>(); });
+        CPPUNIT_ASSERT((std::vector<std::string> { "e1@7", "e1 removed" }) == this->steps);
+    }
+
+    void olderStateOfAnInstanceIsIgnored()
+    {
+        this->endpointAnswers = { list(object("e1", 7), 20) };
+        this->start(Role::Journal);
+        this->hear("e1", 8);
+        this->runFor(Milliseconds(300));
+        CPPUNIT_ASSERT((std::vector<std::string> { "e1@8" }) == this->steps);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StoreGossipTest);
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -98,7 +98,7 @@
     HttpServer admin;
     std::unique_ptr<Platform::ObjectStore> store;
     std::set<NodeId> linkedJournals;
-    StoreFeed feed { this->loop, this->relay.gateway(),
+    StoreFeed feed { this->loop, NodeId(this->settings.instance.node), this->relay.gateway(),
         [this](const NodeId& node, const Message& message) { return this->network.send(node, message); },
         [this] { this->callers.setLimits(this->httpLimits()); } };
     /// Whether enough journals are connected to serve turns.
@@ -193,14 +193,14 @@
         if (hello.domain.value == this->settings.instance.domain)
             this->journals.setNear(hello.node);
         this->checkJournals();
-        this->feed.onLinkUp(hello.node);
+        this->feed.news().onLinkUp(hello.node);
     };
     handlers.onDown = [this](const NodeId& node) {
         logEvent("journal link down", node.value);
         this->linkedJournals.erase(node);
         this->relay.gateway().onJournalDown(node);
         this->checkJournals();
-        this->feed.onLinkDown(node);
+        this->feed.news().onLinkDown(node);
         this->journals.onLinkDown(node);
     };
     handlers.onMessage = [this](const NodeId& from, const Message& message) {
@@ -210,7 +210,7 @@
             this->relay.gateway().onCrashReports(*crashes);
         this->relay.gateway().onJournalMessage(from, message);
         this->journals.onMessage(from, message);
-        this->feed.onMessage(from, message);
+        this->feed.news().onMessage(from, message);
     };
     return handlers;
 }
@@ -317,7 +317,8 @@
 {
     this->store = std::make_unique<Platform::ObjectStore>(this->loop, address);
     Platform::provideStoreMetrics(this->metrics, *this->store);
-    this->feed.follow(*this->store);
+    this->feed.news().provideMetrics(this->metrics);
+    this->feed.news().start(*this->store);
 }
 
 // Journals -----------------------------------------------------------------------------------------------------------
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -4,7 +4,7 @@
 #include "metadata.h"
 #include "platform/names.h"
 #include "platform/objectcodec.h"
-#include "Rattandeck/gossip.h"
+#include "platform/storegossip.h"
 #include "Rattandeck/journal.h"
 #include "Rattandeck/permitissuer.h"
 #include "RattandeckApp/reload.h"
@@ -107,8 +107,10 @@
     std::unique_ptr<JournalDisk> disk;
     std::deque<Segment> segments;
     PeerNetwork network;
-    GossipTable gossip { this->loop.timers(), {},
-        [this](const NodeId& node, const Message& message) { return this->network.send(node, message); }, {} };
+    /// Journals pass on what they read in the store, and use none of it.
+    Platform::StoreGossip storeNews { this->loop, NodeId(this->settings.instance.node), Role::Journal,
+        [this](const NodeId& node, const Message& message) { return this->network.send(node, message); },
+        [] { return 1U; }, {} };
     PermitIssuer permits { this->loop.timers(), NodeId(this->settings.instance.node),
         [this](const NodeId& node, const Message& message) { return this->network.send(node, message); } };
     std::unique_ptr<Platform::ObjectStore> store;
@@ -201,6 +203,7 @@
         "rattandeck_permits_issued_total", "counter", [this] { return double(this->permits.issuedPermits()); });
     this->metrics.provide("rattandeck_largest_limit_use", "gauge", [this] { return this->permits.takeLargestUse(); });
     Platform::provideStoreMetrics(this->metrics, *this->store);
+    this->storeNews.provideMetrics(this->metrics);
     provideLinkTraffic(this->metrics, this->network);
 }
 
@@ -215,9 +218,7 @@
 
 void Daemon::createStore(const Address& address)
 {
-    Platform::StoreLimits limits;
-    limits.watchWait = retirementWatchWait;
-    this->store = std::make_unique<Platform::ObjectStore>(this->loop, address, limits);
+    this->store = std::make_unique<Platform::ObjectStore>(this->loop, address);
 }
 
 int Daemon::run()
@@ -242,6 +243,7 @@
     if (!listenAt(this->settings.instance.adminListen, *this->admin))
         return ExitUnavailable;
     this->watchRetirements();
+    this->storeNews.start(*this->store);
     this->expire();
     this->reload.watch();
     DaemonRun run;
@@ -295,7 +297,7 @@
 void Daemon::onUp(const Hello& hello)
 {
     logEvent("link up", hello.node.value);
-    this->gossip.onLinkUp(hello.node);
+    this->storeNews.onLinkUp(hello.node);
     this->permits.onLinkUp(hello.node, hello.role);
     this->journal->onLinkUp(hello.node, hello.role);
 }
@@ -303,7 +305,7 @@
 void Daemon::onDown(const NodeId& node)
 {
     logEvent("link down", node.value);
-    this->gossip.onLinkDown(node);
+    this->storeNews.onLinkDown(node);
     this->permits.onLinkDown(node);
     this->journal->onLinkDown(node);
 }
@@ -311,7 +313,7 @@
 void Daemon::onMessage(const NodeId& from, const Message& message)
 {
     this->journal->onMessage(from, message);
-    this->gossip.onMessage(from, message);
+    this->storeNews.onMessage(from, message);
     this->permits.onMessage(from, message);
 }
 
@@ -414,7 +416,7 @@
 void Daemon::watchRetirements()
 {
     Platform::KindHandlers handlers;
-    handlers.onSnapshot = [this](const std::vector<Platform::StoredObject>& objects) {
+    handlers.onSnapshot = [this](const std::vector<Platform::StoredObject>& objects, std::uint64_t) {
         this->retirements.clear();
         for (const Platform::StoredObject& object : objects)
             this->retirements[object.name] = object;
@@ -423,7 +425,7 @@
     handlers.onChange
         = [this](const Platform::StoredObject& object, bool isRemoved) { this->onRetirement(object, isRemoved); };
     handlers.onReachable = [](bool isReachable) { logEvent("platform store", isReachable ? "reachable" : "lost"); };
-    this->store->follow(Platform::Names::retirementsKind, handlers);
+    this->store->follow(Platform::Names::retirementsKind, handlers, retirementWatchWait);
 }
 
 void Daemon::onRetirement(const Platform::StoredObject& object, bool isRemoved)
