--- a/src/platform/storegossip.cpp
+++ b/src/platform/storegossip.cpp
@@ -213,6 +213,9 @@
 /// Takes an update that another process has read from the store.
 void StoreGossip::onNews(const GossipItem& item)
 {
+    logFields("news",
+        { { "topic", item.topic }, { "version", std::int64_t(item.version) },
+            { "removed", std::int64_t(item.isRemoved) } });
     if (item.topic == configTopic) {
         if (this->handlers.onConfig)
             this->handlers.onConfig(readItem(item));
