Keep what journals know of the store over a loss of power

Change: journals write each change of what they know of the store to their log, and everything again in each new segment, and take it back at a start. A follower removes an instance that a process brings up and the store no longer has.

--- a/src/include/Rattandeck/gossip.h
+++ b/src/include/Rattandeck/gossip.h
@@ -36,7 +36,7 @@
         bool isLeaf = false;
     };
     using Send = std::function<bool(const NodeId& node, const Message& message)>;
-    /// Called for new versions received from a peer, but not for those published by this process.
+    /// Called for new versions received from a peer, but not for those published or restored by this process.
     using OnUpdate = std::function<void(const GossipItem& item)>;
 
     GossipTable(TimerService& timers, Settings settings, Send send, OnUpdate onUpdate);
@@ -48,10 +48,14 @@
     void publish(const GossipItem& item);
     /// Publishes a tombstone for a topic, with the version that follows the current one. Ignored for unknown topics.
     void publishRemoval(const std::string& topic);
+    /// Adds versions that this process knew before a restart. Peers get them when their links come up.
+    void restore(const std::vector<GossipItem>& items);
     /// Changes the delay before an offered version is requested.
     void setRequestDelay(Milliseconds delay);
     /// The topics that begin with `prefix` and have not been removed.
     std::vector<GossipItem> items(const std::string& prefix) const;
+    /// All topics, with tombstones.
+    std::vector<GossipItem> allItems() const;
     /// The current version of a topic, which may be a tombstone; null if the topic is unknown. Valid until the next
     /// call.
     const GossipItem* find(const std::string& topic) const;
--- a/src/include/Rattandeck/journal.h
+++ b/src/include/Rattandeck/journal.h
@@ -12,9 +12,9 @@
 namespace Rattandeck {
 
 /// A record that a journal appends to its disk.
-using JournalRecord = std::variant<SettleClaim, RetainedTurn, CrashReports>;
+using JournalRecord = std::variant<SettleClaim, RetainedTurn, CrashReports, GossipItems>;
 /// A record that is read from disk at start-up. Most turns are read without their text, with their location only.
-using RecoveredRecord = std::variant<SettleClaim, RetainedTurn, CrashReports, TurnOnDisk>;
+using RecoveredRecord = std::variant<SettleClaim, RetainedTurn, CrashReports, TurnOnDisk, GossipItems>;
 
 /// The disk, network and store operations that a journal needs. The journal calls these functions from within its own
 /// functions; an implementation must not call the journal before it returns.
--- a/src/librattandeck/gossip.cpp
+++ b/src/librattandeck/gossip.cpp
@@ -219,6 +219,17 @@
     this->impl->accept({ topic, found->second.version + 1, true, {} }, {});
 }
 
+void GossipTable::restore(const std::vector<GossipItem>& items)
+{
+    for (const GossipItem& item : items) {
+        if (!this->impl->isNew(item.topic, item.version))
+            continue;
+        this->impl->topics[item.topic] = item;
+        if (item.isRemoved)
+            this->impl->scheduleExpiry(item.topic);
+    }
+}
+
 void GossipTable::setRequestDelay(Milliseconds delay) { this->impl->settings.requestDelay = delay; }
 
 std::vector<GossipItem> GossipTable::items(const std::string& prefix) const
@@ -232,6 +243,14 @@
     return found;
 }
 
+std::vector<GossipItem> GossipTable::allItems() const
+{
+    std::vector<GossipItem> all;
+    for (const auto& [topic, item] : this->impl->topics)
+        all.push_back(item);
+    return all;
+}
+
 const GossipItem* GossipTable::find(const std::string& topic) const
 {
     const auto found = this->impl->topics.find(topic);
--- a/src/librattandeck/journal.cpp
+++ b/src/librattandeck/journal.cpp
@@ -37,6 +37,8 @@
     /// Each returns whether the record is new.
     template <typename Record> bool apply(const Record& record);
     bool apply(const CrashReports& crashes);
+    /// News of the store are kept beside the journal's own records, which they don't concern.
+    void apply(const GossipItems&) { }
     template <typename Record> bool applyAndAppend(const Record& record);
 
     void onClaim(const NodeId& from, const ClaimTokens& claim);
--- a/src/platform/objectstore.cpp
+++ b/src/platform/objectstore.cpp
@@ -167,6 +167,8 @@
     void list();
     /// When the store answered last; empty before the first list is complete.
     std::optional<Rattandeck::TimePoint> answeredAt() const { return this->lastAnswerAt; }
+    /// Revision up to which changes have been reported.
+    std::uint64_t reportedRevision() const { return this->revision; }
 
 private:
     using Response = tl::expected<HttpResponse, NetError>;
@@ -379,6 +381,12 @@
 
 void ObjectStore::unfollow(const std::string& kind) { this->impl->followers.erase(kind); }
 
+std::uint64_t ObjectStore::viewRevision(const std::string& kind) const
+{
+    const auto found = this->impl->followers.find(kind);
+    return found == this->impl->followers.end() ? 0 : found->second->reportedRevision();
+}
+
 std::optional<std::chrono::milliseconds> ObjectStore::viewAge(const std::string& kind) const
 {
     const auto found = this->impl->followers.find(kind);
--- a/src/platform/objectstore.h
+++ b/src/platform/objectstore.h
@@ -85,6 +85,9 @@
         const std::string& kind, KindHandlers handlers, std::optional<std::chrono::milliseconds> watchWait = {});
     /// Stops following a kind; its handlers are no longer called. Ignored for a kind that is not followed.
     void unfollow(const std::string& kind);
+    /// Revision up to which the changes of a kind have been reported; 0 before it has been listed, and for a kind that
+    /// is not followed.
+    std::uint64_t viewRevision(const std::string& kind) const;
     /// Time since the store last answered for the followed kind; empty before the kind has been listed, and for a kind
     /// that is not followed.
     std::optional<std::chrono::milliseconds> viewAge(const std::string& kind) const;
--- a/src/platform/storegossip.cpp
+++ b/src/platform/storegossip.cpp
@@ -139,7 +139,18 @@
 
 void StoreGossip::publish(const std::string& topic, const StoredObject& object)
 {
+    const GossipItem* known = this->gossip.find(topic);
+    if (known && known->version >= object.revision)
+        return;
     this->gossip.publish({ topic, object.revision, false, object.spec.dump() });
+    this->reportItem(topic);
+}
+
+void StoreGossip::reportItem(const std::string& topic) const
+{
+    const GossipItem* item = this->gossip.find(topic);
+    if (item && this->handlers.onItem)
+        this->handlers.onItem(*item);
 }
 
 void StoreGossip::onConfig(const StoredObject& object)
@@ -206,6 +217,7 @@
 void StoreGossip::dropEndpoint(const EndpointId& id)
 {
     this->gossip.publishRemoval(endpointTopic(id));
+    this->reportItem(endpointTopic(id));
     if (this->handlers.onEndpointRemoved)
         this->handlers.onEndpointRemoved(id);
 }
@@ -216,6 +228,7 @@
     logFields("news",
         { { "topic", item.topic }, { "version", std::int64_t(item.version) },
             { "removed", std::int64_t(item.isRemoved) } });
+    this->reportItem(item.topic);
     if (item.topic == configTopic) {
         if (this->handlers.onConfig)
             this->handlers.onConfig(readItem(item));
@@ -223,6 +236,10 @@
     }
     if (!item.topic.starts_with(endpointTopicPrefix))
         return;
+    if (this->isOutdated(item)) {
+        this->removeEndpoint(item);
+        return;
+    }
     const EndpointId id = endpointOf(item.topic);
     this->unlistedEndpoints.erase(id);
     if (item.isRemoved && this->handlers.onEndpointRemoved)
@@ -231,6 +248,14 @@
         this->handlers.onEndpoint(readItem(item));
 }
 
+/// Whether an instance that was new to this process has left. A follower knows all instances of the revisions that it
+/// has read; another process may have been away while the instance left.
+bool StoreGossip::isOutdated(const GossipItem& item) const
+{
+    return this->following.isFollowing() && !item.isRemoved
+        && item.version <= this->store->viewRevision(Names::endpointsKind);
+}
+
 void StoreGossip::onStoreReachable(bool isReachable)
 {
     logEvent("platform store", isReachable ? "reachable" : "lost");
--- a/src/platform/storegossip.h
+++ b/src/platform/storegossip.h
@@ -16,6 +16,8 @@
     std::function<void(const StoredObject&)> onConfig;
     std::function<void(const StoredObject&)> onEndpoint;
     std::function<void(const Rattandeck::EndpointId&)> onEndpointRemoved;
+    /// Called for each new version of anything, as it is to be passed to `restore` after a restart.
+    std::function<void(const Rattandeck::GossipItem&)> onItem;
 };
 
 /// Keeps a process informed of the configuration and the endpoint instances in the platform's store: a few journals
@@ -31,6 +33,12 @@
     StoreGossip(RattandeckNet::EventLoop& loop, const Rattandeck::NodeId& self, Rattandeck::Role role,
         Rattandeck::GossipTable::Send send, GatewayCount gatewayCount, StoreNewsHandlers handlers);
 
+    /// Takes what this process knew before it was restarted. It holds until the store or another process knows better.
+    /// Precondition: called before `start`.
+    void restore(const std::vector<Rattandeck::GossipItem>& items) { this->gossip.restore(items); }
+    /// Everything that this process knows of the store.
+    std::vector<Rattandeck::GossipItem> items() const { return this->gossip.allItems(); }
+
     /// Precondition: called once; `store` outlives this object's last use.
     void start(ObjectStore& store);
 
@@ -56,6 +64,8 @@
     void removeEndpoint(const Rattandeck::GossipItem& known);
     void dropEndpoint(const Rattandeck::EndpointId& id);
     void onNews(const Rattandeck::GossipItem& item);
+    bool isOutdated(const Rattandeck::GossipItem& item) const;
+    void reportItem(const std::string& topic) const;
     void onStoreReachable(bool isReachable);
 
     Rattandeck::TimerService& timers;
--- a/src/platform/storegossip_test.cpp
+++ b/src/platform/storegossip_test.cpp
@@ -21,6 +21,8 @@
     CPPUNIT_TEST(instanceMissingFromTheListIsRemoved);
     CPPUNIT_TEST(removalOlderThanTheInstanceIsIgnored);
     CPPUNIT_TEST(removalIsPassedOn);
+    CPPUNIT_TEST(instanceThatLeftIsNotBroughtBack);
+    CPPUNIT_TEST(everythingKnownSurvivesARestart);
     CPPUNIT_TEST(olderStateOfAnInstanceIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
@@ -35,6 +37,9 @@
     std::vector<HttpResponder> waitingForConfig;
     std::vector<Message> sent;
     std::vector<std::string> steps;
+    std::vector<GossipItem> items;
+    /// Passed to `restore` at the next start.
+    std::vector<GossipItem> restored;
     NodeId peer { "peer" };
 
 public:
@@ -91,6 +96,7 @@
         handlers.onEndpoint = [this](const StoredObject& object) {
             this->steps.push_back(object.name + "@" + std::to_string(object.revision));
         };
+        handlers.onItem = [this](const GossipItem& item) { this->items.push_back(item); };
         handlers.onEndpointRemoved = [this](const EndpointId& id) { this->steps.push_back(id.value + " removed"); };
         this->news = std::make_unique<StoreGossip>(
             this->test.loop, NodeId("self"), role,
@@ -99,6 +105,7 @@
                 return true;
             },
             [] { return 1U; }, handlers);
+        this->news->restore(this->restored);
         this->news->onLinkUp(this->peer);
         this->news->start(*this->store);
     }
@@ -209,6 +216,36 @@
         CPPUNIT_ASSERT((std::vector<std::string> { "e1@7", "e1 removed" }) == this->steps);
     }
 
+    /// A process that was away may offer an instance of which the others have forgotten that it left.
+    void instanceThatLeftIsNotBroughtBack()
+    {
+        this->endpointAnswers = { list(object("e1", 7), 20) };
+        this->start(Role::Journal);
+        this->awaitSteps(1);
+        this->hear("e2", 19);
+        this->awaitSteps(2);
+        CPPUNIT_ASSERT((std::vector<std::string> { "e1@7", "e2 removed" }) == this->steps);
+    }
+
+    void everythingKnownSurvivesARestart()
+    {
+        this->endpointAnswers = { list(object("e1", 7) + "," + object("e2", 9), 20) };
+        this->start(Role::Journal);
+        this->awaitSteps(2);
+        this->hear("e3", 30);
+        this->answerWatch(change(object("e2", 31), true, 31));
+        this->awaitSteps(4);
+        const auto before = this->news->items();
+        this->restored = this->items;
+        this->news.reset();
+        this->sent.clear();
+        // The store is down now.
+        this->server.reset();
+        this->start(Role::Journal);
+        CPPUNIT_ASSERT(before == this->news->items());
+        CPPUNIT_ASSERT(this->hasSent<GossipOffers>());
+    }
+
     void olderStateOfAnInstanceIsIgnored()
     {
         this->endpointAnswers = { list(object("e1", 7), 20) };
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -10,7 +10,10 @@
 #include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
 
+#include <algorithm>
 #include <deque>
+#include <iterator>
+#include <utility>
 
 using namespace Rattandeck;
 using namespace RattandeckApp;
@@ -36,6 +39,8 @@
 constexpr Milliseconds retirementCheckInterval { 200 };
 /// How long the store holds a watch of retirements: each journal makes one call in this time.
 constexpr Milliseconds retirementWatchWait { 10000 };
+/// Delay before news of the store is synced to the disk, unless a record of the journal is synced sooner.
+constexpr Milliseconds newsSyncDelay { 100 };
 /// A closed segment is kept for twice the longest retention seen plus this margin, so that the oldest turns of a chain
 /// are rarely rewritten.
 constexpr Milliseconds segmentRetentionMargin { 60000 };
@@ -81,6 +86,11 @@
     void expire();
     void removeOldSegments();
 
+    // News of the store, which survive a restart while the store is down
+    Platform::StoreNewsHandlers storeNewsHandlers();
+    void onRecovered(RecoveredRecord record);
+    void syncNews();
+
     // JournalIo
     bool send(const NodeId& to, const Message& message) override { return this->network.send(to, message); }
     void append(const JournalRecord& record) override { this->disk->append(record); }
@@ -107,10 +117,10 @@
     std::unique_ptr<JournalDisk> disk;
     std::deque<Segment> segments;
     PeerNetwork network;
-    /// Journals pass on what they read in the store, and use none of it.
+    /// Journals pass on what they read in the store, and use none of it themselves.
     Platform::StoreGossip storeNews { this->loop, NodeId(this->settings.instance.node), Role::Journal,
         [this](const NodeId& node, const Message& message) { return this->network.send(node, message); },
-        [] { return 1U; }, {} };
+        [] { return 1U; }, this->storeNewsHandlers() };
     PermitIssuer permits { this->loop.timers(), NodeId(this->settings.instance.node),
         [this](const NodeId& node, const Message& message) { return this->network.send(node, message); } };
     std::unique_ptr<Platform::ObjectStore> store;
@@ -123,6 +133,9 @@
     TimerId retirementTimer;
     SettingsReload<JournalSettings> reload;
     bool isStopping = false;
+    /// What the disk holds of the news of the store, until it has been read.
+    std::vector<GossipItem> recoveredNews;
+    bool isNewsSyncPending = false;
 };
 
 Hello Daemon::hello(const std::string& address) const
@@ -153,7 +166,7 @@
     const auto startedAt = std::chrono::steady_clock::now();
     auto opened = JournalDisk::open(
         this->loop, this->settings.folder, {},
-        [this](const RecoveredRecord& record) { this->journal->restore(record); }, recoveryStats);
+        [this](RecoveredRecord record) { this->onRecovered(std::move(record)); }, recoveryStats);
     if (!opened) {
         logError("disk", this->settings.folder + ": can't be read");
         return false;
@@ -161,6 +174,7 @@
     this->disk = std::move(*opened);
     this->disk->setOnTurnWritten(
         [this](const TurnId& turn, const DiskLocation& location) { this->journal->onWritten(turn, location); });
+    this->storeNews.restore(std::exchange(this->recoveredNews, {}));
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - startedAt);
     this->metrics.observe("rattandeck_disk_read_seconds", std::chrono::duration<double>(elapsed).count());
     logEvent("disk read",
@@ -330,8 +344,11 @@
 {
     const TimePoint now = this->loop.timers().now();
     const auto current = this->disk->currentSegment();
-    if (this->segments.empty() || this->segments.back().number != current)
+    if (this->segments.empty() || this->segments.back().number != current) {
         this->segments.push_back({ current, now, this->journal->state().lastSequence() });
+        // So that older segments can be removed.
+        this->disk->append(GossipItems { this->storeNews.items() });
+    }
     // A segment has been closed since the start of the next one.
     const Duration kept = this->journal->longestRetention() * 2 + segmentRetentionMargin;
     while (this->segments.size() > 1 && now - this->segments[1].startedAt > kept) {
@@ -351,6 +368,37 @@
     });
 }
 
+// News of the store ----------------------------------------------------------------------------------------------------
+
+Platform::StoreNewsHandlers Daemon::storeNewsHandlers()
+{
+    Platform::StoreNewsHandlers handlers;
+    handlers.onItem = [this](const GossipItem& item) {
+        this->disk->append(GossipItems { { item } });
+        this->syncNews();
+    };
+    return handlers;
+}
+
+void Daemon::syncNews()
+{
+    if (this->isNewsSyncPending)
+        return;
+    this->isNewsSyncPending = true;
+    this->loop.timers().subscribeAfter(newsSyncDelay, [this] {
+        this->isNewsSyncPending = false;
+        this->disk->sync([] {});
+    });
+}
+
+void Daemon::onRecovered(RecoveredRecord record)
+{
+    if (auto* news = std::get_if<GossipItems>(&record))
+        std::ranges::move(news->items, std::back_inserter(this->recoveredNews));
+    else
+        this->journal->restore(record);
+}
+
 // The set in the store -----------------------------------------------------------------------------------------------
 
 void Daemon::readSet()
--- a/src/rattandeck-journal/disk_test.cpp
+++ b/src/rattandeck-journal/disk_test.cpp
@@ -103,7 +103,8 @@
     void recordRoundTrip()
     {
         const CrashReports crashes { { { Fingerprint("f"), "e/1", Milliseconds(5) } } };
-        for (const JournalRecord& record : { makeTurn("1"), makeClaim(-7), JournalRecord(crashes) })
+        const GossipItems news { { { "endpoint/1", 7, true, "text" }, { "config", 8, false, "{}" } } };
+        for (const JournalRecord& record : { makeTurn("1"), makeClaim(-7), JournalRecord(crashes), JournalRecord(news) })
             CPPUNIT_ASSERT(RecordDecoder().decode(encodeRecord(record)) == record);
     }
 
--- a/src/rattandeck-journal/record.cpp
+++ b/src/rattandeck-journal/record.cpp
@@ -42,6 +42,13 @@
 
 template <typename Archive> void serialize(Archive& archive, CrashReports& crashes) { archive(crashes.reports); }
 
+template <typename Archive> void serialize(Archive& archive, GossipItem& item)
+{
+    archive(item.topic, item.version, item.isRemoved, item.text);
+}
+
+template <typename Archive> void serialize(Archive& archive, GossipItems& news) { archive(news.items); }
+
 }
 
 // Streams --------------------------------------------------------------------------------------------------------
@@ -51,7 +58,7 @@
 /// To be increased when the fields of a record change.
 constexpr char recordVersion = 2;
 
-enum class RecordKind : std::uint8_t { Claim, Turn, Crashes };
+enum class RecordKind : std::uint8_t { Claim, Turn, Crashes, News };
 
 class SpanReader : public std::streambuf {
 public:
@@ -98,6 +105,7 @@
 RecordKind kindOf(const Rattandeck::SettleClaim&) { return RecordKind::Claim; }
 RecordKind kindOf(const Rattandeck::RetainedTurn&) { return RecordKind::Turn; }
 RecordKind kindOf(const Rattandeck::CrashReports&) { return RecordKind::Crashes; }
+RecordKind kindOf(const Rattandeck::GossipItems&) { return RecordKind::News; }
 
 }
 
@@ -162,6 +170,8 @@
                 return readTurn();
             case RecordKind::Crashes:
                 return this->read<Rattandeck::CrashReports>();
+            case RecordKind::News:
+                return this->read<Rattandeck::GossipItems>();
             }
         } catch (const std::exception&) {
             // The bytes are truncated, or a length exceeds the available memory.
