Compare digests when links come up

Only what a process has read itself is offered at once. Conclusion: the reconnect storm was the cost of coming up, not the number of links.

--- a/src/include/Rattandeck/gossip.h
+++ b/src/include/Rattandeck/gossip.h
@@ -10,10 +10,16 @@
 
 namespace Rattandeck {
 
-/// Gossip protocol that distributes objects of the platform's store to processes that don't read it themselves. A
-/// process that gets a new version of a topic offers it to its peers; a peer that has not read that version from the
-/// store within the request delay requests it, from one of those that offered it at a time. Of two versions of a topic,
-/// the higher one is kept.
+/// Gossip protocol that distributes objects of the platform's store to processes that don't read it themselves. Of two
+/// versions of a topic, the higher one is kept.
+///
+/// - A process that has read a new version of a topic offers it to its peers. A peer that has not read that version
+///   within the request delay requests it, from one of those that offered it at a time.
+/// - A process that has received a version from a peer tells its other peers only the hash of what it knows. Whoever
+///   knows something else compares digests with it.
+/// - When a link comes up, both ends compare digests, with one peer at a time, so that a process that has just started
+///   gets everything once. Only topics in buckets with different digests are offered (anti-entropy as in Dynamo,
+///   DeCandia et al., SOSP 2007).
 ///
 /// Thread safety: not synchronised; use from the thread that advances the timers.
 class GossipTable {
@@ -26,13 +32,16 @@
         std::chrono::hours tombstoneRetention { 24 };
         /// Time after which a request without an answer is repeated at another peer that offered the version.
         Milliseconds requestTimeout { 300 };
-        /// Delay before a version that was received from a peer is offered to others, which mostly have it from the
-        /// same peer by then. What is offered within this time goes into one message.
-        Milliseconds relayDelay { 150 };
-        /// Same for versions that this process has read from the store itself.
+        /// Delay before the hash is told to others when versions have been received from a peer. The others mostly have
+        /// them from the same peer by then.
+        Milliseconds noticeDelay { 100 };
+        /// Delay before a version that this process has read from the store is offered. What is read within this time
+        /// goes into one message.
         Milliseconds publishDelay { 10 };
-        /// A leaf does not offer what it received from a peer. For processes that are linked only to peers that are
-        /// linked with each other.
+        /// Time for which one peer is waited for in a comparison of digests.
+        Milliseconds comparisonTimeout { 500 };
+        /// A leaf tells nobody what it received from a peer. For processes that are linked only to peers that are linked
+        /// with each other.
         bool isLeaf = false;
     };
     using Send = std::function<bool(const NodeId& node, const Message& message)>;
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -291,6 +291,8 @@
 
 struct GossipOffers {
     std::vector<GossipOffer> offers;
+    /// Answers a `GossipDigests`.
+    bool isAnswer = false;
     bool operator==(const GossipOffers&) const = default;
 };
 
@@ -304,6 +306,20 @@
     bool operator==(const GossipItems&) const = default;
 };
 
+/// Tells a peer what the sender knows, so that the peer can find out whether it lacks something.
+struct GossipNotice {
+    /// Hash of all topics with their versions, in any order.
+    std::uint64_t hash = 0;
+    bool operator==(const GossipNotice&) const = default;
+};
+
+/// Requests offers of all topics in the buckets whose digests differ from the sender's.
+struct GossipDigests {
+    /// The digest of each bucket.
+    std::vector<std::uint64_t> buckets;
+    bool operator==(const GossipDigests&) const = default;
+};
+
 /// Tells a peer how old the sender's view of the platform's store is. What the sender has read by then was offered on
 /// the same link before.
 struct StoreView {
--- a/src/librattandeck/gossip_test.cpp
+++ b/src/librattandeck/gossip_test.cpp
@@ -19,6 +19,7 @@
     CPPUNIT_TEST(requestWithoutAnAnswerIsRepeatedAtAnotherPeer);
     CPPUNIT_TEST(leavesOfferOnlyWhatTheyHaveRead);
     CPPUNIT_TEST(newsOfOneMomentIsOfferedInOneMessage);
+    CPPUNIT_TEST(processThatStartsIsOfferedEverythingOnce);
     CPPUNIT_TEST(itemsAreFoundByPrefix);
     CPPUNIT_TEST_SUITE_END();
 
@@ -28,7 +29,9 @@
         std::unique_ptr<GossipTable> table;
         std::vector<GossipItem> updates;
         std::size_t received = 0;
+        /// Messages with offers, and the offers in them.
         std::size_t offers = 0;
+        std::size_t offeredTopics = 0;
         std::size_t requests = 0;
         /// Receives nothing.
         bool isDeaf = false;
@@ -58,7 +61,10 @@
                     if (target.isDeaf)
                         return;
                     target.received += std::holds_alternative<GossipItems>(message) ? 1 : 0;
-                    target.offers += std::holds_alternative<GossipOffers>(message) ? 1 : 0;
+                    if (const auto* offers = std::get_if<GossipOffers>(&message)) {
+                        target.offers += offers->offers.empty() ? 0 : 1;
+                        target.offeredTopics += offers->offers.size();
+                    }
                     target.requests += std::holds_alternative<GossipRequest>(message) ? 1 : 0;
                     target.table->onMessage(id, message);
                 });
@@ -239,6 +245,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->at("g2").offers);
     }
 
+    /// At 300 machines there are 3,000 instances and 20 journals.
+    void processThatStartsIsOfferedEverythingOnce()
+    {
+        constexpr std::uint64_t instances = 3000;
+        constexpr int journals = 20;
+        this->add("g3", Milliseconds(0));
+        for (int i = 0; i < journals; ++i) {
+            const std::string name = "j" + std::to_string(i);
+            this->add(name, Milliseconds(0));
+            for (std::uint64_t k = 0; k < instances; ++k)
+                this->at(name.c_str()).table->publish({ "endpoint/" + std::to_string(k), k + 1, false, "text" });
+        }
+        this->run(Milliseconds(100));
+        for (int i = 0; i < journals; ++i)
+            this->link("j" + std::to_string(i), "g3");
+        this->run(Milliseconds(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(instances), this->at("g3").updates.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(instances), this->at("g3").offeredTopics);
+        // One more change costs the offer of its bucket at most.
+        this->at("j0").table->publish({ "endpoint/7", instances + 1, false, "text" });
+        this->run(Milliseconds(2000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(instances + 1), this->at("g3").updates.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(instances + 1), this->at("g3").offeredTopics);
+    }
+
     void itemsAreFoundByPrefix()
     {
         GossipTable& table = *this->at("g1").table;
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -433,7 +433,15 @@
     visit("version", m.version);
 }
 
-template <typename Visitor> void visitFields(Visitor& visit, GossipOffers& m) { visit("offers", m.offers); }
+template <typename Visitor> void visitFields(Visitor& visit, GossipOffers& m)
+{
+    visit("offers", m.offers);
+    visit("isAnswer", m.isAnswer);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, GossipNotice& m) { visit("hash", m.hash); }
+
+template <typename Visitor> void visitFields(Visitor& visit, GossipDigests& m) { visit("buckets", m.buckets); }
 
 template <typename Visitor> void visitFields(Visitor& visit, GossipRequest& m) { visit("topics", m.topics); }
 
@@ -532,6 +540,8 @@
 template <> inline constexpr const char* tag<PermitRequests> = "permitsFor";
 template <> inline constexpr const char* tag<PermitGrants> = "permits";
 template <> inline constexpr const char* tag<GatewaysLinked> = "gateways";
+template <> inline constexpr const char* tag<GossipNotice> = "notice";
+template <> inline constexpr const char* tag<GossipDigests> = "digests";
 template <> inline constexpr const char* tag<StoreView> = "storeView";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
--- a/src/platform/storegossip_test.cpp
+++ b/src/platform/storegossip_test.cpp
@@ -243,7 +243,10 @@
         this->server.reset();
         this->start(Role::Journal);
         CPPUNIT_ASSERT(before == this->news->items());
-        CPPUNIT_ASSERT(this->hasSent<GossipOffers>());
+        // A peer that knows nothing is offered everything.
+        this->news->onMessage(this->peer, GossipDigests {});
+        const auto* offers = std::get_if<GossipOffers>(&this->sent.back());
+        CPPUNIT_ASSERT(offers && offers->offers.size() == before.size());
     }
 
     void olderStateOfAnInstanceIsIgnored()
