--- a/src/librattandeck/gossip_test.cpp
+++ b/src/librattandeck/gossip_test.cpp
@@ -237,6 +237,8 @@
     void newsOfOneMomentIsOfferedInOneMessage()
     {
         constexpr std::uint64_t instances = 166;
+        // The links have been up for a while.
+        this->run(Milliseconds(100));
         for (std::uint64_t i = 0; i < instances; ++i)
             this->at("g1").table->publish({ "endpoint/" + std::to_string(i), i + 1, false, "text" });
         this->run(Milliseconds(1000));
