--- a/src/include/Rattandeck/gossip.h
+++ b/src/include/Rattandeck/gossip.h
@@ -40,8 +40,8 @@
         Milliseconds publishDelay { 10 };
         /// Time for which one peer is waited for in a comparison of digests.
         Milliseconds comparisonTimeout { 500 };
-        /// A leaf tells nobody what it received from a peer. For processes that are linked only to peers that are linked
-        /// with each other.
+        /// A leaf tells nobody what it received from a peer. For processes that are linked only to peers that are
+        /// linked with each other.
         bool isLeaf = false;
     };
     using Send = std::function<bool(const NodeId& node, const Message& message)>;
--- a/src/librattandeck/gossip/gossip_test.cpp
+++ b/src/librattandeck/gossip/gossip_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(leavesOfferOnlyWhatTheyHaveRead);
     CPPUNIT_TEST(newsOfOneMomentIsOfferedInOneMessage);
     CPPUNIT_TEST(processThatStartsIsOfferedEverythingOnce);
+    CPPUNIT_TEST(peerThatDoesNotCompareHoldsUpNobody);
     CPPUNIT_TEST(itemsAreFoundByPrefix);
     CPPUNIT_TEST_SUITE_END();
 
@@ -272,6 +273,24 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(instances + 1), this->at("g3").offeredTopics);
     }
 
+    /// A peer that is frozen, or of a version that knows no digests: that one offers everything by itself.
+    void peerThatDoesNotCompareHoldsUpNobody()
+    {
+        for (const char* name : { "silent", "g3" })
+            this->add(name, Milliseconds(0));
+        this->at("silent").isDeaf = true;
+        this->at("journal").table->publish({ "config", 7, false, "text" });
+        this->run(Milliseconds(100));
+        this->link("silent", "g3");
+        this->link("journal", "g3");
+        this->run(Milliseconds(1000));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->at("g3").updates.size());
+        this->at("g3").table->onMessage(NodeId("silent"), GossipOffers { { { "config", 9 } }, false });
+        this->at("silent").isDeaf = false;
+        this->run(Milliseconds(100));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->at("silent").requests);
+    }
+
     void itemsAreFoundByPrefix()
     {
         GossipTable& table = *this->at("g1").table;
--- a/src/librattandeck/gossip/storefollowing_test.cpp
+++ b/src/librattandeck/gossip/storefollowing_test.cpp
@@ -169,9 +169,8 @@
     void journalFollowsUnlessEnoughBeforeItDo()
     {
         const TimePoint now = this->timers.now() + Milliseconds(10000);
-        std::vector<NodeId> order;
-        for (int i = 0; i < 6; ++i)
-            order.emplace_back("j" + std::to_string(i));
+        std::vector<NodeId> order { NodeId("j0"), NodeId("j1"), NodeId("j2"), NodeId("j3"), NodeId("j4"),
+            NodeId("j5") };
         // Of any two, one comes before the other.
         const auto precedes = [&](const NodeId& one, const NodeId& other) {
             StoreFollowingLimits single;
--- a/src/platform/storegossip.cpp
+++ b/src/platform/storegossip.cpp
@@ -48,8 +48,8 @@
     return settings;
 }
 
-StoreGossip::StoreGossip(RattandeckNet::EventLoop& loop, const NodeId& self, Role role, GossipTable::Send send,
-    GatewayCount gatewayCount, StoreNewsHandlers handlers)
+StoreGossip::StoreGossip(RattandeckNet::EventLoop& loop, const NodeId& self, Role role, const GossipTable::Send& send,
+    const GatewayCount& gatewayCount, StoreNewsHandlers handlers)
     : timers(loop.timers())
     , handlers(std::move(handlers))
     , gossip(this->timers, gossipSettings(role), send, [this](const GossipItem& item) { this->onNews(item); })
--- a/src/platform/storegossip.h
+++ b/src/platform/storegossip.h
@@ -31,7 +31,7 @@
     using GatewayCount = std::function<std::uint32_t()>;
 
     StoreGossip(RattandeckNet::EventLoop& loop, const Rattandeck::NodeId& self, Rattandeck::Role role,
-        Rattandeck::GossipTable::Send send, GatewayCount gatewayCount, StoreNewsHandlers handlers);
+        const Rattandeck::GossipTable::Send& send, const GatewayCount& gatewayCount, StoreNewsHandlers handlers);
 
     /// Takes what this process knew before it was restarted. It holds until the store or another process knows better.
     /// Precondition: called before `start`.
--- a/src/rattandeck-gateway/storefeed.cpp
+++ b/src/rattandeck-gateway/storefeed.cpp
@@ -6,13 +6,13 @@
 using namespace Rattandeck;
 using namespace RattandeckApp;
 
-StoreFeed::StoreFeed(RattandeckNet::EventLoop& loop, const NodeId& self, Gateway& gateway, GossipTable::Send send,
-    std::function<void()> onConfigChanged)
+StoreFeed::StoreFeed(RattandeckNet::EventLoop& loop, const NodeId& self, Gateway& gateway,
+    const GossipTable::Send& send, std::function<void()> onConfigChanged)
     : gateway(gateway)
     , onConfigChanged(std::move(onConfigChanged))
     , gossip(
-          loop, self, Role::Gateway, std::move(send),
-          [this] { return this->gateway.permits().gatewayCount().value_or(1); }, this->handlers())
+          loop, self, Role::Gateway, send, [this] { return this->gateway.permits().gatewayCount().value_or(1); },
+          this->handlers())
 {
 }
 
--- a/src/rattandeck-gateway/storefeed.h
+++ b/src/rattandeck-gateway/storefeed.h
@@ -12,7 +12,7 @@
 public:
     /// `onConfigChanged` is called after the gateway has taken a new configuration.
     StoreFeed(RattandeckNet::EventLoop& loop, const Rattandeck::NodeId& self, Rattandeck::Gateway& gateway,
-        Rattandeck::GossipTable::Send send, std::function<void()> onConfigChanged);
+        const Rattandeck::GossipTable::Send& send, std::function<void()> onConfigChanged);
 
     /// News of the store, for links and metrics.
     Platform::StoreGossip& news() { return this->gossip; }
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -165,8 +165,8 @@
     JournalDisk::RecoveryStats recoveryStats;
     const auto startedAt = std::chrono::steady_clock::now();
     auto opened = JournalDisk::open(
-        this->loop, this->settings.folder, {},
-        [this](RecoveredRecord record) { this->onRecovered(std::move(record)); }, recoveryStats);
+        this->loop, this->settings.folder, {}, [this](RecoveredRecord record) { this->onRecovered(std::move(record)); },
+        recoveryStats);
     if (!opened) {
         logError("disk", this->settings.folder + ": can't be read");
         return false;
@@ -368,7 +368,8 @@
     });
 }
 
-// News of the store ----------------------------------------------------------------------------------------------------
+// News of the store
+// ----------------------------------------------------------------------------------------------------
 
 Platform::StoreNewsHandlers Daemon::storeNewsHandlers()
 {
--- a/src/rattandeck-journal/disk_test.cpp
+++ b/src/rattandeck-journal/disk_test.cpp
@@ -104,7 +104,8 @@
     {
         const CrashReports crashes { { { Fingerprint("f"), "e/1", Milliseconds(5) } } };
         const GossipItems news { { { "endpoint/1", 7, true, "text" }, { "config", 8, false, "{}" } } };
-        for (const JournalRecord& record : { makeTurn("1"), makeClaim(-7), JournalRecord(crashes), JournalRecord(news) })
+        for (const JournalRecord& record :
+            { makeTurn("1"), makeClaim(-7), JournalRecord(crashes), JournalRecord(news) })
             CPPUNIT_ASSERT(RecordDecoder().decode(encodeRecord(record)) == record);
     }
 
