--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""A program that loops spends its token budget, is stopped, and returns within `retain_s`."""
+"""A program pauses for nearly `retain_s` and goes on; its turn after that comes through another zone."""
 
 import pathlib
 import sys
@@ -8,42 +8,44 @@
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins import RETAIN_S, RecordedDeployment, has_trouble, require, run_case  # noqa: E402
-from platform_standins import EVENTS, TOKENS_PER_EVENT  # noqa: E402
 
-TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
-BUDGET = 5 * TURN_TOKENS
-# The program goes on with calls of tools for this time after its last turn, before it is stopped.
-TOOLS_S = 5
-# It returns this long before `retain_s` after the stop has passed.
-MARGIN_S = 2
-
-
-def loop(deployment, prefix, count):
-    """Sends turns of the program, each the start of a chain. Returns the tokens that were handed to the consumer."""
-    tokens = 0
-    for number in range(count):
-        answer = deployment.ask_turn(deployment.gateways()[number % 3], "looping", f"{prefix}-{number}", budget=BUDGET,
-                                     route_name="streams")
-        tokens += answer.body.count(b"data:") * TOKENS_PER_EVENT if answer.status == 200 else 0
-    return tokens
+# The second turn is sent this long before `retain_s` after the first has passed, and takes longer than that.
+MARGIN_S = 1.0
+SECOND_TURN_S = 2.5
+TRIES = 6
 
 
 def case(record):
-    with RecordedDeployment(record) as deployment:
-        before = loop(deployment, "before", 8)
-        for number in range(TOOLS_S):
-            deployment.ask_read("gateway-1", f"tool-{number}")
-            time.sleep(1)
-        record.note("client: the program is stopped")
-        pause = RETAIN_S - MARGIN_S if has_trouble() else 5
+    # gateway-3 and gateway-6 are those of zone c.
+    with RecordedDeployment(record, gateways=6) as deployment:
+        first = deployment.ask_turn("gateway-1", "p", "t1", body="one ")
+        answered = time.monotonic()
+        pause = RETAIN_S - MARGIN_S if has_trouble() else 2
+        record.note(f"client: the program pauses for {pause} s")
         time.sleep(pause)
-        record.note(f"client: the program returns {pause:.0f} s after it was stopped")
-        after = loop(deployment, "after", 8)
-        record.note(f"tokens handed to the consumer: {before} + {after}; budget {BUDGET}, most of one turn {TURN_TOKENS}")
-        require(before == BUDGET, "the program did not spend its budget before the pause")
-        if before + after > BUDGET + TURN_TOKENS:
-            return [f"BUDGET: {before + after} tokens were handed out of a budget of {BUDGET}, the most of one turn is "
-                    f"{TURN_TOKENS}"]
+        for runner in deployment.runners:
+            runner.slow_requests["t2"] = SECOND_TURN_S
+        sent_after = time.monotonic() - answered
+        second = deployment.ask_turn("gateway-2", "p", "t2", previous="t1", body="two ")
+        second_answered = time.monotonic()
+        tries = [f"t3-{number}" for number in range(TRIES)]
+        statuses = []
+        first_turns = 0
+        for number, request in enumerate(tries):
+            gateway = ("gateway-3", "gateway-6")[number % 2]
+            statuses.append(deployment.ask_turn(gateway, "p", request, previous="t2", body="three ").status)
+            first_turns += deployment.ask_turn(gateway, f"other-{number}", f"other-{number}").status == 200
+            time.sleep(0.3)
+        require(first.status == 200 and first.is_complete and sent_after < RETAIN_S, "the pause took too long")
+        require(second.status == 200 and second.is_complete, "the second turn was not answered whole")
+        age = time.monotonic() - second_answered
+        reached = sum(deployment.reached(request) for request in tries)
+        record.note(f"turn t2 was sent {sent_after:.1f} s after t1 was answered; first turns served: {first_turns} "
+                    f"of {TRIES}; tries of t3: {statuses}, {reached} reached a runner")
+        require(first_turns == TRIES, "first turns were not served")
+        if reached == 0:
+            return [f"LOST: turn t2 was answered whole {age:.0f} s ago, its next turn reached no runner in {TRIES} "
+                    f"tries (statuses {statuses}), without any disturbance; first turns are served"]
         return []
 
 
--- a/review/standins.py
+++ b/review/standins.py
@@ -15,7 +15,7 @@
 sys.dont_write_bytecode = True
 
 from harness import CaseFailed, wait_until  # noqa: E402,F401
-from platform_standins import Deployment, ListeningServer, Runner, Store, configuration, route  # noqa: E402,F401
+from platform_standins import HOST, Deployment, ListeningServer, Runner, Store, configuration, route  # noqa: E402,F401
 
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
@@ -129,12 +129,15 @@
                 pass  # the channel has ended already
         self.sockets.clear()
 
-    def start_again(self):
+    def listen_again(self):
         host, port = self.address.split(":")
         self.server = ListeningServer((host, int(port)), self.server.RequestHandlerClass)
         self.server.daemon_threads = True
         threading.Thread(target=self.server.serve_forever, args=(0.02,), daemon=True).start()
         self.is_down = False
+
+    def start_again(self):
+        self.listen_again()
         self.register(born=self.born + 1000)
         self.record.note(f"runner {self.name}: started again")
 
