--- a/review/standins.py
+++ b/review/standins.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import signal
 import socket
 import sys
 import threading
@@ -242,6 +243,8 @@
 
 def run_case(folder, case):
     """Runs `case(record)`, which returns a list of broken rules, and exits as the script must."""
+    # So that the processes of a run that is stopped are ended, too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     record = Record(folder)
     record.note("trouble: " + ("yes" if has_trouble() else "no"))
     try:
