Store a turn only with its chain

Cause: journals drop a turn when its retention has passed since it was stored, and only the store of the next turn renews it, which comes when that turn has ended. A turn that began within the retention and ended after it was stored without its chain and acknowledged; the chain was looked for at all journals from then on and never found. Conclusion: what is acknowledged can be continued, however long the turn took.

--- a/src/include/Rattandeck/journalclient.h
+++ b/src/include/Rattandeck/journalclient.h
@@ -112,7 +112,8 @@
     /// Records the tokens that a claimed turn has used. Best effort: an unsettled claim is charged in full.
     void settle(const BudgetId& budget, const TurnId& turn, TokenCount used, Milliseconds retention);
 
-    /// Writes a turn. Errors: `Unavailable`; the turn may have been written nevertheless.
+    /// Writes a turn. A member that lacks a part of its chain gets the text of the whole chain, `transcriptBefore`
+    /// included. Errors: `Unavailable`; the turn may have been written nevertheless.
     void store(const RetainedTurn& turn, const std::string& transcriptBefore,
         std::function<void(tl::expected<void, JournalError>)> done);
     /// Fetches the prompt that consists of the chain of turns up to `turn`. Errors: `NotFound`, `Unavailable`.
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -67,7 +67,8 @@
     bool operator==(const RetainedTurn&) const = default;
 };
 
-/// Gateway to journal: answered by `TurnStored` once the turn is on disk.
+/// Gateway to journal: answered by `TurnStored` once the turn is on disk. A journal that lacks a part of the turn's chain
+/// answers with `JournalInconclusive` and does not store the turn, which could not be continued from there.
 struct StoreTurn {
     JournalTicket ticket;
     RetainedTurn turn;
@@ -100,9 +101,12 @@
 };
 
 /// Journal to gateway: the journal cannot answer the request with this ticket now, because it may lack records that
-/// other members hold. It still stores a record that the request contained.
+/// other members hold. It still stores a record that the request contained, unless that is a turn whose chain it lacks.
 struct JournalInconclusive {
     JournalTicket ticket;
+    /// The latest earlier turn that the journal lacks of the chain of a turn that it was to store; the turn was not
+    /// stored. Empty for other requests.
+    TurnId missing;
     bool operator==(const JournalInconclusive&) const = default;
 };
 
--- a/src/librattandeck/journals/journal.cpp
+++ b/src/librattandeck/journals/journal.cpp
@@ -104,6 +104,10 @@
 
 void Journal::Impl::onStore(const NodeId& from, const StoreTurn& store)
 {
+    if (TurnId missing = this->state.firstUnknown(store.turn.previous); !missing.value.empty()) {
+        this->io.send(from, JournalInconclusive { store.ticket, std::move(missing) });
+        return;
+    }
     // A gateway repeats a store whose acknowledgement is late.
     const bool isOnDisk = this->state.isOnDisk(store.turn.id);
     this->applyAndAppend(store.turn);
--- a/src/librattandeck/journals/journalclient.cpp
+++ b/src/librattandeck/journals/journalclient.cpp
@@ -54,6 +54,8 @@
         ClaimDone claimDone;
         StoreDone storeDone;
         FetchDone fetchDone;
+        /// For stores: the prompt that consists of the chain before the turn.
+        std::string transcriptBefore;
         /// The fetched part of the chain after `turn`, when a journal lacked `turn`.
         std::string suffix;
     };
@@ -126,6 +128,7 @@
     void onStored(const NodeId& from, const TurnStored& answer);
     void onFetched(const NodeId& from, const TurnFetched& answer);
     void onInconclusive(const NodeId& from, const JournalInconclusive& answer);
+    bool storeWholeChain(const NodeId& member, JournalTicket ticket, const Operation& operation);
     void fetchMissingPrefix(JournalTicket ticket, const TurnFetched& answer);
 
     void cacheTranscript(const TurnId& turn, std::string transcript);
@@ -457,12 +460,28 @@
     this->fetchMissingPrefix(answer.ticket, answer);
 }
 
-/// The journal cannot give a conclusive answer. It is no longer awaited and is not included in the quorum.
+/// Sends a turn that begins a chain and contains the text of the whole chain up to it. The beginning of the chain may
+/// have expired while the turn was under way, so no other journal need have it.
+bool JournalClient::Impl::storeWholeChain(const NodeId& member, JournalTicket ticket, const Operation& operation)
+{
+    StoreTurn store = std::get<StoreTurn>(operation.request);
+    store.ticket = ticket;
+    store.turn.previous = {};
+    store.turn.input.insert(0, operation.transcriptBefore);
+    return this->send(member, store);
+}
+
+/// The journal cannot give a conclusive answer. It is no longer awaited and is not included in the quorum, unless it
+/// lacks the chain of a turn, which it then gets.
 void JournalClient::Impl::onInconclusive(const NodeId& from, const JournalInconclusive& answer)
 {
     const auto found = this->operations.find(answer.ticket);
-    if (found == this->operations.end() || found->second.awaited.erase(from) == 0)
+    if (found == this->operations.end() || !found->second.awaited.contains(from))
+        return;
+    const bool lacksChain = found->second.kind == Operation::Kind::Store && !answer.missing.value.empty();
+    if (lacksChain && this->storeWholeChain(from, answer.ticket, found->second))
         return;
+    found->second.awaited.erase(from);
     this->askFurther(answer.ticket);
     this->evaluate(answer.ticket);
 }
@@ -608,6 +627,7 @@
     Operation operation;
     operation.kind = Operation::Kind::Store;
     operation.turn = turn.id;
+    operation.transcriptBefore = transcriptBefore;
     operation.storeDone = std::move(done);
     const JournalTicket ticket = this->impl->nextTicket();
     operation.request = StoreTurn { ticket, turn };
--- a/src/librattandeck/journals/journalstate.cpp
+++ b/src/librattandeck/journals/journalstate.cpp
@@ -283,6 +283,18 @@
 
 bool JournalState::hasTurn(const TurnId& turn) const { return this->impl->turns.contains(turn); }
 
+TurnId JournalState::firstUnknown(const TurnId& turn) const
+{
+    TurnId id = turn;
+    for (std::size_t length = 0; length < maxChainLength && !id.value.empty(); ++length) {
+        const auto found = this->impl->turns.find(id);
+        if (found == this->impl->turns.end())
+            return id;
+        id = found->second.previous;
+    }
+    return {};
+}
+
 bool JournalState::isOnDisk(const TurnId& turn) const
 {
     const auto found = this->impl->turns.find(turn);
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -456,7 +456,11 @@
     visit("retention", m.retention);
 }
 
-template <typename Visitor> void visitFields(Visitor& visit, JournalInconclusive& m) { visit("ticket", m.ticket); }
+template <typename Visitor> void visitFields(Visitor& visit, JournalInconclusive& m)
+{
+    visit("ticket", m.ticket);
+    visit("missing", m.missing);
+}
 
 template <typename Visitor> void visitFields(Visitor& visit, CrashReports& m) { visit("reports", m.reports); }
 
