Keep turns until a request sent within their retention has arrived

Cause: journals counted a turn's retention from the moment at which they stored it. Its caller has the end of the answer later than that, and a next turn sent at the end of the retention takes time to arrive. Change: the retention that gateways ask for is that of the route, the time left to the caller's deadline, and 5 s.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -118,6 +118,9 @@
     PermitSettings permits;
     /// Minimum time for which journals keep claims and turns.
     Milliseconds minRetention { 60000 };
+    /// Added to the retention of a turn, together with the time left to its caller's deadline: a caller has the end of
+    /// an answer later than journals store the turn, and its next request takes time to arrive.
+    Milliseconds retentionMargin { 5000 };
 };
 
 struct GatewayCounts {
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -313,15 +313,15 @@
 {
     const BudgetId program = call.call.program;
     const TurnId turn = call.call.request;
-    const Milliseconds claimRetention = this->retention(call);
+    const Milliseconds retention = this->claimRetention(call);
     const auto onOutcome
-        = [this, id = call.id, program, turn, claimRetention](const tl::expected<ClaimOutcome, JournalError>& outcome) {
+        = [this, id = call.id, program, turn, retention](const tl::expected<ClaimOutcome, JournalError>& outcome) {
               if (this->find(id))
                   this->onClaimed(id, outcome);
               else if (outcome)
-                  this->journals.settle(program, turn, TokenCount(0), claimRetention);
+                  this->journals.settle(program, turn, TokenCount(0), retention);
           };
-    this->journals.claim(program, turn, call.call.maxOutputTokens, *call.call.tokenLimit, claimRetention, onOutcome);
+    this->journals.claim(program, turn, call.call.maxOutputTokens, *call.call.tokenLimit, retention, onOutcome);
 }
 
 void Gateway::Impl::fetch(Call& call)
@@ -375,9 +375,15 @@
     return std::chrono::duration_cast<Milliseconds>(call.deadline - this->timers.now());
 }
 
-Milliseconds Gateway::Impl::retention(const Call& call) const
+Milliseconds Gateway::Impl::turnRetention(const Call& call) const
 {
-    return std::max(call.route->turnRetention, this->limits.minRetention);
+    const Milliseconds untilAnswered = std::max(this->timeLeft(call), Milliseconds(0)) + this->limits.retentionMargin;
+    return std::max(call.route->turnRetention, this->limits.minRetention) + untilAnswered;
+}
+
+Milliseconds Gateway::Impl::claimRetention(const Call& call) const
+{
+    return this->turnRetention(call);
 }
 
 void Gateway::Impl::onDeadline(CallId id)
@@ -437,7 +443,7 @@
     const ServiceConfig* service = call.table->service(call.service);
     const std::int64_t perEvent = service && service->engine ? service->engine->tokensPerEvent.value : 1;
     const TokenCount used(perEvent * static_cast<std::int64_t>(call.events));
-    this->journals.settle(call.call.program, call.call.request, used, this->retention(call));
+    this->journals.settle(call.call.program, call.call.request, used, this->claimRetention(call));
     call.isClaimed = false;
 }
 
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -222,7 +222,7 @@
     turn.previous = call.call.previousTurn;
     turn.input = std::move(call.call.body);
     turn.output = std::move(call.output);
-    turn.retention = this->retention(call);
+    turn.retention = this->turnRetention(call);
     this->sendToStore(call);
 }
 
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -143,7 +143,10 @@
     void settle(Call& call);
     void finish(Call& call, std::string_view outcome, std::string_view reason);
     Milliseconds timeLeft(const Call& call) const;
-    Milliseconds retention(const Call& call) const;
+    /// For how long journals keep the turn from now on.
+    Milliseconds turnRetention(const Call& call) const;
+    /// For how long journals keep the turn's claim from now on.
+    Milliseconds claimRetention(const Call& call) const;
 
     // gatewaysends.cpp: placement, queue and sends
     void place(Call& call);
--- a/src/librattandeck/turns/gatewayturns_test.cpp
+++ b/src/librattandeck/turns/gatewayturns_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(turnIsStoredAfterSeveralFailedAttempts);
     CPPUNIT_TEST(storesAreRepeatedAtGrowingIntervals);
     CPPUNIT_TEST(answerIsCutAtItsDeadlineWhenItsTurnIsNotStored);
+    CPPUNIT_TEST(turnIsKeptUntilARequestSentWithinItsRetentionHasArrived);
     CPPUNIT_TEST(continuedTurnIsSentWithTheWholeTranscript);
     CPPUNIT_TEST(unknownPreviousTurnIsRefused);
     CPPUNIT_TEST(turnWithoutJournalsIsRefusedAsUnavailable);
@@ -257,6 +258,31 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->f->gateway.openCalls());
     }
 
+    void expireJournals()
+    {
+        for (auto& [node, state] : this->f->states)
+            state.expire(this->f->timers.now());
+    }
+
+    /// Guards against 404 within a turn's retention: journals counted it from when they stored the turn, which is before
+    /// its caller has the end of the answer, and until now, which is after a caller has sent the next turn.
+    void turnIsKeptUntilARequestSentWithinItsRetentionHasArrived()
+    {
+        constexpr Milliseconds retention { 60000 };
+        constexpr Milliseconds slowLink { 2000 };
+        const CallId id = this->f->call(turnOn("retained"));
+        this->f->runJournals();
+        this->f->head(this->lastSend(), 200, true);
+        this->f->event(this->lastSend(), 1);
+        this->f->end(this->lastSend());
+        this->f->runJournals();
+        CPPUNIT_ASSERT(this->caller(id).isEnded);
+        this->f->advance(slowLink + retention + slowLink);
+        this->expireJournals();
+        for (const char* name : { "j1", "j2", "j3" })
+            CPPUNIT_ASSERT(this->f->states[NodeId(name)].hasTurn(TurnId("r1")));
+    }
+
     void continuedTurnIsSentWithTheWholeTranscript()
     {
         this->runRetained({});
