Keep claims on a budget until a stopped program may have returned

Cause: journals forgot a budget when a turn's retention had passed since the last message about it. A program that was stopped may return within the retention after its stop, and its last turn is earlier than that by a pause. Evidence: GatewayTurnsTest::budgetOfAStoppedProgramIsKnownWhenItReturns fails on (a stop 30 s after the last turn, a return 59 s after the stop). Change: claims are kept two minutes longer than turns. Conclusion: the test passes with the change.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -116,11 +116,14 @@
     Milliseconds resumeMargin { 1000 };
     /// Settings of the permits for limited instances; those at the start hold.
     PermitSettings permits;
-    /// Minimum time for which journals keep claims and turns.
+    /// Minimum time for which journals keep turns.
     Milliseconds minRetention { 60000 };
     /// Added to the retention of a turn, together with the time left to its caller's deadline: a caller has the end of
     /// an answer later than journals store the turn, and its next request takes time to arrive.
     Milliseconds retentionMargin { 5000 };
+    /// Time for which journals keep claims beyond the retention of turns. A stopped program may return within that
+    /// retention after its stop, which follows its last turn after a pause.
+    Milliseconds maxProgramPause { 120000 };
 };
 
 struct GatewayCounts {
--- a/src/librattandeck/journals/journal.cpp
+++ b/src/librattandeck/journals/journal.cpp
@@ -29,7 +29,7 @@
     JournalTransfer transfer;
     JournalCopier copier;
     std::set<NodeId> linked;
-    Milliseconds longestRetention { 0 };
+    Milliseconds longestTurnRetention { 0 };
 
     JournalTransfer::Io transferIo();
     JournalCopier::Io copierIo();
@@ -70,7 +70,8 @@
 
 template <typename Record> bool Journal::Impl::apply(const Record& record)
 {
-    this->longestRetention = std::max(this->longestRetention, record.retention);
+    if constexpr (!std::is_same_v<Record, SettleClaim>)
+        this->longestTurnRetention = std::max(this->longestTurnRetention, record.retention);
     return this->state.apply(record, this->timers.now());
 }
 
@@ -364,6 +365,6 @@
 
 const JournalState& Journal::state() const { return this->impl->state; }
 
-Milliseconds Journal::longestRetention() const { return this->impl->longestRetention; }
+Milliseconds Journal::longestTurnRetention() const { return this->impl->longestTurnRetention; }
 
 }
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -383,7 +383,7 @@
 
 Milliseconds Gateway::Impl::claimRetention(const Call& call) const
 {
-    return this->turnRetention(call);
+    return this->turnRetention(call) + this->limits.maxProgramPause;
 }
 
 void Gateway::Impl::onDeadline(CallId id)
--- a/src/librattandeck/turns/gatewayturns_test.cpp
+++ b/src/librattandeck/turns/gatewayturns_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(storesAreRepeatedAtGrowingIntervals);
     CPPUNIT_TEST(answerIsCutAtItsDeadlineWhenItsTurnIsNotStored);
     CPPUNIT_TEST(turnIsKeptUntilARequestSentWithinItsRetentionHasArrived);
+    CPPUNIT_TEST(budgetOfAStoppedProgramIsKnownWhenItReturns);
     CPPUNIT_TEST(continuedTurnIsSentWithTheWholeTranscript);
     CPPUNIT_TEST(unknownPreviousTurnIsRefused);
     CPPUNIT_TEST(turnWithoutJournalsIsRefusedAsUnavailable);
@@ -283,6 +284,29 @@
             CPPUNIT_ASSERT(this->f->states[NodeId(name)].hasTurn(TurnId("r1")));
     }
 
+    /// Guards against a budget that is spent twice: journals forgot it as soon as a turn's retention had passed since the
+    /// last turn, and a program that was stopped later than that may return within the retention.
+    void budgetOfAStoppedProgramIsKnownWhenItReturns()
+    {
+        constexpr Milliseconds fromLastTurnToStop { 30000 };
+        constexpr Milliseconds fromStopToReturn { 59000 };
+        GatewayCall turn = turnOn("retained");
+        turn.maxOutputTokens = TokenCount(100);
+        this->f->call(turn);
+        this->f->runJournals();
+        this->f->head(this->lastSend(), 200, true);
+        for (int number = 1; number <= 10; ++number)
+            this->f->event(this->lastSend(), number);
+        this->f->end(this->lastSend());
+        this->f->runJournals();
+        this->f->advance(fromLastTurnToStop + fromStopToReturn);
+        this->expireJournals();
+        const CallId id = this->f->call(turn);
+        this->f->runJournals();
+        CPPUNIT_ASSERT(this->caller(id).refusal.has_value());
+        CPPUNIT_ASSERT(this->caller(id).refusal->reason == RejectionReason::BudgetSpent);
+    }
+
     void continuedTurnIsSentWithTheWholeTranscript()
     {
         this->runRetained({});
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -355,7 +355,7 @@
         this->disk->append(GossipItems { this->storeNews.items() });
     }
     // A segment has been closed since the start of the next one.
-    const Duration kept = this->journal->longestRetention() * 2 + segmentRetentionMargin;
+    const Duration kept = this->journal->longestTurnRetention() * 2 + segmentRetentionMargin;
     while (this->segments.size() > 1 && now - this->segments[1].startedAt > kept) {
         this->journal->rewriteThrough(this->segments[1].lastSequenceBefore);
         this->segments.pop_front();
