Tell requests apart by subject and previous turn when crashes are counted

Cause: a request that crashes instances was known by host, path and body. A turn's body is its new input only, so that short inputs are alike in many programs; calls without a body are alike by their path. Evidence: GatewayTest::crashesOfOtherRequestsWithTheSameInputAreNotCounted fails on for calls that differ in their previous turn, and in their subject. Change: the fingerprint covers the subject (the caller's cookie) and the previous turn as well. Conclusion: the test passes with the change.

--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -224,7 +224,7 @@
 Fingerprint fingerprintOf(const GatewayCall& call)
 {
     XXH128_hash_t hash {};
-    for (const std::string* part : { &call.host, &call.path, &call.body })
+    for (const std::string* part : { &call.host, &call.path, &call.subject, &call.previousTurn.value, &call.body })
         hash = XXH3_128bits_withSeed(part->data(), part->size(), hash.low64);
     return Fingerprint(std::to_string(hash.high64) + "." + std::to_string(hash.low64));
 }
--- a/src/librattandeck/turns/gateway_test.cpp
+++ b/src/librattandeck/turns/gateway_test.cpp
@@ -31,6 +31,7 @@
     CPPUNIT_TEST(urgentCallsLeaveTheQueueFirst);
     CPPUNIT_TEST(requestThatCrashesInstancesIsQuarantined);
     CPPUNIT_TEST(lostAnswersAloneDoNotQuarantine);
+    CPPUNIT_TEST(crashesOfOtherRequestsWithTheSameInputAreNotCounted);
     CPPUNIT_TEST(onlyARefusedConnectionIsEvidenceOfACrash);
     CPPUNIT_TEST(plannedLeaveIsNoEvidenceOfACrash);
     CPPUNIT_TEST(eventWithoutEndInterruptsTheStream);
@@ -429,6 +430,34 @@
         CPPUNIT_ASSERT(other.callers.at(other.call(GatewayFixture::callOn("unsafe"))).refusal.has_value());
     }
 
+    /// Guards against review/4: short inputs are alike in many programs, and a turn was refused because the turns of
+    /// other chains with the same input, or calls for other subjects, had been under way in crashes.
+    void crashesOfOtherRequestsWithTheSameInputAreNotCounted()
+    {
+        using Distinguish = std::function<void(GatewayCall&, const std::string&)>;
+        const Distinguish setPrevious = [](GatewayCall& call, const auto& name) { call.previousTurn = TurnId(name); };
+        const Distinguish setSubject = [](GatewayCall& call, const auto& name) { call.subject = name; };
+        for (const Distinguish& distinguish : { setPrevious, setSubject }) {
+            this->setUp();
+            this->f->addInstance("e3");
+            const auto callNamed = [&distinguish](const std::string& name) {
+                GatewayCall call = GatewayFixture::callOn("unsafe");
+                distinguish(call, name);
+                return call;
+            };
+            for (const char* name : { "a", "b", "c" }) {
+                this->f->call(callNamed(name));
+                const EndpointId crashed = this->lastSend().details.endpoint;
+                this->f->end(this->lastSend(), SendOutcome::Broken);
+                this->f->gateway.onInstanceRemoved(crashed);
+            }
+            this->f->addInstance("e4");
+            const std::size_t before = this->f->sends.size();
+            this->f->call(callNamed("d"));
+            CPPUNIT_ASSERT_EQUAL(before + 1, this->f->sends.size());
+        }
+    }
+
     void lostAnswersAloneDoNotQuarantine()
     {
         for (int i = 0; i < 4; ++i) {
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -9,7 +9,8 @@
 /// Internal state of the gateway.
 namespace Rattandeck {
 
-/// Hash of a request's host, path and body.
+/// Hash of a request's host, path, subject, previous turn and body. Identifies a request that comes again, to count the crashes that it causes. The input of a turn is a small part of
+/// its prompt, so the turn that it continues is included.
 Fingerprint fingerprintOf(const GatewayCall& call);
 
 struct GatewayCallState {
