Count crashes of instances at one moment as one piece of evidence

Cause: a request was held after three instances had failed while they ran it, also when they failed together for another reason, as those of a failure domain do; and an answer to the request withdrew that only at the gateway that relayed it. Change: crashes are counted in rounds. Sends that began before an earlier crash of the request was known belong to one round, and three crashes in two rounds are needed. An answer voids the crashes up to its round; it is reported like a crash, so that it reaches all gateways and the journals' disks. Rounds are numbers that each send takes along, not times: clocks differ. Ruled out: a wait between crashes: a request that crashes instances comes again at once, at any gateway. CrashWatchTest::answerClearsTheRecordOfARequest asked that nothing is remembered after an answer; a report of a voided crash may still arrive, so the answer is remembered, and the test now asks that the count begins anew, which is as strict. A request that does crash instances runs once more than before at most, when its first three crashes happened together.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -44,7 +44,8 @@
     virtual void abortAnswer(CallId call) = 0;
     virtual void refuse(CallId call, const CallRefusal& refusal) = 0;
 
-    /// Reports crashes to the journals, which store them and forward them to the other gateways.
+    /// Reports crashes, and answers that void them, to the journals, which store them and forward them to the other
+    /// gateways.
     virtual void reportCrashes(const std::vector<CrashReport>& reports) = 0;
     /// Returns false when no link to the journal is up.
     virtual bool sendToJournal(const NodeId& journal, const Message& message) = 0;
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -113,12 +113,16 @@
 /// Digest of the content of a request.
 using Fingerprint = Strong<struct FingerprintTag, std::string>;
 
-/// Reports that an instance crashed while it ran a request.
+/// Reports that an instance crashed while it ran a request, or that a request was answered.
 struct CrashReport {
     Fingerprint request;
-    /// Identifies the crash by the instance and its run.
+    /// Identifies the crash by the instance and its run, or the answer.
     std::string crash;
     Milliseconds retention { 0 };
+    /// The number of rounds of crashes of the request that were known when it was sent; see `CrashWatch`.
+    std::uint32_t round = 0;
+    /// The request was answered: crashes of this round and of earlier ones are not due to it.
+    bool isAnswer = false;
     bool operator==(const CrashReport&) const = default;
 };
 
--- a/src/librattandeck/turns/crashwatch.cpp
+++ b/src/librattandeck/turns/crashwatch.cpp
@@ -1,5 +1,6 @@
 #include "Rattandeck/crashwatch.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <set>
@@ -9,16 +10,37 @@
 namespace {
 
     struct LostAnswer {
-        Fingerprint request;
-        EndpointId instance;
-        std::int64_t startedAt = 0;
+        CrashWatch::Send send;
         TimePoint lostAt;
     };
 
-    /// Crashes attributed to one request.
+    /// What is known of one request.
     struct CrashRecord {
-        std::set<std::string> crashes;
+        /// Crashes, with the rounds in which they happened.
+        std::map<std::string, std::uint32_t> crashes;
+        /// The last round in which the request was answered.
+        std::optional<std::uint32_t> answeredRound;
         TimePoint until;
+
+        bool isVoid(std::uint32_t round) const { return this->answeredRound && round <= *this->answeredRound; }
+        void dropVoidCrashes()
+        {
+            std::erase_if(this->crashes, [this](const auto& crash) { return this->isVoid(crash.second); });
+        }
+        std::uint32_t nextRound() const
+        {
+            std::uint32_t next = this->answeredRound ? *this->answeredRound + 1 : 0;
+            for (const auto& [crash, round] : this->crashes)
+                next = std::max(next, round + 1);
+            return next;
+        }
+        std::size_t rounds() const
+        {
+            std::set<std::uint32_t> distinct;
+            for (const auto& [crash, round] : this->crashes)
+                distinct.insert(round);
+            return distinct.size();
+        }
     };
 
 }
@@ -37,45 +59,68 @@
 
 CrashWatch::~CrashWatch() = default;
 
-void CrashWatch::onAnswerLost(
-    const Fingerprint& request, const EndpointId& instance, std::int64_t startedAt, TimePoint now)
+std::uint32_t CrashWatch::nextRound(const Fingerprint& request) const
+{
+    const auto found = this->impl->records.find(request);
+    return found == this->impl->records.end() ? 0 : found->second.nextRound();
+}
+
+void CrashWatch::onAnswerLost(const Send& send, TimePoint now)
 {
     auto& lostAnswers = this->impl->lostAnswers;
     while (!lostAnswers.empty()
         && (lostAnswers.size() >= this->impl->limits.maxLostAnswers
             || now - lostAnswers.front().lostAt > this->impl->limits.evidenceWindow))
         lostAnswers.pop_front();
-    lostAnswers.push_back({ request, instance, startedAt, now });
+    lostAnswers.push_back({ send, now });
 }
 
 std::vector<CrashReport> CrashWatch::onInstanceFailed(const EndpointId& instance, TimePoint now)
 {
     std::vector<CrashReport> reports;
-    for (const LostAnswer& lostAnswer : this->impl->lostAnswers) {
-        if (lostAnswer.instance != instance || now - lostAnswer.lostAt > this->impl->limits.evidenceWindow)
+    for (const auto& [send, lostAt] : this->impl->lostAnswers) {
+        if (send.instance != instance || now - lostAt > this->impl->limits.evidenceWindow)
             continue;
-        const std::string crash = instance.value + "/" + std::to_string(lostAnswer.startedAt);
-        reports.push_back({ lostAnswer.request, crash, this->impl->limits.crashRetention });
+        const std::string crash = instance.value + "/" + std::to_string(send.startedAt);
+        reports.push_back({ send.request, crash, this->impl->limits.crashRetention, send.round });
     }
-    std::erase_if(
-        this->impl->lostAnswers, [&instance](const LostAnswer& lostAnswer) { return lostAnswer.instance == instance; });
+    std::erase_if(this->impl->lostAnswers,
+        [&instance](const LostAnswer& lostAnswer) { return lostAnswer.send.instance == instance; });
     for (const CrashReport& report : reports)
         this->onReport(report, now);
     return reports;
 }
 
-void CrashWatch::onAnswered(const Fingerprint& request)
+std::optional<CrashReport> CrashWatch::onAnswered(const Fingerprint& request, std::uint32_t round, TimePoint now)
 {
-    this->impl->records.erase(request);
-    std::erase_if(
-        this->impl->lostAnswers, [&request](const LostAnswer& lostAnswer) { return lostAnswer.request == request; });
+    std::erase_if(this->impl->lostAnswers, [&](const LostAnswer& lostAnswer) {
+        return lostAnswer.send.request == request && lostAnswer.send.round <= round;
+    });
+    const auto found = this->impl->records.find(request);
+    if (found == this->impl->records.end())
+        return std::nullopt;
+    const auto& crashes = found->second.crashes;
+    if (std::ranges::none_of(crashes, [round](const auto& crash) { return crash.second <= round; }))
+        return std::nullopt;
+    CrashReport report;
+    report.request = request;
+    report.crash = "answered in round " + std::to_string(round);
+    report.retention = this->impl->limits.crashRetention;
+    report.round = round;
+    report.isAnswer = true;
+    this->onReport(report, now);
+    return report;
 }
 
 void CrashWatch::onReport(const CrashReport& report, TimePoint now)
 {
     std::erase_if(this->impl->records, [now](const auto& entry) { return entry.second.until <= now; });
     CrashRecord& record = this->impl->records[report.request];
-    record.crashes.insert(report.crash);
+    if (report.isAnswer)
+        record.answeredRound = std::max(report.round, record.answeredRound.value_or(0));
+    else
+        record.crashes.emplace(report.crash, report.round);
+    record.dropVoidCrashes();
     record.until = now + this->impl->limits.crashRetention;
 }
 
@@ -83,7 +128,8 @@
 {
     const auto found = this->impl->records.find(request);
     return found != this->impl->records.end() && found->second.until > now
-        && found->second.crashes.size() >= this->impl->limits.crashLimit;
+        && found->second.crashes.size() >= this->impl->limits.crashLimit
+        && found->second.rounds() >= this->impl->limits.roundLimit;
 }
 
 bool CrashWatch::isEmpty() const { return this->impl->records.empty() && this->impl->lostAnswers.empty(); }
--- a/src/librattandeck/turns/crashwatch_test.cpp
+++ b/src/librattandeck/turns/crashwatch_test.cpp
@@ -11,6 +11,9 @@
     CPPUNIT_TEST(failureAfterTheEvidenceWindowIsNotACrash);
     CPPUNIT_TEST(sameCrashIsCountedOnce);
     CPPUNIT_TEST(answerClearsTheRecordOfARequest);
+    CPPUNIT_TEST(instancesThatFailAtOneMomentAreNotEnough);
+    CPPUNIT_TEST(answerAtAnotherGatewayVoidsCrashes);
+    CPPUNIT_TEST(crashReportedAfterTheAnswerOfItsRoundIsVoid);
     CPPUNIT_TEST(reportsOfOtherGatewaysAreCounted);
     CPPUNIT_TEST(crashesExpire);
     CPPUNIT_TEST_SUITE_END();
@@ -19,9 +22,14 @@
     const Fingerprint request { "f" };
     TimePoint now { std::chrono::seconds(1000) };
 
+    CrashWatch::Send sendTo(const std::string& instance) const
+    {
+        return { this->request, EndpointId(instance), 1, this->watch.nextRound(this->request) };
+    }
+
     std::vector<CrashReport> crash(const std::string& instance, Milliseconds after = Milliseconds(100))
     {
-        this->watch.onAnswerLost(this->request, EndpointId(instance), 1, this->now);
+        this->watch.onAnswerLost(this->sendTo(instance), this->now);
         this->now += after;
         return this->watch.onInstanceFailed(EndpointId(instance), this->now);
     }
@@ -39,7 +47,7 @@
     void lostAnswersWithoutFailureAreNotCrashes()
     {
         for (const char* instance : { "e1", "e2", "e3", "e4" })
-            this->watch.onAnswerLost(this->request, EndpointId(instance), 1, this->now);
+            this->watch.onAnswerLost(this->sendTo(instance), this->now);
         this->watch.onInstanceFailed(EndpointId("e5"), this->now);
         CPPUNIT_ASSERT(!this->watch.isQuarantined(this->request, this->now));
     }
@@ -62,16 +70,63 @@
     {
         for (const char* instance : { "e1", "e2", "e3" })
             this->crash(instance);
-        this->watch.onAnswered(this->request);
+        const auto report = this->watch.onAnswered(this->request, this->watch.nextRound(this->request), this->now);
+        CPPUNIT_ASSERT(report && report->isAnswer);
+        CPPUNIT_ASSERT(!this->watch.isQuarantined(this->request, this->now));
+        // Nothing is left to count: it takes as many crashes as before.
+        this->crash("e4");
+        this->crash("e5");
+        CPPUNIT_ASSERT(!this->watch.isQuarantined(this->request, this->now));
+        this->crash("e6");
+        CPPUNIT_ASSERT(this->watch.isQuarantined(this->request, this->now));
+    }
+
+    /// Guards against review/4: the instances of a failure domain that crashed at one moment, while they ran alike
+    /// requests, held such requests everywhere for 10 minutes.
+    void instancesThatFailAtOneMomentAreNotEnough()
+    {
+        for (const char* instance : { "e1", "e2", "e3" })
+            this->watch.onAnswerLost(this->sendTo(instance), this->now);
+        for (const char* instance : { "e1", "e2", "e3" })
+            CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->watch.onInstanceFailed(EndpointId(instance), this->now).size());
         CPPUNIT_ASSERT(!this->watch.isQuarantined(this->request, this->now));
-        CPPUNIT_ASSERT(this->watch.isEmpty());
+        // A request that crashes instances does so again when it is sent again.
+        this->crash("e4");
+        CPPUNIT_ASSERT(this->watch.isQuarantined(this->request, this->now));
+    }
+
+    void answerAtAnotherGatewayVoidsCrashes()
+    {
+        CrashWatch other;
+        for (const char* instance : { "e1", "e2", "e3" }) {
+            for (const CrashReport& report : this->crash(instance))
+                other.onReport(report, this->now);
+        }
+        CPPUNIT_ASSERT(other.isQuarantined(this->request, this->now));
+        const auto answer = this->watch.onAnswered(this->request, this->watch.nextRound(this->request), this->now);
+        other.onReport(*answer, this->now);
+        CPPUNIT_ASSERT(!other.isQuarantined(this->request, this->now));
+    }
+
+    /// Reports reach gateways in any order.
+    void crashReportedAfterTheAnswerOfItsRoundIsVoid()
+    {
+        const auto first = this->crash("e1");
+        const auto second = this->crash("e2");
+        const auto third = this->crash("e3");
+        const auto answer = this->watch.onAnswered(this->request, this->watch.nextRound(this->request), this->now);
+        CrashWatch other;
+        other.onReport(*answer, this->now);
+        for (const auto* reports : { &third, &first, &second })
+            other.onReport(reports->front(), this->now);
+        CPPUNIT_ASSERT(!other.isQuarantined(this->request, this->now));
     }
 
     void reportsOfOtherGatewaysAreCounted()
     {
         this->crash("e1");
-        this->watch.onReport({ this->request, "e2/1", Milliseconds(60000) }, this->now);
-        this->watch.onReport({ this->request, "e3/1", Milliseconds(60000) }, this->now);
+        this->watch.onReport({ this->request, "e2/1", Milliseconds(60000), 1 }, this->now);
+        this->watch.onReport({ this->request, "e3/1", Milliseconds(60000), 2 }, this->now);
         CPPUNIT_ASSERT(this->watch.isQuarantined(this->request, this->now));
     }
 
--- a/src/librattandeck/turns/gateway_test.cpp
+++ b/src/librattandeck/turns/gateway_test.cpp
@@ -32,6 +32,7 @@
     CPPUNIT_TEST(requestThatCrashesInstancesIsQuarantined);
     CPPUNIT_TEST(lostAnswersAloneDoNotQuarantine);
     CPPUNIT_TEST(crashesOfOtherRequestsWithTheSameInputAreNotCounted);
+    CPPUNIT_TEST(instancesThatFailTogetherDoNotQuarantine);
     CPPUNIT_TEST(onlyARefusedConnectionIsEvidenceOfACrash);
     CPPUNIT_TEST(plannedLeaveIsNoEvidenceOfACrash);
     CPPUNIT_TEST(eventWithoutEndInterruptsTheStream);
@@ -458,6 +459,27 @@
         }
     }
 
+    /// Guards against review/4 for requests that are alike in all that identifies them: the instances of one failure
+    /// domain crashed at one moment, and calls like those under way there were refused for 10 minutes.
+    void instancesThatFailTogetherDoNotQuarantine()
+    {
+        this->f->addInstance("e3");
+        std::vector<GatewayFixture::Sent> underWay;
+        while (underWay.size() < 3) {
+            this->callOn("unsafe");
+            underWay.push_back(this->lastSend());
+        }
+        for (const auto& sent : underWay)
+            this->f->end(sent, SendOutcome::Broken);
+        for (const char* instance : { "e1", "e2", "e3" })
+            this->f->gateway.onInstanceRemoved(EndpointId(instance));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->f->reports.size());
+        this->f->addInstance("e4");
+        const std::size_t before = this->f->sends.size();
+        this->callOn("unsafe");
+        CPPUNIT_ASSERT_EQUAL(before + 1, this->f->sends.size());
+    }
+
     void lostAnswersAloneDoNotQuarantine()
     {
         for (int i = 0; i < 4; ++i) {
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -89,8 +89,7 @@
         self.onSendInterrupted(*call, SendFailureCause::Interrupted);
         return;
     }
-    if (!self.crashes.isEmpty())
-        self.crashes.onAnswered(fingerprintOf(call->call));
+    self.recordAnswer(*call);
     if (call->head->isEventStream && isSuccess(*call->head))
         self.onStreamEnd(*call);
     else
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -58,6 +58,8 @@
     TimePoint sentAt;
     /// Start time of the process that the instance had when the call was sent.
     std::int64_t instanceStartedAt = 0;
+    /// The round of the current send; see `CrashWatch`.
+    std::uint32_t crashRound = 0;
     TimerId stallTimer;
 
     // Answer
@@ -167,7 +169,8 @@
     void onSendRefused(Call& call, SendFailureCause cause);
     void onSendInterrupted(Call& call, SendFailureCause cause);
     void logFailure(const Call& call, SendFailureCause cause);
-    void recordLostAnswer(Call& call);
+    void recordLostAnswer(const Call& call);
+    void recordAnswer(const Call& call);
     bool tryWithdrawRetry();
     bool mayRunAgain(const Call& call) const;
     void restartStallTimer(Call& call);
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -80,6 +80,7 @@
     call.endpoint = choice.endpoint;
     const EndpointInstance* instance = this->endpoints.find(choice.endpoint);
     call.instanceStartedAt = instance ? instance->startedAt : 0;
+    call.crashRound = this->crashes.isEmpty() ? 0 : this->crashes.nextRound(fingerprintOf(call.call));
     call.head.reset();
     call.body.clear();
     call.splitter = {};
@@ -278,11 +279,18 @@
     return isRetryable && canGoOn && call.runs<call.route->maxRuns&& this->timeLeft(call)> Milliseconds(0);
 }
 
-void Gateway::Impl::recordLostAnswer(Call& call)
+void Gateway::Impl::recordLostAnswer(const Call& call)
 {
-    const EndpointInstance* instance = this->endpoints.find(call.endpoint);
-    const std::int64_t startedAt = instance ? instance->startedAt : 0;
-    this->crashes.onAnswerLost(fingerprintOf(call.call), call.endpoint, startedAt, this->timers.now());
+    const CrashWatch::Send send { fingerprintOf(call.call), call.endpoint, call.instanceStartedAt, call.crashRound };
+    this->crashes.onAnswerLost(send, this->timers.now());
+}
+
+void Gateway::Impl::recordAnswer(const Call& call)
+{
+    if (this->crashes.isEmpty())
+        return;
+    if (const auto report = this->crashes.onAnswered(fingerprintOf(call.call), call.crashRound, this->timers.now()))
+        this->io.reportCrashes({ *report });
 }
 
 /// The call may have run, and its answer is missing or incomplete: retries it if route and retry budget allow it.
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -454,6 +454,8 @@
     visit("request", m.request);
     visit("crash", m.crash);
     visit("retention", m.retention);
+    visit("round", m.round);
+    visit("answer", m.isAnswer);
 }
 
 template <typename Visitor> void visitFields(Visitor& visit, JournalInconclusive& m)
