Give the whole chain also to members that answer a store late

Cause: a store ends with the second acknowledgement. A third member that lacked the turn's chain said so after that, and nobody sent it the chain; the turn was then on two members instead of three, where before it was on all, once without its chain. Evidence: JournalChainsTest::turnStoredAtAJournalThatMissedItsChainIsWholeThere. Change: a store that has succeeded is kept, for as long as an operation may take, until the members that were asked have answered.

--- a/src/librattandeck/journals/journalclient.cpp
+++ b/src/librattandeck/journals/journalclient.cpp
@@ -83,6 +83,8 @@
     JournalSet set;
     std::uint64_t lastTicket = 0;
     std::unordered_map<JournalTicket, Operation> operations;
+    /// Stores that have succeeded while some members had not answered, which may lack the turn's chain.
+    std::unordered_map<JournalTicket, Operation> completedStores;
     std::function<void(const JournalOperationResult&)> observer;
     /// Members in this gateway's failure domain.
     std::set<NodeId> nearMembers;
@@ -129,6 +131,9 @@
     void onFetched(const NodeId& from, const TurnFetched& answer);
     void onInconclusive(const NodeId& from, const JournalInconclusive& answer);
     bool storeWholeChain(const NodeId& member, JournalTicket ticket, const Operation& operation);
+    void completeStore(JournalTicket ticket);
+    /// A member has answered a store that had succeeded before. Returns whether there is such a store.
+    bool answerCompletedStore(const NodeId& member, JournalTicket ticket, bool lacksChain);
     void fetchMissingPrefix(JournalTicket ticket, const TurnFetched& answer);
 
     void cacheTranscript(const TurnId& turn, std::string transcript);
@@ -356,7 +361,7 @@
         this->evaluateClaim(ticket, operation);
         break;
     case Operation::Kind::Store:
-        this->finish(ticket, std::nullopt).storeDone({});
+        this->completeStore(ticket);
         break;
     case Operation::Kind::Fetch:
         // If later turns of the chain were found, its earlier turns have been written as well. They may still exist on
@@ -439,6 +444,8 @@
 
 void JournalClient::Impl::onStored(const NodeId& from, const TurnStored& answer)
 {
+    if (this->answerCompletedStore(from, answer.ticket, false))
+        return;
     if (this->recordAnswer(answer.ticket, from, answer.epoch))
         this->evaluate(answer.ticket);
 }
@@ -471,10 +478,43 @@
     return this->send(member, store);
 }
 
+/// The members that have not answered yet get the whole chain, too, if they lack it.
+void JournalClient::Impl::completeStore(JournalTicket ticket)
+{
+    Operation operation = this->finish(ticket, std::nullopt);
+    const StoreDone done = std::move(operation.storeDone);
+    if (!operation.awaited.empty()) {
+        operation.timer
+            = this->timers.subscribeAfter(this->limits.answerTimeout, [weak = this->weak_from_this(), ticket] {
+                  if (const auto self = weak.lock())
+                      self->completedStores.erase(ticket);
+              });
+        this->completedStores.emplace(ticket, std::move(operation));
+    }
+    done({});
+}
+
+bool JournalClient::Impl::answerCompletedStore(const NodeId& member, JournalTicket ticket, bool lacksChain)
+{
+    const auto found = this->completedStores.find(ticket);
+    if (found == this->completedStores.end())
+        return false;
+    Operation& store = found->second;
+    if (store.awaited.erase(member) > 0 && lacksChain)
+        this->storeWholeChain(member, ticket, store);
+    if (store.awaited.empty()) {
+        this->timers.cancel(store.timer);
+        this->completedStores.erase(found);
+    }
+    return true;
+}
+
 /// The journal cannot give a conclusive answer. It is no longer awaited and is not included in the quorum, unless it
 /// lacks the chain of a turn, which it then gets.
 void JournalClient::Impl::onInconclusive(const NodeId& from, const JournalInconclusive& answer)
 {
+    if (this->answerCompletedStore(from, answer.ticket, !answer.missing.value.empty()))
+        return;
     const auto found = this->operations.find(answer.ticket);
     if (found == this->operations.end() || !found->second.awaited.contains(from))
         return;
