Let an entry that can't be read spoil only itself

Cause: an answer of the store was parsed as one document, which the JSON library refuses whole for an escape without meaning or a number beyond the range of a double; the same page or watch was then asked for again, for ever. A value nested deeply was accepted, and the library's recursive copy of it ended the process. An entry that names no instance is passed on without its text. A page without progress is listed anew instead of asked for again. An answer that can't be read is logged.

--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -1,6 +1,7 @@
 #include "calls.h"
 
 #include "names.h"
+#include "storejson.h"
 
 #include <nlohmann/json.hpp>
 
@@ -207,7 +208,7 @@
 std::optional<std::int64_t> readStartTime(const HttpResponse& report)
 {
     constexpr int ok = 200;
-    const auto fields = nlohmann::json::parse(report.body, nullptr, false);
+    const auto fields = readStoreJson(report.body);
     if (report.status != ok || !fields.is_object())
         return std::nullopt;
     const auto found = fields.find(Names::startedAt);
--- a/src/platform/objectstore.cpp
+++ b/src/platform/objectstore.cpp
@@ -1,6 +1,8 @@
 #include "objectstore.h"
 
 #include "names.h"
+#include "RattandeckApp/log.h"
+#include "storejson.h"
 
 #include <algorithm>
 #include <map>
@@ -37,18 +39,6 @@
 
 namespace {
 
-    /// Reads a body. Bytes that are no UTF-8 text are replaced, so that they spoil only the field that contains them.
-    Json readBody(std::string body)
-    {
-        Json json = Json::parse(body, nullptr, false);
-        if (!json.is_discarded())
-            return json;
-        constexpr unsigned char firstNonAscii = 0x80;
-        std::ranges::replace_if(
-            body, [](char byte) { return static_cast<unsigned char>(byte) >= firstNonAscii; }, '?');
-        return Json::parse(body, nullptr, false);
-    }
-
     bool readFlag(const Json& json, const char* name)
     {
         const auto found = json.find(name);
@@ -175,6 +165,8 @@
 
     void listPage(const std::string& after);
     void onPage(const Response& response);
+    /// Reads the answer to a list or a watch; an empty value if there is none, or one that can't be read.
+    Json readAnswer(const Response& response) const;
     void watch();
     void onWatched(const Response& response);
     void retry(void (Follower::*step)());
@@ -252,19 +244,35 @@
     this->store.fetch(request, this->store.limits.callTimeout, this->bind(&Follower::onPage));
 }
 
+Json Follower::readAnswer(const Response& response) const
+{
+    if (!response || response->status != 200)
+        return {};
+    Json answer = readStoreJson(response->body);
+    if (answer.is_object())
+        return answer;
+    RattandeckApp::logError("platform store", "answer about " + this->kind + " can't be read");
+    return {};
+}
+
 void Follower::onPage(const Response& response)
 {
-    const Json page = response && response->status == 200 ? readBody(response->body) : Json();
+    const Json page = this->readAnswer(response);
     if (!page.is_object() || !page.contains("items") || !page["items"].is_array())
         return this->retry(&Follower::list);
     if (this->listRevision == 0)
         this->listRevision = readRevision(page);
+    const std::size_t listedBefore = this->listed.size();
     for (const Json& item : page["items"]) {
         if (const auto object = readObject(item))
             this->listed.push_back(*object);
     }
-    if (readFlag(page, "has_more") && !this->listed.empty())
+    if (readFlag(page, "has_more")) {
+        // Without a name to continue after, the same page would come again.
+        if (this->listed.size() == listedBefore)
+            return this->retry(&Follower::list);
         return this->listPage(this->listed.back().name);
+    }
     this->setReachable(true);
     this->revision = this->listRevision;
     this->handlers.onSnapshot(std::exchange(this->listed, {}), this->listRevision);
@@ -288,7 +296,7 @@
 {
     if (response && response->status == statusGone)
         return this->list();
-    const Json answer = response && response->status == 200 ? readBody(response->body) : Json();
+    const Json answer = this->readAnswer(response);
     if (!answer.is_object() || !answer.contains("events") || !answer["events"].is_array())
         return this->retry(&Follower::watch);
     this->setReachable(true);
@@ -318,7 +326,7 @@
         }
         if (response->status < 200 || response->status >= 300)
             return done(tl::unexpected(errorFor(response->status)));
-        const auto object = readObject(readBody(response->body));
+        const auto object = readObject(readStoreJson(response->body));
         if (object)
             done(*object);
         else
--- a/src/platform/objectstore_test.cpp
+++ b/src/platform/objectstore_test.cpp
@@ -18,6 +18,9 @@
     CPPUNIT_TEST(invalidObjectsAreSkipped);
     CPPUNIT_TEST(fieldsOfAnotherTypeAreHarmless);
     CPPUNIT_TEST(bytesThatAreNoTextSpoilOnlyTheirObject);
+    CPPUNIT_TEST(entriesOfOtherWritersSpoilOnlyThemselves);
+    CPPUNIT_TEST(entryOfAnotherWriterDoesNotStopAWatch);
+    CPPUNIT_TEST(pageWithoutReadableNamesIsListedAgain);
     CPPUNIT_TEST(conflictIsReported);
     CPPUNIT_TEST_SUITE_END();
 
@@ -163,6 +166,60 @@
         CPPUNIT_ASSERT(!this->snapshots.front().front().spec.dump().empty());
     }
 
+    /// Objects that another writer left, whose spec can't be read.
+    static std::vector<std::string> oddObjects()
+    {
+        constexpr std::size_t depth = 200000;
+        const std::string nested = std::string(depth, '[') + std::string(depth, ']');
+        std::vector<std::string> odd;
+        for (const std::string& spec : { std::string(R"({"version":"v\udcff"})"), std::string(R"({"version":"\ud800x"})"),
+                 std::string(R"({"born":1e400})"), std::string(R"({"slots":-1e999,"x":"\q"})"),
+                 std::string("{\"zone\":\"a\x01\"}"), std::string(R"({"slots":nan})"), R"({"zone":)" + nested + "}" })
+            odd.push_back(R"({"metadata":{"name":"odd","rev":3},"spec":)" + spec + "}");
+        return odd;
+    }
+
+    /// Guards against review/1: one entry that can't be read stopped all news of the store, and one that was nested
+    /// deeply ended every process.
+    void entriesOfOtherWritersSpoilOnlyThemselves()
+    {
+        for (const std::string& odd : oddObjects()) {
+            this->snapshots.clear();
+            this->answers = { ok(page(odd + "," + object("a", 4), 7)) };
+            this->follow();
+            this->test.runUntil("listed", [this] { return this->snapshots.size() == 1; });
+            CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->snapshots.front().size());
+            CPPUNIT_ASSERT_EQUAL(std::string("a"), this->snapshots.front().back().name);
+            CPPUNIT_ASSERT_EQUAL(1, this->snapshots.front().back().spec["a"].get<int>());
+            // It can be copied, and passed on to other processes.
+            const StoredObject copy = this->snapshots.front().front();
+            CPPUNIT_ASSERT(nlohmann::json::accept(copy.spec.dump()));
+        }
+    }
+
+    void entryOfAnotherWriterDoesNotStopAWatch()
+    {
+        for (const std::string& odd : oddObjects()) {
+            this->changes.clear();
+            this->answers = { ok(page("", 7)),
+                ok(R"({"events":[{"tombstone":false,"object":)" + odd + R"(},{"tombstone":false,"object":)"
+                    + object("b", 9) + R"(}],"current_rev":9})") };
+            this->follow();
+            this->test.runUntil("watched", [this] { return this->changes.size() == 2; });
+            CPPUNIT_ASSERT_EQUAL(std::string("b"), this->changes.back().first.name);
+        }
+    }
+
+    void pageWithoutReadableNamesIsListedAgain()
+    {
+        this->answers = { ok(page(object("a", 3), 7, true)), ok(page(R"({"metadata":{"name":5}})", 7, true)),
+            ok(page(object("a", 3) + "," + object("b", 4), 7)) };
+        this->follow();
+        this->test.runUntil("listed", [this] { return this->snapshots.size() == 1; });
+        CPPUNIT_ASSERT(!this->requests[2].query.contains("after"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->snapshots.front().size());
+    }
+
     void conflictIsReported()
     {
         this->answers = { { 409, {}, object("a", 9) } };
--- a/src/platform/storegossip.cpp
+++ b/src/platform/storegossip.cpp
@@ -3,6 +3,7 @@
 #include "names.h"
 #include "objectcodec.h"
 #include "RattandeckApp/log.h"
+#include "storejson.h"
 
 #include <random>
 
@@ -40,7 +41,7 @@
     StoredObject object;
     object.name = item.topic == configTopic ? std::string(Names::configName) : endpointOf(item.topic).value;
     object.revision = item.version;
-    object.spec = nlohmann::json::parse(item.text, nullptr, false);
+    object.spec = readStoreJson(item.text);
     return object;
 }
 
@@ -203,7 +204,14 @@
     if (known && known->version > object.revision)
         return;
     this->unlistedEndpoints.erase(id);
-    this->publish(endpointTopic(id), object);
+    // What names no instance is passed on without its text, which may be long.
+    if (readEndpoint(object)) {
+        this->publish(endpointTopic(id), object);
+    } else {
+        StoredObject unreadable = object;
+        unreadable.spec = nullptr;
+        this->publish(endpointTopic(id), unreadable);
+    }
     if (this->handlers.onEndpoint)
         this->handlers.onEndpoint(object);
 }
