List a kind again when a watch brings more than can be read

Cause: a watch repeats all changes since its revision. If they came to over 8 MiB, the answer was given up and asked for again with the same revision, for ever: large entries of another writer, changed every second while the store could not be reached, are enough. Change: such a watch is followed by a list, whose pages the store bounds.

--- a/src/platform/objectstore.cpp
+++ b/src/platform/objectstore.cpp
@@ -294,7 +294,9 @@
 
 void Follower::onWatched(const Response& response)
 {
-    if (response && response->status == statusGone)
+    // A watch repeats all changes since its revision, so one whose answer was too long would never succeed.
+    const bool isTooLong = !response && response.error() == NetError::TooLarge;
+    if (isTooLong || (response && response->status == statusGone))
         return this->list();
     const Json answer = this->readAnswer(response);
     if (!answer.is_object() || !answer.contains("events") || !answer["events"].is_array())
--- a/src/platform/objectstore_test.cpp
+++ b/src/platform/objectstore_test.cpp
@@ -21,6 +21,7 @@
     CPPUNIT_TEST(entriesOfOtherWritersSpoilOnlyThemselves);
     CPPUNIT_TEST(entryOfAnotherWriterDoesNotStopAWatch);
     CPPUNIT_TEST(pageWithoutReadableNamesIsListedAgain);
+    CPPUNIT_TEST(watchWithTooManyChangesIsFollowedByAList);
     CPPUNIT_TEST(conflictIsReported);
     CPPUNIT_TEST_SUITE_END();
 
@@ -220,6 +221,16 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->snapshots.front().size());
     }
 
+    /// A watch repeats all changes since its revision, so one whose answer is too long would never succeed.
+    void watchWithTooManyChangesIsFollowedByAList()
+    {
+        constexpr std::size_t moreThanIsRead = 9UL * 1024 * 1024;
+        this->answers = { ok(page("", 7)), ok(std::string(moreThanIsRead, ' ')), ok(page(object("a", 30), 30)) };
+        this->follow();
+        this->test.runUntil("listed again", [this] { return this->snapshots.size() == 2; });
+        CPPUNIT_ASSERT(!this->requests[2].query.contains("watch"));
+    }
+
     void conflictIsReported()
     {
         this->answers = { { 409, {}, object("a", 9) } };
