Use no instance of an entry with a field that is missing or out of range

Cause: some fields of an entry were not looked at, or cast to an integer whatever their size; a port of 0 and a host that is no address were accepted. Casts of numbers out of range have no defined result. The test's own entry got the two fields that it lacked.

--- a/src/include/RattandeckNet/address.h
+++ b/src/include/RattandeckNet/address.h
@@ -29,6 +29,8 @@
 };
 
 tl::expected<Address, NetError> parseAddress(std::string_view text);
+/// Whether connections can be opened to the address: it has a numeric host and a port.
+bool canBeDialed(const Address& address);
 /// Skips texts that are not valid addresses.
 std::vector<Address> parseAddresses(const std::vector<std::string>& texts);
 std::string toString(const Address&);
--- a/src/librattandecknet/address.cpp
+++ b/src/librattandecknet/address.cpp
@@ -1,5 +1,7 @@
 #include "RattandeckNet/address.h"
 
+#include <boost/asio/ip/address.hpp>
+
 #include <charconv>
 
 namespace RattandeckNet {
@@ -17,6 +19,13 @@
     return address;
 }
 
+bool canBeDialed(const Address& address)
+{
+    boost::system::error_code error;
+    boost::asio::ip::make_address(address.host, error);
+    return !error && address.port != 0;
+}
+
 std::vector<Address> parseAddresses(const std::vector<std::string>& texts)
 {
     std::vector<Address> addresses;
--- a/src/platform/objectcodec.cpp
+++ b/src/platform/objectcodec.cpp
@@ -2,6 +2,8 @@
 
 #include "names.h"
 
+#include <cmath>
+
 using namespace Rattandeck;
 using Json = nlohmann::json;
 
@@ -19,20 +21,29 @@
         return found->get<std::string>();
     }
 
-    std::optional<std::int64_t> readInteger(const Json& json, const char* name)
+    /// The largest number of which each whole number up to it can be told apart, with either sign.
+    constexpr double maxNumber = 9007199254740992;
+
+    std::optional<double> readDecimal(const Json& json, const char* name)
     {
         const auto found = json.find(name);
         if (found == json.end() || !found->is_number())
             return std::nullopt;
-        return static_cast<std::int64_t>(found->get<double>());
+        const auto number = found->get<double>();
+        return std::abs(number) <= maxNumber ? std::optional(number) : std::nullopt;
     }
 
-    std::optional<double> readDecimal(const Json& json, const char* name)
+    std::optional<std::int64_t> readInteger(const Json& json, const char* name)
     {
-        const auto found = json.find(name);
-        if (found == json.end() || !found->is_number())
-            return std::nullopt;
-        return found->get<double>();
+        const auto number = readDecimal(json, name);
+        return number ? std::optional(static_cast<std::int64_t>(*number)) : std::nullopt;
+    }
+
+    /// As `readInteger`, for numbers that must not have a fraction.
+    std::optional<std::int64_t> readWholeNumber(const Json& json, const char* name)
+    {
+        const auto number = readDecimal(json, name);
+        return number && std::trunc(*number) == *number ? readInteger(json, name) : std::nullopt;
     }
 
     bool readFlag(const Json& json, const char* name)
@@ -68,7 +79,8 @@
         return tl::unexpected(DecodeError { "service" });
     instance.service = ServiceName(*service);
     const auto address = readText(spec, "address");
-    if (!address || !RattandeckNet::parseAddress(*address))
+    const auto server = RattandeckNet::parseAddress(address.value_or(""));
+    if (!server || !RattandeckNet::canBeDialed(*server))
         return tl::unexpected(DecodeError { "address" });
     instance.address = *address;
     const auto domain = readText(spec, "zone");
@@ -79,7 +91,7 @@
     if (!version)
         return tl::unexpected(DecodeError { "version" });
     instance.version = SoftwareVersion(*version);
-    const auto slots = readInteger(spec, "slots");
+    const auto slots = readWholeNumber(spec, "slots");
     if (!slots || *slots <= 0 || *slots > UINT16_MAX)
         return tl::unexpected(DecodeError { "slots" });
     instance.slots = static_cast<std::uint32_t>(*slots);
@@ -87,7 +99,16 @@
     if (phase != "ready" && phase != "draining")
         return tl::unexpected(DecodeError { "phase" });
     instance.isDraining = phase == "draining";
-    instance.startedAt = readInteger(spec, Names::startedAt).value_or(0);
+    for (const char* name : { "cold_left_ms", "sequence" }) {
+        if (!readDecimal(spec, name))
+            return tl::unexpected(DecodeError { name });
+    }
+    if (!spec.contains(Names::startedAt))
+        return instance;
+    const auto startedAt = readWholeNumber(spec, Names::startedAt);
+    if (!startedAt || *startedAt < 0)
+        return tl::unexpected(DecodeError { Names::startedAt });
+    instance.startedAt = *startedAt;
     return instance;
 }
 
--- a/src/platform/objectcodec_test.cpp
+++ b/src/platform/objectcodec_test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST_SUITE(ObjectCodecTest);
     CPPUNIT_TEST(endpointIsDecoded);
     CPPUNIT_TEST(invalidEndpointIsRejectedWithTheFieldName);
+    CPPUNIT_TEST(entryOfAnotherWriterNamesNoInstance);
     CPPUNIT_TEST(configurationIsDecoded);
     CPPUNIT_TEST(invalidConfigurationIsRejectedWithTheFieldName);
     CPPUNIT_TEST(journalSetIsEqualAfterARoundTrip);
@@ -21,7 +22,8 @@
         StoredObject object;
         object.name = "i-1";
         object.spec = { { "service", "llm" }, { "address", "10.0.0.1:80" }, { "zone", "a" }, { "slots", 16 },
-            { "phase", "ready" }, { "born", 1780325645028 }, { "version", "v1.2" } };
+            { "phase", "ready" }, { "cold_left_ms", 0 }, { "sequence", 4 }, { "born", 1780325645028 },
+            { "version", "v1.2" } };
         object.spec.update(changes);
         return object;
     }
@@ -49,6 +51,24 @@
         CPPUNIT_ASSERT_EQUAL(std::string("spec"), readEndpoint(empty).error().field);
     }
 
+    /// Guards against reports of other operators: a port out of range, numbers too large, fields missing.
+    void entryOfAnotherWriterNamesNoInstance()
+    {
+        const auto fieldOf = [](const Json& changes) { return readEndpoint(endpoint(changes)).error().field; };
+        for (const char* address : { "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:99999999999999999999", "10.0.0.1:-1",
+                 "10.0.0.1:80x", "10.0.0.1:", "10.0.0:80", "here:80", "10.0.0.1" })
+            CPPUNIT_ASSERT_EQUAL(std::string("address"), fieldOf({ { "address", address } }));
+        for (const Json& number : { Json(1e300), Json(-1e300), Json(65536), Json(2.5), Json(nullptr), Json::array() })
+            CPPUNIT_ASSERT_EQUAL(std::string("slots"), fieldOf({ { "slots", number } }));
+        for (const Json& number : { Json(1e300), Json(UINT64_MAX), Json(-5), Json(2.5), Json("1780325645028") })
+            CPPUNIT_ASSERT_EQUAL(std::string("born"), fieldOf({ { "born", number } }));
+        for (const char* field : { "service", "address", "zone", "version", "slots", "phase", "cold_left_ms", "sequence" }) {
+            StoredObject object = endpoint();
+            object.spec.erase(field);
+            CPPUNIT_ASSERT_EQUAL(std::string(field), readEndpoint(object).error().field);
+        }
+    }
+
     static Json configuration()
     {
         const Json route { { "name", "r" }, { "host", "h" }, { "path_prefix", "/p/" }, { "kind", "streaming" },
