Know a process only while it is heard from

Cause: what an instance had told of its process held while there was any connection to it. A connection to a process that ended without a word stays open, so that the process started in its place was taken for it as long as one call hung there. Change: it holds while the instance has been heard from without a pause of over a second, which is less than a process takes to start again. A question that is lost is repeated (lostQuestionIsRepeated, red before), since a stream whose process is unknown can't be resumed. Cost: an instance that was silent for a second is asked again by the next stream that may be resumed.

--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -150,9 +150,14 @@
     /// which the server keeps idle ones), and the server has not accepted a new one within the connection timeout,
     /// or has ended that one at once. A process that is started again must take longer than twice that timeout.
     void onLost(std::function<void()> handler);
-    /// Since when at least one connection has been open without a gap; empty while there is none. All that time the
-    /// same process has been at its other end.
+    /// Since when at least one connection has been open without a gap; empty while there is none. A connection to a
+    /// process that ended without a word stays open.
     std::optional<Rattandeck::TimePoint> connectedSince() const;
+    /// Since when the server has been heard from without a pause of more than `maxSilence`; empty if the pause lasts or
+    /// there is no connection. All that time the same process has been at the other end.
+    std::optional<Rattandeck::TimePoint> heardSince() const;
+    /// A process that is started again is silent for longer than this.
+    static constexpr std::chrono::milliseconds maxSilence { 1000 };
     /// Closes the idle connections. After an outage they may be dead although no error has been reported.
     void dropIdle();
 
--- a/src/librattandecknet/clientconnection.cpp
+++ b/src/librattandecknet/clientconnection.cpp
@@ -158,6 +158,7 @@
         this->onPeerClosed(error);
         return;
     }
+    this->client->noteHeard();
     this->buffer.commit(size);
     this->parse();
 }
--- a/src/librattandecknet/clientconnection.h
+++ b/src/librattandecknet/clientconnection.h
@@ -44,6 +44,9 @@
     std::unordered_set<std::shared_ptr<ClientConnection>> connections;
     std::size_t established = 0;
     std::optional<Rattandeck::TimePoint> connectedSince;
+    /// The last time at which the server was heard from, and the beginning of the time without a longer silence.
+    std::optional<Rattandeck::TimePoint> lastHeard;
+    Rattandeck::TimePoint heardSince;
     std::function<void()> lostHandler;
     /// A connection is being opened only to find out whether the server still accepts any.
     bool isChecking = false;
@@ -52,6 +55,8 @@
     std::string serialise(const HttpRequest& request) const;
     void onEstablished();
     void onEstablishedClosed();
+    /// A connection was accepted, or bytes have arrived.
+    void noteHeard();
     /// A connection that has run calls, or none yet, is about to be closed and has ended without announcement.
     void noteLoss(bool hasRunCalls);
     void checkServer();
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -16,16 +16,27 @@
 {
 }
 
+void HttpClient::Impl::noteHeard()
+{
+    const Rattandeck::TimePoint now = this->loop.timers.now();
+    if (!this->lastHeard || now - *this->lastHeard > maxSilence)
+        this->heardSince = now;
+    this->lastHeard = now;
+}
+
 void HttpClient::Impl::onEstablished()
 {
+    this->noteHeard();
     if (this->established++ == 0)
         this->connectedSince = this->loop.timers.now();
 }
 
 void HttpClient::Impl::onEstablishedClosed()
 {
-    if (--this->established == 0)
-        this->connectedSince.reset();
+    if (--this->established > 0)
+        return;
+    this->connectedSince.reset();
+    this->lastHeard.reset();
 }
 
 void HttpClient::Impl::noteLoss(bool hasRunCalls)
@@ -239,6 +250,14 @@
 
 std::optional<Rattandeck::TimePoint> HttpClient::connectedSince() const { return this->impl->connectedSince; }
 
+std::optional<Rattandeck::TimePoint> HttpClient::heardSince() const
+{
+    const auto& last = this->impl->lastHeard;
+    if (!last || this->impl->loop.timers.now() - *last > maxSilence)
+        return std::nullopt;
+    return this->impl->heardSince;
+}
+
 void HttpClient::dropIdle()
 {
     const auto idle = this->impl->idle;
--- a/src/rattandeck-gateway/instanceclient_test.cpp
+++ b/src/rattandeck-gateway/instanceclient_test.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST_SUITE(InstanceClientTest);
     CPPUNIT_TEST(processIsAskedOnceAndKnownWhileConnected);
     CPPUNIT_TEST(processIsUnknownOnceItsConnectionsHaveEnded);
+    CPPUNIT_TEST(processIsUnknownAfterASilence);
+    CPPUNIT_TEST(lostQuestionIsRepeated);
     CPPUNIT_TEST(processThatDoesNotTellStaysUnknown);
     CPPUNIT_TEST(questionEndsIfNobodyAnswers);
     CPPUNIT_TEST_SUITE_END();
@@ -74,6 +76,40 @@
         CPPUNIT_ASSERT(client.process() == 8);
     }
 
+    /// Guards against streams of two versions: a connection to a process that ended without a word stays open, and the
+    /// process that was started in its place was taken for it.
+    void processIsUnknownAfterASilence()
+    {
+        InstanceClient client(this->test.loop, this->metrics, { "127.0.0.1", this->serve(report(7)) }, 4);
+        this->identify(client);
+        CPPUNIT_ASSERT(client.process() == 7);
+        const auto asked = this->test.loop.timers().now();
+        this->test.runUntil("the silence is long", [&] {
+            return this->test.loop.timers().now() - asked > std::chrono::milliseconds(1500);
+        });
+        CPPUNIT_ASSERT(!client.process());
+        this->identify(client);
+        CPPUNIT_ASSERT(client.process() == 7);
+    }
+
+    void lostQuestionIsRepeated()
+    {
+        int questionsLost = 1;
+        this->server = std::make_unique<HttpServer>(this->test.loop, HttpLimits {},
+            [this, &questionsLost](const HttpRequest&, const HttpResponder& responder) {
+                ++this->questions;
+                if (questionsLost-- > 0)
+                    responder.abort();
+                else
+                    responder.send(report(7));
+            });
+        CPPUNIT_ASSERT(this->server->listen({ "127.0.0.1", 0 }).has_value());
+        InstanceClient client(this->test.loop, this->metrics, { "127.0.0.1", this->server->port() }, 4);
+        client.identify();
+        this->test.runUntil("the process has told", [&client] { return client.process() == 7; });
+        CPPUNIT_ASSERT_EQUAL(2, this->questions);
+    }
+
     void processThatDoesNotTellStaysUnknown()
     {
         InstanceClient client(this->test.loop, this->metrics, { "127.0.0.1", this->serve({ 400, {}, "" }) }, 4);
