Note at which version a stream began only when its process has told

Cause: if an instance had not told yet which process it is when a stream's first event came, the stream counted by the instance's entry in the store, provided that the view of the store was recent. After a start under the same id the entry is that of the process before for up to a check-in interval. Change: the first event of a stream that may be resumed is held for up to 60 ms until the process has told; if it tells later, the origin is noted then. Without that a stream has no origin and is refused when it is taken up. Entries that don't say when their process started count as before. Tests: two of GatewayStreamsTest now let the process tell, as they check what follows from a known version. Ruled out: holding the first event until the question ends: under a lossy link that is seconds. Noting by the entry and correcting it later: a stream may be taken up in between.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -30,8 +30,8 @@
     virtual void cancelSend(SendId send) = 0;
     /// Since when this process has been connected to an instance's address without a gap; empty without a connection.
     virtual std::optional<TimePoint> connectedSince(const std::string& address) const = 0;
-    /// Start time of the process that serves at an instance's address, by its own answer and with no gap in the
-    /// connections since; empty if it has not told.
+    /// Start time of the process that serves at an instance's address, by its own answer, if it can't have been replaced
+    /// since; empty if it has not told. `Gateway::onProcessTold` follows each answer.
     virtual std::optional<std::int64_t> processAt(const std::string& address) const = 0;
 
     /// Answers the caller with the status and headers that the send received and a complete body.
@@ -109,6 +109,9 @@
     std::size_t maxEvent = 1024UL * 1024;
     /// Largest output of a turn that is retained; a longer one is interrupted.
     std::size_t maxRetainedOutput = 8UL * 1024 * 1024;
+    /// Time for which the first event of a stream that may be resumed is held until the process that sent it has told
+    /// which one it is. A stream that breaks before that can't be resumed.
+    Milliseconds maxProcessWait { 60 };
     /// Knowledge of what streams began at; see `streamorigins.h`.
     StreamOriginLimits origins;
     /// Time for which a caller that states no deadline may resume a stream.
@@ -175,6 +178,8 @@
     void onInstanceLeaving(const EndpointId& id, std::int64_t startedAt);
     /// All connections to an instance's address have ended without announcement.
     void onConnectionsLost(const std::string& address);
+    /// The process that serves at an instance's address has told which one it is.
+    void onProcessTold(const std::string& address);
     /// What is known of the instances is what the platform's store listed at `viewedAt`, or later.
     void onStoreViewed(TimePoint viewedAt);
     /// Takes crash reports that a journal forwarded.
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -122,6 +122,19 @@
     this->impl->endpoints.onConnectionsLost(address, this->impl->timers.now());
 }
 
+void Gateway::onProcessTold(const std::string& address)
+{
+    for (const auto& [id, call] : this->impl->calls) {
+        const EndpointInstance* instance = this->impl->endpoints.find(call->endpoint);
+        if (!instance || instance->address != address)
+            continue;
+        if (call->events > 0)
+            this->impl->noteOrigin(*call);
+        else if (call->processTimer.value != 0)
+            this->impl->release(*call);
+    }
+}
+
 void Gateway::onStoreViewed(TimePoint viewedAt) { this->impl->endpoints.onStoreViewed(viewedAt); }
 
 void Gateway::onCrashReports(const CrashReports& crashes)
@@ -455,6 +468,7 @@
     this->timers.cancel(call.deadlineTimer);
     this->timers.cancel(call.stallTimer);
     this->timers.cancel(call.storeTimer);
+    this->timers.cancel(call.processTimer);
     CallEnd end;
     end.request = call.call.request;
     end.program = call.call.program;
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -90,8 +90,10 @@
         return;
     }
     self.recordAnswer(*call);
-    if (call->head->isEventStream && isSuccess(*call->head))
+    if (call->head->isEventStream && isSuccess(*call->head)) {
+        self.release(*call);
         self.onStreamEnd(*call);
+    }
     else
         self.onCompleteAnswer(*call);
 }
@@ -137,11 +139,41 @@
         this->io.reportLeaving(call.endpoint, call.instanceStartedAt);
 }
 
-/// The stream has begun: notes what it has to go on at, and tells it to journals before the first event is passed on.
+/// Whether the process that the call was sent to has not told yet which one it is, though it can.
+bool Gateway::Impl::isProcessUntold(const Call& call) const
+{
+    const EndpointInstance* instance = this->endpoints.find(call.endpoint);
+    return instance && instance->startedAt != 0 && !this->io.processAt(instance->address);
+}
+
+/// Whether the first event of a stream that may be resumed has to wait until the process has told which one it is.
+bool Gateway::Impl::mustHold(Call& call)
+{
+    if (call.events > 0 || call.hasAwaitedProcess || !call.query.mayBeResumed || !this->isProcessUntold(call))
+        return false;
+    if (call.processTimer.value == 0 && EventSplitter(call.splitter).next())
+        call.processTimer = this->timers.subscribeAfter(this->limits.maxProcessWait, [this, id = call.id] {
+            if (Call* held = this->find(id))
+                this->release(*held);
+        });
+    return true;
+}
+
+/// Passes on the events that were held.
+void Gateway::Impl::release(Call& call)
+{
+    this->timers.cancel(call.processTimer);
+    call.processTimer = {};
+    call.hasAwaitedProcess = true;
+    this->forwardEvents(call);
+}
+
+/// The stream has begun: notes what it has to go on at, and tells it to journals, before the first event is passed on if
+/// it is known by then which process serves. The entry in the store may be that of the process before.
 void Gateway::Impl::noteOrigin(Call& call)
 {
     const bool canResume = call.route->safety == CallSafety::Stream && call.route->canResume;
-    if (!canResume || call.isResumption)
+    if (!canResume || call.isResumption || call.query.version || call.send.value == 0 || this->isProcessUntold(call))
         return;
     call.query.version = this->endpoints.versionOf(call.endpoint, call.instanceStartedAt, this->timers.now());
     if (!call.query.version)
@@ -157,6 +189,8 @@
 
 void Gateway::Impl::forwardEvents(Call& call)
 {
+    if (this->mustHold(call))
+        return;
     bool hasProgress = false;
     while (const auto event = call.splitter.next()) {
         this->forwardEvent(call, *event);
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -67,6 +67,9 @@
     bool hasAnswerBegun = false;
     std::string body;
     EventSplitter splitter;
+    /// Ends the wait for the process to tell which one it is, while the first event is held.
+    TimerId processTimer;
+    bool hasAwaitedProcess = false;
     std::string lastEvent;
     std::uint64_t events = 0;
     std::string output;
@@ -195,6 +198,9 @@
 
     // gatewayanswers.cpp: relaying of answers
     void noteLeaving(const Call& call, const EndpointAnswer& answer);
+    bool isProcessUntold(const Call& call) const;
+    bool mustHold(Call& call);
+    void release(Call& call);
     void noteOrigin(Call& call);
     void forwardEvents(Call& call);
     void forwardEvent(Call& call, const StreamEvent& event);
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -84,6 +84,9 @@
     call.head.reset();
     call.body.clear();
     call.splitter = {};
+    this->timers.cancel(call.processTimer);
+    call.processTimer = {};
+    call.hasAwaitedProcess = false;
     ++call.sends;
     ++call.runs;
     call.isWritten = false;
--- a/src/librattandeck/turns/gatewaystreams_test.cpp
+++ b/src/librattandeck/turns/gatewaystreams_test.cpp
@@ -18,6 +18,10 @@
     CPPUNIT_TEST(versionIsUnknownWithoutARecentViewOrAnOpenConnection);
     CPPUNIT_TEST(versionIsUnknownAfterAllConnectionsWereLost);
     CPPUNIT_TEST(whatTheProcessTellsComesBeforeItsEntry);
+    CPPUNIT_TEST(entryAloneDoesNotTellAtWhichVersionAStreamBegan);
+    CPPUNIT_TEST(originIsToldOnceTheProcessHasTold);
+    CPPUNIT_TEST(heldStreamThatBreaksBeginsAnew);
+    CPPUNIT_TEST(heldStreamThatEndsIsWhole);
     CPPUNIT_TEST(processIsAskedBeforeAStreamGoesOnThere);
     CPPUNIT_TEST(entryOfAnEarlierProcessLeavesTheVersionUnknown);
     CPPUNIT_TEST(resumedStreamLeavesTheQueueFirst);
@@ -94,9 +98,13 @@
         }
     }
 
+    /// The process that serves at the instance's address has told which one it is.
+    void tell(const std::string& id, std::int64_t startedAt) { this->f->processes[id + ":80"] = startedAt; }
+
     void originIsToldBeforeTheFirstEventIsPassedOn()
     {
         this->add("e1", "v1");
+        this->tell("e1", 1);
         GatewayCall call = GatewayFixture::callOn("resumable");
         call.timeLeft = Milliseconds(2000);
         this->f->call(call);
@@ -168,6 +176,7 @@
     void interruptedStreamGoesOnAtItsVersionOnly()
     {
         this->add("e1", "v1");
+        this->tell("e1", 1);
         const CallId id = this->begin();
         this->f->head(this->lastSend(), 200, true);
         this->f->event(this->lastSend(), 1);
@@ -191,6 +200,7 @@
     void stalledStreamIsKeptWhenItsVersionHasNoOtherInstance()
     {
         this->add("e1", "v1");
+        this->tell("e1", 1);
         const CallId id = this->begin();
         this->f->head(this->lastSend(), 200, true);
         this->f->event(this->lastSend(), 1);
@@ -206,6 +216,7 @@
         this->begin();
         // The instance has started again with another version since the call was sent.
         this->add("e1", "v2", 2);
+        this->tell("e1", 2);
         this->f->head(this->lastSend(), 200, true);
         this->f->event(this->lastSend(), 1);
         CPPUNIT_ASSERT(this->told<StreamBegun>().empty());
@@ -290,6 +301,74 @@
         CPPUNIT_ASSERT_EQUAL(before + 1, this->f->sends.size());
     }
 
+    /// Guards against review/3: an instance that had started again under its id as another version counted by the entry
+    /// of the process before, if its first event came before it told which process it is.
+    void entryAloneDoesNotTellAtWhichVersionAStreamBegan()
+    {
+        this->add("e1", "v1", 5);
+        const CallId id = this->begin();
+        this->f->head(this->lastSend(), 200, true);
+        this->f->event(this->lastSend(), 1);
+        CPPUNIT_ASSERT(!this->caller(id).head);
+        // The event is not held for long.
+        this->f->advance(GatewayLimits().maxProcessWait);
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: d1\n\n"), this->caller(id).bytes);
+        CPPUNIT_ASSERT(this->told<StreamBegun>().empty());
+        // It may tell later.
+        this->tell("e1", 5);
+        this->f->gateway.onProcessTold("e1:80");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->told<StreamBegun>().size());
+    }
+
+    void originIsToldOnceTheProcessHasTold()
+    {
+        for (const std::int64_t told : { 5, 6 }) {
+            this->setUp();
+            this->add("e1", "v1", 5);
+            const CallId id = this->begin();
+            this->f->head(this->lastSend(), 200, true);
+            this->f->event(this->lastSend(), 1);
+            this->f->event(this->lastSend(), 2);
+            CPPUNIT_ASSERT(!this->caller(id).head);
+            this->tell("e1", told);
+            this->f->gateway.onProcessTold("e1:80");
+            this->f->gateway.onProcessTold("e1:80");
+            CPPUNIT_ASSERT_EQUAL(std::size_t(told == 5 ? 2 : 0), this->told<StreamBegun>().size());
+            CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: d1\n\nid: 2\ndata: d2\n\n"), this->caller(id).bytes);
+        }
+    }
+
+    /// What was held is lost with a stream that breaks, which may then begin anew at any version.
+    void heldStreamThatBreaksBeginsAnew()
+    {
+        this->add("e1", "v1", 5);
+        const CallId id = this->begin();
+        this->f->head(this->lastSend(), 200, true);
+        this->f->event(this->lastSend(), 1);
+        this->add("e2", "v2", 7);
+        this->f->end(this->lastSend(), SendOutcome::Broken);
+        CPPUNIT_ASSERT(this->lastSend().details.endpoint == EndpointId("e2"));
+        CPPUNIT_ASSERT(!this->lastSend().details.resumeAfter);
+        this->tell("e2", 7);
+        this->f->head(this->lastSend(), 200, true);
+        this->f->event(this->lastSend(), 1);
+        this->f->end(this->lastSend());
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: d1\n\n"), this->caller(id).bytes);
+        CPPUNIT_ASSERT(this->caller(id).isEnded);
+    }
+
+    /// A stream that ends while its first event is held is passed on whole.
+    void heldStreamThatEndsIsWhole()
+    {
+        this->add("e1", "v1", 5);
+        const CallId id = this->begin();
+        this->f->head(this->lastSend(), 200, true);
+        this->f->event(this->lastSend(), 1);
+        this->f->end(this->lastSend());
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: d1\n\n"), this->caller(id).bytes);
+        CPPUNIT_ASSERT(this->caller(id).isEnded);
+    }
+
     void processIsAskedBeforeAStreamGoesOnThere()
     {
         this->add("e1", "v1", 5);
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -95,6 +95,7 @@
         const Address server = parseAddress(address).value_or(Address {});
         client.instance = std::make_unique<InstanceClient>(this->loop, this->metrics, server, maxConnections);
         client.instance->http().onLost([this, address] { this->core.onConnectionsLost(address); });
+        client.instance->onTold([this, address] { this->core.onProcessTold(address); });
     }
     return client;
 }
