Send a resumed stream only to a process that has told which one it is

Cause: a stream that is taken up goes to an instance of its version by the entry, after the instance was asked which process serves there; if it didn't answer in 400 ms, the stream was sent all the same, possibly to another version. Change: the send counts as not sent, so that another instance of the version is tried; the log says "process unknown".

--- a/src/include/Rattandeck/gatewaycalls.h
+++ b/src/include/Rattandeck/gatewaycalls.h
@@ -52,7 +52,7 @@
     /// While the call runs.
     Meanwhile,
     /// Before the call is sent, which must go only to the process that is registered. If the instance doesn't tell,
-    /// the call is sent.
+    /// the call is not sent.
     First,
 };
 
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -169,12 +169,14 @@
     if (!this->sends.contains(send))
         return;
     const auto told = this->processAt(details.address);
-    if (!told || *told == details.startedAt) {
+    // Entries of some instances don't say when they started; they can't be compared.
+    if (details.startedAt == 0 || told == details.startedAt) {
         this->write(call, send, details);
         return;
     }
-    logFields("another process serves",
-        { { "endpoint", details.endpoint.value }, { "registered", details.startedAt }, { "started_at", *told } });
+    logFields(told ? "another process serves" : "process unknown",
+        { { "endpoint", details.endpoint.value }, { "registered", details.startedAt },
+            { "started_at", told.value_or(0) } });
     this->core.onAnswerEnd(send, SendOutcome::NotSent);
     this->forgetSend(send);
 }
