--- a/testsuite/platform-stream-versions/case.py
+++ b/testsuite/platform-stream-versions/case.py
@@ -20,9 +20,10 @@
 MIN_RESUMED = 0.9
 # An idle connection is no longer kept after this time.
 IDLE_S = 1.0
-# Time in which a process reads a prompt. More than the 0.4 s in which it tells which process it is: a stream that begins before
-# that counts by the entry (docs/incidents/order.md, "What remains").
-FIRST_EVENT_S = 0.5
+# Time in which a process reads a prompt.
+FIRST_EVENT_S = 0.04
+# A packet that was lost is sent again after this time.
+RESEND_S = 1.0
 # Requests that a process has accepted are handled within this time.
 EXIT_S = 0.2
 # How long a process takes to start, and then to register.
@@ -78,6 +79,7 @@
     def __init__(self, links, *arguments, **fields):
         self.links = links
         self.proxied = None
+        self.report_delay_s = 0
         super().__init__(*arguments, **fields)
 
     def register(self, phase="ready", born=None):
@@ -94,12 +96,19 @@
         if request.process != self.process():
             request.close_connection = True
             return None
+        if request.path == "/api/report":
+            return self.report(request)
         return super().handle(request)
 
     def exit(self):
         self.links.set_listening(self.name, False)
         self.links.reset(self.name)
 
+    def report(self, request):
+        """Tells which process it is. The packet with the question may be lost."""
+        time.sleep(self.report_delay_s)
+        request.answer(200, {"phase": "ready", "born": self.born})
+
     def restart(self, version):
         """Ends, and starts and registers as another version."""
         self.exit()
@@ -258,10 +267,10 @@
     deployment.wait_serving("gateway-1")
 
 
-def late_entry(deployment, are_idle=False):
+def late_entry(deployment, are_idle=False, is_lossy=False):
     """Instances start again under their ids as another version and register late. All gateways have streams there when the
-    processes end, or have had no connection for a while."""
-    prefix = "idle-late" if are_idle else "late"
+    processes end, or have had no connection for a while. With `is_lossy` the instances tell only late which process they are."""
+    prefix = "lossy-late" if is_lossy else "idle-late" if are_idle else "late"
     begun = []
     for gateway in ("gateway-1", "gateway-2", "gateway-3"):
         attempts, finish = deployment.begin_at_v1(gateway, f"{prefix}-{gateway}")
@@ -282,6 +291,7 @@
     for runner in restarted:
         runner.start("v2")
         runner.first_event_s = FIRST_EVENT_S
+        runner.report_delay_s = RESEND_S if is_lossy else 0
     # Until they register, nothing of theirs is known: neither may streams of v1 go on there, nor what begins there count as v1.
     until = time.monotonic() + REGISTRATION_S
     # Gateway 3 gets no new ones: a resumed stream is the first call there that finds out which processes serve.
@@ -295,7 +305,7 @@
     expect(not mixed(deployment, resumed), f"before a late entry streams went on at another version: {mixed(deployment, resumed)}")
     time.sleep(max(0, until - time.monotonic()))
     for runner in restarted:
-        runner.first_event_s = 0
+        runner.first_event_s = runner.report_delay_s = 0
         runner.register()
     wait_until(lambda: all(deployment.knows(f"gateway-{number}", runner) for number in (1, 2, 3) for runner in restarted),
                "news of the restart")
@@ -320,6 +330,10 @@
     late_entry(deployment, are_idle=True)
 
 
+def late_entry_beside_lost_packets(deployment):
+    late_entry(deployment, are_idle=True, is_lossy=True)
+
+
 def resumed_after_a_lost_journal(deployment):
     begun, finish = deployment.begin("gateway-1", "lost-journal")
     deployment.kill("gateway-1", begun)
@@ -409,5 +423,5 @@
     with contextlib.closing(LinkProxies()) as links, VersionDeployment(build, gateways=3, links=links) as deployment:
         for phase in (resumed_elsewhere, resumed_after_a_restart, resumed_beside_a_frozen_gateway, resumed_beside_a_cut,
                       resumed_within_one_answer, unknown_streams, restarted_under_its_id, resumed_after_a_lost_journal,
-                      late_entry, late_entry_at_idle_gateways):
+                      late_entry, late_entry_at_idle_gateways, late_entry_beside_lost_packets):
             phase(deployment)
