Let a stream that breaks while its first event is held go on

Change: the end waits with the event. If the process tells which one it is meanwhile, it was the one that sent the event, and the stream goes on at its version; else it begins anew.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -30,8 +30,8 @@
     virtual void cancelSend(SendId send) = 0;
     /// Since when this process has been connected to an instance's address without a gap; empty without a connection.
     virtual std::optional<TimePoint> connectedSince(const std::string& address) const = 0;
-    /// Start time of the process that serves at an instance's address, by its own answer, if it can't have been replaced
-    /// since; empty if it has not told. `Gateway::onProcessTold` follows each answer.
+    /// Start time of the process that serves at an instance's address, by its own answer, if it can't have been
+    /// replaced since; empty if it has not told. `Gateway::onProcessTold` follows each answer.
     virtual std::optional<std::int64_t> processAt(const std::string& address) const = 0;
 
     /// Answers the caller with the status and headers that the send received and a complete body.
@@ -200,7 +200,8 @@
     void onSendWritten(SendId id);
     void onAnswerHead(SendId id, const EndpointAnswer& answer);
     void onAnswerData(SendId id, std::string_view bytes);
-    void onAnswerEnd(SendId id, SendOutcome outcome);
+    /// Returns whether the gateway has done with the send. Otherwise it ends it later by `GatewayIo::cancelSend`.
+    bool onAnswerEnd(SendId id, SendOutcome outcome);
 
     /// Number of open calls.
     std::size_t openCalls() const;
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -124,6 +124,7 @@
 
 void Gateway::onProcessTold(const std::string& address)
 {
+    std::vector<CallId> held;
     for (const auto& [id, call] : this->impl->calls) {
         const EndpointInstance* instance = this->impl->endpoints.find(call->endpoint);
         if (!instance || instance->address != address)
@@ -131,6 +132,11 @@
         if (call->events > 0)
             this->impl->noteOrigin(*call);
         else if (call->processTimer.value != 0)
+            held.push_back(id);
+    }
+    // The end of one may end others.
+    for (const CallId id : held) {
+        if (Impl::Call* call = this->impl->find(id))
             this->impl->release(*call);
     }
 }
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -69,33 +69,42 @@
     call->body.clear();
 }
 
-void Gateway::onAnswerEnd(SendId id, SendOutcome outcome)
+bool Gateway::onAnswerEnd(SendId id, SendOutcome outcome)
 {
-    auto& self = *this->impl;
-    Impl::Call* call = self.findBySend(id);
+    Impl::Call* call = this->impl->findBySend(id);
     if (!call)
-        return;
+        return true;
+    if (outcome == SendOutcome::Broken && call->processTimer.value != 0) {
+        call->isBrokenWhileHeld = true;
+        return false;
+    }
+    this->impl->onAnswerEnd(*call, outcome);
+    return true;
+}
+
+void Gateway::Impl::onAnswerEnd(Call& call, SendOutcome outcome)
+{
     if (outcome == SendOutcome::Unreachable) {
-        self.onInstanceFailed(call->endpoint);
-        self.endpoints.onUnreachable(call->endpoint, self.timers.now());
+        this->onInstanceFailed(call.endpoint);
+        this->endpoints.onUnreachable(call.endpoint, this->timers.now());
     }
     if (outcome == SendOutcome::NotSent || outcome == SendOutcome::Unreachable) {
-        self.endpoints.onFailure(call->endpoint, self.timers.now());
+        this->endpoints.onFailure(call.endpoint, this->timers.now());
         const bool isUnreachable = outcome == SendOutcome::Unreachable;
-        self.onSendRefused(*call, isUnreachable ? SendFailureCause::Unreachable : SendFailureCause::NotSent);
+        this->onSendRefused(call, isUnreachable ? SendFailureCause::Unreachable : SendFailureCause::NotSent);
         return;
     }
-    if (outcome == SendOutcome::Broken || !call->head) {
-        self.onSendInterrupted(*call, SendFailureCause::Interrupted);
+    if (outcome == SendOutcome::Broken || !call.head) {
+        this->onSendInterrupted(call, SendFailureCause::Interrupted);
         return;
     }
-    self.recordAnswer(*call);
-    if (call->head->isEventStream && isSuccess(*call->head)) {
-        self.release(*call);
-        self.onStreamEnd(*call);
+    this->recordAnswer(call);
+    if (call.head->isEventStream && isSuccess(*call.head)) {
+        this->release(call);
+        this->onStreamEnd(call);
+    } else {
+        this->onCompleteAnswer(call);
     }
-    else
-        self.onCompleteAnswer(*call);
 }
 
 // Complete answers ---------------------------------------------------------------------------------------------------
@@ -159,17 +168,22 @@
     return true;
 }
 
-/// Passes on the events that were held.
+/// Passes on the events that were held. If the answer has broken off meanwhile and its process is not known, they are
+/// dropped instead, so that the stream can begin anew.
 void Gateway::Impl::release(Call& call)
 {
     this->timers.cancel(call.processTimer);
     call.processTimer = {};
     call.hasAwaitedProcess = true;
+    if (call.isBrokenWhileHeld && this->isProcessUntold(call))
+        call.splitter = {};
     this->forwardEvents(call);
+    if (call.isBrokenWhileHeld)
+        this->onSendInterrupted(call, SendFailureCause::Interrupted);
 }
 
-/// The stream has begun: notes what it has to go on at, and tells it to journals, before the first event is passed on if
-/// it is known by then which process serves. The entry in the store may be that of the process before.
+/// The stream has begun: notes what it has to go on at, and tells it to journals, before the first event is passed on
+/// if it is known by then which process serves. The entry in the store may be that of the process before.
 void Gateway::Impl::noteOrigin(Call& call)
 {
     const bool canResume = call.route->safety == CallSafety::Stream && call.route->canResume;
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -9,8 +9,9 @@
 /// Internal state of the gateway.
 namespace Rattandeck {
 
-/// Hash of a request's host, path, subject, previous turn and body. Identifies a request that comes again, to count the crashes that it causes. The input of a turn is a small part of
-/// its prompt, so the turn that it continues is included.
+/// Hash of a request's host, path, subject, previous turn and body. Identifies a request that comes again, to count the
+/// crashes that it causes. The input of a turn is a small part of its prompt, so the turn that it continues is
+/// included.
 Fingerprint fingerprintOf(const GatewayCall& call);
 
 struct GatewayCallState {
@@ -70,6 +71,8 @@
     /// Ends the wait for the process to tell which one it is, while the first event is held.
     TimerId processTimer;
     bool hasAwaitedProcess = false;
+    /// The answer broke off while its first event was held.
+    bool isBrokenWhileHeld = false;
     std::string lastEvent;
     std::uint64_t events = 0;
     std::string output;
@@ -198,6 +201,7 @@
 
     // gatewayanswers.cpp: relaying of answers
     void noteLeaving(const Call& call, const EndpointAnswer& answer);
+    void onAnswerEnd(Call& call, SendOutcome outcome);
     bool isProcessUntold(const Call& call) const;
     bool mustHold(Call& call);
     void release(Call& call);
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -87,6 +87,7 @@
     this->timers.cancel(call.processTimer);
     call.processTimer = {};
     call.hasAwaitedProcess = false;
+    call.isBrokenWhileHeld = false;
     ++call.sends;
     ++call.runs;
     call.isWritten = false;
--- a/src/librattandeck/turns/gatewaystreams_test.cpp
+++ b/src/librattandeck/turns/gatewaystreams_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(whatTheProcessTellsComesBeforeItsEntry);
     CPPUNIT_TEST(entryAloneDoesNotTellAtWhichVersionAStreamBegan);
     CPPUNIT_TEST(originIsToldOnceTheProcessHasTold);
+    CPPUNIT_TEST(heldStreamThatBreaksGoesOn);
     CPPUNIT_TEST(heldStreamThatBreaksBeginsAnew);
     CPPUNIT_TEST(heldStreamThatEndsIsWhole);
     CPPUNIT_TEST(processIsAskedBeforeAStreamGoesOnThere);
@@ -338,7 +339,26 @@
         }
     }
 
-    /// What was held is lost with a stream that breaks, which may then begin anew at any version.
+    /// A stream that breaks while its first event is held goes on at its version once its process has told.
+    void heldStreamThatBreaksGoesOn()
+    {
+        this->add("e1", "v1", 5);
+        const CallId id = this->begin();
+        this->f->head(this->lastSend(), 200, true);
+        this->f->event(this->lastSend(), 1);
+        this->add("e2", "v2", 7);
+        this->add("e3", "v1", 8);
+        this->f->end(this->lastSend(), SendOutcome::Broken);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->f->sends.size());
+        this->tell("e1", 5);
+        this->f->gateway.onProcessTold("e1:80");
+        CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: d1\n\n"), this->caller(id).bytes);
+        CPPUNIT_ASSERT(this->lastSend().details.endpoint == EndpointId("e3"));
+        CPPUNIT_ASSERT(this->lastSend().details.resumeAfter == "1");
+        CPPUNIT_ASSERT(this->f->sends.front().isCancelled);
+    }
+
+    /// If its process doesn't tell, what was held is lost, and the stream may begin anew at any version.
     void heldStreamThatBreaksBeginsAnew()
     {
         this->add("e1", "v1", 5);
@@ -347,6 +367,7 @@
         this->f->event(this->lastSend(), 1);
         this->add("e2", "v2", 7);
         this->f->end(this->lastSend(), SendOutcome::Broken);
+        this->f->advance(GatewayLimits().maxProcessWait);
         CPPUNIT_ASSERT(this->lastSend().details.endpoint == EndpointId("e2"));
         CPPUNIT_ASSERT(!this->lastSend().details.resumeAfter);
         this->tell("e2", 7);
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -128,8 +128,8 @@
     };
     callbacks.onData = [this, send](std::string_view bytes) { this->core.onAnswerData(send, bytes); };
     callbacks.onEnd = [this, send](tl::expected<void, NetError> outcome) {
-        this->core.onAnswerEnd(send, outcome ? SendOutcome::Complete : outcomeFor(outcome.error()));
-        this->forgetSend(send);
+        if (this->core.onAnswerEnd(send, outcome ? SendOutcome::Complete : outcomeFor(outcome.error())))
+            this->forgetSend(send);
     };
     return callbacks;
 }
