Number requests to journals from a drawn ticket on

Cause: every process of a gateway numbered its requests to journals from 1. Change: numbers begin at a random one; in the generated schedules, at one that the number of the run determines. Looked at for the same shape: permits' tickets begin anew with each link (a stale grant lasts no longer than its permits would have: left), ids of sends and calls stay within the process.

--- a/src/include/Rattandeck/journalclient.h
+++ b/src/include/Rattandeck/journalclient.h
@@ -68,6 +68,9 @@
     /// Maximum age of a cached transcript. Older ones are evicted when the next turn is stored; reading a transcript
     /// does not extend its lifetime.
     Milliseconds cacheRetention { 15000 };
+    /// Ticket after which those of the requests are numbered; drawn if empty. A journal's answer to a gateway's earlier
+    /// process may arrive at its later one, which must not take it for an answer to a request of its own.
+    std::optional<std::uint64_t> firstTicket;
 };
 
 /// A gateway's client of the journals. Every record is sent to all members, and a transcript is fetched from one of
--- a/src/include/Rattandeck/streamorigins.h
+++ b/src/include/Rattandeck/streamorigins.h
@@ -30,6 +30,8 @@
     Milliseconds maxRetention { 300000 };
     /// Bound on the origins that one process keeps. Beyond it, those that expire first are dropped.
     std::size_t maxOrigins = 50000;
+    /// As `JournalClientLimits::firstTicket`, for questions.
+    std::optional<std::uint64_t> firstTicket;
 };
 
 /// Why the origin of a stream was not found.
--- a/src/librattandeck/journals/journalclient.cpp
+++ b/src/librattandeck/journals/journalclient.cpp
@@ -1,5 +1,7 @@
 #include "Rattandeck/journalclient.h"
 
+#include "Rattandeck/tickets.h"
+
 #include <algorithm>
 #include <list>
 #include <map>
@@ -73,6 +75,7 @@
         : timers(timers)
         , limits(limits)
         , send(std::move(send))
+        , lastTicket(limits.firstTicket.value_or(drawTicket()))
         , hedgeBudget(limits.hedgeBurst)
     {
     }
@@ -81,7 +84,7 @@
     JournalClientLimits limits;
     Send send;
     JournalSet set;
-    std::uint64_t lastTicket = 0;
+    std::uint64_t lastTicket;
     std::unordered_map<JournalTicket, Operation> operations;
     /// Stores that have succeeded while some members had not answered, which may lack the turn's chain.
     std::unordered_map<JournalTicket, Operation> completedStores;
--- a/src/librattandeck/journals/journalclient_test.cpp
+++ b/src/librattandeck/journals/journalclient_test.cpp
@@ -48,6 +48,7 @@
     CPPUNIT_TEST(lostLinksFailTheOperation);
     CPPUNIT_TEST(inconclusiveAnswersFailTheOperation);
     CPPUNIT_TEST(quorumIsAllMembersButOne);
+    CPPUNIT_TEST(answerToAnEarlierProcessIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
     TimerService timers;
@@ -262,6 +263,24 @@
         CPPUNIT_ASSERT(outcome->has_value() && (*outcome)->has_value());
     }
 
+    /// Guards against a turn that counts as stored because journals had stored one for the gateway's earlier process,
+    /// whose requests had the same tickets.
+    void answerToAnEarlierProcessIsIgnored()
+    {
+        this->store(turn("1", ""));
+        std::optional<tl::expected<void, JournalError>> outcome;
+        this->otherGateway->store(turn("2", ""), "", [&outcome](const auto& result) { outcome = result; });
+        for (const char* name : { "a", "b", "c" }) {
+            const NodeId node(name);
+            for (const Message& message : std::exchange(this->journals.at(node).inbox, {}))
+                this->handle(*this->otherGateway, node, message);
+        }
+        CPPUNIT_ASSERT(!outcome);
+        for (const char* name : { "a", "b" })
+            this->runOther(name);
+        CPPUNIT_ASSERT(outcome && outcome->has_value());
+    }
+
     void chainSplitAcrossJournalsIsJoined()
     {
         // Each turn has two copies, but no journal has the whole chain.
--- a/src/librattandeck/streams/streamorigins.cpp
+++ b/src/librattandeck/streams/streamorigins.cpp
@@ -1,6 +1,7 @@
 #include "Rattandeck/streamorigins.h"
 
 #include "Rattandeck/digest.h"
+#include "Rattandeck/tickets.h"
 
 #include <algorithm>
 #include <map>
@@ -125,6 +126,7 @@
         , send(std::move(send))
         , limits(limits)
         , own(timers, limits)
+        , lastTicket(limits.firstTicket.value_or(drawTicket()))
     {
     }
 
@@ -136,7 +138,7 @@
     /// Streams that this gateway began.
     StreamOriginTable own;
     std::map<JournalTicket, Question> questions;
-    std::uint64_t lastTicket = 0;
+    std::uint64_t lastTicket;
 
     std::vector<NodeId> nextJournals(const TurnId& request, const std::set<NodeId>& asked) const;
     void askMore(JournalTicket ticket);
--- a/src/librattandeck/streams/streamorigins_test.cpp
+++ b/src/librattandeck/streams/streamorigins_test.cpp
@@ -124,6 +124,7 @@
     CPPUNIT_TEST(firstOriginOfARequestHolds);
     CPPUNIT_TEST(numberOfOriginsIsBounded);
     CPPUNIT_TEST(longRetentionDoesNotKeepOtherOrigins);
+    CPPUNIT_TEST(answerToAnEarlierProcessIsIgnored);
     CPPUNIT_TEST_SUITE_END();
 
     void originIsKnownAtOtherGateways()
@@ -135,6 +136,17 @@
         CPPUNIT_ASSERT(world.find("g1", "r")->value() == someOrigin);
     }
 
+    /// Guards against a stream that goes on at the version of another one, about which the gateway had asked before it
+    /// was restarted.
+    void answerToAnEarlierProcessIsIgnored()
+    {
+        World world(3);
+        world.record("r");
+        world.gateway("g2").find(TurnId("r"), [](const auto&) {});
+        world.addGateway(NodeId("g2"));
+        CPPUNIT_ASSERT(world.find("g2", "never begun")->error() == StreamOriginError::Unknown);
+    }
+
     void costsDoNotGrowWithTheNumberOfJournals()
     {
         for (const int journals : { 3, 40, 120 }) {
--- a/src/rattandeck-provejournals/process.cpp
+++ b/src/rattandeck-provejournals/process.cpp
@@ -79,10 +79,15 @@
     JournalClientLimits limits;
     // Without a cache, every continued turn is read from the journals.
     limits.cacheBytes = 0;
+    // Unlike drawn ones, these make a run repeatable.
+    constexpr unsigned ticketBits = 32;
+    limits.firstTicket = this->runNumber << ticketBits;
+    GatewayLimits gatewayLimits;
+    gatewayLimits.origins.firstTicket = limits.firstTicket;
     this->client = std::make_unique<JournalClient>(*this->timers, limits,
         [this](const NodeId& to, const Message& message) { return this->effects.send(*this, to, message); });
     this->gateway = std::make_unique<Gateway>(
-        *this->timers, *this->gatewayIo, *this->client, FailureDomain("here"), GatewayLimits {});
+        *this->timers, *this->gatewayIo, *this->client, FailureDomain("here"), gatewayLimits);
 }
 
 void Process::end()
