Leave a request unread that crosses the close of a connection

Cause: after a response that ends its connection the server went on reading for a second, so that the response isn't lost to a reset, and dropped what it read. A request that crossed the close was read whole and never answered. What callers would see: a request that ends without an answer beside a planned stop, and which they may not send again if it isn't idempotent (LOST). Evidence: HttpTest::requestThatCrossesTheCloseIsNotRead fails on: the connection is closed in order, nothing tells the client. Change: the connection stays half open as before, but only the rest of a request that was rejected is read. What else arrives stays unread, and closing then sends a reset.

--- a/src/librattandecknet/http_test.cpp
+++ b/src/librattandecknet/http_test.cpp
@@ -41,6 +41,7 @@
     CPPUNIT_TEST(rawTargetIsForwardedUnchanged);
     CPPUNIT_TEST(malformedAndOversizedResponsesFail);
     CPPUNIT_TEST(stopCompletesRequestsInFlight);
+    CPPUNIT_TEST(requestThatCrossesTheCloseIsNotRead);
     CPPUNIT_TEST_SUITE_END();
 
     TestLoop test;
@@ -602,6 +603,26 @@
         CPPUNIT_ASSERT_EQUAL(200, this->fetch(client, {}, longTime, 5000)->status);
     }
 
+    /// Guards against a request that is read and dropped: its client can't know that it may be sent again, as it can if
+    /// the connection is reset.
+    void requestThatCrossesTheCloseIsNotRead()
+    {
+        int handled = 0;
+        const auto port = this->serve([&handled](const HttpRequest&, const HttpResponder& responder) {
+            ++handled;
+            responder.send({ 200, {}, "body" });
+        });
+        this->server->closeAfterAnswers(true);
+        RawSocket socket(port);
+        socket.write("GET / HTTP/1.1\r\n\r\n");
+        this->test.runUntil("the answer arrives", [&] { return socket.readUntilClosed(); });
+        CPPUNIT_ASSERT(socket.received.ends_with("body"));
+        socket.write("GET / HTTP/1.1\r\n\r\n");
+        this->test.runUntil("the connection is reset", [&] { return socket.wasReset(); });
+        CPPUNIT_ASSERT_EQUAL(1, handled);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(0), this->server->openConnections());
+    }
+
     void stopCompletesRequestsInFlight()
     {
         std::optional<HttpResponder> open;
--- a/src/librattandecknet/serverconnection.cpp
+++ b/src/librattandecknet/serverconnection.cpp
@@ -14,8 +14,8 @@
 namespace Http = boost::beast::http;
 
 constexpr std::size_t readSize = 16UL * 1024;
-/// How long a closing connection is still read. Closing with unread data would send a reset, and the client could lose
-/// the last response.
+/// How long a connection stays half open after its last response. Closing with unread data sends a reset, by which the
+/// client could lose the response if it had not received it yet.
 constexpr std::chrono::seconds lingerTime { 1 };
 /// How long an idle connection is kept after the server has stopped accepting.
 constexpr std::chrono::milliseconds idleGrace { 200 };
@@ -83,6 +83,11 @@
         this->isReadPending = false;
         return;
     }
+    if (this->state == State::Lingering && !this->isDraining) {
+        this->isReadPending = false;
+        this->checkClosed();
+        return;
+    }
     ErrorCode error;
     const std::size_t size = this->socket.read_some(this->buffer.prepare(readSize), error);
     if (error == Asio::error::would_block) {
@@ -191,6 +196,7 @@
 
 void ServerConnection::reject(int status)
 {
+    this->isDraining = true;
     this->state = State::Responding;
     ++this->requestNumber;
     this->isHead = false;
@@ -385,9 +391,42 @@
     ErrorCode ignored;
     this->socket.shutdown(Socket::shutdown_send, ignored);
     this->setDeadline(lingerTime);
-    if (!this->isReadPending)
-        this->buffer.clear();
-    this->read();
+    if (this->isDraining) {
+        if (!this->isReadPending)
+            this->buffer.clear();
+        this->read();
+    } else {
+        this->waitForClose();
+    }
+}
+
+/// Waits until the client closes. A request that it sends now is left unread, so that the reset tells the client that
+/// the request has not been processed.
+void ServerConnection::waitForClose()
+{
+    if (this->isReadPending)
+        return;
+    this->isReadPending = true;
+    this->socket.async_wait(
+        Socket::wait_read, this->loop.bind([self = this->shared_from_this()](const ErrorCode& error) {
+            self->isReadPending = false;
+            if (!error)
+                self->checkClosed();
+        }));
+}
+
+/// Closes the connection if the client has. Nothing is waited for once there is data, which stays unread.
+void ServerConnection::checkClosed()
+{
+    if (this->state == State::Closed)
+        return;
+    char byte = 0;
+    ErrorCode error;
+    this->socket.receive(Asio::buffer(&byte, 1), Socket::message_peek, error);
+    if (error == Asio::error::would_block)
+        this->waitForClose();
+    else if (error)
+        this->disconnect();
 }
 
 void ServerConnection::stopWhenIdle()
--- a/src/librattandecknet/serverconnection.h
+++ b/src/librattandecknet/serverconnection.h
@@ -89,6 +89,8 @@
     void onWritten(const ErrorCode& error, std::size_t size);
     void finishResponse();
     void linger();
+    void waitForClose();
+    void checkClosed();
     void onDeadline();
     void setDeadline(Rattandeck::Duration delay);
     void disconnect();
@@ -101,6 +103,8 @@
     std::optional<Parser> parser;
     bool isReadPending = false;
     bool hasSentContinue = false;
+    /// The rest of a rejected request is read and dropped while the connection closes.
+    bool isDraining = false;
 
     std::uint64_t requestNumber = 0;
     bool isCounted = false;
--- a/src/librattandecknet/testloop.h
+++ b/src/librattandecknet/testloop.h
@@ -81,6 +81,15 @@
         }
     }
 
+    /// Whether the peer has reset the connection, as it does if it closes without having read all data.
+    bool wasReset() const
+    {
+        int error = 0;
+        socklen_t length = sizeof(error);
+        getsockopt(this->descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+        return error != 0;
+    }
+
     std::string received;
 
 private:
