--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -120,8 +120,8 @@
     Milliseconds resumeMargin { 1000 };
     /// Settings of the permits for limited instances; those at the start hold.
     PermitSettings permits;
-    /// Minimum time for which journals keep turns.
-    Milliseconds minRetention { 60000 };
+    /// Time for which turns may be continued on a route that doesn't state it.
+    Milliseconds defaultRetention { 60000 };
     /// Added to the retention of a turn, together with the time left to its caller's deadline: a caller has the end of
     /// an answer later than journals store the turn, and its next request takes time to arrive.
     Milliseconds retentionMargin { 5000 };
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -397,7 +397,8 @@
 Milliseconds Gateway::Impl::turnRetention(const Call& call) const
 {
     const Milliseconds untilAnswered = std::max(this->timeLeft(call), Milliseconds(0)) + this->limits.retentionMargin;
-    return std::max(call.route->turnRetention, this->limits.minRetention) + untilAnswered;
+    const Milliseconds stated = call.route->turnRetention;
+    return (stated > Milliseconds(0) ? stated : this->limits.defaultRetention) + untilAnswered;
 }
 
 Milliseconds Gateway::Impl::claimRetention(const Call& call) const
