Try instances that accept connections after many have refused them

Cause: a call may be sent to an instance four or five times in all, also when the instances' machines refuse the connection. When all instances of a failure domain crash at one moment, they look idle, and a call is placed at one after the other of them until it may not be sent again, although others serve. What callers saw: streams that broke with the crash and are taken up at once are refused, "no instance has room" after 3 or 4 sends within a millisecond. Evidence: GatewayStreamsTest::streamGoesOnAfterManyInstancesHaveCrashed fails on after the fifth refused connection. Change: a refused connection isn't counted; each instance is tried once at most, and the caller's time bounds all. An instance that can't be asked which process it is because it refuses the connection counts as unreachable.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -85,7 +85,7 @@
     /// Interval at which queued calls are placed again.
     Milliseconds queueInterval { 10 };
     /// Number of sends that a call may use in addition to its route's `maxRuns`, because a send that an instance
-    /// refused does not count as a run.
+    /// refused does not count as a run. Sends to instances that refuse the connection are not counted.
     std::uint32_t maxExtraSends = 3;
     /// A resumable stream that delivers no event within this time is resumed at another instance.
     Milliseconds streamStallTimeout { 700 };
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -52,6 +52,8 @@
     SendId send;
     EndpointId endpoint;
     std::uint32_t sends = 0;
+    /// Sends to instances that refused the connection, which count toward no limit: each instance is tried once.
+    std::uint32_t unreachableSends = 0;
     /// Sends that may have run; while the current one has not been written, it is counted too.
     std::uint32_t runs = 0;
     /// The current send has been written to its connection.
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -258,7 +258,10 @@
     call.isWritten = false;
     call.query.excluded.insert(call.endpoint);
     this->dropSend(call, false);
-    const bool mayTryAgain = call.sends < call.route->maxRuns + this->limits.maxExtraSends;
+    if (cause == SendFailureCause::Unreachable)
+        ++call.unreachableSends;
+    const std::uint32_t counted = call.sends - call.unreachableSends;
+    const bool mayTryAgain = counted < call.route->maxRuns + this->limits.maxExtraSends;
     if (mayTryAgain && this->timeLeft(call) > Milliseconds(0))
         this->place(call);
     else
--- a/src/librattandeck/turns/gatewaystreams_test.cpp
+++ b/src/librattandeck/turns/gatewaystreams_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(heldStreamThatEndsIsWhole);
     CPPUNIT_TEST(processIsAskedBeforeAStreamGoesOnThere);
     CPPUNIT_TEST(entryOfAnEarlierProcessLeavesTheVersionUnknown);
+    CPPUNIT_TEST(streamGoesOnAfterManyInstancesHaveCrashed);
     CPPUNIT_TEST(resumedStreamLeavesTheQueueFirst);
     CPPUNIT_TEST(streamGoesOnAtAnInstanceThatHasJustAnnouncedItsLeave);
     CPPUNIT_TEST_SUITE_END();
@@ -423,6 +424,27 @@
         CPPUNIT_ASSERT(versionAt(1, EndpointCosts().registrationPeriod) == SoftwareVersion("v1"));
     }
 
+    /// Guards against streams that are refused although instances of their version serve: the instances of a failure
+    /// domain had crashed at one moment, seemed idle, and refused connections until no further send was allowed.
+    void streamGoesOnAfterManyInstancesHaveCrashed()
+    {
+        constexpr int crashed = 8;
+        for (int number = 0; number <= crashed; ++number)
+            this->add("e" + std::to_string(number), "v1");
+        const CallId id = this->resume("earlier");
+        this->answer("v1");
+        for (int number = 0; number < crashed; ++number) {
+            CPPUNIT_ASSERT(!this->caller(id).refusal);
+            this->f->end(this->lastSend(), SendOutcome::Unreachable);
+        }
+        CPPUNIT_ASSERT(!this->caller(id).refusal);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(crashed + 1), this->f->sends.size());
+        // None is tried twice.
+        this->f->end(this->lastSend(), SendOutcome::Unreachable);
+        CPPUNIT_ASSERT(this->caller(id).refusal && !this->caller(id).refusal->mayHaveRun);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(crashed + 1), this->f->sends.size());
+    }
+
     void resumedStreamLeavesTheQueueFirst()
     {
         this->add("e1", "v1");
--- a/src/librattandeck/turns/gatewayturns_test.cpp
+++ b/src/librattandeck/turns/gatewayturns_test.cpp
@@ -265,8 +265,8 @@
             state.expire(this->f->timers.now());
     }
 
-    /// Guards against 404 within a turn's retention: journals counted it from when they stored the turn, which is before
-    /// its caller has the end of the answer, and until now, which is after a caller has sent the next turn.
+    /// Guards against 404 within a turn's retention: journals counted it from when they stored the turn, which is
+    /// before its caller has the end of the answer, and until now, which is after a caller has sent the next turn.
     void turnIsKeptUntilARequestSentWithinItsRetentionHasArrived()
     {
         constexpr Milliseconds retention { 60000 };
@@ -284,8 +284,8 @@
             CPPUNIT_ASSERT(this->f->states[NodeId(name)].hasTurn(TurnId("r1")));
     }
 
-    /// Guards against a budget that is spent twice: journals forgot it as soon as a turn's retention had passed since the
-    /// last turn, and a program that was stopped later than that may return within the retention.
+    /// Guards against a budget that is spent twice: journals forgot it as soon as a turn's retention had passed since
+    /// the last turn, and a program that was stopped later than that may return within the retention.
     void budgetOfAStoppedProgramIsKnownWhenItReturns()
     {
         constexpr Milliseconds fromLastTurnToStop { 30000 };
--- a/src/rattandeck-gateway/instanceclient.cpp
+++ b/src/rattandeck-gateway/instanceclient.cpp
@@ -60,6 +60,7 @@
 void InstanceClient::onReport(const tl::expected<HttpResponse, NetError>& report)
 {
     this->isAsked = false;
+    this->wasRefused = !report && report.error() == NetError::ConnectFailed;
     const auto startedAt = report ? Platform::readStartTime(*report) : std::nullopt;
     // Empty if the connection on which the answer came has been closed: another process may serve by now.
     const auto heardSince = this->client.heardSince();
--- a/src/rattandeck-gateway/instanceclient.h
+++ b/src/rattandeck-gateway/instanceclient.h
@@ -24,6 +24,8 @@
     std::optional<std::int64_t> process() const;
     /// Asks which process serves, unless that is known or being asked. A question that fails is repeated.
     void identify();
+    /// Whether the last question was not sent, as the instance's machine refused the connection.
+    bool isUnreachable() const { return this->wasRefused; }
     /// Sets what is called, from the loop, when a process has told which one it is.
     void onTold(std::function<void()> handler);
     /// As `identify`; calls `done` from the loop once the process has answered or failed to answer in time.
@@ -44,6 +46,7 @@
     RattandeckNet::HttpClient client;
     std::optional<KnownProcess> known;
     bool isAsked = false;
+    bool wasRefused = false;
     /// How often a question that fails is repeated.
     int repetitionsLeft = 0;
     std::function<void()> toldHandler;
--- a/src/rattandeck-gateway/instanceclient_test.cpp
+++ b/src/rattandeck-gateway/instanceclient_test.cpp
@@ -84,9 +84,8 @@
         this->identify(client);
         CPPUNIT_ASSERT(client.process() == 7);
         const auto asked = this->test.loop.timers().now();
-        this->test.runUntil("the silence is long", [&] {
-            return this->test.loop.timers().now() - asked > std::chrono::milliseconds(1500);
-        });
+        this->test.runUntil("the silence is long",
+            [&] { return this->test.loop.timers().now() - asked > std::chrono::milliseconds(1500); });
         CPPUNIT_ASSERT(!client.process());
         this->identify(client);
         CPPUNIT_ASSERT(client.process() == 7);
@@ -95,8 +94,8 @@
     void lostQuestionIsRepeated()
     {
         int questionsLost = 1;
-        this->server = std::make_unique<HttpServer>(this->test.loop, HttpLimits {},
-            [this, &questionsLost](const HttpRequest&, const HttpResponder& responder) {
+        this->server = std::make_unique<HttpServer>(
+            this->test.loop, HttpLimits {}, [this, &questionsLost](const HttpRequest&, const HttpResponder& responder) {
                 ++this->questions;
                 if (questionsLost-- > 0)
                     responder.abort();
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -177,7 +177,8 @@
     logFields(told ? "another process serves" : "process unknown",
         { { "endpoint", details.endpoint.value }, { "registered", details.startedAt },
             { "started_at", told.value_or(0) } });
-    this->core.onAnswerEnd(send, SendOutcome::NotSent);
+    const bool isUnreachable = !told && this->clients.at(details.address).instance->isUnreachable();
+    this->core.onAnswerEnd(send, isUnreachable ? SendOutcome::Unreachable : SendOutcome::NotSent);
     this->forgetSend(send);
 }
 
