Ask an instance which process it is before passing it over

Cause: a stream that is taken up went only to instances whose process was known. After all connections to an instance had been lost that was doubted until some seconds later, also for the process that had registered since, and nobody asked, since nothing was sent there. What callers saw: streams that broke with a crash of a failure domain were refused, "no instance of the stream's version" without any send, while several of that version served.

--- a/src/librattandeck/routing/endpointprocesses.cpp
+++ b/src/librattandeck/routing/endpointprocesses.cpp
@@ -25,11 +25,16 @@
         state->hasLoneVersion = counts[state->instance.version] < 2;
 }
 
+std::optional<std::int64_t> EndpointTable::Impl::toldProcess(const InstanceState& state) const
+{
+    return this->connections.processAt ? this->connections.processAt(state.instance.address) : std::nullopt;
+}
+
 /// Whether the process of the instance is the one that registered what is known.
 bool EndpointTable::Impl::isProcessKnown(const InstanceState& state, TimePoint now) const
 {
     const std::string& address = state.instance.address;
-    const auto told = this->connections.processAt ? this->connections.processAt(address) : std::nullopt;
+    const auto told = this->toldProcess(state);
     if (told && state.instance.startedAt != 0)
         return *told == state.instance.startedAt;
     if (state.doubtedAt || !this->viewedAt)
@@ -44,7 +49,10 @@
 {
     if (!query.version)
         return !state.instance.isDraining;
-    if (state.instance.version != *query.version || !this->isProcessKnown(state, now))
+    // An instance that can tell which process it is, and has not told, is asked before a call is sent that must go to
+    // its version (`ProcessCheck::First`).
+    const bool canBeAsked = state.instance.startedAt != 0 && !this->toldProcess(state);
+    if (state.instance.version != *query.version || !(canBeAsked || this->isProcessKnown(state, now)))
         return false;
     return !state.instance.isDraining
         || (state.leavingSince && now - *state.leavingSince < this->costs.leavingGracePeriod);
--- a/src/librattandeck/routing/endpointsimpl.h
+++ b/src/librattandeck/routing/endpointsimpl.h
@@ -80,6 +80,8 @@
     void countVersions(const ServiceName& service);
     bool isLeaving(const EndpointInstance& instance) const;
     void setInstance(InstanceState& state, const EndpointInstance& instance, TimePoint now);
+    /// The start time of the process that serves at the instance's address, if it has told.
+    std::optional<std::int64_t> toldProcess(const InstanceState& state) const;
     bool isProcessKnown(const InstanceState& state, TimePoint now) const;
     bool mayGet(const InstanceState& state, const PlacementQuery& query, TimePoint now) const;
 
