Leave a link alone when a message is too long for it

Cause: a message over 16 MiB ended the link it was meant for. The text of a chain goes in one message, so each try to continue a chain of that length ended the gateway's links to all journals, which refuses other callers' turns. One request's size must not be another's outage. The chain itself is still refused with 503: open.

--- a/src/include/RattandeckApp/daemon.h
+++ b/src/include/RattandeckApp/daemon.h
@@ -77,6 +77,8 @@
 /// Limits for links between gateways and journals. Callers' requests wait on these links, so the timeouts are shorter
 /// than the defaults and an unresponsive link is dropped early.
 RattandeckNet::PeerLimits journalLinkLimits();
+/// Logs a message that was too long to be sent; see `PeerHandlers::onTooLong`.
+void logTooLong(const Rattandeck::NodeId& to, const Rattandeck::Message& message, std::size_t bytes);
 
 // Running ------------------------------------------------------------------------------------------------------------
 
--- a/src/include/RattandeckNet/peer.h
+++ b/src/include/RattandeckNet/peer.h
@@ -13,7 +13,7 @@
 namespace RattandeckNet {
 
 struct PeerLimits {
-    /// Maximum message size. A larger message closes the link.
+    /// Maximum message size. A larger message is not sent; one that arrives closes the link.
     std::size_t maxMessageBytes = 16UL * 1024 * 1024;
     /// Maximum unsent bytes, beyond which the link to a stuck peer is closed.
     std::size_t maxUnsentBytes = 64UL * 1024 * 1024;
@@ -46,6 +46,8 @@
     std::function<void(const Rattandeck::Hello&)> onUp;
     std::function<void(const Rattandeck::NodeId&)> onDown;
     std::function<void(const Rattandeck::NodeId& from, Rattandeck::Message)> onMessage;
+    /// A message was not sent, as it is longer than `PeerLimits::maxMessageBytes`. May be empty.
+    std::function<void(const Rattandeck::NodeId& to, const Rattandeck::Message&, std::size_t bytes)> onTooLong;
 };
 
 /// Links to other processes of the system: one HTTP/2 connection (nghttp2) each, with one long-lived bidirectional
@@ -73,12 +75,14 @@
     /// addresses.
     void keepLinksTo(const std::vector<Address>& addresses);
 
-    /// Queues a message. Returns false without sending it if no link to `to` is up, or if it would exceed a limit, in
-    /// which case the link is closed.
+    /// Queues a message. Returns false without sending it if no link to `to` is up, if it is too long, or if it would
+    /// exceed the limit on unsent bytes, in which case the link is closed.
     bool send(const Rattandeck::NodeId& to, const Rattandeck::Message& message);
     bool isUp(const Rattandeck::NodeId& node) const;
     /// Number of connection attempts so far.
     std::uint64_t dialCount() const;
+    /// Messages that were too long to be sent.
+    std::uint64_t skippedMessages() const;
     /// Traffic on all links so far, those that have been closed included.
     const PeerTrafficByKind& sentTraffic() const;
     const PeerTrafficByKind& receivedTraffic() const;
--- a/src/librattandeck/journals/journal.cpp
+++ b/src/librattandeck/journals/journal.cpp
@@ -138,9 +138,9 @@
     if (isUnreadable)
         this->io.logStep("turn can't be read", fetch.turn.value);
     // A journal that may lack records of other members, or cannot read the turn, must not report it as missing.
-    if (answer.isFound || (this->membership.canConfirmAbsence() && !isUnreadable))
-        this->io.send(from, answer);
-    else
+    const bool isConclusive = answer.isFound || (this->membership.canConfirmAbsence() && !isUnreadable);
+    // A chain may be too long for a message.
+    if (!isConclusive || !this->io.send(from, answer))
         this->io.send(from, JournalInconclusive { fetch.ticket });
 }
 
--- a/src/librattandeckapp/daemon.cpp
+++ b/src/librattandeckapp/daemon.cpp
@@ -1,5 +1,7 @@
 #include "RattandeckApp/daemon.h"
 
+#include "Rattandeck/wire.h"
+#include "RattandeckApp/log.h"
 #include "RattandeckApp/version.h"
 
 #include <chrono>
@@ -165,6 +167,14 @@
         add("sent", network.sentTraffic());
         return values;
     });
+    metrics.provide(
+        "rattandeck_link_messages_skipped_total", "counter", [&network] { return double(network.skippedMessages()); });
+}
+
+void logTooLong(const NodeId& to, const Message& message, std::size_t bytes)
+{
+    logFields("message too long",
+        { { "to", to.value }, { "kind", std::string(kindName(message)) }, { "bytes", std::int64_t(bytes) } });
 }
 
 // Stopping -----------------------------------------------------------------------------------------------------------
--- a/src/librattandecknet/peer.cpp
+++ b/src/librattandecknet/peer.cpp
@@ -55,6 +55,7 @@
     bool isClosing = false;
     /// Number of connection attempts so far; also the number of the last dialled link.
     std::uint64_t lastLinkNumber = 0;
+    std::uint64_t skippedMessages = 0;
     PeerTrafficByKind sent;
     PeerTrafficByKind received;
     /// Bytes just read, of any link: a buffer for each would be the largest part of a link.
@@ -295,7 +296,13 @@
     {
         const std::string bytes = encode(message);
         const auto& limits = this->network->limits;
-        if (bytes.size() > limits.maxMessageBytes || this->unsentBytes() + bytes.size() > limits.maxUnsentBytes) {
+        if (bytes.size() > limits.maxMessageBytes) {
+            ++this->network->skippedMessages;
+            if (this->network->handlers.onTooLong)
+                this->network->handlers.onTooLong(this->hello.node, message, bytes.size());
+            return false;
+        }
+        if (this->unsentBytes() + bytes.size() > limits.maxUnsentBytes) {
             // Posted, since the handlers called by `close` must not run within the sender's call.
             Asio::post(this->loop.context, this->loop.bind([self = this->shared_from_this()] { self->close(); }));
             return false;
@@ -608,6 +615,8 @@
 
 std::uint64_t PeerNetwork::dialCount() const { return this->impl->lastLinkNumber; }
 
+std::uint64_t PeerNetwork::skippedMessages() const { return this->impl->skippedMessages; }
+
 const PeerTrafficByKind& PeerNetwork::sentTraffic() const { return this->impl->sent; }
 
 const PeerTrafficByKind& PeerNetwork::receivedTraffic() const { return this->impl->received; }
--- a/src/librattandecknet/peer_test.cpp
+++ b/src/librattandecknet/peer_test.cpp
@@ -54,6 +54,7 @@
     CPPUNIT_TEST(garbageClosesOnlyItsConnection);
     CPPUNIT_TEST(unknownKindsAreSkipped);
     CPPUNIT_TEST(excessiveMessageLengthClosesTheLink);
+    CPPUNIT_TEST(messageThatIsTooLongLeavesTheLinkAlone);
     CPPUNIT_TEST(malformedMessageClosesTheLink);
     CPPUNIT_TEST(silentPeerGoesDown);
     CPPUNIT_TEST(unansweredDialIsRepeated);
@@ -263,6 +264,23 @@
         CPPUNIT_ASSERT(a.received.empty());
     }
 
+    /// Guards against a chain of turns that is too long for a message and ended the links that other callers' turns
+    /// use.
+    void messageThatIsTooLongLeavesTheLinkAlone()
+    {
+        this->limits.maxMessageBytes = 1000;
+        Peer a(this->test.loop, "a", 1, this->limits);
+        Peer b(this->test.loop, "b", 1, this->limits);
+        a.network->keepLinksTo({ b.address() });
+        this->test.runUntil("up", [&] { return a.isUp(b) && b.isUp(a); });
+        CPPUNIT_ASSERT(a.send(b, 1));
+        CPPUNIT_ASSERT(!a.send(b, 2, std::string(1001, 'x')));
+        CPPUNIT_ASSERT(a.send(b, 3));
+        this->test.runUntil("the others arrive", [&] { return b.received.size() == 2; });
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), a.events.size());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), a.network->skippedMessages());
+    }
+
     void malformedMessageClosesTheLink()
     {
         Peer a(this->test.loop, "a", 1, this->limits);
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -188,6 +188,7 @@
 PeerHandlers Daemon::peerHandlers()
 {
     PeerHandlers handlers;
+    handlers.onTooLong = logTooLong;
     handlers.onUp = [this](const Hello& hello) {
         logEvent("journal link up", hello.node.value);
         if (hello.role == Role::Journal) {
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -154,6 +154,7 @@
 PeerHandlers Daemon::peerHandlers()
 {
     PeerHandlers handlers;
+    handlers.onTooLong = logTooLong;
     handlers.onUp = [this](const Hello& hello) { this->onUp(hello); };
     handlers.onDown = [this](const NodeId& node) { this->onDown(node); };
     handlers.onMessage = [this](const NodeId& from, const Message& message) { this->onMessage(from, message); };
