Use no connection again after an answer that names no request

Cause: an instance sheds calls with an answer that has no request id. A second copy of it, sent when the next request had come on the connection, was taken for the answer to that one; what it says (not run) was believed, and the request was sent elsewhere while it ran. HttpTest:: connectionIsNotReusedAfterAResponseWithoutAName is new with the callback that it tests. Change: after an answer without an id the connection is closed. Copies that bear an id were skipped before. Ruled out: not believing such an answer for an unsafe request: shed calls are common under load, and could then not be moved. Cost: a new connection for each shed call.

--- a/src/librattandecknet/clientconnection.cpp
+++ b/src/librattandecknet/clientconnection.cpp
@@ -235,6 +235,7 @@
         this->isForeignResponse = true;
         return;
     }
+    this->mayBeReused = !callbacks.isNamed || callbacks.isNamed(headers);
     this->updateKeepAliveTime(headers);
     if (callbacks.onHead)
         callbacks.onHead(status, headers);
@@ -279,8 +280,8 @@
     const auto self = this->shared_from_this();
     const auto owner = this->client;
     const auto ended = std::move(this->call);
-    const bool isReusable
-        = this->parser->keep_alive() && this->buffer.size() == 0 && this->written == ended->bytes.size();
+    const bool isReusable = this->mayBeReused && this->parser->keep_alive() && this->buffer.size() == 0
+        && this->written == ended->bytes.size();
     this->parser.reset();
     this->buffer.shrink_to_fit();
     if (isReusable)
--- a/src/librattandecknet/clientconnection.h
+++ b/src/librattandecknet/clientconnection.h
@@ -109,6 +109,7 @@
     boost::beast::flat_buffer buffer;
     std::optional<Parser> parser;
     std::shared_ptr<ClientCall> call;
+    bool mayBeReused = true;
     std::size_t written = 0;
     /// Bytes parsed and data delivered for the current call.
     std::size_t parsedBytes = 0;
--- a/src/librattandecknet/http_test.cpp
+++ b/src/librattandecknet/http_test.cpp
@@ -2,6 +2,7 @@
 
 #include "testloop.h"
 
+#include <algorithm>
 #include <ctime>
 #include <map>
 #include <vector>
@@ -36,6 +37,7 @@
     CPPUNIT_TEST(closedIdleConnectionIsReplaced);
     CPPUNIT_TEST(unsolicitedResponseIsNotDeliveredToALaterCall);
     CPPUNIT_TEST(answerToAnotherCallIsSkipped);
+    CPPUNIT_TEST(connectionIsNotReusedAfterAResponseWithoutAName);
     CPPUNIT_TEST(idleConnectionIsNotReusedNearItsKeepAliveTimeout);
     CPPUNIT_TEST(connectionAttemptTimesOut);
     CPPUNIT_TEST(rawTargetIsForwardedUnchanged);
@@ -520,6 +522,34 @@
         CPPUNIT_ASSERT_EQUAL(std::string("right"), body);
     }
 
+    /// Guards against review/2: a second copy of a refusal that names no request was taken for the response to the next
+    /// request on the connection, which had run and was sent elsewhere again.
+    void connectionIsNotReusedAfterAResponseWithoutAName()
+    {
+        for (const bool isNamed : { true, false }) {
+            RawListener listener;
+            HttpClient client(this->test.loop, { "127.0.0.1", listener.port });
+            int answered = 0;
+            HttpCallbacks callbacks;
+            callbacks.isNamed = [](const HttpHeaders& headers) { return headers.contains("name"); };
+            callbacks.onEnd = [&](const auto& result) { answered += result ? 1 : 0; };
+            client.start({}, std::chrono::seconds(5), callbacks);
+            std::unique_ptr<RawSocket> first;
+            this->test.runUntil("connected", [&] { return first || (first = listener.accept()); });
+            const std::string name = isNamed ? "Name: x\r\n" : "";
+            first->write("HTTP/1.1 503 Busy\r\nKeep-Alive: timeout=20\r\n" + name + "Content-Length: 0\r\n\r\n");
+            this->test.runUntil("answered", [&] { return answered == 1; });
+            client.start({}, std::chrono::seconds(5), callbacks);
+            std::unique_ptr<RawSocket> second;
+            this->test.runUntil("the next request is sent", [&] {
+                first->readUntilClosed();
+                second = second ? std::move(second) : listener.accept();
+                return second || std::ranges::count(first->received, 'G') == 2;
+            });
+            CPPUNIT_ASSERT_EQUAL(isNamed, !second);
+        }
+    }
+
     void idleConnectionIsNotReusedNearItsKeepAliveTimeout()
     {
         RawListener listener;
--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -223,6 +223,8 @@
     return echoed.empty() || echoed == request.value;
 }
 
+bool namesItsRequest(const HttpHeaders& headers) { return !field(headers, Names::requestId).empty(); }
+
 HttpHeaders writeAnswerHeaders(HttpHeaders headers)
 {
     removeConnectionHeaders(headers);
--- a/src/platform/calls.h
+++ b/src/platform/calls.h
@@ -17,6 +17,8 @@
 Rattandeck::EndpointAnswer readAnswer(int status, const RattandeckNet::HttpHeaders& headers);
 /// Returns whether an answer belongs to the request with this id. Answers without an id are accepted.
 bool isAnswerTo(const RattandeckNet::HttpHeaders& headers, const Rattandeck::TurnId& request);
+/// Returns whether an answer tells which request it belongs to.
+bool namesItsRequest(const RattandeckNet::HttpHeaders& headers);
 /// Builds the question that an instance answers with what it tells of itself.
 RattandeckNet::HttpRequest writeReportRequest();
 /// Returns the start time of the process that has answered, in milliseconds since the Unix epoch; empty if the answer
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -117,6 +117,7 @@
 {
     HttpCallbacks callbacks;
     callbacks.isOwn = [requestId](const HttpHeaders& headers) { return Platform::isAnswerTo(headers, requestId); };
+    callbacks.isNamed = Platform::namesItsRequest;
     callbacks.onWrite = [this, send] { this->core.onSendWritten(send); };
     callbacks.onHead = [this, send](int status, const HttpHeaders& headers) {
         const auto found = this->sends.find(send);
