Let the soak ask for LOST in more of its forms

The soak looked at retained turns until 5 s before the end of their retention, took LOST for a 404 or a request without an answer beside planned changes, let all inputs differ, and played instances one by one that always sent a length or chunks.

- Its routes retain turns for 12 s; callers pause to the last second of that, continue the turn through another gateway, and the margin is gone.
- A turn that reaches no instance in five tries or more at gateways in touch, while nine tenths of first turns do, is a violation; so are more than three answers that are cut, or connections closed without one, after a sound instance got the request.
- 30% of the turns bring the same short input; a tenth of the answers have neither a length nor chunks; streams break within an event.
- All instances of a failure domain may crash at one moment (`domains`); nine model and eight application instances, as small deployments have.
- Journals' disks may be slow, all at once (`slow disks`, a preloaded library that delays syncs); that explains nothing to the judge.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -10,13 +10,22 @@
 from platform_standins import HOST
 
 from content import MAX_TURN_TOKENS, output_in, whole_events
-from judge import RETENTION_CHECKED_S, STREAM_KINDS, Request
+from judge import GAVE_UP, STREAM_KINDS, Request
+from standins import RETENTION_S
 
 DEADLINE_S = 4.0
 # After its deadline a caller waits this much longer before it gives an open connection up.
 PATIENCE_S = 3.0
 AMPLE_BUDGET = 1_000_000
 TIGHT_TURNS = 2
+# The part of the turns that bring the same short input.
+SHORT_INPUTS = 0.3
+# How often a caller sends a turn that is refused, and the pause in between.
+MAX_TRIES = 6
+PAUSE_BETWEEN_TRIES_S = 0.25
+# A caller that pauses returns in this time at the end of the retention, after a pause of at most that.
+LAST_MOMENT_S = 1.0
+MAX_PAUSE_S = 5.0
 # How often a caller takes a broken stream up again.
 MAX_RESUMPTIONS = 3
 
@@ -31,7 +40,7 @@
         self.program = program
 
     def is_kept(self, within_s):
-        return time.monotonic() + within_s - self.at < RETENTION_CHECKED_S
+        return time.monotonic() + within_s - self.at < RETENTION_S
 
 
 class Callers:
@@ -73,8 +82,8 @@
         self.connections = {}
 
     def run(self):
-        activities = [self.program] * 4 + [self.race, self.old_turn, *[self.stream] * 4, self.read, self.read,
-                                           self.write, self.write]
+        activities = [self.program] * 4 + [self.race, self.old_turn, self.pause_to_the_end, *[self.stream] * 4, self.read,
+                                           self.read, self.write, self.write]
         while not self.callers.stopping.is_set():
             self.chance.choice(activities)()
             time.sleep(self.chance.uniform(0, 0.1))
@@ -85,7 +94,7 @@
         program = f"p{next(self.callers.numbers)}"
         turn = None
         for _ in range(self.chance.randint(2, 5)):
-            request, after = self.turn(program, AMPLE_BUDGET, turn)
+            request, after = self.press(turn) if turn else self.turn(program, AMPLE_BUDGET)
             turn = after or turn
             if self.callers.stopping.is_set():
                 return
@@ -109,13 +118,38 @@
             turn = self.chance.choice(turns)
             self.turn(turn.program, AMPLE_BUDGET, turn)
 
+    def press(self, turn):
+        """Continues a turn, several times while that reaches no instance. Returns as `turn` does."""
+        tries = []
+        while len(tries) < MAX_TRIES:
+            request, after = self.turn(turn.program, AMPLE_BUDGET, turn)
+            tries.append(request)
+            if request.status != 503 or not turn.is_kept(0) or self.callers.stopping.wait(PAUSE_BETWEEN_TRIES_S):
+                break
+        self.judge.on_pressed(turn.name, tries)
+        return request, after
+
+    def pause_to_the_end(self):
+        """Continues a turn in the last second of its retention, and that turn through another gateway."""
+        turns = self.callers.kept_turns(LAST_MOMENT_S)
+        if not turns:
+            return
+        oldest = min(turns, key=lambda turn: turn.at)
+        pause_s = oldest.at + RETENTION_S - LAST_MOMENT_S * self.chance.random() - time.monotonic()
+        if pause_s > MAX_PAUSE_S or self.callers.stopping.wait(max(0, pause_s)):
+            return
+        _, after = self.turn(oldest.program, AMPLE_BUDGET, oldest)
+        if after:
+            self.press(after)
+
     def turn(self, program, budget, previous=None, gateway=None):
         """Sends a turn. Returns its request, and a `Turn` if it was answered whole."""
         request = self.request("turns", gateway, program=program, budget=budget)
         if previous:
             request.previous, request.previous_at = previous.name, previous.at
         chain = previous.chain if previous else b""
-        body = b"input of %s " % request.name.encode()
+        # Short inputs are alike in many programs.
+        body = b"yes " if self.chance.random() < SHORT_INPUTS else b"input of %s " % request.name.encode()
         headers = {"Model": "m", "Program-Id": program, "Session-Id": "s", "Token-Budget": str(budget),
                    "Token-Counts": f"100,{MAX_TURN_TOKENS}"}
         if previous:
@@ -172,6 +206,9 @@
             self.read_body(request, response)
             if response.will_close or not request.is_complete:
                 self.forget(request.gateway)
+        except TimeoutError:
+            request.failure = GAVE_UP
+            self.forget(request.gateway)
         except (OSError, http.client.HTTPException) as error:
             request.failure = repr(error)
             self.forget(request.gateway)
--- a/testsuite/soak/content.py
+++ b/testsuite/soak/content.py
@@ -36,6 +36,8 @@
     def __init__(self, request):
         chance = random.Random(f"content {request}")
         is_long = chance.random() < 0.1
+        # The answer has neither a length nor chunks, and ends with its connection.
+        self.is_unframed = chance.random() < 0.1
         self.pause_s = chance.uniform(0.1, 0.25) if is_long else chance.uniform(0.0, 0.03)
         self.data = [b"%s-%d-%s" % (request.encode(), number, b"x" * chance.randint(0, 1500))
                      for number in range(1, chance.randint(2, MAX_EVENTS) + 1)]
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -4,6 +4,7 @@
 is calm for some seconds, so that only these can explain what callers see then.
 """
 
+import contextlib
 import dataclasses
 import random
 import shutil
@@ -15,6 +16,7 @@
 from linkproxy import ANY
 from platform_standins import route
 
+DOMAINS = "abc"
 # After its end a fault explains failures for this long: links are dialled again, processes start, members change.
 AFTER_EFFECT_S = 4.0
 CALM_S = 5.0
@@ -24,7 +26,7 @@
 LINKS = ("delay", "cut one way", "silence", "isolate", "reset", "narrow", "instance delay", "instance silence",
          "instance reset")
 PROCESSES = ("kill", "freeze", "stop", "reload", "instance refuses", "instance restarts", "instance breaks streams",
-             "roll out", "roll back")
+             "domain crashes", "roll out", "roll back")
 # Times in which the process of a gateway did not run without a break.
 STOPS = ("kill", "freeze", "stop")
 # How long an instance goes on that has said that it leaves, and how long a process takes to start.
@@ -33,10 +35,13 @@
 REGISTRATION_S = 1.2
 OTHER_VERSION = {"v1": "v2", "v2": "v1"}
 STORE = ("store refuses", "store silent", "store loses answers")
+# The machines are busy, which nobody tells the callers: it explains no failure.
+SILENT_TROUBLE = ("slow disks",)
+MAX_SYNC_S = 0.5
 # Two versions of the engines side by side, while streams break.
 VERSIONS = ("roll out", "roll back", "instance restarts", "kill", "freeze", "instance reset", *["instance breaks streams"] * 4)
 EPISODES = {"planned": PLANNED, "links": LINKS, "processes": PROCESSES, "versions": VERSIONS, "disks": (),
-            "mixed": PLANNED + LINKS + PROCESSES + STORE}
+            "slow disks": SILENT_TROUBLE, "domains": ("domain crashes",), "mixed": PLANNED + LINKS + PROCESSES + STORE + SILENT_TROUBLE}
 
 
 @dataclasses.dataclass
@@ -57,8 +62,9 @@
     faults = []
     at = 2.0
     while at < seconds - 4:
-        episode = only or chance.choice(["planned", "links", "processes", "versions", "disks", "mixed", "mixed"])
-        if episode in ("planned", "disks"):
+        episode = only or chance.choice(
+            ["planned", "links", "processes", "versions", "domains", "disks", "slow disks", "mixed", "mixed"])
+        if episode in ("planned", "disks", "slow disks"):
             at += CALM_S
         length = min(chance.uniform(5, 10), seconds - at)
         if length <= 1:
@@ -85,6 +91,11 @@
                    for number in emptied]
 
 
+def instances_of_a_domain(number, nodes):
+    return tuple(f"{service}-{instance}" for service in ("llm", "app")
+                 for instance in range(1, nodes[service] + 1) if instance % len(DOMAINS) == number)
+
+
 def draw_fault(chance, at, length, kind, nodes, is_planned):
     def pick(*kinds):
         kind_of_node = chance.choice(kinds)
@@ -102,12 +113,15 @@
         "drain": lambda: (pick("llm", "app"),),
         "roll out": lambda: ("llm",),
         "roll back": lambda: ("llm",),
+        "domain crashes": lambda: instances_of_a_domain(chance.randint(0, len(DOMAINS) - 1), nodes),
+        "slow disks": lambda: tuple(f"journal-{number}" for number in range(1, nodes["journal"] + 1)),
         "instance breaks streams": lambda: (pick("llm"),),
     }
     is_instance = kind.startswith("instance")
     chosen = picks.get(kind, lambda: (pick("llm", "app"),) if is_instance else (process,))()
     value = {"delay": chance.uniform(0.02, 0.3), "instance delay": chance.uniform(0.02, 0.4),
-             "narrow": chance.uniform(100_000, 1_000_000)}.get(kind, chance.random())
+             "narrow": chance.uniform(100_000, 1_000_000), "slow disks": chance.uniform(0.05, MAX_SYNC_S)
+             }.get(kind, chance.random())
     return Fault(at + chance.uniform(0, length - 1), chance.uniform(0.2, min(5, length)), kind, chosen, value, is_planned)
 
 
@@ -118,10 +132,12 @@
         self.started = started
         # [begin, end or None, text, whether it is planned]
         self.entries = []
+        # As `entries`, of trouble that explains nothing.
+        self.silent = []
 
     def begin(self, text, is_planned):
         entry = [time.monotonic(), None, text, is_planned]
-        self.entries.append(entry)
+        (self.silent if text.startswith(SILENT_TROUBLE) else self.entries).append(entry)
         return entry
 
     def near(self, begin, end):
@@ -135,6 +151,10 @@
         """The entries that name a node and were in force after that time."""
         return [entry for entry in list(self.entries) if node in entry[2].split() and (entry[1] or since) >= since]
 
+    def is_sound(self, instance, since):
+        """Whether no fault has named an instance shortly before this time or after it."""
+        return not self._naming(instance.split("#")[0].split(".")[0], since - AFTER_EFFECT_S)
+
     def in_touch(self, gateway, at):
         """Whether no fault is near that names the gateway, the store or two journals."""
         since = at - AFTER_EFFECT_S
@@ -150,7 +170,7 @@
     def text(self):
         return "\n".join(f"{began - self.started:8.3f} to {'     ...' if not ended else f'{ended - self.started:8.3f}'} "
                          f"{'planned ' if is_planned else ''}{text}"
-                         for began, ended, text, is_planned in sorted(self.entries, key=lambda entry: entry[0]))
+                         for began, ended, text, is_planned in sorted(self.entries + self.silent, key=lambda entry: entry[0]))
 
 
 class Injector:
@@ -283,6 +303,20 @@
             instance.start(OTHER_VERSION[instance.version] if is_other_version else instance.version, keeps_id=True,
                            registers_after_s=REGISTRATION_S if fault.value < 0.25 else 0)
 
+    def domain_crashes(self, fault):
+        """All instances of a failure domain crash at one moment, and are back after a while."""
+        with contextlib.ExitStack() as changes:
+            crashed = [instance for instance in self.deployment.runners
+                       if instance.name in fault.nodes and changes.enter_context(instance.change())]
+            # At one moment, although each takes a while to close its port.
+            for instance in crashed:
+                instance.has_exited = True
+            for instance in crashed:
+                instance.exit()
+            time.sleep(max(fault.duration, START_S))
+            for instance in crashed:
+                instance.start(instance.version, keeps_id=True)
+
     def drain(self, instance, fault):
         with instance.change() as is_free:
             if not is_free:
@@ -345,6 +379,13 @@
         time.sleep(fault.duration / 4)
         self.deployment.restart(fault.nodes[0])
 
+    def slow_disks(self, fault):
+        for journal in fault.nodes:
+            self.deployment.set_sync_time(journal, 1000 * fault.value)
+        time.sleep(fault.duration)
+        for journal in fault.nodes:
+            self.deployment.set_sync_time(journal, 0)
+
     def reload(self, fault):
         self.process(fault).signal(signal.SIGHUP)
 
--- a/testsuite/soak/judge.py
+++ b/testsuite/soak/judge.py
@@ -10,12 +10,17 @@
 from standins import RETENTION_S
 
 STREAM_KINDS = ("streams", "lone")
+# The failure of a request that its caller has broken off.
+GAVE_UP = "given up by its caller"
 NOT_RUN = (402, 404, 429, 503)
 KNOWN_STATUSES = (0, 200, 402, 404, 429, 502, 503, 504)
 # A request on an open connection that is not answered for this long has been read by a process that runs.
 READ_WITHIN_S = 0.2
-# A retained turn is expected to be known until shortly before its retention ends.
-RETENTION_CHECKED_S = RETENTION_S - 5
+# A kept turn whose next one was sent so often reaches an instance, if this share of first turns does.
+MIN_TRIES = 5
+SERVED_SHARE = 0.9
+# More answers than this are not cut, and more kept connections not closed without one, at gateways in touch.
+MAX_CUT = 3
 # A request that is sent this long after a gateway passed on an answer of an instance that leaves doesn't reach it.
 DRAIN_S = 2.0
 # The share of resumed streams is checked from this number on.
@@ -79,6 +84,8 @@
         self.statuses = collections.Counter()
         # Requests without an answer while nothing but planned changes was near.
         self.unanswered = []
+        # Requests that ended without a whole answer, though machines and instances were sound.
+        self.cut = []
         self.violations = []
 
     def violate(self, promise, detail, request=""):
@@ -123,6 +130,8 @@
                 self._check_unknown(request)
             if request.status == 402 and request.budget > 100 * MAX_TURN_TOKENS:
                 self.violate("a turn within its budget is not refused for it", "answered 402", request.name)
+            if request.is_connected and (is_cut or request.status == 0):
+                self._check_cut(request)
             if request.is_connected and (is_cut or request.status == 0) \
                     and self.faults.near(request.sent_at, request.ended_at) != "faults":
                 self.unanswered.append(request)
@@ -152,14 +161,41 @@
         if request.should_go_on:
             self.streams[bool(request.stream), count > 0 or request.is_complete and request.status == 200] += 1
 
+    def _check_cut(self, request):
+        """A connection that was closed without a whole answer, though its request had gone to a sound instance."""
+        runs = self.runs[request.name]
+        is_sound = runs and all(self.faults.is_sound(instance, request.sent_at) for instance in runs)
+        is_in_touch = all(self.faults.in_touch(request.gateway, at) for at in (request.sent_at, request.ended_at))
+        if is_sound and is_in_touch and request.failure != GAVE_UP:
+            self.cut.append(request)
+            if len(self.cut) > MAX_CUT:
+                self.violate("what a sound instance runs is answered whole",
+                             f"{len(self.cut)} answers cut; {request.kind} at {request.gateway} after "
+                             f"{request.ended_at - request.sent_at:.3f} s, ran at {runs}", request.name)
+
     def _check_unknown(self, request):
         if not request.previous:
             self.violate("a configured route is known", "answered 404", request.name)
-        elif request.ended_at - request.previous_at < RETENTION_CHECKED_S:
+        elif request.ended_at - request.previous_at < RETENTION_S:
             self.violate("a retained turn is known within its retention",
                          f"continued {request.previous}, answered whole {request.ended_at - request.previous_at:.1f} s "
                          f"before, and got 404", request.name)
 
+    def on_pressed(self, previous, tries):
+        """A caller has sent the next turn of a kept one several times, and gives up if none has run."""
+        with self.lock:
+            if len(tries) < MIN_TRIES or any(self.runs[request.name] for request in tries) \
+                    or not all(self.faults.in_touch(request.gateway, request.ended_at) for request in tries):
+                return
+            first_turns = [request for request in self.requests.values()
+                           if request.kind == "turns" and not request.previous and request.ended_at
+                           and tries[0].sent_at <= request.sent_at and request.ended_at <= tries[-1].ended_at]
+            reached = sum(bool(self.runs[request.name]) for request in first_turns)
+            if first_turns and reached >= SERVED_SHARE * len(first_turns):
+                self.violate("a kept turn can be continued",
+                             f"{previous}: {len(tries)} tries, {[request.status for request in tries]}; {reached} of "
+                             f"{len(first_turns)} first turns ran", tries[-1].name)
+
     # Instances
 
     def on_arrival(self, name, instance):
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -13,7 +13,7 @@
 import faults as fault_series
 from callers import Caller, Callers
 from judge import Judge
-from standins import SoakDeployment
+from standins import RETENTION_S, SoakDeployment
 
 # Everything is served again at the latest this long after the last fault.
 RECOVERY_S = 12.0
@@ -86,7 +86,8 @@
         caller = Caller(callers, callers.callers[0].chance)
         first, turn = caller.turn(f"end-{next(callers.numbers)}", 100_000_000, gateway=gateway)
         requests = [first, caller.stream(gateway), caller.read(gateway), caller.write(gateway)]
-        for kept in [turn, *caller.chance.sample(callers.kept_turns(15), min(5, len(callers.kept_turns(15))))]:
+        others = callers.kept_turns(RETENTION_S / 2)
+        for kept in [turn, *caller.chance.sample(others, min(5, len(others)))]:
             if kept:
                 requests.append(caller.turn(kept.program, 100_000_000, kept, gateway)[0])
         caller.close()
@@ -95,7 +96,7 @@
     @staticmethod
     def _continue_kept_turns(deployment, callers):
         """Continues the turns that are within their retention; the judge checks that they are known, and their chains."""
-        kept = callers.kept_turns(15)
+        kept = callers.kept_turns(RETENTION_S / 2)
         kept = callers.callers[0].chance.sample(kept, min(MAX_CONTINUED, len(kept)))
         gateways = deployment.names("gateway")
 
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -10,9 +10,9 @@
 from platform_standins import Deployment, Server, Store, configuration, route
 
 from content import TOKENS_PER_EVENT, Plan
+from faults import DOMAINS
 
-DOMAINS = "abc"
-RETENTION_S = 60.0
+RETENTION_S = 12.0
 ROUTES = [
     route("turns", "streaming", "llm", retain=True, retain_s=RETENTION_S, sticky=True, goal_ms=1500),
     route("streams", "streaming", "llm", can_resume=True, goal_ms=1500),
@@ -161,25 +161,48 @@
         if "Model" in request.headers:
             return self.stream(request, plan, identity)
         time.sleep(plan.pause_s)
-        return request.answer(200, plan.plain_body, identity)
-
-    def stream(self, request, plan, headers):
+        if not plan.is_unframed:
+            return request.answer(200, plan.plain_body, identity)
+        self.begin_unframed(request, identity)
+        request.wfile.write(plan.plain_body)
+        return request.wfile.flush()
+
+    @staticmethod
+    def begin_unframed(request, headers):
         request.send_response(200)
-        for name, value in dict(headers, **{"Content-Type": "text/event-stream"}).items():
+        for name, value in headers.items():
             request.send_header(name, value)
-        request.send_header("Transfer-Encoding", "chunked")
         request.end_headers()
+        request.close_connection = True
+
+    def stream(self, request, plan, headers):
+        headers = dict(headers, **{"Content-Type": "text/event-stream"})
+        if plan.is_unframed:
+            self.begin_unframed(request, headers)
+        else:
+            request.send_response(200)
+            for name, value in dict(headers, **{"Transfer-Encoding": "chunked"}).items():
+                request.send_header(name, value)
+            request.end_headers()
         first = int(request.headers.get("Last-Event-Id") or 0)
         process = self.process()
         for number, event in enumerate(plan.events(self.version)[first:]):
             if self.has_exited or process != self.process() or (self.is_breaking and number == 1):
-                request.close_connection = True
+                self.break_off(request, event if plan.is_unframed else b"")
                 return
             self.judge.on_tokens(request.headers, TOKENS_PER_EVENT)
-            request.wfile.write(b"%x\r\n%s\r\n" % (len(event), event))
+            request.wfile.write(event if plan.is_unframed else b"%x\r\n%s\r\n" % (len(event), event))
             request.wfile.flush()
             time.sleep(plan.pause_s)
-        request.wfile.write(b"0\r\n\r\n")
+        if not plan.is_unframed:
+            request.wfile.write(b"0\r\n\r\n")
+        request.wfile.flush()
+
+    @staticmethod
+    def break_off(request, event):
+        """Ends a stream early. Without chunks that shows only within an event."""
+        request.close_connection = True
+        request.wfile.write(event[:len(event) // 2])
         request.wfile.flush()
 
 
@@ -188,7 +211,8 @@
 
     def __init__(self, build, judge, links, options):
         self.judge = judge
-        self.instance_counts = {"llm": 2 + options.gateways // 2, "app": 2 + options.gateways // 4}
+        # Three instances in each failure domain, as small deployments have them.
+        self.instance_counts = {"llm": 9 + options.gateways // 4, "app": 8 + options.gateways // 4}
         self.config_version = 1
         self.admin_addresses = {}
         super().__init__(build, options.gateways, options.journals, options.tolerated, links, options.disks)
@@ -217,6 +241,21 @@
         self.config_version += 1
         self.store.put("config", "main", configuration(self.config_version, ROUTES + list(more_routes)))
 
+    # Disks
+
+    def environment(self, name):
+        library = self.build.resolve() / "libslowdisk.so"
+        if not name.startswith("journal"):
+            return {}
+        return {"LD_PRELOAD": str(library), "SLOW_DISK": str(self.folder / f"slow-{name}")}
+
+    def set_sync_time(self, journal, milliseconds):
+        """Lets each sync of a journal's disk take that much longer."""
+        path = self.folder / f"slow-{journal}"
+        fresh = path.with_suffix(".new")
+        fresh.write_text(str(int(milliseconds)))
+        fresh.rename(path)
+
     def names(self, kind):
         return [name for name in self.processes if name.startswith(kind)]
 
