--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -35,13 +35,10 @@
 REGISTRATION_S = 1.2
 OTHER_VERSION = {"v1": "v2", "v2": "v1"}
 STORE = ("store refuses", "store silent", "store loses answers")
-# The machines are busy, which nobody tells the callers: it explains no failure.
-SILENT_TROUBLE = ("slow disks",)
-MAX_SYNC_S = 0.5
 # Two versions of the engines side by side, while streams break.
 VERSIONS = ("roll out", "roll back", "instance restarts", "kill", "freeze", "instance reset", *["instance breaks streams"] * 4)
 EPISODES = {"planned": PLANNED, "links": LINKS, "processes": PROCESSES, "versions": VERSIONS, "disks": (),
-            "slow disks": SILENT_TROUBLE, "domains": ("domain crashes",), "mixed": PLANNED + LINKS + PROCESSES + STORE + SILENT_TROUBLE}
+            "domains": ("domain crashes",), "mixed": PLANNED + LINKS + PROCESSES + STORE}
 
 
 @dataclasses.dataclass
@@ -63,8 +60,8 @@
     at = 2.0
     while at < seconds - 4:
         episode = only or chance.choice(
-            ["planned", "links", "processes", "versions", "domains", "disks", "slow disks", "mixed", "mixed"])
-        if episode in ("planned", "disks", "slow disks"):
+            ["planned", "links", "processes", "versions", "domains", "disks", "mixed", "mixed"])
+        if episode in ("planned", "disks"):
             at += CALM_S
         length = min(chance.uniform(5, 10), seconds - at)
         if length <= 1:
@@ -114,14 +111,12 @@
         "roll out": lambda: ("llm",),
         "roll back": lambda: ("llm",),
         "domain crashes": lambda: instances_of_a_domain(chance.randint(0, len(DOMAINS) - 1), nodes),
-        "slow disks": lambda: tuple(f"journal-{number}" for number in range(1, nodes["journal"] + 1)),
         "instance breaks streams": lambda: (pick("llm"),),
     }
     is_instance = kind.startswith("instance")
     chosen = picks.get(kind, lambda: (pick("llm", "app"),) if is_instance else (process,))()
     value = {"delay": chance.uniform(0.02, 0.3), "instance delay": chance.uniform(0.02, 0.4),
-             "narrow": chance.uniform(100_000, 1_000_000), "slow disks": chance.uniform(0.05, MAX_SYNC_S)
-             }.get(kind, chance.random())
+             "narrow": chance.uniform(100_000, 1_000_000)}.get(kind, chance.random())
     return Fault(at + chance.uniform(0, length - 1), chance.uniform(0.2, min(5, length)), kind, chosen, value, is_planned)
 
 
@@ -132,12 +127,10 @@
         self.started = started
         # [begin, end or None, text, whether it is planned]
         self.entries = []
-        # As `entries`, of trouble that explains nothing.
-        self.silent = []
 
     def begin(self, text, is_planned):
         entry = [time.monotonic(), None, text, is_planned]
-        (self.silent if text.startswith(SILENT_TROUBLE) else self.entries).append(entry)
+        self.entries.append(entry)
         return entry
 
     def near(self, begin, end):
@@ -170,7 +163,7 @@
     def text(self):
         return "\n".join(f"{began - self.started:8.3f} to {'     ...' if not ended else f'{ended - self.started:8.3f}'} "
                          f"{'planned ' if is_planned else ''}{text}"
-                         for began, ended, text, is_planned in sorted(self.entries + self.silent, key=lambda entry: entry[0]))
+                         for began, ended, text, is_planned in sorted(self.entries, key=lambda entry: entry[0]))
 
 
 class Injector:
@@ -379,13 +372,6 @@
         time.sleep(fault.duration / 4)
         self.deployment.restart(fault.nodes[0])
 
-    def slow_disks(self, fault):
-        for journal in fault.nodes:
-            self.deployment.set_sync_time(journal, 1000 * fault.value)
-        time.sleep(fault.duration)
-        for journal in fault.nodes:
-            self.deployment.set_sync_time(journal, 0)
-
     def reload(self, fault):
         self.process(fault).signal(signal.SIGHUP)
 
