Bound the nesting of JSON in one place

The reader of the store's answers and that of messages between processes had the same handler, which differ only in what becomes of a value that is nested too deeply. Both use BoundedJsonHandler now; nothing else changes.

--- a/src/librattandeck/wire.cpp
+++ b/src/librattandeck/wire.cpp
@@ -1,5 +1,6 @@
 #include "Rattandeck/wire.h"
 
+#include "Rattandeck/boundedjson.h"
 #include "wire_fields.h"
 
 #include <nlohmann/json.hpp>
@@ -280,78 +281,6 @@
 
     // Parsing ------------------------------------------------------------------------------------------------------
 
-    // Builds the document like the library's own handler, but rejects deep nesting, which would overflow the stack in
-    // the library's recursive parser, and does not allocate by announced lengths.
-    class BoundedHandler : public nlohmann::json_sax<Json> {
-    public:
-        explicit BoundedHandler(Json& target)
-            : root(target)
-        {
-        }
-
-        bool null() override { return this->add(nullptr); }
-        bool boolean(bool value) override { return this->add(value); }
-        bool number_integer(number_integer_t value) override { return this->add(value); }
-        bool number_unsigned(number_unsigned_t value) override { return this->add(value); }
-        bool number_float(number_float_t value, const string_t& /*text*/) override { return this->add(value); }
-        bool string(string_t& value) override { return this->add(std::move(value)); }
-        // No known field is binary; a binary field of a later version is ignored like any unknown field.
-        bool binary(binary_t& /*value*/) override { return this->add(nullptr); }
-        bool start_object(std::size_t /*size*/) override { return this->open(Json::object()); }
-        bool start_array(std::size_t /*size*/) override { return this->open(Json::array()); }
-        bool end_object() override { return this->close(); }
-        bool end_array() override { return this->close(); }
-        bool parse_error(std::size_t /*at*/, const std::string& /*token*/, const nlohmann::detail::exception&) override
-        {
-            return false;
-        }
-
-        bool key(string_t& value) override
-        {
-            this->pendingKey = std::move(value);
-            return true;
-        }
-
-    private:
-        Json& root;
-        std::vector<Json*> path;
-        std::string pendingKey;
-
-        Json* place(Json&& value)
-        {
-            if (this->path.empty()) {
-                this->root = std::move(value);
-                return &this->root;
-            }
-            Json& parent = *this->path.back();
-            if (parent.is_array())
-                return &parent.emplace_back(std::move(value));
-            Json& member = parent[std::move(this->pendingKey)];
-            member = std::move(value);
-            return &member;
-        }
-
-        bool add(Json value)
-        {
-            this->place(std::move(value));
-            return true;
-        }
-
-        bool open(Json container)
-        {
-            if (this->path.size() >= maxDepth)
-                return false;
-            this->path.push_back(this->place(std::move(container)));
-            return true;
-        }
-
-        bool close()
-        {
-            this->path.pop_back();
-            return true;
-        }
-    };
-
     tl::expected<Message, WireError> decodeJson(Json& json, std::string_view attachments)
     {
         Message message;
@@ -416,7 +345,7 @@
     if (!splitAttachments(bytes, attachments))
         return tl::unexpected(WireError::Malformed);
     Json root;
-    BoundedHandler handler(root);
+    BoundedJsonHandler handler(root, maxDepth, DeepValue::Reject);
     // The library throws on lengths that exceed the maximum size of a container, regardless of the handler.
     try {
         if (!Json::sax_parse(bytes, &handler, Json::input_format_t::msgpack))
--- a/src/platform/storejson.cpp
+++ b/src/platform/storejson.cpp
@@ -1,116 +1,26 @@
 #include "storejson.h"
 
-#include <cctype>
+#include "Rattandeck/boundedjson.h"
+
 #include <charconv>
 #include <optional>
 #include <string>
-#include <vector>
 
 using Json = nlohmann::json;
 
 namespace Platform {
 
-// Building -----------------------------------------------------------------------------------------------------------
-
 namespace {
 
-    /// Builds a document like the library's own handler, but leaves null in the place of values that are nested too
-    /// deeply.
-    class ShallowHandler : public nlohmann::json_sax<Json> {
-    public:
-        explicit ShallowHandler(Json& target)
-            : root(target)
-        {
-        }
-
-        bool null() override { return this->add(nullptr); }
-        bool boolean(bool value) override { return this->add(value); }
-        bool number_integer(number_integer_t value) override { return this->add(value); }
-        bool number_unsigned(number_unsigned_t value) override { return this->add(value); }
-        bool number_float(number_float_t value, const string_t& /*text*/) override { return this->add(value); }
-        bool string(string_t& value) override { return this->add(std::move(value)); }
-        bool binary(binary_t& /*value*/) override { return this->add(nullptr); }
-        bool start_object(std::size_t /*size*/) override { return this->open(Json::object()); }
-        bool start_array(std::size_t /*size*/) override { return this->open(Json::array()); }
-        bool end_object() override { return this->close(); }
-        bool end_array() override { return this->close(); }
-        bool parse_error(std::size_t /*at*/, const std::string& /*token*/, const nlohmann::detail::exception&) override
-        {
-            return false;
-        }
-
-        bool key(string_t& value) override
-        {
-            if (this->levelsSkipped == 0)
-                this->pendingKey = std::move(value);
-            return true;
-        }
-
-    private:
-        Json& root;
-        std::vector<Json*> path;
-        /// Levels that are open within the value that is being left out.
-        std::size_t levelsSkipped = 0;
-        std::string pendingKey;
-
-        Json* place(Json&& value)
-        {
-            if (this->path.empty()) {
-                this->root = std::move(value);
-                return &this->root;
-            }
-            Json& parent = *this->path.back();
-            if (parent.is_array())
-                return &parent.emplace_back(std::move(value));
-            Json& member = parent[std::move(this->pendingKey)];
-            member = std::move(value);
-            return &member;
-        }
-
-        bool add(Json value)
-        {
-            if (this->levelsSkipped == 0)
-                this->place(std::move(value));
-            return true;
-        }
-
-        bool open(Json container)
-        {
-            if (this->levelsSkipped > 0 || this->path.size() >= maxJsonDepth) {
-                if (this->levelsSkipped == 0)
-                    this->place(nullptr);
-                ++this->levelsSkipped;
-                return true;
-            }
-            this->path.push_back(this->place(std::move(container)));
-            return true;
-        }
-
-        bool close()
-        {
-            if (this->levelsSkipped > 0)
-                --this->levelsSkipped;
-            else
-                this->path.pop_back();
-            return true;
-        }
-    };
-
     std::optional<Json> build(std::string_view text)
     {
         Json root;
-        ShallowHandler handler(root);
+        Rattandeck::BoundedJsonHandler handler(root, maxJsonDepth, Rattandeck::DeepValue::Null);
         if (!Json::sax_parse(text, &handler))
             return std::nullopt;
         return root;
     }
 
-}
-
-// Repair -------------------------------------------------------------------------------------------------------------
-
-namespace {
-
     constexpr char substitute = '?';
     constexpr std::size_t escapedUnitLength = 6;
 
