--- a/src/include/Rattandeck/crashwatch.h
+++ b/src/include/Rattandeck/crashwatch.h
@@ -26,9 +26,9 @@
 /// evidence of a crash; it is recorded as one only if the instance fails within `evidenceWindow`.
 ///
 /// Instances may also fail for another reason while they run a request, and several of them at the same moment. Crashes
-/// are therefore counted in rounds: those of sends that began before an earlier crash of the request was known belong to
-/// one round, and a request must have crashed instances in `roundLimit` of them. An answer to a request, at whichever
-/// gateway, voids its crashes up to the round in which it was sent.
+/// are therefore counted in rounds: those of sends that began before an earlier crash of the request was known belong
+/// to one round, and a request must have crashed instances in `roundLimit` of them. An answer to a request, at
+/// whichever gateway, voids its crashes up to the round in which it was sent.
 ///
 /// Thread safety: not synchronised.
 class CrashWatch {
--- a/src/include/Rattandeck/journal.h
+++ b/src/include/Rattandeck/journal.h
@@ -86,8 +86,8 @@
     bool isVoting() const;
     bool isRetirementComplete() const;
     const JournalState& state() const;
-    /// The longest retention among all turns seen since the start. Claims and crash reports, which are small, may be kept
-    /// for longer: they are rewritten with their segments.
+    /// The longest retention among all turns seen since the start. Claims and crash reports, which are small, may be
+    /// kept for longer: they are rewritten with their segments.
     Milliseconds longestTurnRetention() const;
 
 private:
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -67,8 +67,8 @@
     bool operator==(const RetainedTurn&) const = default;
 };
 
-/// Gateway to journal: answered by `TurnStored` once the turn is on disk. A journal that lacks a part of the turn's chain
-/// answers with `JournalInconclusive` and does not store the turn, which could not be continued from there.
+/// Gateway to journal: answered by `TurnStored` once the turn is on disk. A journal that lacks a part of the turn's
+/// chain answers with `JournalInconclusive` and does not store the turn, which could not be continued from there.
 struct StoreTurn {
     JournalTicket ticket;
     RetainedTurn turn;
--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -110,7 +110,8 @@
     /// same connection, are skipped. If empty, every response is accepted.
     std::function<bool(const HttpHeaders&)> isOwn;
     /// Returns whether a response tells which call it belongs to. After one that doesn't, the connection is not used
-    /// again: a second copy of it could not be told from the response to the next call. If empty, connections are reused.
+    /// again: a second copy of it could not be told from the response to the next call. If empty, connections are
+    /// reused.
     std::function<bool(const HttpHeaders&)> isNamed;
     /// Called before the first byte of the call is written, possibly within `start`. Until then the server can't have
     /// received it.
--- a/src/platform/objectcodec_test.cpp
+++ b/src/platform/objectcodec_test.cpp
@@ -62,7 +62,8 @@
             CPPUNIT_ASSERT_EQUAL(std::string("slots"), fieldOf({ { "slots", number } }));
         for (const Json& number : { Json(1e300), Json(UINT64_MAX), Json(-5), Json(2.5), Json("1780325645028") })
             CPPUNIT_ASSERT_EQUAL(std::string("born"), fieldOf({ { "born", number } }));
-        for (const char* field : { "service", "address", "zone", "version", "slots", "phase", "cold_left_ms", "sequence" }) {
+        for (const char* field :
+            { "service", "address", "zone", "version", "slots", "phase", "cold_left_ms", "sequence" }) {
             StoredObject object = endpoint();
             object.spec.erase(field);
             CPPUNIT_ASSERT_EQUAL(std::string(field), readEndpoint(object).error().field);
--- a/src/platform/objectstore_test.cpp
+++ b/src/platform/objectstore_test.cpp
@@ -173,9 +173,10 @@
         constexpr std::size_t depth = 200000;
         const std::string nested = std::string(depth, '[') + std::string(depth, ']');
         std::vector<std::string> odd;
-        for (const std::string& spec : { std::string(R"({"version":"v\udcff"})"), std::string(R"({"version":"\ud800x"})"),
-                 std::string(R"({"born":1e400})"), std::string(R"({"slots":-1e999,"x":"\q"})"),
-                 std::string("{\"zone\":\"a\x01\"}"), std::string(R"({"slots":nan})"), R"({"zone":)" + nested + "}" })
+        for (const std::string& spec :
+            { std::string(R"({"version":"v\udcff"})"), std::string(R"({"version":"\ud800x"})"),
+                std::string(R"({"born":1e400})"), std::string(R"({"slots":-1e999,"x":"\q"})"),
+                std::string("{\"zone\":\"a\x01\"}"), std::string(R"({"slots":nan})"), R"({"zone":)" + nested + "}" })
             odd.push_back(R"({"metadata":{"name":"odd","rev":3},"spec":)" + spec + "}");
         return odd;
     }
