Keep the rounds of crashes on journals' disks

After a restart all crashes of a request were of one round, and it was no longer held. JournalDiskTest::recordRoundTrip, which now has a report with a round, fails without the change. Change: such reports are records of a new kind, so that all other records of earlier versions stay readable; reports of the former kind are read as round 0 (crashReportsOfAnEarlierVersionAreRead).

--- a/src/rattandeck-journal/disk_test.cpp
+++ b/src/rattandeck-journal/disk_test.cpp
@@ -13,6 +13,7 @@
 class JournalDiskTest : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(JournalDiskTest);
     CPPUNIT_TEST(recordRoundTrip);
+    CPPUNIT_TEST(crashReportsOfAnEarlierVersionAreRead);
     CPPUNIT_TEST(malformedBytesAreRejected);
     CPPUNIT_TEST(recordsAreReadBackInOrder);
     CPPUNIT_TEST(tornRecordIsSkipped);
@@ -102,13 +103,23 @@
 private:
     void recordRoundTrip()
     {
-        const CrashReports crashes { { { Fingerprint("f"), "e/1", Milliseconds(5) } } };
+        // Guards against a request that is no longer held after a restart: its crashes had lost their rounds.
+        const CrashReports crashes { { { Fingerprint("f"), "e/1", Milliseconds(5), 3, true } } };
         const GossipItems news { { { "endpoint/1", 7, true, "text" }, { "config", 8, false, "{}" } } };
         for (const JournalRecord& record :
             { makeTurn("1"), makeClaim(-7), JournalRecord(crashes), JournalRecord(news) })
             CPPUNIT_ASSERT(RecordDecoder().decode(encodeRecord(record)) == record);
     }
 
+    void crashReportsOfAnEarlierVersionAreRead()
+    {
+        const auto number
+            = [](std::uint64_t value) { return std::string(reinterpret_cast<const char*>(&value), sizeof(value)); };
+        const std::string bytes = std::string("\x02\x02") + number(1) + number(1) + "f" + number(3) + "e/1" + number(5);
+        const CrashReports expected { { { Fingerprint("f"), "e/1", Milliseconds(5) } } };
+        CPPUNIT_ASSERT(RecordDecoder().decode(bytes) == JournalRecord(expected));
+    }
+
     void malformedBytesAreRejected()
     {
         const std::string bytes = encodeRecord(makeTurn("1"));
--- a/src/rattandeck-journal/record.cpp
+++ b/src/rattandeck-journal/record.cpp
@@ -37,7 +37,7 @@
 
 template <typename Archive> void serialize(Archive& archive, CrashReport& report)
 {
-    archive(report.request, report.crash, report.retention);
+    archive(report.request, report.crash, report.retention, report.round, report.isAnswer);
 }
 
 template <typename Archive> void serialize(Archive& archive, CrashReports& crashes) { archive(crashes.reports); }
@@ -58,7 +58,8 @@
 /// To be increased when the fields of a record change.
 constexpr char recordVersion = 2;
 
-enum class RecordKind : std::uint8_t { Claim, Turn, Crashes, News };
+/// `FormerCrashes` are crash reports without rounds and answers, which earlier versions wrote.
+enum class RecordKind : std::uint8_t { Claim, Turn, FormerCrashes, News, Crashes };
 
 class SpanReader : public std::streambuf {
 public:
@@ -154,6 +155,19 @@
         return turn;
     }
 
+    Rattandeck::CrashReports readFormerCrashes()
+    {
+        Rattandeck::CrashReports crashes;
+        cereal::size_type count = 0;
+        this->archive(cereal::make_size_tag(count));
+        for (cereal::size_type i = 0; i < count; ++i) {
+            Rattandeck::CrashReport report;
+            this->archive(report.request, report.crash, report.retention);
+            crashes.reports.push_back(std::move(report));
+        }
+        return crashes;
+    }
+
     /// Reads a record, using `readTurn` for turns.
     template <typename Result, typename ReadTurn>
     std::optional<Result> decode(std::string_view bytes, const ReadTurn& readTurn)
@@ -168,6 +182,8 @@
                 return this->read<Rattandeck::SettleClaim>();
             case RecordKind::Turn:
                 return readTurn();
+            case RecordKind::FormerCrashes:
+                return this->readFormerCrashes();
             case RecordKind::Crashes:
                 return this->read<Rattandeck::CrashReports>();
             case RecordKind::News:
