Try one copy at a time of a request whose crashes came together

Cause: three crashes of one moment no longer hold a request, as it may have been under way by chance. Until a second round of crashes each further copy was sent, and many that arrived at once, at several gateways, would reach as many instances. CrashWatchTest:: requestThatCrashesReachesFewInstancesAtManyGateways plays five bursts of 20 copies at four gateways: after the first burst one instance is reached. Change: such a request is suspected. The gateway that sends a copy tells the others (a crash report of the kind trial); until its answer, its crash, or two seconds without either, other copies are refused as not run, with a time to come back. Ruled out: counting crashes in several failure domains as several pieces of evidence: instances of a service may fail in all domains at once. An innocent request waits for the answer to one copy. Conclusion: within the time that a report takes between gateways (milliseconds) two copies may still be tried.

--- a/src/include/Rattandeck/crashwatch.h
+++ b/src/include/Rattandeck/crashwatch.h
@@ -18,6 +18,8 @@
     std::size_t roundLimit = 2;
     /// Time for which crashes of a request are kept after the last one.
     Milliseconds crashRetention { 600000 };
+    /// Time after which a suspected request may be tried again if nothing has come of the last trial.
+    Milliseconds trialPeriod { 2000 };
     /// Maximum number of lost answers that are tracked at a time.
     std::size_t maxLostAnswers = 2000;
 };
@@ -27,8 +29,9 @@
 ///
 /// Instances may also fail for another reason while they run a request, and several of them at the same moment. Crashes
 /// are therefore counted in rounds: those of sends that began before an earlier crash of the request was known belong
-/// to one round, and a request must have crashed instances in `roundLimit` of them. An answer to a request, at
-/// whichever gateway, voids its crashes up to the round in which it was sent.
+/// to one round, and a request must have crashed instances in `roundLimit` of them. Until that, a request with enough
+/// crashes is suspected: one copy of it is sent at a time, at whichever gateway. An answer to a request, at whichever
+/// gateway, voids its crashes up to the round in which it was sent.
 ///
 /// Thread safety: not synchronised.
 class CrashWatch {
@@ -41,6 +44,15 @@
         std::uint32_t round = 0;
     };
 
+    enum class Admission {
+        Free,
+        /// The request is suspected, and no copy of it is being tried.
+        Trial,
+        /// The request is suspected, and a copy of it is being tried.
+        AwaitsTrial,
+        Quarantined,
+    };
+
     explicit CrashWatch(CrashWatchLimits limits = {});
     ~CrashWatch();
     CrashWatch(const CrashWatch&) = delete;
@@ -56,6 +68,9 @@
     /// Adds a crash or an answer that another gateway reported or that was read from the journals.
     void onReport(const CrashReport& report, TimePoint now);
 
+    Admission admission(const Fingerprint& request, TimePoint now) const;
+    /// A copy of a suspected request is about to be sent. Returns what to report to other gateways.
+    CrashReport beginTrial(const Fingerprint& request, TimePoint now);
     bool isQuarantined(const Fingerprint& request, TimePoint now) const;
     /// Returns whether no request is tracked; callers can then skip the computation of a fingerprint.
     bool isEmpty() const;
--- a/src/include/Rattandeck/gatewaycalls.h
+++ b/src/include/Rattandeck/gatewaycalls.h
@@ -129,6 +129,8 @@
     StreamVersionGone,
     /// The request is quarantined: requests with the same content have crashed several instances.
     Quarantined,
+    /// Instances failed together while they ran requests with the same content, and one such request is being tried.
+    Suspected,
 };
 
 /// Error answer that the gateway itself gives to a caller.
--- a/src/include/Rattandeck/journalmessages.h
+++ b/src/include/Rattandeck/journalmessages.h
@@ -113,16 +113,18 @@
 /// Digest of the content of a request.
 using Fingerprint = Strong<struct FingerprintTag, std::string>;
 
-/// Reports that an instance crashed while it ran a request, or that a request was answered.
+/// Reports that an instance crashed while it ran a request, that a request was answered, or that it is tried.
 struct CrashReport {
     Fingerprint request;
-    /// Identifies the crash by the instance and its run, or the answer.
+    /// Identifies the crash by the instance and its run, or the answer or trial.
     std::string crash;
     Milliseconds retention { 0 };
     /// The number of rounds of crashes of the request that were known when it was sent; see `CrashWatch`.
     std::uint32_t round = 0;
     /// The request was answered: crashes of this round and of earlier ones are not due to it.
     bool isAnswer = false;
+    /// The request, which is suspected, is being sent once to find out.
+    bool isTrial = false;
     bool operator==(const CrashReport&) const = default;
 };
 
--- a/src/librattandeck/turns/crashwatch.cpp
+++ b/src/librattandeck/turns/crashwatch.cpp
@@ -1,5 +1,7 @@
 #include "Rattandeck/crashwatch.h"
 
+#include "Rattandeck/tickets.h"
+
 #include <algorithm>
 #include <deque>
 #include <map>
@@ -21,6 +23,7 @@
         /// The last round in which the request was answered.
         std::optional<std::uint32_t> answeredRound;
         TimePoint until;
+        TimePoint trialUntil;
 
         bool isVoid(std::uint32_t round) const { return this->answeredRound && round <= *this->answeredRound; }
         void dropVoidCrashes()
@@ -116,7 +119,9 @@
 {
     std::erase_if(this->impl->records, [now](const auto& entry) { return entry.second.until <= now; });
     CrashRecord& record = this->impl->records[report.request];
-    if (report.isAnswer)
+    if (report.isTrial)
+        record.trialUntil = now + this->impl->limits.trialPeriod;
+    else if (report.isAnswer)
         record.answeredRound = std::max(report.round, record.answeredRound.value_or(0));
     else
         record.crashes.emplace(report.crash, report.round);
@@ -124,12 +129,32 @@
     record.until = now + this->impl->limits.crashRetention;
 }
 
-bool CrashWatch::isQuarantined(const Fingerprint& request, TimePoint now) const
+CrashWatch::Admission CrashWatch::admission(const Fingerprint& request, TimePoint now) const
 {
     const auto found = this->impl->records.find(request);
-    return found != this->impl->records.end() && found->second.until > now
-        && found->second.crashes.size() >= this->impl->limits.crashLimit
-        && found->second.rounds() >= this->impl->limits.roundLimit;
+    if (found == this->impl->records.end() || found->second.until <= now
+        || found->second.crashes.size() < this->impl->limits.crashLimit)
+        return Admission::Free;
+    if (found->second.rounds() >= this->impl->limits.roundLimit)
+        return Admission::Quarantined;
+    return found->second.trialUntil > now ? Admission::AwaitsTrial : Admission::Trial;
+}
+
+CrashReport CrashWatch::beginTrial(const Fingerprint& request, TimePoint now)
+{
+    CrashReport report;
+    report.request = request;
+    report.crash = "trial " + std::to_string(drawTicket());
+    report.retention = this->impl->limits.trialPeriod;
+    report.round = this->nextRound(request);
+    report.isTrial = true;
+    this->onReport(report, now);
+    return report;
+}
+
+bool CrashWatch::isQuarantined(const Fingerprint& request, TimePoint now) const
+{
+    return this->admission(request, now) == Admission::Quarantined;
 }
 
 bool CrashWatch::isEmpty() const { return this->impl->records.empty() && this->impl->lostAnswers.empty(); }
--- a/src/librattandeck/turns/crashwatch_test.cpp
+++ b/src/librattandeck/turns/crashwatch_test.cpp
@@ -12,6 +12,8 @@
     CPPUNIT_TEST(sameCrashIsCountedOnce);
     CPPUNIT_TEST(answerClearsTheRecordOfARequest);
     CPPUNIT_TEST(instancesThatFailAtOneMomentAreNotEnough);
+    CPPUNIT_TEST(copiesOfASuspectedRequestAreTriedOneAtATime);
+    CPPUNIT_TEST(requestThatCrashesReachesFewInstancesAtManyGateways);
     CPPUNIT_TEST(answerAtAnotherGatewayVoidsCrashes);
     CPPUNIT_TEST(crashReportedAfterTheAnswerOfItsRoundIsVoid);
     CPPUNIT_TEST(reportsOfOtherGatewaysAreCounted);
@@ -95,6 +97,61 @@
         CPPUNIT_ASSERT(this->watch.isQuarantined(this->request, this->now));
     }
 
+    void copiesOfASuspectedRequestAreTriedOneAtATime()
+    {
+        using Admission = CrashWatch::Admission;
+        for (const char* instance : { "e1", "e2", "e3" })
+            this->watch.onAnswerLost(this->sendTo(instance), this->now);
+        for (const char* instance : { "e1", "e2", "e3" })
+            this->watch.onInstanceFailed(EndpointId(instance), this->now);
+        CPPUNIT_ASSERT(this->watch.admission(this->request, this->now) == Admission::Trial);
+        this->watch.beginTrial(this->request, this->now);
+        CPPUNIT_ASSERT(this->watch.admission(this->request, this->now) == Admission::AwaitsTrial);
+        // Nothing has come of it: its caller has left, say.
+        this->now += CrashWatchLimits().trialPeriod;
+        CPPUNIT_ASSERT(this->watch.admission(this->request, this->now) == Admission::Trial);
+        this->watch.onAnswered(this->request, this->watch.nextRound(this->request), this->now);
+        CPPUNIT_ASSERT(this->watch.admission(this->request, this->now) == Admission::Free);
+    }
+
+    /// A request that crashes whatever runs it arrives in many copies at once, at several gateways, again and again.
+    void requestThatCrashesReachesFewInstancesAtManyGateways()
+    {
+        constexpr std::size_t gateways = 4;
+        constexpr std::size_t copies = 20;
+        std::vector<std::unique_ptr<CrashWatch>> watches(gateways);
+        for (auto& each : watches)
+            each = std::make_unique<CrashWatch>();
+        const auto tell = [&](const CrashReport& report) {
+            for (const auto& each : watches)
+                each->onReport(report, this->now);
+        };
+        std::size_t crashes = 0;
+        for (int burst = 0; burst < 5; ++burst) {
+            std::vector<std::pair<CrashWatch*, CrashWatch::Send>> underWay;
+            for (std::size_t copy = 0; copy < copies; ++copy) {
+                CrashWatch& at = *watches[copy % gateways];
+                const auto admission = at.admission(this->request, this->now);
+                if (admission == CrashWatch::Admission::Trial)
+                    tell(at.beginTrial(this->request, this->now));
+                else if (admission != CrashWatch::Admission::Free)
+                    continue;
+                const EndpointId instance("e" + std::to_string(crashes + underWay.size()));
+                underWay.push_back({ &at, { this->request, instance, 1, at.nextRound(this->request) } });
+            }
+            for (const auto& [at, send] : underWay)
+                at->onAnswerLost(send, this->now);
+            for (const auto& [at, send] : underWay) {
+                for (const CrashReport& report : at->onInstanceFailed(send.instance, this->now))
+                    tell(report);
+            }
+            crashes += underWay.size();
+            this->now += std::chrono::seconds(10);
+        }
+        // All of the first burst, which nothing told apart from other requests, and one trial.
+        CPPUNIT_ASSERT_EQUAL(copies + 1, crashes);
+    }
+
     void answerAtAnotherGatewayVoidsCrashes()
     {
         CrashWatch other;
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -35,6 +35,8 @@
         return "no instance of the stream's version";
     case RejectionReason::Quarantined:
         return "held: it crashed several instances";
+    case RejectionReason::Suspected:
+        return "held: another copy is being tried, as it may crash instances";
     }
     return "unknown";
 }
@@ -192,8 +194,8 @@
         return self.refuseUnrouted(id, call, RejectionReason::NoRoute);
     if (self.calls.size() >= self.limits.maxCalls)
         return self.refuseUnrouted(id, call, RejectionReason::Overloaded);
-    if (!self.crashes.isEmpty() && self.crashes.isQuarantined(fingerprintOf(call), self.timers.now()))
-        return self.refuseUnrouted(id, call, RejectionReason::Quarantined);
+    if (const auto reason = self.admit(call))
+        return self.refuseUnrouted(id, call, *reason);
 
     auto state = std::make_unique<GatewayCallState>();
     state->id = id;
@@ -240,6 +242,26 @@
         this->io.reportCrashes(reports);
 }
 
+/// Returns why a request that has crashed instances, or is suspected of it, must not be sent now.
+std::optional<RejectionReason> Gateway::Impl::admit(const GatewayCall& call)
+{
+    if (this->crashes.isEmpty())
+        return std::nullopt;
+    const Fingerprint request = fingerprintOf(call);
+    switch (this->crashes.admission(request, this->timers.now())) {
+    case CrashWatch::Admission::Free:
+        return std::nullopt;
+    case CrashWatch::Admission::Trial:
+        this->io.reportCrashes({ this->crashes.beginTrial(request, this->timers.now()) });
+        return std::nullopt;
+    case CrashWatch::Admission::AwaitsTrial:
+        return RejectionReason::Suspected;
+    case CrashWatch::Admission::Quarantined:
+        break;
+    }
+    return RejectionReason::Quarantined;
+}
+
 Fingerprint fingerprintOf(const GatewayCall& call)
 {
     XXH128_hash_t hash {};
--- a/src/librattandeck/turns/gateway_test.cpp
+++ b/src/librattandeck/turns/gateway_test.cpp
@@ -33,6 +33,7 @@
     CPPUNIT_TEST(lostAnswersAloneDoNotQuarantine);
     CPPUNIT_TEST(crashesOfOtherRequestsWithTheSameInputAreNotCounted);
     CPPUNIT_TEST(instancesThatFailTogetherDoNotQuarantine);
+    CPPUNIT_TEST(suspectedRequestIsTriedOnceAtATime);
     CPPUNIT_TEST(onlyARefusedConnectionIsEvidenceOfACrash);
     CPPUNIT_TEST(plannedLeaveIsNoEvidenceOfACrash);
     CPPUNIT_TEST(eventWithoutEndInterruptsTheStream);
@@ -480,6 +481,46 @@
         CPPUNIT_ASSERT_EQUAL(before + 1, this->f->sends.size());
     }
 
+    /// Guards against many copies of a request that crashes instances, which reach as many of them at one moment after
+    /// its first crashes had come together.
+    void suspectedRequestIsTriedOnceAtATime()
+    {
+        this->f->addInstance("e3");
+        std::vector<GatewayFixture::Sent> underWay;
+        while (underWay.size() < 3) {
+            this->callOn("unsafe");
+            underWay.push_back(this->lastSend());
+        }
+        for (const auto& sent : underWay)
+            this->f->end(sent, SendOutcome::Broken);
+        for (const char* instance : { "e1", "e2", "e3" })
+            this->f->gateway.onInstanceRemoved(EndpointId(instance));
+        for (const char* instance : { "e4", "e5", "e6" })
+            this->f->addInstance(instance);
+        const std::size_t before = this->f->sends.size();
+        this->callOn("unsafe");
+        const GatewayFixture::Sent trial = this->lastSend();
+        const CallId held = this->callOn("unsafe");
+        CPPUNIT_ASSERT_EQUAL(before + 1, this->f->sends.size());
+        CPPUNIT_ASSERT(!this->caller(held).refusal->mayHaveRun);
+        CPPUNIT_ASSERT(this->caller(held).refusal->retryAfter > Milliseconds(0));
+        // Another gateway holds its copies, too.
+        GatewayFixture other;
+        other.configure({ GatewayFixture::route("unsafe", CallSafety::Unsafe) });
+        other.addInstance("e7");
+        other.gateway.onCrashReports({ this->f->reports });
+        CPPUNIT_ASSERT(other.callers.at(other.call(GatewayFixture::callOn("unsafe"))).refusal.has_value());
+        // An answer frees the request everywhere.
+        this->f->head(trial, 200);
+        this->f->end(trial);
+        other.gateway.onCrashReports({ this->f->reports });
+        other.call(GatewayFixture::callOn("unsafe"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), other.sends.size());
+        this->callOn("unsafe");
+        this->callOn("unsafe");
+        CPPUNIT_ASSERT_EQUAL(before + 3, this->f->sends.size());
+    }
+
     void lostAnswersAloneDoNotQuarantine()
     {
         for (int i = 0; i < 4; ++i) {
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -456,6 +456,7 @@
     visit("retention", m.retention);
     visit("round", m.round);
     visit("answer", m.isAnswer);
+    visit("trial", m.isTrial);
 }
 
 template <typename Visitor> void visitFields(Visitor& visit, JournalInconclusive& m)
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -230,7 +230,9 @@
 void Relay::reportCrashes(const std::vector<CrashReport>& reports)
 {
     for (const CrashReport& report : reports)
-        logFields(report.isAnswer ? "crashes void" : "instance crashed",
+        logFields(report.isTrial  ? "suspected request tried"
+                : report.isAnswer ? "crashes void"
+                                  : "instance crashed",
             { { "fingerprint", report.request.value }, { "crash", report.crash },
                 { "round", std::int64_t(report.round) } });
     if (this->crashHandler)
--- a/src/rattandeck-journal/disk_test.cpp
+++ b/src/rattandeck-journal/disk_test.cpp
@@ -104,7 +104,7 @@
     void recordRoundTrip()
     {
         // Guards against a request that is no longer held after a restart: its crashes had lost their rounds.
-        const CrashReports crashes { { { Fingerprint("f"), "e/1", Milliseconds(5), 3, true } } };
+        const CrashReports crashes { { { Fingerprint("f"), "e/1", Milliseconds(5), 3, true, true } } };
         const GossipItems news { { { "endpoint/1", 7, true, "text" }, { "config", 8, false, "{}" } } };
         for (const JournalRecord& record :
             { makeTurn("1"), makeClaim(-7), JournalRecord(crashes), JournalRecord(news) })
--- a/src/rattandeck-journal/record.cpp
+++ b/src/rattandeck-journal/record.cpp
@@ -37,7 +37,7 @@
 
 template <typename Archive> void serialize(Archive& archive, CrashReport& report)
 {
-    archive(report.request, report.crash, report.retention, report.round, report.isAnswer);
+    archive(report.request, report.crash, report.retention, report.round, report.isAnswer, report.isTrial);
 }
 
 template <typename Archive> void serialize(Archive& archive, CrashReports& crashes) { archive(crashes.reports); }
@@ -58,7 +58,7 @@
 /// To be increased when the fields of a record change.
 constexpr char recordVersion = 2;
 
-/// `FormerCrashes` are crash reports without rounds and answers, which earlier versions wrote.
+/// `FormerCrashes` are crash reports without rounds, answers and trials, which earlier versions wrote.
 enum class RecordKind : std::uint8_t { Claim, Turn, FormerCrashes, News, Crashes };
 
 class SpanReader : public std::streambuf {
