Give the cache of transcripts a class of its own

journalclient.cpp held the client's operations and, beside them, a cache with three members and three functions that use nothing else of the client. Moved, not changed: its bounds and the order in which entries leave are as before.

--- a/src/librattandeck/journals/journalclient.cpp
+++ b/src/librattandeck/journals/journalclient.cpp
@@ -1,9 +1,9 @@
 #include "Rattandeck/journalclient.h"
 
 #include "Rattandeck/tickets.h"
+#include "transcriptcache.h"
 
 #include <algorithm>
-#include <list>
 #include <map>
 #include <set>
 #include <unordered_map>
@@ -65,12 +65,6 @@
         std::set<NodeId> incomplete;
     };
 
-    struct CachedTranscript {
-        std::string text;
-        std::list<TurnId>::iterator position;
-        TimePoint expires;
-    };
-
 }
 
 struct JournalClient::Impl : std::enable_shared_from_this<JournalClient::Impl> {
@@ -99,10 +93,8 @@
     /// Hedges that may be spent: see `JournalClientLimits::hedgeRatio`.
     double hedgeBudget = 0;
 
-    std::unordered_map<TurnId, CachedTranscript> cache;
-    /// Keys of `cache`, the oldest entry first.
-    std::list<TurnId> cacheOrder;
-    std::size_t cacheBytes = 0;
+    /// Transcripts of turns that this gateway has stored, for the turns that continue them.
+    TranscriptCache cache { this->limits.cacheBytes, this->limits.cacheRetention };
 
     /// Number of members that must answer. Any `copies` members include at least one member of any quorum, so each
     /// record with that many copies is known to the quorum.
@@ -145,10 +137,6 @@
     void fetchMissingPrefix(JournalTicket ticket, const NodeId& from, const TurnFetched& answer);
     /// Asks the members for the requested turn that have not given a part of its chain. Returns false if there is none.
     bool fetchElsewhere(JournalTicket ticket);
-
-    void cacheTranscript(const TurnId& turn, std::string transcript);
-    void evict(const TurnId& turn);
-    void evictExcess();
 };
 
 // Requests -----------------------------------------------------------------------------------------------------------
@@ -580,39 +568,6 @@
     this->start(ticket, std::move(fetch));
 }
 
-// Cache --------------------------------------------------------------------------------------------------------------
-
-void JournalClient::Impl::cacheTranscript(const TurnId& turn, std::string transcript)
-{
-    this->evict(turn);
-    this->cacheOrder.push_back(turn);
-    this->cacheBytes += transcript.size();
-    const TimePoint expires = this->timers.now() + this->limits.cacheRetention;
-    this->cache[turn] = { std::move(transcript), std::prev(this->cacheOrder.end()), expires };
-    this->evictExcess();
-}
-
-void JournalClient::Impl::evict(const TurnId& turn)
-{
-    const auto found = this->cache.find(turn);
-    if (found == this->cache.end())
-        return;
-    this->cacheBytes -= found->second.text.size();
-    this->cacheOrder.erase(found->second.position);
-    this->cache.erase(found);
-}
-
-void JournalClient::Impl::evictExcess()
-{
-    while (!this->cacheOrder.empty()) {
-        const TurnId oldest = this->cacheOrder.front();
-        const bool isExpired = this->cache.at(oldest).expires <= this->timers.now();
-        if (!isExpired && this->cacheBytes <= this->limits.cacheBytes)
-            return;
-        this->evict(oldest);
-    }
-}
-
 // Public -------------------------------------------------------------------------------------------------------------
 
 JournalClient::JournalClient(TimerService& timers, JournalClientLimits limits, Send send)
@@ -702,8 +657,8 @@
     std::function<void(tl::expected<void, JournalError>)> done)
 {
     // The next turn of the chain, if this gateway receives it, needs this transcript and not the previous one.
-    this->impl->evict(turn.previous);
-    this->impl->cacheTranscript(turn.id, transcriptBefore + turn.input + turn.output);
+    this->impl->cache.remove(turn.previous);
+    this->impl->cache.add(turn.id, transcriptBefore + turn.input + turn.output, this->impl->timers.now());
     Operation operation;
     operation.kind = Operation::Kind::Store;
     operation.turn = turn.id;
@@ -716,9 +671,8 @@
 
 void JournalClient::fetch(const TurnId& turn, std::function<void(tl::expected<std::string, JournalError>)> done)
 {
-    const auto cached = this->impl->cache.find(turn);
-    if (cached != this->impl->cache.end()) {
-        done(cached->second.text);
+    if (const std::string* cached = this->impl->cache.find(turn)) {
+        done(*cached);
         return;
     }
     Operation operation;
