--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -19,6 +19,8 @@
 DOMAINS = "abc"
 # After its end a fault explains failures for this long: links are dialled again, processes start, members change.
 AFTER_EFFECT_S = 4.0
+# A machine without a fault for this long is in touch (the platform's `contact_ms`).
+CONTACT_S = 3.0
 CALM_S = 5.0
 # Part of the links that are held back and break at the end.
 BREAKING_PART = 0.5
@@ -146,11 +148,11 @@
 
     def is_sound(self, instance, since):
         """Whether no fault has named an instance shortly before this time or after it."""
-        return not self._naming(instance.split("#")[0].split(".")[0], since - AFTER_EFFECT_S)
+        return not self._naming(instance.split("#")[0].split(".")[0], since - CONTACT_S)
 
     def in_touch(self, gateway, at):
         """Whether no fault is near that names the gateway, the store or two journals."""
-        since = at - AFTER_EFFECT_S
+        since = at - CONTACT_S
         if self._naming(gateway, since) or self._naming("store", since):
             return False
         words = {word for entry in list(self.entries) if (entry[1] or since) >= since for word in entry[2].split()}
--- a/testsuite/soak/judge.py
+++ b/testsuite/soak/judge.py
@@ -126,7 +126,7 @@
             if request.status in NOT_RUN and self.runs[request.name]:
                 self.violate("what is refused as not run has not run",
                              f"answered {request.status}, ran at {self.runs[request.name]}", request.name)
-            if request.status == 404:
+            if request.status in (404, 410):
                 self._check_unknown(request)
             if request.status == 402 and request.budget > 100 * MAX_TURN_TOKENS:
                 self.violate("a turn within its budget is not refused for it", "answered 402", request.name)
