--- a/testsuite/linkproxy.py
+++ b/testsuite/linkproxy.py
@@ -22,6 +22,9 @@
 # A dialling node that has not named itself within this many bytes is taken for an unnamed one.
 HELLO_BYTES = 2048
 UNNAMED = "?"
+# Connections take their own ports at 127.0.0.1. The proxies listen elsewhere, so that a port that was closed for a while is still
+# free when it is to be opened again.
+PROXY_HOST = "127.0.0.4"
 ANY = "*"
 
 
@@ -283,13 +286,13 @@
     async def add(self, server, target, names_itself):
         if names_itself:
             self.name_nodes(server)
-        listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        listener = socket.create_server((PROXY_HOST, 0), backlog=512)
         port = listener.getsockname()[1]
         def accept():
             return Connection(self, server, target or f"127.0.0.2:{port}", names_itself).dialler
 
         self.listeners[server] = [port, accept, await self.loop.create_server(accept, sock=listener)]
-        return f"127.0.0.1:{port}"
+        return f"{PROXY_HOST}:{port}"
 
     async def listen(self, server, is_listening):
         entry = self.listeners[server]
@@ -297,7 +300,7 @@
             entry[2].close()
             entry[2] = None
         elif not entry[2] and is_listening:
-            listener = socket.create_server(("127.0.0.1", entry[0]), backlog=512)
+            listener = socket.create_server((PROXY_HOST, entry[0]), backlog=512)
             entry[2] = await self.loop.create_server(entry[1], sock=listener)
 
     def set_rule(self, source, sink, delay_s, is_blocked):
