Decide the end of a fetch in two steps

Change: whether the turn is known to exist is asked first, each case then has its own ends. No ending is changed. Conclusion: none but for the order of the questions.

--- a/src/librattandeck/journals/journalclient.cpp
+++ b/src/librattandeck/journals/journalclient.cpp
@@ -368,12 +368,15 @@
     // If a part of the chain was found, its earlier turns have been written as well, and no quorum can deny them.
     const bool isKnownToExist = !operation.incomplete.empty();
     const bool isDenied = operation.answered.size() >= needed;
-    if (!isKnownToExist && isDenied)
-        this->fail(ticket, JournalError::NotFound);
-    else if (!isKnownToExist && operation.answered.size() + mayStillAnswer < needed)
-        this->fail(ticket, JournalError::Unavailable);
-    else if (isKnownToExist && (mayStillAnswer == 0 || (isDenied && !operation.suffix.empty()))
-        && !this->fetchElsewhere(ticket))
+    if (!isKnownToExist) {
+        if (isDenied)
+            this->fail(ticket, JournalError::NotFound);
+        else if (operation.answered.size() + mayStillAnswer < needed)
+            this->fail(ticket, JournalError::Unavailable);
+        return;
+    }
+    const bool isExhausted = mayStillAnswer == 0 || (isDenied && !operation.suffix.empty());
+    if (isExhausted && !this->fetchElsewhere(ticket))
         this->fail(ticket, JournalError::Unavailable);
 }
 
