Soak: let the instances of a domain crash at one moment

Cause: the instances of a domain closed their connections one after the other, each some milliseconds after the last, so that a stream that broke first was sent again to an instance that the same crash was about to end. Change: all stop accepting connections and answering before the first connection is reset. Conclusion: no check and no bound is changed.

--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -303,9 +303,9 @@
         with contextlib.ExitStack() as changes:
             crashed = [instance for instance in self.deployment.runners
                        if instance.name in fault.nodes and changes.enter_context(instance.change())]
-            # At one moment, although each takes a while to close its port.
+            # At one moment: none accepts a connection any more when the first stream breaks.
             for instance in crashed:
-                instance.has_exited = True
+                instance.stop_accepting()
             for instance in crashed:
                 instance.exit()
             time.sleep(max(fault.duration, START_S))
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -114,9 +114,13 @@
         if is_in_store:
             self.register("draining")
 
-    def exit(self):
-        self.has_exited = True
+    def stop_accepting(self):
+        """The process accepts no connection any more and answers nothing; its connections stay open."""
         self.links.set_listening(self.name, False)
+        self.has_exited = True
+
+    def exit(self):
+        self.stop_accepting()
         self.links.reset(self.name)
 
     def start(self, version, keeps_id, registers_after_s=0):
