Answer a repeated store or claim with the sync that includes its record

On a disk whose syncs take 400 ms and follow each other, a request waits for up to two of them; a gateway repeats a store after 700 ms, and the repetition waited for the next sync although the one under way had the turn. A claim beside others of its program is sent twice, and its second time waited for a sync though nothing was to be written. Evidence: JournalTest::repeatedStoreIsAnsweredByTheSyncUnderWay and repeatedClaimOfADurableRecordNeedsNoSync fail before. Change: UnsyncedRecords knows which records are not durable yet and which sync under way includes them; an answer waits for that one, or for none. It takes the place of JournalState::isOnDisk, which knew turns only. Bound: the records appended between two syncs.

--- a/src/include/Rattandeck/journalstate.h
+++ b/src/include/Rattandeck/journalstate.h
@@ -85,8 +85,6 @@
     bool hasTurn(const TurnId& turn) const;
     /// The latest turn of the chain up to `turn` that is unknown; empty when the whole chain is known.
     TurnId firstUnknown(const TurnId& turn) const;
-    /// Whether the turn is on disk, so that nothing has to be synced for it.
-    bool isOnDisk(const TurnId& turn) const;
     /// Nothing for a turn that is unknown or cannot be read.
     std::optional<RetainedTurn> turn(const TurnId& turn) const;
     /// As `turn`, and holds the text in memory until the next `onWritten`, because its segment is about to be removed.
--- a/src/librattandeck/journals/journal.cpp
+++ b/src/librattandeck/journals/journal.cpp
@@ -2,6 +2,7 @@
 
 #include "Rattandeck/journalcopier.h"
 #include "Rattandeck/journaltransfer.h"
+#include "unsyncedrecords.h"
 
 #include <algorithm>
 
@@ -19,6 +20,7 @@
         , membership(timers, *this, std::move(self), limits)
         , transfer(this->transferIo())
         , copier(this->copierIo())
+        , unsynced([this](std::function<void()> onDurable) { this->io.sync(std::move(onDurable)); })
     {
     }
 
@@ -28,6 +30,7 @@
     JournalMembership membership;
     JournalTransfer transfer;
     JournalCopier copier;
+    UnsyncedRecords unsynced;
     std::set<NodeId> linked;
     Milliseconds longestTurnRetention { 0 };
 
@@ -83,24 +86,30 @@
     return isNew;
 }
 
+static RecordKey keyOf(const RetainedTurn& turn) { return { {}, turn.id }; }
+static RecordKey keyOf(const SettleClaim& settled) { return { settled.budget, settled.claim.turn }; }
+
 /// Applies a record and appends it to the disk if it is new.
 template <typename Record> bool Journal::Impl::applyAndAppend(const Record& record)
 {
-    const bool isNew = this->apply(record);
-    if (isNew)
-        this->io.append(record);
-    return isNew;
+    if (!this->apply(record))
+        return false;
+    this->io.append(record);
+    if constexpr (!std::is_same_v<Record, CrashReports>)
+        this->unsynced.add(keyOf(record));
+    return true;
 }
 
 void Journal::Impl::onClaim(const NodeId& from, const ClaimTokens& claim)
 {
-    this->applyAndAppend(SettleClaim { claim.budget, claim.claim, claim.retention });
+    const SettleClaim record { claim.budget, claim.claim, claim.retention };
+    this->applyAndAppend(record);
     if (!this->membership.isVoting()) {
         this->io.send(from, JournalInconclusive { claim.ticket });
         return;
     }
     const ClaimsKnown answer { claim.ticket, this->membership.set().epoch, this->state.claims(claim.budget) };
-    this->io.sync([this, from, answer] { this->io.send(from, answer); });
+    this->unsynced.whenDurable(keyOf(record), [this, from, answer] { this->io.send(from, answer); });
 }
 
 void Journal::Impl::onStore(const NodeId& from, const StoreTurn& store)
@@ -109,19 +118,14 @@
         this->io.send(from, JournalInconclusive { store.ticket, std::move(missing) });
         return;
     }
-    // A gateway repeats a store whose acknowledgement is late.
-    const bool isOnDisk = this->state.isOnDisk(store.turn.id);
     this->applyAndAppend(store.turn);
     if (!this->membership.isVoting()) {
         this->io.send(from, JournalInconclusive { store.ticket });
         return;
     }
     const TurnStored answer { store.ticket, this->membership.set().epoch };
-    if (isOnDisk) {
-        this->io.send(from, answer);
-        return;
-    }
-    this->io.sync([this, from, answer] { this->io.send(from, answer); });
+    // A gateway repeats a store whose acknowledgement is late.
+    this->unsynced.whenDurable(keyOf(store.turn), [this, from, answer] { this->io.send(from, answer); });
 }
 
 void Journal::Impl::onFetch(const NodeId& from, const FetchTurn& fetch)
@@ -171,7 +175,7 @@
     copierIo.isKnown = [this](const TurnId& turn) { return this->state.hasTurn(turn); };
     copierIo.requestTurns = [this](const NodeId& node, const TurnsRequest& request) { this->io.send(node, request); };
     copierIo.onCopied = [this](const NodeId& node, const CopyPage& page) {
-        this->io.sync([this, node, page] { this->onStored(node, page); });
+        this->unsynced.whenAllDurable([this, node, page] { this->onStored(node, page); });
     };
     return copierIo;
 }
--- a/src/librattandeck/journals/journal_test.cpp
+++ b/src/librattandeck/journals/journal_test.cpp
@@ -33,6 +33,13 @@
     void onSetChanged(const JournalSet& set) override { this->changedSet = set; }
     void logStep(const std::string&, const std::string&) override { }
 
+    void finishOldestSync()
+    {
+        const auto onDurable = this->pendingSyncs.front();
+        this->pendingSyncs.erase(this->pendingSyncs.begin());
+        onDurable();
+    }
+
     void finishSync()
     {
         for (const auto& onDurable : std::exchange(this->pendingSyncs, {}))
@@ -67,6 +74,9 @@
     CPPUNIT_TEST(answerIsSentAfterTheSync);
     CPPUNIT_TEST(duplicateRecordIsAppendedOnce);
     CPPUNIT_TEST(repeatedStoreOfADurableTurnNeedsNoSync);
+    CPPUNIT_TEST(repeatedStoreIsAnsweredByTheSyncUnderWay);
+    CPPUNIT_TEST(repeatedClaimOfADurableRecordNeedsNoSync);
+    CPPUNIT_TEST(changedClaimIsNotDurableBeforeItsOwnSync);
     CPPUNIT_TEST(incompleteJournalStoresRecordsWithoutAcknowledging);
     CPPUNIT_TEST(incompleteJournalReturnsTurnsItHas);
     CPPUNIT_TEST(noTurnIsReportedMissingAfterASetChange);
@@ -151,6 +161,48 @@
         CPPUNIT_ASSERT(this->fakeIo.pendingSyncs.empty());
     }
 
+    /// A gateway repeats a store that a slow disk delays; waiting for one more sync would delay it again and again.
+    void repeatedStoreIsAnsweredByTheSyncUnderWay()
+    {
+        this->start(true);
+        this->journal->onMessage(this->gateway, makeStore(1, "t"));
+        this->journal->onMessage(this->gateway, makeStore(2, "other"));
+        this->journal->onMessage(this->gateway, makeStore(3, "t"));
+        this->fakeIo.finishOldestSync();
+        const auto stored = this->fakeIo.sentOfKind<TurnStored>();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), stored.size());
+        CPPUNIT_ASSERT(stored.front().ticket == JournalTicket(1) && stored.back().ticket == JournalTicket(3));
+        this->fakeIo.finishSync();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->fakeIo.sentOfKind<TurnStored>().size());
+    }
+
+    /// A claim beside others of its program is repeated; on a slow disk, a second sync would use up its time.
+    void repeatedClaimOfADurableRecordNeedsNoSync()
+    {
+        this->start(true);
+        this->journal->onMessage(this->gateway, makeClaim(1));
+        this->fakeIo.finishSync();
+        this->journal->onMessage(this->gateway, makeStore(2, "other"));
+        this->journal->onMessage(this->gateway, makeClaim(3));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->fakeIo.sentOfKind<ClaimsKnown>().size());
+        CPPUNIT_ASSERT(this->fakeIo.sentOfKind<TurnStored>().empty());
+    }
+
+    /// A record that was appended again after a sync began is not durable when that sync ends.
+    void changedClaimIsNotDurableBeforeItsOwnSync()
+    {
+        this->start(true);
+        this->journal->onMessage(this->gateway, makeClaim(1));
+        const SettleClaim settled { BudgetId("p"), { TurnId("t"), TokenCount(30), true }, retention };
+        this->journal->onMessage(this->gateway, settled);
+        this->journal->onMessage(this->gateway, makeClaim(2));
+        this->fakeIo.finishOldestSync();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->fakeIo.sentOfKind<ClaimsKnown>().size());
+        this->fakeIo.finishOldestSync();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), this->fakeIo.sentOfKind<ClaimsKnown>().size());
+        CPPUNIT_ASSERT(this->fakeIo.pendingSyncs.empty());
+    }
+
     void incompleteJournalStoresRecordsWithoutAcknowledging()
     {
         this->start(false);
--- a/src/librattandeck/journals/journalstate.cpp
+++ b/src/librattandeck/journals/journalstate.cpp
@@ -295,12 +295,6 @@
     return {};
 }
 
-bool JournalState::isOnDisk(const TurnId& turn) const
-{
-    const auto found = this->impl->turns.find(turn);
-    return found != this->impl->turns.end() && !found->second.inMemory;
-}
-
 std::optional<RetainedTurn> JournalState::turn(const TurnId& turn) const
 {
     const auto found = this->impl->turns.find(turn);
--- /dev/null
+++ b/src/librattandeck/journals/unsyncedrecords_test.cpp
@@ -0,0 +1,78 @@
+#include "unsyncedrecords.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace Rattandeck;
+
+class UnsyncedRecordsTest : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(UnsyncedRecordsTest);
+    CPPUNIT_TEST(unknownRecordIsDurable);
+    CPPUNIT_TEST(recordWaitsForTheFirstSyncThatIncludesIt);
+    CPPUNIT_TEST(recordAddedDuringASyncNeedsTheNext);
+    CPPUNIT_TEST(syncOfAllMakesRecordsDurable);
+    CPPUNIT_TEST_SUITE_END();
+
+    std::deque<std::function<void()>> syncs;
+    UnsyncedRecords records { [this](
+                                  std::function<void()> onDurable) { this->syncs.push_back(std::move(onDurable)); } };
+    int durable = 0;
+
+    static RecordKey key(const char* turn) { return { {}, TurnId(turn) }; }
+    void wait(const char* turn)
+    {
+        this->records.whenDurable(key(turn), [this] { ++this->durable; });
+    }
+    void finishSync()
+    {
+        const auto onDurable = std::move(this->syncs.front());
+        this->syncs.pop_front();
+        onDurable();
+    }
+
+    void unknownRecordIsDurable()
+    {
+        this->wait("t");
+        CPPUNIT_ASSERT_EQUAL(1, this->durable);
+        CPPUNIT_ASSERT(this->syncs.empty());
+    }
+
+    void recordWaitsForTheFirstSyncThatIncludesIt()
+    {
+        this->records.add(key("t"));
+        this->wait("t");
+        this->wait("t");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->syncs.size());
+        CPPUNIT_ASSERT_EQUAL(0, this->durable);
+        this->finishSync();
+        CPPUNIT_ASSERT_EQUAL(2, this->durable);
+        this->wait("t");
+        CPPUNIT_ASSERT_EQUAL(3, this->durable);
+    }
+
+    void recordAddedDuringASyncNeedsTheNext()
+    {
+        this->records.add(key("t"));
+        this->wait("t");
+        this->records.add(key("u"));
+        this->records.add(key("t"));
+        this->wait("u");
+        this->wait("t");
+        this->finishSync();
+        CPPUNIT_ASSERT_EQUAL(1, this->durable);
+        this->finishSync();
+        CPPUNIT_ASSERT_EQUAL(3, this->durable);
+        CPPUNIT_ASSERT(this->syncs.empty());
+    }
+
+    void syncOfAllMakesRecordsDurable()
+    {
+        this->records.add(key("t"));
+        this->records.whenAllDurable([this] { ++this->durable; });
+        this->wait("t");
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->syncs.size());
+        this->finishSync();
+        CPPUNIT_ASSERT_EQUAL(2, this->durable);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(UnsyncedRecordsTest);
