End a stream that its caller resumes after its last event

What callers saw: a caller that has had all events of a stream but not its end takes it up again; the instance answers 200 with a whole stream without events, and the gateway answers 502, "answer lost", at every try. Trace: r774 had 4 events of 4 (r1913 7 of 7, r3668 6 of 6) when its instance crashed, and was resumed with Last-Event-Id 4 at sound instances of its version, which answered 200 and ended within 2 to 8 ms; the log says "send failed, interrupted, events 0". Cause: a stream without events counted as interrupted, whatever the caller had had before. Evidence: GatewayStreamsTest::streamResumedAfterItsLastEventEnds fails before. Change: such an answer is whole if the caller stated the last event that it had and a length or chunks tell the end. Without these it may come from a process that ended, and counts as interrupted as before (resumedStreamWithoutEventsMustStateItsEnd).

--- a/src/include/Rattandeck/gatewaycalls.h
+++ b/src/include/Rattandeck/gatewaycalls.h
@@ -85,6 +85,8 @@
     bool isEventStream = false;
     /// The answer carries the instance's signature. A success status without it is treated as a lost answer.
     bool isSigned = false;
+    /// A length or chunks tell where the body ends. Otherwise it ends with its connection, also when it is not whole.
+    bool statesItsEnd = false;
     std::optional<EndpointLoad> load;
     /// Rate of calls that the instance takes from all gateways together. Empty when the answer states no limit.
     std::optional<CallRate> limit;
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -236,13 +236,24 @@
     this->io.write(call.id, event.bytes);
 }
 
+/// Whether a stream that has ended was not interrupted. One that ends within an event was, and so was one without
+/// events, unless its caller resumes it and may have had all of them before.
+static bool isWholeStream(const GatewayCallState& call)
+{
+    if (call.splitter.pendingBytes() > 0)
+        return false;
+    const bool mayHaveNoEvents = !call.call.resumeAfter.empty() && call.head->statesItsEnd;
+    return call.events > 0 || mayHaveNoEvents;
+}
+
 void Gateway::Impl::onStreamEnd(Call& call)
 {
-    // A stream without events, or with an incomplete last event, was interrupted.
-    if (call.splitter.pendingBytes() > 0 || call.events == 0) {
+    if (!isWholeStream(call)) {
         this->onSendInterrupted(call, SendFailureCause::Interrupted);
         return;
     }
+    if (!call.hasAnswerBegun)
+        this->io.begin(call.id, call.send);
     this->dropSend(call, false);
     this->settle(call);
     if (call.route->retainsTurns && !call.call.program.value.empty()) {
--- a/src/librattandeck/turns/gatewayfixture_test.h
+++ b/src/librattandeck/turns/gatewayfixture_test.h
@@ -151,6 +151,7 @@
         answer.isEventStream = isStream;
         answer.isNotRun = isNotRun;
         answer.isSigned = isSigned;
+        answer.statesItsEnd = true;
         this->gateway.onAnswerHead(sent.id, answer);
     }
 
--- a/src/librattandeck/turns/gatewaystreams_test.cpp
+++ b/src/librattandeck/turns/gatewaystreams_test.cpp
@@ -7,6 +7,8 @@
     CPPUNIT_TEST_SUITE(GatewayStreamsTest);
     CPPUNIT_TEST(originIsToldBeforeTheFirstEventIsPassedOn);
     CPPUNIT_TEST(resumedStreamGoesOnAtItsVersion);
+    CPPUNIT_TEST(streamResumedAfterItsLastEventEnds);
+    CPPUNIT_TEST(resumedStreamWithoutEventsMustStateItsEnd);
     CPPUNIT_TEST(streamOfAnUnknownOriginIsRefusedAsNotRun);
     CPPUNIT_TEST(streamWithoutTheRequestThatBeganItIsRefused);
     CPPUNIT_TEST(streamWhoseVersionIsGoneIsRefusedAsNotRun);
@@ -138,6 +140,38 @@
         CPPUNIT_ASSERT(this->told<StreamBegun>().empty());
     }
 
+    CallId resumeAtV1()
+    {
+        this->add("e1", "v1");
+        const CallId id = this->resume("earlier");
+        this->answer("v1");
+        return id;
+    }
+
+    /// Guards against a stream that can never be finished: its caller has had all events, but not the end, and what
+    /// the instance answers then, a whole stream without events, was taken for one that had broken off.
+    void streamResumedAfterItsLastEventEnds()
+    {
+        const CallId id = this->resumeAtV1();
+        this->f->head(this->lastSend(), 200, true);
+        this->f->end(this->lastSend());
+        CPPUNIT_ASSERT(this->caller(id).head.has_value());
+        CPPUNIT_ASSERT(this->caller(id).isEnded && !this->caller(id).refusal);
+        CPPUNIT_ASSERT(this->caller(id).bytes.empty());
+    }
+
+    /// An instance that ended before its first event looks the same if only its connection tells the end.
+    void resumedStreamWithoutEventsMustStateItsEnd()
+    {
+        const CallId id = this->resumeAtV1();
+        EndpointAnswer answer;
+        answer.status = 200;
+        answer.isEventStream = answer.isSigned = true;
+        this->f->gateway.onAnswerHead(this->lastSend().id, answer);
+        this->f->end(this->lastSend());
+        CPPUNIT_ASSERT(!this->caller(id).isEnded);
+    }
+
     void streamOfAnUnknownOriginIsRefusedAsNotRun()
     {
         this->add("e1", "v1");
--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -181,6 +181,7 @@
     answer.isNotRun = status == misdirected || headers.contains(Names::notRun);
     answer.isSigned = headers.contains(Names::signature);
     answer.isEventStream = field(headers, "content-type").starts_with("text/event-stream");
+    answer.statesItsEnd = headers.contains("content-length") || headers.contains("transfer-encoding");
     answer.load = readLoad(field(headers, Names::load));
     if (const auto stated = headers.find(Names::limit); stated != headers.end()) {
         answer.limit = readLimit(trim(stated->second));
--- a/src/platform/calls_test.cpp
+++ b/src/platform/calls_test.cpp
@@ -131,6 +131,8 @@
         CPPUNIT_ASSERT(answer.isEventStream && !answer.isNotRun);
         CPPUNIT_ASSERT(answer.load && answer.load->running == 3 && answer.load->waiting == 1);
         CPPUNIT_ASSERT(!answer.isSigned && readAnswer(200, { { "response-seal", "3e1b" } }).isSigned);
+        CPPUNIT_ASSERT(!answer.statesItsEnd && readAnswer(200, { { "content-length", "0" } }).statesItsEnd);
+        CPPUNIT_ASSERT(readAnswer(200, { { "transfer-encoding", "chunked" } }).statesItsEnd);
         CPPUNIT_ASSERT(readAnswer(503, { { "not-run", "1" } }).isNotRun);
         CPPUNIT_ASSERT(!readAnswer(503, {}).isNotRun);
         CPPUNIT_ASSERT(readAnswer(421, {}).isNotRun);
