Judge whether a stream is whole by what its last instance has added

Cause: a stream that had delivered events counted as whole when the instance that it was moved to ended without adding one. If that answer has neither a length nor chunks, nothing tells it from a process that ended before its first event. Evidence: GatewayStreamsTest::movedStreamWithoutFurtherEventsMustStateItsEnd fails before. Change: events are counted for each send; without any, the answer has to tell its end by a length or chunks. Not played on processes. Conclusion: of two instances without framing of which the first broke off after its last event, the caller now gets a cut in place of an end; it may resume.

--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -226,6 +226,7 @@
     if (!call.firstEvent)
         call.firstEvent = this->timers.now();
     ++call.events;
+    ++call.eventsOfSend;
     ++this->counts.events;
     if (!event.id.empty())
         call.lastEvent = event.id;
@@ -236,14 +237,15 @@
     this->io.write(call.id, event.bytes);
 }
 
-/// Whether a stream that has ended was not interrupted. One that ends within an event was, and so was one without
-/// events, unless its caller resumes it and may have had all of them before.
+/// Whether a stream that has ended was not interrupted. One that ends within an event was, and so was one without any.
+/// If the last instance has added none, the caller may have had all of them before, or the instance's process ended
+/// early; then the answer must tell that it is whole.
 static bool isWholeStream(const GatewayCallState& call)
 {
     if (call.splitter.pendingBytes() > 0)
         return false;
-    const bool mayHaveNoEvents = !call.call.resumeAfter.empty() && call.head->statesItsEnd;
-    return call.events > 0 || mayHaveNoEvents;
+    const bool goesOn = call.events > 0 || !call.call.resumeAfter.empty();
+    return call.eventsOfSend > 0 || (goesOn && call.head->statesItsEnd);
 }
 
 void Gateway::Impl::onStreamEnd(Call& call)
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -77,6 +77,7 @@
     bool isBrokenWhileHeld = false;
     std::string lastEvent;
     std::uint64_t events = 0;
+    std::uint64_t eventsOfSend = 0;
     std::string output;
     RetainedTurn retained;
     std::optional<TimePoint> storeStarted;
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -84,6 +84,7 @@
     call.head.reset();
     call.body.clear();
     call.splitter = {};
+    call.eventsOfSend = 0;
     this->timers.cancel(call.processTimer);
     call.processTimer = {};
     call.hasAwaitedProcess = false;
--- a/src/librattandeck/turns/gatewaystreams_test.cpp
+++ b/src/librattandeck/turns/gatewaystreams_test.cpp
@@ -9,6 +9,7 @@
     CPPUNIT_TEST(resumedStreamGoesOnAtItsVersion);
     CPPUNIT_TEST(streamResumedAfterItsLastEventEnds);
     CPPUNIT_TEST(resumedStreamWithoutEventsMustStateItsEnd);
+    CPPUNIT_TEST(movedStreamWithoutFurtherEventsMustStateItsEnd);
     CPPUNIT_TEST(streamOfAnUnknownOriginIsRefusedAsNotRun);
     CPPUNIT_TEST(streamWithoutTheRequestThatBeganItIsRefused);
     CPPUNIT_TEST(streamWhoseVersionIsGoneIsRefusedAsNotRun);
@@ -164,12 +165,42 @@
     void resumedStreamWithoutEventsMustStateItsEnd()
     {
         const CallId id = this->resumeAtV1();
+        this->endWithItsConnection();
+        CPPUNIT_ASSERT(!this->caller(id).isEnded);
+    }
+
+    /// The instance answers without events, and only the end of its connection tells the end of the answer.
+    void endWithItsConnection()
+    {
         EndpointAnswer answer;
         answer.status = 200;
         answer.isEventStream = answer.isSigned = true;
         this->f->gateway.onAnswerHead(this->lastSend().id, answer);
         this->f->end(this->lastSend());
-        CPPUNIT_ASSERT(!this->caller(id).isEnded);
+    }
+
+    /// Guards against a stream that ends as complete before its last event: the instance that it was moved to ended
+    /// before its first event.
+    void movedStreamWithoutFurtherEventsMustStateItsEnd()
+    {
+        for (const char* name : { "e1", "e2" }) {
+            this->add(name, "v1");
+            this->tell(name, 1);
+        }
+        for (const bool statesItsEnd : { false, true }) {
+            const CallId id = this->begin();
+            this->f->head(this->lastSend(), 200, true);
+            this->f->event(this->lastSend(), 1);
+            this->f->end(this->lastSend(), SendOutcome::Broken);
+            if (statesItsEnd) {
+                this->f->head(this->lastSend(), 200, true);
+                this->f->end(this->lastSend());
+            } else {
+                this->endWithItsConnection();
+            }
+            CPPUNIT_ASSERT_EQUAL(statesItsEnd, this->caller(id).isEnded);
+            CPPUNIT_ASSERT_EQUAL(!statesItsEnd, this->caller(id).isBroken);
+        }
     }
 
     void streamOfAnUnknownOriginIsRefusedAsNotRun()
