Soak: an episode in which all gateways die beside a roll-out

Other operators told of streams that were joined from two versions after all front machines had been killed at once beside a release. The soak killed gateways one at a time.

--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -12,7 +12,7 @@
 import threading
 import time
 
-from harness import CaseFailed
+from harness import CaseFailed, in_parallel
 from linkproxy import ANY
 from platform_standins import route
 
@@ -39,8 +39,10 @@
 STORE = ("store refuses", "store silent", "store loses answers")
 # Two versions of the engines side by side, while streams break.
 VERSIONS = ("roll out", "roll back", "instance restarts", "kill", "freeze", "instance reset", *["instance breaks streams"] * 4)
+# All gateways die at one moment beside a roll-out, while streams break.
+GATEWAYS = ("roll out", "roll back", *["kill gateways"] * 3, *["instance breaks streams"] * 2)
 EPISODES = {"planned": PLANNED, "links": LINKS, "processes": PROCESSES, "versions": VERSIONS, "disks": (),
-            "domains": ("domain crashes",), "mixed": PLANNED + LINKS + PROCESSES + STORE}
+            "domains": ("domain crashes",), "gateways": GATEWAYS, "mixed": PLANNED + LINKS + PROCESSES + STORE}
 
 
 @dataclasses.dataclass
@@ -110,6 +112,7 @@
         "isolate": lambda: (pick("gateway", "journal"),),
         "narrow": lambda: (pick("gateway", "journal"),),
         "drain": lambda: (pick("llm", "app"),),
+        "kill gateways": lambda: tuple(f"gateway-{number}" for number in range(1, nodes["gateway"] + 1)),
         "roll out": lambda: ("llm",),
         "roll back": lambda: ("llm",),
         "domain crashes": lambda: instances_of_a_domain(chance.randint(0, len(DOMAINS) - 1), nodes),
@@ -356,6 +359,12 @@
         time.sleep(fault.duration)
         self.deployment.restart(fault.nodes[0])
 
+    def kill_gateways(self, fault):
+        for name in fault.nodes:
+            self.deployment.processes[name].kill()
+        time.sleep(fault.duration)
+        in_parallel([lambda name=name: self.deployment.restart(name) for name in fault.nodes])
+
     def empty_disk(self, fault):
         self.process(fault).kill()
         shutil.rmtree(self.deployment.disk(fault.nodes[0]), ignore_errors=True)
