--- a/src/librattandeck/journals/unsyncedrecords.cpp
+++ b/src/librattandeck/journals/unsyncedrecords.cpp
@@ -13,6 +13,8 @@
 {
     this->numbers[record] = ++this->lastNumber;
     this->order.emplace_back(this->lastNumber, std::move(record));
+    if (this->order.size() >= maxUnawaited && this->syncs.empty())
+        this->whenAllDurable([] {});
 }
 
 void UnsyncedRecords::whenDurable(const RecordKey& record, std::function<void()> onDurable)
--- a/src/librattandeck/journals/unsyncedrecords.h
+++ b/src/librattandeck/journals/unsyncedrecords.h
@@ -22,7 +22,8 @@
 /// The records that a journal has appended to its disk and that are not durable yet. What depends on one of them waits
 /// for the first sync that includes it, which may be under way already.
 ///
-/// Its size is bounded by the records that are appended between two syncs.
+/// Its size is bounded by the records that are appended between two syncs; it starts one itself when `maxUnawaited` are
+/// added that nobody waits for.
 ///
 /// Thread safety: not synchronised.
 class UnsyncedRecords {
@@ -30,6 +31,8 @@
     /// Calls `onDurable` once all records appended so far are durable, in the order of the calls.
     using Sync = std::function<void(std::function<void()> onDurable)>;
 
+    static constexpr std::size_t maxUnawaited = 4096;
+
     explicit UnsyncedRecords(Sync sync);
 
     /// The record has been appended.
@@ -39,6 +42,7 @@
     void whenDurable(const RecordKey& record, std::function<void()> onDurable);
     /// Calls `onDurable` once all records added so far are durable.
     void whenAllDurable(std::function<void()> onDurable);
+    std::size_t size() const { return this->order.size(); }
 
 private:
     struct SyncUnderWay {
--- a/src/librattandeck/journals/unsyncedrecords_test.cpp
+++ b/src/librattandeck/journals/unsyncedrecords_test.cpp
@@ -10,6 +10,7 @@
     CPPUNIT_TEST(recordWaitsForTheFirstSyncThatIncludesIt);
     CPPUNIT_TEST(recordAddedDuringASyncNeedsTheNext);
     CPPUNIT_TEST(syncOfAllMakesRecordsDurable);
+    CPPUNIT_TEST(recordsThatNobodyWaitsForAreBounded);
     CPPUNIT_TEST_SUITE_END();
 
     std::deque<std::function<void()>> syncs;
@@ -73,6 +74,17 @@
         this->finishSync();
         CPPUNIT_ASSERT_EQUAL(2, this->durable);
     }
+
+    /// Guards against memory that grows for as long as a journal only stores, as one does that can't copy the others.
+    void recordsThatNobodyWaitsForAreBounded()
+    {
+        for (std::size_t i = 0; i <= UnsyncedRecords::maxUnawaited; ++i)
+            this->records.add(key(std::to_string(i).c_str()));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->syncs.size());
+        CPPUNIT_ASSERT(this->records.size() >= UnsyncedRecords::maxUnawaited);
+        this->finishSync();
+        CPPUNIT_ASSERT(this->records.size() <= 1);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(UnsyncedRecordsTest);
