Testsuite: give each run addresses of its own

Cause: the proxies of all runs listened at one loopback address. While an instance is down its port is closed, and a second run beside it could take that port for an instance of its own. If both bear the same name, the first run's gateways send their requests there, and the second run's judge takes them for its own, since requests are named alike. Change: proxies, the nodes behind them and their administration take ports at addresses that are made from the process's number. Looked for elsewhere: ports of the relays in harness.py stay open while they are cut: not affected; journals without proxies: changed. Conclusion: no check is changed. Failures of runs side by side before this may have had this cause; none is on record.

--- a/testsuite/linkproxy.py
+++ b/testsuite/linkproxy.py
@@ -22,10 +22,17 @@
 # A dialling node that has not named itself within this many bytes is taken for an unnamed one.
 HELLO_BYTES = 2048
 UNNAMED = "?"
-# Connections take their own ports at 127.0.0.1. The proxies listen elsewhere, so that a port that was closed for a while is still
-# free when it is to be opened again.
-PROXY_HOST = "127.0.0.4"
 ANY = "*"
+# Where in the loopback range the proxies listen, the nodes behind them, and the nodes' administration.
+PROXIES = 64
+TARGETS = 128
+ADMINISTRATION = 192
+
+
+def loopback_host(part, process):
+    """Returns an address of this machine at which only one run takes ports. Connections take theirs at 127.0.0.1. So a port that is
+    closed for a while is still free when it is to be opened again, and until then nobody else answers there."""
+    return f"127.{part + process // 65536}.{process // 256 % 256}.{process % 256}"
 
 
 class LinkProxies:
@@ -35,10 +42,11 @@
         self.lock = threading.Lock()
         self.process = subprocess.Popen([sys.executable, os.path.abspath(__file__)], stdin=subprocess.PIPE,
                                         stdout=subprocess.PIPE, text=True)
+        self.target_host = loopback_host(TARGETS, self.process.pid)
 
     def add(self, server, target=None, names_itself=True):
         """Opens a proxy in front of a node and returns the address to dial. Without a target the node listens on the
-        proxy's port at 127.0.0.2. `names_itself` tells whether diallers begin with their node's name (peer links)."""
+        proxy's port at `target_host`. `names_itself` tells whether diallers begin with their node's name (peer links)."""
         return self._request(do="add", server=server, target=target, names_itself=names_itself)
 
     def set_rule(self, source, sink, delay_s=0.0, is_blocked=False):
@@ -258,6 +266,8 @@
 
     def __init__(self, loop):
         self.loop = loop
+        self.host = loopback_host(PROXIES, os.getpid())
+        self.target_host = loopback_host(TARGETS, os.getpid())
         self.nodes = set()
         self.connections = set()
         self.rules = {}
@@ -286,13 +296,13 @@
     async def add(self, server, target, names_itself):
         if names_itself:
             self.name_nodes(server)
-        listener = socket.create_server((PROXY_HOST, 0), backlog=512)
+        listener = socket.create_server((self.host, 0), backlog=512)
         port = listener.getsockname()[1]
         def accept():
-            return Connection(self, server, target or f"127.0.0.2:{port}", names_itself).dialler
+            return Connection(self, server, target or f"{self.target_host}:{port}", names_itself).dialler
 
         self.listeners[server] = [port, accept, await self.loop.create_server(accept, sock=listener)]
-        return f"{PROXY_HOST}:{port}"
+        return f"{self.host}:{port}"
 
     async def listen(self, server, is_listening):
         entry = self.listeners[server]
@@ -300,7 +310,7 @@
             entry[2].close()
             entry[2] = None
         elif not entry[2] and is_listening:
-            listener = socket.create_server((PROXY_HOST, entry[0]), backlog=512)
+            listener = socket.create_server((self.host, entry[0]), backlog=512)
             entry[2] = await self.loop.create_server(entry[1], sock=listener)
 
     def set_rule(self, source, sink, delay_s, is_blocked):
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -16,6 +16,7 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 from harness import Process, wait_until
+from linkproxy import TARGETS, loopback_host
 
 HOST = "calls.example"
 EVENTS = 4
@@ -362,11 +363,11 @@
     def peer_addresses(self, name):
         """Settings of a journal's address. A restarted journal listens on its previous one."""
         if not self.links:
-            return f'listen = "127.0.0.2:{self.ports.get(name, 0)}"'
+            return f'listen = "{loopback_host(TARGETS, os.getpid())}:{self.ports.get(name, 0)}"'
         if name not in self.advertised:
             self.advertised[name] = self.links.add(name)
         address = self.advertised[name]
-        return f'listen = "127.0.0.2:{address.split(":")[1]}"\nadvertise = "{address}"'
+        return f'listen = "{self.links.target_host}:{address.split(":")[1]}"\nadvertise = "{address}"'
 
     def seeds(self):
         return [self.advertised.get(name) or process.field("peers")
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -2,11 +2,13 @@
 instances that faults can be injected into."""
 
 import contextlib
+import os
 import socket
 import threading
 import time
 
 from harness import expect, http
+from linkproxy import ADMINISTRATION, loopback_host
 from platform_standins import Deployment, Server, Store, configuration, route
 
 from content import TOKENS_PER_EVENT, Plan
@@ -229,8 +231,9 @@
 
     def more_settings(self, name):
         if name not in self.admin_addresses:
-            with socket.create_server(("127.0.0.3", 0)) as free:
-                self.admin_addresses[name] = f"127.0.0.3:{free.getsockname()[1]}"
+            host = loopback_host(ADMINISTRATION, os.getpid())
+            with socket.create_server((host, 0)) as free:
+                self.admin_addresses[name] = f"{host}:{free.getsockname()[1]}"
         return f'[admin]\nlisten = "{self.admin_addresses[name]}"\n'
 
     def make_store(self):
