Decode the organisations of a configuration

Cause: nothing in the code knows the organisations that callers belong to, their keys or their allowances. Change: types for organisations, an index by key, and their decoding; keys are digested where they are decoded. An entry that can't be read costs itself alone.

--- a/src/include/Rattandeck/gatewaycalls.h
+++ b/src/include/Rattandeck/gatewaycalls.h
@@ -2,6 +2,7 @@
 
 #include "Rattandeck/endpoints.h"
 #include "Rattandeck/journalmessages.h"
+#include "Rattandeck/organisations.h"
 
 #include <optional>
 #include <string>
@@ -44,6 +45,8 @@
     std::string resumeAfter;
     /// The caller's request that brought the first event of that stream; empty for a call that begins one.
     TurnId resumedRequest;
+    /// Empty if the call carries no key.
+    std::optional<KeyDigest> key;
 };
 
 /// Whether an instance is asked which process it is, if that is not known.
--- a/src/include/Rattandeck/routing.h
+++ b/src/include/Rattandeck/routing.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Rattandeck/organisations.h"
 #include "Rattandeck/types.h"
 
 #include <memory>
@@ -49,6 +50,8 @@
     /// Turns are stored for `turnRetention`, so that later turns may continue them.
     bool retainsTurns = false;
     Milliseconds turnRetention { 0 };
+    /// Callers need no key.
+    bool isPublic = false;
     bool operator==(const Route&) const = default;
 };
 
@@ -84,6 +87,8 @@
     std::vector<Route> routes;
     std::vector<ServiceConfig> services;
     CallerLimits limits;
+    /// Present if callers have to show a key on routes that are not public.
+    std::optional<std::vector<Organisation>> organisations;
     bool operator==(const RoutingConfig&) const = default;
 };
 
@@ -102,6 +107,8 @@
     const Route* find(std::string_view host, std::string_view path) const;
     /// Returns null for a service that the configuration does not contain.
     const ServiceConfig* service(const ServiceName& name) const;
+    /// Returns null if the configuration has no organisations, so that callers need no keys.
+    const OrganisationDirectory* organisations() const;
 
 private:
     struct Impl;
--- a/src/librattandeck/routing/routing.cpp
+++ b/src/librattandeck/routing/routing.cpp
@@ -23,6 +23,7 @@
     RoutingConfig config;
     TextMap<TextMap<const Route*>> byHostAndPrefix;
     TextMap<const ServiceConfig*> services;
+    std::optional<OrganisationDirectory> organisations;
 };
 
 RouteTable::RouteTable(RoutingConfig config)
@@ -33,6 +34,8 @@
         this->impl->byHostAndPrefix[route.host].emplace(route.pathPrefix, &route);
     for (const ServiceConfig& service : this->impl->config.services)
         this->impl->services.emplace(service.name.value, &service);
+    if (this->impl->config.organisations)
+        this->impl->organisations.emplace(*this->impl->config.organisations);
 }
 
 RouteTable::~RouteTable() = default;
@@ -62,6 +65,11 @@
     return found == this->impl->services.end() ? nullptr : found->second;
 }
 
+const OrganisationDirectory* RouteTable::organisations() const
+{
+    return this->impl->organisations ? &*this->impl->organisations : nullptr;
+}
+
 // Weights ----------------------------------------------------------------------------------------------------------
 
 const ServiceName& chooseService(const Route& route, std::string_view key)
--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -31,6 +31,11 @@
 constexpr const char* tokenBudget = "token-budget";
 constexpr const char* previousTurn = "previous-turn";
 constexpr const char* retryAfter = "retry-after";
+/// The caller's key, behind `keyScheme` and a space.
+constexpr const char* authorization = "authorization";
+constexpr const char* keyScheme = "Token";
+/// Tells an instance the organisation of the caller.
+constexpr const char* organisation = "tenant";
 /// Cookie that names the subject of a call.
 constexpr const char* subjectCookie = "Affinity-Key";
 // Control of engines' memory. The gateway removes these headers from callers' requests.
--- a/src/platform/objectcodec.cpp
+++ b/src/platform/objectcodec.cpp
@@ -164,6 +164,7 @@
         route.isSticky = readFlag(json, "sticky");
         route.canResume = readFlag(json, "can_resume");
         route.retainsTurns = readFlag(json, "retain");
+        route.isPublic = readFlag(json, "public");
         constexpr double millisecondsPerSecond = 1000;
         route.turnRetention = Milliseconds(
             static_cast<std::int64_t>(readDecimal(json, "retain_s").value_or(0) * millisecondsPerSecond));
@@ -194,6 +195,44 @@
         return service;
     }
 
+    /// Returns nothing for a number that is missing or 0, which both mean that there is no limit.
+    tl::expected<std::optional<CallAllowance>, DecodeError> readAllowance(const Json& json)
+    {
+        constexpr const char* rateName = "rate_per_s";
+        constexpr const char* burstName = "burst";
+        for (const char* name : { rateName, burstName }) {
+            if (json.contains(name) && !(readDecimal(json, name).value_or(-1) >= 0))
+                return tl::unexpected(DecodeError { name });
+        }
+        const double rate = readDecimal(json, rateName).value_or(0);
+        if (rate <= 0)
+            return std::nullopt;
+        return CallAllowance { CallRate(rate), readDecimal(json, burstName).value_or(0) };
+    }
+
+    tl::expected<Organisation, DecodeError> readOrganisation(const Json& json)
+    {
+        const auto name = json.is_object() ? readText(json, "name") : std::nullopt;
+        if (!name || name->empty())
+            return tl::unexpected(DecodeError { "tenants.name" });
+        Organisation organisation;
+        organisation.id = OrganisationId(*name);
+        const auto keys = json.find("api_keys");
+        if (keys == json.end() || !keys->is_array())
+            return tl::unexpected(DecodeError { "tenants.api_keys" });
+        for (const Json& key : *keys) {
+            if (key.is_string() && !key.get_ref<const std::string&>().empty())
+                organisation.keys.push_back(digestOfKey(key.get_ref<const std::string&>()));
+        }
+        if (const auto rank = readInteger(json, "priority"); rank && *rank >= 0 && *rank <= UINT32_MAX)
+            organisation.rank = static_cast<std::uint32_t>(*rank);
+        auto allowance = readAllowance(json);
+        if (!allowance)
+            return tl::unexpected(allowance.error());
+        organisation.allowance = *allowance;
+        return organisation;
+    }
+
     CallerLimits readLimits(const Json& json)
     {
         CallerLimits limits;
@@ -210,7 +249,7 @@
 
 }
 
-tl::expected<RoutingConfig, DecodeError> readConfig(const Json& spec)
+tl::expected<RoutingConfig, DecodeError> readConfig(const Json& spec, std::vector<DecodeError>* skipped)
 {
     if (!spec.is_object() || !spec.contains("routes") || !spec["routes"].is_array())
         return tl::unexpected(DecodeError { "routes" });
@@ -235,6 +274,18 @@
     }
     if (spec.contains("limits"))
         config.limits = readLimits(spec["limits"]);
+    if (!spec.contains("tenants"))
+        return config;
+    if (!spec["tenants"].is_array())
+        return tl::unexpected(DecodeError { "tenants" });
+    config.organisations.emplace();
+    for (const Json& json : spec["tenants"]) {
+        auto organisation = readOrganisation(json);
+        if (organisation)
+            config.organisations->push_back(std::move(*organisation));
+        else if (skipped)
+            skipped->push_back(organisation.error());
+    }
     return config;
 }
 
--- a/src/platform/objectcodec.h
+++ b/src/platform/objectcodec.h
@@ -18,7 +18,9 @@
 /// Decodes an endpoint instance. Other programs write these objects too, so an invalid object is
 /// expected and yields an error.
 tl::expected<Rattandeck::EndpointInstance, DecodeError> readEndpoint(const StoredObject& object);
-tl::expected<Rattandeck::RoutingConfig, DecodeError> readConfig(const nlohmann::json& spec);
+/// An organisation that can't be read is left out and reported in `skipped`; the rest of the configuration holds.
+tl::expected<Rattandeck::RoutingConfig, DecodeError> readConfig(
+    const nlohmann::json& spec, std::vector<DecodeError>* skipped = nullptr);
 
 tl::expected<Rattandeck::JournalSet, DecodeError> readJournalSet(const nlohmann::json& spec);
 nlohmann::json writeJournalSet(const Rattandeck::JournalSet& set);
