--- a/src/include/Rattandeck/gatewaycalls.h
+++ b/src/include/Rattandeck/gatewaycalls.h
@@ -136,6 +136,12 @@
     Quarantined,
     /// Instances failed together while they ran requests with the same content, and one such request is being tried.
     Suspected,
+    /// The call carries no key, or one that no organisation holds.
+    KeyUnknown,
+    /// The configuration is too old to tell whether the caller's key is still valid.
+    ConfigurationTooOld,
+    /// The caller's organisation has used its allowance of calls.
+    AllowanceUsed,
 };
 
 /// Error answer that the gateway itself gives to a caller.
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -37,6 +37,12 @@
         return "held: it crashed several instances";
     case RejectionReason::Suspected:
         return "held: another copy is being tried, as it may crash instances";
+    case RejectionReason::KeyUnknown:
+        return "key unknown";
+    case RejectionReason::ConfigurationTooOld:
+        return "configuration too old for keys";
+    case RejectionReason::AllowanceUsed:
+        return "allowance of the organisation used";
     }
     return "unknown";
 }
@@ -201,6 +207,8 @@
     state->id = id;
     state->table = self.table;
     state->route = route;
+    if (self.table->organisations() && call.key)
+        state->organisation = self.table->organisations()->findByKey(*call.key);
     state->service = chooseService(*route, call.program.value.empty() ? call.request.value : call.program.value);
     state->arrived = self.timers.now();
     state->deadline = state->arrived + std::min(route->timeout, call.timeLeft.value_or(route->timeout));
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -20,6 +20,8 @@
     /// Keeps `route` valid after a change of the configuration.
     std::shared_ptr<const RouteTable> table;
     const Route* route = nullptr;
+    /// The caller's organisation; null if it has none. Valid as long as `table`.
+    const Organisation* organisation = nullptr;
     ServiceName service;
     TimePoint arrived;
     std::optional<TimePoint> firstSent;
--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -240,8 +240,12 @@
     case RejectionReason::NoRoute:
     case RejectionReason::UnknownTurn:
         return 404;
+    case RejectionReason::KeyUnknown:
+        return 401;
     case RejectionReason::BudgetSpent:
         return 402;
+    case RejectionReason::AllowanceUsed:
+        return refusal.mayHaveRun ? 502 : 429;
     case RejectionReason::TimedOut:
         return refusal.mayHaveRun ? 504 : 503;
     default:
