Read load reports that state a pace or further figures

Cause: the decoder of Server-Load took all text behind the second comma for the number of slots. A report with a fourth figure (percent of the usual time that work takes on the machine) was discarded whole and silently, so no load was known on deployments whose instances share machines. Token-Counts, Length-Hint and Prompt-Prefix had the same fault.

Change: the known figures are read, the pace into a typed field, further ones are ignored. A report that can't be read, or whose pace can't, is logged (one line a second at most) and counted. The placement changes only in that the load is known.

--- a/src/include/Rattandeck/endpoints.h
+++ b/src/include/Rattandeck/endpoints.h
@@ -33,11 +33,17 @@
     bool operator==(const EndpointInstance&) const = default;
 };
 
+/// How long work takes at an instance at a moment, in percent of the usual time: 100 as usual, 250 two and a half times
+/// as long.
+using WorkTimePercent = Strong<struct WorkTimePercentTag, double>;
+
 /// Load that an instance reports with an answer.
 struct EndpointLoad {
     std::uint32_t running = 0;
     std::uint32_t waiting = 0;
     std::uint32_t slots = 1;
+    /// Empty if the instance doesn't state it. It changes several times a second.
+    std::optional<WorkTimePercent> pace = std::nullopt;
 };
 
 /// One part of a prompt.
--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -59,6 +59,8 @@
     virtual void reportLeaving(const EndpointId& endpoint, std::int64_t startedAt) = 0;
     /// An instance says something of its leave that can't be understood; it is ignored.
     virtual void logInvalidLeaving(const EndpointId& endpoint, const std::string& text) = 0;
+    /// An instance's load report can't be read, or its pace can't, which is ignored then.
+    virtual void logInvalidLoad(const EndpointId& endpoint, const std::string& text) = 0;
     /// An instance states a limit that is not a rate; it is ignored.
     virtual void logInvalidLimit(const EndpointId& endpoint, const std::string& text) = 0;
 };
--- a/src/include/Rattandeck/gatewaycalls.h
+++ b/src/include/Rattandeck/gatewaycalls.h
@@ -91,6 +91,8 @@
     /// A length or chunks tell where the body ends. Otherwise it ends with its connection, also when it is not whole.
     bool statesItsEnd = false;
     std::optional<EndpointLoad> load;
+    /// Text of a load report that can't be read, or whose pace can't, for the log; empty if there is none.
+    std::string invalidLoad;
     /// Rate of calls that the instance takes from all gateways together. Empty when the answer states no limit.
     std::optional<CallRate> limit;
     /// Text of a stated limit that is not a rate, for the log; empty if there is none. Such a limit is ignored.
--- a/src/librattandeck/routing/endpoints.cpp
+++ b/src/librattandeck/routing/endpoints.cpp
@@ -59,6 +59,7 @@
         state.parts = {};
         state.otherCalls = 0;
         state.reportedAt.reset();
+        state.pace.reset();
         // An entry of an earlier process may arrive late. Then the later one is still running.
         if (instance.startedAt < state.instance.startedAt)
             state.doubtedAt = now;
@@ -199,6 +200,7 @@
         return;
     state->otherCalls = std::max(0.0, static_cast<double>(load.running) + load.waiting - state->ownCalls);
     state->reportedAt = now;
+    state->pace = load.pace;
 }
 
 void EndpointTable::onFailure(const EndpointId& id, TimePoint now)
--- a/src/librattandeck/routing/endpointsimpl.h
+++ b/src/librattandeck/routing/endpointsimpl.h
@@ -40,6 +40,8 @@
     /// Calls of other processes, as of the last report.
     double otherCalls = 0;
     std::optional<TimePoint> reportedAt;
+    /// As stated by the last report, at `reportedAt`; empty if that states none.
+    std::optional<WorkTimePercent> pace;
     std::optional<TimePoint> failedAt;
     /// When it became doubtful which process runs under the id; empty once that is known again.
     std::optional<TimePoint> doubtedAt;
--- a/src/librattandeck/turns/gateway_test.cpp
+++ b/src/librattandeck/turns/gateway_test.cpp
@@ -47,6 +47,7 @@
     CPPUNIT_TEST(instanceThatSaysThatItLeavesGetsNoMoreCalls);
     CPPUNIT_TEST(answerOfAnotherInstanceDoesNotTellOfALeave);
     CPPUNIT_TEST(leaveThatCannotBeUnderstoodIsIgnored);
+    CPPUNIT_TEST(loadReportThatCannotBeReadIsLogged);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<GatewayFixture> f;
@@ -118,6 +119,17 @@
         CPPUNIT_ASSERT_EQUAL(std::string("soon"), this->f->invalidLeaving.front());
     }
 
+    void loadReportThatCannotBeReadIsLogged()
+    {
+        this->callOn("unsafe");
+        EndpointAnswer odd;
+        odd.status = 200;
+        odd.isSigned = true;
+        odd.invalidLoad = "3;1;16";
+        this->f->gateway.onAnswerHead(this->lastSend().id, odd);
+        CPPUNIT_ASSERT_EQUAL(std::string("3;1;16"), this->f->invalidLoads.at(0));
+    }
+
     void callsBeforeTheFirstConfigurationAreRefusedAsNotReady()
     {
         GatewayFixture fresh;
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -26,6 +26,8 @@
         return;
     if (answer.load)
         self.endpoints.onLoad(call->endpoint, *answer.load, self.timers.now());
+    if (!answer.invalidLoad.empty())
+        self.io.logInvalidLoad(call->endpoint, answer.invalidLoad);
     self.noteLimit(*call, answer);
     self.noteLeaving(*call, answer);
     if (answer.isNotRun) {
--- a/src/librattandeck/turns/gatewayfixture_test.h
+++ b/src/librattandeck/turns/gatewayfixture_test.h
@@ -36,6 +36,7 @@
     std::vector<std::string> invalidLimits;
     std::vector<std::pair<Rattandeck::EndpointId, std::int64_t>> leaving;
     std::vector<std::string> invalidLeaving;
+    std::vector<std::string> invalidLoads;
     std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> toJournals;
     /// Messages about permits.
     std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> toIssuers;
@@ -250,6 +251,10 @@
     {
         this->invalidLeaving.push_back(text);
     }
+    void logInvalidLoad(const Rattandeck::EndpointId&, const std::string& text) override
+    {
+        this->invalidLoads.push_back(text);
+    }
     void logInvalidLimit(const Rattandeck::EndpointId&, const std::string& text) override
     {
         this->invalidLimits.push_back(text);
--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -59,7 +59,7 @@
         while (!text.empty()) {
             std::string_view entry = takePart(text, ',');
             const std::string_view id = takePart(entry, ':');
-            const auto tokens = readNumber<std::int64_t>(entry);
+            const auto tokens = readNumber<std::int64_t>(takePart(entry, ':'));
             if (id.empty() || !tokens)
                 return parts;
             parts.push_back({ PromptPartId(std::string(id)), TokenCount(*tokens) });
@@ -77,26 +77,52 @@
         return {};
     }
 
-    std::optional<EndpointLoad> readLoad(std::string_view text)
+    /// Reads a decimal number up to `most`. Signs, exponents and the names of special values are no such number.
+    std::optional<double> readDecimal(std::string_view text, double most)
     {
-        const auto running = readNumber<std::uint32_t>(takePart(text, ','));
-        const auto waiting = readNumber<std::uint32_t>(takePart(text, ','));
-        const auto slots = readNumber<std::uint32_t>(trim(text));
-        if (!running || !waiting || !slots)
+        if (text.empty() || text.find_first_not_of("0123456789.") != std::string_view::npos)
             return std::nullopt;
-        return EndpointLoad { *running, *waiting, *slots };
+        const auto number = readNumber<double>(text);
+        if (!number || !std::isfinite(*number) || *number > most)
+            return std::nullopt;
+        return number;
     }
 
-    /// Reads a decimal number of calls a second. Signs, exponents and the names of special values are no such number.
+    /// Reads a number of calls a second.
     std::optional<CallRate> readLimit(std::string_view text)
     {
         constexpr double maxLimit = 1e9;
-        if (text.empty() || text.find_first_not_of("0123456789.") != std::string_view::npos)
-            return std::nullopt;
-        const auto rate = readNumber<double>(text);
-        if (!rate || !std::isfinite(*rate) || *rate > maxLimit)
-            return std::nullopt;
-        return CallRate(*rate);
+        const auto rate = readDecimal(text, maxLimit);
+        return rate ? std::optional(CallRate(*rate)) : std::nullopt;
+    }
+
+    /// A load report, with the text of what can't be read of it.
+    struct LoadText {
+        std::optional<EndpointLoad> load;
+        std::string invalid;
+    };
+
+    /// Reads the calls that run and wait, the slots, and the pace, if it is stated. Further figures are ignored:
+    /// instances may state more than is known here.
+    LoadText readLoad(std::string_view report)
+    {
+        constexpr double maxPace = 1e6;
+        const std::string whole(report.empty() ? "(empty)" : report);
+        const auto running = readNumber<std::uint32_t>(takePart(report, ','));
+        const auto waiting = readNumber<std::uint32_t>(takePart(report, ','));
+        const auto slots = readNumber<std::uint32_t>(takePart(report, ','));
+        if (!running || !waiting || !slots)
+            return { std::nullopt, whole };
+        LoadText read { EndpointLoad { *running, *waiting, *slots }, {} };
+        const std::string_view paceText = takePart(report, ',');
+        if (paceText.empty())
+            return read;
+        const auto pace = readDecimal(paceText, maxPace);
+        if (pace.value_or(0) > 0)
+            read.load->pace = WorkTimePercent(*pace);
+        else
+            read.invalid = whole;
+        return read;
     }
 
     constexpr std::array<const char*, 8> connectionHeaders { "connection", "keep-alive", "proxy-connection", "te",
@@ -140,8 +166,9 @@
         call.tokenLimit = TokenCount(*limit);
     std::string_view counts = field(headers, Names::tokenCounts);
     takePart(counts, ',');
-    call.maxOutputTokens = TokenCount(readNumber<std::int64_t>(trim(counts)).value_or(0));
-    if (const auto expected = readNumber<std::int64_t>(trim(field(headers, Names::lengthHint))))
+    call.maxOutputTokens = TokenCount(readNumber<std::int64_t>(takePart(counts, ',')).value_or(0));
+    std::string_view hint = field(headers, Names::lengthHint);
+    if (const auto expected = readNumber<std::int64_t>(takePart(hint, ',')))
         call.expectedOutputTokens = TokenCount(*expected);
     call.prompt = readPrompt(field(headers, Names::prompt));
     call.subject = readCookie(field(headers, "cookie"), Names::subjectCookie);
@@ -182,7 +209,11 @@
     answer.isSigned = headers.contains(Names::signature);
     answer.isEventStream = field(headers, "content-type").starts_with("text/event-stream");
     answer.statesItsEnd = headers.contains("content-length") || headers.contains("transfer-encoding");
-    answer.load = readLoad(field(headers, Names::load));
+    if (const auto stated = headers.find(Names::load); stated != headers.end()) {
+        LoadText read = readLoad(stated->second);
+        answer.load = read.load;
+        answer.invalidLoad = std::move(read.invalid);
+    }
     if (const auto stated = headers.find(Names::limit); stated != headers.end()) {
         answer.limit = readLimit(trim(stated->second));
         if (!answer.limit)
--- a/src/platform/calls_test.cpp
+++ b/src/platform/calls_test.cpp
@@ -13,6 +13,10 @@
     CPPUNIT_TEST(requestToTheInstanceKeepsTheCallersFields);
     CPPUNIT_TEST(memoryControlHeadersOfCallersAreRemoved);
     CPPUNIT_TEST(answerHeadersAreDecoded);
+    CPPUNIT_TEST(loadWithPaceIsDecoded);
+    CPPUNIT_TEST(loadWithFurtherFiguresIsDecoded);
+    CPPUNIT_TEST(unreadableLoadIsReported);
+    CPPUNIT_TEST(furtherFiguresOfACallAreIgnored);
     CPPUNIT_TEST(limitIsDecoded);
     CPPUNIT_TEST(valuesThatAreNoLimitAreIgnored);
     CPPUNIT_TEST(answerToAnotherRequestIsDetected);
@@ -139,6 +143,65 @@
         CPPUNIT_ASSERT(!readAnswer(200, { { "server-load", "a,b" } }).load);
     }
 
+    static void checkLoad(const std::string& text, std::uint32_t running, std::optional<double> pace)
+    {
+        const EndpointAnswer answer = readAnswer(200, { { "server-load", text } });
+        CPPUNIT_ASSERT_MESSAGE(text, answer.load.has_value());
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(text, running, answer.load->running);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(text, std::uint32_t(16), answer.load->slots);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(text, pace.has_value(), answer.load->pace.has_value());
+        if (pace)
+            CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(text, *pace, answer.load->pace->value, 1e-9);
+        CPPUNIT_ASSERT_MESSAGE(text, answer.invalidLoad.empty());
+    }
+
+    /// Guards against reports that are discarded whole because they state the pace, so that no load is known.
+    void loadWithPaceIsDecoded()
+    {
+        checkLoad("3,1,16", 3, std::nullopt);
+        checkLoad("3,1,16,100", 3, 100);
+        checkLoad("5, 0, 16, 250", 5, 250);
+        checkLoad("5,0,16,87.5", 5, 87.5);
+    }
+
+    /// Guards against the same fault with the next figure that instances state.
+    void loadWithFurtherFiguresIsDecoded()
+    {
+        checkLoad("3,1,16,100,7", 3, 100);
+        checkLoad("3,1,16,100,x=1,2", 3, 100);
+        checkLoad("3,1,16,", 3, std::nullopt);
+    }
+
+    void unreadableLoadIsReported()
+    {
+        CPPUNIT_ASSERT(readAnswer(200, {}).invalidLoad.empty());
+        for (const char* text : { "", "a,b", "3,1", "-1,0,16", "3;1;16", "3,1,16.5", "99999999999,0,16" }) {
+            const EndpointAnswer answer = readAnswer(200, { { "server-load", text } });
+            CPPUNIT_ASSERT_MESSAGE(text, !answer.load);
+            CPPUNIT_ASSERT_MESSAGE(text, !answer.invalidLoad.empty());
+        }
+        // The load counts although the pace can't be read.
+        for (const char* text : { "3,1,16,0", "3,1,16,-5", "3,1,16,nan", "3,1,16,fast", "3,1,16,1e9", "3,1,16,inf" }) {
+            const EndpointAnswer answer = readAnswer(200, { { "server-load", text } });
+            CPPUNIT_ASSERT_MESSAGE(text, answer.load && answer.load->running == 3 && !answer.load->pace);
+            CPPUNIT_ASSERT_EQUAL(std::string(text), answer.invalidLoad);
+        }
+    }
+
+    /// Guards against calls whose token counts or prompt parts say more than is known here: their claims were lost.
+    void furtherFiguresOfACallAreIgnored()
+    {
+        HttpRequest extended = request();
+        extended.headers["token-counts"] = "1840,572,64";
+        extended.headers["length-hint"] = "240, 80";
+        extended.headers["prompt-prefix"] = "5c1e:800:1, 91bd:410";
+        const GatewayCall call = readCall(extended);
+        CPPUNIT_ASSERT(call.maxOutputTokens == TokenCount(572));
+        CPPUNIT_ASSERT(call.expectedOutputTokens == TokenCount(240));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), call.prompt.size());
+        CPPUNIT_ASSERT(call.prompt[0].tokens == TokenCount(800));
+    }
+
     void limitIsDecoded()
     {
         CPPUNIT_ASSERT(!readAnswer(200, {}).limit && readAnswer(200, {}).invalidLimit.empty());
--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -10,6 +10,8 @@
 constexpr const char* expectedVersion = "expect-version";
 constexpr const char* priority = "request-priority";
 constexpr const char* notRun = "not-run";
+/// Calls that run, calls that wait, slots, and, where instances share their machines, how long work takes at this
+/// moment in percent of the usual time. Further figures may follow.
 constexpr const char* load = "server-load";
 /// Requests a second that an instance takes from all machines together, as a decimal number.
 constexpr const char* limit = "server-limit";
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -355,3 +355,19 @@
     this->metrics.count("rattandeck_invalid_limits_total");
     logFields("endpoint limit ignored", { { "endpoint", endpoint.value }, { "text", text.substr(0, maxText) } });
 }
+
+void Relay::logInvalidLoad(const EndpointId& endpoint, const std::string& text)
+{
+    // Each answer has a report: instances of another version would fill the log.
+    constexpr Milliseconds interval { 1000 };
+    constexpr std::size_t maxText = 64;
+    this->metrics.count("rattandeck_invalid_loads_total");
+    ++this->invalidLoads;
+    const TimePoint now = this->loop.timers().now();
+    if (this->invalidLoadLogged && now - *this->invalidLoadLogged < interval)
+        return;
+    this->invalidLoadLogged = now;
+    logFields("endpoint load ignored",
+        { { "endpoint", endpoint.value }, { "text", text.substr(0, maxText) }, { "reports", this->invalidLoads } });
+    this->invalidLoads = 0;
+}
--- a/src/rattandeck-gateway/relay.h
+++ b/src/rattandeck-gateway/relay.h
@@ -64,6 +64,7 @@
     void logSendFailure(const Rattandeck::SendFailure& failure) override;
     void logEnd(const Rattandeck::CallEnd& end) override;
     void logLimit(const Rattandeck::LimitChange& change) override;
+    void logInvalidLoad(const Rattandeck::EndpointId& endpoint, const std::string& text) override;
     void logInvalidLimit(const Rattandeck::EndpointId& endpoint, const std::string& text) override;
     void reportLeaving(const Rattandeck::EndpointId& endpoint, std::int64_t startedAt) override;
     void logInvalidLeaving(const Rattandeck::EndpointId& endpoint, const std::string& text) override;
@@ -80,6 +81,9 @@
     RattandeckApp::Metrics& metrics;
     Rattandeck::Gateway core;
     std::uint64_t lastCall = 0;
+    /// Load reports that can't be read, since the last line about one.
+    std::int64_t invalidLoads = 0;
+    std::optional<Rattandeck::TimePoint> invalidLoadLogged;
     std::unordered_map<Rattandeck::CallId, OpenCall> calls;
     std::unordered_map<Rattandeck::SendId, OpenSend> sends;
     std::map<std::string, Client> clients;
