Admit calls by their organisations' keys

Cause: callers of any organisation reach every route, and see every retained turn whose id they know. Change: where the configuration has organisations, a call on a route that is not public needs the key of one, else it is refused with 401. The instance gets the organisation's name in place of the key. An organisation's rank precedes the route's. Fingerprints and the ids of stored turns include the organisation. Without organisations requests to instances are as before.

--- a/src/include/Rattandeck/gatewaycalls.h
+++ b/src/include/Rattandeck/gatewaycalls.h
@@ -77,6 +77,10 @@
     ProcessCheck processCheck = ProcessCheck::None;
     /// Start time of the process that is registered, in milliseconds since the Unix epoch.
     std::int64_t startedAt = 0;
+    /// The configuration has organisations: keys and organisations that the caller states are not sent on.
+    bool hasOrganisations = false;
+    /// The organisation that holds the caller's key.
+    std::optional<OrganisationId> organisation;
 };
 
 /// Status and headers of an instance's answer.
@@ -142,6 +146,8 @@
     ConfigurationTooOld,
     /// The caller's organisation has used its allowance of calls.
     AllowanceUsed,
+    /// The turn that the call continues was stored without an organisation, so that it is not known whose it is.
+    TurnOwnerUnknown,
 };
 
 /// Error answer that the gateway itself gives to a caller.
--- a/src/include/Rattandeck/gatewaylog.h
+++ b/src/include/Rattandeck/gatewaylog.h
@@ -66,6 +66,8 @@
 struct CallEnd {
     TurnId request;
     BudgetId program;
+    /// Empty if the caller has none.
+    OrganisationId organisation;
     std::string route;
     /// "answered", "refused", "broken" (the answer was aborted) or "left" (the caller disconnected).
     std::string_view outcome;
--- a/src/include/Rattandeck/organisations.h
+++ b/src/include/Rattandeck/organisations.h
@@ -35,6 +35,16 @@
     bool operator==(const Organisation&) const = default;
 };
 
+/// A key that several organisations hold; it belongs to the first one.
+struct SharedKey {
+    OrganisationId holder;
+    OrganisationId other;
+    bool operator==(const SharedKey&) const = default;
+};
+
+/// Returns one entry for each key and each further organisation that holds it.
+std::vector<SharedKey> findSharedKeys(const std::vector<Organisation>& organisations);
+
 /// Index of the organisations of one configuration.
 ///
 /// Thread safety: immutable; may be shared between threads.
--- a/src/librattandeck/organisations/organisations.cpp
+++ b/src/librattandeck/organisations/organisations.cpp
@@ -14,6 +14,20 @@
     return KeyDigest(std::string(bytes.begin(), bytes.end()));
 }
 
+std::vector<SharedKey> findSharedKeys(const std::vector<Organisation>& organisations)
+{
+    std::vector<SharedKey> shared;
+    std::unordered_map<KeyDigest, const Organisation*> holders;
+    for (const Organisation& organisation : organisations) {
+        for (const KeyDigest& key : organisation.keys) {
+            const Organisation* holder = holders.emplace(key, &organisation).first->second;
+            if (holder != &organisation)
+                shared.push_back({ holder->id, organisation.id });
+        }
+    }
+    return shared;
+}
+
 struct OrganisationDirectory::Impl {
     std::vector<Organisation> organisations;
     std::unordered_map<KeyDigest, const Organisation*> byKey;
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -1,6 +1,4 @@
-#include "gatewayimpl.h"
-
-#include <xxhash.h>
+#include "gatewayorganisations.h"
 
 #include <algorithm>
 
@@ -43,6 +41,8 @@
         return "configuration too old for keys";
     case RejectionReason::AllowanceUsed:
         return "allowance of the organisation used";
+    case RejectionReason::TurnOwnerUnknown:
+        return "owner of the previous turn unknown";
     }
     return "unknown";
 }
@@ -198,17 +198,19 @@
     const Route* route = self.table->find(call.host, call.path);
     if (!route || route->services.empty())
         return self.refuseUnrouted(id, call, RejectionReason::NoRoute);
+    const auto organisation = organisationOf(self.table->organisations(), *route, call.key);
+    if (!organisation)
+        return self.refuseUnrouted(id, call, organisation.error());
     if (self.calls.size() >= self.limits.maxCalls)
         return self.refuseUnrouted(id, call, RejectionReason::Overloaded);
-    if (const auto reason = self.admit(call))
+    if (const auto reason = self.admit(call, *organisation))
         return self.refuseUnrouted(id, call, *reason);
 
     auto state = std::make_unique<GatewayCallState>();
     state->id = id;
     state->table = self.table;
     state->route = route;
-    if (self.table->organisations() && call.key)
-        state->organisation = self.table->organisations()->findByKey(*call.key);
+    state->organisation = *organisation;
     state->service = chooseService(*route, call.program.value.empty() ? call.request.value : call.program.value);
     state->arrived = self.timers.now();
     state->deadline = state->arrived + std::min(route->timeout, call.timeLeft.value_or(route->timeout));
@@ -251,11 +253,11 @@
 }
 
 /// Returns why a request that has crashed instances, or is suspected of it, must not be sent now.
-std::optional<RejectionReason> Gateway::Impl::admit(const GatewayCall& call)
+std::optional<RejectionReason> Gateway::Impl::admit(const GatewayCall& call, const Organisation* organisation)
 {
     if (this->crashes.isEmpty())
         return std::nullopt;
-    const Fingerprint request = fingerprintOf(call);
+    const Fingerprint request = fingerprintOf(call, organisation);
     switch (this->crashes.admission(request, this->timers.now())) {
     case CrashWatch::Admission::Free:
         return std::nullopt;
@@ -270,14 +272,6 @@
     return RejectionReason::Quarantined;
 }
 
-Fingerprint fingerprintOf(const GatewayCall& call)
-{
-    XXH128_hash_t hash {};
-    for (const std::string* part : { &call.host, &call.path, &call.subject, &call.previousTurn.value, &call.body })
-        hash = XXH3_128bits_withSeed(part->data(), part->size(), hash.low64);
-    return Fingerprint(std::to_string(hash.high64) + "." + std::to_string(hash.low64));
-}
-
 // Preparation --------------------------------------------------------------------------------------------------------
 
 GatewayCallState* Gateway::Impl::find(CallId id)
@@ -375,9 +369,9 @@
 
 void Gateway::Impl::fetch(Call& call)
 {
-    this->journals.fetch(call.call.previousTurn, [this, id = call.id](tl::expected<std::string, JournalError> outcome) {
-        this->onFetched(id, std::move(outcome));
-    });
+    this->journals.fetch(recordedTurn(call, call.call.previousTurn),
+        [this, id = call.id](
+            tl::expected<std::string, JournalError> outcome) { this->onFetched(id, std::move(outcome)); });
 }
 
 void Gateway::Impl::onClaimed(CallId id, const tl::expected<ClaimOutcome, JournalError>& outcome)
@@ -400,6 +394,10 @@
     Call* call = this->find(id);
     if (!call)
         return;
+    if (!outcome && outcome.error() == JournalError::NotFound && call->table->organisations()) {
+        this->fetchWithoutOwner(*call);
+        return;
+    }
     call->isFetchPending = false;
     if (!outcome) {
         const bool isUnknown = outcome.error() == JournalError::NotFound;
@@ -448,7 +446,8 @@
 void Gateway::Impl::refuseUnrouted(CallId id, const GatewayCall& call, RejectionReason reason)
 {
     ++this->counts.refused;
-    const bool mayRetry = reason != RejectionReason::NoRoute && reason != RejectionReason::Quarantined;
+    const bool mayRetry = reason != RejectionReason::NoRoute && reason != RejectionReason::Quarantined
+        && reason != RejectionReason::KeyUnknown;
     this->io.refuse(id, { reason, false, mayRetry ? this->limits.retryAfter : Milliseconds(0) });
     CallEnd end;
     end.request = call.request;
@@ -465,7 +464,8 @@
     refusal.reason = reason;
     refusal.mayHaveRun = call.runs > 0;
     const bool isFinal = reason == RejectionReason::BudgetSpent || reason == RejectionReason::UnknownTurn
-        || reason == RejectionReason::StreamUnknown || reason == RejectionReason::StreamVersionGone;
+        || reason == RejectionReason::TurnOwnerUnknown || reason == RejectionReason::StreamUnknown
+        || reason == RejectionReason::StreamVersionGone;
     if (!isFinal && !refusal.mayHaveRun)
         refusal.retryAfter = this->retryDelay(call, reason);
     ++this->counts.refused;
@@ -509,6 +509,8 @@
     CallEnd end;
     end.request = call.call.request;
     end.program = call.call.program;
+    if (call.organisation)
+        end.organisation = call.organisation->id;
     end.route = call.route->name;
     end.outcome = outcome;
     end.reason = reason;
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -1,4 +1,4 @@
-#include "gatewayimpl.h"
+#include "gatewayorganisations.h"
 
 #include <algorithm>
 
@@ -278,8 +278,8 @@
 {
     call.storeStarted = this->timers.now();
     RetainedTurn& turn = call.retained;
-    turn.id = call.call.request;
-    turn.previous = call.call.previousTurn;
+    turn.id = recordedTurn(call, call.call.request);
+    turn.previous = recordedTurn(call, call.call.previousTurn);
     turn.input = std::move(call.call.body);
     turn.output = std::move(call.output);
     turn.retention = this->turnRetention(call);
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -9,11 +9,6 @@
 /// Internal state of the gateway.
 namespace Rattandeck {
 
-/// Hash of a request's host, path, subject, previous turn and body. Identifies a request that comes again, to count the
-/// crashes that it causes. The input of a turn is a small part of its prompt, so the turn that it continues is
-/// included.
-Fingerprint fingerprintOf(const GatewayCall& call);
-
 struct GatewayCallState {
     CallId id;
     GatewayCall call;
@@ -151,7 +146,7 @@
     void onPrepared(Call& call);
     void onDeadline(CallId id);
     void onInstanceFailed(const EndpointId& id);
-    std::optional<RejectionReason> admit(const GatewayCall& call);
+    std::optional<RejectionReason> admit(const GatewayCall& call, const Organisation* organisation);
     void refuse(Call& call, RejectionReason reason);
     /// Refuses the call, or aborts its answer if that has begun.
     void failCall(Call& call, RejectionReason reason);
@@ -163,6 +158,10 @@
     /// For how long journals keep the turn's claim from now on.
     Milliseconds claimRetention(const Call& call) const;
 
+    // gatewayorganisations.cpp: calls of organisations
+    /// Finds out whether the turn that the call continues is stored without an organisation.
+    void fetchWithoutOwner(Call& call);
+
     // gatewaysends.cpp: placement, queue and sends
     void place(Call& call);
     double maxLoadFor(const Call& call) const;
--- a/src/librattandeck/turns/gatewaylimits.cpp
+++ b/src/librattandeck/turns/gatewaylimits.cpp
@@ -1,4 +1,4 @@
-#include "gatewayimpl.h"
+#include "gatewayorganisations.h"
 
 #include <xxhash.h>
 
@@ -34,7 +34,7 @@
     room.isLimited = this->permits.limitOf(endpoint).has_value();
     if (!room.isLimited)
         return room;
-    const std::size_t urgency = urgencyOf(call.route->rank, call.isFirstTurn);
+    const std::size_t urgency = urgencyOf(rankOf(call), call.isFirstTurn);
     const bool isWaiting = endpoint == call.awaited && urgency == call.awaitedUrgency;
     room.wait = this->permits.expectedWait(endpoint, urgency, isWaiting);
     if (room.wait && !this->mayAwaitPermit(call, *room.wait))
@@ -60,7 +60,7 @@
 
 void Gateway::Impl::awaitPermit(Call& call, const EndpointId& endpoint)
 {
-    const std::size_t urgency = urgencyOf(call.route->rank, call.isFirstTurn);
+    const std::size_t urgency = urgencyOf(rankOf(call), call.isFirstTurn);
     if (call.awaited == endpoint && call.awaitedUrgency == urgency)
         return;
     this->stopAwaiting(call);
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -1,4 +1,4 @@
-#include "gatewayimpl.h"
+#include "gatewayorganisations.h"
 
 #include <algorithm>
 
@@ -59,7 +59,7 @@
         this->failCall(call, call.query.excluded.empty() ? reason : RejectionReason::Overloaded);
         return;
     }
-    const std::size_t urgency = urgencyOf(call.route->rank, call.isFirstTurn);
+    const std::size_t urgency = urgencyOf(rankOf(call), call.isFirstTurn);
     const auto wait = this->permits.expectedWait(call.bestChoice->endpoint, urgency, false);
     call.bestChoice->wait = wait.value_or(call.route->objective);
     this->failCall(call, RejectionReason::RateLimited);
@@ -80,7 +80,8 @@
     call.endpoint = choice.endpoint;
     const EndpointInstance* instance = this->endpoints.find(choice.endpoint);
     call.instanceStartedAt = instance ? instance->startedAt : 0;
-    call.crashRound = this->crashes.isEmpty() ? 0 : this->crashes.nextRound(fingerprintOf(call.call));
+    call.crashRound
+        = this->crashes.isEmpty() ? 0 : this->crashes.nextRound(fingerprintOf(call.call, call.organisation));
     call.head.reset();
     call.body.clear();
     call.splitter = {};
@@ -114,12 +115,16 @@
     details.address = choice.address;
     details.timeLeft = this->timeLeft(call);
     if (this->limits.forwardsPriorities)
-        details.priority = std::min(call.route->rank, maxPriority);
+        details.priority = std::min(rankOf(call), maxPriority);
     if (!call.call.previousTurn.value.empty())
         details.body = call.transcript + call.call.body;
     if (call.events > 0)
         details.resumeAfter = call.lastEvent;
     details.startedAt = call.instanceStartedAt;
+    // A call that arrived before the first configuration with organisations may carry a key, too.
+    details.hasOrganisations = call.table->organisations() || this->table->organisations();
+    if (call.organisation)
+        details.organisation = call.organisation->id;
     if (call.query.version)
         details.processCheck = ProcessCheck::First;
     else if (call.query.mayBeResumed)
@@ -178,7 +183,7 @@
 
 Gateway::Impl::QueueKey Gateway::Impl::queueKey(const Call& call)
 {
-    return { !call.query.version.has_value(), call.route->rank, call.isFirstTurn, call.queuedAt, call.id };
+    return { !call.query.version.has_value(), rankOf(call), call.isFirstTurn, call.queuedAt, call.id };
 }
 
 Duration Gateway::Impl::maxQueueWait(const Call& call) const
@@ -289,7 +294,8 @@
 
 void Gateway::Impl::recordLostAnswer(const Call& call)
 {
-    const CrashWatch::Send send { fingerprintOf(call.call), call.endpoint, call.instanceStartedAt, call.crashRound };
+    const CrashWatch::Send send { fingerprintOf(call.call, call.organisation), call.endpoint, call.instanceStartedAt,
+        call.crashRound };
     this->crashes.onAnswerLost(send, this->timers.now());
 }
 
@@ -297,7 +303,8 @@
 {
     if (this->crashes.isEmpty())
         return;
-    if (const auto report = this->crashes.onAnswered(fingerprintOf(call.call), call.crashRound, this->timers.now()))
+    if (const auto report
+        = this->crashes.onAnswered(fingerprintOf(call.call, call.organisation), call.crashRound, this->timers.now()))
         this->io.reportCrashes({ *report });
 }
 
--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -77,6 +77,20 @@
         return {};
     }
 
+    /// Reads a caller's key: the scheme, which is compared without regard to case (RFC 9110, 11.1), spaces, the key.
+    std::optional<KeyDigest> readKey(std::string_view authorization)
+    {
+        constexpr std::string_view expected = Names::keyScheme;
+        const std::size_t end = authorization.find(' ');
+        if (end == std::string_view::npos)
+            return std::nullopt;
+        const auto isEqual = [](unsigned char a, unsigned char b) { return std::tolower(a) == std::tolower(b); };
+        if (!std::ranges::equal(authorization.substr(0, end), expected, isEqual))
+            return std::nullopt;
+        const std::string_view key = trim(authorization.substr(end));
+        return key.empty() ? std::nullopt : std::optional(digestOfKey(key));
+    }
+
     std::optional<EndpointLoad> readLoad(std::string_view text)
     {
         const auto running = readNumber<std::uint32_t>(takePart(text, ','));
@@ -148,6 +162,7 @@
     call.previousTurn = TurnId(std::string(field(headers, Names::previousTurn)));
     call.resumeAfter = std::string(field(headers, Names::lastEvent));
     call.resumedRequest = TurnId(std::string(field(headers, Names::resumedRequest)));
+    call.key = readKey(field(headers, Names::authorization));
     return call;
 }
 
@@ -161,6 +176,12 @@
     written.headers.erase("expect");
     for (const char* name : systemHeaders)
         written.headers.erase(name);
+    if (send.hasOrganisations) {
+        written.headers.erase(Names::authorization);
+        written.headers.erase(Names::organisation);
+    }
+    if (send.organisation)
+        written.headers[Names::organisation] = send.organisation->value;
     written.headers[Names::expectedInstance] = send.endpoint.value;
     written.headers[Names::deadline] = std::to_string(send.timeLeft.count());
     if (send.priority)
@@ -259,6 +280,8 @@
     response.status = statusFor(refusal);
     if (!request.value.empty())
         response.headers[Names::requestId] = request.value;
+    if (refusal.reason == RejectionReason::KeyUnknown)
+        response.headers[Names::authenticate] = Names::keyScheme;
     if (refusal.retryAfter.count() > 0) {
         std::array<char, 32> text {};
         const double seconds = std::chrono::duration<double>(refusal.retryAfter).count();
--- a/src/platform/calls_test.cpp
+++ b/src/platform/calls_test.cpp
@@ -12,6 +12,10 @@
     CPPUNIT_TEST(malformedFieldsAreLeftEmpty);
     CPPUNIT_TEST(requestToTheInstanceKeepsTheCallersFields);
     CPPUNIT_TEST(memoryControlHeadersOfCallersAreRemoved);
+    CPPUNIT_TEST(keyIsDecoded);
+    CPPUNIT_TEST(malformedKeysAreNone);
+    CPPUNIT_TEST(keyIsRemovedAndOrganisationSet);
+    CPPUNIT_TEST(withoutOrganisationsTheRequestIsAsBefore);
     CPPUNIT_TEST(answerHeadersAreDecoded);
     CPPUNIT_TEST(limitIsDecoded);
     CPPUNIT_TEST(valuesThatAreNoLimitAreIgnored);
@@ -112,6 +116,73 @@
         CPPUNIT_ASSERT_EQUAL(std::string("3"), resumed.headers.at("request-priority"));
     }
 
+    static std::optional<KeyDigest> keyIn(const std::string& authorization)
+    {
+        HttpRequest withKey = request();
+        withKey.headers["authorization"] = authorization;
+        return readCall(withKey).key;
+    }
+
+    void keyIsDecoded()
+    {
+        CPPUNIT_ASSERT(!readCall(request()).key);
+        for (const char* text : { "Token k-1", "Token   k-1", "Token k-1 ", "token k-1", "TOKEN k-1" })
+            CPPUNIT_ASSERT(keyIn(text) == digestOfKey("k-1"));
+        CPPUNIT_ASSERT(keyIn("Token k-1") != keyIn("Token K-1"));
+        // Hidden from the instance by the caller, but read before that.
+        HttpRequest hopByHop = request();
+        hopByHop.headers["authorization"] = "Token k-1";
+        hopByHop.headers["connection"] = "authorization";
+        CPPUNIT_ASSERT(readCall(hopByHop).key == digestOfKey("k-1"));
+    }
+
+    void malformedKeysAreNone()
+    {
+        for (const char* text : { "", " ", "Token", "Token ", "Token  ", "k-1", "Bearer k-1", "Tokenk-1", "Token\tk-1",
+                 "Basic dG9rZW4=", "Tokens k-1", "Toke k-1", ",Token k-1" })
+            CPPUNIT_ASSERT(!keyIn(text));
+        // Two keys are none that an organisation holds.
+        CPPUNIT_ASSERT(keyIn("Token k-1, Token k-1") != digestOfKey("k-1"));
+    }
+
+    /// Guards against a key, or an organisation of the caller's choice, that reaches an instance.
+    void keyIsRemovedAndOrganisationSet()
+    {
+        HttpRequest withKey = request();
+        withKey.headers["authorization"] = "Token k-1";
+        withKey.headers["tenant"] = "forged";
+        EndpointSend known = send();
+        known.hasOrganisations = true;
+        known.organisation = OrganisationId("north");
+        const HttpRequest written = writeCall(withKey, known);
+        CPPUNIT_ASSERT(!written.headers.contains("authorization"));
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), written.headers.at("tenant"));
+        known.organisation.reset();
+        const HttpRequest ofNobody = writeCall(withKey, known);
+        CPPUNIT_ASSERT(!ofNobody.headers.contains("authorization") && !ofNobody.headers.contains("tenant"));
+        // A caller can't have the organisation removed as a header of its connection.
+        withKey.headers["connection"] = "tenant";
+        known.organisation = OrganisationId("north");
+        CPPUNIT_ASSERT_EQUAL(std::string("north"), writeCall(withKey, known).headers.at("tenant"));
+    }
+
+    /// Guards against a change for deployments without organisations.
+    void withoutOrganisationsTheRequestIsAsBefore()
+    {
+        HttpRequest withKey = request();
+        withKey.headers["authorization"] = "Token k-1";
+        withKey.headers["tenant"] = "any";
+        const HttpRequest written = writeCall(withKey, send());
+        HttpHeaders expected = withKey.headers;
+        expected.erase("connection");
+        expected.erase("x-hop");
+        expected["expect-instance"] = "i-1";
+        expected["deadline-ms"] = "1234";
+        CPPUNIT_ASSERT(written.headers == expected);
+        CPPUNIT_ASSERT_EQUAL(withKey.body, written.body);
+        CPPUNIT_ASSERT_EQUAL(withKey.target, written.target);
+    }
+
     void memoryControlHeadersOfCallersAreRemoved()
     {
         HttpRequest withControlHeaders = request();
@@ -175,6 +246,8 @@
     {
         CPPUNIT_ASSERT_EQUAL(404, statusOf(RejectionReason::NoRoute, false));
         CPPUNIT_ASSERT_EQUAL(404, statusOf(RejectionReason::UnknownTurn, false));
+        CPPUNIT_ASSERT_EQUAL(401, statusOf(RejectionReason::KeyUnknown, false));
+        CPPUNIT_ASSERT_EQUAL(503, statusOf(RejectionReason::TurnOwnerUnknown, false));
         CPPUNIT_ASSERT_EQUAL(402, statusOf(RejectionReason::BudgetSpent, false));
         CPPUNIT_ASSERT_EQUAL(503, statusOf(RejectionReason::Overloaded, false));
         CPPUNIT_ASSERT_EQUAL(502, statusOf(RejectionReason::Overloaded, true));
@@ -185,6 +258,11 @@
             = writeRefusal({ RejectionReason::Overloaded, false, Milliseconds(250) }, TurnId("r"));
         CPPUNIT_ASSERT_EQUAL(std::string("0.250"), response.headers.at("retry-after"));
         CPPUNIT_ASSERT_EQUAL(std::string("r"), response.headers.at("request-id"));
+        CPPUNIT_ASSERT(!response.headers.contains("www-authenticate"));
+        const HttpResponse unauthorized = writeRefusal({ RejectionReason::KeyUnknown, false, {} }, TurnId("r"));
+        CPPUNIT_ASSERT(!unauthorized.headers.contains("retry-after"));
+        // Required with 401 (RFC 9110, 15.5.2).
+        CPPUNIT_ASSERT_EQUAL(std::string("Token"), unauthorized.headers.at("www-authenticate"));
     }
 };
 
--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -34,6 +34,8 @@
 /// The caller's key, behind `keyScheme` and a space.
 constexpr const char* authorization = "authorization";
 constexpr const char* keyScheme = "Token";
+/// Tells a caller that was refused for its key which scheme is expected.
+constexpr const char* authenticate = "www-authenticate";
 /// Tells an instance the organisation of the caller.
 constexpr const char* organisation = "tenant";
 /// Cookie that names the subject of a call.
--- a/src/platform/objectcodec_test.cpp
+++ b/src/platform/objectcodec_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST(entryOfAnotherWriterNamesNoInstance);
     CPPUNIT_TEST(configurationIsDecoded);
     CPPUNIT_TEST(invalidConfigurationIsRejectedWithTheFieldName);
+    CPPUNIT_TEST(organisationsAreDecodedOneByOne);
     CPPUNIT_TEST(journalSetIsEqualAfterARoundTrip);
     CPPUNIT_TEST(retirementStatusContainsThePhase);
     CPPUNIT_TEST_SUITE_END();
@@ -107,6 +108,32 @@
         CPPUNIT_ASSERT_EQUAL(std::string("routes"), readConfig(Json(5)).error().field);
     }
 
+    /// Guards against one faulty entry that costs other organisations their access.
+    void organisationsAreDecodedOneByOne()
+    {
+        CPPUNIT_ASSERT(!readConfig(configuration())->organisations);
+        Json json = configuration();
+        json["tenants"] = Json::array();
+        CPPUNIT_ASSERT(readConfig(json)->organisations->empty());
+        json["tenants"] = Json::parse(R"([
+            { "name": "north", "api_keys": ["n1", "n2", 5, ""], "priority": 3, "rate_per_s": 7.5, "burst": 20, "more": 1 },
+            { "name": "", "api_keys": ["e"] }, { "api_keys": ["x"] }, { "name": "keyless" }, 7,
+            { "name": "odd", "api_keys": ["o"], "rate_per_s": "many" }, { "name": "odd", "api_keys": "o" },
+            { "name": "south", "api_keys": [], "priority": -1, "rate_per_s": 0 }])");
+        std::vector<DecodeError> skipped;
+        const auto config = readConfig(json, &skipped);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(6), skipped.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), config->organisations->size());
+        const Organisation& north = config->organisations->front();
+        CPPUNIT_ASSERT(north.id == OrganisationId("north") && north.rank == 3U);
+        CPPUNIT_ASSERT((north.keys == std::vector { digestOfKey("n1"), digestOfKey("n2") }));
+        CPPUNIT_ASSERT((north.allowance == CallAllowance { CallRate(7.5), 20 }));
+        const Organisation& south = config->organisations->back();
+        CPPUNIT_ASSERT(south.id == OrganisationId("south") && south.keys.empty() && !south.rank && !south.allowance);
+        for (const DecodeError& error : skipped)
+            CPPUNIT_ASSERT(error.field.starts_with("tenants.") || error.field == "rate_per_s");
+    }
+
     void journalSetIsEqualAfterARoundTrip()
     {
         const JournalSet set { Epoch(3), { { NodeId("a"), "1:1" }, { NodeId("b"), "2:2" } }, NodeId("b") };
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/names.h"
 #include "platform/objectcodec.h"
+#include "Rattandeck/turnscope.h"
 #include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
 #include "relay.h"
@@ -392,10 +393,10 @@
     for (const NodeId& node : result.answered)
         answered += (answered.empty() ? "" : " ") + node.value;
     logFields("journals' answer",
-        { { "request", result.turn.value }, { "program", result.budget.value }, { "kind", std::string(result.kind) },
-            { "outcome", std::string(describe(*result.error)) }, { "answered", answered },
-            { "members", std::int64_t(result.members) }, { "epoch", std::int64_t(result.epoch.value) },
-            { "duration_ms", std::int64_t(result.duration.count()) },
+        { { "request", unscopedTurn(result.turn).value }, { "program", result.budget.value },
+            { "kind", std::string(result.kind) }, { "outcome", std::string(describe(*result.error)) },
+            { "answered", answered }, { "members", std::int64_t(result.members) },
+            { "epoch", std::int64_t(result.epoch.value) }, { "duration_ms", std::int64_t(result.duration.count()) },
             { "tokens_of_others", result.tokensOfOthers.value }, { "tokens_asked", result.maxTokens.value },
             { "token_limit", result.limit.value } });
 }
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -301,6 +301,8 @@
         { "endpoint", end.endpoint }, { "status", std::int64_t(end.status) }, { "sends", std::int64_t(end.sends) },
         { "events", std::int64_t(end.events) }, { "duration_ms", std::int64_t(end.duration.count()) },
         { "config", std::int64_t(end.configVersion) } };
+    if (!end.organisation.value.empty())
+        fields.push_back({ "organisation", end.organisation.value });
     if (end.prepared)
         fields.push_back({ "prepared_ms", std::int64_t(end.prepared->count()) });
     if (!end.resumedRequest.value.empty())
--- a/src/rattandeck-gateway/storefeed.cpp
+++ b/src/rattandeck-gateway/storefeed.cpp
@@ -3,6 +3,8 @@
 #include "platform/objectcodec.h"
 #include "RattandeckApp/log.h"
 
+#include <algorithm>
+
 using namespace Rattandeck;
 using namespace RattandeckApp;
 
@@ -27,9 +29,29 @@
     return handlers;
 }
 
+/// Logs no keys, which are secrets.
+static void logOrganisations(std::uint64_t version, const std::vector<Organisation>& organisations,
+    const std::vector<Platform::DecodeError>& skipped)
+{
+    // A configuration with many faults must not fill the log.
+    constexpr std::size_t maxLines = 20;
+    const auto shared = findSharedKeys(organisations);
+    logFields("organisations",
+        { { "version", std::int64_t(version) }, { "organisations", std::int64_t(organisations.size()) },
+            { "left_out", std::int64_t(skipped.size()) }, { "shared_keys", std::int64_t(shared.size()) } });
+    for (std::size_t index = 0; index < std::min(skipped.size(), maxLines); ++index)
+        logFields("organisation left out",
+            { { "version", std::int64_t(version) }, { "missing_or_invalid", skipped[index].field } });
+    for (std::size_t index = 0; index < std::min(shared.size(), maxLines); ++index)
+        logFields("key of two organisations",
+            { { "version", std::int64_t(version) }, { "holder", shared[index].holder.value },
+                { "ignored_for", shared[index].other.value } });
+}
+
 void StoreFeed::onConfig(const Platform::StoredObject& object)
 {
-    auto config = Platform::readConfig(object.spec);
+    std::vector<Platform::DecodeError> skipped;
+    auto config = Platform::readConfig(object.spec, &skipped);
     if (!config) {
         logError("configuration",
             "revision " + std::to_string(object.revision) + ": missing or invalid field " + config.error().field);
@@ -37,12 +59,15 @@
     }
     const std::uint64_t version = config->version;
     const std::size_t routes = config->routes.size();
+    const auto organisations = config->organisations;
     if (!this->gateway.setConfig(std::move(*config)))
         return;
     this->onConfigChanged();
     logFields("configuration",
         { { "version", std::int64_t(version) }, { "routes", std::int64_t(routes) },
             { "revision", std::int64_t(object.revision) } });
+    if (organisations)
+        logOrganisations(version, *organisations, skipped);
 }
 
 void StoreFeed::onEndpoint(const Platform::StoredObject& object)
--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -246,15 +246,29 @@
     return dict(fields, **overrides)
 
 
-def configuration(version, routes):
+def organisation(name, keys, **overrides):
+    """An entry of the configuration's list of organisations."""
+    return dict({"name": name, "api_keys": keys}, **overrides)
+
+
+def authorization(key):
+    """The header with which a caller shows its key."""
+    return {"Authorization": f"Token {key}"}
+
+
+def configuration(version, routes, organisations=None):
+    """Without `organisations`, callers need no keys."""
     engine = {"slots": 8, "kv_capacity_tokens": 100000, "tokens_per_event": TOKENS_PER_EVENT}
-    return {
+    fields = {
         "version": version,
         "routes": routes,
         "services": [{"name": "llm", "max_conns": 64, "engine": engine}, {"name": "app", "max_conns": 64}],
         "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000,
                    "idle_timeout_ms": 15000},
     }
+    if organisations is not None:
+        fields["tenants"] = organisations
+    return fields
 
 
 DEFAULT_ROUTES = [
@@ -431,9 +445,11 @@
             connection.close()
 
     def turn(self, gateway, program, previous=None, request=None, budget=1000,
-             max_output_tokens=EVENTS * TOKENS_PER_EVENT, body="input ", route_name="turns", deadline_ms=20000):
+             max_output_tokens=EVENTS * TOKENS_PER_EVENT, body="input ", route_name="turns", deadline_ms=20000,
+             key=None):
         headers = {"Model": "m", "Program-Id": program, "Session-Id": "s", "Token-Budget": str(budget),
                    "Token-Counts": f"100,{max_output_tokens}", "Deadline-Ms": str(deadline_ms)}
+        headers.update(authorization(key) if key else {})
         if previous:
             headers["Previous-Turn"] = previous
         if request:
