Limit the calls of organisations to their allowances over all gateways

An organisation's rate_per_s and burst were decoded but not applied.

Journals issue tokens for calls from buckets that hold equal shares of each allowance (QuotaIssuer). Gateways send a call of an organisation with an allowance only with a token (QuotaHolder), which they ask for in advance, or when a call finds none: the home issuer first, then all others at once. A call without a token is refused as AllowanceUsed; without an issuer, as JournalsUnavailable. Nothing is sent where no organisation has an allowance.

TimerService::target tells callbacks that run late that the process was paused: issuers empty their buckets then.

The other tests have not been run on this commit.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -6,6 +6,7 @@
 #include "Rattandeck/gatewaylog.h"
 #include "Rattandeck/journalclient.h"
 #include "Rattandeck/permitholder.h"
+#include "Rattandeck/quotaholder.h"
 #include "Rattandeck/routing.h"
 #include "Rattandeck/streamorigins.h"
 #include "Rattandeck/timer.h"
@@ -120,6 +121,10 @@
     Milliseconds resumeMargin { 1000 };
     /// Settings of the permits for limited instances; those at the start hold.
     PermitSettings permits;
+    /// Settings of the allowances of organisations; those at the start hold.
+    QuotaSettings quotas;
+    /// Id of this gateway, which selects the issuer that it asks first.
+    NodeId node;
     /// Time for which turns may be continued on a route that doesn't state it.
     Milliseconds defaultRetention { 60000 };
     /// Added to the retention of a turn, together with the time left to its caller's deadline: a caller has the end of
@@ -185,8 +190,8 @@
     /// Takes crash reports that a journal forwarded.
     void onCrashReports(const CrashReports& crashes);
 
-    /// Journals in the set, links to them, and messages about permits (`PermitHolder`) and origins of streams
-    /// (`StreamOriginClient`); other messages are ignored.
+    /// Journals in the set, links to them, and messages about permits (`PermitHolder`), origins of streams
+    /// (`StreamOriginClient`) and allowances (`QuotaHolder`); other messages are ignored.
     void setJournals(const std::vector<JournalMember>& members);
     void onJournalUp(const NodeId& journal, const FailureDomain& domain = {});
     void onJournalDown(const NodeId& journal);
@@ -207,6 +212,7 @@
     std::size_t openCalls() const;
     std::size_t queuedCalls() const;
     const PermitHolder& permits() const;
+    const QuotaHolder& quotas() const;
     const GatewayCounts& counts() const;
 
 private:
--- a/src/include/Rattandeck/messages.h
+++ b/src/include/Rattandeck/messages.h
@@ -3,6 +3,7 @@
 #include "Rattandeck/gossipmessages.h"
 #include "Rattandeck/journalmessages.h"
 #include "Rattandeck/permitmessages.h"
+#include "Rattandeck/quotamessages.h"
 #include "Rattandeck/streammessages.h"
 #include "Rattandeck/types.h"
 
@@ -444,6 +445,6 @@
     ClaimsKnown, SettleClaim, StoreTurn, TurnStored, FetchTurn, TurnFetched, JournalSet, CopyRequest, CopyPage,
     TurnsRequest, TurnsPage, GossipOffers, GossipRequest, GossipItems, CrashReports, JournalInconclusive,
     JournalStanding, PermitRequests, PermitGrants, GatewaysLinked, StoreView, GossipNotice, GossipDigests, StreamBegun,
-    StreamOriginRequest, StreamOriginAnswer>;
+    StreamOriginRequest, StreamOriginAnswer, QuotaRequests, QuotaGrants>;
 
 }
--- a/src/include/Rattandeck/timer.h
+++ b/src/include/Rattandeck/timer.h
@@ -24,6 +24,9 @@
 
     /// The time set by the last `advanceTo` or `updateNow`.
     TimePoint now() const;
+    /// While `advanceTo` runs callbacks, the time that it advances to: those that are long overdue show by it that the
+    /// process was paused. Otherwise the same as `now()`.
+    TimePoint target() const;
 
     /// Runs `callback` once, from `advanceTo`, when the time `when` is reached. Callbacks of the same instant run in
     /// the order in which they were scheduled. A `when` in the past is due at the next `advanceTo`.
--- a/src/librattandeck/timer.cpp
+++ b/src/librattandeck/timer.cpp
@@ -1,5 +1,6 @@
 #include "Rattandeck/timer.h"
 
+#include <algorithm>
 #include <map>
 #include <unordered_map>
 
@@ -10,6 +11,7 @@
     using Key = std::pair<TimePoint, TimerId>;
 
     TimePoint now {};
+    TimePoint target {};
     std::uint64_t lastId = 0;
     std::map<Key, std::function<void()>> callbacks;
     std::unordered_map<TimerId, TimePoint> dueTimes;
@@ -24,6 +26,8 @@
 
 TimePoint TimerService::now() const { return this->impl->now; }
 
+TimePoint TimerService::target() const { return std::max(this->impl->now, this->impl->target); }
+
 TimerId TimerService::subscribeAt(TimePoint when, std::function<void()> callback)
 {
     const TimerId id { ++this->impl->lastId };
@@ -55,6 +59,7 @@
 
 void TimerService::advanceTo(TimePoint time)
 {
+    this->impl->target = std::max(this->impl->target, time);
     while (!this->impl->callbacks.empty()) {
         const auto first = this->impl->callbacks.begin();
         const auto [due, id] = first->first;
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -163,28 +163,34 @@
 
 const PermitHolder& Gateway::permits() const { return this->impl->permits; }
 
+const QuotaHolder& Gateway::quotas() const { return this->impl->quotas; }
+
 void Gateway::setJournals(const std::vector<JournalMember>& members)
 {
     this->impl->permits.setMembers(members);
     this->impl->origins.setMembers(members);
+    this->impl->quotas.setMembers(members);
 }
 
 void Gateway::onJournalUp(const NodeId& journal, const FailureDomain& domain)
 {
     this->impl->permits.onLinkUp(journal);
     this->impl->origins.onLinkUp(journal, domain);
+    this->impl->quotas.onLinkUp(journal);
 }
 
 void Gateway::onJournalDown(const NodeId& journal)
 {
     this->impl->permits.onLinkDown(journal);
     this->impl->origins.onLinkDown(journal);
+    this->impl->quotas.onLinkDown(journal);
 }
 
 void Gateway::onJournalMessage(const NodeId& from, const Message& message)
 {
     this->impl->permits.onMessage(from, message);
     this->impl->origins.onMessage(from, message);
+    this->impl->quotas.onMessage(from, message);
 }
 
 const GatewayCounts& Gateway::counts() const { return this->impl->counts; }
@@ -298,6 +304,9 @@
     call.isClaimPending = isTurn && call.call.tokenLimit.has_value();
     call.isFetchPending = isTurn && !call.call.previousTurn.value.empty();
     call.isOriginPending = call.isResumption;
+    call.isQuotaPending = isMetered(call);
+    if (call.isQuotaPending && !this->prepareToken(call))
+        return;
     if (!this->isPreparing(call)) {
         this->place(call);
         return;
@@ -315,7 +324,7 @@
 
 bool Gateway::Impl::isPreparing(const Call& call) const
 {
-    return call.isOriginPending || call.isClaimPending || call.isFetchPending;
+    return call.isOriginPending || call.isClaimPending || call.isFetchPending || call.isQuotaPending;
 }
 
 /// Finds out what the stream that the call resumes has to go on at.
@@ -391,6 +400,8 @@
     }
     call->isClaimed = true;
     call->isFirstTurn = !outcome->hasOtherTurns;
+    if (call->isQuotaPending && !this->prepareToken(*call))
+        return;
     if (!this->isPreparing(*call))
         this->onPrepared(*call);
 }
@@ -413,7 +424,8 @@
 
 void Gateway::Impl::onPrepared(Call& call)
 {
-    call.preparedAt = this->timers.now();
+    if (!call.preparedAt)
+        call.preparedAt = this->timers.now();
     this->place(call);
 }
 
@@ -502,6 +514,7 @@
     this->settle(call);
     this->dequeue(call);
     this->stopAwaiting(call);
+    this->releaseToken(call);
     this->timers.cancel(call.deadlineTimer);
     this->timers.cancel(call.stallTimer);
     this->timers.cancel(call.storeTimer);
--- a/src/librattandeck/turns/gatewayfixture_test.h
+++ b/src/librattandeck/turns/gatewayfixture_test.h
@@ -41,6 +41,8 @@
     std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> toIssuers;
     /// Messages about the origins of streams.
     std::vector<std::pair<Rattandeck::NodeId, Rattandeck::Message>> aboutStreams;
+    /// Messages about allowances.
+    std::vector<std::pair<Rattandeck::NodeId, Rattandeck::QuotaRequests>> toQuotaIssuers;
     std::vector<Rattandeck::SendDecision> decisions;
     std::map<Rattandeck::NodeId, Rattandeck::JournalState> states;
     /// Calls are written at once. Otherwise they wait for a connection.
@@ -234,6 +236,10 @@
     }
     bool sendToJournal(const Rattandeck::NodeId& journal, const Rattandeck::Message& message) override
     {
+        if (const auto* requests = std::get_if<Rattandeck::QuotaRequests>(&message)) {
+            this->toQuotaIssuers.emplace_back(journal, *requests);
+            return true;
+        }
         const bool isAboutPermits = std::holds_alternative<Rattandeck::PermitRequests>(message);
         (isAboutPermits ? this->toIssuers : this->aboutStreams).emplace_back(journal, message);
         return true;
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -35,6 +35,12 @@
     bool isOriginPending = false;
     bool isClaimPending = false;
     bool isFetchPending = false;
+    /// The call waits for a token of its organisation's allowance, or has yet to ask for one.
+    bool isQuotaPending = false;
+    bool isQuotaAsked = false;
+    std::optional<QuotaToken> quotaToken;
+    /// Time until a token is expected, once the call has been refused for the lack of one.
+    Milliseconds quotaWait { 0 };
     bool isClaimed = false;
     /// The call is the first turn of its program.
     bool isFirstTurn = false;
@@ -104,6 +110,7 @@
               [this](
                   const NodeId& journal, const Message& message) { return this->io.sendToJournal(journal, message); },
               limits.origins)
+        , quotas(timers, limits.node, this->quotaIo(), limits.quotas)
         , retryBudget(limits.retryBurst)
     {
     }
@@ -122,6 +129,7 @@
     CrashWatch crashes;
     PermitHolder permits;
     StreamOriginClient origins;
+    QuotaHolder quotas;
     GatewayCounts counts;
     /// Retries that may be spent: see `GatewayLimits::retryRatio`.
     double retryBudget;
@@ -205,6 +213,22 @@
     /// Delay after which the caller of a refused call may retry.
     Milliseconds retryDelay(const Call& call, RejectionReason reason) const;
 
+    // gatewayquotas.cpp: allowances of organisations
+    QuotaHolder::Io quotaIo();
+    /// Whether each call of the organisation needs a token.
+    static bool isMetered(const Call& call);
+    /// Takes a token, or waits for one, or refuses the call. Returns false if the call has been refused.
+    bool acquireToken(Call& call);
+    /// Asks for the call's token as soon as its kind is known. Returns false if the call has been refused.
+    bool prepareToken(Call& call);
+    void onToken(CallId id, const QuotaHolder::Outcome& outcome);
+    void refuseForQuota(Call& call, const QuotaRefusal& refusal);
+    /// Whether the call may be sent now, as far as its organisation's allowance matters. Otherwise it waits for a
+    /// token, or has been refused.
+    bool renewToken(Call& call);
+    /// Returns a token that the call has not used.
+    void releaseToken(Call& call);
+
     // gatewayanswers.cpp: relaying of answers
     void noteLeaving(const Call& call, const EndpointAnswer& answer);
     void onAnswerEnd(Call& call, SendOutcome outcome);
--- a/src/librattandeck/turns/gatewaylimits.cpp
+++ b/src/librattandeck/turns/gatewaylimits.cpp
@@ -95,6 +95,8 @@
 Milliseconds Gateway::Impl::retryDelay(const Call& call, RejectionReason reason) const
 {
     const Milliseconds least = call.isFirstTurn ? this->limits.firstTurnRetryAfter : this->limits.retryAfter;
+    if (reason == RejectionReason::AllowanceUsed)
+        return call.quotaWait;
     if (reason != RejectionReason::RateLimited)
         return least;
     constexpr std::uint64_t steps = 1024;
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -73,6 +73,8 @@
         this->failCall(call, RejectionReason::TimedOut);
         return;
     }
+    if (isMetered(call) && !this->renewToken(call))
+        return;
     call.send = SendId(++this->lastSend);
     call.sentAt = this->timers.now();
     if (!call.firstSent)
@@ -99,6 +101,8 @@
     EndpointSend details = this->detailsOf(call, choice);
     if (this->permits.limitOf(choice.endpoint))
         details.writeBy = this->permits.take(choice.endpoint);
+    if (call.quotaToken)
+        details.writeBy = std::min(details.writeBy.value_or(TimePoint::max()), call.quotaToken->useBy);
     if (!choice.passedOver.value.empty())
         ++this->counts.passedOver;
     this->io.logSend(this->decisionOf(call, choice));
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -502,6 +502,48 @@
 
 template <typename Visitor> void visitFields(Visitor& visit, GatewaysLinked& m) { visit("count", m.count); }
 
+template <typename Visitor> void visitFields(Visitor& visit, QuotaDemand& m)
+{
+    visit("org", m.organisation);
+    visit("advance", m.advance);
+    visit("waiting", m.waiting);
+    visit("first", m.waitingFirstTurns);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, QuotaReturn& m)
+{
+    visit("org", m.organisation);
+    visit("stamp", m.stamp);
+    visit("tokens", m.tokens);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, QuotaRequests& m)
+{
+    visit("ticket", m.ticket);
+    visit("demands", m.demands);
+    visit("returned", m.returned);
+    visit("calls", m.calls);
+    visit("firstTurns", m.firstTurns);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, QuotaGrant& m)
+{
+    visit("org", m.organisation);
+    visit("tokens", m.tokens);
+    visit("withFirst", m.includesFirstTurns);
+    visit("first", m.firstTurnTokens);
+    visit("wait", m.wait);
+    visit("firstWait", m.firstTurnWait);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, QuotaGrants& m)
+{
+    visit("ticket", m.ticket);
+    visit("issuing", m.isIssuing);
+    visit("stamp", m.stamp);
+    visit("grants", m.grants);
+}
+
 template <typename Visitor> void visitFields(Visitor& visit, StreamOrigin& m)
 {
     visit("service", m.service);
@@ -579,6 +621,8 @@
 template <> inline constexpr const char* tag<StreamBegun> = "streamBegun";
 template <> inline constexpr const char* tag<StreamOriginRequest> = "originOf";
 template <> inline constexpr const char* tag<StreamOriginAnswer> = "origin";
+template <> inline constexpr const char* tag<QuotaRequests> = "quotasFor";
+template <> inline constexpr const char* tag<QuotaGrants> = "quotas";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
 template <> inline constexpr const char* tag<Problem> = "problem";
--- a/src/platform/storegossip.cpp
+++ b/src/platform/storegossip.cpp
@@ -63,6 +63,12 @@
 {
 }
 
+std::optional<StoredObject> StoreGossip::config() const
+{
+    const GossipItem* item = this->gossip.find(configTopic);
+    return item && !item->isRemoved ? std::optional(readItem(*item)) : std::nullopt;
+}
+
 // Following ----------------------------------------------------------------------------------------------------------
 
 StoreFollowing::Io StoreGossip::followingIo(const GossipTable::Send& send, const GatewayCount& gatewayCount)
--- a/src/platform/storegossip.h
+++ b/src/platform/storegossip.h
@@ -40,6 +40,8 @@
     void restore(const std::vector<Rattandeck::GossipItem>& items) { this->gossip.restore(items); }
     /// Everything that this process knows of the store.
     std::vector<Rattandeck::GossipItem> items() const { return this->gossip.allItems(); }
+    /// The latest configuration that this process knows, also from before a restart.
+    std::optional<StoredObject> config() const;
 
     /// Precondition: called once; `store` outlives this object's last use.
     void start(ObjectStore& store);
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -117,6 +117,8 @@
 {
     GatewayLimits limits = settings.limits;
     limits.permits.seed = std::random_device {}();
+    limits.quotas.seed = std::random_device {}();
+    limits.node = NodeId(settings.instance.node);
     limits.origins.copies = toleratedLosses(settings.toleratedLosses) + 1;
     return limits;
 }
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -7,6 +7,7 @@
 #include "platform/storegossip.h"
 #include "Rattandeck/journal.h"
 #include "Rattandeck/permitissuer.h"
+#include "Rattandeck/quotaissuer.h"
 #include "Rattandeck/streamorigins.h"
 #include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
@@ -90,6 +91,7 @@
     // News of the store, which survive a restart while the store is down
     Platform::StoreNewsHandlers storeNewsHandlers();
     void onRecovered(RecoveredRecord record);
+    void onConfig(const Platform::StoredObject& object);
     void syncNews();
 
     // JournalIo
@@ -124,6 +126,10 @@
         [] { return 1U; }, this->storeNewsHandlers() };
     PermitIssuer permits { this->loop.timers(), NodeId(this->settings.instance.node),
         [this](const NodeId& node, const Message& message) { return this->network.send(node, message); } };
+    QuotaIssuer quotas { this->loop.timers(), NodeId(this->settings.instance.node),
+        [this](const NodeId& node, const Message& message) { return this->network.send(node, message); } };
+    /// Version of the configuration that `quotas` applies.
+    std::uint64_t quotasVersion = 0;
     StreamOriginTable origins { this->loop.timers() };
     std::unique_ptr<Platform::ObjectStore> store;
     std::optional<Platform::StoredObject> storedSet;
@@ -178,6 +184,8 @@
     this->disk->setOnTurnWritten(
         [this](const TurnId& turn, const DiskLocation& location) { this->journal->onWritten(turn, location); });
     this->storeNews.restore(std::exchange(this->recoveredNews, {}));
+    if (const auto config = this->storeNews.config())
+        this->onConfig(*config);
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - startedAt);
     this->metrics.observe("rattandeck_disk_read_seconds", std::chrono::duration<double>(elapsed).count());
     logEvent("disk read",
@@ -256,6 +264,7 @@
     this->createStore(*storeAddress);
     this->updateLinks(this->metadata.set());
     this->permits.setMembers(this->metadata.set().members);
+    this->quotas.setMembers(this->metadata.set().members);
     this->journal->start(this->metadata.set(), this->metadata.syncState());
     this->startAdmin();
     if (!listenAt(this->settings.instance.adminListen, *this->admin))
@@ -317,6 +326,7 @@
     logEvent("link up", hello.node.value);
     this->storeNews.onLinkUp(hello.node);
     this->permits.onLinkUp(hello.node, hello.role);
+    this->quotas.onLinkUp(hello.node, hello.role);
     this->journal->onLinkUp(hello.node, hello.role);
 }
 
@@ -325,6 +335,7 @@
     logEvent("link down", node.value);
     this->storeNews.onLinkDown(node);
     this->permits.onLinkDown(node);
+    this->quotas.onLinkDown(node);
     this->journal->onLinkDown(node);
 }
 
@@ -333,6 +344,7 @@
     this->journal->onMessage(from, message);
     this->storeNews.onMessage(from, message);
     this->permits.onMessage(from, message);
+    this->quotas.onMessage(from, message);
     this->origins.onMessage(
         from, message, [this](const NodeId& node, const Message& answer) { return this->network.send(node, answer); });
 }
@@ -384,9 +396,20 @@
         this->disk->append(GossipItems { { item } });
         this->syncNews();
     };
+    handlers.onConfig = [this](const Platform::StoredObject& object) { this->onConfig(object); };
     return handlers;
 }
 
+/// Journals use nothing of the configuration but the allowances of organisations.
+void Daemon::onConfig(const Platform::StoredObject& object)
+{
+    const auto config = Platform::readConfig(object.spec);
+    if (!config || config->version <= this->quotasVersion)
+        return;
+    this->quotasVersion = config->version;
+    this->quotas.setOrganisations(config->organisations.value_or(std::vector<Organisation> {}));
+}
+
 void Daemon::syncNews()
 {
     if (this->isNewsSyncPending)
@@ -464,6 +487,7 @@
 {
     this->updateLinks(set);
     this->permits.setMembers(set.members);
+    this->quotas.setMembers(set.members);
 }
 
 // Retirement ---------------------------------------------------------------------------------------------------------
