Bound the age of the configuration by which keys are admitted

Cause: a gateway that is cut off, paused or restarted admits a key for as long as its configuration contains it, however long ago the store has replaced that configuration.

Change: a gateway knows a moment at which its configuration was the current one and refuses calls that need a key with 503 when that is more than 0.9 of keys.max_config_age_ms ago. Journals that follow the store tell the age of the last request that the store has answered, and the gateway counts it from its question, so that no delay makes a configuration seem newer. Calls that wait end with 401 when a later configuration has removed their key. Without the setting, or without organisations, nothing changes.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -128,6 +128,9 @@
     /// Time for which journals keep claims beyond the retention of turns. A stopped program may return within that
     /// retention after its stop, which follows its last turn after a pause.
     Milliseconds maxProgramPause { 120000 };
+    /// Bound on the age of the configuration by which callers' keys are admitted; 0 if there is none. See
+    /// `configconfirmation.h`.
+    Milliseconds maxConfigAge { 0 };
 };
 
 struct GatewayCounts {
@@ -168,6 +171,8 @@
     bool setConfig(RoutingConfig config);
     /// Version of the current configuration; empty before the first one.
     std::optional<std::uint64_t> configVersion() const;
+    /// Whether the current configuration asks callers for keys.
+    bool hasOrganisations() const;
     /// Limits of the current configuration.
     CallerLimits callerLimits() const;
     const EndpointTable& endpoints() const;
@@ -182,6 +187,10 @@
     void onProcessTold(const std::string& address);
     /// What is known of the instances is what the platform's store listed at `viewedAt`, or later.
     void onStoreViewed(TimePoint viewedAt);
+    /// The configuration in force, or a later one, was the current one at `confirmedAt`.
+    void onConfigConfirmed(TimePoint confirmedAt);
+    /// Whether calls with keys are refused because the configuration was not confirmed as current lately.
+    bool isConfigTooOld() const;
     /// Takes crash reports that a journal forwarded.
     void onCrashReports(const CrashReports& crashes);
 
--- a/src/include/Rattandeck/gossipmessages.h
+++ b/src/include/Rattandeck/gossipmessages.h
@@ -62,4 +62,21 @@
     bool operator==(const StoreView&) const = default;
 };
 
+/// Gateway to journal: asks when the configuration was confirmed as current; see `configconfirmation.h`.
+struct ConfigAgeRequest {
+    std::uint64_t ticket = 0;
+    bool operator==(const ConfigAgeRequest&) const = default;
+};
+
+struct ConfigAgeAnswer {
+    std::uint64_t ticket = 0;
+    /// Whether the sender follows the platform's store and has read the configuration there.
+    bool isKnown = false;
+    /// The store's revision of the configuration that the sender has; 0 if it has none.
+    std::uint64_t revision = 0;
+    /// Time since the store was asked for the answer that confirmed it.
+    Milliseconds age { 0 };
+    bool operator==(const ConfigAgeAnswer&) const = default;
+};
+
 }
--- a/src/include/Rattandeck/messages.h
+++ b/src/include/Rattandeck/messages.h
@@ -444,6 +444,6 @@
     ClaimsKnown, SettleClaim, StoreTurn, TurnStored, FetchTurn, TurnFetched, JournalSet, CopyRequest, CopyPage,
     TurnsRequest, TurnsPage, GossipOffers, GossipRequest, GossipItems, CrashReports, JournalInconclusive,
     JournalStanding, PermitRequests, PermitGrants, GatewaysLinked, StoreView, GossipNotice, GossipDigests, StreamBegun,
-    StreamOriginRequest, StreamOriginAnswer>;
+    StreamOriginRequest, StreamOriginAnswer, ConfigAgeRequest, ConfigAgeAnswer>;
 
 }
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -83,6 +83,7 @@
     if (this->impl->table && config.version <= this->impl->table->config().version)
         return false;
     this->impl->table = std::make_shared<const RouteTable>(std::move(config));
+    this->impl->endCallsWithoutKey();
     return true;
 }
 
@@ -198,6 +199,8 @@
     const Route* route = self.table->find(call.host, call.path);
     if (!route || route->services.empty())
         return self.refuseUnrouted(id, call, RejectionReason::NoRoute);
+    if (self.isTooOldFor(*route))
+        return self.refuseUnrouted(id, call, RejectionReason::ConfigurationTooOld);
     if (self.calls.size() >= self.limits.maxCalls)
         return self.refuseUnrouted(id, call, RejectionReason::Overloaded);
     if (const auto reason = self.admit(call))
@@ -449,7 +452,8 @@
 {
     ++this->counts.refused;
     const bool mayRetry = reason != RejectionReason::NoRoute && reason != RejectionReason::Quarantined;
-    this->io.refuse(id, { reason, false, mayRetry ? this->limits.retryAfter : Milliseconds(0) });
+    const Milliseconds delay = this->keyRetryDelay(call.request, reason).value_or(this->limits.retryAfter);
+    this->io.refuse(id, { reason, false, mayRetry ? delay : Milliseconds(0) });
     CallEnd end;
     end.request = call.request;
     end.program = call.program;
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -116,6 +116,8 @@
     FailureDomain domain;
     GatewayLimits limits;
     std::shared_ptr<const RouteTable> table;
+    /// A moment at which the configuration was the current one.
+    std::optional<TimePoint> configConfirmedAt;
     EndpointTable endpoints;
     /// Moving average of the tokens that turns are expected to generate, by service.
     std::unordered_map<ServiceName, double> meanOutputTokens;
@@ -205,6 +207,13 @@
     /// Delay after which the caller of a refused call may retry.
     Milliseconds retryDelay(const Call& call, RejectionReason reason) const;
 
+    // gatewayconfigage.cpp: keys while the configuration may have been replaced
+    bool isTooOldFor(const Route& route) const;
+    std::optional<RejectionReason> keyObjection(const Call& call) const;
+    void limitWriting(const Call& call, EndpointSend& details) const;
+    void endCallsWithoutKey();
+    std::optional<Milliseconds> keyRetryDelay(const TurnId& request, RejectionReason reason) const;
+
     // gatewayanswers.cpp: relaying of answers
     void noteLeaving(const Call& call, const EndpointAnswer& answer);
     void onAnswerEnd(Call& call, SendOutcome outcome);
--- a/src/librattandeck/turns/gatewaylimits.cpp
+++ b/src/librattandeck/turns/gatewaylimits.cpp
@@ -94,6 +94,8 @@
 /// spread over the time in which as many permits are expected as are missing now.
 Milliseconds Gateway::Impl::retryDelay(const Call& call, RejectionReason reason) const
 {
+    if (const auto delay = this->keyRetryDelay(call.call.request, reason))
+        return *delay;
     const Milliseconds least = call.isFirstTurn ? this->limits.firstTurnRetryAfter : this->limits.retryAfter;
     if (reason != RejectionReason::RateLimited)
         return least;
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -73,6 +73,10 @@
         this->failCall(call, RejectionReason::TimedOut);
         return;
     }
+    if (const auto objection = this->keyObjection(call)) {
+        this->failCall(call, *objection);
+        return;
+    }
     call.send = SendId(++this->lastSend);
     call.sentAt = this->timers.now();
     if (!call.firstSent)
@@ -99,6 +103,7 @@
     EndpointSend details = this->detailsOf(call, choice);
     if (this->permits.limitOf(choice.endpoint))
         details.writeBy = this->permits.take(choice.endpoint);
+    this->limitWriting(call, details);
     if (!choice.passedOver.value.empty())
         ++this->counts.passedOver;
     this->io.logSend(this->decisionOf(call, choice));
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -449,6 +449,16 @@
 
 template <typename Visitor> void visitFields(Visitor& visit, StoreView& m) { visit("age", m.age); }
 
+template <typename Visitor> void visitFields(Visitor& visit, ConfigAgeRequest& m) { visit("ticket", m.ticket); }
+
+template <typename Visitor> void visitFields(Visitor& visit, ConfigAgeAnswer& m)
+{
+    visit("ticket", m.ticket);
+    visit("isKnown", m.isKnown);
+    visit("revision", m.revision);
+    visit("age", m.age);
+}
+
 template <typename Visitor> void visitFields(Visitor& visit, CrashReport& m)
 {
     visit("request", m.request);
@@ -579,6 +589,8 @@
 template <> inline constexpr const char* tag<StreamBegun> = "streamBegun";
 template <> inline constexpr const char* tag<StreamOriginRequest> = "originOf";
 template <> inline constexpr const char* tag<StreamOriginAnswer> = "origin";
+template <> inline constexpr const char* tag<ConfigAgeRequest> = "configAgeOf";
+template <> inline constexpr const char* tag<ConfigAgeAnswer> = "configAge";
 template <> inline constexpr const char* tag<AnswerTokens> = "tok";
 template <> inline constexpr const char* tag<AnswerDone> = "done";
 template <> inline constexpr const char* tag<Problem> = "problem";
--- a/src/platform/objectstore.cpp
+++ b/src/platform/objectstore.cpp
@@ -157,6 +157,8 @@
     void list();
     /// When the store answered last; empty before the first list is complete.
     std::optional<Rattandeck::TimePoint> answeredAt() const { return this->lastAnswerAt; }
+    /// When the request that the store answered last was sent; empty before the first list is complete.
+    std::optional<Rattandeck::TimePoint> confirmedAt() const { return this->lastAnsweredSentAt; }
     /// Revision up to which changes have been reported.
     std::uint64_t reportedRevision() const { return this->revision; }
 
@@ -179,6 +181,9 @@
     KindHandlers handlers;
     std::chrono::milliseconds watchWait;
     std::optional<Rattandeck::TimePoint> lastAnswerAt;
+    /// When the list or watch under way was begun; that of the first page for a list.
+    Rattandeck::TimePoint sentAt;
+    std::optional<Rattandeck::TimePoint> lastAnsweredSentAt;
     std::chrono::milliseconds retryDelay;
     std::vector<StoredObject> listed;
     /// Revision of the first page. The watch starts here, since later pages may lack changes made after it.
@@ -207,6 +212,7 @@
     if (isReachable) {
         this->retryDelay = this->store.limits.minRetryDelay;
         this->lastAnswerAt = this->store.loop.timers().now();
+        this->lastAnsweredSentAt = this->sentAt;
     }
     if (this->isReachable == isReachable)
         return;
@@ -233,6 +239,7 @@
 {
     this->listed.clear();
     this->listRevision = 0;
+    this->sentAt = this->store.loop.timers().now();
     this->listPage({});
 }
 
@@ -288,6 +295,7 @@
     HttpRequest request = this->request();
     request.query["watch"] = std::to_string(this->revision);
     request.query["wait_ms"] = std::to_string(wait.count());
+    this->sentAt = this->store.loop.timers().now();
     this->store.fetch(
         request, isProbe ? limits.probeTimeout : wait + limits.watchSlack, this->bind(&Follower::onWatched));
 }
@@ -406,6 +414,15 @@
         this->impl->loop.timers().now() - *found->second->answeredAt());
 }
 
+std::optional<std::chrono::milliseconds> ObjectStore::confirmedAge(const std::string& kind) const
+{
+    const auto found = this->impl->followers.find(kind);
+    if (found == this->impl->followers.end() || !found->second->confirmedAt())
+        return std::nullopt;
+    return std::chrono::ceil<std::chrono::milliseconds>(
+        this->impl->loop.timers().now() - *found->second->confirmedAt());
+}
+
 std::uint64_t ObjectStore::callCount() const { return this->impl->callCount; }
 
 std::optional<std::chrono::milliseconds> ObjectStore::answerAge() const
--- a/src/platform/objectstore.h
+++ b/src/platform/objectstore.h
@@ -91,6 +91,10 @@
     /// Time since the store last answered for the followed kind; empty before the kind has been listed, and for a kind
     /// that is not followed.
     std::optional<std::chrono::milliseconds> viewAge(const std::string& kind) const;
+    /// Time since the last answered list or watch of the followed kind was sent; empty as `viewAge`. What has been
+    /// reported was current at that moment: an answer may be delayed on its way, so the time of its arrival proves
+    /// nothing.
+    std::optional<std::chrono::milliseconds> confirmedAge(const std::string& kind) const;
 
     /// Number of calls made.
     std::uint64_t callCount() const;
--- a/src/platform/objectstore_test.cpp
+++ b/src/platform/objectstore_test.cpp
@@ -23,6 +23,9 @@
     CPPUNIT_TEST(pageWithoutReadableNamesIsListedAgain);
     CPPUNIT_TEST(watchWithTooManyChangesIsFollowedByAList);
     CPPUNIT_TEST(conflictIsReported);
+    CPPUNIT_TEST(ageIsThatOfTheRequestThatWasAnswered);
+    CPPUNIT_TEST(ageOfAListIsThatOfItsFirstPage);
+    CPPUNIT_TEST(unansweredWatchConfirmsNothing);
     CPPUNIT_TEST_SUITE_END();
 
     TestLoop test;
@@ -114,6 +117,50 @@
         CPPUNIT_ASSERT_EQUAL(std::string("9"), this->requests[2].query.at("watch"));
     }
 
+    void wait(std::chrono::milliseconds time)
+    {
+        const auto until = this->test.loop.timers().now() + time;
+        this->test.runUntil("waited", [this, until] { return this->test.loop.timers().now() >= until; });
+    }
+
+    /// The store, the link or this process may hold an answer for seconds; what it says was current when it was asked.
+    void ageIsThatOfTheRequestThatWasAnswered()
+    {
+        this->answers = { ok(page("", 7)) };
+        this->follow();
+        this->test.runUntil("watched", [this] { return this->unanswered.size() == 1; });
+        const auto listed = this->store->confirmedAge("kind");
+        this->wait(std::chrono::milliseconds(80));
+        CPPUNIT_ASSERT(*this->store->confirmedAge("kind") >= *listed + std::chrono::milliseconds(80));
+        this->unanswered.back().send(ok(R"({"events":[],"current_rev":7})"));
+        this->test.runUntil("watched again", [this] { return this->unanswered.size() == 2; });
+        CPPUNIT_ASSERT(*this->store->viewAge("kind") < std::chrono::milliseconds(60));
+        CPPUNIT_ASSERT(*this->store->confirmedAge("kind") >= std::chrono::milliseconds(80));
+    }
+
+    /// A change made between the pages may be missing from the first one.
+    void ageOfAListIsThatOfItsFirstPage()
+    {
+        this->answers = { ok(page(object("a", 3), 7, true)) };
+        this->follow();
+        this->test.runUntil("second page", [this] { return this->unanswered.size() == 1; });
+        CPPUNIT_ASSERT(!this->store->confirmedAge("kind"));
+        this->wait(std::chrono::milliseconds(80));
+        this->unanswered.back().send(ok(page(object("b", 4), 8)));
+        this->test.runUntil("listed", [this] { return this->snapshots.size() == 1; });
+        CPPUNIT_ASSERT(*this->store->confirmedAge("kind") >= std::chrono::milliseconds(80));
+    }
+
+    void unansweredWatchConfirmsNothing()
+    {
+        this->answers = { ok(page("", 7)) };
+        this->follow();
+        this->test.runUntil("watch repeated", [this] { return this->unanswered.size() >= 3; });
+        CPPUNIT_ASSERT(*this->store->confirmedAge("kind") >= std::chrono::milliseconds(200));
+        this->store->unfollow("kind");
+        CPPUNIT_ASSERT(!this->store->confirmedAge("kind"));
+    }
+
     void kindIsListedAgainWhenItsHistoryIsGone()
     {
         this->answers = { ok(page("", 7)), { 410, {}, {} }, ok(page(object("a", 30), 30)) };
--- a/src/platform/storegossip.cpp
+++ b/src/platform/storegossip.cpp
@@ -56,6 +56,7 @@
 StoreGossip::StoreGossip(RattandeckNet::EventLoop& loop, const NodeId& self, Role role, const GossipTable::Send& send,
     const GatewayCount& gatewayCount, StoreNewsHandlers handlers)
     : timers(loop.timers())
+    , send(send)
     , handlers(std::move(handlers))
     , gossip(this->timers, gossipSettings(role), send, [this](const GossipItem& item) { this->onNews(item); })
     , following(this->timers, self, role, this->followingIo(send, gatewayCount), std::random_device {}())
@@ -89,19 +90,18 @@
         this->store->unfollow(Names::configKind);
         this->store->unfollow(Names::endpointsKind);
         this->isStoreReachable = false;
+        this->isConfigListed = false;
         // Those that follow the store decide what has left.
         this->unlistedEndpoints.clear();
         return;
     }
     KindHandlers config;
     config.onSnapshot = [this](const std::vector<StoredObject>& objects, std::uint64_t) {
+        this->isConfigListed = false;
         for (const StoredObject& object : objects)
-            this->onConfig(object);
-    };
-    config.onChange = [this](const StoredObject& object, bool isRemoved) {
-        if (!isRemoved)
-            this->onConfig(object);
+            this->onConfigListed(object, false);
     };
+    config.onChange = [this](const StoredObject& object, bool isRemoved) { this->onConfigListed(object, isRemoved); };
     this->store->follow(Names::configKind, config, this->watchWait);
 
     KindHandlers endpoints;
@@ -138,6 +138,8 @@
 {
     this->gossip.onMessage(from, message);
     this->following.onMessage(from, message);
+    if (const auto* request = std::get_if<ConfigAgeRequest>(&message))
+        this->answerConfigAge(from, *request);
     // A process that has just started needs not wait for the next report.
     if (std::holds_alternative<GossipRequest>(message))
         this->following.reportTo(from);
@@ -176,6 +178,40 @@
         this->handlers.onConfig(object);
 }
 
+/// The store has listed the configuration, changed it or removed it.
+void StoreGossip::onConfigListed(const StoredObject& object, bool isRemoved)
+{
+    if (object.name != Names::configName)
+        return;
+    this->isConfigListed = !isRemoved;
+    if (!isRemoved)
+        this->onConfig(object);
+}
+
+std::optional<ConfigView> StoreGossip::configView() const
+{
+    if (!this->following.isFollowing() || !this->isConfigListed)
+        return std::nullopt;
+    const auto age = this->store->confirmedAge(Names::configKind);
+    // Another process may have told of a later revision, which was current later still.
+    const GossipItem* known = this->gossip.find(configTopic);
+    if (!age || !known)
+        return std::nullopt;
+    return ConfigView { known->version, *age };
+}
+
+void StoreGossip::answerConfigAge(const NodeId& to, const ConfigAgeRequest& request) const
+{
+    ConfigAgeAnswer answer;
+    answer.ticket = request.ticket;
+    if (const auto view = this->configView()) {
+        answer.isKnown = true;
+        answer.revision = view->revision;
+        answer.age = view->age;
+    }
+    this->send(to, answer);
+}
+
 void StoreGossip::onEndpoints(const std::vector<StoredObject>& objects, std::uint64_t revision)
 {
     std::set<EndpointId> listed;
--- a/src/platform/storegossip.h
+++ b/src/platform/storegossip.h
@@ -11,6 +11,12 @@
 
 namespace Platform {
 
+/// What is known of the configuration in the store: the revision, or a later one, that was current `age` ago.
+struct ConfigView {
+    std::uint64_t revision = 0;
+    Rattandeck::Milliseconds age { 0 };
+};
+
 /// What a process does with news of the store. Handlers may be empty.
 struct StoreNewsHandlers {
     std::function<void(const StoredObject&)> onConfig;
@@ -55,6 +61,12 @@
     /// Age of the view of the store that this process has; empty if there is none.
     std::optional<Rattandeck::Milliseconds> viewAge() const { return this->following.viewAge(); }
 
+    /// When the store confirmed the configuration to this process; empty unless this process follows the store and has
+    /// read a configuration there. What was restored or heard from others is not confirmed by that.
+    std::optional<ConfigView> configView() const;
+    /// Takes the configuration that this process has read from the store otherwise than by following it.
+    void onConfigRead(const StoredObject& object) { this->onConfig(object); }
+
     /// Provides `rattandeck_store_followed` and `rattandeck_store_view_age_seconds`, which is -1 without any view.
     /// Precondition: this object outlives the last rendering of `metrics`.
     void provideMetrics(RattandeckApp::Metrics& metrics) const;
@@ -67,8 +79,10 @@
     void publish(const std::string& topic, const StoredObject& object);
 
     void onConfig(const StoredObject& object);
+    void onConfigListed(const StoredObject& object, bool isRemoved);
     void onEndpoints(const std::vector<StoredObject>& objects, std::uint64_t revision);
     void onEndpoint(const StoredObject& object, bool isRemoved);
+    void answerConfigAge(const Rattandeck::NodeId& to, const Rattandeck::ConfigAgeRequest& request) const;
     void removeEndpoint(const Rattandeck::GossipItem& known);
     void dropEndpoint(const Rattandeck::EndpointId& id);
     void onNews(const Rattandeck::GossipItem& item);
@@ -78,12 +92,15 @@
     void onStoreReachable(bool isReachable);
 
     Rattandeck::TimerService& timers;
+    Rattandeck::GossipTable::Send send;
     StoreNewsHandlers handlers;
     Rattandeck::GossipTable gossip;
     Rattandeck::StoreFollowing following;
     Rattandeck::Milliseconds watchWait;
     ObjectStore* store = nullptr;
     bool isStoreReachable = false;
+    /// Whether the store had a configuration when it was listed last, and has not removed it since.
+    bool isConfigListed = false;
     std::optional<Rattandeck::TimePoint> storeReconnectedAt;
     /// Instances that the store has omitted since it was reached again, and that are kept for now.
     std::set<Rattandeck::EndpointId> unlistedEndpoints;
--- a/src/platform/storegossip_test.cpp
+++ b/src/platform/storegossip_test.cpp
@@ -24,6 +24,9 @@
     CPPUNIT_TEST(instanceThatLeftIsNotBroughtBack);
     CPPUNIT_TEST(everythingKnownSurvivesARestart);
     CPPUNIT_TEST(olderStateOfAnInstanceIsIgnored);
+    CPPUNIT_TEST(followerTellsTheAgeOfTheConfiguration);
+    CPPUNIT_TEST(restoredConfigurationIsNotConfirmed);
+    CPPUNIT_TEST(configurationThatIsNotListedIsNotConfirmed);
     CPPUNIT_TEST_SUITE_END();
 
     TestLoop test;
@@ -33,6 +36,7 @@
     std::vector<HttpRequest> requests;
     /// Answers to lists and watches of instances, in this order; further requests wait.
     std::deque<std::string> endpointAnswers;
+    std::string configList = R"({"items":[],"has_more":false,"current_rev":20})";
     std::vector<HttpResponder> waitingForEndpoints;
     std::vector<HttpResponder> waitingForConfig;
     std::vector<Message> sent;
@@ -66,7 +70,7 @@
     {
         const bool isConfig = request.path == std::string(Names::objectsPath) + Names::configKind;
         if (isConfig && !request.query.contains("watch")) {
-            responder.send({ 200, {}, R"({"items":[],"has_more":false,"current_rev":20})" });
+            responder.send({ 200, {}, this->configList });
         } else if (!isConfig && !this->endpointAnswers.empty()) {
             responder.send({ 200, {}, this->endpointAnswers.front() });
             this->endpointAnswers.pop_front();
@@ -110,6 +114,51 @@
         this->news->start(*this->store);
     }
 
+    std::optional<ConfigAgeAnswer> askConfigAge(std::uint64_t ticket)
+    {
+        this->news->onMessage(this->peer, ConfigAgeRequest { ticket });
+        const auto* answer = std::get_if<ConfigAgeAnswer>(&this->sent.back());
+        return answer ? std::optional(*answer) : std::nullopt;
+    }
+
+    void followerTellsTheAgeOfTheConfiguration()
+    {
+        this->configList = list(object(Names::configName, 12), 20);
+        this->test.runUntil("the loop's time is the present", [] { return true; });
+        this->start(Role::Journal);
+        const auto early = this->askConfigAge(1);
+        CPPUNIT_ASSERT((early == ConfigAgeAnswer { 1, false, 0, Milliseconds(0) }));
+        this->test.runUntil("watched", [this] { return !this->waitingForConfig.empty(); });
+        const auto answer = this->askConfigAge(2);
+        CPPUNIT_ASSERT(answer && answer->ticket == 2 && answer->isKnown);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(12), answer->revision);
+        CPPUNIT_ASSERT(answer->age >= Milliseconds(0) && answer->age < Milliseconds(2000));
+        // A later revision that another follower has read was current later still.
+        this->news->onMessage(this->peer, GossipItems { { { "config", 15, false, "{}" } } });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(15), this->askConfigAge(3)->revision);
+    }
+
+    /// A journal that has lost power knows the configuration of its disk, which may have been replaced meanwhile.
+    void restoredConfigurationIsNotConfirmed()
+    {
+        this->restored = { { "config", 12, false, "{}" } };
+        this->start(Role::Journal);
+        CPPUNIT_ASSERT(!this->askConfigAge(1)->isKnown);
+        CPPUNIT_ASSERT(!this->news->configView());
+    }
+
+    /// What the store omits may have changed.
+    void configurationThatIsNotListedIsNotConfirmed()
+    {
+        this->restored = { { "config", 12, false, "{}" } };
+        this->start(Role::Journal);
+        this->test.runUntil("watched", [this] { return !this->waitingForConfig.empty(); });
+        CPPUNIT_ASSERT(!this->askConfigAge(1)->isKnown);
+        this->waitingForConfig.front().send({ 200, {}, change(object(Names::configName, 21), false, 21) });
+        this->test.runUntil("read", [this] { return this->news->configView().has_value(); });
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t(21), this->askConfigAge(2)->revision);
+    }
+
     /// Receives the state of an instance from the peer.
     void hear(const std::string& name, std::uint64_t version)
     {
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -1,5 +1,6 @@
 #include "daemon.h"
 
+#include "configage.h"
 #include "platform/names.h"
 #include "platform/objectcodec.h"
 #include "RattandeckApp/reload.h"
@@ -34,6 +35,8 @@
         "placement.priorities", s.limits.forwardsPriorities, "send the rank of a call's route to engines");
     schema.addNumber("placement.queue_part", s.limits.maxQueueWaitRatio, 0, 10,
         "maximum time in the queue, as a fraction of the route's objective");
+    schema.addMilliseconds("keys.max_config_age_ms", s.limits.maxConfigAge, Milliseconds(0), Milliseconds(600000),
+        "time within which the removal of a key takes effect at all gateways (0: no bound)");
     schema.addNumber("calls.repeat_ratio", s.limits.retryRatio, 0, 1, "retries allowed per send, on average");
     schema.addMilliseconds(
         "stop.limit_ms", s.stopLimit, Milliseconds(500), Milliseconds(600000), "maximum duration of a planned stop");
@@ -83,6 +86,7 @@
     void onJournalOperation(const JournalOperationResult& result);
     void linkToJournals();
     void checkJournals();
+    void closeOrKeepCallers();
 
     SettingsReload<GatewaySettings>::Parts reloadParts(const SettingsSource& source);
     void apply(const GatewaySettings& fresh);
@@ -104,6 +108,9 @@
     StoreFeed feed { this->loop, NodeId(this->settings.instance.node), this->relay.gateway(),
         [this](const NodeId& node, const Message& message) { return this->network.send(node, message); },
         [this] { this->callers.setLimits(this->httpLimits()); } };
+    ConfigAge configAge { this->loop, this->relay.gateway(), this->feed,
+        [this](const NodeId& node, const Message& message) { return this->network.send(node, message); },
+        [this] { this->closeOrKeepCallers(); } };
     /// Whether enough journals are connected to serve turns.
     bool hasJournalQuorum = false;
     SettingsReload<GatewaySettings> reload;
@@ -158,8 +165,8 @@
     parts.source = source;
     parts.bind = bindSettings;
     parts.appliedKeys = { "callers.max_connections", "peers.seeds", "placement.max_load", "placement.opening_load",
-        "placement.priorities", "placement.queue_part", "calls.repeat_ratio", "stop.limit_ms", "log.level",
-        "log.bytes_per_second" };
+        "placement.priorities", "placement.queue_part", "keys.max_config_age_ms", "calls.repeat_ratio", "stop.limit_ms",
+        "log.level", "log.bytes_per_second" };
     parts.apply = [this](const GatewaySettings& fresh) { this->apply(fresh); };
     return parts;
 }
@@ -170,6 +177,7 @@
     this->settings.seeds = fresh.seeds;
     this->settings.stopLimit = fresh.stopLimit;
     this->relay.gateway().setLimits(fresh.limits);
+    this->configAge.setMaxAge(fresh.limits.maxConfigAge);
     this->callers.setLimits(this->httpLimits());
     adjustLog(fresh.instance.log);
     this->linkToJournals();
@@ -194,6 +202,7 @@
         if (hello.role == Role::Journal) {
             this->linkedJournals.insert(hello.node);
             this->relay.gateway().onJournalUp(hello.node, hello.domain);
+            this->configAge.onLinkUp(hello.node);
         }
         if (hello.domain.value == this->settings.instance.domain)
             this->journals.setNear(hello.node);
@@ -204,6 +213,7 @@
         logEvent("journal link down", node.value);
         this->linkedJournals.erase(node);
         this->relay.gateway().onJournalDown(node);
+        this->configAge.onLinkDown(node);
         this->checkJournals();
         this->feed.news().onLinkDown(node);
         this->journals.onLinkDown(node);
@@ -216,6 +226,7 @@
         this->relay.gateway().onJournalMessage(from, message);
         this->journals.onMessage(from, message);
         this->feed.news().onMessage(from, message);
+        this->configAge.onMessage(from, message);
         if (std::holds_alternative<StoreView>(message))
             this->noteStoreView();
     };
@@ -278,7 +289,7 @@
 bool Daemon::isReady() const
 {
     return !this->isStopping && this->relay.gateway().configVersion() && this->feed.hasEndpoints()
-        && this->hasJournalQuorum;
+        && this->hasJournalQuorum && !this->configAge.isTooOld();
 }
 
 void Daemon::answerReady(const HttpResponder& responder) const
@@ -344,6 +355,9 @@
     this->store = std::make_unique<Platform::ObjectStore>(this->loop, address);
     Platform::provideStoreMetrics(this->metrics, *this->store);
     this->feed.news().provideMetrics(this->metrics);
+    this->configAge.provideMetrics(this->metrics);
+    this->configAge.start(*this->store);
+    this->configAge.setMaxAge(this->settings.limits.maxConfigAge);
     this->feed.news().start(*this->store);
 }
 
@@ -412,7 +426,13 @@
         { { "linked", std::int64_t(this->linkedJournals.size()) },
             { "members", std::int64_t(this->journals.members().members.size()) },
             { "epoch", std::int64_t(this->journals.members().epoch.value) } });
-    this->callers.closeAfterAnswers(this->isStopping || !this->hasJournalQuorum);
+    this->closeOrKeepCallers();
+}
+
+/// Callers' connections are closed after answers while other gateways serve them better.
+void Daemon::closeOrKeepCallers()
+{
+    this->callers.closeAfterAnswers(this->isStopping || !this->hasJournalQuorum || this->configAge.isTooOld());
 }
 
 void Daemon::linkToJournals()
--- a/src/rattandeck-gateway/storefeed.cpp
+++ b/src/rattandeck-gateway/storefeed.cpp
@@ -27,7 +27,19 @@
     return handlers;
 }
 
+void StoreFeed::onRevision(std::function<void(std::uint64_t revision, bool hasKeys)> handler)
+{
+    this->revisionHandler = std::move(handler);
+}
+
 void StoreFeed::onConfig(const Platform::StoredObject& object)
+{
+    this->applyConfig(object);
+    if (this->revisionHandler && this->gateway.configVersion())
+        this->revisionHandler(object.revision, this->gateway.hasOrganisations());
+}
+
+void StoreFeed::applyConfig(const Platform::StoredObject& object)
 {
     auto config = Platform::readConfig(object.spec);
     if (!config) {
--- a/src/rattandeck-gateway/storefeed.h
+++ b/src/rattandeck-gateway/storefeed.h
@@ -17,16 +17,22 @@
     /// News of the store, for links and metrics.
     Platform::StoreGossip& news() { return this->gossip; }
 
+    /// Sets the handler that gets the revision of each configuration in the store and whether the one in force then has
+    /// keys. A configuration that can't be read, or has no higher version, leaves the former one in force.
+    void onRevision(std::function<void(std::uint64_t revision, bool hasKeys)> handler);
+
     /// Whether instances have been received since the start.
     bool hasEndpoints() const { return this->hasInstances; }
 
 private:
     Platform::StoreNewsHandlers handlers();
     void onConfig(const Platform::StoredObject& object);
+    void applyConfig(const Platform::StoredObject& object);
     void onEndpoint(const Platform::StoredObject& object);
 
     Rattandeck::Gateway& gateway;
     std::function<void()> onConfigChanged;
+    std::function<void(std::uint64_t revision, bool hasKeys)> revisionHandler;
     bool hasInstances = false;
     Platform::StoreGossip gossip;
 };
