--- a/src/include/RattandeckNet/eventloop.h
+++ b/src/include/RattandeckNet/eventloop.h
@@ -20,6 +20,8 @@
     EventLoop& operator=(const EventLoop&) = delete;
 
     Rattandeck::TimerService& timers();
+    /// Sets the time of the timers to the present, for a handler that may have been suspended since it was called.
+    void refreshTime();
 
     /// Queues `task` for the loop; it never runs within this call.
     void post(std::function<void()> task);
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -73,6 +73,10 @@
         this->failCall(call, RejectionReason::TimedOut);
         return;
     }
+    if (const auto objection = this->keyObjection(call)) {
+        this->failCall(call, *objection);
+        return;
+    }
     if (isMetered(call) && !this->renewToken(call))
         return;
     call.send = SendId(++this->lastSend);
@@ -104,6 +108,7 @@
         details.writeBy = this->permits.take(choice.endpoint);
     if (call.quotaToken)
         details.writeBy = std::min(details.writeBy.value_or(TimePoint::max()), call.quotaToken->useBy);
+    this->limitWriting(call, details);
     if (!choice.passedOver.value.empty())
         ++this->counts.passedOver;
     this->io.logSend(this->decisionOf(call, choice));
--- a/src/librattandecknet/eventloop.cpp
+++ b/src/librattandecknet/eventloop.cpp
@@ -94,6 +94,8 @@
 
 Rattandeck::TimerService& EventLoop::timers() { return this->impl->timers; }
 
+void EventLoop::refreshTime() { this->impl->updateTime(); }
+
 EventLoop::Impl& EventLoop::internals() { return *this->impl; }
 
 void EventLoop::post(std::function<void()> task) { Asio::post(this->impl->context, this->impl->bind(std::move(task))); }
--- a/src/rattandeck-gateway/storefeed.cpp
+++ b/src/rattandeck-gateway/storefeed.cpp
@@ -48,26 +48,40 @@
                 { "ignored_for", shared[index].other.value } });
 }
 
+void StoreFeed::onRevision(std::function<void(std::uint64_t revision, bool hasKeys)> handler)
+{
+    this->revisionHandler = std::move(handler);
+}
+
 void StoreFeed::onConfig(const Platform::StoredObject& object)
+{
+    if (!this->applyConfig(object))
+        return;
+    if (this->revisionHandler)
+        this->revisionHandler(object.revision, this->gateway.hasOrganisations());
+}
+
+bool StoreFeed::applyConfig(const Platform::StoredObject& object)
 {
     std::vector<Platform::DecodeError> skipped;
     auto config = Platform::readConfig(object.spec, &skipped);
     if (!config) {
         logError("configuration",
             "revision " + std::to_string(object.revision) + ": missing or invalid field " + config.error().field);
-        return;
+        return false;
     }
     const std::uint64_t version = config->version;
     const std::size_t routes = config->routes.size();
     const auto organisations = config->organisations;
     if (!this->gateway.setConfig(std::move(*config)))
-        return;
+        return this->gateway.configVersion() == version;
     this->onConfigChanged();
     logFields("configuration",
         { { "version", std::int64_t(version) }, { "routes", std::int64_t(routes) },
             { "revision", std::int64_t(object.revision) } });
     if (organisations)
         logOrganisations(version, *organisations, skipped);
+    return true;
 }
 
 void StoreFeed::onEndpoint(const Platform::StoredObject& object)
--- a/src/rattandeck-gateway/storefeed.h
+++ b/src/rattandeck-gateway/storefeed.h
@@ -17,16 +17,24 @@
     /// News of the store, for links and metrics.
     Platform::StoreGossip& news() { return this->gossip; }
 
+    /// Sets the handler that gets the revision of each configuration in the store and whether the one in force then has
+    /// keys. Not called for a configuration that can't be read or has a lower version than the one in
+    /// force, which stays in force unconfirmed.
+    void onRevision(std::function<void(std::uint64_t revision, bool hasKeys)> handler);
+
     /// Whether instances have been received since the start.
     bool hasEndpoints() const { return this->hasInstances; }
 
 private:
     Platform::StoreNewsHandlers handlers();
     void onConfig(const Platform::StoredObject& object);
+    /// Returns whether the configuration in force is the one of the object.
+    bool applyConfig(const Platform::StoredObject& object);
     void onEndpoint(const Platform::StoredObject& object);
 
     Rattandeck::Gateway& gateway;
     std::function<void()> onConfigChanged;
+    std::function<void(std::uint64_t revision, bool hasKeys)> revisionHandler;
     bool hasInstances = false;
     Platform::StoreGossip gossip;
 };
