Give room to organisations within their share first

Cause: a hot organisation takes the room of all others, and queued calls lose freed room to calls that arrive later. Change: where the configuration has organisations, the queue is ordered by programs under way, organisations served too seldom, rank, and organisations far above their share last. Arriving calls don't pass it, freed room goes to it at once, a full queue gives up its last call, and a call that would wait too long is refused at once, with a spread retry time. Without organisations nothing changes.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -146,6 +146,11 @@
     std::uint64_t unknownStreams = 0;
     /// Sends to another instance than the best one, because the limit of that one left no room in time.
     std::uint64_t passedOver = 0;
+    /// Calls refused at once because the queue was too long for them.
+    std::uint64_t refusedForQueue = 0;
+    /// Calls of organisations far above their share, and of organisations owed room; see `admissionorder.h`.
+    std::uint64_t farAboveShare = 0;
+    std::uint64_t owed = 0;
 };
 
 /// Relays calls to endpoint instances: finds the route, checks the program's token budget, rebuilds the prompt of a
--- a/src/include/Rattandeck/gatewaylog.h
+++ b/src/include/Rattandeck/gatewaylog.h
@@ -68,6 +68,8 @@
     BudgetId program;
     /// Empty if the caller has none.
     OrganisationId organisation;
+    /// The organisation was far above its share of the calls when the call was ready to be sent.
+    bool isFarAboveShare = false;
     std::string route;
     /// "answered", "refused", "broken" (the answer was aborted) or "left" (the caller disconnected).
     std::string_view outcome;
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -511,6 +511,7 @@
     end.program = call.call.program;
     if (call.organisation)
         end.organisation = call.organisation->id;
+    end.isFarAboveShare = call.standing.isFarAboveShare;
     end.route = call.route->name;
     end.outcome = outcome;
     end.reason = reason;
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Rattandeck/admissionrecord.h"
 #include "Rattandeck/eventstream.h"
 #include "Rattandeck/gateway.h"
 
@@ -39,6 +40,13 @@
     // Queue
     bool isQueued = false;
     TimePoint queuedAt;
+    /// Set when the call is queued.
+    AdmissionOrder order {};
+    /// The call is counted in the record of organisations, as offered.
+    bool isOffered = false;
+    /// When the call was offered.
+    OrganisationStanding standing;
+    bool isInQueueRate = false;
     /// Instance for which the call waits for a permit; empty if there is none.
     EndpointId awaited;
     std::size_t awaitedUrgency = 0;
@@ -124,11 +132,15 @@
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
     std::unordered_map<SendId, CallId> callOfSend;
     std::uint64_t lastSend = 0;
-    /// Calls that wait for capacity or a permit: streams that have to go on at their version before all others, then in
-    /// the order of their routes' rank, first turns after the others, then in that of their time in the queue.
-    using QueueKey = std::tuple<bool, std::uint32_t, bool, TimePoint, CallId>;
+    /// Calls that wait for capacity or a permit, in the order of `admissionorder.h` and then that of their time in the
+    /// queue.
+    using QueueKey = std::tuple<AdmissionOrder, TimePoint, CallId>;
     std::map<QueueKey, CallId> queue;
     TimerId queueTimer;
+    TimerId roomTimer;
+    OrganisationRecord organisationRecord;
+    /// By service and whether the calls are first turns; empty without organisations.
+    std::map<std::pair<ServiceName, bool>, QueueRate> queueRates;
 
     // gateway.cpp: start and end of a call
     Call* find(CallId id);
@@ -173,9 +185,10 @@
     static QueueKey queueKey(const Call& call);
     Duration maxQueueWait(const Call& call) const;
     void enqueue(Call& call);
-    void dequeue(Call& call);
+    void dequeue(Call& call, bool isSent = false);
     void scheduleQueue();
-    void processQueue();
+    /// Places the first calls of the queue again, `most` at most.
+    void processQueue(std::size_t most = SIZE_MAX);
     void dropSend(Call& call, bool cancel);
     void onSendRefused(Call& call, SendFailureCause cause);
     void onSendInterrupted(Call& call, SendFailureCause cause);
@@ -189,6 +202,24 @@
     bool canMove(const Call& call) const;
     void keepStalled(Call& call);
 
+    // gatewayadmission.cpp: which calls get room first
+    /// Counts the call among those offered, once.
+    void noteOffered(Call& call);
+    /// Counts the first send of a call.
+    void noteServed(const Call& call);
+    void onRoom();
+    bool mustWaitBehind(const Call& call) const;
+    QueueView queueViewOf(const Call& call);
+    /// Sets the call's position in the queue.
+    void order(Call& call);
+    /// Returns false if the queue is full of calls that go first. Refuses the last call of a full queue otherwise.
+    bool makeRoomInQueue(const Call& call);
+    bool canBeServedInTime(const Call& call);
+    void noteQueued(Call& call);
+    void noteLeftQueue(Call& call, bool isSent);
+    /// Delay after which the caller of a call may retry that has found no room.
+    Milliseconds queueRetryDelay(const Call& call, Milliseconds least);
+
     // gatewaylimits.cpp: instances that state a limit
     PermitHolder::Io permitIo();
     void noteLimit(const Call& call, const EndpointAnswer& answer);
@@ -202,7 +233,7 @@
     /// Requests a permit for the call while its tokens are claimed and its transcript is fetched.
     void anticipatePermit(Call& call);
     /// Delay after which the caller of a refused call may retry.
-    Milliseconds retryDelay(const Call& call, RejectionReason reason) const;
+    Milliseconds retryDelay(const Call& call, RejectionReason reason);
 
     // gatewayanswers.cpp: relaying of answers
     void noteLeaving(const Call& call, const EndpointAnswer& answer);
--- a/src/librattandeck/turns/gatewaylimits.cpp
+++ b/src/librattandeck/turns/gatewaylimits.cpp
@@ -92,9 +92,11 @@
 
 /// Delay after which the caller of a refused call may retry. Callers that are refused for the limits of instances are
 /// spread over the time in which as many permits are expected as are missing now.
-Milliseconds Gateway::Impl::retryDelay(const Call& call, RejectionReason reason) const
+Milliseconds Gateway::Impl::retryDelay(const Call& call, RejectionReason reason)
 {
     const Milliseconds least = call.isFirstTurn ? this->limits.firstTurnRetryAfter : this->limits.retryAfter;
+    if (reason == RejectionReason::Overloaded)
+        return this->queueRetryDelay(call, least);
     if (reason != RejectionReason::RateLimited)
         return least;
     constexpr std::uint64_t steps = 1024;
--- a/src/librattandeck/turns/gatewayorganisations.h
+++ b/src/librattandeck/turns/gatewayorganisations.h
@@ -13,6 +13,9 @@
 /// The rank of the call's organisation if that has one, else the rank of the call's route.
 std::uint32_t rankOf(const GatewayCallState& call);
 
+/// Position of the call in the queue.
+AdmissionOrder admissionOrderOf(const GatewayCallState& call);
+
 /// The id under which journals keep a turn that the call stores or continues. Empty if `turn` is empty.
 TurnId recordedTurn(const GatewayCallState& call, const TurnId& turn);
 
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -9,13 +9,6 @@
 
 // Placement ----------------------------------------------------------------------------------------------------------
 
-double Gateway::Impl::maxLoadFor(const Call& call) const
-{
-    if (call.query.version)
-        return this->limits.resumedMaxLoad;
-    return call.isFirstTurn ? this->limits.firstTurnMaxLoad : this->limits.maxLoad;
-}
-
 /// Precondition: `query.maxLoad` is set.
 std::optional<PlacementChoice> Gateway::Impl::choose(const Call& call, const PlacementQuery& query) const
 {
@@ -25,8 +18,21 @@
         query, this->timers.now(), [this, &call](const EndpointId& endpoint) { return this->roomAt(call, endpoint); });
 }
 
+double Gateway::Impl::maxLoadFor(const Call& call) const
+{
+    if (call.query.version)
+        return this->limits.resumedMaxLoad;
+    return call.isFirstTurn ? this->limits.firstTurnMaxLoad : this->limits.maxLoad;
+}
+
 void Gateway::Impl::place(Call& call)
 {
+    this->noteOffered(call);
+    if (this->mustWaitBehind(call)) {
+        this->stopAwaiting(call);
+        this->enqueue(call);
+        return;
+    }
     call.query.maxLoad = this->maxLoadFor(call);
     const auto choice = this->choose(call, call.query);
     call.bestChoice = choice;
@@ -40,7 +46,7 @@
         return;
     }
     if (choice->wait <= Milliseconds(0)) {
-        this->dequeue(call);
+        this->dequeue(call, true);
         this->stopAwaiting(call);
         this->sendTo(call, *choice);
         return;
@@ -92,6 +98,7 @@
     call.isBrokenWhileHeld = false;
     ++call.sends;
     ++call.runs;
+    this->noteServed(call);
     call.isWritten = false;
     this->callOfSend.emplace(call.send, call.id);
     ++this->counts.sends;
@@ -163,28 +170,32 @@
 {
     if (call.isQueued)
         return;
-    if (this->queue.size() >= this->limits.maxQueued) {
+    this->order(call);
+    if (!this->makeRoomInQueue(call)) {
+        this->failCall(call, RejectionReason::Overloaded);
+        return;
+    }
+    if (!this->canBeServedInTime(call)) {
+        ++this->counts.refusedForQueue;
         this->failCall(call, RejectionReason::Overloaded);
         return;
     }
     call.isQueued = true;
-    call.queuedAt = this->timers.now();
+    this->noteQueued(call);
     this->queue.emplace(queueKey(call), call.id);
     this->scheduleQueue();
 }
 
-void Gateway::Impl::dequeue(Call& call)
+void Gateway::Impl::dequeue(Call& call, bool isSent)
 {
     if (!call.isQueued)
         return;
     call.isQueued = false;
+    this->noteLeftQueue(call, isSent);
     this->queue.erase(queueKey(call));
 }
 
-Gateway::Impl::QueueKey Gateway::Impl::queueKey(const Call& call)
-{
-    return { !call.query.version.has_value(), rankOf(call), call.isFirstTurn, call.queuedAt, call.id };
-}
+Gateway::Impl::QueueKey Gateway::Impl::queueKey(const Call& call) { return { call.order, call.queuedAt, call.id }; }
 
 Duration Gateway::Impl::maxQueueWait(const Call& call) const
 {
@@ -203,12 +214,15 @@
     });
 }
 
-void Gateway::Impl::processQueue()
+void Gateway::Impl::processQueue(std::size_t most)
 {
     std::vector<CallId> waiting;
-    waiting.reserve(this->queue.size());
-    for (const auto& [order, id] : this->queue)
+    waiting.reserve(std::min(most, this->queue.size()));
+    for (const auto& [order, id] : this->queue) {
+        if (waiting.size() >= most)
+            break;
         waiting.push_back(id);
+    }
     for (const CallId id : waiting) {
         Call* call = this->find(id);
         if (!call || !call->isQueued)
@@ -239,6 +253,7 @@
     this->callOfSend.erase(call.send);
     this->endpoints.onEnded(call.endpoint);
     call.send = {};
+    this->onRoom();
 }
 
 void Gateway::Impl::logFailure(const Call& call, SendFailureCause cause)
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -308,6 +308,10 @@
     provide("rattandeck_streams_resumed_total", "counter", [&counts] { return double(counts.resumptions); });
     provide("rattandeck_streams_unknown_total", "counter", [&counts] { return double(counts.unknownStreams); });
     provide("rattandeck_calls_passed_over_total", "counter", [&counts] { return double(counts.passedOver); });
+    provide(
+        "rattandeck_calls_refused_for_queue_total", "counter", [&counts] { return double(counts.refusedForQueue); });
+    provide("rattandeck_calls_far_above_share_total", "counter", [&counts] { return double(counts.farAboveShare); });
+    provide("rattandeck_calls_owed_total", "counter", [&counts] { return double(counts.owed); });
     provide("rattandeck_gateways", "gauge",
         [this] { return double(this->relay.gateway().permits().gatewayCount().value_or(0)); });
     provide("rattandeck_config_version", "gauge",
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -303,6 +303,8 @@
         { "config", std::int64_t(end.configVersion) } };
     if (!end.organisation.value.empty())
         fields.push_back({ "organisation", end.organisation.value });
+    if (end.isFarAboveShare)
+        fields.push_back({ "far_above_share", std::int64_t(1) });
     if (end.prepared)
         fields.push_back({ "prepared_ms", std::int64_t(end.prepared->count()) });
     if (!end.resumedRequest.value.empty())
