--- a/src/librattandeck/admission/admissionrecord.cpp
+++ b/src/librattandeck/admission/admissionrecord.cpp
@@ -5,8 +5,9 @@
 
 namespace Rattandeck {
 
-/// Time in which a value's part in a sum falls to 1/e. Organisations are hot for some seconds.
-constexpr std::chrono::duration<double> timeConstant { 4 };
+/// Time in which a value's part in a sum falls to 1/e. Organisations are hot for some seconds. With 4 s, an
+/// organisation that is no longer served counted as served for most of that time.
+constexpr std::chrono::duration<double> timeConstant { 2 };
 /// Totals over all organisations are as old as this at most.
 constexpr Milliseconds totalsInterval { 100 };
 /// An organisation with fewer calls in its sums is not active.
--- a/src/librattandeck/admission/admissionreplay_test.cpp
+++ b/src/librattandeck/admission/admissionreplay_test.cpp
@@ -31,6 +31,8 @@
     double hotFactor = 8;
     /// The hot organisations are those from this one on; the first one is the largest.
     std::uint32_t firstHot = 0;
+    /// An organisation whose calls have the least urgent rank; none by default.
+    std::uint32_t leastUrgent = UINT32_MAX;
     std::uint32_t seed = 1;
 };
 
@@ -217,7 +219,8 @@
 
     AdmissionOrder orderOf(const Program& program, const OrganisationStanding& standing) const
     {
-        const AdmissionCall call { false, 0, this->isFirst(program) };
+        const bool isLeastUrgent = program.organisation == this->scenario.leastUrgent;
+        const AdmissionCall call { false, isLeastUrgent ? 9U : 0U, this->isFirst(program) };
         if (this->policy == Policy::FirstCome)
             return {};
         return this->policy == Policy::Present ? admissionOrder(call) : admissionOrder(call, standing);
@@ -359,6 +362,7 @@
     CPPUNIT_TEST(callersWithinTheirShareGetMoreThanBefore);
     CPPUNIT_TEST(allProgramsTogetherLoseLittle);
     CPPUNIT_TEST(noOrganisationIsServedLessThanAQuarterAsOften);
+    CPPUNIT_TEST(leastUrgentOrganisationIsServedAQuarterAsOften);
     CPPUNIT_TEST(usualLoadIsServedWhole);
     CPPUNIT_TEST_SUITE_END();
 
@@ -464,6 +468,21 @@
         }
     }
 
+    /// Guards against an order by rank that leaves nothing to an organisation.
+    void leastUrgentOrganisationIsServedAQuarterAsOften()
+    {
+        for (const std::uint32_t leastUrgent : { 0U, 3U, 5U }) {
+            for (const std::uint32_t count : { 2U, 3U }) {
+                const Scenario scenario { count, 8, 1, leastUrgent };
+                const Outcome changed = runAll(Policy::ByOrganisation, scenario);
+                print(scenario, Policy::ByOrganisation, changed);
+                if (std::getenv("RATTANDECK_PRINT_REPLAY"))
+                    std::printf("least urgent %u: %.3f\n", leastUrgent, changed.byOrganisation[leastUrgent].share());
+                CPPUNIT_ASSERT(changed.byOrganisation[leastUrgent].share() >= changed.all().share() / 4);
+            }
+        }
+    }
+
     void usualLoadIsServedWhole()
     {
         const Outcome usual = runAll(Policy::ByOrganisation, { 0, 1, 0 });
--- a/src/librattandeck/organisations/turnscope_test.cpp
+++ b/src/librattandeck/organisations/turnscope_test.cpp
@@ -22,10 +22,9 @@
     void forgedIdsReachNoOtherOrganisation()
     {
         const TurnId victim = scoped("north", "r1");
-        for (const char* forged : { "5:northr1", "northr1", "r1",
-                 "\x1f"
-                 "5:northr1",
-                 ":northr1" }) {
+        const std::string itself = victim.value;
+        for (const std::string& forged :
+            { std::string("5:northr1"), std::string("northr1"), std::string("r1"), itself, std::string(":northr1") }) {
             CPPUNIT_ASSERT(scoped("south", forged) != victim);
             CPPUNIT_ASSERT(scoped("", forged) != victim);
             CPPUNIT_ASSERT(scoped("n", forged) != victim);
@@ -64,13 +63,9 @@
 
     void idsThatWereNotScopedAreKept()
     {
-        for (const char* id : { "", "r1", "5:north", "\x1f",
-                 "\x1f"
-                 "5",
-                 "\x1f"
-                 "9:north",
-                 "\x1f"
-                 "x:north" })
+        const std::string mark(1, '\x1f');
+        for (const std::string& id : { std::string(), std::string("r1"), std::string("5:north"), mark, mark + "5",
+                 mark + "9:north", mark + "x:n" })
             CPPUNIT_ASSERT(unscopedTurn(TurnId(id)) == TurnId(id));
     }
 };
--- a/src/librattandeck/turns/gatewayadmission_test.cpp
+++ b/src/librattandeck/turns/gatewayadmission_test.cpp
@@ -193,11 +193,11 @@
         this->serveSlowly();
         const std::uint64_t before = this->f->gateway.counts().refusedForQueue;
         // The objective of 200 ms allows a wait of 50 ms; two calls ahead take 200 ms.
-        std::vector<CallId> calls;
+        CallId last;
         for (int call = 0; call < 4; ++call)
-            calls.push_back(this->plain("calm"));
-        CPPUNIT_ASSERT(this->refusal(calls.back())->reason == RejectionReason::Overloaded);
-        CPPUNIT_ASSERT(!this->refusal(calls.back())->mayHaveRun);
+            last = this->plain("calm");
+        CPPUNIT_ASSERT(this->refusal(last)->reason == RejectionReason::Overloaded);
+        CPPUNIT_ASSERT(!this->refusal(last)->mayHaveRun);
         CPPUNIT_ASSERT(this->f->gateway.counts().refusedForQueue > before);
         // A call that goes before the others may wait.
         CPPUNIT_ASSERT(!this->refusal(this->plain("urgent")));
