Tell apart what calls wait for before instances have them

Cause: the end of a call told when it was first sent, in no log line, and not what it had waited for. Nor was it recorded which new connections to instances were opened, and why.

Change: CallEnd has the waits for claim, transcript, room, permit and connection; the call line and rattandeck_wait_seconds{for} have them. HttpClient tells the cause of each new connection; the line 'instance connection' (5 a second at most) and rattandeck_instance_connections_total have it.

--- a/src/include/Rattandeck/gatewaylog.h
+++ b/src/include/Rattandeck/gatewaylog.h
@@ -63,6 +63,19 @@
     double retryBudget = 0;
 };
 
+/// What a call has waited for until instances had it.
+struct CallWaits {
+    /// From the arrival until the journals had answered; empty if they were not asked or haven't answered.
+    std::optional<Duration> claim;
+    std::optional<Duration> transcript;
+    /// In the queue, while no instance had room, and while there was room but no permit.
+    Duration room { 0 };
+    Duration permit { 0 };
+    /// From the placement until the call was written to its connection, all sends together. Includes the answer of the
+    /// instance's process, where it had to tell first which one it is.
+    Duration connection { 0 };
+};
+
 struct CallEnd {
     TurnId request;
     BudgetId program;
@@ -79,6 +92,7 @@
     Milliseconds duration { 0 };
     /// Time from the arrival to the first send; empty when the call was never sent.
     std::optional<Milliseconds> waited;
+    CallWaits waits;
     /// Time from the arrival to the first event of a stream.
     std::optional<Milliseconds> firstEvent;
     /// Time from the arrival until its tokens were claimed and its transcript fetched.
--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -122,6 +122,24 @@
     std::function<void(tl::expected<void, NetError>)> onEnd;
 };
 
+/// Why a client opens a connection.
+enum class ConnectCause {
+    /// It has had none before.
+    First,
+    /// All of them have been closed.
+    NoneOpen,
+    /// All open ones run calls.
+    AllBusy,
+    /// The server is expected to close the idle ones now.
+    Expired,
+    /// An idle one was found closed.
+    FoundClosed,
+    /// To find out whether the server still accepts connections.
+    Check,
+};
+
+std::string_view describe(ConnectCause cause);
+
 /// Calls one server over persistent connections. Never retries a request by itself.
 ///
 /// Errors: `BadAddress`, `ConnectFailed` and `NotSent` mean that no byte of the request was sent, also if the call
@@ -154,6 +172,8 @@
     /// which the server keeps idle ones), and the server has not accepted a new one within the connection timeout,
     /// or has ended that one at once. A process that is started again must take longer than twice that timeout.
     void onLost(std::function<void()> handler);
+    /// Sets what is called when a connection is about to be opened, with the number of connections including it.
+    void onConnect(std::function<void(ConnectCause cause, std::size_t connections)> handler);
     /// Since when at least one connection has been open without a gap; empty while there is none. A connection to a
     /// process that ended without a word stays open.
     std::optional<Rattandeck::TimePoint> connectedSince() const;
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -384,6 +384,7 @@
 {
     Call* call = this->find(id);
     call->isClaimPending = false;
+    call->waits.claim = this->timers.now() - call->arrived;
     if (!outcome) {
         const bool isSpent = outcome.error() == JournalError::BudgetSpent;
         this->refuse(*call, isSpent ? RejectionReason::BudgetSpent : RejectionReason::JournalsUnavailable);
@@ -401,6 +402,7 @@
     if (!call)
         return;
     call->isFetchPending = false;
+    call->waits.transcript = this->timers.now() - call->arrived;
     if (!outcome) {
         const bool isUnknown = outcome.error() == JournalError::NotFound;
         this->refuse(*call, isUnknown ? RejectionReason::UnknownTurn : RejectionReason::JournalsUnavailable);
@@ -520,6 +522,7 @@
     const auto since
         = [&call](TimePoint when) { return std::chrono::duration_cast<Milliseconds>(when - call.arrived); };
     end.duration = since(this->timers.now());
+    end.waits = call.waits;
     if (call.firstSent)
         end.waited = since(*call.firstSent);
     if (call.firstEvent)
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -14,8 +14,11 @@
 
 void Gateway::onSendWritten(SendId id)
 {
-    if (Impl::Call* call = this->impl->findBySend(id))
-        call->isWritten = true;
+    Impl::Call* call = this->impl->findBySend(id);
+    if (!call)
+        return;
+    call->isWritten = true;
+    call->waits.connection += this->impl->timers.now() - call->sentAt;
 }
 
 void Gateway::onAnswerHead(SendId id, const EndpointAnswer& answer)
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -44,6 +44,9 @@
     // Queue
     bool isQueued = false;
     TimePoint queuedAt;
+    CallWaits waits;
+    /// Time up to which `waits` has the time in the queue.
+    TimePoint queueCountedUntil;
     /// Instance for which the call waits for a permit; empty if there is none.
     EndpointId awaited;
     std::size_t awaitedUrgency = 0;
@@ -175,6 +178,8 @@
     Duration maxQueueWait(const Call& call) const;
     void enqueue(Call& call);
     void dequeue(Call& call);
+    /// Adds the time in the queue since the last count to what the call has waited for.
+    void countQueueWait(Call& call) const;
     void scheduleQueue();
     void processQueue();
     void dropSend(Call& call, bool cancel);
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -27,6 +27,7 @@
 
 void Gateway::Impl::place(Call& call)
 {
+    this->countQueueWait(call);
     call.query.maxLoad = this->maxLoadFor(call);
     const auto choice = this->choose(call, call.query);
     call.bestChoice = choice;
@@ -164,6 +165,7 @@
     }
     call.isQueued = true;
     call.queuedAt = this->timers.now();
+    call.queueCountedUntil = call.queuedAt;
     this->queue.emplace(queueKey(call), call.id);
     this->scheduleQueue();
 }
@@ -172,10 +174,21 @@
 {
     if (!call.isQueued)
         return;
+    this->countQueueWait(call);
     call.isQueued = false;
     this->queue.erase(queueKey(call));
 }
 
+void Gateway::Impl::countQueueWait(Call& call) const
+{
+    if (!call.isQueued)
+        return;
+    const TimePoint now = this->timers.now();
+    Duration& wait = call.awaited.value.empty() ? call.waits.room : call.waits.permit;
+    wait += now - call.queueCountedUntil;
+    call.queueCountedUntil = now;
+}
+
 Gateway::Impl::QueueKey Gateway::Impl::queueKey(const Call& call)
 {
     return { !call.query.version.has_value(), call.route->rank, call.isFirstTurn, call.queuedAt, call.id };
@@ -229,8 +242,10 @@
         return;
     if (cancel)
         this->io.cancelSend(call.send);
-    if (!call.isWritten)
+    if (!call.isWritten) {
         --call.runs;
+        call.waits.connection += this->timers.now() - call.sentAt;
+    }
     this->callOfSend.erase(call.send);
     this->endpoints.onEnded(call.endpoint);
     call.send = {};
--- a/src/librattandecknet/clientconnection.cpp
+++ b/src/librattandecknet/clientconnection.cpp
@@ -90,9 +90,11 @@
     this->read();
 }
 
+bool ClientConnection::isExpired() const { return this->loop.timers.now() - this->idleSince > this->keepAliveTime; }
+
 bool ClientConnection::isUsable()
 {
-    if (this->loop.timers.now() - this->idleSince > this->keepAliveTime)
+    if (this->isExpired())
         return false;
     char byte = 0;
     ErrorCode error;
--- a/src/librattandecknet/clientconnection.h
+++ b/src/librattandecknet/clientconnection.h
@@ -48,6 +48,8 @@
     std::optional<Rattandeck::TimePoint> lastHeard;
     Rattandeck::TimePoint heardSince;
     std::function<void()> lostHandler;
+    std::function<void(ConnectCause, std::size_t connections)> connectHandler;
+    bool hasConnected = false;
     /// A connection is being opened only to find out whether the server still accepts any.
     bool isChecking = false;
     bool isShutDown = false;
@@ -57,6 +59,7 @@
     void onEstablishedClosed();
     /// A connection was accepted, or bytes have arrived.
     void noteHeard();
+    std::shared_ptr<ClientConnection> addConnection(ConnectCause cause);
     /// A connection that has run calls, or none yet, is about to be closed and has ended without announcement.
     void noteLoss(bool hasRunCalls);
     void checkServer();
@@ -81,6 +84,8 @@
     /// Returns whether an idle connection is still open, has no unread data and has not exceeded its keep-alive
     /// time.
     bool isUsable();
+    /// Whether the server is expected to close it, if it is idle.
+    bool isExpired() const;
     void close();
 
 private:
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -53,14 +53,41 @@
     }));
 }
 
+std::string_view describe(ConnectCause cause)
+{
+    switch (cause) {
+    case ConnectCause::First:
+        return "first";
+    case ConnectCause::NoneOpen:
+        return "none open";
+    case ConnectCause::AllBusy:
+        return "all busy";
+    case ConnectCause::Expired:
+        return "idle ones expired";
+    case ConnectCause::FoundClosed:
+        return "idle one found closed";
+    case ConnectCause::Check:
+        return "check";
+    }
+    return "";
+}
+
+std::shared_ptr<ClientConnection> HttpClient::Impl::addConnection(ConnectCause cause)
+{
+    const auto connection = std::make_shared<ClientConnection>(this->shared_from_this());
+    this->connections.insert(connection);
+    this->hasConnected = true;
+    if (this->connectHandler)
+        this->connectHandler(cause, this->connections.size());
+    return connection;
+}
+
 void HttpClient::Impl::checkServer()
 {
     if (this->isChecking || !this->endpoint)
         return;
     this->isChecking = true;
-    const auto connection = std::make_shared<ClientConnection>(this->shared_from_this());
-    this->connections.insert(connection);
-    connection->connect(nullptr);
+    this->addConnection(ConnectCause::Check)->connect(nullptr);
 }
 
 void HttpClient::Impl::reportLoss()
@@ -92,6 +119,9 @@
         }));
         return;
     }
+    ConnectCause cause = this->hasConnected ? ConnectCause::NoneOpen : ConnectCause::First;
+    if (!this->connections.empty())
+        cause = ConnectCause::AllBusy;
     while (!this->idle.empty()) {
         const auto connection = this->idle.back();
         if (connection->isUsable()) {
@@ -100,14 +130,14 @@
             connection->run(call);
             return;
         }
+        cause = connection->isExpired() ? ConnectCause::Expired : ConnectCause::FoundClosed;
         connection->close();
     }
     if (this->connections.size() >= this->maxConnections) {
         this->waiting.push_back(call);
         return;
     }
-    const auto connection = std::make_shared<ClientConnection>(this->shared_from_this());
-    this->connections.insert(connection);
+    const auto connection = this->addConnection(cause);
     this->running[call->id] = connection;
     connection->connect(call);
 }
@@ -248,6 +278,11 @@
 
 void HttpClient::onLost(std::function<void()> handler) { this->impl->lostHandler = std::move(handler); }
 
+void HttpClient::onConnect(std::function<void(ConnectCause, std::size_t)> handler)
+{
+    this->impl->connectHandler = std::move(handler);
+}
+
 std::optional<Rattandeck::TimePoint> HttpClient::connectedSince() const { return this->impl->connectedSince; }
 
 std::optional<Rattandeck::TimePoint> HttpClient::heardSince() const
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -3,6 +3,7 @@
 #include "platform/calls.h"
 #include "RattandeckApp/log.h"
 
+#include <array>
 #include <set>
 
 using namespace Rattandeck;
@@ -95,6 +96,9 @@
         const Address server = parseAddress(address).value_or(Address {});
         client.instance = std::make_unique<InstanceClient>(this->loop, this->metrics, server, maxConnections);
         client.instance->http().onLost([this, address] { this->core.onConnectionsLost(address); });
+        client.instance->http().onConnect([this, address](ConnectCause cause, std::size_t connections) {
+            this->noteConnection(address, cause, connections);
+        });
         client.instance->onTold([this, address] { this->core.onProcessTold(address); });
     }
     return client;
@@ -285,6 +289,44 @@
             { "time_left_ms", std::int64_t(failure.timeLeft.count()) }, { "retry_budget", failure.retryBudget } });
 }
 
+void Relay::noteConnection(const std::string& address, ConnectCause cause, std::size_t connections)
+{
+    const std::string text(describe(cause));
+    this->metrics.count("rattandeck_instance_connections_total", { { "cause", text } });
+    const auto leftOut = this->connectionLines.admit(this->loop.timers().now());
+    if (!leftOut)
+        return;
+    logFields("instance connection",
+        { { "address", address }, { "cause", text }, { "connections", std::int64_t(connections) },
+            { "left_out", *leftOut } });
+}
+
+/// Logs and counts what a call has waited for. What it has not waited for is left out.
+static void addWaits(const CallWaits& waits, Metrics& metrics, std::vector<LogField>& fields)
+{
+    struct Named {
+        const char* name;
+        const char* field;
+        Duration wait;
+    };
+    const std::array<Named, 5> all { {
+        { "claim", "claim_ms", waits.claim.value_or(Duration(0)) },
+        { "transcript", "transcript_ms", waits.transcript.value_or(Duration(0)) },
+        { "room", "room_ms", waits.room },
+        { "permit", "permit_ms", waits.permit },
+        { "connection", "connection_ms", waits.connection },
+    } };
+    for (const Named& named : all) {
+        if (named.wait <= Duration(0))
+            continue;
+        metrics.observe("rattandeck_wait_seconds", std::chrono::duration<double>(named.wait).count(),
+            { { "for", std::string(named.name) } });
+        const auto rounded = std::chrono::duration_cast<Milliseconds>(named.wait);
+        if (rounded.count() > 0)
+            fields.push_back({ named.field, std::int64_t(rounded.count()) });
+    }
+}
+
 void Relay::logEnd(const CallEnd& end)
 {
     const auto seconds = [](Milliseconds time) { return std::chrono::duration<double>(time).count(); };
@@ -301,6 +343,9 @@
         { "endpoint", end.endpoint }, { "status", std::int64_t(end.status) }, { "sends", std::int64_t(end.sends) },
         { "events", std::int64_t(end.events) }, { "duration_ms", std::int64_t(end.duration.count()) },
         { "config", std::int64_t(end.configVersion) } };
+    if (end.waited)
+        fields.push_back({ "waited_ms", std::int64_t(end.waited->count()) });
+    addWaits(end.waits, this->metrics, fields);
     if (end.prepared)
         fields.push_back({ "prepared_ms", std::int64_t(end.prepared->count()) });
     if (!end.resumedRequest.value.empty())
@@ -358,16 +403,11 @@
 
 void Relay::logInvalidLoad(const EndpointId& endpoint, const std::string& text)
 {
-    // Each answer has a report: instances of another version would fill the log.
-    constexpr Milliseconds interval { 1000 };
     constexpr std::size_t maxText = 64;
     this->metrics.count("rattandeck_invalid_loads_total");
-    ++this->invalidLoads;
-    const TimePoint now = this->loop.timers().now();
-    if (this->invalidLoadLogged && now - *this->invalidLoadLogged < interval)
+    const auto leftOut = this->invalidLoadLines.admit(this->loop.timers().now());
+    if (!leftOut)
         return;
-    this->invalidLoadLogged = now;
     logFields("endpoint load ignored",
-        { { "endpoint", endpoint.value }, { "text", text.substr(0, maxText) }, { "reports", this->invalidLoads } });
-    this->invalidLoads = 0;
+        { { "endpoint", endpoint.value }, { "text", text.substr(0, maxText) }, { "reports", *leftOut + 1 } });
 }
--- a/src/rattandeck-gateway/relay.h
+++ b/src/rattandeck-gateway/relay.h
@@ -5,6 +5,7 @@
 #include "RattandeckNet/http.h"
 
 #include "instanceclient.h"
+#include "logquota.h"
 
 #include <map>
 #include <unordered_map>
@@ -74,6 +75,7 @@
     void write(Rattandeck::CallId call, Rattandeck::SendId send, const Rattandeck::EndpointSend& details);
     /// The instance has told which process it is, or hasn't in time.
     void onIdentified(Rattandeck::CallId call, Rattandeck::SendId send, Rattandeck::EndpointSend details);
+    void noteConnection(const std::string& address, RattandeckNet::ConnectCause cause, std::size_t connections);
     OpenCall* findCall(Rattandeck::CallId call);
     void forgetSend(Rattandeck::SendId send);
 
@@ -81,9 +83,9 @@
     RattandeckApp::Metrics& metrics;
     Rattandeck::Gateway core;
     std::uint64_t lastCall = 0;
-    /// Load reports that can't be read, since the last line about one.
-    std::int64_t invalidLoads = 0;
-    std::optional<Rattandeck::TimePoint> invalidLoadLogged;
+    /// Each answer has a report: instances of another version would fill the log.
+    LogQuota invalidLoadLines { 1 };
+    LogQuota connectionLines { 5 };
     std::unordered_map<Rattandeck::CallId, OpenCall> calls;
     std::unordered_map<Rattandeck::SendId, OpenSend> sends;
     std::map<std::string, Client> clients;
