Place calls by their expected time at each instance's learned speed

Cause: placement used fixed figures alone. A quarter of the engines of a deployment works at 0.55 of the usual speed and got calls like the others. An instance that answered all calls with errors was never busy and got most.

Change: the speed of an instance is learned from the time between the events of its streams and from the time of plain calls, beside the pace that it states; the cost of a call from hints corrected by outputs observed, by route and organisation. Work at an instance is multiplied by its expected time relative to the usual; where instances are alike that is 1, and the order is that of the figures before, which a test compares. Programs prefer lastingly slow instances less often. Gateways choose at random among instances within 2 ms. Answers with status 500 and above count as failures of the instance.

Reading rate, batch and queue figures stay fixed.

--- a/src/include/Rattandeck/endpoints.h
+++ b/src/include/Rattandeck/endpoints.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Rattandeck/instancespeed.h"
 #include "Rattandeck/types.h"
 
 #include <functional>
@@ -33,10 +34,6 @@
     bool operator==(const EndpointInstance&) const = default;
 };
 
-/// How long work takes at an instance at a moment, in percent of the usual time: 100 as usual, 250 two and a half times
-/// as long.
-using WorkTimePercent = Strong<struct WorkTimePercentTag, double>;
-
 /// Load that an instance reports with an answer.
 struct EndpointLoad {
     std::uint32_t running = 0;
@@ -74,6 +71,8 @@
     /// Expected number of tokens that the call generates, relative to the mean of the calls of its service. The load of
     /// an instance delays a longer call by more, so that of two calls the longer one waits for a limited instance.
     double relativeLength = 1;
+    /// Time that the call usually takes at an idle instance once its prompt is read, in milliseconds; 0 if unknown.
+    double workMs = 0;
     /// Load up to which an instance has room for the call, in multiples of its slots.
     double maxLoad = std::numeric_limits<double>::infinity();
 };
@@ -88,6 +87,11 @@
     std::uint32_t slots = 1;
     /// Prompt tokens that the instance is expected to have in its cache.
     std::int64_t cachedTokens = 0;
+    /// Time that work is expected to take there, relative to the usual time.
+    double workTime = 1;
+    /// Expected time until the answer is complete, in milliseconds; less than that by the time of the work where that
+    /// is not known.
+    double expectedMs = 0;
     /// Its load is below the `maxLoad` of the query.
     bool hasRoom = true;
     /// Expected time until the instance may be sent the call.
@@ -114,7 +118,8 @@
 };
 
 /// Cost model of the placement. Each value in milliseconds estimates how much latency a property of the instance adds
-/// to a call.
+/// to a call. What depends on the instance's work is multiplied by the time that work is expected to take there,
+/// relative to the usual time (`InstanceSpeed`), so that these figures alone decide where instances are alike.
 struct EndpointCosts {
     /// Latency that each other call in the engine's batch adds.
     double batchedCallMs = 8.5;
@@ -145,6 +150,32 @@
     /// The weight of a load report falls linearly with its age, to zero at this age. The rest of the weight is that of
     /// the mean load of the other instances.
     Milliseconds maxReportAge { 2000 };
+    /// Penalty for an instance that fails all calls while others of its service fail none. It is in proportion to the
+    /// share of failures beyond `toleratedFailures` and twice that of the service, and falls linearly to zero with the
+    /// age of the last answer.
+    double failingMs = 1000;
+    double toleratedFailures = 0.3;
+    Milliseconds failingPeriod { 4000 };
+    /// Instances whose cost exceeds the least one by no more than this are chosen from at random: processes that have
+    /// seen the same reports must not all choose one.
+    double nearEqualMs = 2;
+    /// Seed of that choice; 0: the first instance of least cost is chosen.
+    std::uint64_t seed = 0;
+    /// Share by which each other call in a batch lengthens the work of a call: about `batchedCallMs` of a turn that
+    /// takes 0.4 s. Used to compare times of work that were observed under different loads.
+    double batchedCallShare = 0.02;
+    SpeedPolicy speed;
+};
+
+/// A piece of work that an instance has done.
+struct ObservedWork {
+    double milliseconds = 0;
+    /// What it takes usually, at an idle instance.
+    double usualMs = 0;
+    /// Expected load of the instance when it got the call.
+    double load = 0;
+    /// The time includes the wait for a slot.
+    bool includesQueue = false;
 };
 
 /// The instances of all services, with an estimate of their load.
@@ -182,6 +213,15 @@
     /// A call that was sent to the instance has ended, with any outcome.
     void onEnded(const EndpointId& id);
     void onLoad(const EndpointId& id, const EndpointLoad& load, TimePoint now);
+    /// An instance has done work. Returns what its load, its stated pace and its known speed don't explain of the time,
+    /// as a natural logarithm.
+    double onWork(const EndpointId& id, const ObservedWork& work, TimePoint now);
+    /// A call to the instance was answered, or failed.
+    void onOutcome(const EndpointId& id, bool isFailure, TimePoint now);
+    /// Time that work is expected to take at the instance, relative to the usual time.
+    double workTime(const EndpointId& id, TimePoint now) const;
+    /// Number of instances whose work is expected to take at least `factor` times the usual time.
+    std::size_t slowInstances(double factor, TimePoint now) const;
     /// A call to the instance was interrupted, or the instance could not be reached.
     void onFailure(const EndpointId& id, TimePoint now);
     /// The instance's process `startedAt` leaves, whatever its entry says. Returns whether that was not known. Also
--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -120,6 +120,9 @@
     Milliseconds defaultResumePeriod { 60000 };
     /// Added to the time until a caller's deadline, in which it may resume a stream.
     Milliseconds resumeMargin { 1000 };
+    /// Seed of the choice among instances that are expected to be equally fast; 0: the first one is chosen. That at the
+    /// start holds.
+    std::uint64_t placementSeed = 0;
     /// Settings of the permits for limited instances; those at the start hold.
     PermitSettings permits;
     /// Time for which turns may be continued on a route that doesn't state it.
--- a/src/librattandeck/routing/endpoints.cpp
+++ b/src/librattandeck/routing/endpoints.cpp
@@ -2,18 +2,20 @@
 #include "Rattandeck/digest.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace Rattandeck {
 
 // Preferred instance -------------------------------------------------------------------------------------------------
 
-namespace {
-
-    /// An instance that may get the call.
-    struct Candidate {
-        const InstanceState* state = nullptr;
-        LimitRoom room;
-    };
+/// Share of the programs that prefer an instance, relative to the usual one. Lasting differences of speed count in
+/// steps, so that processes that have learned somewhat different speeds agree on nearly all programs.
+static double programShare(const InstanceState& state)
+{
+    constexpr double step = 0.25;
+    constexpr double sharePerStep = 0.47;
+    const double steps = std::round(state.speed.lastingEffect / step);
+    return steps <= 0 ? 1 : std::pow(sharePerStep, steps);
 }
 
 /// The instance that all processes prefer for the query's key; null if there is none.
@@ -29,7 +31,12 @@
     for (const Candidate& candidate : candidates) {
         if (candidate.room.isLimited && !areAllLimited)
             continue;
-        const std::uint64_t hash = rendezvousWeight(key, candidate.state->instance.id.value);
+        std::uint64_t hash = rendezvousWeight(key, candidate.state->instance.id.value);
+        // Weighted rendezvous hashing: with u uniform in 0 to 1, u^(1/w) is the highest of all in proportion to w.
+        if (const double share = programShare(*candidate.state); share < 1)
+            hash = static_cast<std::uint64_t>(
+                       std::ldexp(std::pow(std::ldexp(static_cast<double>(hash >> 11U), -53), 1 / share), 53))
+                << 11U;
         if (preferred && hash <= highest)
             continue;
         preferred = candidate.state;
@@ -59,7 +66,8 @@
         state.parts = {};
         state.otherCalls = 0;
         state.reportedAt.reset();
-        state.pace.reset();
+        state.speed = {};
+        state.failureShare = 0;
         // An entry of an earlier process may arrive late. Then the later one is still running.
         if (instance.startedAt < state.instance.startedAt)
             state.doubtedAt = now;
@@ -119,52 +127,103 @@
         }
     };
 
+    double costWithWait(const Candidate& candidate)
+    {
+        return candidate.cost + static_cast<double>(candidate.room.wait->count());
+    }
+
+}
+
+std::uint64_t EndpointTable::Impl::draw()
+{
+    // SplitMix64 (Steele, Lea and Flood, 2014).
+    std::uint64_t bits = this->costs.seed + ++this->draws * 0x9e3779b97f4a7c15U;
+    bits = (bits ^ bits >> 30U) * 0xbf58476d1ce4e5b9U;
+    bits = (bits ^ bits >> 27U) * 0x94d049bb133111ebU;
+    return bits ^ bits >> 31U;
+}
+
+/// Chooses among the candidates that cost nearly as little as `best`: the preferred instance if it is one of them.
+static const Candidate* chooseNearEqual(const std::vector<Candidate>& candidates, const Cheapest& best,
+    const EndpointCosts& costs, const InstanceState* preferred, std::uint64_t drawn)
+{
+    std::uint64_t count = 0;
+    const auto isNear = [&](const Candidate& candidate) {
+        return candidate.room.wait && candidate.hasRoom == best.candidate->hasRoom
+            && costWithWait(candidate) <= best.cost + costs.nearEqualMs;
+    };
+    for (const Candidate& candidate : candidates) {
+        if (!isNear(candidate))
+            continue;
+        if (candidate.state == preferred)
+            return &candidate;
+        ++count;
+    }
+    std::uint64_t left = drawn % count;
+    for (const Candidate& candidate : candidates) {
+        if (isNear(candidate) && left-- == 0)
+            return &candidate;
+    }
+    return best.candidate;
 }
 
 std::optional<PlacementChoice> EndpointTable::choose(
     const PlacementQuery& query, TimePoint now, const LimitRooms& rooms) const
 {
-    const auto instances = this->impl->byService.find(query.service);
-    if (instances == this->impl->byService.end())
+    Impl& self = *this->impl;
+    const auto instances = self.byService.find(query.service);
+    if (instances == self.byService.end())
         return std::nullopt;
     if (query.mayBeResumed)
-        this->impl->countVersions(query.service);
-    const ServiceLoad service = this->impl->loadOf(instances->second, now);
-    std::vector<Candidate> candidates;
-    candidates.reserve(instances->second.size());
+        self.countVersions(query.service);
+    PlacementInputs inputs { query, self.loadOf(query.service, instances->second, now) };
+    self.hashParts(query);
+    for (const PromptPart& part : query.prompt)
+        inputs.promptTokens += part.tokens.value;
+    if (!query.subject.empty())
+        inputs.subject = hash64(query.subject);
+    std::vector<Candidate>& candidates = self.candidates;
+    candidates.clear();
     for (const InstanceState* state : instances->second) {
-        if (this->impl->mayGet(*state, query, now))
+        if (self.mayGet(*state, query, now))
             candidates.push_back({ state, rooms ? rooms(state->instance.id) : LimitRoom() });
     }
     const InstanceState* preferred = preferredInstance(query, candidates);
+    std::erase_if(candidates,
+        [&query](const Candidate& candidate) { return query.excluded.contains(candidate.state->instance.id); });
     Cheapest withRoom;
     Cheapest withoutRoom;
     Cheapest withoutWait;
-    for (const Candidate& candidate : candidates) {
+    for (Candidate& candidate : candidates) {
         const InstanceState& state = *candidate.state;
-        if (query.excluded.contains(state.instance.id))
-            continue;
-        const double cost = this->impl->cost(state, query, service, &state == preferred);
-        withoutWait.consider(candidate, cost);
+        candidate.load = self.expectedLoad(state, inputs.service);
+        candidate.workTime = expectedWorkTime(state.speed, now, self.costs.speed);
+        candidate.cost = self.cost(candidate, inputs, &state == preferred);
+        withoutWait.consider(candidate, candidate.cost);
         if (!candidate.room.wait)
             continue;
         const double slots = std::max<std::uint32_t>(state.instance.slots, 1);
-        const bool hasRoom = this->impl->expectedLoad(state, service) < query.maxLoad * slots;
-        Cheapest& cheapest = hasRoom ? withRoom : withoutRoom;
-        cheapest.consider(candidate, cost + static_cast<double>(candidate.room.wait->count()));
+        candidate.hasRoom = candidate.load < query.maxLoad * slots;
+        Cheapest& cheapest = candidate.hasRoom ? withRoom : withoutRoom;
+        cheapest.consider(candidate, costWithWait(candidate));
     }
-    const Candidate* best = withRoom.candidate ? withRoom.candidate : withoutRoom.candidate;
-    if (!best)
+    const Cheapest& least = withRoom.candidate ? withRoom : withoutRoom;
+    if (!least.candidate)
         return std::nullopt;
+    const Candidate* best = least.candidate;
+    if (self.costs.seed != 0)
+        best = chooseNearEqual(candidates, least, self.costs, preferred, self.draw());
     const InstanceState& state = *best->state;
     PlacementChoice choice;
     choice.endpoint = state.instance.id;
     choice.address = state.instance.address;
-    choice.expectedLoad = this->impl->expectedLoad(state, service);
+    choice.expectedLoad = best->load;
     if (state.reportedAt)
         choice.reportAge = std::chrono::duration_cast<Milliseconds>(now - *state.reportedAt);
     choice.slots = state.instance.slots;
-    choice.cachedTokens = this->impl->cachedTokens(state, query);
+    choice.cachedTokens = self.cachedTokens(state, query);
+    choice.workTime = best->workTime;
+    choice.expectedMs = self.workCost(*best, inputs, &state == preferred);
     choice.wait = *best->room.wait;
     choice.hasRoom = withRoom.candidate != nullptr;
     if (withoutWait.candidate->room.isLimited && withoutWait.candidate != best)
@@ -181,9 +240,9 @@
         return;
     ++state->ownCalls;
     for (const PromptPart& part : query.prompt)
-        state->parts.touch(part.id);
+        state->parts.touch(hash64(part.id.value));
     if (!query.subject.empty())
-        state->parts.touch(PromptPartId(query.subject));
+        state->parts.touch(hash64(query.subject));
 }
 
 void EndpointTable::onEnded(const EndpointId& id)
@@ -200,7 +259,8 @@
         return;
     state->otherCalls = std::max(0.0, static_cast<double>(load.running) + load.waiting - state->ownCalls);
     state->reportedAt = now;
-    state->pace = load.pace;
+    if (load.pace)
+        observePace(state->speed, *load.pace, now, this->impl->costs.speed);
 }
 
 void EndpointTable::onFailure(const EndpointId& id, TimePoint now)
--- a/src/librattandeck/routing/endpointsimpl.h
+++ b/src/librattandeck/routing/endpointsimpl.h
@@ -11,10 +11,13 @@
 /// Maximum number of recent prompt parts and subjects stored per instance.
 constexpr std::size_t maxRecentParts = 512;
 
+/// Hashes of prompt parts. Decisions look up each part of a prompt at each instance.
+using PartHash = std::uint64_t;
+
 /// LRU set of the prompt parts that were sent to an instance.
 class RecentParts {
 public:
-    void touch(const PromptPartId& part)
+    void touch(PartHash part)
     {
         const auto found = this->positions.find(part);
         if (found != this->positions.end())
@@ -26,11 +29,11 @@
         this->positions.erase(this->order.back());
         this->order.pop_back();
     }
-    bool contains(const PromptPartId& part) const { return this->positions.contains(part); }
+    bool contains(PartHash part) const { return this->positions.contains(part); }
 
 private:
-    std::list<PromptPartId> order;
-    std::unordered_map<PromptPartId, std::list<PromptPartId>::iterator> positions;
+    std::list<PartHash> order;
+    std::unordered_map<PartHash, std::list<PartHash>::iterator> positions;
 };
 
 struct InstanceState {
@@ -40,8 +43,10 @@
     /// Calls of other processes, as of the last report.
     double otherCalls = 0;
     std::optional<TimePoint> reportedAt;
-    /// As stated by the last report, at `reportedAt`; empty if that states none.
-    std::optional<WorkTimePercent> pace;
+    InstanceSpeed speed;
+    /// Moving share of calls that failed.
+    double failureShare = 0;
+    std::optional<TimePoint> outcomeAt;
     std::optional<TimePoint> failedAt;
     /// When it became doubtful which process runs under the id; empty once that is known again.
     std::optional<TimePoint> doubtedAt;
@@ -66,6 +71,31 @@
     /// Number of such calls to expect at an instance that has not reported: it is not taken for idle, since others
     /// call it, too. Less than the mean while few have reported, which may be the busy ones.
     double unreportedCalls = 0;
+    double failureShare = 0;
+};
+
+/// What is known of a service from all its instances.
+struct ServiceWork {
+    WorkSpread spread;
+    double failureShare = 0;
+};
+
+/// An instance that may get a call.
+struct Candidate {
+    const InstanceState* state = nullptr;
+    LimitRoom room;
+    double load = 0;
+    double workTime = 1;
+    double cost = 0;
+    bool hasRoom = true;
+};
+
+/// What the costs of a call at all instances have in common.
+struct PlacementInputs {
+    const PlacementQuery& query;
+    ServiceLoad service;
+    std::int64_t promptTokens = 0;
+    PartHash subject = 0;
 };
 
 struct EndpointTable::Impl {
@@ -78,6 +108,11 @@
     std::unordered_map<ServiceName, std::vector<InstanceState*>> byService;
     /// Services whose instances have changed since their versions were counted.
     std::set<ServiceName> uncounted;
+    std::unordered_map<ServiceName, ServiceWork> work;
+    /// Of the decision under way; kept so that a decision allocates nothing.
+    std::vector<Candidate> candidates;
+    std::vector<PartHash> partHashes;
+    std::uint64_t draws = 0;
 
     void countVersions(const ServiceName& service);
     bool isLeaving(const EndpointInstance& instance) const;
@@ -100,11 +135,16 @@
         return found == this->instances.end() ? nullptr : &found->second;
     }
 
-    ServiceLoad loadOf(const std::vector<InstanceState*>& instances, TimePoint now) const;
+    ServiceLoad loadOf(const ServiceName& name, const std::vector<InstanceState*>& instances, TimePoint now) const;
     double expectedLoad(const InstanceState& state, const ServiceLoad& service) const;
+    /// Precondition: `partHashes` are those of the query's prompt.
     std::int64_t cachedTokens(const InstanceState& state, const PlacementQuery& query) const;
-    double cost(
-        const InstanceState& state, const PlacementQuery& query, const ServiceLoad& service, bool isPreferred) const;
+    /// Expected time of the call's work at the instance, in milliseconds.
+    double workCost(const Candidate& candidate, const PlacementInputs& inputs, bool isPreferred) const;
+    double cost(const Candidate& candidate, const PlacementInputs& inputs, bool isPreferred) const;
+    double failurePenalty(const InstanceState& state, const ServiceLoad& service) const;
+    void hashParts(const PlacementQuery& query);
+    std::uint64_t draw();
 };
 
 }
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -228,6 +228,7 @@
     const double length = self.relativeLength(*state);
     if (self.permits.limitedInstances() > 0)
         state->query.relativeLength = length;
+    state->query.workMs = self.usualWorkMs(*state);
     Impl::Call& added = *state;
     self.calls.emplace(id, std::move(state));
     self.prepare(added);
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -18,6 +18,7 @@
     if (!call)
         return;
     call->isWritten = true;
+    call->writtenAt = this->impl->timers.now();
     call->waits.connection += this->impl->timers.now() - call->sentAt;
 }
 
@@ -104,6 +105,7 @@
         return;
     }
     this->recordAnswer(call);
+    this->noteAnswerTime(call);
     if (call.head->isEventStream && isSuccess(*call.head)) {
         this->release(call);
         this->onStreamEnd(call);
@@ -232,6 +234,7 @@
         call.firstEvent = this->timers.now();
     ++call.events;
     ++call.eventsOfSend;
+    this->noteEventTime(call);
     ++this->counts.events;
     if (!event.id.empty())
         call.lastEvent = event.id;
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "Rattandeck/callcosts.h"
 #include "Rattandeck/eventstream.h"
 #include "Rattandeck/gateway.h"
 
@@ -63,6 +64,7 @@
     std::uint32_t runs = 0;
     /// The current send has been written to its connection.
     bool isWritten = false;
+    TimePoint writtenAt;
     TimePoint sentAt;
     /// Start time of the process that the instance had when the call was sent.
     std::int64_t instanceStartedAt = 0;
@@ -83,6 +85,9 @@
     std::string lastEvent;
     std::uint64_t events = 0;
     std::uint64_t eventsOfSend = 0;
+    /// Events since `workSince`, by which the speed of the instance is observed.
+    std::uint64_t workEvents = 0;
+    TimePoint workSince;
     std::string output;
     RetainedTurn retained;
     std::optional<TimePoint> storeStarted;
@@ -98,7 +103,7 @@
         , journals(journals)
         , domain(std::move(domain))
         , limits(limits)
-        , endpoints(EndpointCosts {},
+        , endpoints(costsOf(limits),
               { [this](const std::string& address) { return this->io.connectedSince(address); },
                   [this](const std::string& address) { return this->io.processAt(address); } })
         , permits(timers, this->permitIo(), limits.permits)
@@ -122,6 +127,7 @@
     EndpointTable endpoints;
     /// Moving average of the tokens that turns are expected to generate, by service.
     std::unordered_map<ServiceName, double> meanOutputTokens;
+    CallCosts costs;
     CrashWatch crashes;
     PermitHolder permits;
     StreamOriginClient origins;
@@ -210,6 +216,17 @@
     /// Delay after which the caller of a refused call may retry.
     Milliseconds retryDelay(const Call& call, RejectionReason reason) const;
 
+    // gatewaycosts.cpp: what calls cost, and how fast instances work
+    static EndpointCosts costsOf(const GatewayLimits& limits);
+    static CallSize sizeOf(const Call& call);
+    static std::int64_t tokensPerEvent(const Call& call);
+    /// Time that the call usually takes at an idle instance once its prompt is read, in milliseconds; 0 if unknown.
+    double usualWorkMs(const Call& call) const;
+    void noteWork(const Call& call, double milliseconds, bool includesQueue);
+    void noteEventTime(Call& call);
+    /// Precondition: the answer is complete, and the instance has answered the call.
+    void noteAnswerTime(Call& call);
+
     // gatewayanswers.cpp: relaying of answers
     void noteLeaving(const Call& call, const EndpointAnswer& answer);
     void onAnswerEnd(Call& call, SendOutcome outcome);
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -86,6 +86,7 @@
     call.body.clear();
     call.splitter = {};
     call.eventsOfSend = 0;
+    call.workEvents = 0;
     this->timers.cancel(call.processTimer);
     call.processTimer = {};
     call.hasAwaitedProcess = false;
@@ -321,6 +322,7 @@
 {
     this->logFailure(call, cause);
     this->endpoints.onFailure(call.endpoint, this->timers.now());
+    this->endpoints.onOutcome(call.endpoint, true, this->timers.now());
     if (call.events == 0)
         this->recordLostAnswer(call);
     call.query.excluded.insert(call.endpoint);
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -117,6 +117,7 @@
 {
     GatewayLimits limits = settings.limits;
     limits.permits.seed = std::random_device {}();
+    limits.placementSeed = std::random_device {}() | 1U;
     limits.origins.copies = toleratedLosses(settings.toleratedLosses) + 1;
     return limits;
 }
@@ -304,6 +305,10 @@
     provide("rattandeck_calls_queued", "gauge", [this] { return double(this->relay.gateway().queuedCalls()); });
     provide("rattandeck_endpoints_limited", "gauge",
         [this] { return double(this->relay.gateway().permits().limitedInstances()); });
+    // An instance is slow from this factor of the usual time on.
+    constexpr double slow = 1.3;
+    provide("rattandeck_endpoints_slow", "gauge",
+        [this] { return double(this->relay.gateway().endpoints().slowInstances(slow, this->loop.timers().now())); });
     provide("rattandeck_streams_resumed_total", "counter", [&counts] { return double(counts.resumptions); });
     provide("rattandeck_streams_unknown_total", "counter", [&counts] { return double(counts.unknownStreams); });
     provide("rattandeck_calls_passed_over_total", "counter", [&counts] { return double(counts.passedOver); });
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -269,6 +269,10 @@
         fields.push_back({ "limit", decision.limit->value });
         fields.push_back({ "permits_left", std::int64_t(decision.permitsLeft) });
     }
+    if (decision.choice.workTime != 1)
+        fields.push_back({ "work_time", decision.choice.workTime });
+    if (decision.choice.expectedMs > 0)
+        fields.push_back({ "expected_ms", std::int64_t(decision.choice.expectedMs) });
     if (!decision.choice.passedOver.value.empty())
         fields.push_back({ "passed_over", decision.choice.passedOver.value });
     if (!decision.resumeAfter.empty()) {
