Judge stalls against what an instance is expected to need

Cause: an idempotent call was moved after its route's objective and a stream after 700 ms without an event, also from a sound instance that is known to be slow. Such calls cost a run elsewhere and marked the instance as failed.

Change: the time-out is lengthened by the expected work time of the instance, or to one and a half times what it needs until the next progress, up to four times. It is never shorter than before.

--- a/src/librattandeck/turns/gatewaycosts.cpp
+++ b/src/librattandeck/turns/gatewaycosts.cpp
@@ -1,5 +1,7 @@
 #include "gatewayimpl.h"
 
+#include "Rattandeck/stalls.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -58,6 +60,32 @@
     return tokens ? *unit * std::ceil(*tokens / static_cast<double>(tokensPerEvent(call))) : 0;
 }
 
+double Gateway::Impl::expectedProgressMs(const Call& call) const
+{
+    if (!call.bestChoice)
+        return 0;
+    const auto unit = this->costs.unitTime(workOf(call));
+    if (call.route->safety != CallSafety::Stream)
+        return unit ? call.bestChoice->expectedMs : 0;
+    const double eventMs = unit.value_or(0) * call.bestChoice->workTime;
+    if (call.eventsOfSend > 0)
+        return eventMs;
+    // Until the first event, the call waits for a slot and its prompt is read.
+    return call.bestChoice->expectedMs - call.query.workMs * call.bestChoice->workTime + eventMs;
+}
+
+Duration Gateway::Impl::stallTimeoutOf(const Call& call) const
+{
+    const bool isStream = call.route->safety == CallSafety::Stream;
+    StallInputs inputs;
+    inputs.usual = isStream
+        ? Duration(this->limits.streamStallTimeout)
+        : std::chrono::duration_cast<Duration>(call.route->objective * this->limits.stallTimeoutRatio);
+    inputs.workTime = this->endpoints.workTime(call.endpoint, this->timers.now());
+    inputs.expectedMs = this->expectedProgressMs(call);
+    return stallTimeout(inputs);
+}
+
 void Gateway::Impl::noteWork(const Call& call, double milliseconds, bool includesQueue)
 {
     if (milliseconds <= 0 || !call.bestChoice)
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -222,6 +222,9 @@
     static std::int64_t tokensPerEvent(const Call& call);
     /// Time that the call usually takes at an idle instance once its prompt is read, in milliseconds; 0 if unknown.
     double usualWorkMs(const Call& call) const;
+    /// Time in which the call's instance is expected to make the next progress, in milliseconds; 0 if unknown.
+    double expectedProgressMs(const Call& call) const;
+    Duration stallTimeoutOf(const Call& call) const;
     void noteWork(const Call& call, double milliseconds, bool includesQueue);
     void noteEventTime(Call& call);
     /// Precondition: the answer is complete, and the instance has answered the call.
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -341,10 +341,7 @@
     call.stallTimer = {};
     if (!this->mayRunAgain(call))
         return;
-    const bool isStream = call.route->safety == CallSafety::Stream;
-    const Duration timeout = isStream
-        ? Duration(this->limits.streamStallTimeout)
-        : std::chrono::duration_cast<Duration>(call.route->objective * this->limits.stallTimeoutRatio);
+    const Duration timeout = this->stallTimeoutOf(call);
     call.stallTimer = this->timers.subscribeAfter(timeout, [this, id = call.id] { this->onStall(id); });
 }
 
