--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -239,6 +239,7 @@
     const double length = self.relativeLength(*state);
     if (self.permits.limitedInstances() > 0)
         state->query.relativeLength = length;
+    state->query.workMs = self.usualWorkMs(*state);
     Impl::Call& added = *state;
     self.calls.emplace(id, std::move(state));
     self.prepare(added);
@@ -390,6 +391,7 @@
 {
     Call* call = this->find(id);
     call->isClaimPending = false;
+    call->waits.claim = this->timers.now() - call->arrived;
     if (!outcome) {
         const bool isSpent = outcome.error() == JournalError::BudgetSpent;
         this->refuse(*call, isSpent ? RejectionReason::BudgetSpent : RejectionReason::JournalsUnavailable);
@@ -413,6 +415,7 @@
         return;
     }
     call->isFetchPending = false;
+    call->waits.transcript = this->timers.now() - call->arrived;
     if (!outcome) {
         const bool isUnknown = outcome.error() == JournalError::NotFound;
         this->refuse(*call, isUnknown ? RejectionReason::UnknownTurn : RejectionReason::JournalsUnavailable);
@@ -540,6 +543,7 @@
     const auto since
         = [&call](TimePoint when) { return std::chrono::duration_cast<Milliseconds>(when - call.arrived); };
     end.duration = since(this->timers.now());
+    end.waits = call.waits;
     if (call.firstSent)
         end.waited = since(*call.firstSent);
     if (call.firstEvent)
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -14,8 +14,12 @@
 
 void Gateway::onSendWritten(SendId id)
 {
-    if (Impl::Call* call = this->impl->findBySend(id))
-        call->isWritten = true;
+    Impl::Call* call = this->impl->findBySend(id);
+    if (!call)
+        return;
+    call->isWritten = true;
+    call->writtenAt = this->impl->timers.now();
+    call->waits.connection += this->impl->timers.now() - call->sentAt;
 }
 
 void Gateway::onAnswerHead(SendId id, const EndpointAnswer& answer)
@@ -101,6 +105,7 @@
         return;
     }
     this->recordAnswer(call);
+    this->noteAnswerTime(call);
     if (call.head->isEventStream && isSuccess(*call.head)) {
         this->release(call);
         this->onStreamEnd(call);
@@ -229,6 +234,7 @@
         call.firstEvent = this->timers.now();
     ++call.events;
     ++call.eventsOfSend;
+    this->noteEventTime(call);
     ++this->counts.events;
     if (!event.id.empty())
         call.lastEvent = event.id;
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Rattandeck/admissionrecord.h"
+#include "Rattandeck/callcosts.h"
 #include "Rattandeck/eventstream.h"
 #include "Rattandeck/gateway.h"
 
@@ -53,6 +54,9 @@
     /// When the call was offered.
     OrganisationStanding standing;
     bool isInQueueRate = false;
+    CallWaits waits;
+    /// Time up to which `waits` has the time in the queue.
+    TimePoint queueCountedUntil;
     /// Instance for which the call waits for a permit; empty if there is none.
     EndpointId awaited;
     std::size_t awaitedUrgency = 0;
@@ -69,6 +73,7 @@
     std::uint32_t runs = 0;
     /// The current send has been written to its connection.
     bool isWritten = false;
+    TimePoint writtenAt;
     TimePoint sentAt;
     /// Start time of the process that the instance had when the call was sent.
     std::int64_t instanceStartedAt = 0;
@@ -89,6 +94,9 @@
     std::string lastEvent;
     std::uint64_t events = 0;
     std::uint64_t eventsOfSend = 0;
+    /// Events since `workSince`, by which the speed of the instance is observed.
+    std::uint64_t workEvents = 0;
+    TimePoint workSince;
     std::string output;
     RetainedTurn retained;
     std::optional<TimePoint> storeStarted;
@@ -104,7 +112,7 @@
         , journals(journals)
         , domain(std::move(domain))
         , limits(limits)
-        , endpoints(EndpointCosts {},
+        , endpoints(costsOf(limits),
               { [this](const std::string& address) { return this->io.connectedSince(address); },
                   [this](const std::string& address) { return this->io.processAt(address); } })
         , permits(timers, this->permitIo(), limits.permits)
@@ -131,6 +139,7 @@
     EndpointTable endpoints;
     /// Moving average of the tokens that turns are expected to generate, by service.
     std::unordered_map<ServiceName, double> meanOutputTokens;
+    CallCosts costs;
     CrashWatch crashes;
     PermitHolder permits;
     StreamOriginClient origins;
@@ -196,6 +205,8 @@
     Duration maxQueueWait(const Call& call) const;
     void enqueue(Call& call);
     void dequeue(Call& call, bool isSent = false);
+    /// Adds the time in the queue since the last count to what the call has waited for.
+    void countQueueWait(Call& call) const;
     void scheduleQueue();
     /// Places the first calls of the queue again, `most` at most.
     void processQueue(std::size_t most = SIZE_MAX);
@@ -268,6 +279,20 @@
     void endCallsWithoutKey();
     std::optional<Milliseconds> keyRetryDelay(const TurnId& request, RejectionReason reason) const;
 
+    // gatewaycosts.cpp: what calls cost, and how fast instances work
+    static EndpointCosts costsOf(const GatewayLimits& limits);
+    static CallSize sizeOf(const Call& call);
+    static std::int64_t tokensPerEvent(const Call& call);
+    /// Time that the call usually takes at an idle instance once its prompt is read, in milliseconds; 0 if unknown.
+    double usualWorkMs(const Call& call) const;
+    /// Time in which the call's instance is expected to make the next progress, in milliseconds; 0 if unknown.
+    double expectedProgressMs(const Call& call) const;
+    Duration stallTimeoutOf(const Call& call) const;
+    void noteWork(const Call& call, double milliseconds, bool includesQueue);
+    void noteEventTime(Call& call);
+    /// Precondition: the answer is complete, and the instance has answered the call.
+    void noteAnswerTime(Call& call);
+
     // gatewayanswers.cpp: relaying of answers
     void noteLeaving(const Call& call, const EndpointAnswer& answer);
     void onAnswerEnd(Call& call, SendOutcome outcome);
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -27,6 +27,7 @@
 
 void Gateway::Impl::place(Call& call)
 {
+    this->countQueueWait(call);
     this->noteOffered(call);
     if (this->mustWaitBehind(call)) {
         this->stopAwaiting(call);
@@ -98,6 +99,7 @@
     call.body.clear();
     call.splitter = {};
     call.eventsOfSend = 0;
+    call.workEvents = 0;
     this->timers.cancel(call.processTimer);
     call.processTimer = {};
     call.hasAwaitedProcess = false;
@@ -191,6 +193,7 @@
     }
     call.isQueued = true;
     this->noteQueued(call);
+    call.queueCountedUntil = call.queuedAt;
     this->queue.emplace(queueKey(call), call.id);
     this->scheduleQueue();
 }
@@ -199,11 +202,22 @@
 {
     if (!call.isQueued)
         return;
+    this->countQueueWait(call);
     call.isQueued = false;
     this->noteLeftQueue(call, isSent);
     this->queue.erase(queueKey(call));
 }
 
+void Gateway::Impl::countQueueWait(Call& call) const
+{
+    if (!call.isQueued)
+        return;
+    const TimePoint now = this->timers.now();
+    Duration& wait = call.awaited.value.empty() ? call.waits.room : call.waits.permit;
+    wait += now - call.queueCountedUntil;
+    call.queueCountedUntil = now;
+}
+
 Gateway::Impl::QueueKey Gateway::Impl::queueKey(const Call& call) { return { call.order, call.queuedAt, call.id }; }
 
 Duration Gateway::Impl::maxQueueWait(const Call& call) const
@@ -257,8 +271,10 @@
         return;
     if (cancel)
         this->io.cancelSend(call.send);
-    if (!call.isWritten)
+    if (!call.isWritten) {
         --call.runs;
+        call.waits.connection += this->timers.now() - call.sentAt;
+    }
     this->callOfSend.erase(call.send);
     this->endpoints.onEnded(call.endpoint);
     call.send = {};
@@ -337,6 +353,7 @@
 {
     this->logFailure(call, cause);
     this->endpoints.onFailure(call.endpoint, this->timers.now());
+    this->endpoints.onOutcome(call.endpoint, true, this->timers.now());
     if (call.events == 0)
         this->recordLostAnswer(call);
     call.query.excluded.insert(call.endpoint);
@@ -355,10 +372,7 @@
     call.stallTimer = {};
     if (!this->mayRunAgain(call))
         return;
-    const bool isStream = call.route->safety == CallSafety::Stream;
-    const Duration timeout = isStream
-        ? Duration(this->limits.streamStallTimeout)
-        : std::chrono::duration_cast<Duration>(call.route->objective * this->limits.stallTimeoutRatio);
+    const Duration timeout = this->stallTimeoutOf(call);
     call.stallTimer = this->timers.subscribeAfter(timeout, [this, id = call.id] { this->onStall(id); });
 }
 
