--- a/testsuite/harness.py
+++ b/testsuite/harness.py
@@ -240,8 +240,9 @@
         relay = self.relays[name]
         return f'[peers]\nlisten = "{relay.target}"\nadvertise = "{relay.address}"\n'
 
-    def start_entry(self, name, domain):
-        settings = self.write_settings(name, f"""
+    def start_entry(self, name, domain, settings=""):
+        """Starts an entry; `settings` (TOML) extends its settings."""
+        path = self.write_settings(name, f"""
 node = "{name}"
 domain = "{domain}"
 [platform]
@@ -252,8 +253,8 @@
 count = {self.shards}
 [lease]
 duration_ms = {self.lease_ms}
-{self.peers_settings(name)}""")
-        entry = self.start(name, "rattandeck-entry", ["--settings", settings])
+{self.peers_settings(name)}{settings}""")
+        entry = self.start(name, "rattandeck-entry", ["--settings", path])
         self.entries[name] = entry
         self.register_instance(name, entry.field("peers"), domain, "")
         return entry
