--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -2,6 +2,7 @@
 
 #include "RattandeckNet/address.h"
 #include "RattandeckNet/eventloop.h"
+#include "RattandeckNet/memorybudget.h"
 
 #include <functional>
 #include <map>
@@ -23,6 +24,8 @@
     std::map<std::string, std::string> query;
     HttpHeaders headers;
     std::string body;
+    /// The server has not kept the body, see `HttpServer::setNeedsBody`.
+    bool isBodyOmitted = false;
     /// The raw request target, as received or to be sent. If empty, the client builds it from `path` and `query`.
     std::string target;
 };
@@ -38,13 +41,28 @@
 struct HttpLimits {
     std::size_t maxHeaderBytes = 16UL * 1024;
     std::size_t maxBodyBytes = 4UL * 1024 * 1024;
-    /// Maximum wait for the rest of a request, or for a client that reads nothing of its response.
+    /// Maximum number of header fields, those of trailers included. Each takes some 100 bytes beside its text.
+    std::size_t maxHeaderFields = 256;
+    /// Maximum wait for the rest of a request's head.
     std::chrono::milliseconds readTimeout { 30000 };
+    /// Maximum wait for the next byte of a body.
+    std::chrono::milliseconds bodyStallTimeout { 10000 };
+    /// Maximum time for a whole body.
+    std::chrono::milliseconds maxBodyTime { 60000 };
+    /// Maximum wait for a client that reads nothing of its response.
+    std::chrono::milliseconds unreadTimeout { 30000 };
     /// How long a connection without a request is kept open.
     std::chrono::milliseconds idleTimeout { 30000 };
     std::size_t maxConnections = 1024;
     /// Maximum unsent bytes of a streamed response; beyond it the connection of a slow reader is closed.
     std::size_t maxUnsentBytes = 8UL * 1024 * 1024;
+    /// Unsent bytes of a streamed response from which on `HttpResponder::isCongested` holds.
+    std::size_t congestedBytes = 256UL * 1024;
+    /// How many copies of its body a request takes while it is processed.
+    std::size_t bodyCopies = 1;
+    /// How long a connection may be open without a request before it is closed in favour of a new one, once there are
+    /// `maxConnections`.
+    std::chrono::milliseconds unusedTime { 1000 };
 };
 
 /// Copyable handle that answers one request, either by `send` or by `begin`, `write`..., `end`. Calls after the end of
@@ -61,6 +79,10 @@
     void abort() const;
     /// Sets a handler that is called once if the client disconnects before the response is complete.
     void onClosed(std::function<void()> handler) const;
+    /// Whether the client reads a streamed response more slowly than it is written, so that the writer should pause.
+    bool isCongested() const;
+    /// Sets a handler that is called, from the loop, whenever `isCongested` no longer holds.
+    void onRelieved(std::function<void()> handler) const;
 
     struct Impl;
     explicit HttpResponder(std::shared_ptr<Impl> shared)
@@ -74,14 +96,22 @@
 
 /// Accepts connections and passes their requests to one handler.
 ///
-/// Thread safety: use from the loop's thread. Precondition: the loop outlives this object.
+/// Thread safety: use from the loop's thread. Precondition: the loop and the budget outlive this object.
 class HttpServer {
 public:
     using Handler = std::function<void(HttpRequest, HttpResponder)>;
+    /// Says, by the head of a request whose body is outstanding, whether the handler needs the body.
+    using NeedsBody = std::function<bool(const HttpRequest& head)>;
 
     HttpServer(EventLoop& loop, HttpLimits limits, Handler handler);
+    /// What the connections hold counts in `budget`.
+    HttpServer(EventLoop& loop, HttpLimits limits, MemoryBudget& budget, Handler handler);
     ~HttpServer();
 
+    /// Sets which requests are handed on without their body, as soon as their head has arrived: with
+    /// `HttpRequest::isBodyOmitted` set. Their bodies are read and dropped. By default every body is needed.
+    void setNeedsBody(NeedsBody needsBody);
+
     /// Listens and accepts. Errors: `BadAddress`, `AddressInUse`.
     tl::expected<void, NetError> listen(const Address& address);
     /// The bound port; differs from the requested one if that was 0.
@@ -142,13 +172,18 @@
 
     /// Streams the response to `callbacks`, never within this call. `timeout` covers the whole call and counts from
     /// now, also outside the loop's handlers. A call that would be written after `writeBy` fails with `NotSent`.
-    CallId start(const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallbacks callbacks,
+    CallId start(HttpRequest request, std::chrono::milliseconds timeout, HttpCallbacks callbacks,
         std::optional<Rattandeck::TimePoint> writeBy = std::nullopt);
     /// Collects the whole response, with a body of at most `maxBody` bytes.
     CallId fetch(const HttpRequest& request, std::chrono::milliseconds timeout,
         std::function<void(tl::expected<HttpResponse, NetError>)> done, std::size_t maxBody = 16UL * 1024 * 1024);
     /// Cancels the call; none of its callbacks is called any more.
     void cancel(CallId call);
+    /// Stops reading the answer; what has been read already is still delivered. The server notices when the buffers in
+    /// between are full. Ignored for calls that have ended.
+    void pause(CallId call);
+    /// Reads on, from the loop. Ignored for calls that are not paused.
+    void resume(CallId call);
     /// Sets what is called, from the loop, when the process at the other end may have ended: the last open connection
     /// has ended in a way that the server did not announce (it broke within a call, or was closed before the time for
     /// which the server keeps idle ones), and the server has not accepted a new one within the connection timeout,
--- a/src/include/RattandeckNet/peer.h
+++ b/src/include/RattandeckNet/peer.h
@@ -3,6 +3,7 @@
 #include "Rattandeck/messages.h"
 #include "RattandeckNet/address.h"
 #include "RattandeckNet/eventloop.h"
+#include "RattandeckNet/memorybudget.h"
 
 #include <functional>
 #include <map>
@@ -17,6 +18,13 @@
     std::size_t maxMessageBytes = 16UL * 1024 * 1024;
     /// Maximum unsent bytes, beyond which the link to a stuck peer is closed.
     std::size_t maxUnsentBytes = 64UL * 1024 * 1024;
+    /// Maximum number of links, accepted and dialled ones together; a connection beyond it is closed at once.
+    std::size_t maxLinks = 4096;
+    /// Maximum number of accepted links whose `Hello` is outstanding. For one more, the oldest of them is closed: a
+    /// process of the system sends its `Hello` at once.
+    std::size_t maxUnknownLinks = 64;
+    /// Maximum size of the first message, a `Hello`.
+    std::size_t maxHelloBytes = 16UL * 1024;
     std::chrono::milliseconds pingInterval { 1000 };
     /// A link that has received nothing for this long is closed.
     std::chrono::milliseconds silenceLimit { 4000 };
@@ -64,6 +72,9 @@
 public:
     /// `self` is sent as the first message on each link.
     PeerNetwork(EventLoop& loop, Rattandeck::Hello self, PeerLimits limits, PeerHandlers handlers);
+    /// What the links hold counts in `budget`, which outlives the loop.
+    PeerNetwork(
+        EventLoop& loop, Rattandeck::Hello self, PeerLimits limits, MemoryBudget& budget, PeerHandlers handlers);
     ~PeerNetwork();
 
     tl::expected<void, NetError> listen(const Address& address);
--- a/src/librattandecknet/clientconnection.cpp
+++ b/src/librattandecknet/clientconnection.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace RattandeckNet {
@@ -79,6 +80,7 @@
         return;
     }
     this->written = 0;
+    this->isWritten = false;
     this->parsedBytes = 0;
     this->dataBytes = 0;
     this->buffer.clear();
@@ -115,7 +117,9 @@
 
 void ClientConnection::write()
 {
-    const auto rest = Asio::buffer(this->call->bytes) + this->written;
+    const std::size_t headSize = this->call->head.size();
+    const std::array rest { Asio::const_buffer(Asio::buffer(this->call->head) + this->written),
+        Asio::const_buffer(Asio::buffer(this->call->body) + (this->written - std::min(this->written, headSize))) };
     // The call owns the bytes and must outlive the write, also if it is cancelled.
     this->socket.async_write_some(rest,
         this->loop.bind([self = this->shared_from_this(), call = this->call](const ErrorCode& error, std::size_t size) {
@@ -133,15 +137,21 @@
         return;
     }
     // After a failed write the read continues, to get the server's early response or the connection's reset.
-    if (!error && this->written < this->call->bytes.size())
+    if (error)
+        return;
+    if (this->written < this->call->head.size() + this->call->body.size()) {
         this->write();
+        return;
+    }
+    this->isWritten = true;
+    std::string().swap(this->call->body);
 }
 
 // Response -----------------------------------------------------------------------------------------------------------
 
 void ClientConnection::read()
 {
-    if (this->isReadPending || this->isClosed)
+    if (this->isReadPending || this->isClosed || (this->call && this->call->isPaused))
         return;
     this->isReadPending = true;
     this->socket.async_read_some(this->buffer.prepare(readSize),
@@ -152,6 +162,13 @@
         }));
 }
 
+void ClientConnection::resume()
+{
+    // The call is still connecting if there is no parser.
+    if (this->call && this->parser)
+        this->read();
+}
+
 void ClientConnection::onRead(const ErrorCode& error, std::size_t size)
 {
     if (error) {
@@ -280,8 +297,8 @@
     const auto self = this->shared_from_this();
     const auto owner = this->client;
     const auto ended = std::move(this->call);
-    const bool isReusable = this->mayBeReused && this->parser->keep_alive() && this->buffer.size() == 0
-        && this->written == ended->bytes.size();
+    const bool isReusable
+        = this->mayBeReused && this->parser->keep_alive() && this->buffer.size() == 0 && this->isWritten;
     this->parser.reset();
     this->buffer.shrink_to_fit();
     if (isReusable)
--- a/src/librattandecknet/clientconnection.h
+++ b/src/librattandecknet/clientconnection.h
@@ -17,11 +17,15 @@
 /// A call to a server, until it has ended.
 struct ClientCall {
     HttpClient::CallId id = 0;
-    std::string bytes;
+    /// The request as it is written: its head, then its body.
+    std::string head;
+    std::string body;
     bool isHead = false;
     HttpCallbacks callbacks;
     Rattandeck::TimerId timer;
     std::optional<Rattandeck::TimePoint> writeBy;
+    /// The answer is not read on until the call is resumed.
+    bool isPaused = false;
     /// Set when the first write starts. Reset only if that write fails without sending a byte.
     bool mayBeSent = false;
     bool isEnded = false;
@@ -52,7 +56,7 @@
     bool isChecking = false;
     bool isShutDown = false;
 
-    std::string serialise(const HttpRequest& request) const;
+    std::string serialiseHead(const HttpRequest& request) const;
     void onEstablished();
     void onEstablishedClosed();
     /// A connection was accepted, or bytes have arrived.
@@ -66,6 +70,7 @@
     void end(const std::shared_ptr<ClientCall>& call, tl::expected<void, NetError> outcome);
     void expire(CallId id);
     void cancel(CallId id);
+    void setPaused(CallId id, bool isPaused);
     void shutdown();
 };
 
@@ -78,6 +83,8 @@
     /// loss.
     void connect(std::shared_ptr<ClientCall> first);
     void run(std::shared_ptr<ClientCall> next);
+    /// Reads on after its call was paused.
+    void resume();
     /// Returns whether an idle connection is still open, has no unread data and has not exceeded its keep-alive
     /// time.
     bool isUsable();
@@ -111,6 +118,7 @@
     std::shared_ptr<ClientCall> call;
     bool mayBeReused = true;
     std::size_t written = 0;
+    bool isWritten = false;
     /// Bytes parsed and data delivered for the current call.
     std::size_t parsedBytes = 0;
     std::size_t dataBytes = 0;
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -70,7 +70,7 @@
         this->lostHandler();
 }
 
-std::string HttpClient::Impl::serialise(const HttpRequest& request) const
+std::string HttpClient::Impl::serialiseHead(const HttpRequest& request) const
 {
     HttpHeaders headers = request.headers;
     headers.erase("transfer-encoding");
@@ -80,7 +80,6 @@
     std::string bytes = request.method + " " + writeTarget(request) + " HTTP/1.1\r\n";
     appendHeaders(bytes, headers);
     bytes += "\r\n";
-    bytes += request.body;
     return bytes;
 }
 
@@ -159,6 +158,17 @@
     this->expire(id);
 }
 
+void HttpClient::Impl::setPaused(CallId id, bool isPaused)
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end() || found->second->isPaused == isPaused)
+        return;
+    found->second->isPaused = isPaused;
+    const auto connection = this->running.find(id);
+    if (!isPaused && connection != this->running.end())
+        connection->second->resume();
+}
+
 void HttpClient::Impl::shutdown()
 {
     this->isShutDown = true;
@@ -184,12 +194,13 @@
 
 void HttpClient::setConnectTimeout(std::chrono::milliseconds timeout) { this->impl->connectTimeout = timeout; }
 
-HttpClient::CallId HttpClient::start(const HttpRequest& request, std::chrono::milliseconds timeout,
-    HttpCallbacks callbacks, std::optional<Rattandeck::TimePoint> writeBy)
+HttpClient::CallId HttpClient::start(HttpRequest request, std::chrono::milliseconds timeout, HttpCallbacks callbacks,
+    std::optional<Rattandeck::TimePoint> writeBy)
 {
     const auto call = std::make_shared<ClientCall>();
     call->id = ++this->impl->lastId;
-    call->bytes = this->impl->serialise(request);
+    call->head = this->impl->serialiseHead(request);
+    call->body = std::move(request.body);
     call->isHead = request.method == "HEAD";
     call->callbacks = std::move(callbacks);
     call->writeBy = writeBy;
@@ -246,6 +257,10 @@
 
 void HttpClient::cancel(CallId call) { this->impl->cancel(call); }
 
+void HttpClient::pause(CallId call) { this->impl->setPaused(call, true); }
+
+void HttpClient::resume(CallId call) { this->impl->setPaused(call, false); }
+
 void HttpClient::onLost(std::function<void()> handler) { this->impl->lostHandler = std::move(handler); }
 
 std::optional<Rattandeck::TimePoint> HttpClient::connectedSince() const { return this->impl->connectedSince; }
--- a/src/librattandecknet/peer.cpp
+++ b/src/librattandecknet/peer.cpp
@@ -21,7 +21,10 @@
 constexpr std::size_t readSize = 64UL * 1024;
 /// Approximate maximum number of bytes per socket write.
 constexpr std::size_t writeSize = 256UL * 1024;
-constexpr std::size_t maxLinks = 4096;
+/// Memory of a link beside its buffers: its HTTP/2 session, its socket and timers. Measured: 13 kB.
+constexpr std::size_t linkBytes = 13UL * 1024;
+/// A link that holds no more unsent bytes than this is not closed for lack of memory.
+constexpr std::size_t minUnsentBytes = 256UL * 1024;
 /// Maximum time that a closing link may take to write its queue.
 constexpr std::chrono::seconds drainTimeout { 1 };
 
@@ -44,11 +47,13 @@
 }
 
 struct PeerNetwork::Impl : std::enable_shared_from_this<PeerNetwork::Impl> {
-    Impl(EventLoop& owner, Hello self, PeerLimits limits, PeerHandlers handlers);
+    Impl(EventLoop& owner, Hello self, PeerLimits limits, MemoryBudget* shared, PeerHandlers handlers);
 
     EventLoop::Impl& loop;
     Hello self;
     PeerLimits limits;
+    MemoryBudget ownBudget;
+    MemoryBudget& budget;
     PeerHandlers handlers;
     Acceptor acceptor;
     std::uint16_t port = 0;
@@ -68,6 +73,7 @@
 
     bool isAccepting() const { return !this->isClosing; }
     void addConnection(Socket socket);
+    void limitUnknownLinks();
     void dial(const std::string& name);
     bool shouldSkipDial(const std::string& name, const Target& target) const;
     void scheduleDial(const std::string& name, Duration delay);
@@ -95,7 +101,7 @@
         ofKind.bytes += bytes;
     }
 
-    class PeerLink : public std::enable_shared_from_this<PeerLink> {
+    class PeerLink : public std::enable_shared_from_this<PeerLink>, public MemoryHolder {
     public:
         enum class State { Connecting, AwaitingHello, Up, Draining, Closed };
 
@@ -105,7 +111,9 @@
             , socket(std::move(socket))
             , side(side)
             , session(side, number, this->network->limits.maxMessageBytes)
+            , share(this->network->budget, *this)
         {
+            this->share.set(linkBytes);
         }
 
         /// Name of the dialled target; empty for an accepted link.
@@ -129,6 +137,10 @@
         /// Closes at once without reporting the link as down.
         void shutdown();
 
+        // MemoryHolder
+        ConnectionUse memoryUse() const override;
+        void reclaimMemory() override;
+
     private:
         void scheduleTick();
         void onTick(TimePoint expected);
@@ -139,6 +151,8 @@
         void postFlush();
         void flush();
         void onDrained();
+        bool isExcessive() const;
+        std::size_t heldBytes() const;
         std::size_t unsentBytes() const { return this->session.queuedBytes() + this->writing.size(); }
 
         std::shared_ptr<NetworkImpl> network;
@@ -146,10 +160,16 @@
         Socket socket;
         PeerSession::Side side;
         PeerSession session;
+        MemoryShare share;
         std::string writing;
         bool isWriting = false;
         bool isFlushPosted = false;
         TimePoint lastReceived;
+        /// When the message that is being received began, and when it last grew.
+        TimePoint messageBegan;
+        TimePoint messageGrew;
+        /// When the peer last took something, or there was nothing to take.
+        TimePoint lastWritten;
         TimerId tick;
         TimerId connectTimer;
     };
@@ -247,6 +267,13 @@
 
     void PeerLink::onRead(std::string_view input)
     {
+        if (!this->share.reserveWhole(
+                this->heldBytes() + this->session.growthFor(input.size()), this->loop.timers.now())) {
+            this->network->budget.countRefusal(RefusalCause::Memory);
+            this->close();
+            return;
+        }
+        const std::size_t before = this->session.incomingBytes();
         // Data received before the peer's `Hello` does not count as activity, so a peer that only pings times out.
         if (this->state != State::AwaitingHello)
             this->lastReceived = this->loop.timers.now();
@@ -266,10 +293,17 @@
             if (this->state == State::Closed)
                 return;
         }
-        if (!isIntact || next == PeerSession::Next::TooLong) {
+        if (!isIntact || next == PeerSession::Next::TooLong || this->isExcessive()) {
+            this->network->budget.countRefusal(RefusalCause::Malformed);
             this->close();
             return;
         }
+        const std::size_t rest = this->session.incomingBytes();
+        if (rest < before || before == 0)
+            this->messageBegan = this->loop.timers.now();
+        if (rest != before)
+            this->messageGrew = this->loop.timers.now();
+        this->share.set(this->heldBytes());
         this->flush();
         if (this->state != State::Closed)
             this->read();
@@ -307,6 +341,14 @@
             Asio::post(this->loop.context, this->loop.bind([self = this->shared_from_this()] { self->close(); }));
             return false;
         }
+        if (this->unsentBytes() == 0)
+            this->lastWritten = this->loop.timers.now();
+        const bool isWithin = this->share.setAndReclaim(this->heldBytes() + bytes.size(), this->loop.timers.now());
+        if (!isWithin && this->unsentBytes() > minUnsentBytes) {
+            this->network->budget.countRefusal(RefusalCause::Memory);
+            Asio::post(this->loop.context, this->loop.bind([self = this->shared_from_this()] { self->close(); }));
+            return false;
+        }
         count(this->network->sent, message, bytes.size());
         this->session.queue(bytes);
         this->postFlush();
@@ -336,6 +378,7 @@
         }
         if (this->writing.empty()) {
             releaseIfLarge(this->writing);
+            this->share.set(this->heldBytes());
             this->onDrained();
             return;
         }
@@ -343,6 +386,7 @@
         Asio::async_write(this->socket, Asio::buffer(this->writing),
             this->loop.bind([self = this->shared_from_this()](const ErrorCode& error, std::size_t) {
                 self->isWriting = false;
+                self->lastWritten = self->loop.timers.now();
                 if (error)
                     self->close();
                 else
@@ -379,6 +423,48 @@
         this->network->removeLink(self);
     }
 
+    // Memory -------------------------------------------------------------------------------------------------------
+
+    std::size_t PeerLink::heldBytes() const
+    {
+        return linkBytes + this->session.bufferBytes() + this->writing.capacity();
+    }
+
+    /// Whether a peer that has not introduced itself has sent, or announced, more than its `Hello`.
+    bool PeerLink::isExcessive() const
+    {
+        const std::size_t most = this->network->limits.maxHelloBytes;
+        return this->state == State::AwaitingHello
+            && std::max(this->session.incomingBytes(), this->session.expectedBytes()) > most;
+    }
+
+    ConnectionUse PeerLink::memoryUse() const
+    {
+        const TimePoint now = this->loop.timers.now();
+        const auto since
+            = [now](TimePoint then) { return std::chrono::duration_cast<std::chrono::milliseconds>(now - then); };
+        ConnectionUse use;
+        use.heldBytes = this->share.bytes();
+        use.hasBeenUsed = true;
+        const bool isReceiving = this->session.incomingBytes() > 0;
+        if (isReceiving && this->session.incomingBytes() >= this->unsentBytes()) {
+            use.stage = ConnectionStage::Receiving;
+            use.age = since(this->messageBegan);
+            use.sinceProgress = since(this->messageGrew);
+        } else if (this->unsentBytes() > minUnsentBytes) {
+            use.stage = ConnectionStage::Sending;
+            use.age = use.sinceProgress = since(this->lastWritten);
+        }
+        return use;
+    }
+
+    void PeerLink::reclaimMemory()
+    {
+        // Posted, since handlers are never called within a call of the network. The memory counts as free at once.
+        this->share.set(0);
+        Asio::post(this->loop.context, this->loop.bind([self = this->shared_from_this()] { self->close(); }));
+    }
+
     void PeerLink::shutdown()
     {
         this->state = State::Closed;
@@ -392,10 +478,11 @@
 
 // Network --------------------------------------------------------------------------------------------------------
 
-PeerNetwork::Impl::Impl(EventLoop& owner, Hello self, PeerLimits limits, PeerHandlers handlers)
+PeerNetwork::Impl::Impl(EventLoop& owner, Hello self, PeerLimits limits, MemoryBudget* shared, PeerHandlers handlers)
     : loop(owner.internals())
     , self(std::move(self))
     , limits(limits)
+    , budget(shared ? *shared : this->ownBudget)
     , handlers(std::move(handlers))
     , acceptor(this->loop.context.get_executor())
 {
@@ -403,13 +490,34 @@
 
 void PeerNetwork::Impl::addConnection(Socket socket)
 {
-    if (this->links.size() >= maxLinks)
+    if (this->links.size() >= this->limits.maxLinks) {
+        this->budget.countRefusal(RefusalCause::TooManyConnections);
         return;
+    }
+    this->limitUnknownLinks();
     auto link = std::make_shared<PeerLink>(this->shared_from_this(), std::move(socket), PeerSession::Side::Acceptor, 0);
     this->links.insert(link);
     link->start();
 }
 
+/// Closes the oldest accepted link whose `Hello` is outstanding, if there are as many as are allowed.
+void PeerNetwork::Impl::limitUnknownLinks()
+{
+    std::size_t unknown = 0;
+    std::shared_ptr<PeerLink> oldest;
+    for (const auto& link : this->links) {
+        if (link->isDialled() || link->state != PeerLink::State::AwaitingHello)
+            continue;
+        ++unknown;
+        if (!oldest || link->connectedAt < oldest->connectedAt)
+            oldest = link;
+    }
+    if (unknown < this->limits.maxUnknownLinks)
+        return;
+    this->budget.countRefusal(RefusalCause::TooManyConnections);
+    oldest->close();
+}
+
 // Dialling -------------------------------------------------------------------------------------------------------
 
 void PeerNetwork::Impl::scheduleDial(const std::string& name, Duration delay)
@@ -567,7 +675,12 @@
 }
 
 PeerNetwork::PeerNetwork(EventLoop& loop, Hello self, PeerLimits limits, PeerHandlers handlers)
-    : impl(std::make_shared<Impl>(loop, std::move(self), limits, std::move(handlers)))
+    : impl(std::make_shared<Impl>(loop, std::move(self), limits, nullptr, std::move(handlers)))
+{
+}
+
+PeerNetwork::PeerNetwork(EventLoop& loop, Hello self, PeerLimits limits, MemoryBudget& budget, PeerHandlers handlers)
+    : impl(std::make_shared<Impl>(loop, std::move(self), limits, &budget, std::move(handlers)))
 {
 }
 
--- a/src/librattandecknet/peersession.cpp
+++ b/src/librattandecknet/peersession.cpp
@@ -55,11 +55,36 @@
     ByteQueue outgoing;
 
     ~Impl() { nghttp2_session_del(this->session); }
+    std::size_t expectedBytes() const;
+    /// Returns the capacity that the buffer of incoming bytes needs for `more` bytes, or 0 if it has it.
+    std::size_t capacityFor(std::size_t more) const;
     void openStream();
     void acceptStream(std::int32_t id);
     nghttp2_data_provider provider();
 };
 
+std::size_t PeerSession::Impl::expectedBytes() const
+{
+    const std::string_view received = this->incoming.view();
+    if (received.size() < prefixBytes)
+        return 0;
+    std::size_t length = 0;
+    for (std::size_t i = 0; i < prefixBytes; ++i)
+        length = length << 8U | static_cast<unsigned char>(received[i]);
+    return length;
+}
+
+/// The buffer doubles, but not beyond the message that is being received.
+std::size_t PeerSession::Impl::capacityFor(std::size_t more) const
+{
+    const std::size_t needed = this->incoming.bytes.size() + more;
+    const std::size_t capacity = this->incoming.bytes.capacity();
+    if (needed <= capacity)
+        return 0;
+    const std::size_t whole = this->incoming.taken + prefixBytes + this->expectedBytes();
+    return std::max(needed, std::min(2 * capacity, whole));
+}
+
 // Callbacks of nghttp2 -------------------------------------------------------------------------------------------
 
 static PeerSession::Impl& toImpl(void* userData) { return *static_cast<PeerSession::Impl*>(userData); }
@@ -82,8 +107,11 @@
     nghttp2_session*, std::uint8_t, std::int32_t stream, const std::uint8_t* data, std::size_t length, void* userData)
 {
     PeerSession::Impl& link = toImpl(userData);
-    if (stream == link.stream)
-        link.incoming.bytes.append(reinterpret_cast<const char*>(data), length);
+    if (stream != link.stream)
+        return 0;
+    if (const std::size_t capacity = link.capacityFor(length))
+        link.incoming.bytes.reserve(capacity);
+    link.incoming.bytes.append(reinterpret_cast<const char*>(data), length);
     return 0;
 }
 
@@ -206,9 +234,7 @@
     const std::string_view received = this->impl->incoming.view();
     if (received.size() < prefixBytes)
         return Next::None;
-    std::size_t length = 0;
-    for (std::size_t i = 0; i < prefixBytes; ++i)
-        length = length << 8U | static_cast<unsigned char>(received[i]);
+    const std::size_t length = this->impl->expectedBytes();
     if (length > this->impl->maxMessageBytes)
         return Next::TooLong;
     if (received.size() < prefixBytes + length)
@@ -251,6 +277,17 @@
     return true;
 }
 
+std::size_t PeerSession::incomingBytes() const { return this->impl->incoming.size(); }
+
+std::size_t PeerSession::expectedBytes() const { return this->impl->expectedBytes(); }
+
+std::size_t PeerSession::bufferBytes() const
+{
+    return this->impl->incoming.bytes.capacity() + this->impl->outgoing.bytes.capacity();
+}
+
+std::size_t PeerSession::growthFor(std::size_t bytes) const { return this->impl->capacityFor(bytes); }
+
 std::size_t PeerSession::queuedBytes() const { return this->impl->outgoing.size(); }
 
 std::uint64_t PeerSession::linkNumber() const { return this->impl->linkNumber; }
--- a/src/librattandecknet/peersession.h
+++ b/src/librattandecknet/peersession.h
@@ -41,6 +41,13 @@
     /// Appends bytes for the connection to `output`, until it holds about `limit` bytes or the peer's flow control
     /// windows allow no more. Returns false if the link must be closed.
     bool takeOutput(std::string& output, std::size_t limit);
+    /// Bytes received that are no whole message yet.
+    std::size_t incomingBytes() const;
+    /// Length of the message that is being received; 0 if that is not known yet.
+    std::size_t expectedBytes() const;
+    /// Memory of the buffers, and what `receive` may take in addition for `bytes` more.
+    std::size_t bufferBytes() const;
+    std::size_t growthFor(std::size_t bytes) const;
     /// Bytes of queued messages that `takeOutput` has not returned yet.
     std::size_t queuedBytes() const;
 
--- a/src/librattandecknet/serverconnection.cpp
+++ b/src/librattandecknet/serverconnection.cpp
@@ -5,8 +5,10 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 
 namespace RattandeckNet {
 
@@ -19,14 +21,44 @@
 constexpr std::chrono::seconds lingerTime { 1 };
 /// How long an idle connection is kept after the server has stopped accepting.
 constexpr std::chrono::milliseconds idleGrace { 200 };
+/// Maximum wait for the next byte of a body that is dropped.
+constexpr std::chrono::seconds discardStallTimeout { 2 };
+/// Memory of a connection beside what `heldBytes` counts: the object, its socket and its timers.
+constexpr std::size_t connectionBytes = 2048;
+/// Memory of a header field beside its text: a list element of the parser, or a map element with two strings.
+constexpr std::size_t fieldBytes = 112;
+/// An empty buffer keeps no more memory than this.
+constexpr std::size_t maxIdleBytes = 1024;
+/// Usual size of an answer's head.
+constexpr std::size_t headReserve = 512;
+/// Seconds after which a refused caller may try again: about as long as a large request holds its memory.
+constexpr const char* refusalRetryAfter = "1";
+
+template <typename Message> static HttpRequest readHead(const Message& message)
+{
+    HttpRequest request;
+    request.method = std::string(message.method_string());
+    readTarget(std::string_view(message.target().data(), message.target().size()), request);
+    request.headers = toHeaders(message);
+    return request;
+}
+
+/// Frees the memory of an empty buffer, unless it is small: most connections are idle most of the time.
+static void releaseIfIdle(std::string& buffer)
+{
+    if (buffer.empty() && buffer.capacity() > maxIdleBytes)
+        std::string().swap(buffer);
+}
 
 ServerConnection::ServerConnection(std::shared_ptr<HttpServer::Impl> server, Socket socket)
     : server(std::move(server))
     , loop(this->server->loop)
     , socket(std::move(socket))
-    // Must hold a whole header and a read beyond it; bodies are removed as they are parsed.
-    , buffer(this->server->limits.maxHeaderBytes + 2 * readSize)
+    , share(this->server->budget, *this)
+    , stageBegan(this->loop.timers.now())
+    , lastProgress(this->stageBegan)
 {
+    this->share.set(connectionBytes);
 }
 
 // Reading --------------------------------------------------------------------------------------------------------
@@ -44,22 +76,31 @@
     ErrorCode ignored;
     this->socket.non_blocking(true, ignored);
     this->startReading();
-    this->reject(503);
+    this->reject(503, RefusalCause::TooManyConnections);
 }
 
 void ServerConnection::startReading()
 {
     this->state = State::Reading;
     this->hasSentContinue = false;
+    this->isHeadAccepted = false;
+    this->headBytes = 0;
+    this->headLines = 0;
+    this->stageBegan = this->loop.timers.now();
+    this->noteProgress();
     this->parser.emplace();
-    this->parser->eager(true);
+    // The head is parsed by itself, so that it is judged before any of the body is kept.
+    this->parser->eager(false);
     this->parser->header_limit(static_cast<std::uint32_t>(this->server->limits.maxHeaderBytes));
     this->parser->body_limit(this->server->limits.maxBodyBytes);
-    this->setDeadline(this->server->limits.idleTimeout);
-    if (this->buffer.size() > 0)
+    this->share.set(this->heldBytes());
+    if (!this->pending.empty()) {
+        this->setDeadline(this->server->limits.readTimeout);
         this->parse();
-    else
+    } else {
+        this->setDeadline(this->server->limits.idleTimeout);
         this->read();
+    }
 }
 
 void ServerConnection::read()
@@ -67,7 +108,7 @@
     if (this->isReadPending || this->state == State::Closed)
         return;
     this->isReadPending = true;
-    // Most connections are idle most of the time, so read memory is allocated only once data is available.
+    // Most connections are idle most of the time, so all of them read into one buffer of the server.
     this->socket.async_wait(
         Socket::wait_read, this->loop.bind([self = this->shared_from_this()](const ErrorCode& error) {
             if (error)
@@ -88,16 +129,16 @@
         this->checkClosed();
         return;
     }
+    std::string& input = this->server->input;
+    input.resize(readSize);
     ErrorCode error;
-    const std::size_t size = this->socket.read_some(this->buffer.prepare(readSize), error);
+    const std::size_t size = this->socket.read_some(Asio::buffer(input), error);
     if (error == Asio::error::would_block) {
         this->isReadPending = false;
         this->read();
         return;
     }
     this->onRead(error, size);
-    if (this->buffer.size() == 0)
-        this->buffer.shrink_to_fit();
 }
 
 void ServerConnection::onRead(const ErrorCode& error, std::size_t size)
@@ -109,20 +150,36 @@
         this->disconnect();
         return;
     }
-    if (this->state == State::Lingering) {
+    if (this->isDraining) {
         this->read();
         return;
     }
-    const bool isFirst = this->buffer.size() == 0 && this->parser && !this->parser->got_some();
-    this->buffer.commit(size);
-    // Data received during a response belongs to the next request. It stays in the buffer, and reading pauses.
-    if (this->state != State::Reading)
+    const bool isFirst = this->state == State::Reading && this->isBeforeRequest();
+    this->pending.append(this->server->input, 0, size);
+    if (this->isDiscarding) {
+        this->noteProgress();
+        this->discard();
+        return;
+    }
+    // Data received during a response belongs to the next request. It stays there, and reading pauses.
+    if (this->state != State::Reading) {
+        this->share.set(this->heldBytes());
         return;
-    if (isFirst)
+    }
+    this->noteProgress();
+    if (isFirst) {
+        this->stageBegan = this->loop.timers.now();
         this->setDeadline(this->server->limits.readTimeout);
+    }
     this->parse();
 }
 
+/// Whether nothing of a request has arrived.
+bool ServerConnection::isBeforeRequest() const
+{
+    return this->pending.empty() && this->parser && !this->parser->got_some();
+}
+
 static int statusFor(const ErrorCode& error)
 {
     if (error == Http::error::header_limit || error == Http::error::buffer_overflow)
@@ -132,28 +189,133 @@
     return 400;
 }
 
-void ServerConnection::parse()
+static bool isHeadTooLong(const std::string& pending, std::size_t maxHeaderBytes)
+{
+    // The parser limits the header size, but not the length of a chunk extension.
+    return pending.size() > maxHeaderBytes + readSize;
+}
+
+static std::size_t countLines(std::string_view text)
+{
+    return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
+/// Whether the head has more fields than are allowed. Checked before they are parsed, as each takes many times its
+/// text.
+bool ServerConnection::hasTooManyFields() const
+{
+    constexpr std::string_view headEnd = "\r\n\r\n";
+    // The shortest field is "a:" with its line end.
+    constexpr std::size_t minFieldBytes = 4;
+    const std::size_t most = this->server->limits.maxHeaderFields;
+    if (this->headLines * minFieldBytes + this->pending.size() <= most * minFieldBytes)
+        return false;
+    const std::string_view rest = this->pending;
+    // The request line is no field.
+    return this->headLines + countLines(rest.substr(0, rest.find(headEnd))) > most + 1;
+}
+
+/// Parses what has arrived. Returns false if the bytes are no request; it has been rejected then.
+bool ServerConnection::parseSome()
 {
     ErrorCode error;
-    const std::size_t used = this->parser->put(this->buffer.data(), error);
-    this->buffer.consume(used);
-    if (error && error != Http::error::need_more) {
-        this->reject(statusFor(error));
-        return;
+    const std::size_t used = this->parser->put(Asio::buffer(this->pending), error);
+    if (!this->isHeadAccepted) {
+        const std::size_t lines = countLines(std::string_view(this->pending).substr(0, used));
+        this->headLines += lines;
+        this->headBytes += used + lines * fieldBytes;
+    }
+    this->pending.erase(0, used);
+    releaseIfIdle(this->pending);
+    if (!error || error == Http::error::need_more)
+        return true;
+    const int status = statusFor(error);
+    this->reject(status, status == 400 ? RefusalCause::Malformed : RefusalCause::TooLarge);
+    return false;
+}
+
+void ServerConnection::parse()
+{
+    if (!this->isHeadAccepted) {
+        if (this->hasTooManyFields()) {
+            this->reject(431, RefusalCause::TooManyFields);
+            return;
+        }
+        if (!this->parseSome())
+            return;
+        if (this->parser->is_header_done() && !this->acceptHead())
+            return;
+    }
+    if (this->isHeadAccepted && !this->parser->is_done()) {
+        if (!this->reserveBody()) {
+            this->refuseForMemory();
+            return;
+        }
+        if (!this->pending.empty() && !this->parseSome())
+            return;
     }
     if (this->parser->is_done()) {
         this->dispatch();
         return;
     }
-    // The parser limits the header size, but not the length of a chunk extension.
-    if (this->buffer.size() > this->server->limits.maxHeaderBytes + readSize) {
-        this->reject(431);
+    if (isHeadTooLong(this->pending, this->server->limits.maxHeaderBytes)) {
+        this->reject(431, RefusalCause::TooLarge);
+        return;
+    }
+    if (!this->share.reserve(this->heldBytes(), this->loop.timers.now())) {
+        this->refuseForMemory();
         return;
     }
     this->acceptExpectation();
     this->read();
 }
 
+/// Decides what the head alone decides. Returns false if the request has been rejected or handed on.
+bool ServerConnection::acceptHead()
+{
+    this->isHeadAccepted = true;
+    this->parser->eager(true);
+    if (this->parser->is_done())
+        return true;
+    const auto length = this->parser->content_length();
+    const bool isComplete = length && *length <= this->pending.size();
+    if (!isComplete && this->server->needsBody) {
+        HttpRequest head = readHead(this->parser->get());
+        if (!this->server->needsBody(head)) {
+            this->dispatchWithoutBody();
+            return false;
+        }
+    }
+    if (!isComplete)
+        this->setBodyDeadline();
+    if (length) {
+        const auto bytes = static_cast<std::size_t>(*length);
+        if (!this->share.reserve(this->heldBytes() + bytes, this->loop.timers.now())) {
+            this->refuseForMemory();
+            return false;
+        }
+        this->parser->get().body().reserve(bytes);
+    }
+    return true;
+}
+
+/// Reserves memory for what has arrived of a body. Returns false if there is none.
+bool ServerConnection::reserveBody()
+{
+    std::string& body = this->parser->get().body();
+    const std::size_t needed = body.size() + this->pending.size();
+    if (needed <= body.capacity())
+        return true;
+    const std::size_t most = this->server->limits.maxBodyBytes + readSize;
+    const std::size_t capacity = std::max(needed, std::min(2 * body.capacity(), most));
+    // Both the old and the new memory are in use while the string grows.
+    if (!this->share.reserve(this->heldBytes() + capacity, this->loop.timers.now()))
+        return false;
+    body.reserve(capacity);
+    this->share.set(this->heldBytes());
+    return true;
+}
+
 void ServerConnection::acceptExpectation()
 {
     if (this->hasSentContinue || !this->parser->is_header_done())
@@ -165,37 +327,118 @@
     this->flush();
 }
 
+static std::size_t countFields(const Http::fields& fields)
+{
+    return static_cast<std::size_t>(std::distance(fields.begin(), fields.end()));
+}
+
 void ServerConnection::dispatch()
 {
-    this->loop.timers.cancel(this->deadline);
+    // Trailers may have added fields.
+    if (countFields(this->parser->get()) > this->server->limits.maxHeaderFields) {
+        this->reject(431, RefusalCause::TooManyFields);
+        return;
+    }
+    const std::size_t bodyBytes = this->parser->get().body().size();
+    const std::size_t copies = std::max<std::size_t>(this->server->limits.bodyCopies, 1);
+    this->requestBytes = this->headBytes + bodyBytes * copies;
+    if (!this->share.reserve(
+            connectionBytes + this->pending.capacity() + this->requestBytes, this->loop.timers.now())) {
+        this->refuseForMemory();
+        return;
+    }
     auto message = this->parser->release();
-    HttpRequest request;
-    request.method = std::string(message.method_string());
-    readTarget(std::string_view(message.target().data(), message.target().size()), request);
-    request.headers = toHeaders(message);
+    this->parser.reset();
+    HttpRequest request = readHead(message);
     request.body = std::move(message.body());
+    this->keepAlive = message.keep_alive();
+    this->hand(std::move(request), message.version());
+}
 
+/// Hands on a request whose body is not needed, and drops the body as it arrives.
+void ServerConnection::dispatchWithoutBody()
+{
+    HttpRequest request = readHead(this->parser->get());
+    request.isBodyOmitted = true;
+    this->requestBytes = this->headBytes;
+    this->isDiscarding = true;
+    // The client may leave out a body that it was not told to send; what follows can't be told from it.
+    const bool mayOmitBody = this->parser->get().find(Http::field::expect) != this->parser->get().end();
+    this->keepAlive = this->parser->keep_alive() && !mayOmitBody;
+    this->hand(std::move(request), this->parser->get().version());
+    if (this->state != State::Closed)
+        this->discard();
+}
+
+void ServerConnection::hand(HttpRequest request, unsigned version)
+{
+    this->loop.timers.cancel(this->deadline);
     this->state = State::Responding;
+    this->stageBegan = this->loop.timers.now();
+    this->hasBeenUsed = true;
     this->isCounted = true;
     ++this->server->inFlight;
     ++this->requestNumber;
-    this->isHead = message.method() == Http::verb::head;
-    this->isChunked = message.version() >= 11;
-    this->keepAlive = message.keep_alive();
+    this->isHead = request.method == "HEAD";
+    this->isChunked = version >= 11;
     this->hasBegun = false;
     this->isResponseComplete = false;
+    this->share.set(this->heldBytes());
 
     const auto server = this->server;
     HttpResponder responder(std::make_shared<HttpResponder::Impl>(this->shared_from_this(), this->requestNumber));
     const std::uint64_t current = this->requestNumber;
     server->handler(std::move(request), std::move(responder));
     // Keeps reading, to detect that the client disconnects.
-    if (this->isResponding(current) && this->buffer.size() == 0)
+    if (this->isResponding(current) && this->pending.empty())
+        this->read();
+}
+
+/// Drops what has arrived of a body that is not needed.
+void ServerConnection::discard()
+{
+    while (!this->pending.empty() && !this->parser->is_done()) {
+        ErrorCode error;
+        const std::size_t used = this->parser->put(Asio::buffer(this->pending), error);
+        this->pending.erase(0, used);
+        this->parser->get().body().clear();
+        const bool isInvalid = error && error != Http::error::need_more;
+        if (isInvalid || isHeadTooLong(this->pending, this->server->limits.maxHeaderBytes)) {
+            // The answer is sent, but the connection can't be used again.
+            this->keepAlive = false;
+            this->isDiscarding = false;
+            this->isDraining = true;
+            std::string().swap(this->pending);
+            this->parser.reset();
+            if (this->state == State::Discarding)
+                this->linger();
+            else
+                this->read();
+            return;
+        }
+        if (used == 0)
+            break;
+    }
+    if (this->parser->is_done())
+        this->onDiscarded();
+    else
+        this->read();
+}
+
+void ServerConnection::onDiscarded()
+{
+    this->isDiscarding = false;
+    this->parser.reset();
+    if (this->state == State::Discarding)
+        this->nextRequest();
+    else if (this->pending.empty())
         this->read();
 }
 
-void ServerConnection::reject(int status)
+void ServerConnection::reject(int status, RefusalCause cause)
 {
+    this->server->budget.countRefusal(cause);
+    this->releaseRequest();
     this->isDraining = true;
     this->state = State::Responding;
     ++this->requestNumber;
@@ -203,7 +446,57 @@
     this->keepAlive = false;
     this->hasBegun = false;
     this->isResponseComplete = false;
-    this->send(this->requestNumber, HttpResponse { status, {}, {} });
+    HttpResponse response { status, {}, {} };
+    if (status == 503)
+        response.headers["retry-after"] = refusalRetryAfter;
+    this->send(this->requestNumber, std::move(response));
+    this->read();
+}
+
+void ServerConnection::refuseForMemory() { this->reject(503, RefusalCause::Memory); }
+
+// Memory -------------------------------------------------------------------------------------------------------------
+
+/// Frees what a request that has not been handed on holds.
+void ServerConnection::releaseRequest()
+{
+    this->parser.reset();
+    std::string().swap(this->pending);
+    this->headBytes = 0;
+    this->share.set(this->heldBytes());
+}
+
+std::size_t ServerConnection::heldBytes() const
+{
+    const bool isHandedOn = this->state == State::Responding || this->state == State::Discarding;
+    std::size_t bytes = connectionBytes + this->pending.capacity() + this->queued.capacity() + this->writing.capacity();
+    bytes += isHandedOn ? this->requestBytes : this->headBytes;
+    if (this->parser)
+        bytes += this->parser->get().body().capacity();
+    return bytes;
+}
+
+ConnectionUse ServerConnection::memoryUse() const
+{
+    const auto now = this->loop.timers.now();
+    ConnectionUse use;
+    use.heldBytes = this->share.bytes();
+    use.age = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->stageBegan);
+    use.sinceProgress = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->lastProgress);
+    use.hasBeenUsed = this->hasBeenUsed;
+    if (this->state == State::Reading && !this->isBeforeRequest())
+        use.stage = ConnectionStage::Receiving;
+    else if (this->state == State::Responding)
+        use.stage = this->unsentBytes() > 0 ? ConnectionStage::Sending : ConnectionStage::Running;
+    return use;
+}
+
+void ServerConnection::reclaimMemory()
+{
+    if (this->state == State::Reading)
+        this->refuseForMemory();
+    else
+        this->disconnect();
 }
 
 // Responding --------------------------------------------------------------------------------------------------------
@@ -237,6 +530,7 @@
 {
     if (!this->isResponding(request) || this->hasBegun)
         return;
+    this->queued.reserve(this->queued.size() + response.body.size() + headReserve);
     this->appendHead(response.status, std::move(response.headers), response.body.size());
     if (!this->isHead)
         this->queued += response.body;
@@ -272,12 +566,48 @@
     else
         this->queued += chunk;
     if (this->unsentBytes() > this->server->limits.maxUnsentBytes) {
+        this->server->budget.countRefusal(RefusalCause::TooSlow);
         this->disconnect();
         return;
     }
+    this->wasCongested = this->wasCongested || this->unsentBytes() > this->server->limits.congestedBytes;
     this->flush();
 }
 
+bool ServerConnection::isCongested(std::uint64_t request) const
+{
+    return this->isResponding(request) && this->unsentBytes() > this->server->limits.congestedBytes;
+}
+
+void ServerConnection::setOnRelieved(std::uint64_t request, std::function<void()> handler)
+{
+    if (this->isResponding(request))
+        this->onRelieved = std::move(handler);
+}
+
+/// Tells the writer of a streamed response that the client has caught up.
+void ServerConnection::relieve()
+{
+    if (!this->wasCongested || this->unsentBytes() > this->server->limits.congestedBytes)
+        return;
+    this->wasCongested = false;
+    if (this->onRelieved)
+        Asio::post(this->loop.context, this->loop.bind(this->onRelieved));
+}
+
+/// Counts what waits to be sent. A client that doesn't read is closed if the memory is needed and nobody else's can be
+/// had.
+void ServerConnection::countUnsent()
+{
+    const bool isWithin = this->share.setAndReclaim(this->heldBytes(), this->loop.timers.now());
+    if (isWithin || this->state != State::Responding || this->unsentBytes() <= MemoryBudget::smallShare)
+        return;
+    if (this->loop.timers.now() - this->lastProgress < ShortageRules().stallTime)
+        return;
+    this->server->budget.countRefusal(RefusalCause::Memory);
+    this->disconnect();
+}
+
 void ServerConnection::end(std::uint64_t request)
 {
     if (!this->isResponding(request) || !this->hasBegun)
@@ -328,9 +658,14 @@
         std::swap(this->writing, this->queued);
         if (this->writing.empty())
             return;
-        if (this->state == State::Responding)
-            this->setDeadline(this->server->limits.readTimeout);
+        if (this->state == State::Responding) {
+            this->stageBegan = this->loop.timers.now();
+            this->noteProgress();
+            this->setDeadline(this->server->limits.unreadTimeout);
+        }
+        this->share.set(this->heldBytes());
     } else {
+        this->countUnsent();
         return;
     }
     this->socket.async_write_some(Asio::buffer(this->writing),
@@ -348,21 +683,24 @@
     }
     this->written += size;
     if (this->written < this->writing.size()) {
-        // Progress extends the deadline, which is meant for a client that reads nothing.
-        if (this->state == State::Responding)
-            this->setDeadline(this->server->limits.readTimeout);
+        this->noteProgress();
         this->socket.async_write_some(Asio::buffer(this->writing) + this->written,
             this->loop.bind([self = this->shared_from_this()](
                                 const ErrorCode& error, std::size_t size) { self->onWritten(error, size); }));
         return;
     }
+    this->noteProgress();
     if (!this->queued.empty()) {
         this->flush();
+        this->relieve();
         return;
     }
+    this->writing.clear();
+    this->written = 0;
     if (this->state != State::Responding)
         return;
     this->loop.timers.cancel(this->deadline);
+    this->relieve();
     if (this->isResponseComplete)
         this->finishResponse();
 }
@@ -370,14 +708,34 @@
 void ServerConnection::finishResponse()
 {
     this->onClosed = nullptr;
+    this->onRelieved = nullptr;
+    this->requestBytes = 0;
+    releaseIfIdle(this->queued);
+    releaseIfIdle(this->writing);
     if (this->isCounted) {
         this->isCounted = false;
         --this->server->inFlight;
     }
     if (!this->keepAlive) {
+        this->isDraining = this->isDraining || this->isDiscarding;
+        this->isDiscarding = false;
+        this->releaseRequest();
         this->linger();
         return;
     }
+    if (this->isDiscarding) {
+        this->state = State::Discarding;
+        this->noteProgress();
+        this->share.set(this->heldBytes());
+        this->setDeadline(discardStallTimeout);
+        this->read();
+        return;
+    }
+    this->nextRequest();
+}
+
+void ServerConnection::nextRequest()
+{
     this->startReading();
     if (this->server->stopping)
         this->stopWhenIdle();
@@ -392,8 +750,6 @@
     this->socket.shutdown(Socket::shutdown_send, ignored);
     this->setDeadline(lingerTime);
     if (this->isDraining) {
-        if (!this->isReadPending)
-            this->buffer.clear();
         this->read();
     } else {
         this->waitForClose();
@@ -431,8 +787,7 @@
 
 void ServerConnection::stopWhenIdle()
 {
-    const bool isIdle = this->state == State::Reading && this->buffer.size() == 0 && !this->parser->got_some();
-    if (isIdle)
+    if (this->state == State::Reading && this->isBeforeRequest())
         this->setDeadline(idleGrace);
 }
 
@@ -445,16 +800,45 @@
     });
 }
 
+void ServerConnection::setBodyDeadline() { this->setDeadline(this->server->limits.bodyStallTimeout); }
+
+/// Sets the deadline anew if the connection has made progress within `stallTime`, and `began` less than `mostTime` ago.
+bool ServerConnection::extendDeadline(Rattandeck::Duration stallTime, Rattandeck::Duration mostTime)
+{
+    const auto now = this->loop.timers.now();
+    const auto left = std::min(this->lastProgress + stallTime, this->stageBegan + mostTime) - now;
+    if (left <= Rattandeck::Duration(0))
+        return false;
+    this->setDeadline(left);
+    return true;
+}
+
 void ServerConnection::onDeadline()
 {
-    const bool isRequestIncomplete
-        = this->state == State::Reading && (this->buffer.size() > 0 || this->parser->got_some());
-    if (isRequestIncomplete)
-        this->reject(408);
-    else if (this->state == State::Responding)
+    const HttpLimits& limits = this->server->limits;
+    switch (this->state) {
+    case State::Reading:
+        if (this->isBeforeRequest())
+            this->close();
+        else if (!this->isHeadAccepted)
+            this->reject(408, RefusalCause::Stalled);
+        else if (!this->extendDeadline(limits.bodyStallTimeout, limits.maxBodyTime))
+            this->reject(408, RefusalCause::Stalled);
+        return;
+    case State::Discarding:
+        if (!this->extendDeadline(discardStallTimeout, limits.maxBodyTime))
+            this->close();
+        return;
+    case State::Responding:
+        if (this->extendDeadline(limits.unreadTimeout, Rattandeck::Duration::max() / 4))
+            return;
+        this->server->budget.countRefusal(RefusalCause::Stalled);
         this->disconnect();
-    else
+        return;
+    case State::Lingering:
+    case State::Closed:
         this->close();
+    }
 }
 
 void ServerConnection::disconnect()
@@ -479,9 +863,12 @@
     ErrorCode ignored;
     this->socket.close(ignored);
     this->onClosed = nullptr;
+    this->onRelieved = nullptr;
     if (this->isCounted)
         --this->server->inFlight;
     this->isCounted = false;
+    this->requestBytes = 0;
+    this->releaseRequest();
     this->server->connections.erase(self);
 }
 
--- a/src/librattandecknet/serverconnection.h
+++ b/src/librattandecknet/serverconnection.h
@@ -3,8 +3,6 @@
 #include "httpcommon.h"
 #include "loopimpl.h"
 
-#include <boost/beast/core/flat_buffer.hpp>
-
 #include <optional>
 #include <unordered_set>
 
@@ -13,11 +11,14 @@
 class ServerConnection;
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-    Impl(EventLoop& owner, HttpLimits limits, Handler handler);
+    Impl(EventLoop& owner, HttpLimits limits, MemoryBudget* shared, Handler handler);
 
     EventLoop& owner;
     EventLoop::Impl& loop;
     HttpLimits limits;
+    MemoryBudget ownBudget;
+    MemoryBudget& budget;
+    NeedsBody needsBody;
     Handler handler;
     Acceptor acceptor;
     std::uint16_t port = 0;
@@ -26,9 +27,14 @@
     bool closed = false;
     std::size_t inFlight = 0;
     std::unordered_set<std::shared_ptr<ServerConnection>> connections;
+    /// Bytes just read, of any connection: each keeps only what it can't process yet.
+    std::string input;
+    /// Until then no connection can be closed in favour of a new one, by the last search.
+    Rattandeck::TimePoint nextSearch;
 
     bool isAccepting() const { return !this->stopping && !this->closed; }
     void addConnection(Socket socket);
+    void makeRoom();
     void closeAll();
 };
 
@@ -50,8 +56,9 @@
 /// One accepted connection. Reads requests one by one and passes each to the handler; reads the next after the
 /// response.
 ///
-/// Calls for a request other than the current one are ignored.
-class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+/// Calls for a request other than the current one are ignored. What the connection holds is counted in the server's
+/// memory budget.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>, public MemoryHolder {
 public:
     ServerConnection(std::shared_ptr<HttpServer::Impl> server, Socket socket);
 
@@ -69,9 +76,17 @@
     void abort(std::uint64_t request);
     void abandon(std::uint64_t request);
     void setOnClosed(std::uint64_t request, std::function<void()> handler);
+    bool isCongested(std::uint64_t request) const;
+    void setOnRelieved(std::uint64_t request, std::function<void()> handler);
+    /// Closes the connection and tells the owner of the request.
+    void disconnect();
+
+    // MemoryHolder
+    ConnectionUse memoryUse() const override;
+    void reclaimMemory() override;
 
 private:
-    enum class State { Reading, Responding, Lingering, Closed };
+    enum class State { Reading, Responding, Discarding, Lingering, Closed };
     using Parser = boost::beast::http::request_parser<PartialBody>;
 
     void startReading();
@@ -79,9 +94,22 @@
     void readNow();
     void onRead(const ErrorCode& error, std::size_t size);
     void parse();
+    bool hasTooManyFields() const;
+    bool parseSome();
+    bool acceptHead();
+    bool reserveBody();
     void acceptExpectation();
     void dispatch();
-    void reject(int status);
+    void dispatchWithoutBody();
+    void hand(HttpRequest request, unsigned version);
+    void discard();
+    void onDiscarded();
+    void reject(int status, RefusalCause cause);
+    void refuseForMemory();
+    void releaseRequest();
+    std::size_t heldBytes() const;
+    void noteProgress() { this->lastProgress = this->loop.timers.now(); }
+    bool isBeforeRequest() const;
     void appendHead(int status, HttpHeaders headers, std::optional<std::size_t> length);
     bool isResponding(std::uint64_t request) const;
     std::size_t unsentBytes() const { return this->queued.size() + this->writing.size() - this->written; }
@@ -93,14 +121,32 @@
     void checkClosed();
     void onDeadline();
     void setDeadline(Rattandeck::Duration delay);
-    void disconnect();
+    void setBodyDeadline();
+    bool extendDeadline(Rattandeck::Duration stallTime, Rattandeck::Duration mostTime);
+    void relieve();
+    void countUnsent();
+    void nextRequest();
 
     std::shared_ptr<HttpServer::Impl> server;
     EventLoop::Impl& loop;
     Socket socket;
     State state = State::Reading;
-    boost::beast::flat_buffer buffer;
+    MemoryShare share;
+    /// Bytes received that are not parsed yet: a part of a head, or the beginning of the next request.
+    std::string pending;
     std::optional<Parser> parser;
+    bool isHeadAccepted = false;
+    /// The body is dropped as it arrives.
+    bool isDiscarding = false;
+    /// Memory that the parsed part of the head takes, and the number of its lines.
+    std::size_t headBytes = 0;
+    std::size_t headLines = 0;
+    /// Memory taken by the request that has been handed on.
+    std::size_t requestBytes = 0;
+    bool hasBeenUsed = false;
+    /// When the request began to arrive, or the answer to be sent.
+    Rattandeck::TimePoint stageBegan;
+    Rattandeck::TimePoint lastProgress;
     bool isReadPending = false;
     bool hasSentContinue = false;
     /// The rest of a rejected request is read and dropped while the connection closes.
@@ -114,6 +160,8 @@
     bool hasBegun = false;
     bool isResponseComplete = false;
     std::function<void()> onClosed;
+    std::function<void()> onRelieved;
+    bool wasCongested = false;
 
     std::string queued;
     std::string writing;
