--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -39,6 +39,8 @@
     /// Begins a streamed answer with the status and headers that the send received.
     virtual void begin(CallId call, SendId send) = 0;
     virtual void write(CallId call, std::string_view bytes) = 0;
+    /// Whether the caller reads its answer more slowly than it arrives, so that the instance's answer is held back.
+    virtual bool isCallerBehind(CallId /*call*/) const { return false; }
     virtual void end(CallId call) = 0;
     /// Aborts an answer that has begun, so that the caller can tell that it is incomplete.
     virtual void abortAnswer(CallId call) = 0;
@@ -193,6 +195,8 @@
     void onJournalMessage(const NodeId& from, const Message& message);
 
     void onCall(CallId id, GatewayCall call);
+    /// Returns whether a call needs its body. If not, `onCall` refuses it by what its head says, at this moment.
+    bool needsBody(const GatewayCall& head) const;
     /// The caller disconnected. Ignored for calls that have ended.
     void onCallerDisconnected(CallId id);
 
--- a/src/include/Rattandeck/gatewaycalls.h
+++ b/src/include/Rattandeck/gatewaycalls.h
@@ -25,6 +25,8 @@
     /// Without the query.
     std::string path;
     std::string body;
+    /// The body was not kept, see `Gateway::needsBody`. Such a call is never sent.
+    bool isBodyOmitted = false;
     /// Time until the caller's deadline.
     std::optional<Milliseconds> timeLeft;
     /// Program that the call belongs to; empty for a call without a program.
@@ -66,7 +68,7 @@
     Milliseconds timeLeft { 0 };
     /// 0 is the most urgent. Without a value the engine uses its default.
     std::optional<std::uint32_t> priority;
-    /// Replaces the caller's body when the turn continues a chain.
+    /// The body to send; it begins with the transcript of the chain if the turn continues one.
     std::optional<std::string> body;
     /// Replaces the caller's last event id when a stream is resumed at another instance.
     std::optional<std::string> resumeAfter;
--- a/src/include/RattandeckApp/daemon.h
+++ b/src/include/RattandeckApp/daemon.h
@@ -26,6 +26,8 @@
     /// Address that other processes connect to; if empty, the listening address.
     std::string peersAdvertise;
     std::string adminListen = "127.0.0.1:0";
+    /// 0 is the memory of the machine.
+    std::int64_t memoryLimitMb = 0;
     LogSettings log;
 };
 
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -193,13 +193,12 @@
 {
     auto& self = *this->impl;
     ++self.counts.calls;
-    if (!self.table)
-        return self.refuseUnrouted(id, call, RejectionReason::NotReady);
-    const Route* route = self.table->find(call.host, call.path);
-    if (!route || route->services.empty())
-        return self.refuseUnrouted(id, call, RejectionReason::NoRoute);
-    if (self.calls.size() >= self.limits.maxCalls)
+    if (const auto reason = self.refusalByHead(call))
+        return self.refuseUnrouted(id, call, *reason);
+    // The head no longer says the same as when the body was dropped.
+    if (call.isBodyOmitted)
         return self.refuseUnrouted(id, call, RejectionReason::Overloaded);
+    const Route* route = self.table->find(call.host, call.path);
     if (const auto reason = self.admit(call))
         return self.refuseUnrouted(id, call, *reason);
 
@@ -233,6 +232,21 @@
     self.prepare(added);
 }
 
+bool Gateway::needsBody(const GatewayCall& head) const { return !this->impl->refusalByHead(head); }
+
+/// Returns why a call is refused without a look at its body.
+std::optional<RejectionReason> Gateway::Impl::refusalByHead(const GatewayCall& call) const
+{
+    if (!this->table)
+        return RejectionReason::NotReady;
+    const Route* route = this->table->find(call.host, call.path);
+    if (!route || route->services.empty())
+        return RejectionReason::NoRoute;
+    if (this->calls.size() >= this->limits.maxCalls)
+        return RejectionReason::Overloaded;
+    return std::nullopt;
+}
+
 void Gateway::onCallerDisconnected(CallId id)
 {
     Impl::Call* call = this->impl->find(id);
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -151,6 +151,7 @@
     void onPrepared(Call& call);
     void onDeadline(CallId id);
     void onInstanceFailed(const EndpointId& id);
+    std::optional<RejectionReason> refusalByHead(const GatewayCall& call) const;
     std::optional<RejectionReason> admit(const GatewayCall& call);
     void refuse(Call& call, RejectionReason reason);
     /// Refuses the call, or aborts its answer if that has begun.
--- a/src/librattandeck/turns/gatewaysends.cpp
+++ b/src/librattandeck/turns/gatewaysends.cpp
@@ -115,8 +115,7 @@
     details.timeLeft = this->timeLeft(call);
     if (this->limits.forwardsPriorities)
         details.priority = std::min(call.route->rank, maxPriority);
-    if (!call.call.previousTurn.value.empty())
-        details.body = call.transcript + call.call.body;
+    details.body = call.call.previousTurn.value.empty() ? call.call.body : call.transcript + call.call.body;
     if (call.events > 0)
         details.resumeAfter = call.lastEvent;
     details.startedAt = call.instanceStartedAt;
@@ -336,6 +335,10 @@
     Call* call = this->find(id);
     if (!call || call->send.value == 0)
         return;
+    if (this->io.isCallerBehind(id)) {
+        this->restartStallTimer(*call);
+        return;
+    }
     if (this->canMove(*call))
         this->onSendInterrupted(*call, SendFailureCause::Stalled);
     else
--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -132,6 +132,7 @@
     call.host = std::string(field(headers, "host"));
     call.path = request.target.substr(0, request.target.find('?'));
     call.body = request.body;
+    call.isBodyOmitted = request.isBodyOmitted;
     if (const auto left = readNumber<std::int64_t>(field(headers, Names::deadline)))
         call.timeLeft = Milliseconds(std::max<std::int64_t>(*left, 0));
     call.program = BudgetId(std::string(field(headers, Names::program)));
--- a/src/rattandeck-entry/callerapi.cpp
+++ b/src/rattandeck-entry/callerapi.cpp
@@ -75,12 +75,13 @@
 
 // Requests -----------------------------------------------------------------------------------------------------------
 
-CallerApi::CallerApi(EventLoop& eventLoop, HttpLimits limits, Metrics& metricsToUse)
+CallerApi::CallerApi(EventLoop& eventLoop, HttpLimits limits, MemoryBudget& memory, Metrics& metricsToUse)
     : loop(eventLoop)
     , metrics(metricsToUse)
-    , server(eventLoop, limits,
+    , server(eventLoop, limits, memory,
           [this](const HttpRequest& request, const HttpResponder& responder) { this->handle(request, responder); })
 {
+    this->server.setNeedsBody([](const HttpRequest& head) { return routeOf(head.method, head.path).known; });
 }
 
 tl::expected<void, NetError> CallerApi::listen(const Address& address) { return this->server.listen(address); }
--- a/src/rattandeck-entry/callerapi.h
+++ b/src/rattandeck-entry/callerapi.h
@@ -16,7 +16,8 @@
 class CallerApi {
 public:
     /// Precondition: `loop` and `metrics` outlive this object.
-    CallerApi(RattandeckNet::EventLoop& loop, RattandeckNet::HttpLimits limits, RattandeckApp::Metrics& metrics);
+    CallerApi(RattandeckNet::EventLoop& loop, RattandeckNet::HttpLimits limits, RattandeckNet::MemoryBudget& memory,
+        RattandeckApp::Metrics& metrics);
 
     /// Receives the requests. Must be set before `listen`.
     std::function<void(Rattandeck::CallerTicket, Rattandeck::CallerRequest)> onRequest;
--- a/src/rattandeck-entry/daemon.cpp
+++ b/src/rattandeck-entry/daemon.cpp
@@ -4,6 +4,7 @@
 #include "decisions.h"
 #include "RattandeckApp/commandline.h"
 #include "RattandeckApp/daemon.h"
+#include "RattandeckApp/memory.h"
 #include "RattandeckApp/objectclient.h"
 #include "RattandeckNet/peer.h"
 
@@ -27,6 +28,7 @@
     bindAdmin(schema, s.instance, "health, metrics and explain");
     schema.addInteger("admin.decisions_kept", s.decisionsKept, 0, 1000000, "placement decisions kept for explain");
     bindPeers(schema, s.instance, "entries and sidecars");
+    bindMemory(schema, s.instance.memoryLimitMb);
 
     schema.addAddress("platform.object_api", s.objectApi, "address of the object API");
     schema.addAddress("platform.instance_list", s.instanceList, "address of the instance list");
@@ -79,11 +81,12 @@
         : settings(daemonSettings)
         , coreConfiguration(coreSettings(daemonSettings))
         , decisions(static_cast<std::size_t>(daemonSettings.decisionsKept))
-        , callers(this->loop, this->httpLimits(), this->metrics)
-        , admin(this->loop, {},
+        , callers(this->loop, this->httpLimits(), this->memory, this->metrics)
+        , admin(this->loop, operatorLimits(), this->memory,
               [this](const HttpRequest& request, const HttpResponder& responder) { this->onAdmin(request, responder); })
-        , peers(this->loop, this->hello(), {}, this->peerHandlers())
+        , peers(this->loop, this->hello(), {}, this->memory, this->peerHandlers())
     {
+        this->admin.setNeedsBody([](const HttpRequest&) { return false; });
     }
 
     int run()
@@ -91,6 +94,8 @@
         if (!this->listen())
             return ExitUnavailable;
         this->startCore();
+        provideMemoryMetrics(this->metrics, this->memory);
+        this->refusals.start();
         this->loop.onSignal(SIGTERM, [this] { this->onTerminate(); });
         this->loop.onSignal(SIGINT, [this] { this->loop.stop(); });
         printReady({ { "callers", boundAddress(this->settings.callersListen, this->callers.port()) },
@@ -106,7 +111,7 @@
     HttpLimits httpLimits() const
     {
         HttpLimits limits;
-        limits.maxConnections = static_cast<std::size_t>(this->settings.maxConnections);
+        limits.maxConnections = allowedConnections(static_cast<std::size_t>(this->settings.maxConnections));
         limits.maxBodyBytes = static_cast<std::size_t>(this->settings.maxBodyBytes);
         return limits;
     }
@@ -277,8 +282,11 @@
 
     const DaemonSettings& settings;
     EntrySettings coreConfiguration;
+    // Outlives the connections, the last of which end with the loop.
+    MemoryBudget memory { connectionMemory(this->settings.instance.memoryLimitMb) };
     EventLoop loop;
     Metrics metrics;
+    RefusalLog refusals { this->loop.timers(), this->memory };
     DecisionHistory decisions;
     CallerApi callers;
     HttpServer admin;
@@ -295,5 +303,6 @@
 {
     if (!startInstanceLog(settings.instance))
         return ExitSettings;
+    limitHeap();
     return Daemon(settings).run();
 }
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "platform/names.h"
 #include "platform/objectcodec.h"
+#include "RattandeckApp/memory.h"
 #include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
 #include "relay.h"
@@ -37,6 +38,7 @@
     schema.addNumber("calls.repeat_ratio", s.limits.retryRatio, 0, 1, "retries allowed per send, on average");
     schema.addMilliseconds(
         "stop.limit_ms", s.stopLimit, Milliseconds(500), Milliseconds(600000), "maximum duration of a planned stop");
+    bindMemory(schema, s.instance.memoryLimitMb);
     bindLog(schema, s.instance.log);
 }
 
@@ -44,6 +46,8 @@
 
 constexpr Milliseconds sweepInterval { 2000 };
 constexpr Milliseconds storeViewInterval { 200 };
+/// Copies of a request's body while it runs: the core's, and the one that is being sent to the instance.
+constexpr std::size_t bodyCopies = 2;
 /// Interval at which the journal set is read from the store while it is unknown or no journal is connected. All
 /// gateways together make at most 40 such calls a second, since they share the rate of the store.
 constexpr Milliseconds minJournalSearchInterval { 500 };
@@ -91,6 +95,8 @@
     void endWhenDrained();
 
     GatewaySettings settings;
+    // Outlives the connections, the last of which end with the loop.
+    MemoryBudget memory { connectionMemory(this->settings.instance.memoryLimitMb) };
     EventLoop loop;
     Metrics metrics;
     PeerNetwork network;
@@ -99,6 +105,7 @@
     HttpServer callers;
     HttpServer ready;
     HttpServer admin;
+    RefusalLog refusals { this->loop.timers(), this->memory };
     std::unique_ptr<Platform::ObjectStore> store;
     std::set<NodeId> linkedJournals;
     StoreFeed feed { this->loop, NodeId(this->settings.instance.node), this->relay.gateway(),
@@ -135,19 +142,22 @@
           [this](const NodeId& node, const Message& message) { return this->network.send(node, message); })
     , relay(this->loop, this->metrics, this->journals, FailureDomain(daemonSettings.instance.domain),
           gatewayLimits(daemonSettings))
-    , callers(this->loop, this->httpLimits(),
+    , callers(this->loop, this->httpLimits(), this->memory,
           [this](HttpRequest request, const HttpResponder& responder) {
               this->relay.onRequest(std::move(request), responder);
           })
-    , ready(this->loop, HttpLimits {},
+    , ready(this->loop, operatorLimits(), this->memory,
           [this](const HttpRequest&, const HttpResponder& responder) { this->answerReady(responder); })
-    , admin(this->loop, HttpLimits {},
+    , admin(this->loop, operatorLimits(), this->memory,
           [this](const HttpRequest& request, const HttpResponder& responder) {
               answerAdmin(
                   request, responder, [this] { return this->isReady(); }, this->metrics);
           })
     , reload(this->loop.timers(), this->reloadParts(source), daemonSettings)
 {
+    this->callers.setNeedsBody([this](const HttpRequest& head) { return this->relay.needsBody(head); });
+    for (HttpServer* server : { &this->ready, &this->admin })
+        server->setNeedsBody([](const HttpRequest&) { return false; });
 }
 
 // Reload of settings -------------------------------------------------------------------------------------------------
@@ -158,8 +168,8 @@
     parts.source = source;
     parts.bind = bindSettings;
     parts.appliedKeys = { "callers.max_connections", "peers.seeds", "placement.max_load", "placement.opening_load",
-        "placement.priorities", "placement.queue_part", "calls.repeat_ratio", "stop.limit_ms", "log.level",
-        "log.bytes_per_second" };
+        "placement.priorities", "placement.queue_part", "calls.repeat_ratio", "stop.limit_ms", "memory.limit_mb",
+        "log.level", "log.bytes_per_second" };
     parts.apply = [this](const GatewaySettings& fresh) { this->apply(fresh); };
     return parts;
 }
@@ -169,6 +179,7 @@
     this->settings.maxConnections = fresh.maxConnections;
     this->settings.seeds = fresh.seeds;
     this->settings.stopLimit = fresh.stopLimit;
+    this->memory.setLimit(connectionMemory(fresh.instance.memoryLimitMb));
     this->relay.gateway().setLimits(fresh.limits);
     this->callers.setLimits(this->httpLimits());
     adjustLog(fresh.instance.log);
@@ -230,7 +241,8 @@
     limits.maxBodyBytes = configured.maxBodyBytes;
     limits.readTimeout = configured.headerTimeout;
     limits.idleTimeout = configured.idleTimeout;
-    limits.maxConnections = static_cast<std::size_t>(this->settings.maxConnections);
+    limits.maxConnections = allowedConnections(static_cast<std::size_t>(this->settings.maxConnections));
+    limits.bodyCopies = bodyCopies;
     return limits;
 }
 
@@ -262,6 +274,7 @@
     this->findJournals();
     this->sweep();
     this->checkStoreView();
+    this->refusals.start();
     this->reload.watch();
     DaemonRun run;
     run.node = this->settings.instance.node;
@@ -316,6 +329,7 @@
     provide("rattandeck_log_lines_dropped_total", "counter", [] { return double(droppedLogLines()); });
     provide("rattandeck_link_dials_total", "counter", [this] { return double(this->network.dialCount()); });
     provideLinkTraffic(this->metrics, this->network);
+    provideMemoryMetrics(this->metrics, this->memory);
 }
 
 void Daemon::sweep()
@@ -462,6 +476,7 @@
 {
     if (!startInstanceLog(settings.instance))
         return ExitSettings;
+    limitHeap();
     Daemon daemon(settings, source);
     return daemon.run();
 }
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -27,6 +27,8 @@
 {
     const CallId id(++this->lastCall);
     GatewayCall call = Platform::readCall(request);
+    // The core has the only copy.
+    std::string().swap(request.body);
     this->calls.emplace(id, OpenCall { std::move(request), responder, call.request });
     responder.onClosed([this, id] {
         if (this->calls.erase(id) > 0)
@@ -35,6 +37,8 @@
     this->core.onCall(id, std::move(call));
 }
 
+bool Relay::needsBody(const HttpRequest& head) const { return this->core.needsBody(Platform::readCall(head)); }
+
 Relay::OpenCall* Relay::findCall(CallId call)
 {
     const auto found = this->calls.find(call);
@@ -55,14 +59,42 @@
 {
     const OpenCall* open = this->findCall(call);
     const auto sent = this->sends.find(send);
-    if (open && sent != this->sends.end())
-        open->responder.begin(sent->second.status, Platform::writeAnswerHeaders(sent->second.headers));
+    if (!open || sent == this->sends.end())
+        return;
+    open->responder.begin(sent->second.status, Platform::writeAnswerHeaders(sent->second.headers));
+    open->responder.onRelieved([this, call] {
+        if (OpenCall* relieved = this->findCall(call))
+            this->setPaused(*relieved, false);
+    });
 }
 
 void Relay::write(CallId call, std::string_view bytes)
 {
-    if (const OpenCall* open = this->findCall(call))
-        open->responder.write(bytes);
+    OpenCall* open = this->findCall(call);
+    if (!open)
+        return;
+    open->responder.write(bytes);
+    if (open->responder.isCongested())
+        this->setPaused(*open, true);
+}
+
+bool Relay::isCallerBehind(CallId call) const
+{
+    const auto found = this->calls.find(call);
+    return found != this->calls.end() && found->second.isPaused;
+}
+
+void Relay::setPaused(OpenCall& open, bool isPaused)
+{
+    open.isPaused = isPaused;
+    const auto sent = this->sends.find(open.send);
+    if (sent == this->sends.end())
+        return;
+    HttpClient& client = this->clients.at(sent->second.address).instance->http();
+    if (isPaused)
+        client.pause(sent->second.httpCall);
+    else
+        client.resume(sent->second.httpCall);
 }
 
 void Relay::end(CallId call)
@@ -157,11 +189,13 @@
 
 void Relay::write(CallId call, SendId send, const EndpointSend& details)
 {
-    const OpenCall& open = *this->findCall(call);
-    const HttpRequest request = Platform::writeCall(open.request, details);
+    OpenCall& open = *this->findCall(call);
+    open.send = send;
+    open.isPaused = false;
+    HttpRequest request = Platform::writeCall(open.request, details);
     this->sends.at(send).httpCall = this->clients.at(details.address)
                                         .instance->http()
-                                        .start(request, details.timeLeft + clientTimeoutSlack,
+                                        .start(std::move(request), details.timeLeft + clientTimeoutSlack,
                                             this->callbacks(send, open.requestId), details.writeBy);
 }
 
--- a/src/rattandeck-gateway/relay.h
+++ b/src/rattandeck-gateway/relay.h
@@ -20,6 +20,8 @@
     Rattandeck::Gateway& gateway() { return this->core; }
     const Rattandeck::Gateway& gateway() const { return this->core; }
     void onRequest(RattandeckNet::HttpRequest request, const RattandeckNet::HttpResponder& responder);
+    /// Returns whether the body of a request has any part in its answer.
+    bool needsBody(const RattandeckNet::HttpRequest& head) const;
     /// Sets the handler for crash reports that are to be sent to the journals.
     void onCrashReports(std::function<void(const Rattandeck::CrashReports&)> handler);
     /// Sets what is done when an answer tells that an instance's process leaves.
@@ -35,6 +37,10 @@
         RattandeckNet::HttpRequest request;
         RattandeckNet::HttpResponder responder;
         Rattandeck::TurnId requestId;
+        /// The last send to an instance.
+        Rattandeck::SendId send;
+        /// The instance's answer is not read on, as the caller reads it more slowly.
+        bool isPaused = false;
     };
     struct OpenSend {
         std::string address;
@@ -55,6 +61,7 @@
     void answer(Rattandeck::CallId call, Rattandeck::SendId send, std::string body) override;
     void begin(Rattandeck::CallId call, Rattandeck::SendId send) override;
     void write(Rattandeck::CallId call, std::string_view bytes) override;
+    bool isCallerBehind(Rattandeck::CallId call) const override;
     void end(Rattandeck::CallId call) override;
     void abortAnswer(Rattandeck::CallId call) override;
     void refuse(Rattandeck::CallId call, const Rattandeck::CallRefusal& refusal) override;
@@ -74,6 +81,8 @@
     /// The instance has told which process it is, or hasn't in time.
     void onIdentified(Rattandeck::CallId call, Rattandeck::SendId send, Rattandeck::EndpointSend details);
     OpenCall* findCall(Rattandeck::CallId call);
+    /// Pauses or resumes the instance's answer.
+    void setPaused(OpenCall& open, bool isPaused);
     void forgetSend(Rattandeck::SendId send);
 
     RattandeckNet::EventLoop& loop;
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -8,6 +8,7 @@
 #include "Rattandeck/journal.h"
 #include "Rattandeck/permitissuer.h"
 #include "Rattandeck/streamorigins.h"
+#include "RattandeckApp/memory.h"
 #include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
 
@@ -31,6 +32,7 @@
     schema.addAddress("platform.object_store", s.objectStore, "address of the platform's store");
     schema.addString("disk.folder", s.folder, "folder for records; must not be shared with another process");
     bindToleratedLosses(schema, s.toleratedLosses);
+    bindMemory(schema, s.instance.memoryLimitMb);
     bindLog(schema, s.instance.log);
 }
 
@@ -53,7 +55,7 @@
     Daemon(const JournalSettings& settings, const SettingsSource& source)
         : settings(settings)
         , metadata(settings.folder)
-        , network(this->loop, this->hello({}), journalLinkLimits(), this->peerHandlers())
+        , network(this->loop, this->hello({}), journalLinkLimits(), this->memory, this->peerHandlers())
         , reload(this->loop.timers(), this->reloadParts(source), settings)
     {
     }
@@ -111,8 +113,11 @@
     void writeRetirement(bool isRetirementComplete);
 
     JournalSettings settings;
+    // Outlives the connections, the last of which end with the loop.
+    MemoryBudget memory { connectionMemory(this->settings.instance.memoryLimitMb) };
     EventLoop loop;
     Metrics metrics;
+    RefusalLog refusals { this->loop.timers(), this->memory };
     JournalMetadata metadata;
     std::unique_ptr<Journal> journal;
     std::unique_ptr<JournalDisk> disk;
@@ -193,10 +198,13 @@
 void Daemon::startAdmin()
 {
     this->admin = std::make_unique<HttpServer>(
-        this->loop, HttpLimits {}, [this](const HttpRequest& request, const HttpResponder& responder) {
+        this->loop, operatorLimits(), this->memory, [this](const HttpRequest& request, const HttpResponder& responder) {
             answerAdmin(
                 request, responder, [this] { return this->journal->isVoting(); }, this->metrics);
         });
+    this->admin->setNeedsBody([](const HttpRequest&) { return false; });
+    provideMemoryMetrics(this->metrics, this->memory);
+    this->refusals.start();
     this->metrics.provide(
         "rattandeck_journal_turns", "gauge", [this] { return double(this->journal->state().turnCount()); });
     this->metrics.provide(
@@ -532,6 +540,7 @@
 {
     if (!startInstanceLog(settings.instance))
         return ExitSettings;
+    limitHeap();
     Daemon daemon(settings, source);
     return daemon.run();
 }
--- a/src/rattandeck-sidecar/daemon.cpp
+++ b/src/rattandeck-sidecar/daemon.cpp
@@ -3,6 +3,7 @@
 #include "endpoint.h"
 #include "RattandeckApp/commandline.h"
 #include "RattandeckApp/daemon.h"
+#include "RattandeckApp/memory.h"
 #include "RattandeckNet/peer.h"
 
 #include <csignal>
@@ -41,6 +42,7 @@
 
     bindPeers(schema, s.instance, "entries");
     bindAdmin(schema, s.instance, "health and metrics");
+    bindMemory(schema, s.instance.memoryLimitMb);
 
     bindLog(schema, s.instance.log);
 }
@@ -70,16 +72,19 @@
     explicit Daemon(const DaemonSettings& daemonSettings)
         : settings(daemonSettings)
         , coreConfiguration(coreSettings(daemonSettings))
-        , admin(this->loop, {},
+        , admin(this->loop, operatorLimits(), this->memory,
               [this](const HttpRequest& request, const HttpResponder& responder) { this->onAdmin(request, responder); })
-        , peers(this->loop, this->hello(), {}, this->peerHandlers())
+        , peers(this->loop, this->hello(), {}, this->memory, this->peerHandlers())
     {
+        this->admin.setNeedsBody([](const HttpRequest&) { return false; });
     }
 
     int run()
     {
         if (!this->startCore() || !this->listen())
             return ExitUnavailable;
+        provideMemoryMetrics(this->metrics, this->memory);
+        this->refusals.start();
         this->loop.onSignal(SIGTERM, [this] { this->onTerminate(); });
         this->loop.onSignal(SIGINT, [this] { this->loop.stop(); });
         printReady({ { "admin", boundAddress(this->settings.instance.adminListen, this->admin.port()) },
@@ -232,8 +237,11 @@
 
     const DaemonSettings& settings;
     SidecarSettings coreConfiguration;
+    // Outlives the connections, the last of which end with the loop.
+    MemoryBudget memory { connectionMemory(this->settings.instance.memoryLimitMb) };
     EventLoop loop;
     Metrics metrics;
+    RefusalLog refusals { this->loop.timers(), this->memory };
     HttpServer admin;
     std::unique_ptr<SidecarCore> core;
     Endpoint endpoint;
@@ -246,5 +254,6 @@
 {
     if (!startInstanceLog(settings.instance))
         return ExitSettings;
+    limitHeap();
     return Daemon(settings).run();
 }
