--- a/src/librattandecknet/serverconnection.h
+++ b/src/librattandecknet/serverconnection.h
@@ -10,6 +10,17 @@
 
 class ServerConnection;
 
+/// Maximum wait for the next byte of a body that is dropped.
+constexpr std::chrono::seconds discardStallTimeout { 2 };
+
+/// Frees the memory of an empty buffer, unless it is small: most connections are idle most of the time.
+inline void releaseIfIdle(std::string& buffer)
+{
+    constexpr std::size_t maxIdleBytes = 1024;
+    if (buffer.empty() && buffer.capacity() > maxIdleBytes)
+        std::string().swap(buffer);
+}
+
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
     Impl(EventLoop& owner, HttpLimits limits, MemoryBudget* shared, Handler handler);
 
