--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -97,7 +97,7 @@
         this->lostHandler();
 }
 
-std::string HttpClient::Impl::serialise(const HttpRequest& request) const
+std::string HttpClient::Impl::serialiseHead(const HttpRequest& request) const
 {
     HttpHeaders headers = request.headers;
     headers.erase("transfer-encoding");
@@ -107,7 +107,6 @@
     std::string bytes = request.method + " " + writeTarget(request) + " HTTP/1.1\r\n";
     appendHeaders(bytes, headers);
     bytes += "\r\n";
-    bytes += request.body;
     return bytes;
 }
 
@@ -189,6 +188,17 @@
     this->expire(id);
 }
 
+void HttpClient::Impl::setPaused(CallId id, bool isPaused)
+{
+    const auto found = this->calls.find(id);
+    if (found == this->calls.end() || found->second->isPaused == isPaused)
+        return;
+    found->second->isPaused = isPaused;
+    const auto connection = this->running.find(id);
+    if (!isPaused && connection != this->running.end())
+        connection->second->resume();
+}
+
 void HttpClient::Impl::shutdown()
 {
     this->isShutDown = true;
@@ -214,12 +224,13 @@
 
 void HttpClient::setConnectTimeout(std::chrono::milliseconds timeout) { this->impl->connectTimeout = timeout; }
 
-HttpClient::CallId HttpClient::start(const HttpRequest& request, std::chrono::milliseconds timeout,
-    HttpCallbacks callbacks, std::optional<Rattandeck::TimePoint> writeBy)
+HttpClient::CallId HttpClient::start(HttpRequest request, std::chrono::milliseconds timeout, HttpCallbacks callbacks,
+    std::optional<Rattandeck::TimePoint> writeBy)
 {
     const auto call = std::make_shared<ClientCall>();
     call->id = ++this->impl->lastId;
-    call->bytes = this->impl->serialise(request);
+    call->head = this->impl->serialiseHead(request);
+    call->body = std::move(request.body);
     call->isHead = request.method == "HEAD";
     call->callbacks = std::move(callbacks);
     call->writeBy = writeBy;
@@ -276,6 +287,10 @@
 
 void HttpClient::cancel(CallId call) { this->impl->cancel(call); }
 
+void HttpClient::pause(CallId call) { this->impl->setPaused(call, true); }
+
+void HttpClient::resume(CallId call) { this->impl->setPaused(call, false); }
+
 void HttpClient::onLost(std::function<void()> handler) { this->impl->lostHandler = std::move(handler); }
 
 void HttpClient::onConnect(std::function<void(ConnectCause, std::size_t)> handler)
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -4,6 +4,7 @@
 #include "platform/names.h"
 #include "platform/objectcodec.h"
 #include "Rattandeck/turnscope.h"
+#include "RattandeckApp/memory.h"
 #include "RattandeckApp/reload.h"
 #include "RattandeckNet/peer.h"
 #include "relay.h"
@@ -41,6 +42,7 @@
     schema.addNumber("calls.repeat_ratio", s.limits.retryRatio, 0, 1, "retries allowed per send, on average");
     schema.addMilliseconds(
         "stop.limit_ms", s.stopLimit, Milliseconds(500), Milliseconds(600000), "maximum duration of a planned stop");
+    bindMemory(schema, s.instance.memoryLimitMb);
     bindLog(schema, s.instance.log);
 }
 
@@ -48,6 +50,8 @@
 
 constexpr Milliseconds sweepInterval { 2000 };
 constexpr Milliseconds storeViewInterval { 200 };
+/// Copies of a request's body while it runs: the core's, and the one that is being sent to the instance.
+constexpr std::size_t bodyCopies = 2;
 /// Interval at which the journal set is read from the store while it is unknown or no journal is connected. All
 /// gateways together make at most 40 such calls a second, since they share the rate of the store.
 constexpr Milliseconds minJournalSearchInterval { 500 };
@@ -96,6 +100,8 @@
     void endWhenDrained();
 
     GatewaySettings settings;
+    // Outlives the connections, the last of which end with the loop.
+    MemoryBudget memory { connectionMemory(this->settings.instance.memoryLimitMb) };
     EventLoop loop;
     Metrics metrics;
     PeerNetwork network;
@@ -104,6 +110,7 @@
     HttpServer callers;
     HttpServer ready;
     HttpServer admin;
+    RefusalLog refusals { this->loop.timers(), this->memory };
     std::unique_ptr<Platform::ObjectStore> store;
     std::set<NodeId> linkedJournals;
     StoreFeed feed { this->loop, NodeId(this->settings.instance.node), this->relay.gateway(),
@@ -146,19 +153,22 @@
           [this](const NodeId& node, const Message& message) { return this->network.send(node, message); })
     , relay(this->loop, this->metrics, this->journals, FailureDomain(daemonSettings.instance.domain),
           gatewayLimits(daemonSettings))
-    , callers(this->loop, this->httpLimits(),
+    , callers(this->loop, this->httpLimits(), this->memory,
           [this](HttpRequest request, const HttpResponder& responder) {
               this->relay.onRequest(std::move(request), responder);
           })
-    , ready(this->loop, HttpLimits {},
+    , ready(this->loop, operatorLimits(), this->memory,
           [this](const HttpRequest&, const HttpResponder& responder) { this->answerReady(responder); })
-    , admin(this->loop, HttpLimits {},
+    , admin(this->loop, operatorLimits(), this->memory,
           [this](const HttpRequest& request, const HttpResponder& responder) {
               answerAdmin(
                   request, responder, [this] { return this->isReady(); }, this->metrics);
           })
     , reload(this->loop.timers(), this->reloadParts(source), daemonSettings)
 {
+    this->callers.setNeedsBody([this](const HttpRequest& head) { return this->relay.needsBody(head); });
+    for (HttpServer* server : { &this->ready, &this->admin })
+        server->setNeedsBody([](const HttpRequest&) { return false; });
 }
 
 // Reload of settings -------------------------------------------------------------------------------------------------
@@ -170,6 +180,7 @@
     parts.bind = bindSettings;
     parts.appliedKeys = { "callers.max_connections", "peers.seeds", "placement.max_load", "placement.opening_load",
         "placement.priorities", "placement.queue_part", "keys.max_config_age_ms", "calls.repeat_ratio", "stop.limit_ms",
+        "memory.limit_mb",
         "log.level", "log.bytes_per_second" };
     parts.apply = [this](const GatewaySettings& fresh) { this->apply(fresh); };
     return parts;
@@ -180,6 +191,7 @@
     this->settings.maxConnections = fresh.maxConnections;
     this->settings.seeds = fresh.seeds;
     this->settings.stopLimit = fresh.stopLimit;
+    this->memory.setLimit(connectionMemory(fresh.instance.memoryLimitMb));
     this->relay.gateway().setLimits(fresh.limits);
     this->configAge.setMaxAge(fresh.limits.maxConfigAge);
     this->callers.setLimits(this->httpLimits());
@@ -245,7 +257,8 @@
     limits.maxBodyBytes = configured.maxBodyBytes;
     limits.readTimeout = configured.headerTimeout;
     limits.idleTimeout = configured.idleTimeout;
-    limits.maxConnections = static_cast<std::size_t>(this->settings.maxConnections);
+    limits.maxConnections = allowedConnections(static_cast<std::size_t>(this->settings.maxConnections));
+    limits.bodyCopies = bodyCopies;
     return limits;
 }
 
@@ -277,6 +290,7 @@
     this->findJournals();
     this->sweep();
     this->checkStoreView();
+    this->refusals.start();
     this->reload.watch();
     DaemonRun run;
     run.node = this->settings.instance.node;
@@ -339,6 +353,7 @@
     provide("rattandeck_log_lines_dropped_total", "counter", [] { return double(droppedLogLines()); });
     provide("rattandeck_link_dials_total", "counter", [this] { return double(this->network.dialCount()); });
     provideLinkTraffic(this->metrics, this->network);
+    provideMemoryMetrics(this->metrics, this->memory);
 }
 
 void Daemon::sweep()
@@ -494,6 +509,7 @@
 {
     if (!startInstanceLog(settings.instance))
         return ExitSettings;
+    limitHeap();
     Daemon daemon(settings, source);
     return daemon.run();
 }
