--- a/src/include/Rattandeck/journal.h
+++ b/src/include/Rattandeck/journal.h
@@ -70,6 +70,10 @@
     void onSetCallFailed();
     void setRetiring(std::set<NodeId> retiring);
 
+    /// Whether the disk takes records. While it doesn't, this journal answers reads, repetitions of what it has on disk
+    /// and questions for missing turns, acknowledges nothing new, and takes no new records. True at the start.
+    void setWritable(bool isWritable);
+
     void onLinkUp(const NodeId& node, Role role);
     void onLinkDown(const NodeId& node);
     /// An appended turn is durable at this location.
@@ -86,6 +90,8 @@
     bool isVoting() const;
     bool isRetirementComplete() const;
     const JournalState& state() const;
+    /// Whether the segments that hold the records up to this sequence number hold any that is still needed.
+    bool hasRecordsThrough(std::uint64_t sequence) const;
     /// The longest retention among all turns seen since the start. Claims and crash reports, which are small, may be
     /// kept for longer: they are rewritten with their segments.
     Milliseconds longestTurnRetention() const;
--- a/src/include/Rattandeck/journalmembership.h
+++ b/src/include/Rattandeck/journalmembership.h
@@ -106,6 +106,9 @@
     void onCopiedBy(const NodeId& node);
     /// The members that the operator wants to retire.
     void setRetiring(std::set<NodeId> retiring);
+    /// Whether the disk of this journal takes records. While it doesn't, the others are told that it lacks records,
+    /// since it gets none of those that are made now.
+    void setWritable(bool isWritable);
 
     const JournalSet& set() const;
     bool isMember() const;
--- a/src/librattandeck/journals/journal.cpp
+++ b/src/librattandeck/journals/journal.cpp
@@ -32,6 +32,7 @@
     JournalCopier copier;
     UnsyncedRecords unsynced;
     std::set<NodeId> linked;
+    bool isWritable = true;
     Milliseconds longestTurnRetention { 0 };
 
     JournalTransfer::Io transferIo();
@@ -43,8 +44,11 @@
     /// News of the store are kept beside the journal's own records, which they don't concern.
     void apply(const GossipItems&) { }
     template <typename Record> bool applyAndAppend(const Record& record);
+    bool isOnDisk(const SettleClaim& claim) const;
+    bool isOnDisk(const RetainedTurn& turn) const;
 
     void onClaim(const NodeId& from, const ClaimTokens& claim);
+    void onSettled(const SettleClaim& settled);
     void onStore(const NodeId& from, const StoreTurn& store);
     void onFetch(const NodeId& from, const FetchTurn& fetch);
     void onCrashes(const NodeId& from, const CrashReports& crashes);
@@ -100,11 +104,26 @@
     return true;
 }
 
+bool Journal::Impl::isOnDisk(const SettleClaim& claim) const
+{
+    const std::vector<TokenClaim> claims = this->state.claims(claim.budget);
+    const bool isKnown
+        = std::ranges::any_of(claims, [&claim](const TokenClaim& known) { return known.turn == claim.claim.turn; });
+    return isKnown && !this->unsynced.contains(keyOf(claim));
+}
+
+bool Journal::Impl::isOnDisk(const RetainedTurn& turn) const
+{
+    return this->state.hasTurn(turn.id) && !this->unsynced.contains(keyOf(turn));
+}
+
 void Journal::Impl::onClaim(const NodeId& from, const ClaimTokens& claim)
 {
     const SettleClaim record { claim.budget, claim.claim, claim.retention };
-    this->applyAndAppend(record);
-    if (!this->membership.isVoting()) {
+    const bool canAcknowledge = this->isWritable || this->isOnDisk(record);
+    if (canAcknowledge)
+        this->applyAndAppend(record);
+    if (!canAcknowledge || !this->membership.isVoting()) {
         this->io.send(from, JournalInconclusive { claim.ticket });
         return;
     }
@@ -112,14 +131,23 @@
     this->unsynced.whenDurable(keyOf(record), [this, from, answer] { this->io.send(from, answer); });
 }
 
+/// Not acknowledged. What is not taken here is known to the other journals, and a settled claim takes precedence.
+void Journal::Impl::onSettled(const SettleClaim& settled)
+{
+    if (this->isWritable)
+        this->applyAndAppend(settled);
+}
+
 void Journal::Impl::onStore(const NodeId& from, const StoreTurn& store)
 {
     if (TurnId missing = this->state.firstUnknown(store.turn.previous); !missing.value.empty()) {
         this->io.send(from, JournalInconclusive { store.ticket, std::move(missing) });
         return;
     }
-    this->applyAndAppend(store.turn);
-    if (!this->membership.isVoting()) {
+    const bool canAcknowledge = this->isWritable || this->isOnDisk(store.turn);
+    if (canAcknowledge)
+        this->applyAndAppend(store.turn);
+    if (!canAcknowledge || !this->membership.isVoting()) {
         this->io.send(from, JournalInconclusive { store.ticket });
         return;
     }
@@ -150,7 +178,7 @@
 
 void Journal::Impl::onCrashes(const NodeId& from, const CrashReports& crashes)
 {
-    if (!this->applyAndAppend(crashes))
+    if (!this->isWritable || !this->applyAndAppend(crashes))
         return;
     for (const NodeId& node : this->linked) {
         if (node != from)
@@ -287,6 +315,12 @@
 
 void Journal::setRetiring(std::set<NodeId> retiring) { this->impl->membership.setRetiring(std::move(retiring)); }
 
+void Journal::setWritable(bool isWritable)
+{
+    this->impl->isWritable = isWritable;
+    this->impl->membership.setWritable(isWritable);
+}
+
 void Journal::onLinkUp(const NodeId& node, Role role)
 {
     this->impl->linked.insert(node);
@@ -311,7 +345,7 @@
     if (const auto* claim = std::get_if<ClaimTokens>(&message))
         this->impl->onClaim(from, *claim);
     else if (const auto* settled = std::get_if<SettleClaim>(&message))
-        this->impl->applyAndAppend(*settled);
+        this->impl->onSettled(*settled);
     else if (const auto* stored = std::get_if<StoreTurn>(&message))
         this->impl->onStore(from, *stored);
     else if (const auto* fetch = std::get_if<FetchTurn>(&message))
@@ -361,6 +395,15 @@
     }
 }
 
+bool Journal::hasRecordsThrough(std::uint64_t sequence) const
+{
+    // Crash reports have no sequence number; those of any segment may be the only copy.
+    if (!this->impl->state.crashes().empty())
+        return true;
+    const CopyPage page = this->impl->state.page(0, 1);
+    return (!page.claims.empty() || !page.turns.empty()) && page.cursor <= sequence;
+}
+
 const JournalSet& Journal::set() const { return this->impl->membership.set(); }
 
 bool Journal::isVoting() const { return this->impl->membership.isVoting(); }
--- a/src/librattandeck/journals/journalmembership.cpp
+++ b/src/librattandeck/journals/journalmembership.cpp
@@ -60,6 +60,7 @@
     std::set<NodeId> copiedBy;
     /// The standing that all linked journals have been told.
     JournalStanding announced;
+    bool isWritable = true;
     Epoch removedInEpoch;
 
     const JournalMember* findMember(const NodeId& node) const;
@@ -75,8 +76,9 @@
     /// Whether a replaced journal that has its records is this one, which joins with them, or a retiring one that the
     /// members copy.
     bool bringsBack(const NodeId& node) const;
-    /// The number of reachable members besides this journal and `except` that lack records or have not told under the
-    /// present set that they don't, except those that lack only records that are brought back.
+    /// The number of reachable members besides `except` that lack records or have not told under the present set that
+    /// they don't, except those that lack only records that are brought back. This journal counts while its disk
+    /// refuses records.
     std::size_t countLacking(const NodeId& except) const;
 
     void tick();
@@ -168,7 +170,7 @@
 
 std::size_t JournalMembership::Impl::countLacking(const NodeId& except) const
 {
-    std::size_t count = 0;
+    std::size_t count = this->isWritable ? 0 : 1;
     for (const NodeId& node : this->others()) {
         if (node == except || !this->isUp(node))
             continue;
@@ -225,7 +227,11 @@
 
 void JournalMembership::Impl::announceStanding()
 {
-    const JournalStanding standing { this->set.epoch, this->lacksRecords(), this->syncState.replaced };
+    JournalStanding standing { this->set.epoch, this->lacksRecords(), this->syncState.replaced };
+    if (!this->isWritable) {
+        standing.lacksRecords = true;
+        standing.replaced = {};
+    }
     if (standing == this->announced)
         return;
     this->announced = standing;
@@ -431,6 +437,12 @@
     this->impl->isStoredSetCurrent = false;
 }
 
+void JournalMembership::setWritable(bool isWritable)
+{
+    this->impl->isWritable = isWritable;
+    this->impl->announceStanding();
+}
+
 void JournalMembership::onStanding(const NodeId& from, const JournalStanding& standing)
 {
     this->impl->peers[from].standing = standing;
--- a/src/librattandeck/journals/unsyncedrecords.h
+++ b/src/librattandeck/journals/unsyncedrecords.h
@@ -42,6 +42,8 @@
     void whenDurable(const RecordKey& record, std::function<void()> onDurable);
     /// Calls `onDurable` once all records added so far are durable.
     void whenAllDurable(std::function<void()> onDurable);
+    /// Whether the record has been added and is not durable yet.
+    bool contains(const RecordKey& record) const { return this->numbers.contains(record); }
     std::size_t size() const { return this->order.size(); }
 
 private:
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -30,6 +30,8 @@
     schema.addStringList("peers.seeds", s.seeds, "addresses of other journals to contact at start-up");
     schema.addAddress("platform.object_store", s.objectStore, "address of the platform's store");
     schema.addString("disk.folder", s.folder, "folder for records; must not be shared with another process");
+    schema.addInteger("disk.max_bytes", s.maxDiskBytes, 0, std::int64_t { 1 } << 50,
+        "bytes in the folder beyond which nothing is written, as on a full disk (0: no bound)");
     bindToleratedLosses(schema, s.toleratedLosses);
     bindLog(schema, s.instance.log);
 }
@@ -40,6 +42,8 @@
 constexpr Milliseconds retirementCheckInterval { 200 };
 /// How long the store holds a watch of retirements: each journal makes one call in this time.
 constexpr Milliseconds retirementWatchWait { 10000 };
+/// Interval at which metadata that could not be written is written again.
+constexpr Milliseconds metadataRetryInterval { 200 };
 /// Delay before news of the store is synced to the disk, unless a record of the journal is synced sooner.
 constexpr Milliseconds newsSyncDelay { 100 };
 /// A closed segment is kept for twice the longest retention seen plus this margin, so that the oldest turns of a chain
@@ -86,6 +90,12 @@
 
     void expire();
     void removeOldSegments();
+    void removeExpiredSegments(TimePoint now, Duration kept);
+
+    // Full disk
+    void setMaxDiskBytes(std::int64_t maxBytes);
+    void updateWritable();
+    void retryMetadata();
 
     // News of the store, which survive a restart while the store is down
     Platform::StoreNewsHandlers storeNewsHandlers();
@@ -95,6 +105,7 @@
     // JournalIo
     bool send(const NodeId& to, const Message& message) override { return this->network.send(to, message); }
     void append(const JournalRecord& record) override { this->disk->append(record); }
+    bool isWritable() const { return this->isDiskWritable && this->metadata.isWritten(); }
     std::optional<RetainedTurn> readTurn(const DiskLocation& location) override { return this->disk->read(location); }
     void sync(std::function<void()> onDurable) override;
     void persistSyncState(const JournalSyncState& syncState) override;
@@ -138,6 +149,10 @@
     /// What the disk holds of the news of the store, until it has been read.
     std::vector<GossipItem> recoveredNews;
     bool isNewsSyncPending = false;
+    bool isDiskWritable = true;
+    /// What the journal was told last.
+    bool wasWritable = true;
+    bool isMetadataRetryPending = false;
 };
 
 Hello Daemon::hello(const std::string& address) const
@@ -177,6 +192,11 @@
     this->disk = std::move(*opened);
     this->disk->setOnTurnWritten(
         [this](const TurnId& turn, const DiskLocation& location) { this->journal->onWritten(turn, location); });
+    this->disk->setOnWritable([this](bool isWritable) {
+        this->isDiskWritable = isWritable;
+        this->updateWritable();
+    });
+    this->setMaxDiskBytes(this->settings.maxDiskBytes);
     this->storeNews.restore(std::exchange(this->recoveredNews, {}));
     const auto elapsed = std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - startedAt);
     this->metrics.observe("rattandeck_disk_read_seconds", std::chrono::duration<double>(elapsed).count());
@@ -205,6 +225,7 @@
         "rattandeck_journal_bytes", "gauge", [this] { return double(this->journal->state().bytes()); });
     this->metrics.provide(
         "rattandeck_journal_epoch", "gauge", [this] { return double(this->journal->set().epoch.value); });
+    this->metrics.provide("rattandeck_journal_writable", "gauge", [this] { return this->isWritable() ? 1 : 0; });
     this->metrics.provide("rattandeck_journal_complete", "gauge", [this] { return this->journal->isVoting() ? 1 : 0; });
     this->metrics.provide(
         "rattandeck_disk_syncs_total", "counter", [this] { return double(this->disk->stats().syncs); });
@@ -279,9 +300,10 @@
     SettingsReload<JournalSettings>::Parts parts;
     parts.source = source;
     parts.bind = bindSettings;
-    parts.appliedKeys = { "peers.seeds", "log.level", "log.bytes_per_second" };
+    parts.appliedKeys = { "peers.seeds", "disk.max_bytes", "log.level", "log.bytes_per_second" };
     parts.apply = [this](const JournalSettings& reloaded) {
         this->settings.seeds = reloaded.seeds;
+        this->setMaxDiskBytes(reloaded.maxDiskBytes);
         adjustLog(reloaded.instance.log);
         this->updateLinks(this->journal->set());
     };
@@ -349,6 +371,11 @@
 void Daemon::removeOldSegments()
 {
     const TimePoint now = this->loop.timers().now();
+    const Duration kept = this->journal->longestTurnRetention() * 2 + segmentRetentionMargin;
+    if (!this->wasWritable) {
+        this->removeExpiredSegments(now, kept);
+        return;
+    }
     const auto current = this->disk->currentSegment();
     if (this->segments.empty() || this->segments.back().number != current) {
         this->segments.push_back({ current, now, this->journal->state().lastSequence() });
@@ -356,7 +383,6 @@
         this->disk->append(GossipItems { this->storeNews.items() });
     }
     // A segment has been closed since the start of the next one.
-    const Duration kept = this->journal->longestTurnRetention() * 2 + segmentRetentionMargin;
     while (this->segments.size() > 1 && now - this->segments[1].startedAt > kept) {
         this->journal->rewriteThrough(this->segments[1].lastSequenceBefore);
         this->segments.pop_front();
@@ -364,6 +390,55 @@
     }
 }
 
+/// On a full disk only segments that hold nothing that is still needed can be removed: the rest of the others would
+/// have to be written again first.
+void Daemon::removeExpiredSegments(TimePoint now, Duration kept)
+{
+    while (this->segments.size() > 1 && now - this->segments[1].startedAt > kept
+        && !this->journal->hasRecordsThrough(this->segments[1].lastSequenceBefore)) {
+        this->segments.pop_front();
+        this->disk->removeExpiredBefore(this->segments.front().number);
+    }
+}
+
+// Full disk ----------------------------------------------------------------------------------------------------------
+
+void Daemon::setMaxDiskBytes(std::int64_t maxBytes)
+{
+    this->disk->quota().setMaxBytes(static_cast<std::uint64_t>(maxBytes));
+    this->metadata.quota().setMaxBytes(static_cast<std::uint64_t>(maxBytes));
+}
+
+/// Tells the journal whether it may take records. The set of journals and the synchronisation state must be on disk
+/// too: after a restart this journal would else answer by those that it had before.
+void Daemon::updateWritable()
+{
+    if (!this->metadata.isWritten() && !this->isMetadataRetryPending) {
+        this->isMetadataRetryPending = true;
+        this->loop.timers().subscribeAfter(metadataRetryInterval, [this] { this->retryMetadata(); });
+    }
+    const bool isWritableNow = this->isWritable();
+    if (isWritableNow == this->wasWritable)
+        return;
+    this->wasWritable = isWritableNow;
+    this->journal->setWritable(isWritableNow);
+    if (!isWritableNow) {
+        logError("disk", "can't be written: nothing is acknowledged until it can");
+        return;
+    }
+    logEvent("disk", "can be written again");
+    // What came meanwhile was not written.
+    this->disk->append(GossipItems { this->storeNews.items() });
+    this->syncNews();
+}
+
+void Daemon::retryMetadata()
+{
+    this->isMetadataRetryPending = false;
+    this->metadata.retry();
+    this->updateWritable();
+}
+
 void Daemon::sync(std::function<void()> onDurable)
 {
     const TimePoint startedAt = this->loop.timers().now();
@@ -381,6 +456,9 @@
 {
     Platform::StoreNewsHandlers handlers;
     handlers.onItem = [this](const GossipItem& item) {
+        // While the disk refuses writes, they would pile up in memory.
+        if (!this->wasWritable)
+            return;
         this->disk->append(GossipItems { { item } });
         this->syncNews();
     };
@@ -452,12 +530,15 @@
 {
     if (!this->metadata.persistSyncState(syncState))
         logError("disk", "notes can't be written");
+    // Not at once: the journal must not be called back from here.
+    this->loop.post([this] { this->updateWritable(); });
 }
 
 void Daemon::persistSet(const JournalSet& set)
 {
     if (!this->metadata.persistSet(set))
         logError("disk", "notes can't be written");
+    this->loop.post([this] { this->updateWritable(); });
 }
 
 void Daemon::onSetChanged(const JournalSet& set)
--- a/src/rattandeck-journal/daemon.h
+++ b/src/rattandeck-journal/daemon.h
@@ -9,6 +9,8 @@
     std::vector<std::string> seeds;
     std::string objectStore;
     std::string folder;
+    /// Bound on the bytes in `folder`; 0 if there is none but the disk's.
+    std::int64_t maxDiskBytes = 0;
     /// Disks that may be lost at the same time.
     std::int64_t toleratedLosses = 1;
 };
--- a/src/rattandeck-journal/disk.cpp
+++ b/src/rattandeck-journal/disk.cpp
@@ -11,12 +11,14 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <optional>
 #include <sys/stat.h>
 #include <thread>
 #include <unistd.h>
+#include <utility>
 #include <vector>
 
 using namespace Rattandeck;
@@ -120,12 +122,14 @@
         : loop(loop)
         , folder(std::move(folder))
         , limits(limits)
+        , quota(this->folder)
     {
     }
 
     RattandeckNet::EventLoop& loop;
     std::string folder;
     Limits limits;
+    FolderQuota quota;
 
     /// A turn in a batch, with the offset of its record there and the length of the record including its header.
     struct TurnInBatch {
@@ -154,6 +158,7 @@
 
     /// Called on the loop. Shared with the tasks that are posted there, which may outlive this object.
     std::shared_ptr<OnTurnWritten> onTurnWritten = std::make_shared<OnTurnWritten>();
+    std::shared_ptr<OnWritable> onWritable = std::make_shared<OnWritable>();
 
     // Used by the loop's thread only
     std::map<SegmentNumber, int> openForReading;
@@ -163,6 +168,8 @@
     std::mutex mutex;
     std::condition_variable workAvailable;
     Batch pending;
+    /// Removed without waiting for a write.
+    std::vector<SegmentNumber> expiredSegments;
     bool isStopping = false;
     Stats stats;
 
@@ -170,6 +177,8 @@
 
     // Used by the writer thread only
     int descriptor = -1;
+    SegmentNumber openNumber = 0;
+    /// Bytes of the open segment that are synced.
     std::size_t segmentBytes = 0;
     std::chrono::steady_clock::time_point segmentOpened;
     std::thread writer;
@@ -179,14 +188,19 @@
     void postWritten(std::vector<TurnInBatch> turns, std::size_t batchBytes);
     void postCallbacks(std::vector<std::function<void()>> callbacks);
     int descriptorFor(SegmentNumber number);
+    std::vector<SegmentNumber> closeBefore(SegmentNumber number);
     bool hasWork() const
     {
         return !this->pending.bytes.empty() || !this->pending.callbacks.empty()
-            || !this->pending.segmentsToRemove.empty();
+            || !this->pending.segmentsToRemove.empty() || !this->expiredSegments.empty();
     }
     void run();
     bool openSegment();
     void closeSegment();
+    /// Takes back what a failed write has left in the open segment, and closes it. On a full disk its room is needed,
+    /// and what was not synced must not be read after a restart as if it were durable.
+    void discardFailedWrite();
+    void postWritable(bool isWritable);
     bool writeBatch(const std::string& batch);
     /// Repeats failed writes. Returns false if the disk is being closed meanwhile.
     bool writeUntilSynced(const std::string& bytes);
@@ -196,11 +210,10 @@
 bool JournalDisk::Impl::openSegment()
 {
     const SegmentNumber number = this->current.load() + 1;
-    this->descriptor
-        = ::open(segmentPath(this->folder, number).c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_APPEND | O_CLOEXEC, 0644);
+    this->descriptor = openForWriting(segmentPath(this->folder, number), O_TRUNC | O_APPEND, this->quota);
     if (this->descriptor < 0)
         return false;
-    this->current.store(number);
+    this->openNumber = number;
     this->segmentBytes = 0;
     this->segmentOpened = std::chrono::steady_clock::now();
     return syncFolder(this->folder);
@@ -220,8 +233,30 @@
         this->closeSegment();
     if (this->descriptor < 0 && !this->openSegment())
         return false;
+    if (!writeAll(this->descriptor, batch, this->quota) || fdatasync(this->descriptor) != 0)
+        return false;
     this->segmentBytes += batch.size();
-    return writeAll(this->descriptor, batch) && fdatasync(this->descriptor) == 0;
+    this->current.store(this->openNumber);
+    return true;
+}
+
+void JournalDisk::Impl::discardFailedWrite()
+{
+    if (this->descriptor < 0)
+        return;
+    if (ftruncate(this->descriptor, static_cast<off_t>(this->segmentBytes)) != 0)
+        this->loop.post([error = errno] { logError("disk", std::string("truncation: ") + std::strerror(error)); });
+    this->closeSegment();
+    if (this->segmentBytes == 0)
+        unlink(segmentPath(this->folder, this->openNumber).c_str());
+}
+
+void JournalDisk::Impl::postWritable(bool isWritable)
+{
+    this->loop.post([handler = this->onWritable, isWritable] {
+        if (*handler)
+            (*handler)(isWritable);
+    });
 }
 
 void JournalDisk::Impl::removeSegments(const std::vector<SegmentNumber>& numbers) const
@@ -275,17 +310,26 @@
 
 bool JournalDisk::Impl::writeUntilSynced(const std::string& bytes)
 {
+    bool hasFailed = false;
     while (!bytes.empty() && !this->writeBatch(bytes)) {
+        const int error = errno;
         // The batch may have been written partially, and recovery reads nothing after a torn record, so the batch is
         // written again to a new segment.
-        this->closeSegment();
-        this->loop.post([error = errno] { logError("disk refused a write", std::strerror(error)); });
+        this->discardFailedWrite();
+        if (!hasFailed) {
+            this->loop.post([error] { logError("disk refused a write", std::strerror(error)); });
+            this->postWritable(false);
+        }
+        hasFailed = true;
         std::this_thread::sleep_for(this->limits.retryDelay);
         const std::lock_guard guard(this->mutex);
         ++this->stats.failures;
         if (this->isStopping)
             return false;
+        this->removeSegments(std::exchange(this->expiredSegments, {}));
     }
+    if (hasFailed)
+        this->postWritable(true);
     return true;
 }
 
@@ -298,7 +342,9 @@
         if (!this->hasWork())
             return;
         std::swap(batch, this->pending);
+        const std::vector<SegmentNumber> expired = std::exchange(this->expiredSegments, {});
         lock.unlock();
+        this->removeSegments(expired);
         if (!this->writeUntilSynced(batch.bytes))
             return;
         this->postWritten(std::move(batch.turns), batch.bytes.size());
@@ -385,6 +431,10 @@
 
 void JournalDisk::setOnTurnWritten(OnTurnWritten handler) { *this->impl->onTurnWritten = std::move(handler); }
 
+void JournalDisk::setOnWritable(OnWritable handler) { *this->impl->onWritable = std::move(handler); }
+
+FolderQuota& JournalDisk::quota() { return this->impl->quota; }
+
 std::optional<RetainedTurn> JournalDisk::read(const DiskLocation& location)
 {
     const int descriptor = this->impl->descriptorFor(location.segment);
@@ -412,20 +462,35 @@
 
 JournalDisk::SegmentNumber JournalDisk::currentSegment() const { return this->impl->current.load(); }
 
-void JournalDisk::removeBefore(SegmentNumber number)
+/// The segments before `number`, which are no longer read.
+std::vector<JournalDisk::SegmentNumber> JournalDisk::Impl::closeBefore(SegmentNumber number)
 {
-    const auto segments = listSegments(this->impl->folder);
-    std::erase_if(this->impl->openForReading, [number](const auto& open) {
+    std::erase_if(this->openForReading, [number](const auto& open) {
         if (open.first < number)
             close(open.second);
         return open.first < number;
     });
+    std::vector<SegmentNumber> segments = listSegments(this->folder);
+    std::erase_if(segments, [number](SegmentNumber segment) { return segment >= number; });
+    return segments;
+}
+
+void JournalDisk::removeBefore(SegmentNumber number)
+{
+    const std::vector<SegmentNumber> segments = this->impl->closeBefore(number);
     {
         const std::lock_guard guard(this->impl->mutex);
-        for (const SegmentNumber segment : segments) {
-            if (segment < number)
-                this->impl->pending.segmentsToRemove.push_back(segment);
-        }
+        std::ranges::copy(segments, std::back_inserter(this->impl->pending.segmentsToRemove));
+    }
+    this->impl->workAvailable.notify_one();
+}
+
+void JournalDisk::removeExpiredBefore(SegmentNumber number)
+{
+    const std::vector<SegmentNumber> segments = this->impl->closeBefore(number);
+    {
+        const std::lock_guard guard(this->impl->mutex);
+        std::ranges::copy(segments, std::back_inserter(this->impl->expiredSegments));
     }
     this->impl->workAvailable.notify_one();
 }
--- a/src/rattandeck-journal/disk.h
+++ b/src/rattandeck-journal/disk.h
@@ -57,6 +57,12 @@
     /// set before the loop runs.
     using OnTurnWritten = std::function<void(const Rattandeck::TurnId& turn, const Rattandeck::DiskLocation& location)>;
     void setOnTurnWritten(OnTurnWritten handler);
+    /// Called from the loop when a write has failed, and when one succeeds after that. Precondition: set before the
+    /// loop runs.
+    using OnWritable = std::function<void(bool isWritable)>;
+    void setOnWritable(OnWritable handler);
+    /// Bound on the size of the folder, beyond which writes are refused as by a full disk.
+    FolderQuota& quota();
 
     /// Appends a record. It is on disk once the callback of a later `sync` has been called.
     ///
@@ -75,6 +81,9 @@
     SegmentNumber currentSegment() const;
     /// Removes all segments before `number`, once the records appended so far are on disk.
     void removeBefore(SegmentNumber number);
+    /// Removes all segments before `number` also while the disk refuses writes. Precondition: no record in them is
+    /// needed any more.
+    void removeExpiredBefore(SegmentNumber number);
 
     struct Stats {
         std::uint64_t records = 0;
--- a/src/rattandeck-journal/metadata.cpp
+++ b/src/rattandeck-journal/metadata.cpp
@@ -1,6 +1,5 @@
 #include "metadata.h"
 
-#include "files.h"
 #include "platform/objectcodec.h"
 
 #include <nlohmann/json.hpp>
@@ -18,13 +17,16 @@
 constexpr const char* fileName = "/notes.json";
 constexpr const char* temporaryName = "/notes.new";
 
-bool writeAndSync(const std::string& path, const std::string& text)
+bool writeAndSync(const std::string& path, const std::string& text, const FolderQuota& quota)
 {
-    const int descriptor = open(path.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
+    const int descriptor = openForWriting(path, O_TRUNC, quota);
     if (descriptor < 0)
         return false;
-    const bool isSynced = writeAll(descriptor, text) && fsync(descriptor) == 0;
+    const bool isSynced = writeAll(descriptor, text, quota) && fsync(descriptor) == 0;
     close(descriptor);
+    // A part of the text would only take room.
+    if (!isSynced)
+        unlink(path.c_str());
     return isSynced;
 }
 
@@ -55,12 +57,20 @@
 bool JournalMetadata::persistSyncState(const JournalSyncState& syncState)
 {
     if (this->currentSyncState == syncState)
-        return true;
+        return this->isOnDisk;
     this->currentSyncState = syncState;
     return this->write();
 }
 
-bool JournalMetadata::write() const
+bool JournalMetadata::retry() { return this->isOnDisk || this->write(); }
+
+bool JournalMetadata::write()
+{
+    this->isOnDisk = this->replaceFile();
+    return this->isOnDisk;
+}
+
+bool JournalMetadata::replaceFile() const
 {
     Json json = Platform::writeJournalSet(this->currentSet);
     json["complete"] = this->currentSyncState.isComplete;
@@ -70,6 +80,6 @@
     json["was_complete"] = this->currentSyncState.wasComplete;
     // The rename replaces the old file only after the new one is completely on disk.
     const std::string temporaryPath = this->folder + temporaryName;
-    return writeAndSync(temporaryPath, json.dump())
+    return writeAndSync(temporaryPath, json.dump(), this->folderQuota)
         && std::rename(temporaryPath.c_str(), (this->folder + fileName).c_str()) == 0 && syncFolder(this->folder);
 }
--- a/src/rattandeck-journal/metadata.h
+++ b/src/rattandeck-journal/metadata.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "files.h"
 #include "Rattandeck/journalmembership.h"
 
 #include <string>
@@ -17,10 +18,19 @@
     bool persistSet(const Rattandeck::JournalSet& set);
     bool persistSyncState(const Rattandeck::JournalSyncState& syncState);
 
+    /// Whether the disk holds the set and the state. If not, `retry` is to be called until it does.
+    bool isWritten() const { return this->isOnDisk; }
+    /// Writes again what could not be written. Returns `isWritten`.
+    bool retry();
+    FolderQuota& quota() { return this->folderQuota; }
+
 private:
-    bool write() const;
+    bool write();
+    bool replaceFile() const;
 
     std::string folder;
+    FolderQuota folderQuota { this->folder };
+    bool isOnDisk = true;
     Rattandeck::JournalSet currentSet;
     Rattandeck::JournalSyncState currentSyncState;
 };
