--- a/src/librattandeck/gossip/configconfirmation_test.cpp
+++ b/src/librattandeck/gossip/configconfirmation_test.cpp
@@ -80,9 +80,11 @@
             this->confirmation->onLinkUp(NodeId(name));
     }
 
-    void answer(Question question, std::uint64_t revision, Milliseconds age, bool isKnown = true)
+    void answer(const Question& question, std::uint64_t revision, Milliseconds age, bool isKnown = true)
     {
-        this->confirmation->onMessage(question.to, ConfigAgeAnswer { question.ticket, isKnown, revision, age });
+        // An answer may add a question to the list that this one is in.
+        const NodeId from = question.to;
+        this->confirmation->onMessage(from, ConfigAgeAnswer { question.ticket, isKnown, revision, age });
     }
 
     void assertAge(Milliseconds expected) const
