Merge views: full disks, revocation with real processes

Changed in the merge: GatewayQuotasTest stores the turn that it continues under its organisation, as gateways do now; its checks are unchanged.

--- a/src/librattandeck/turns/gatewayquotas_test.cpp
+++ b/src/librattandeck/turns/gatewayquotas_test.cpp
@@ -1,4 +1,5 @@
 #include "gatewayfixture_test.h"
+#include "Rattandeck/turnscope.h"
 
 using namespace Rattandeck;
 
@@ -126,7 +127,9 @@
         next.previousTurn = TurnId("stored");
         for (const char* journal : { "j1", "j2", "j3" }) {
             JournalState& state = this->f->states[NodeId(journal)];
-            state.apply(RetainedTurn { TurnId("stored"), {}, "i", "o", Milliseconds(60000) }, {});
+            state.apply(RetainedTurn { scopedTurn(OrganisationId("limited"), TurnId("stored")), {}, "i", "o",
+                            Milliseconds(60000) },
+                {});
         }
         this->f->call(next);
         this->f->advance(Milliseconds(2));
