Prefer instances with an idle connection among near-equal ones

Cause: new connections to instances are expensive, and among instances that are expected to be equally fast the choice ignored which of them a connection is idle to.

The number of connections saved was not measured.

--- a/src/include/Rattandeck/endpoints.h
+++ b/src/include/Rattandeck/endpoints.h
@@ -115,6 +115,8 @@
     std::function<std::optional<TimePoint>(const std::string& address)> connectedSince;
     /// Start time of the process, by its own answer, with no gap in the connections since; empty if it has not told.
     std::function<std::optional<std::int64_t>(const std::string& address)> processAt;
+    /// Whether a call can be sent there without opening a connection.
+    std::function<bool(const std::string& address)> hasIdle;
 };
 
 /// Cost model of the placement. Each value in milliseconds estimates how much latency a property of the instance adds
--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -30,6 +30,8 @@
     virtual void cancelSend(SendId send) = 0;
     /// Since when this process has been connected to an instance's address without a gap; empty without a connection.
     virtual std::optional<TimePoint> connectedSince(const std::string& address) const = 0;
+    /// Whether a call can be sent to an instance's address without opening a connection.
+    virtual bool hasIdleConnection(const std::string& address) const = 0;
     /// Start time of the process that serves at an instance's address, by its own answer, if it can't have been
     /// replaced since; empty if it has not told. `Gateway::onProcessTold` follows each answer.
     virtual std::optional<std::int64_t> processAt(const std::string& address) const = 0;
--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -177,6 +177,8 @@
     /// Since when at least one connection has been open without a gap; empty while there is none. A connection to a
     /// process that ended without a word stays open.
     std::optional<Rattandeck::TimePoint> connectedSince() const;
+    /// Whether a connection is open that runs no call.
+    bool hasIdle() const;
     /// Since when the server has been heard from without a pause of more than `maxSilence`; empty if the pause lasts or
     /// there is no connection. All that time the same process has been at the other end.
     std::optional<Rattandeck::TimePoint> heardSince() const;
--- a/src/librattandeck/routing/endpoints.cpp
+++ b/src/librattandeck/routing/endpoints.cpp
@@ -143,25 +143,30 @@
     return bits ^ bits >> 31U;
 }
 
-/// Chooses among the candidates that cost nearly as little as `best`: the preferred instance if it is one of them.
-static const Candidate* chooseNearEqual(const std::vector<Candidate>& candidates, const Cheapest& best,
-    const EndpointCosts& costs, const InstanceState* preferred, std::uint64_t drawn)
+/// Chooses among the candidates that cost nearly as little as `best`: the preferred instance if it is one of them,
+/// otherwise one to which a connection is idle, if there is one.
+static const Candidate* chooseNearEqual(std::vector<Candidate>& candidates, const Cheapest& best,
+    const EndpointCosts& costs, const ConnectionKnowledge& connections, const InstanceState* preferred,
+    std::uint64_t drawn)
 {
     std::uint64_t count = 0;
+    std::uint64_t connected = 0;
     const auto isNear = [&](const Candidate& candidate) {
         return candidate.room.wait && candidate.hasRoom == best.candidate->hasRoom
             && costWithWait(candidate) <= best.cost + costs.nearEqualMs;
     };
-    for (const Candidate& candidate : candidates) {
+    for (Candidate& candidate : candidates) {
         if (!isNear(candidate))
             continue;
         if (candidate.state == preferred)
             return &candidate;
+        candidate.isConnected = connections.hasIdle && connections.hasIdle(candidate.state->instance.address);
         ++count;
+        connected += candidate.isConnected ? 1 : 0;
     }
-    std::uint64_t left = drawn % count;
+    std::uint64_t left = drawn % (connected > 0 ? connected : count);
     for (const Candidate& candidate : candidates) {
-        if (isNear(candidate) && left-- == 0)
+        if (isNear(candidate) && (connected == 0 || candidate.isConnected) && left-- == 0)
             return &candidate;
     }
     return best.candidate;
@@ -212,7 +217,7 @@
         return std::nullopt;
     const Candidate* best = least.candidate;
     if (self.costs.seed != 0)
-        best = chooseNearEqual(candidates, least, self.costs, preferred, self.draw());
+        best = chooseNearEqual(candidates, least, self.costs, self.connections, preferred, self.draw());
     const InstanceState& state = *best->state;
     PlacementChoice choice;
     choice.endpoint = state.instance.id;
--- a/src/librattandeck/routing/endpointsimpl.h
+++ b/src/librattandeck/routing/endpointsimpl.h
@@ -88,6 +88,7 @@
     double workTime = 1;
     double cost = 0;
     bool hasRoom = true;
+    bool isConnected = false;
 };
 
 /// What the costs of a call at all instances have in common.
--- a/src/librattandeck/turns/gatewayfixture_test.h
+++ b/src/librattandeck/turns/gatewayfixture_test.h
@@ -50,6 +50,8 @@
     bool isStoreViewed = true;
     std::map<std::string, Rattandeck::TimePoint> connected;
     std::map<std::string, std::int64_t> processes;
+    /// Addresses to which a connection is idle.
+    std::set<std::string> idle;
     /// Journals to which no link is up.
     std::set<Rattandeck::NodeId> unlinked;
     Rattandeck::JournalClient journals;
@@ -210,6 +212,7 @@
         const auto found = this->connected.find(address);
         return found == this->connected.end() ? std::nullopt : std::optional(found->second);
     }
+    bool hasIdleConnection(const std::string& address) const override { return this->idle.contains(address); }
     std::optional<std::int64_t> processAt(const std::string& address) const override
     {
         const auto found = this->processes.find(address);
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -105,7 +105,8 @@
         , limits(limits)
         , endpoints(costsOf(limits),
               { [this](const std::string& address) { return this->io.connectedSince(address); },
-                  [this](const std::string& address) { return this->io.processAt(address); } })
+                  [this](const std::string& address) { return this->io.processAt(address); },
+                  [this](const std::string& address) { return this->io.hasIdleConnection(address); } })
         , permits(timers, this->permitIo(), limits.permits)
         , origins(
               timers,
--- a/src/librattandecknet/httpclient.cpp
+++ b/src/librattandecknet/httpclient.cpp
@@ -74,7 +74,7 @@
 
 std::shared_ptr<ClientConnection> HttpClient::Impl::addConnection(ConnectCause cause)
 {
-    const auto connection = std::make_shared<ClientConnection>(this->shared_from_this());
+    auto connection = std::make_shared<ClientConnection>(this->shared_from_this());
     this->connections.insert(connection);
     this->hasConnected = true;
     if (this->connectHandler)
@@ -285,6 +285,11 @@
 
 std::optional<Rattandeck::TimePoint> HttpClient::connectedSince() const { return this->impl->connectedSince; }
 
+bool HttpClient::hasIdle() const
+{
+    return std::ranges::any_of(this->impl->idle, [](const auto& connection) { return !connection->isExpired(); });
+}
+
 std::optional<Rattandeck::TimePoint> HttpClient::heardSince() const
 {
     const auto& last = this->impl->lastHeard;
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -202,6 +202,12 @@
     return found == this->clients.end() ? std::nullopt : found->second.instance->http().connectedSince();
 }
 
+bool Relay::hasIdleConnection(const std::string& address) const
+{
+    const auto found = this->clients.find(address);
+    return found != this->clients.end() && found->second.instance->http().hasIdle();
+}
+
 std::optional<std::int64_t> Relay::processAt(const std::string& address) const
 {
     const auto found = this->clients.find(address);
--- a/src/rattandeck-gateway/relay.h
+++ b/src/rattandeck-gateway/relay.h
@@ -52,6 +52,7 @@
     void send(Rattandeck::CallId call, Rattandeck::SendId send, Rattandeck::EndpointSend details) override;
     void cancelSend(Rattandeck::SendId send) override;
     std::optional<Rattandeck::TimePoint> connectedSince(const std::string& address) const override;
+    bool hasIdleConnection(const std::string& address) const override;
     std::optional<std::int64_t> processAt(const std::string& address) const override;
     void answer(Rattandeck::CallId call, Rattandeck::SendId send, std::string body) override;
     void begin(Rattandeck::CallId call, Rattandeck::SendId send) override;
--- a/src/rattandeck-provejournals/callers.cpp
+++ b/src/rattandeck-provejournals/callers.cpp
@@ -120,6 +120,7 @@
     void logLimit(const LimitChange&) override { }
     void logInvalidLimit(const EndpointId&, const std::string&) override { }
     void reportLeaving(const EndpointId&, std::int64_t) override { }
+    bool hasIdleConnection(const std::string&) const override { return true; }
     void logInvalidLoad(const EndpointId&, const std::string&) override { }
     void logInvalidLeaving(const EndpointId&, const std::string&) override { }
 
