ObjectStoreTest: wait until the store has the watch that follows

Cause: two tests failed once in a run beside builds (load 14), and in 1 of 6 runs side by side. The watch of the follower before could reach the store after the next answers had been set, and took one of them. Change: both tests wait for that watch. Their checks are unchanged.

--- a/src/platform/objectstore_test.cpp
+++ b/src/platform/objectstore_test.cpp
@@ -243,6 +243,7 @@
             // It can be copied, and passed on to other processes.
             const StoredObject copy = this->snapshots.front().front();
             CPPUNIT_ASSERT(nlohmann::json::accept(copy.spec.dump()));
+            this->awaitRequests(2);
         }
     }
 
@@ -256,9 +257,18 @@
             this->follow();
             this->test.runUntil("watched", [this] { return this->changes.size() == 2; });
             CPPUNIT_ASSERT_EQUAL(std::string("b"), this->changes.back().first.name);
+            this->awaitRequests(3);
         }
     }
 
+    /// Waits until the store has received the watch that follows, so that it doesn't take an answer that is meant for
+    /// the next follower.
+    void awaitRequests(std::size_t count)
+    {
+        this->test.runUntil("watched again", [this, count] { return this->requests.size() >= count; });
+        this->requests.clear();
+    }
+
     void pageWithoutReadableNamesIsListedAgain()
     {
         this->answers = { ok(page(object("a", 3), 7, true)), ok(page(R"({"metadata":{"name":5}})", 7, true)),
