Allow callers as many header fields as their limit of bytes does

Cause: 256 fields at most, so a request within the callers' limits (16 kB of many short fields) was refused with 431 also in calm. Change: the gateway bounds fields by the bytes of the head alone; what they take in memory is counted in the budget, twice while the request runs. Readiness and metrics keep 256.

--- a/src/include/RattandeckNet/http.h
+++ b/src/include/RattandeckNet/http.h
@@ -58,8 +58,8 @@
     std::size_t maxUnsentBytes = 8UL * 1024 * 1024;
     /// Unsent bytes of a streamed response from which on `HttpResponder::isCongested` holds.
     std::size_t congestedBytes = 256UL * 1024;
-    /// How many copies of its body a request takes while it is processed.
-    std::size_t bodyCopies = 1;
+    /// How many copies of its head and body a request takes while it is processed.
+    std::size_t requestCopies = 1;
     /// How long a connection may be open without a request before it is closed in favour of a new one, once there are
     /// `maxConnections`.
     std::chrono::milliseconds unusedTime { 1000 };
--- a/src/librattandecknet/serverbounds_test.cpp
+++ b/src/librattandecknet/serverbounds_test.cpp
@@ -16,6 +16,7 @@
     CPPUNIT_TEST(unneededBodyIsNotAskedFor);
     CPPUNIT_TEST(unneededBodyThatStopsEndsTheConnection);
     CPPUNIT_TEST(tooManyFieldsGet431);
+    CPPUNIT_TEST(aLimitOfBytesAloneAllowsAsManyFieldsAsFit);
     CPPUNIT_TEST(tooManyFieldsInAHeadWithoutEndGet431);
     CPPUNIT_TEST(tooManyFieldsInTrailersGet431);
     CPPUNIT_TEST(bodyWithManyLinesIsAccepted);
@@ -159,6 +160,17 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), this->budget.refused(RefusalCause::TooManyFields));
     }
 
+    /// Guards against a head that is refused for its fields although its bytes are within the limit.
+    void aLimitOfBytesAloneAllowsAsManyFieldsAsFit()
+    {
+        constexpr std::size_t minFieldBytes = 4;
+        HttpLimits limits;
+        limits.maxHeaderFields = limits.maxHeaderBytes / minFieldBytes;
+        RawSocket socket(this->serve(limits));
+        socket.write("GET / HTTP/1.1\r\n" + fields(4000) + "\r\n");
+        this->expectAnswer(socket, "HTTP/1.1 200");
+    }
+
     void tooManyFieldsInAHeadWithoutEndGet431()
     {
         RawSocket socket(this->serve());
--- a/src/librattandecknet/serverconnection.cpp
+++ b/src/librattandecknet/serverconnection.cpp
@@ -327,8 +327,8 @@
         return;
     }
     const std::size_t bodyBytes = this->parser->get().body().size();
-    const std::size_t copies = std::max<std::size_t>(this->server->limits.bodyCopies, 1);
-    this->requestBytes = this->headBytes + bodyBytes * copies;
+    const std::size_t copies = std::max<std::size_t>(this->server->limits.requestCopies, 1);
+    this->requestBytes = (this->headBytes + bodyBytes) * copies;
     if (!this->share.reserve(
             connectionBytes + this->pending.capacity() + this->requestBytes, this->loop.timers.now())) {
         this->refuseForMemory();
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -51,7 +51,9 @@
 constexpr Milliseconds sweepInterval { 2000 };
 constexpr Milliseconds storeViewInterval { 200 };
 /// Copies of a request's body while it runs: the core's, and the one that is being sent to the instance.
-constexpr std::size_t bodyCopies = 2;
+constexpr std::size_t requestCopies = 2;
+/// The shortest header field: a letter, a colon and the line end.
+constexpr std::size_t minFieldBytes = 4;
 /// Interval at which the journal set is read from the store while it is unknown or no journal is connected. All
 /// gateways together make at most 40 such calls a second, since they share the rate of the store.
 constexpr Milliseconds minJournalSearchInterval { 500 };
@@ -254,11 +256,13 @@
     const CallerLimits configured = this->relay.gateway().callerLimits();
     HttpLimits limits;
     limits.maxHeaderBytes = configured.maxHeaderBytes;
+    // Callers' limits bound the bytes of a head alone; what its fields take beside their text counts in the budget.
+    limits.maxHeaderFields = configured.maxHeaderBytes / minFieldBytes;
     limits.maxBodyBytes = configured.maxBodyBytes;
     limits.readTimeout = configured.headerTimeout;
     limits.idleTimeout = configured.idleTimeout;
     limits.maxConnections = allowedConnections(static_cast<std::size_t>(this->settings.maxConnections));
-    limits.bodyCopies = bodyCopies;
+    limits.requestCopies = requestCopies;
     return limits;
 }
 
