--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -182,8 +182,7 @@
     parts.bind = bindSettings;
     parts.appliedKeys = { "callers.max_connections", "peers.seeds", "placement.max_load", "placement.opening_load",
         "placement.priorities", "placement.queue_part", "keys.max_config_age_ms", "calls.repeat_ratio", "stop.limit_ms",
-        "memory.limit_mb",
-        "log.level", "log.bytes_per_second" };
+        "memory.limit_mb", "log.level", "log.bytes_per_second" };
     parts.apply = [this](const GatewaySettings& fresh) { this->apply(fresh); };
     return parts;
 }
