--- a/src/include/Rattandeck/gatewaylog.h
+++ b/src/include/Rattandeck/gatewaylog.h
@@ -67,6 +67,8 @@
     TurnId request;
     BudgetId program;
     std::string route;
+    /// The caller's organisation; empty if it has none.
+    OrganisationId organisation;
     /// "answered", "refused", "broken" (the answer was aborted) or "left" (the caller disconnected).
     std::string_view outcome;
     std::string_view reason;
--- a/src/include/Rattandeck/quotaholder.h
+++ b/src/include/Rattandeck/quotaholder.h
@@ -13,11 +13,18 @@
 
 namespace Rattandeck {
 
-/// Permission to send one call of an organisation.
-struct QuotaToken {
+/// What an issuer contributes to a token.
+struct QuotaPart {
     NodeId issuer;
-    /// Identifies the token's issue at its issuer.
+    /// Identifies the part's issue at its issuer.
     std::uint64_t stamp = 0;
+    double amount = 1;
+};
+
+/// Permission to send one call of an organisation.
+struct QuotaToken {
+    /// Make up one token together.
+    std::vector<QuotaPart> parts;
     /// The call must be written to its connection before this time.
     TimePoint useBy;
 };
@@ -25,8 +32,10 @@
 struct QuotaRefusal {
     /// No issuer is linked, or none has answered. Otherwise the allowance is used.
     bool isUnavailable = false;
-    /// Time until an issuer expects to have a token.
+    /// Time until an issuer expects to have a token, and the time over which callers should be spread after it, since
+    /// many of them are refused.
     Milliseconds wait { 0 };
+    Milliseconds spread { 0 };
 };
 
 /// The part of a gateway that holds the tokens to send calls of organisations with an allowance; see `quotapolicy.h`.
@@ -56,7 +65,7 @@
         std::uint64_t refused = 0;
         std::uint64_t unavailable = 0;
         /// Tokens that were not used.
-        std::uint64_t unused = 0;
+        double unused = 0;
         std::uint64_t messages = 0;
     };
 
@@ -78,7 +87,7 @@
     /// Takes a token for a call, or refuses it, or returns an empty value: then `waiter` waits, and `Io::onOutcome`
     /// tells what becomes of it. Precondition: `waiter` does not wait.
     tl::expected<std::optional<QuotaToken>, QuotaRefusal> acquire(
-        const OrganisationId& organisation, QuotaKind kind, WaiterId waiter);
+        const OrganisationId& organisation, const CallAllowance& allowance, QuotaKind kind, WaiterId waiter);
     /// Takes a token if one is held.
     std::optional<QuotaToken> tryTake(const OrganisationId& organisation);
     /// The call does not wait any more. Ignored if it doesn't.
--- a/src/include/Rattandeck/quotaissuer.h
+++ b/src/include/Rattandeck/quotaissuer.h
@@ -22,8 +22,8 @@
     using Send = std::function<bool(const NodeId& node, const Message& message)>;
 
     struct Counts {
-        std::uint64_t granted = 0;
-        std::uint64_t returned = 0;
+        double granted = 0;
+        double returned = 0;
         /// Tokens for waiting calls that were not granted.
         std::uint64_t denied = 0;
     };
--- a/src/include/Rattandeck/quotamessages.h
+++ b/src/include/Rattandeck/quotamessages.h
@@ -15,6 +15,9 @@
     /// For calls that wait: all but first turns, and first turns.
     std::uint32_t waiting = 0;
     std::uint32_t waitingFirstTurns = 0;
+    /// Parts of tokens for such calls: an equal share of what they need, of which the other issuers are asked the same.
+    double waitingPart = 0;
+    double firstTurnPart = 0;
     bool operator==(const QuotaDemand&) const = default;
 };
 
@@ -23,7 +26,7 @@
     OrganisationId organisation;
     /// Stamp of the message that issued them.
     std::uint64_t stamp = 0;
-    std::uint32_t tokens = 0;
+    double tokens = 0;
     bool operator==(const QuotaReturn&) const = default;
 };
 
@@ -48,6 +51,9 @@
     bool includesFirstTurns = false;
     /// Tokens in addition, for first turns that wait.
     std::uint32_t firstTurnTokens = 0;
+    /// Parts of tokens for calls and first turns that wait. Parts of several issuers make up a token.
+    double part = 0;
+    double firstTurnPart = 0;
     /// Time until the issuer expects to have a token for a call, and for a first turn; 0 if it has one.
     Milliseconds wait { 0 };
     Milliseconds firstTurnWait { 0 };
--- a/src/include/Rattandeck/quotapolicy.h
+++ b/src/include/Rattandeck/quotapolicy.h
@@ -24,6 +24,9 @@
     double extraBurst = 12;
     /// Interval at which a gateway asks for the tokens that it expects to need.
     Milliseconds requestInterval { 150 };
+    /// A gateway asks another issuer first after this time: with one for good, some issuers would have twice the mean
+    /// number of gateways, and less than their demand.
+    Milliseconds homePeriod { 300 };
     /// Tokens are asked for in advance for organisations with a call in this time.
     Milliseconds seenPeriod { 2000 };
     /// Time for which demands of waiting calls are collected at a gateway.
@@ -32,6 +35,13 @@
     Milliseconds homeTimeout { 30 };
     /// A waiting call is refused when the other issuers have not answered within this time.
     Milliseconds answerTimeout { 150 };
+    /// Fewer expected calls until the next request are no reason to ask in advance: the token of a small organisation
+    /// would be missed elsewhere, and would rarely be used here.
+    double minExpectedCalls = 0;
+    /// Calls of organisations whose buckets are smaller ask all issuers for an equal part of what they need, not the
+    /// home issuer for all: a bucket that one burst empties would refill at its share of the rate, while the others are
+    /// full.
+    double smallBucket = 4;
     /// Part of a bucket that is kept for calls that wait.
     double advanceFloor = 0.5;
     /// First turns of programs are issued at a limited rate while a bucket is below this part of its size.
@@ -51,7 +61,15 @@
     Milliseconds maxPause { 750 };
     /// Bounds on the time for which a gateway refuses calls without asking, after all issuers had no token.
     Milliseconds minRefusal { 20 };
+    /// The lower bound doubles up to this with each refusal that follows: under a lasting overload the tokens that are
+    /// asked for in advance are enough to use the allowance, and questions of single calls would cost more than them.
+    Milliseconds maxBackoff { 160 };
     Milliseconds maxRefusal { 2000 };
+    /// When no issuer has a token, and one expects to have one within `overloadWait`, calls of the organisation ask the
+    /// home issuer only for `overloadPeriod`. Its allowance is large then, and is used up by the tokens that gateways
+    /// ask for in advance; questions to all issuers would cost more than the calls.
+    Milliseconds overloadWait { 50 };
+    Milliseconds overloadPeriod { 300 };
     /// Seed of drawn values. It has to differ between gateways.
     std::uint32_t seed = 1;
 };
@@ -104,6 +122,11 @@
     std::uint32_t advance = 0;
     /// The bucket was so full that first turns need no precaution.
     bool includesFirstTurns = false;
+    /// Parts of tokens that are asked for as such, and what is left in the bucket, less than a token, for a call or a
+    /// first turn that got none. A gateway adds up the parts of several issuers: half a token is left in each bucket on
+    /// average, of which small ones hold two or three.
+    double part = 0;
+    double firstTurnPart = 0;
 };
 
 /// Decides what a request gets and takes it from the bucket: calls that wait before first turns that wait, and both
@@ -113,7 +136,7 @@
 
 /// Puts tokens of the message `stamp` back. Returns how many the bucket takes.
 /// Precondition: the bucket has been refilled at `now`.
-double giveBack(QuotaBucket& bucket, std::uint32_t tokens, std::uint64_t stamp);
+double giveBack(QuotaBucket& bucket, double tokens, std::uint64_t stamp);
 
 /// Time until the bucket has a token for a call of this kind. Precondition: the share has a rate.
 Duration timeToNext(const QuotaBucket& bucket, const QuotaShare& share, QuotaKind kind, double programCalls,
@@ -143,6 +166,8 @@
 };
 
 void noteArrival(QuotaArrivals& arrivals, TimePoint now);
+/// Calls a second, as of `now`.
+double rateAt(const QuotaArrivals& arrivals, TimePoint now);
 /// Number of tokens that a gateway should hold until its next request: expected calls and a margin; 0 for an
 /// organisation that it has not seen lately.
 std::uint32_t expectedDemand(const QuotaArrivals& arrivals, TimePoint now, const QuotaSettings& settings);
--- a/src/librattandeck/quotas/quotaholder.cpp
+++ b/src/librattandeck/quotas/quotaholder.cpp
@@ -21,6 +21,8 @@
 constexpr Milliseconds silentPeriod { 2000 };
 /// Bound on the tokens of one grant, against malformed messages.
 constexpr std::uint32_t maxTokensPerGrant = 100000;
+/// Rounding errors of sums of parts.
+constexpr double partTolerance = 1e-6;
 /// Bounds on what one message returns; the rest follows with the next one.
 constexpr std::size_t maxReturnsPerMessage = 2000;
 
@@ -43,19 +45,36 @@
         TimePoint since;
     };
 
+    /// Parts of tokens that have come for the calls of a round.
+    struct PartPool {
+        std::vector<QuotaPart> parts;
+        TimePoint useBy = TimePoint::max();
+        double total() const
+        {
+            double sum = 0;
+            for (const QuotaPart& part : this->parts)
+                sum += part.amount;
+            return sum;
+        }
+    };
+
     /// Calls that ask together: the home issuer first, then all others.
     struct Round {
         RoundId id;
         std::vector<Waiter> waiters;
         bool hasAskedAll = false;
+        bool isToHomeOnly = false;
         std::set<NodeId> asked;
         std::set<NodeId> pending;
         /// Shortest waits that issuers stated, of calls and first turns; empty while none has stated one.
         std::array<std::optional<Milliseconds>, 2> waits;
+        /// For calls, and for first turns.
+        std::array<PartPool, 2> pools;
         TimerId timer;
     };
 
     struct HeldOrganisation {
+        CallAllowance allowance;
         QuotaArrivals arrivals;
         std::vector<TokenBatch> batches;
         /// Waiters of the next round.
@@ -63,6 +82,13 @@
         std::map<RoundId, Round> rounds;
         /// Time until which calls, and first turns, are refused without asking.
         std::array<TimePoint, 2> refusedUntil {};
+        /// Rounds without a token for all their calls, one after the other.
+        std::uint32_t refusedRounds = 0;
+        /// Calls ask the home issuer only until then; see `QuotaSettings::overloadPeriod`.
+        TimePoint overloadedUntil {};
+        /// Moving averages of the calls a second that were refused, and that got a token.
+        QuotaArrivals refused;
+        QuotaArrivals taken;
     };
 
     struct SentRequest {
@@ -104,7 +130,7 @@
     std::unordered_map<OrganisationId, HeldOrganisation> organisations;
     std::map<std::uint64_t, SentRequest> requests;
     /// Tokens to be returned with the next message, by issuer and stamp.
-    std::map<NodeId, std::map<std::pair<OrganisationId, std::uint64_t>, std::uint32_t>> returns;
+    std::map<NodeId, std::map<std::pair<OrganisationId, std::uint64_t>, double>> returns;
     /// Calls and first turns with a token that have not been reported.
     std::uint32_t calls = 0;
     std::uint32_t firstTurns = 0;
@@ -118,8 +144,9 @@
 
     // Tokens
     std::optional<QuotaToken> take(HeldOrganisation& organisation, QuotaKind kind);
-    void noteTaken(QuotaKind kind);
-    void returnTokens(const OrganisationId& id, const NodeId& issuer, std::uint64_t stamp, std::uint32_t count);
+    std::optional<QuotaToken> compose(Round& round, QuotaKind kind);
+    void noteTaken(HeldOrganisation& organisation, QuotaKind kind);
+    void returnTokens(const OrganisationId& id, const NodeId& issuer, std::uint64_t stamp, double count);
     void returnBatches(const OrganisationId& id, HeldOrganisation& organisation, TimePoint usableUntil);
     void serve(const OrganisationId& id);
 
@@ -127,7 +154,8 @@
     void schedule();
     void flush();
     void startRound(const OrganisationId& id, std::map<NodeId, QuotaRequests>& messages);
-    void ask(const OrganisationId& id, Round& round, const NodeId& node, std::map<NodeId, QuotaRequests>& messages);
+    void ask(const OrganisationId& id, Round& round, const NodeId& node, std::map<NodeId, QuotaRequests>& messages,
+        std::size_t parts);
     void sendAll(std::map<NodeId, QuotaRequests> messages);
     void scheduleAdvance();
     void advance();
@@ -140,7 +168,8 @@
     void askAll(const OrganisationId& id, Round& round);
     void onTimeout(const OrganisationId& id, RoundId roundId);
     void endRound(const OrganisationId& id, RoundId roundId);
-    QuotaRefusal refusalIn(const Round& round, QuotaKind kind) const;
+    QuotaRefusal refusalIn(const HeldOrganisation& organisation, const Round& round, QuotaKind kind) const;
+    Milliseconds spreadOf(const HeldOrganisation& organisation) const;
     void report(const Waiter& waiter, const Outcome& outcome);
     Round* findRound(const OrganisationId& id, RoundId roundId);
 };
@@ -170,9 +199,11 @@
     if (candidates.empty())
         candidates = this->issuers(true);
     const std::uint64_t key = hash64(this->self.value);
-    const auto best = std::ranges::max_element(
-        candidates, {}, [key](const NodeId& node) { return rendezvousWeight(key, node.value); });
-    return best == candidates.end() ? NodeId() : *best;
+    if (candidates.empty())
+        return {};
+    std::ranges::sort(candidates, {}, [key](const NodeId& node) { return rendezvousWeight(key, node.value); });
+    const auto period = this->timers.now().time_since_epoch() / Duration(this->settings.homePeriod);
+    return candidates.at(static_cast<std::size_t>(period) % candidates.size());
 }
 
 // Tokens -------------------------------------------------------------------------------------------------------------
@@ -191,24 +222,52 @@
     }
     if (!best)
         return std::nullopt;
-    const QuotaToken token { best->issuer, best->stamp, best->useBy };
+    const QuotaToken token { { { best->issuer, best->stamp, 1 } }, best->useBy };
     if (--best->count == 0)
         organisation.batches.erase(organisation.batches.begin() + (best - organisation.batches.data()));
     return token;
 }
 
-void QuotaHolder::Impl::noteTaken(QuotaKind kind)
+/// Adds up parts of tokens. First turns may not use those that were issued for other calls.
+std::optional<QuotaToken> QuotaHolder::Impl::compose(Round& round, QuotaKind kind)
 {
+    PartPool& firstTurns = round.pools.at(indexOf(QuotaKind::FirstTurn));
+    PartPool& calls = round.pools.at(indexOf(QuotaKind::Call));
+    const double available = firstTurns.total() + (kind == QuotaKind::Call ? calls.total() : 0);
+    if (available + partTolerance < 1)
+        return std::nullopt;
+    QuotaToken token;
+    token.useBy = std::min(firstTurns.useBy, calls.useBy);
+    double missing = 1;
+    const auto takeFrom = [&](PartPool& pool) {
+        while (missing > partTolerance && !pool.parts.empty()) {
+            QuotaPart& part = pool.parts.back();
+            const double amount = std::min(part.amount, missing);
+            token.parts.push_back({ part.issuer, part.stamp, amount });
+            missing -= amount;
+            part.amount -= amount;
+            if (part.amount <= partTolerance)
+                pool.parts.pop_back();
+        }
+    };
+    if (kind == QuotaKind::Call)
+        takeFrom(calls);
+    takeFrom(firstTurns);
+    return token;
+}
+
+void QuotaHolder::Impl::noteTaken(HeldOrganisation& organisation, QuotaKind kind)
+{
+    noteArrival(organisation.taken, this->timers.now());
     ++this->counts.taken;
     ++this->calls;
     if (kind == QuotaKind::FirstTurn)
         ++this->firstTurns;
 }
 
-void QuotaHolder::Impl::returnTokens(
-    const OrganisationId& id, const NodeId& issuer, std::uint64_t stamp, std::uint32_t count)
+void QuotaHolder::Impl::returnTokens(const OrganisationId& id, const NodeId& issuer, std::uint64_t stamp, double count)
 {
-    if (count == 0)
+    if (count <= 0)
         return;
     this->counts.unused += count;
     // Tokens of an earlier link may be of an earlier process, which has forgotten them.
@@ -233,20 +292,22 @@
     auto& organisation = this->organisations.at(id);
     std::vector<std::pair<Waiter, QuotaToken>> served;
     for (const QuotaKind kind : { QuotaKind::Call, QuotaKind::FirstTurn }) {
-        const auto tryServe = [&](const Waiter& waiter) {
+        const auto tryServe = [&](const Waiter& waiter, Round* round) {
             if (waiter.kind != kind)
                 return false;
-            const auto token = this->take(organisation, kind);
+            auto token = this->take(organisation, kind);
+            if (!token && round)
+                token = this->compose(*round, kind);
             if (token)
                 served.emplace_back(waiter, *token);
             return token.has_value();
         };
         for (auto& [roundId, round] : organisation.rounds)
-            std::erase_if(round.waiters, tryServe);
-        std::erase_if(organisation.collected, tryServe);
+            std::erase_if(round.waiters, [&, own = &round](const Waiter& waiter) { return tryServe(waiter, own); });
+        std::erase_if(organisation.collected, [&](const Waiter& waiter) { return tryServe(waiter, nullptr); });
     }
     for (const auto& [waiter, token] : served) {
-        this->noteTaken(waiter.kind);
+        this->noteTaken(organisation, waiter.kind);
         ++this->counts.waited;
         this->report(waiter, token);
     }
@@ -297,25 +358,40 @@
     round.id = roundId;
     round.waiters = std::move(organisation.collected);
     organisation.collected.clear();
+    round.isToHomeOnly = this->timers.now() < organisation.overloadedUntil;
     const NodeId node = this->home();
     if (node.value.empty()) {
         this->endRound(id, roundId);
         return;
     }
-    this->ask(id, round, node, messages);
+    const std::vector<NodeId> nodes = this->issuers(false);
+    const bool isSmall = nodes.size() > 1
+        && shareOf(organisation.allowance, this->members.size(), this->settings).size < this->settings.smallBucket;
+    if (isSmall) {
+        for (const NodeId& issuer : nodes)
+            this->ask(id, round, issuer, messages, nodes.size());
+        // They may have more than the parts that they were asked for.
+        round.asked.clear();
+    } else {
+        this->ask(id, round, node, messages, 1);
+    }
     round.timer = this->timers.subscribeAfter(this->settings.homeTimeout, [weak = this->weak_from_this(), id, roundId] {
         if (const auto self = weak.lock())
             self->onTimeout(id, roundId);
     });
 }
 
-void QuotaHolder::Impl::ask(
-    const OrganisationId& id, Round& round, const NodeId& node, std::map<NodeId, QuotaRequests>& messages)
+void QuotaHolder::Impl::ask(const OrganisationId& id, Round& round, const NodeId& node,
+    std::map<NodeId, QuotaRequests>& messages, std::size_t parts)
 {
     QuotaDemand demand;
     demand.organisation = id;
     for (const Waiter& waiter : round.waiters)
         ++(waiter.kind == QuotaKind::FirstTurn ? demand.waitingFirstTurns : demand.waiting);
+    if (parts > 1) {
+        demand.waitingPart = std::exchange(demand.waiting, 0) / static_cast<double>(parts);
+        demand.firstTurnPart = std::exchange(demand.waitingFirstTurns, 0) / static_cast<double>(parts);
+    }
     QuotaRequests& message = messages[node];
     if (message.ticket == 0) {
         message.ticket = ++this->lastTicket;
@@ -380,7 +456,7 @@
         for (const TokenBatch& batch : organisation.batches)
             held += batch.count;
         if (wanted > held)
-            request.demands.push_back({ id, wanted - held, 0, 0 });
+            request.demands.push_back({ id, wanted - held, 0, 0, 0, 0 });
     }
     if (!request.demands.empty() && !node.value.empty()) {
         request.ticket = ++this->lastTicket;
@@ -434,8 +510,11 @@
     const auto found = this->organisations.find(grant.organisation);
     const std::uint32_t tokens = std::min(grant.tokens, maxTokensPerGrant);
     const std::uint32_t firstTurnTokens = std::min(grant.firstTurnTokens, maxTokensPerGrant);
+    const double part = std::clamp(grant.part, 0.0, double(maxTokensPerGrant));
+    const double firstTurnPart = std::clamp(grant.firstTurnPart, 0.0, double(maxTokensPerGrant));
     if (found == this->organisations.end()) {
-        this->returnTokens(grant.organisation, request.node, grants.stamp, tokens + firstTurnTokens);
+        this->returnTokens(
+            grant.organisation, request.node, grants.stamp, tokens + firstTurnTokens + part + firstTurnPart);
         return;
     }
     HeldOrganisation& organisation = found->second;
@@ -447,11 +526,23 @@
     if (firstTurnTokens > 0)
         organisation.batches.push_back({ request.node, grants.stamp, useBy, firstTurnTokens, true });
     const auto roundEntry = request.rounds.find(grant.organisation);
+    Round* const askedFor
+        = roundEntry == request.rounds.end() ? nullptr : this->findRound(grant.organisation, roundEntry->second);
+    if (!askedFor)
+        this->returnTokens(grant.organisation, request.node, grants.stamp, part + firstTurnPart);
     if (roundEntry != request.rounds.end()) {
         if (Round* round = this->findRound(grant.organisation, roundEntry->second)) {
             const std::array stated { grant.wait, grant.firstTurnWait };
             for (std::size_t i = 0; i < stated.size(); ++i)
                 round->waits.at(i) = std::min(round->waits.at(i).value_or(stated.at(i)), stated.at(i));
+            const std::array parts { part, firstTurnPart };
+            for (std::size_t i = 0; i < parts.size(); ++i) {
+                if (parts.at(i) <= partTolerance)
+                    continue;
+                PartPool& pool = round->pools.at(i);
+                pool.parts.push_back({ request.node, grants.stamp, parts.at(i) });
+                pool.useBy = std::min(pool.useBy, useBy);
+            }
         }
     }
     this->serve(grant.organisation);
@@ -485,7 +576,8 @@
         return;
     if (!round->waiters.empty() && !round->pending.empty())
         return;
-    if (!round->waiters.empty() && !round->hasAskedAll)
+    const bool isUnanswered = !round->waits.front().has_value();
+    if (!round->waiters.empty() && !round->hasAskedAll && (!round->isToHomeOnly || isUnanswered))
         this->askAll(id, *round);
     else
         this->endRound(id, roundId);
@@ -497,7 +589,7 @@
     std::map<NodeId, QuotaRequests> messages;
     for (const NodeId& node : this->issuers(true)) {
         if (!round.asked.contains(node))
-            this->ask(id, round, node, messages);
+            this->ask(id, round, node, messages, 1);
     }
     // Silent ones are asked, but not waited for.
     std::erase_if(round.pending, [this](const NodeId& node) { return this->isSilent(node); });
@@ -531,9 +623,21 @@
     const auto node = organisation.rounds.extract(roundId);
     const Round& round = node.mapped();
     this->timers.cancel(round.timer);
+    for (const PartPool& pool : round.pools) {
+        for (const QuotaPart& part : pool.parts)
+            this->returnTokens(id, part.issuer, part.stamp, part.amount);
+    }
+    if (round.waiters.empty())
+        organisation.refusedRounds = 0;
+    else
+        ++organisation.refusedRounds;
+    const auto& stated = round.waits.front();
+    if (!round.waiters.empty() && round.hasAskedAll && stated && *stated < this->settings.overloadWait)
+        organisation.overloadedUntil = this->timers.now() + this->settings.overloadPeriod;
     std::vector<QuotaRefusal> refusals;
     for (const Waiter& waiter : round.waiters) {
-        refusals.push_back(this->refusalIn(round, waiter.kind));
+        noteArrival(organisation.refused, this->timers.now());
+        refusals.push_back(this->refusalIn(organisation, round, waiter.kind));
         TimePoint& until = organisation.refusedUntil.at(indexOf(waiter.kind));
         until = std::max(until, this->timers.now() + refusals.back().wait);
         ++(refusals.back().isUnavailable ? this->counts.unavailable : this->counts.refused);
@@ -542,12 +646,25 @@
         this->report(round.waiters.at(i), tl::unexpected(refusals.at(i)));
 }
 
-QuotaRefusal QuotaHolder::Impl::refusalIn(const Round& round, QuotaKind kind) const
+QuotaRefusal QuotaHolder::Impl::refusalIn(
+    const HeldOrganisation& organisation, const Round& round, QuotaKind kind) const
 {
     const auto& stated = round.waits.at(indexOf(kind));
     if (!stated)
-        return { true, Milliseconds(0) };
-    return { false, std::clamp(*stated, this->settings.minRefusal, this->settings.maxRefusal) };
+        return { true, Milliseconds(0), Milliseconds(0) };
+    constexpr std::uint32_t maxDoublings = 10;
+    const auto doublings = std::min(organisation.refusedRounds - 1, maxDoublings);
+    const Milliseconds least = std::min(this->settings.minRefusal * (1U << doublings), this->settings.maxBackoff);
+    return { false, std::clamp(*stated, least, this->settings.maxRefusal), this->spreadOf(organisation) };
+}
+
+/// The calls that are refused in a second take as many seconds as they are times those that got a token.
+Milliseconds QuotaHolder::Impl::spreadOf(const HeldOrganisation& organisation) const
+{
+    const TimePoint now = this->timers.now();
+    const double taken = std::max(1.0, rateAt(organisation.taken, now));
+    const std::chrono::duration<double> spread(rateAt(organisation.refused, now) / taken);
+    return std::min(std::chrono::ceil<Milliseconds>(spread), this->settings.maxRefusal);
 }
 
 // Public -------------------------------------------------------------------------------------------------------------
@@ -591,27 +708,30 @@
 }
 
 tl::expected<std::optional<QuotaToken>, QuotaRefusal> QuotaHolder::acquire(
-    const OrganisationId& organisation, QuotaKind kind, WaiterId waiter)
+    const OrganisationId& organisation, const CallAllowance& allowance, QuotaKind kind, WaiterId waiter)
 {
     auto& self = *this->impl;
     const TimePoint now = self.timers.now();
     HeldOrganisation& held = self.organisations[organisation];
     noteArrival(held.arrivals, now);
+    held.allowance = allowance;
     self.scheduleAdvance();
     if (auto token = self.take(held, kind)) {
-        self.noteTaken(kind);
+        self.noteTaken(held, kind);
         return token;
     }
     if (self.issuers(true).empty()) {
         ++self.counts.unavailable;
-        return tl::unexpected(QuotaRefusal { true, Milliseconds(0) });
+        return tl::unexpected(QuotaRefusal { true, Milliseconds(0), Milliseconds(0) });
     }
     TimePoint until = held.refusedUntil.at(indexOf(QuotaKind::Call));
     if (kind == QuotaKind::FirstTurn)
         until = std::max(until, held.refusedUntil.at(indexOf(QuotaKind::FirstTurn)));
     if (until > now) {
         ++self.counts.refused;
-        return tl::unexpected(QuotaRefusal { false, std::chrono::ceil<Milliseconds>(until - now) });
+        noteArrival(held.refused, now);
+        return tl::unexpected(
+            QuotaRefusal { false, std::chrono::ceil<Milliseconds>(until - now), self.spreadOf(held) });
     }
     held.collected.push_back({ waiter, kind, now });
     self.schedule();
@@ -638,7 +758,8 @@
 void QuotaHolder::giveBack(const OrganisationId& organisation, const QuotaToken& token)
 {
     auto& self = *this->impl;
-    self.returnTokens(organisation, token.issuer, token.stamp, 1);
+    for (const QuotaPart& part : token.parts)
+        self.returnTokens(organisation, part.issuer, part.stamp, part.amount);
     self.schedule();
 }
 
@@ -655,7 +776,8 @@
     const TimePoint until = found->second.refusedUntil.at(indexOf(QuotaKind::Call));
     if (until <= this->impl->timers.now())
         return std::nullopt;
-    return QuotaRefusal { false, std::chrono::ceil<Milliseconds>(until - this->impl->timers.now()) };
+    const auto wait = std::chrono::ceil<Milliseconds>(until - this->impl->timers.now());
+    return QuotaRefusal { false, wait, this->impl->spreadOf(found->second) };
 }
 
 const QuotaHolder::Counts& QuotaHolder::counts() const { return this->impl->counts; }
--- a/src/librattandeck/quotas/quotaissuer.cpp
+++ b/src/librattandeck/quotas/quotaissuer.cpp
@@ -161,8 +161,9 @@
         return;
     refill(found->second.bucket, this->shareOf(found->second), meanCalls(this->programs, this->settings),
         this->timers.now());
-    giveBack(found->second.bucket, std::min(returned.tokens, maxTokensPerDemand), returned.stamp);
-    this->counts.returned += std::min(returned.tokens, maxTokensPerDemand);
+    const double tokens = std::clamp(returned.tokens, 0.0, double(maxTokensPerDemand));
+    giveBack(found->second.bucket, tokens, returned.stamp);
+    this->counts.returned += tokens;
 }
 
 QuotaGrant QuotaIssuer::Impl::answer(const QuotaDemand& demand, std::uint64_t stamp)
@@ -184,18 +185,22 @@
     wanted.waiting = std::min(demand.waiting, maxTokensPerDemand);
     wanted.waitingFirstTurns = std::min(demand.waitingFirstTurns, maxTokensPerDemand);
     wanted.advance = std::min(demand.advance, maxTokensPerDemand);
+    wanted.part = std::clamp(demand.waitingPart, 0.0, double(maxTokensPerDemand));
+    wanted.firstTurnPart = std::clamp(demand.firstTurnPart, 0.0, double(maxTokensPerDemand));
     const QuotaDecision granted = grant(bucket, share, wanted, stamp, now, this->settings);
     answer.tokens = granted.waiting + granted.advance;
     answer.includesFirstTurns = granted.includesFirstTurns;
     answer.firstTurnTokens = granted.waitingFirstTurns;
+    answer.part = granted.part;
+    answer.firstTurnPart = granted.firstTurnPart;
     const auto waitFor = [&](QuotaKind kind) {
         return std::chrono::ceil<Milliseconds>(timeToNext(bucket, share, kind, programCalls, this->settings));
     };
-    if (granted.waiting < wanted.waiting)
+    if (granted.waiting < wanted.waiting || granted.part < wanted.part)
         answer.wait = waitFor(QuotaKind::Call);
-    if (granted.waitingFirstTurns < wanted.waitingFirstTurns)
+    if (granted.waitingFirstTurns < wanted.waitingFirstTurns || granted.firstTurnPart < wanted.firstTurnPart)
         answer.firstTurnWait = waitFor(QuotaKind::FirstTurn);
-    this->counts.granted += answer.tokens + answer.firstTurnTokens;
+    this->counts.granted += answer.tokens + answer.firstTurnTokens + answer.part + answer.firstTurnPart;
     this->counts.denied += wanted.waiting - granted.waiting + wanted.waitingFirstTurns - granted.waitingFirstTurns;
     return answer;
 }
--- a/src/librattandeck/quotas/quotapolicy.cpp
+++ b/src/librattandeck/quotas/quotapolicy.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds firstTurnBurst { 500 };
 /// Time constant of the moving average of arrivals.
 constexpr Milliseconds arrivalMemory { 1000 };
+/// Tokens that a gateway holds in addition to the expected calls, in standard deviations of their number.
+constexpr double marginDeviations = 2;
 
 static double seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
 
@@ -98,6 +100,13 @@
 {
     QuotaDecision granted;
     const double level = firstTurnLevel(share, settings);
+    granted.part = std::clamp(bucket.tokens, 0.0, wanted.part);
+    bucket.tokens -= granted.part;
+    const bool mayBegin = bucket.tokens + tolerance >= level || whole(bucket.firstTurns) > 0;
+    granted.firstTurnPart = mayBegin ? std::clamp(bucket.tokens, 0.0, wanted.firstTurnPart) : 0;
+    if (bucket.tokens + tolerance < level)
+        bucket.firstTurns -= granted.firstTurnPart;
+    bucket.tokens -= granted.firstTurnPart;
     granted.waiting = std::min(wanted.waiting, whole(bucket.tokens));
     bucket.tokens -= granted.waiting;
     while (granted.waitingFirstTurns < wanted.waitingFirstTurns && whole(bucket.tokens) > 0) {
@@ -109,15 +118,26 @@
         bucket.tokens -= 1;
         ++granted.waitingFirstTurns;
     }
+    if (granted.waiting < wanted.waiting) {
+        const double rest = std::max(0.0, bucket.tokens);
+        granted.part += rest;
+        bucket.tokens -= rest;
+    } else if (granted.waitingFirstTurns < wanted.waitingFirstTurns && whole(bucket.firstTurns) > 0) {
+        const double rest = std::max(0.0, bucket.tokens);
+        granted.firstTurnPart += rest;
+        bucket.tokens -= rest;
+        bucket.firstTurns -= rest;
+    }
     granted.includesFirstTurns = bucket.tokens + tolerance >= level;
     granted.advance = std::min(wanted.advance, whole(bucket.tokens - share.size * settings.advanceFloor));
     bucket.tokens -= granted.advance;
-    if (granted.waiting + granted.waitingFirstTurns + granted.advance > 0)
+    const std::uint32_t tokens = granted.waiting + granted.waitingFirstTurns + granted.advance;
+    if (tokens > 0 || granted.part > 0 || granted.firstTurnPart > 0)
         noteIssue(bucket, share, stamp, now);
     return granted;
 }
 
-double giveBack(QuotaBucket& bucket, std::uint32_t tokens, std::uint64_t stamp)
+double giveBack(QuotaBucket& bucket, double tokens, std::uint64_t stamp)
 {
     auto& rooms = bucket.rooms;
     if (rooms.empty() || stamp < rooms.front().stamp)
@@ -167,7 +187,7 @@
 
 // Gateways -----------------------------------------------------------------------------------------------------------
 
-static double rateAt(const QuotaArrivals& arrivals, TimePoint now)
+double rateAt(const QuotaArrivals& arrivals, TimePoint now)
 {
     return arrivals.rate * std::exp(-std::max(0.0, seconds(now - arrivals.updatedAt)) / seconds(arrivalMemory));
 }
@@ -184,7 +204,9 @@
     if (now - arrivals.lastAt > settings.seenPeriod)
         return 0;
     const double expected = rateAt(arrivals, now) * seconds(settings.requestInterval);
-    return std::max(1U, whole(std::ceil(expected + std::sqrt(expected))));
+    if (expected < settings.minExpectedCalls)
+        return 0;
+    return std::max(1U, whole(std::ceil(expected + marginDeviations * std::sqrt(expected))));
 }
 
 }
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -523,6 +523,8 @@
     end.request = call.call.request;
     end.program = call.call.program;
     end.route = call.route->name;
+    if (call.organisation)
+        end.organisation = call.organisation->id;
     end.outcome = outcome;
     end.reason = reason;
     end.endpoint = call.endpoint.value;
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -39,8 +39,8 @@
     bool isQuotaPending = false;
     bool isQuotaAsked = false;
     std::optional<QuotaToken> quotaToken;
-    /// Time until a token is expected, once the call has been refused for the lack of one.
-    Milliseconds quotaWait { 0 };
+    /// Set once the call has been refused for the lack of a token.
+    QuotaRefusal quotaRefusal;
     bool isClaimed = false;
     /// The call is the first turn of its program.
     bool isFirstTurn = false;
--- a/src/librattandeck/turns/gatewaylimits.cpp
+++ b/src/librattandeck/turns/gatewaylimits.cpp
@@ -91,18 +91,21 @@
 }
 
 /// Delay after which the caller of a refused call may retry. Callers that are refused for the limits of instances are
-/// spread over the time in which as many permits are expected as are missing now.
+/// spread over the time in which as many permits are expected as are missing now; likewise for allowances.
 Milliseconds Gateway::Impl::retryDelay(const Call& call, RejectionReason reason) const
 {
     const Milliseconds least = call.isFirstTurn ? this->limits.firstTurnRetryAfter : this->limits.retryAfter;
-    if (reason == RejectionReason::AllowanceUsed)
-        return call.quotaWait;
-    if (reason != RejectionReason::RateLimited)
+    const bool isAllowanceUsed = reason == RejectionReason::AllowanceUsed;
+    if (!isAllowanceUsed && reason != RejectionReason::RateLimited)
         return least;
     constexpr std::uint64_t steps = 1024;
     const std::string& request = call.call.request.value;
     const std::uint64_t position = XXH3_64bits(request.data(), request.size()) % steps;
     const Milliseconds spread = std::max(least, call.bestChoice ? call.bestChoice->wait : Milliseconds(0));
+    if (isAllowanceUsed) {
+        const auto part = call.quotaRefusal.spread.count() * static_cast<std::int64_t>(position);
+        return call.quotaRefusal.wait + Milliseconds(part / static_cast<std::int64_t>(steps));
+    }
     return least
         + Milliseconds(spread.count() * static_cast<std::int64_t>(position) / static_cast<std::int64_t>(steps));
 }
--- a/src/librattandeck/turns/gatewayquotas.cpp
+++ b/src/librattandeck/turns/gatewayquotas.cpp
@@ -33,7 +33,8 @@
 {
     call.isQuotaAsked = true;
     const QuotaKind kind = call.isFirstTurn && call.runs == 0 ? QuotaKind::FirstTurn : QuotaKind::Call;
-    const auto outcome = this->quotas.acquire(call.organisation->id, kind, call.id.value);
+    const auto outcome
+        = this->quotas.acquire(call.organisation->id, *call.organisation->allowance, kind, call.id.value);
     if (!outcome) {
         this->refuseForQuota(call, outcome.error());
         return false;
@@ -60,7 +61,7 @@
 
 void Gateway::Impl::refuseForQuota(Call& call, const QuotaRefusal& refusal)
 {
-    call.quotaWait = refusal.wait;
+    call.quotaRefusal = refusal;
     this->failCall(call, refusal.isUnavailable ? RejectionReason::JournalsUnavailable : RejectionReason::AllowanceUsed);
 }
 
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -508,6 +508,8 @@
     visit("advance", m.advance);
     visit("waiting", m.waiting);
     visit("first", m.waitingFirstTurns);
+    visit("part", m.waitingPart);
+    visit("firstPart", m.firstTurnPart);
 }
 
 template <typename Visitor> void visitFields(Visitor& visit, QuotaReturn& m)
@@ -532,6 +534,8 @@
     visit("tokens", m.tokens);
     visit("withFirst", m.includesFirstTurns);
     visit("first", m.firstTurnTokens);
+    visit("part", m.part);
+    visit("firstPart", m.firstTurnPart);
     visit("wait", m.wait);
     visit("firstWait", m.firstTurnWait);
 }
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -309,6 +309,14 @@
     provide("rattandeck_streams_resumed_total", "counter", [&counts] { return double(counts.resumptions); });
     provide("rattandeck_streams_unknown_total", "counter", [&counts] { return double(counts.unknownStreams); });
     provide("rattandeck_calls_passed_over_total", "counter", [&counts] { return double(counts.passedOver); });
+    const auto& quotas = this->relay.gateway().quotas().counts();
+    provide("rattandeck_quota_tokens_taken_total", "counter", [&quotas] { return double(quotas.taken); });
+    provide("rattandeck_quota_tokens_unused_total", "counter", [&quotas] { return quotas.unused; });
+    provide("rattandeck_quota_calls_waited_total", "counter", [&quotas] { return double(quotas.waited); });
+    provide("rattandeck_quota_wait_seconds_total", "counter",
+        [&quotas] { return std::chrono::duration<double>(quotas.waitedFor).count(); });
+    provide("rattandeck_quota_unavailable_total", "counter", [&quotas] { return double(quotas.unavailable); });
+    provide("rattandeck_quota_messages_total", "counter", [&quotas] { return double(quotas.messages); });
     provide("rattandeck_gateways", "gauge",
         [this] { return double(this->relay.gateway().permits().gatewayCount().value_or(0)); });
     provide("rattandeck_config_version", "gauge",
--- a/src/rattandeck-gateway/relay.cpp
+++ b/src/rattandeck-gateway/relay.cpp
@@ -13,12 +13,23 @@
 /// the client's timeout is a fallback in case the timer of the core does not fire.
 constexpr Milliseconds clientTimeoutSlack { 1000 };
 
+/// Organisations that the metric of refused calls names; the others are counted together.
+constexpr std::size_t maxOrganisationsInMetrics = 20;
+
 Relay::Relay(EventLoop& loop, Metrics& metrics, JournalClient& journals, const FailureDomain& domain,
     const GatewayLimits& limits)
     : loop(loop)
     , metrics(metrics)
     , core(loop.timers(), *this, journals, domain, limits)
 {
+    metrics.provideFamily("rattandeck_calls_over_allowance_total", "counter", [this] {
+        std::vector<std::pair<MetricLabels, double>> values;
+        for (const auto& [organisation, count] : this->quotaRefusals.largest(maxOrganisationsInMetrics))
+            values.emplace_back(MetricLabels { { "organisation", organisation.value } }, double(count));
+        const auto others = this->quotaRefusals.countBeyond(maxOrganisationsInMetrics);
+        values.emplace_back(MetricLabels { { "organisation", "" } }, double(others));
+        return values;
+    });
 }
 
 // Callers ------------------------------------------------------------------------------------------------------------
@@ -294,6 +305,8 @@
         this->metrics.observe("rattandeck_call_wait_seconds", seconds(*end.waited));
     if (end.firstEvent)
         this->metrics.observe("rattandeck_first_event_seconds", seconds(*end.firstEvent));
+    if (end.reason == describe(RejectionReason::AllowanceUsed))
+        this->noteAllowanceUsed(end.organisation);
     if (!end.reason.empty())
         this->metrics.count("rattandeck_calls_not_answered_total", { { "reason", std::string(end.reason) } });
     std::vector<LogField> fields { { "request", end.request.value }, { "program", end.program.value },
@@ -321,6 +334,13 @@
     logFields("call", fields);
 }
 
+void Relay::noteAllowanceUsed(const OrganisationId& organisation)
+{
+    const auto count = this->quotaRefusals.note(organisation, this->loop.timers().now());
+    if (count)
+        logFields("allowance used", { { "organisation", organisation.value }, { "refused", std::int64_t(*count) } });
+}
+
 void Relay::logLimit(const LimitChange& change)
 {
     const auto rate = [](const std::optional<CallRate>& limit) { return limit ? limit->value : -1.0; };
--- a/src/rattandeck-gateway/relay.h
+++ b/src/rattandeck-gateway/relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Rattandeck/gateway.h"
+#include "Rattandeck/quotarefusals.h"
 #include "RattandeckApp/metrics.h"
 #include "RattandeckNet/http.h"
 
@@ -73,12 +74,14 @@
     void write(Rattandeck::CallId call, Rattandeck::SendId send, const Rattandeck::EndpointSend& details);
     /// The instance has told which process it is, or hasn't in time.
     void onIdentified(Rattandeck::CallId call, Rattandeck::SendId send, Rattandeck::EndpointSend details);
+    void noteAllowanceUsed(const Rattandeck::OrganisationId& organisation);
     OpenCall* findCall(Rattandeck::CallId call);
     void forgetSend(Rattandeck::SendId send);
 
     RattandeckNet::EventLoop& loop;
     RattandeckApp::Metrics& metrics;
     Rattandeck::Gateway core;
+    Rattandeck::QuotaRefusals quotaRefusals;
     std::uint64_t lastCall = 0;
     std::unordered_map<Rattandeck::CallId, OpenCall> calls;
     std::unordered_map<Rattandeck::SendId, OpenSend> sends;
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -227,6 +227,16 @@
     this->metrics.provide(
         "rattandeck_permits_issued_total", "counter", [this] { return double(this->permits.issuedPermits()); });
     this->metrics.provide("rattandeck_largest_limit_use", "gauge", [this] { return this->permits.takeLargestUse(); });
+    const auto& quotaCounts = this->quotas.counts();
+    this->metrics.provide(
+        "rattandeck_quota_organisations", "gauge", [this] { return double(this->quotas.limitedOrganisations()); });
+    this->metrics.provide("rattandeck_quota_issuing", "gauge", [this] { return this->quotas.isIssuing() ? 1 : 0; });
+    this->metrics.provide(
+        "rattandeck_quota_tokens_granted_total", "counter", [&quotaCounts] { return quotaCounts.granted; });
+    this->metrics.provide(
+        "rattandeck_quota_tokens_returned_total", "counter", [&quotaCounts] { return quotaCounts.returned; });
+    this->metrics.provide(
+        "rattandeck_quota_tokens_denied_total", "counter", [&quotaCounts] { return double(quotaCounts.denied); });
     this->metrics.provide("rattandeck_stream_origins", "gauge", [this] { return double(this->origins.size()); });
     Platform::provideStoreMetrics(this->metrics, *this->store);
     this->storeNews.provideMetrics(this->metrics);
