--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -162,7 +162,8 @@
 /// Thread safety: not synchronised; use from the thread that advances the timers.
 class Gateway {
 public:
-    Gateway(TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain, GatewayLimits limits);
+    Gateway(TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain,
+        const GatewayLimits& limits);
     ~Gateway();
     Gateway(const Gateway&) = delete;
     Gateway& operator=(const Gateway&) = delete;
--- a/src/librattandeck/quotas/quotaholderimpl.h
+++ b/src/librattandeck/quotas/quotaholderimpl.h
@@ -153,7 +153,7 @@
     void startRound(const OrganisationId& id, std::map<NodeId, QuotaRequests>& messages);
     void ask(const OrganisationId& id, Round& round, const NodeId& node, std::map<NodeId, QuotaRequests>& messages,
         std::size_t parts);
-    void sendAll(std::map<NodeId, QuotaRequests> messages);
+    void sendAll(std::map<NodeId, QuotaRequests>& messages);
     void scheduleAdvance();
     void advance();
 
--- a/src/librattandeck/quotas/quotarounds.cpp
+++ b/src/librattandeck/quotas/quotarounds.cpp
@@ -46,7 +46,7 @@
         this->startRound(id, messages);
     for (const auto& [node, returned] : this->returns)
         messages[node];
-    this->sendAll(std::move(messages));
+    this->sendAll(messages);
 }
 
 void QuotaHolder::Impl::startRound(const OrganisationId& id, std::map<NodeId, QuotaRequests>& messages)
@@ -102,7 +102,7 @@
     round.pending.insert(node);
 }
 
-void QuotaHolder::Impl::sendAll(std::map<NodeId, QuotaRequests> messages)
+void QuotaHolder::Impl::sendAll(std::map<NodeId, QuotaRequests>& messages)
 {
     const NodeId homeNode = this->home();
     for (auto& [node, message] : messages) {
@@ -164,7 +164,7 @@
     }
     for (const auto& [issuer, returned] : this->returns)
         messages[issuer];
-    this->sendAll(std::move(messages));
+    this->sendAll(messages);
     std::erase_if(this->organisations, [now](const auto& entry) {
         const HeldOrganisation& organisation = entry.second;
         return now - organisation.arrivals.lastAt > forgetAfter && organisation.rounds.empty()
@@ -299,7 +299,7 @@
               if (const auto self = weak.lock())
                   self->onTimeout(id, roundId);
           });
-    this->sendAll(std::move(messages));
+    this->sendAll(messages);
     this->goOn(id, roundId);
 }
 
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -69,7 +69,7 @@
 // Public -------------------------------------------------------------------------------------------------------------
 
 Gateway::Gateway(
-    TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain, GatewayLimits limits)
+    TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain, const GatewayLimits& limits)
     : impl(std::make_unique<Impl>(timers, io, journals, std::move(domain), limits))
 {
 }
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -95,7 +95,8 @@
 };
 
 struct Gateway::Impl {
-    Impl(TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain, GatewayLimits limits)
+    Impl(
+        TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain, const GatewayLimits& limits)
         : timers(timers)
         , io(io)
         , journals(journals)
