--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -69,7 +69,7 @@
 // Public -------------------------------------------------------------------------------------------------------------
 
 Gateway::Gateway(
-    TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain, GatewayLimits limits)
+    TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain, const GatewayLimits& limits)
     : impl(std::make_unique<Impl>(timers, io, journals, std::move(domain), limits))
 {
 }
@@ -548,6 +548,8 @@
         end.organisation = call.organisation->id;
     end.isFarAboveShare = call.standing.isFarAboveShare;
     end.route = call.route->name;
+    if (call.organisation)
+        end.organisation = call.organisation->id;
     end.outcome = outcome;
     end.reason = reason;
     end.endpoint = call.endpoint.value;
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -36,8 +36,8 @@
     bool isQuotaPending = false;
     bool isQuotaAsked = false;
     std::optional<QuotaToken> quotaToken;
-    /// Time until a token is expected, once the call has been refused for the lack of one.
-    Milliseconds quotaWait { 0 };
+    /// Set once the call has been refused for the lack of a token.
+    QuotaRefusal quotaRefusal;
     bool isClaimed = false;
     /// The call is the first turn of its program.
     bool isFirstTurn = false;
@@ -106,7 +106,8 @@
 };
 
 struct Gateway::Impl {
-    Impl(TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain, GatewayLimits limits)
+    Impl(
+        TimerService& timers, GatewayIo& io, JournalClient& journals, FailureDomain domain, const GatewayLimits& limits)
         : timers(timers)
         , io(io)
         , journals(journals)
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -347,6 +347,14 @@
         "rattandeck_calls_refused_for_queue_total", "counter", [&counts] { return double(counts.refusedForQueue); });
     provide("rattandeck_calls_far_above_share_total", "counter", [&counts] { return double(counts.farAboveShare); });
     provide("rattandeck_calls_owed_total", "counter", [&counts] { return double(counts.owed); });
+    const auto& quotas = this->relay.gateway().quotas().counts();
+    provide("rattandeck_quota_tokens_taken_total", "counter", [&quotas] { return double(quotas.taken); });
+    provide("rattandeck_quota_tokens_unused_total", "counter", [&quotas] { return quotas.unused; });
+    provide("rattandeck_quota_calls_waited_total", "counter", [&quotas] { return double(quotas.waited); });
+    provide("rattandeck_quota_wait_seconds_total", "counter",
+        [&quotas] { return std::chrono::duration<double>(quotas.waitedFor).count(); });
+    provide("rattandeck_quota_unavailable_total", "counter", [&quotas] { return double(quotas.unavailable); });
+    provide("rattandeck_quota_messages_total", "counter", [&quotas] { return double(quotas.messages); });
     provide("rattandeck_gateways", "gauge",
         [this] { return double(this->relay.gateway().permits().gatewayCount().value_or(0)); });
     provide("rattandeck_config_version", "gauge",
--- a/src/rattandeck-gateway/relay.h
+++ b/src/rattandeck-gateway/relay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Rattandeck/gateway.h"
+#include "Rattandeck/quotarefusals.h"
 #include "RattandeckApp/metrics.h"
 #include "RattandeckNet/http.h"
 
@@ -84,6 +85,7 @@
     /// The instance has told which process it is, or hasn't in time.
     void onIdentified(Rattandeck::CallId call, Rattandeck::SendId send, Rattandeck::EndpointSend details);
     void noteConnection(const std::string& address, RattandeckNet::ConnectCause cause, std::size_t connections);
+    void noteAllowanceUsed(const Rattandeck::OrganisationId& organisation);
     OpenCall* findCall(Rattandeck::CallId call);
     /// Pauses or resumes the instance's answer.
     void setPaused(OpenCall& open, bool isPaused);
@@ -92,6 +94,7 @@
     RattandeckNet::EventLoop& loop;
     RattandeckApp::Metrics& metrics;
     Rattandeck::Gateway core;
+    Rattandeck::QuotaRefusals quotaRefusals;
     std::uint64_t lastCall = 0;
     /// Each answer has a report: instances of another version would fill the log.
     LogQuota invalidLoadLines { 1 };
