Check a configuration before it is sent

A configuration with a misspelt kind, a hidden route or an organisation without keys was found only by its effects.

`rattandeckctl check FILE` reports what of the spec of the platform's configuration object can't be read, never takes effect, or contradicts itself; exit status 0, 1 (findings), 2 (can't be read). Gateways run the same checks when they adopt a configuration and log at most 20 findings. Fields that this version doesn't know don't count.

--- a/src/platform/objectcodec.cpp
+++ b/src/platform/objectcodec.cpp
@@ -279,12 +279,12 @@
     if (!spec["tenants"].is_array())
         return tl::unexpected(DecodeError { "tenants" });
     config.organisations.emplace();
-    for (const Json& json : spec["tenants"]) {
-        auto organisation = readOrganisation(json);
+    for (std::size_t entry = 0; entry < spec["tenants"].size(); ++entry) {
+        auto organisation = readOrganisation(spec["tenants"][entry]);
         if (organisation)
             config.organisations->push_back(std::move(*organisation));
         else if (skipped)
-            skipped->push_back(organisation.error());
+            skipped->push_back({ organisation.error().field, entry });
     }
     return config;
 }
--- a/src/platform/objectcodec.h
+++ b/src/platform/objectcodec.h
@@ -13,6 +13,8 @@
 /// Error of decoding: the field that is missing or invalid.
 struct DecodeError {
     std::string field;
+    /// Position of the entry in its list, for entries that are left out.
+    std::optional<std::size_t> entry = {};
 };
 
 /// Decodes an endpoint instance. Other programs write these objects too, so an invalid object is
--- a/src/rattandeck-gateway/storefeed.cpp
+++ b/src/rattandeck-gateway/storefeed.cpp
@@ -1,5 +1,6 @@
 #include "storefeed.h"
 
+#include "platform/configreport.h"
 #include "platform/objectcodec.h"
 #include "RattandeckApp/log.h"
 
@@ -48,6 +49,26 @@
                 { "ignored_for", shared[index].other.value } });
 }
 
+/// Logs what `rattandeckctl check` reports about the same document, except fields that this version doesn't know.
+static void logFindings(std::uint64_t version, const nlohmann::json& spec)
+{
+    // A configuration with many faults must not fill the log.
+    constexpr std::size_t maxLines = 20;
+    const auto report = Platform::checkConfigDocument(spec, {}, maxLines);
+    for (const ConfigFinding& finding : report.findings) {
+        if (finding.severity == FindingSeverity::Notice)
+            continue;
+        const std::string kind(Platform::kindName(finding.kind));
+        const std::string place = Platform::describePlace(finding);
+        const std::string text = Platform::describeFinding(finding);
+        logFields("configuration finding",
+            { { "version", std::int64_t(version) }, { "kind", kind }, { "place", place }, { "text", text } });
+    }
+    if (report.leftOut > 0)
+        logFields("configuration findings left out",
+            { { "version", std::int64_t(version) }, { "count", std::int64_t(report.leftOut) } });
+}
+
 void StoreFeed::onRevision(std::function<void(std::uint64_t revision, bool hasKeys)> handler)
 {
     this->revisionHandler = std::move(handler);
@@ -81,6 +102,7 @@
             { "revision", std::int64_t(object.revision) } });
     if (organisations)
         logOrganisations(version, *organisations, skipped);
+    logFindings(version, object.spec);
     return true;
 }
 
--- a/src/rattandeckctl/commands.h
+++ b/src/rattandeckctl/commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "configcheck.h"
 #include "Rattandeck/objects.h"
 #include "RattandeckNet/address.h"
 
@@ -18,6 +19,7 @@
     /// Replace objects regardless of their stored version.
     bool overwrite = false;
     Rattandeck::ObjectVersion version;
+    ConfigCheckOptions configCheck;
 };
 
 /// Each of these commands prints its result and returns the program's exit code (`ExitCode`).
--- a/src/rattandeckctl/rattandeckctl.cpp
+++ b/src/rattandeckctl/rattandeckctl.cpp
@@ -1,6 +1,7 @@
 // Command line tool for operators: configuration objects, drains, explanations of placements, and request traces.
 
 #include "commands.h"
+#include "configcheck.h"
 #include "RattandeckApp/commandline.h"
 #include "RattandeckApp/version.h"
 #include "trace.h"
@@ -18,6 +19,8 @@
 constexpr const char* usage = R"(Usage: rattandeckctl [options] COMMAND [ARGUMENTS]
 
   check              check the objects of --file, offline
+  check FILE         check the spec of the platform's configuration object, in JSON; exit codes:
+                     0 no findings, 1 findings, 2 can't be read
   diff               show how --file differs from what is stored
   apply              store the objects of --file; an object that another operator has changed
                      since its "version" was read is a conflict, and is not changed
@@ -48,7 +51,9 @@
 
 int run(const Command& command, const CommandOptions& options)
 {
-    if (command.name == "check")
+    if (command.name == "check" && command.arguments.size() == 1)
+        return checkConfiguration(command.argument(0), options.configCheck);
+    if (command.name == "check" && command.arguments.empty())
         return checkFile(options);
     if (command.name == "explain") {
         if (options.entryAdmins.empty() || command.arguments.size() != 1)
@@ -111,6 +116,8 @@
         "apply: replace objects regardless of their stored version");
     add("version-read", Options::value(&given.options.version.value)->value_name("N"),
         "delete: the version as last read");
+    add("format", Options::value(&given.options.configCheck.format)->value_name("text|json"),
+        "check FILE: how findings are printed");
     add("version", "print the version");
     add("help", "print this text");
     return described;
