Report what a configuration takes from the one in force

Whether a change makes paths unreachable, ends an organisation's access or lowers a limit was to be read from two documents.

`live` reads the object from the platform's store (--store).

--- a/src/include/Rattandeck/configchecks.h
+++ b/src/include/Rattandeck/configchecks.h
@@ -67,6 +67,38 @@
     AllowanceBelowNeed,
     TimeoutAboveDeadline,
     AttemptsAboveRetryBudget,
+    // Differences from the version in force. Numbers: before and after, where a limit falls.
+    /// Gateways keep the configuration in force. Numbers: its version and the new one.
+    VersionNotHigher,
+    /// Names: host and prefix of a route in force, whose calls get no route or no service.
+    PathUnreachable,
+    /// Names: a service that calls were sent to.
+    ServiceUnreachable,
+    /// Names: host and prefix of calls that needed no key.
+    KeyNeeded,
+    OrganisationRemoved,
+    /// Number: keys of the organisation that nobody holds any more.
+    KeysRemoved,
+    /// Names: the organisation that held the key and the one that holds it now.
+    KeyMoved,
+    /// Names: the organisation. Numbers: calls a second before and after, the burst, and the seconds after which a
+    /// caller that goes on at the former rate is refused.
+    RateLowered,
+    /// Names: the organisation. Numbers: calls a second, and the burst.
+    RateAdded,
+    BurstLowered,
+    /// A higher number is less urgent.
+    OrganisationLessUrgent,
+    RouteLessUrgent,
+    TimeoutLowered,
+    AttemptsLowered,
+    RetentionLowered,
+    ResumeRemoved,
+    ConnectionsLowered,
+    BodyLimitLowered,
+    HeaderLimitLowered,
+    HeaderTimeoutLowered,
+    IdleTimeoutLowered,
 };
 
 /// Lists of a configuration.
@@ -107,6 +139,9 @@
 /// Returns the findings about a configuration that has been decoded, in the order of its sections and entries.
 std::vector<ConfigFinding> checkConfig(const RoutingConfig& config, const DeploymentFacts& facts = {});
 
+/// Returns what callers lose when `next` replaces `inForce`: paths, access, and limits. Places are those of `next`.
+std::vector<ConfigFinding> compareConfigs(const RoutingConfig& inForce, const RoutingConfig& next);
+
 /// Returns the known name with the fewest changes to `name`; empty if none is near enough to be meant.
 std::optional<std::string> nearestName(std::string_view name, const std::vector<std::string>& known);
 
--- a/src/platform/configreport.cpp
+++ b/src/platform/configreport.cpp
@@ -102,39 +102,66 @@
         return entries;
     }
 
-    std::vector<ConfigFinding> checkDecoded(
-        const RoutingConfig& config, const std::vector<DecodeError>& skipped, const DeploymentFacts& facts)
+    /// Replaces positions among the decoded organisations by those in the document.
+    void placeInDocument(std::vector<ConfigFinding>& findings, const std::vector<std::size_t>& entries)
     {
-        auto findings = checkConfig(config, facts);
-        const auto entries = organisationEntries(config, skipped);
         for (ConfigFinding& finding : findings) {
             if (finding.place.section == ConfigSection::Organisations && finding.place.entry)
                 finding.place.entry = entries.at(*finding.place.entry);
         }
-        return findings;
     }
 
-}
+    void append(std::vector<ConfigFinding>& findings, const std::vector<ConfigFinding>& more)
+    {
+        findings.insert(findings.end(), more.begin(), more.end());
+    }
 
-ConfigReport checkConfigDocument(const Json& spec, const DeploymentFacts& facts, std::size_t maxFindings)
-{
-    ConfigReport report;
-    report.findings = checkConfigFields(spec);
-    std::vector<DecodeError> skipped;
-    if (auto config = readConfig(spec, &skipped)) {
-        const auto decoded = checkDecoded(*config, skipped, facts);
-        report.findings.insert(report.findings.end(), decoded.begin(), decoded.end());
+    ConfigReport check(const Json& spec, const RoutingConfig* inForce, const DeploymentFacts& facts)
+    {
+        ConfigReport report;
+        report.findings = checkConfigFields(spec);
+        std::vector<DecodeError> skipped;
+        auto config = readConfig(spec, &skipped);
+        if (!config)
+            return report;
+        auto decoded = checkConfig(*config, facts);
+        if (inForce)
+            append(decoded, compareConfigs(*inForce, *config));
+        placeInDocument(decoded, organisationEntries(*config, skipped));
+        append(report.findings, decoded);
         report.config = std::move(*config);
+        return report;
     }
-    std::ranges::stable_sort(report.findings,
-        [](const ConfigFinding& left, const ConfigFinding& right) { return left.severity > right.severity; });
-    if (report.findings.size() > maxFindings) {
-        report.leftOut = report.findings.size() - maxFindings;
-        report.findings.resize(maxFindings);
+
+    void finish(ConfigReport& report, std::size_t maxFindings, const std::unordered_set<std::string>& keys)
+    {
+        std::ranges::stable_sort(report.findings,
+            [](const ConfigFinding& left, const ConfigFinding& right) { return left.severity > right.severity; });
+        if (report.findings.size() > maxFindings) {
+            report.leftOut = report.findings.size() - maxFindings;
+            report.findings.resize(maxFindings);
+        }
+        for (ConfigFinding& finding : report.findings)
+            hideKeys(finding, keys);
     }
-    const auto keys = collectKeys(spec);
-    for (ConfigFinding& finding : report.findings)
-        hideKeys(finding, keys);
+
+}
+
+ConfigReport checkConfigDocument(const Json& spec, const DeploymentFacts& facts, std::size_t maxFindings)
+{
+    ConfigReport report = check(spec, nullptr, facts);
+    finish(report, maxFindings, collectKeys(spec));
+    return report;
+}
+
+ConfigReport checkConfigDocumentAgainst(
+    const Json& spec, const Json& inForce, const DeploymentFacts& facts, std::size_t maxFindings)
+{
+    const auto before = readConfig(inForce);
+    ConfigReport report = check(spec, before ? &*before : nullptr, facts);
+    auto keys = collectKeys(spec);
+    keys.merge(collectKeys(inForce));
+    finish(report, maxFindings, keys);
     return report;
 }
 
--- a/src/platform/configreport.h
+++ b/src/platform/configreport.h
@@ -23,6 +23,11 @@
 ConfigReport checkConfigDocument(const nlohmann::json& spec, const Rattandeck::DeploymentFacts& facts = {},
     std::size_t maxFindings = maxReportedFindings);
 
+/// As `checkConfigDocument`, with the differences from the configuration in force. `inForce` is its spec.
+/// Precondition: `readConfig` accepts it.
+ConfigReport checkConfigDocumentAgainst(const nlohmann::json& spec, const nlohmann::json& inForce,
+    const Rattandeck::DeploymentFacts& facts = {}, std::size_t maxFindings = maxReportedFindings);
+
 /// Findings about single values: fields that are missing, have another type or value than the product reads, or aren't
 /// known. Each document without an error here is accepted by `readConfig`, which leaves no entry out.
 std::vector<Rattandeck::ConfigFinding> checkConfigFields(const nlohmann::json& spec);
--- a/src/platform/configreport_test.cpp
+++ b/src/platform/configreport_test.cpp
@@ -4,6 +4,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <set>
+
 using namespace Platform;
 using namespace Rattandeck;
 using Json = nlohmann::json;
@@ -17,6 +19,9 @@
     CPPUNIT_TEST(placesOfOrganisationsAreThoseOfTheDocument);
     CPPUNIT_TEST(keysAreNeverShown);
     CPPUNIT_TEST(findingsAreBounded);
+    CPPUNIT_TEST(differencesHaveThePlacesOfTheNewDocument);
+    CPPUNIT_TEST(keysOfTheVersionInForceAreNeverShown);
+    CPPUNIT_TEST(everyKindHasAText);
     CPPUNIT_TEST_SUITE_END();
 
     static Json document()
@@ -163,6 +168,49 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(21), report.leftOut);
         CPPUNIT_ASSERT(report.findings[0].severity == FindingSeverity::Error);
     }
+
+    void differencesHaveThePlacesOfTheNewDocument()
+    {
+        Json next = document();
+        next["version"] = 8;
+        next["tenants"].insert(next["tenants"].begin(), 5);
+        next["tenants"][2]["rate_per_s"] = 2;
+        next["routes"].erase(1);
+        const auto report = checkConfigDocumentAgainst(next, document());
+        std::vector<std::string> found;
+        for (const ConfigFinding& finding : report.findings)
+            found.push_back(describePlace(finding) + " " + std::string(kindName(finding.kind)));
+        CPPUNIT_ASSERT((found
+            == std::vector<std::string> { "tenants[0] wrong-type", "services[2] service-without-route",
+                "routes path-unreachable", "services service-unreachable", "tenants[2].rate_per_s rate-lowered" }));
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("the rate of organisation \"south\" falls from 3 to 2 calls a second; with its burst of 9.5, a "
+                        "caller that goes on at the former rate is refused after 9.5 s"),
+            describeFinding(report.findings.back()));
+    }
+
+    /// Guards against a former key that is shown since the new document doesn't have it.
+    void keysOfTheVersionInForceAreNeverShown()
+    {
+        Json inForce = document();
+        inForce["tenants"].push_back({ { "name", "secret-north-1" }, { "api_keys", Json::array({ "k" }) } });
+        Json next = document();
+        next["version"] = 8;
+        next["tenants"][0]["api_keys"][0] = "secret-new";
+        const auto report = checkConfigDocumentAgainst(next, inForce);
+        CPPUNIT_ASSERT_EQUAL(std::size_t(2), report.findings.size());
+        for (const ConfigFinding& finding : report.findings)
+            CPPUNIT_ASSERT(writeFinding(finding).dump().find("secret") == std::string::npos);
+    }
+
+    void everyKindHasAText()
+    {
+        std::set<std::string_view> names;
+        constexpr auto kinds = static_cast<int>(FindingKind::IdleTimeoutLowered) + 1;
+        for (int kind = 0; kind < kinds; ++kind)
+            names.insert(kindName(static_cast<FindingKind>(kind)));
+        CPPUNIT_ASSERT_EQUAL(std::size_t(kinds), names.size());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ConfigReportTest);
--- a/src/rattandeckctl/configcheck.cpp
+++ b/src/rattandeckctl/configcheck.cpp
@@ -1,8 +1,11 @@
 #include "configcheck.h"
 
 #include "platform/configreport.h"
+#include "platform/names.h"
+#include "platform/objectcodec.h"
 #include "platform/storejson.h"
 #include "Rattandeck/boundedjson.h"
+#include "Rattandeck/gateway.h"
 #include "RattandeckApp/commandline.h"
 
 #include <tl/expected.hpp>
@@ -71,6 +74,35 @@
     return tl::unexpected(path + ":" + describePosition(text, handler.position) + ": is not JSON");
 }
 
+tl::expected<Json, std::string> readLive(const std::optional<RattandeckNet::Address>& server)
+{
+    if (!server)
+        return tl::unexpected(std::string("--against live needs --store, the address of the platform's store"));
+    RattandeckNet::EventLoop loop;
+    Platform::ObjectStore store(loop, *server);
+    tl::expected<Platform::StoredObject, Platform::StoreError> object = tl::unexpected(Platform::StoreError::NoAnswer);
+    store.read(Platform::Names::configKind, Platform::Names::configName, [&](auto answer) {
+        object = std::move(answer);
+        loop.stop();
+    });
+    loop.run();
+    if (!object)
+        return tl::unexpected("the configuration in force: " + std::string(Platform::describe(object.error())));
+    return std::move(object->spec);
+}
+
+/// Reads the spec in force, which has to be one that gateways adopt.
+tl::expected<Json, std::string> readInForce(const ConfigCheckOptions& options)
+{
+    auto spec = options.against == "live" ? readLive(options.store) : readDocument(options.against);
+    if (!spec)
+        return spec;
+    const auto config = Platform::readConfig(*spec);
+    if (!config)
+        return tl::unexpected("the configuration in force: missing or invalid field " + config.error().field);
+    return spec;
+}
+
 // Printing -----------------------------------------------------------------------------------------------------------
 
 void printText(const std::string& path, const Platform::ConfigReport& report)
@@ -93,6 +125,17 @@
     std::cout << document.dump(2, ' ', false, Json::error_handler_t::replace) << '\n';
 }
 
+DeploymentFacts knownFacts(const ConfigCheckOptions& options)
+{
+    DeploymentFacts facts;
+    if (options.deadlineMs > 0)
+        facts.callerDeadline = Milliseconds(options.deadlineMs);
+    if (options.programCalls > 0)
+        facts.programCalls = options.programCalls;
+    facts.retryBurst = GatewayLimits().retryBurst;
+    return facts;
+}
+
 }
 
 int checkConfiguration(const std::string& path, const ConfigCheckOptions& options)
@@ -102,7 +145,16 @@
     const auto document = readDocument(path);
     if (!document)
         return reportUnreadable(document.error());
-    const auto report = Platform::checkConfigDocument(*document);
+    const DeploymentFacts facts = knownFacts(options);
+    Platform::ConfigReport report;
+    if (options.against.empty()) {
+        report = Platform::checkConfigDocument(*document, facts);
+    } else {
+        const auto inForce = readInForce(options);
+        if (!inForce)
+            return reportUnreadable(inForce.error());
+        report = Platform::checkConfigDocumentAgainst(*document, *inForce, facts);
+    }
     if (options.format == "json")
         printJson(report);
     else
--- a/src/rattandeckctl/rattandeckctl.cpp
+++ b/src/rattandeckctl/rattandeckctl.cpp
@@ -99,6 +99,7 @@
     CommandOptions options;
     std::string objects;
     std::string instances;
+    std::string store;
     std::vector<std::string> entries;
 };
 
@@ -118,6 +119,13 @@
         "delete: the version as last read");
     add("format", Options::value(&given.options.configCheck.format)->value_name("text|json"),
         "check FILE: how findings are printed");
+    add("against", Options::value(&given.options.configCheck.against)->value_name("FILE|live"),
+        "check FILE: also report what differs from the version in force");
+    add("store", Options::value(&given.store)->value_name("HOST:PORT"), "the platform's store, for --against live");
+    add("deadline-ms", Options::value(&given.options.configCheck.deadlineMs)->value_name("N"),
+        "check FILE: longest time that callers wait for an answer");
+    add("program-calls", Options::value(&given.options.configCheck.programCalls)->value_name("N"),
+        "check FILE: calls that one program makes");
     add("version", "print the version");
     add("help", "print this text");
     return described;
@@ -148,7 +156,8 @@
         given.options.entryAdmins.push_back(*address);
     }
     return readAddress(given.objects, given.options.objectApi)
-        && readAddress(given.instances, given.options.instanceList);
+        && readAddress(given.instances, given.options.instanceList)
+        && readAddress(given.store, given.options.configCheck.store);
 }
 
 }
