--- a/src/include/Rattandeck/gatewaylog.h
+++ b/src/include/Rattandeck/gatewaylog.h
@@ -84,8 +84,6 @@
     /// The organisation was far above its share of the calls when the call was ready to be sent.
     bool isFarAboveShare = false;
     std::string route;
-    /// The caller's organisation; empty if it has none.
-    OrganisationId organisation;
     /// "answered", "refused", "broken" (the answer was aborted) or "left" (the caller disconnected).
     std::string_view outcome;
     std::string_view reason;
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -548,8 +548,6 @@
         end.organisation = call.organisation->id;
     end.isFarAboveShare = call.standing.isFarAboveShare;
     end.route = call.route->name;
-    if (call.organisation)
-        end.organisation = call.organisation->id;
     end.outcome = outcome;
     end.reason = reason;
     end.endpoint = call.endpoint.value;
