--- a/src/platform/configfields.cpp
+++ b/src/platform/configfields.cpp
@@ -143,8 +143,8 @@
         return std::ranges::any_of(callKinds, [&](const char* kind) { return text == kind; });
     }
 
-    /// Precondition: the value has the field's shape.
-    bool hasValidValue(const Json& value, const Field& field)
+    /// Whether the product reads the value, if need be without its fraction. Precondition: it has the field's shape.
+    bool isRead(const Json& value, const Field& field)
     {
         if (field.shape == Shape::Name)
             return !value.get_ref<const std::string&>().empty();
@@ -153,8 +153,13 @@
         if (field.shape != Shape::Number && field.shape != Shape::Whole)
             return true;
         const auto number = value.get<double>();
-        const bool isWhole = field.shape == Shape::Number || std::trunc(number) == number;
-        return isWhole && number >= field.minimum && number <= field.maximum;
+        const double read = field.shape == Shape::Whole ? std::trunc(number) : number;
+        return read >= field.minimum && read <= field.maximum;
+    }
+
+    bool hasUnreadFraction(const Json& value, const Field& field)
+    {
+        return field.shape == Shape::Whole && std::trunc(value.get<double>()) != value.get<double>();
     }
 
     /// Collects the findings about the fields of one place.
@@ -209,8 +214,11 @@
                 this->add(FindingKind::WrongType, severity, path + field.name);
                 return;
             }
-            if (hasValidValue(*found, field))
+            if (isRead(*found, field)) {
+                if (hasUnreadFraction(*found, field))
+                    this->add(FindingKind::IgnoredValue, FindingSeverity::Warning, path + field.name);
                 return;
+            }
             const bool isError = severity == FindingSeverity::Error;
             this->add(isError ? FindingKind::InvalidValue : FindingKind::IgnoredValue, severity, path + field.name);
             if (field.shape == Shape::CallKind)
