--- a/src/include/Rattandeck/configchecks.h
+++ b/src/include/Rattandeck/configchecks.h
@@ -15,7 +15,7 @@
 namespace Rattandeck {
 
 enum class FindingSeverity {
-    /// Doesn't count: the platform may add fields that this version doesn't know.
+    /// Doesn't count, e.g. a field that this version doesn't know: the platform may add fields.
     Notice,
     /// The configuration is adopted, but a part of it has no effect or an unlikely one.
     Warning,
@@ -55,7 +55,7 @@
     TimeoutNotPositive,
     ObjectiveNotPositive,
     ObjectiveAboveTimeout,
-    /// Retries of the route that are never made.
+    /// Attempts of a route whose calls run at most once. They only allow more sends after refusals.
     UnusedAttempts,
     ResumeWithoutStream,
     RetentionNotPositive,
--- a/src/librattandeck/checks/configchecks.cpp
+++ b/src/librattandeck/checks/configchecks.cpp
@@ -67,6 +67,15 @@
         }
     }
 
+    /// Doesn't count, since attempts also allow more sends after refusals.
+    ConfigFinding unusedAttempts(const Route& route, std::size_t entry)
+    {
+        ConfigFinding unused = finding(FindingKind::UnusedAttempts, ConfigSection::Routes, entry, { labelOf(route) },
+            { double(route.maxRuns), 1 });
+        unused.severity = FindingSeverity::Notice;
+        return unused;
+    }
+
     void checkLimitsOf(const Route& route, std::size_t entry, const DeploymentFacts& facts, Findings& findings)
     {
         const auto report = [&](FindingKind kind, std::vector<double> numbers) {
@@ -83,7 +92,7 @@
         const bool isRunOnce
             = route.safety == CallSafety::Unsafe || (route.safety == CallSafety::Stream && !route.canResume);
         if (route.maxRuns > 1 && isRunOnce)
-            report(FindingKind::UnusedAttempts, { double(route.maxRuns), 1 });
+            findings.push_back(unusedAttempts(route, entry));
         else if (facts.retryBurst && route.maxRuns - 1 > *facts.retryBurst)
             report(FindingKind::AttemptsAboveRetryBudget, { double(route.maxRuns), *facts.retryBurst });
         if (route.canResume && route.safety != CallSafety::Stream)
--- a/src/platform/configtext.cpp
+++ b/src/platform/configtext.cpp
@@ -57,7 +57,7 @@
         KindText { FindingKind::ObjectiveAboveTimeout, "objective-above-timeout", "goal_ms",
             "the objective of route {0}, {2} ms, is above its timeout, {3} ms" },
         KindText { FindingKind::UnusedAttempts, "unused-attempts", "attempts",
-            "calls on route {0} run at most once; of its {2} attempts, the others are never made" },
+            "calls on route {0} run at most once; its {2} attempts only allow more sends after refusals" },
         KindText { FindingKind::ResumeWithoutStream, "resume-without-stream", "can_resume",
             "route {0} has no streams that could be resumed" },
         KindText { FindingKind::RetentionNotPositive, "retention-not-positive", "retain_s",
