--- a/src/include/Rattandeck/configchecks.h
+++ b/src/include/Rattandeck/configchecks.h
@@ -2,6 +2,7 @@
 
 #include "Rattandeck/routing.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -67,6 +68,11 @@
     AllowanceBelowNeed,
     TimeoutAboveDeadline,
     AttemptsAboveRetryBudget,
+    /// Names: the route and the service, which has no instance that takes new calls.
+    ServiceWithoutInstances,
+    /// Numbers: calls a second of all allowances together, and those that all slots serve if each call takes the
+    /// shortest objective of a route.
+    AllowancesAboveCapacity,
     // Differences from the version in force. Numbers: before and after, where a limit falls.
     /// Gateways keep the configuration in force. Numbers: its version and the new one.
     VersionNotHigher,
@@ -134,6 +140,8 @@
     std::optional<double> programCalls;
     /// `GatewayLimits::retryBurst`: retries that a gateway makes at once.
     std::optional<double> retryBurst;
+    /// Slots of the instances that take new calls, by service. A service that is absent has none.
+    std::optional<std::map<ServiceName, std::uint32_t>> slots;
 };
 
 /// Returns the findings about a configuration that has been decoded, in the order of its sections and entries.
--- a/src/librattandeck/checks/configchecks.cpp
+++ b/src/librattandeck/checks/configchecks.cpp
@@ -1,6 +1,7 @@
 #include "Rattandeck/configchecks.h"
 
 #include <algorithm>
+#include <chrono>
 #include <map>
 #include <set>
 #include <utility>
@@ -118,6 +119,55 @@
         }
     }
 
+    // Instances ------------------------------------------------------------------------------------------------------
+
+    void checkInstancesOf(const Route& route, std::size_t entry, const DeploymentFacts& facts, Findings& findings)
+    {
+        for (const WeightedService& choice : route.services) {
+            if (choice.weight > 0 && !facts.slots->contains(choice.service))
+                findings.push_back(finding(FindingKind::ServiceWithoutInstances, ConfigSection::Routes, entry,
+                    { labelOf(route), choice.service.value }));
+        }
+    }
+
+    /// Calls a second of all organisations together; empty if one of them has no limit.
+    std::optional<double> totalRate(const std::vector<Organisation>& organisations)
+    {
+        double total = 0;
+        for (const Organisation& organisation : organisations) {
+            if (!organisation.allowance)
+                return std::nullopt;
+            total += organisation.allowance->rate.value;
+        }
+        return total;
+    }
+
+    void checkCapacity(const RoutingConfig& config, const DeploymentFacts& facts, Findings& findings)
+    {
+        if (!config.organisations)
+            return;
+        const auto rate = totalRate(*config.organisations);
+        const auto shortest = std::ranges::min_element(config.routes, {}, &Route::objective);
+        if (!rate || shortest == config.routes.end() || shortest->objective <= Milliseconds(0))
+            return;
+        double slots = 0;
+        for (const auto& [service, serviceSlots] : *facts.slots)
+            slots += serviceSlots;
+        const double capacity = slots / std::chrono::duration<double>(shortest->objective).count();
+        if (*rate > capacity)
+            findings.push_back(finding(FindingKind::AllowancesAboveCapacity, ConfigSection::Organisations, std::nullopt,
+                {}, { *rate, capacity }));
+    }
+
+    void checkInstances(const RoutingConfig& config, const DeploymentFacts& facts, Findings& findings)
+    {
+        if (!facts.slots)
+            return;
+        for (std::size_t entry = 0; entry < config.routes.size(); ++entry)
+            checkInstancesOf(config.routes[entry], entry, facts, findings);
+        checkCapacity(config, facts, findings);
+    }
+
     // Services -------------------------------------------------------------------------------------------------------
 
     void checkServices(const RoutingConfig& config, Findings& findings)
@@ -193,6 +243,7 @@
     checkRoutes(config, facts, findings);
     checkServices(config, findings);
     checkOrganisations(config, facts, findings);
+    checkInstances(config, facts, findings);
     return findings;
 }
 
--- a/src/librattandeck/checks/configchecks_test.cpp
+++ b/src/librattandeck/checks/configchecks_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST(configurationThatAdmitsNobodyIsFound);
     CPPUNIT_TEST(contradictoryLimitsOfRoutesAreFound);
     CPPUNIT_TEST(allowanceCoversAProgram);
+    CPPUNIT_TEST(instancesCoverRoutesAndAllowances);
     CPPUNIT_TEST(nearestNameIsAMisspelling);
     CPPUNIT_TEST_SUITE_END();
 
@@ -172,6 +173,26 @@
         CPPUNIT_ASSERT(checkConfig(config).empty());
     }
 
+    void instancesCoverRoutesAndAllowances()
+    {
+        RoutingConfig config = sound();
+        config.routes[0].services.push_back({ ServiceName("llm"), 0 });
+        DeploymentFacts facts;
+        facts.slots = { { ServiceName("llm"), 2 } };
+        CPPUNIT_ASSERT(checkConfig(config, facts).empty());
+        // All organisations have a limit, and together more calls than 2 slots serve at 1 s each.
+        (*config.organisations)[0].allowance = CallAllowance { CallRate(1), 0 };
+        const auto findings = checkConfig(config, facts);
+        CPPUNIT_ASSERT((kinds(config, facts) == Kinds { { FindingKind::AllowancesAboveCapacity, std::nullopt } }));
+        CPPUNIT_ASSERT((findings[0].numbers == std::vector<double> { 4, 2 }));
+        facts.slots->at(ServiceName("llm")) = 4;
+        CPPUNIT_ASSERT(checkConfig(config, facts).empty());
+        config.organisations.reset();
+        facts.slots = { { ServiceName("web"), 2 } };
+        CPPUNIT_ASSERT((kinds(config, facts)
+            == Kinds { { FindingKind::ServiceWithoutInstances, 0 }, { FindingKind::ServiceWithoutInstances, 1 } }));
+    }
+
     void nearestNameIsAMisspelling()
     {
         const std::vector<std::string> known { "path_prefix", "host", "kind" };
--- a/src/platform/configtext.cpp
+++ b/src/platform/configtext.cpp
@@ -74,6 +74,12 @@
             "the timeout of route {0}, {2} ms, is above the callers' deadline, {3} ms" },
         KindText { FindingKind::AttemptsAboveRetryBudget, "attempts-above-retry-budget", "attempts",
             "route {0} allows {2} attempts, more than the retry budget of a gateway, {3}" },
+        KindText { FindingKind::ServiceWithoutInstances, "service-without-instances", "",
+            "service {1} of route {0} has no instance that takes new calls" },
+        KindText { FindingKind::AllowancesAboveCapacity, "allowances-above-capacity", "",
+            "all organisations may make {2} calls a second together, more than the {3} that all instances serve if "
+            "each "
+            "takes the shortest objective" },
         KindText { FindingKind::VersionNotHigher, "version-not-higher", "version",
             "gateways keep version {2}, since {3} is not higher" },
         KindText { FindingKind::PathUnreachable, "path-unreachable", "", "calls at {0} will be answered with 404" },
--- a/src/rattandeckctl/configcheck.cpp
+++ b/src/rattandeckctl/configcheck.cpp
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <fstream>
 #include <iostream>
+#include <map>
 #include <sstream>
 
 using namespace Rattandeck;
@@ -91,6 +92,40 @@
     return std::move(object->spec);
 }
 
+using Slots = std::map<ServiceName, std::uint32_t>;
+
+/// Slots of the instances in the store, without those that leave.
+Slots countSlots(const std::vector<Platform::StoredObject>& objects)
+{
+    Slots slots;
+    for (const Platform::StoredObject& object : objects) {
+        const auto instance = Platform::readEndpoint(object);
+        if (instance && !instance->isDraining)
+            slots[instance->service] += instance->slots;
+    }
+    return slots;
+}
+
+/// Returns nothing if the store doesn't answer.
+std::optional<Slots> readSlots(const RattandeckNet::Address& server)
+{
+    RattandeckNet::EventLoop loop;
+    Platform::ObjectStore store(loop, server);
+    std::optional<Slots> slots;
+    Platform::KindHandlers handlers;
+    handlers.onSnapshot = [&](const std::vector<Platform::StoredObject>& objects, std::uint64_t /*revision*/) {
+        slots = countSlots(objects);
+        loop.stop();
+    };
+    handlers.onReachable = [&](bool isReachable) {
+        if (!isReachable)
+            loop.stop();
+    };
+    store.follow(Platform::Names::endpointsKind, handlers);
+    loop.run();
+    return slots;
+}
+
 /// Reads the spec in force, which has to be one that gateways adopt.
 tl::expected<Json, std::string> readInForce(const ConfigCheckOptions& options)
 {
@@ -145,7 +180,12 @@
     const auto document = readDocument(path);
     if (!document)
         return reportUnreadable(document.error());
-    const DeploymentFacts facts = knownFacts(options);
+    DeploymentFacts facts = knownFacts(options);
+    if (options.store) {
+        facts.slots = readSlots(*options.store);
+        if (!facts.slots)
+            return reportUnreadable("the instances in the store: no answer");
+    }
     Platform::ConfigReport report;
     if (options.against.empty()) {
         report = Platform::checkConfigDocument(*document, facts);
--- a/src/rattandeckctl/configcheck.h
+++ b/src/rattandeckctl/configcheck.h
@@ -11,7 +11,7 @@
     std::string format = "text";
     /// File with the spec in force, or `live` for the object in the platform's store; empty for no comparison.
     std::string against;
-    /// The platform's store, for `live`.
+    /// The platform's store, for `live`, and for checks against its instances.
     std::optional<RattandeckNet::Address> store;
     /// Longest time that callers wait for an answer; 0 if unknown.
     std::int64_t deadlineMs = 0;
--- a/src/rattandeckctl/rattandeckctl.cpp
+++ b/src/rattandeckctl/rattandeckctl.cpp
@@ -121,7 +121,8 @@
         "check FILE: how findings are printed");
     add("against", Options::value(&given.options.configCheck.against)->value_name("FILE|live"),
         "check FILE: also report what differs from the version in force");
-    add("store", Options::value(&given.store)->value_name("HOST:PORT"), "the platform's store, for --against live");
+    add("store", Options::value(&given.store)->value_name("HOST:PORT"),
+        "check FILE: the platform's store, for --against live and checks against its instances");
     add("deadline-ms", Options::value(&given.options.configCheck.deadlineMs)->value_name("N"),
         "check FILE: longest time that callers wait for an answer");
     add("program-calls", Options::value(&given.options.configCheck.programCalls)->value_name("N"),
