--- a/src/platform/configtext.cpp
+++ b/src/platform/configtext.cpp
@@ -89,7 +89,7 @@
         KindText { FindingKind::KeysRemoved, "keys-removed", "api_keys",
             "organisation {0} loses its access with {2} of its keys" },
         KindText { FindingKind::KeyMoved, "key-moved", "api_keys",
-            "{2} keys of organisation {0} will belong to organisation {1}" },
+            "keys of organisation {0} will belong to organisation {1}: {2}" },
         KindText { FindingKind::RateLowered, "rate-lowered", "rate_per_s",
             "the rate of organisation {0} falls from {2} to {3} calls a second; with its burst of {4}, a caller that "
             "goes on at the former rate is refused after {5} s" },
--- a/testsuite/config-check/case.py
+++ b/testsuite/config-check/case.py
@@ -20,8 +20,13 @@
         self.output = ""
 
     def check(self, spec, *options):
+        return self.check_text(json.dumps(spec), *options)
+
+    def check_text(self, text, *options):
         path = self.deployment.folder / "checked.json"
-        path.write_text(json.dumps(spec))
+        path.unlink(missing_ok=True)
+        if text is not None:
+            path.write_text(text)
         command = [str(self.deployment.build / "src" / "rattandeckctl"), "check", str(path), *options]
         done = subprocess.run(command, capture_output=True, text=True, timeout=30, check=False)
         self.output += done.stdout + done.stderr
@@ -98,6 +103,17 @@
         "warning service-unreachable services"]), f"differences: found {summaries(report['findings'])}")
 
 
+def check_unreadable(tool):
+    """The messages of a JSON parser quote the text, in which there may be keys."""
+    expect(tool.check("text")[0] == 1, "a document that is no object is readable")
+    for text in (None, "", '{"tenants": [{"api_keys": ["secret-north, 5', '{"tenants": secret-north}', "[" * 100 + "]" * 100):
+        expect(tool.check_text(text)[0] == 2, f"not readable: {text}")
+    sound = json.loads(CORPUS[0].read_text())["spec"]
+    expect(tool.check(sound, "--against", "/nonexistent")[0] == 2, "a version in force that isn't there")
+    expect(tool.check(sound, "--against", "live")[0] == 2, "a store without an address")
+    expect(tool.check(sound, "--store", "127.0.0.1:9")[0] == 2, "a store that doesn't answer")
+
+
 def run(build):
     with Deployment(build) as deployment:
         tool = Tool(deployment)
@@ -106,8 +122,6 @@
             version += 1
             check_document(deployment, tool, path, version)
         check_differences(deployment, tool, version + 1)
-        expect(tool.check("text")[0] == 1, "a document that is no object")
-        missing = [str(deployment.build / "src" / "rattandeckctl"), "check", str(deployment.folder / "none.json")]
-        expect(subprocess.run(missing, capture_output=True, timeout=30, check=False).returncode == 2, "a file that isn't there")
+        check_unreadable(tool)
         for name, text in {"the tool's output": tool.output, "the gateway's log": deployment.log_of(GATEWAY)}.items():
             expect("secret" not in text.lower(), f"a key appears in {name}")
