Show counterexamples of the configuration property

RapidCheck shows drawn values as text, which threw for JSON that is no string (type_error.302), so that counterexamples were cut off. An index is drawn instead. With a mutant (empty names allowed) the counterexample is printed; rattandeckplatform-test: 69 passed.

--- a/src/platform/configproperty_test.cpp
+++ b/src/platform/configproperty_test.cpp
@@ -45,7 +45,8 @@
             "llm", "web", "north", "n1", "s1", Json::array(), Json::object(), Json::array({ 5 }),
             Json::array({ "n1", "", 3 }), Json::array({ Json::object() }), Json::array({ { { "service", "llm" } } }),
             Json::array({ { { "service", "llm" }, { "weight", 0 } } }) };
-        return *rc::gen::elementOf(values);
+        // An index, since RapidCheck shows what it drew, and can't show a `Json` that is no string.
+        return values[*rc::gen::inRange<std::size_t>(0, values.size())];
     }
 
     /// Changes one value at a random depth: replaces, removes, copies or adds it.
