--- a/src/platform/configtext.cpp
+++ b/src/platform/configtext.cpp
@@ -57,7 +57,7 @@
         KindText { FindingKind::ObjectiveAboveTimeout, "objective-above-timeout", "goal_ms",
             "the objective of route {0}, {2} ms, is above its timeout, {3} ms" },
         KindText { FindingKind::UnusedAttempts, "unused-attempts", "attempts",
-            "calls on route {0} run at most once; of its {2} attempts, the others are never made" },
+            "calls on route {0} run at most once; its {2} attempts only allow more sends after refusals" },
         KindText { FindingKind::ResumeWithoutStream, "resume-without-stream", "can_resume",
             "route {0} has no streams that could be resumed" },
         KindText { FindingKind::RetentionNotPositive, "retention-not-positive", "retain_s",
@@ -74,6 +74,12 @@
             "the timeout of route {0}, {2} ms, is above the callers' deadline, {3} ms" },
         KindText { FindingKind::AttemptsAboveRetryBudget, "attempts-above-retry-budget", "attempts",
             "route {0} allows {2} attempts, more than the retry budget of a gateway, {3}" },
+        KindText { FindingKind::ServiceWithoutInstances, "service-without-instances", "",
+            "service {1} of route {0} has no instance that takes new calls" },
+        KindText { FindingKind::AllowancesAboveCapacity, "allowances-above-capacity", "",
+            "all organisations may make {2} calls a second together, more than the {3} that all instances serve if "
+            "each "
+            "takes the shortest objective" },
         KindText { FindingKind::VersionNotHigher, "version-not-higher", "version",
             "gateways keep version {2}, since {3} is not higher" },
         KindText { FindingKind::PathUnreachable, "path-unreachable", "", "calls at {0} will be answered with 404" },
@@ -83,7 +89,7 @@
         KindText { FindingKind::KeysRemoved, "keys-removed", "api_keys",
             "organisation {0} loses its access with {2} of its keys" },
         KindText { FindingKind::KeyMoved, "key-moved", "api_keys",
-            "{2} keys of organisation {0} will belong to organisation {1}" },
+            "keys of organisation {0} will belong to organisation {1}: {2}" },
         KindText { FindingKind::RateLowered, "rate-lowered", "rate_per_s",
             "the rate of organisation {0} falls from {2} to {3} calls a second; with its burst of {4}, a caller that "
             "goes on at the former rate is refused after {5} s" },
