Soak: organisations, revocation of keys and allowances

The soak had no organisations: nothing ran the checks of keys, the bound of revoked keys and allowances beside random faults.

The configuration of a run has three organisations, one of them with an allowance, and a public route. Further callers show keys that are taken away at times or were never held, continue turns of other organisations and exceed the allowance.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -11,6 +11,7 @@
 
 from content import MAX_TURN_TOKENS, output_in, whole_events
 from judge import GAVE_UP, STREAM_KINDS, Request
+from organisations import HOLDERS, key_headers, usual_key
 from standins import RETENTION_S
 
 DEADLINE_S = 4.0
@@ -38,6 +39,8 @@
         self.at = request.ended_at
         self.chain = chain
         self.program = program
+        # The organisation that it belongs to.
+        self.holder = HOLDERS.get(request.key)
 
     def is_kept(self, within_s):
         return time.monotonic() + within_s - self.at < RETENTION_S
@@ -142,9 +145,9 @@
         if after:
             self.press(after)
 
-    def turn(self, program, budget, previous=None, gateway=None):
-        """Sends a turn. Returns its request, and a `Turn` if it was answered whole."""
-        request = self.request("turns", gateway, program=program, budget=budget)
+    def turn(self, program, budget, previous=None, gateway=None, key=None):
+        """Sends a turn. Returns its request, and a `Turn` if it was answered whole; others continue only those with usual keys."""
+        request = self.request("turns", gateway, program=program, budget=budget, key=key)
         if previous:
             request.previous, request.previous_at = previous.name, previous.at
         chain = previous.chain if previous else b""
@@ -158,40 +161,43 @@
         if request.status != 200 or not request.is_complete:
             return request, None
         turn = Turn(request, chain + body + output_in(request.body), program)
-        if budget == AMPLE_BUDGET:
+        if budget == AMPLE_BUDGET and key is None:
             self.callers.turns.append(turn)
         return request, turn
 
-    def stream(self, gateway=None):
+    def stream(self, gateway=None, key=None):
         """Sends a request for a stream, and resumes it at any gateways when it breaks. Returns the last request."""
         kind = self.chance.choice(STREAM_KINDS)
-        first = request = self.send(self.request(kind, gateway), "POST", b"stream", {"Model": "m"})
+        first = request = self.send(self.request(kind, gateway, key=key), "POST", b"stream", {"Model": "m"})
         received = whole_events(first.body)[1]
         deadline = first.sent_at + DEADLINE_S
         for _ in range(MAX_RESUMPTIONS):
             is_broken = request.status in (0, 502, 503) or not request.is_complete
             if not is_broken or not received or time.monotonic() > deadline or self.callers.stopping.is_set():
                 break
-            request = self.request(kind, None, stream=first.name, after=received)
+            request = self.request(kind, None, stream=first.name, after=received, key=first.key)
             headers = {"Model": "m", "Resumes": first.name, "Last-Event-Id": str(received)}
             self.send(request, "POST", b"stream", headers)
             received += whole_events(request.body)[1]
         return request
 
-    def read(self, gateway=None):
-        return self.send(self.request("read", gateway), "GET", None, {})
+    def read(self, gateway=None, key=None, kind="read"):
+        return self.send(self.request(kind, gateway, key=key), "GET", None, {})
 
-    def write(self, gateway=None):
-        return self.send(self.request("write", gateway), "POST", b"slip", {})
+    def write(self, gateway=None, key=None):
+        return self.send(self.request("write", gateway, key=key), "POST", b"slip", {})
 
     # Requests
 
     def request(self, kind, gateway, **fields):
         gateway = gateway or self.chance.choice(self.callers.deployment.names("gateway"))
-        return Request(f"r{next(self.callers.numbers)}.", kind, gateway, **fields)
+        request = Request(f"r{next(self.callers.numbers)}.", kind, gateway, **fields)
+        if request.key is None:
+            request.key = usual_key(request.program or request.name, request.name)
+        return request
 
     def send(self, request, method, body, headers, prompt=None):
-        headers = dict(headers, **{"Host": HOST, "Request-Id": request.name, "Deadline-Ms": str(int(DEADLINE_S * 1000))})
+        headers = dict(headers, **key_headers(request), **{"Host": HOST, "Request-Id": request.name, "Deadline-Ms": str(int(DEADLINE_S * 1000))})
         request.sent_at = time.monotonic()
         self.judge.on_send(request, prompt)
         connection = None
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -37,6 +37,8 @@
 REGISTRATION_S = 1.2
 OTHER_VERSION = {"v1": "v2", "v2": "v1"}
 STORE = ("store refuses", "store silent", "store loses answers")
+# While these are in force, no process can read the store.
+UNREAD = ("store refuses", "store silent")
 # Two versions of the engines side by side, while streams break.
 VERSIONS = ("roll out", "roll back", "instance restarts", "kill", "freeze", "instance reset", *["instance breaks streams"] * 4)
 # All gateways die at one moment beside a roll-out, while streams break.
@@ -165,6 +167,11 @@
         """Whether the process of the gateway was stopped, killed or frozen since then."""
         return any(entry[2].startswith(STOPS) for entry in self._naming(gateway, since))
 
+    def store_unread(self, journals):
+        """Returns when none of these journals got an answer from the store."""
+        return [(began, ended) for began, ended, text, _ in self.entries if ended and (
+            text.startswith(UNREAD) or text.startswith("store-refusal") and journals <= set(text.split()))]
+
     def text(self):
         return "\n".join(f"{began - self.started:8.3f} to {'     ...' if not ended else f'{ended - self.started:8.3f}'} "
                          f"{'planned ' if is_planned else ''}{text}"
@@ -198,7 +205,7 @@
 
     def _run(self, fault):
         is_exclusive = fault.kind not in LINKS or fault.kind in ("isolate", "narrow")
-        key = "store" if fault.kind in STORE else (fault.nodes[0], fault.kind in LINKS)
+        key = self.busy_key(fault)
         with self.lock:
             if is_exclusive and key in self.busy:
                 return
@@ -219,8 +226,11 @@
             with self.lock:
                 self.busy.discard(key)
 
+    def busy_key(self, fault):
+        return "store" if fault.kind in STORE else (fault.nodes[0], fault.kind in LINKS)
+
     def inject(self, fault):
-        name = fault.kind.replace(" ", "_")
+        name = fault.kind.replace(" ", "_").replace("-", "_")
         if fault.kind in STORE:
             self.store_fault(fault)
         elif fault.kind.startswith("instance") or fault.kind == "drain":
--- a/testsuite/soak/judge.py
+++ b/testsuite/soak/judge.py
@@ -7,13 +7,14 @@
 import time
 
 from content import MAX_TURN_TOKENS, VERSION, Plan, versions_in, whole_events, without_versions
+from organisations import OrganisationChecks, is_usual
 from standins import RETENTION_S
 
 STREAM_KINDS = ("streams", "lone")
 # The failure of a request that its caller has broken off.
 GAVE_UP = "given up by its caller"
-NOT_RUN = (402, 404, 429, 503)
-KNOWN_STATUSES = (0, 200, 402, 404, 429, 502, 503, 504)
+NOT_RUN = (401, 402, 404, 429, 503)
+KNOWN_STATUSES = (0, 200, 401, 402, 404, 429, 502, 503, 504)
 # A request on an open connection that is not answered for this long has been read by a process that runs.
 READ_WITHIN_S = 0.2
 # A kept turn whose next one was sent so often reaches an instance, if this share of first turns does.
@@ -43,6 +44,10 @@
     after: int = 0
     # Sent to a gateway without faults near, while two instances of the stream's version serve.
     should_go_on: bool = False
+    # The key that the caller shows (empty: none); chosen by the request's name if it is not given.
+    key: str = None
+    # The other organisation that the previous turn belongs to, or empty.
+    owner: str = ""
     sent_at: float = 0.0
     ended_at: float = 0.0
     # 0: no answer arrived.
@@ -87,6 +92,7 @@
         # Requests that ended without a whole answer, though machines and instances were sound.
         self.cut = []
         self.violations = []
+        self.organisations = OrganisationChecks(self.violate)
 
     def violate(self, promise, detail, request=""):
         with self.lock:
@@ -97,11 +103,12 @@
     def on_send(self, request, prompt=None):
         with self.lock:
             self.requests[request.name] = request
+            self.organisations.on_send(request, self.requests.get(request.previous))
             if prompt is not None:
                 self.prompts[request.name] = prompt
             if request.budget:
                 self.budgets[request.program] = request.budget
-            if request.kind in STREAM_KINDS and self.faults.in_touch(request.gateway, request.sent_at):
+            if request.kind in STREAM_KINDS and is_usual(request) and self.faults.in_touch(request.gateway, request.sent_at):
                 request.should_go_on = self._can_go_on(request)
 
     def _can_go_on(self, request):
@@ -129,7 +136,8 @@
             if request.status in NOT_RUN and self.runs[request.name]:
                 self.violate("what is refused as not run has not run",
                              f"answered {request.status}, ran at {self.runs[request.name]}", request.name)
-            if request.status in (404, 410):
+            self.organisations.on_end(request)
+            if request.status in (404, 410) and not request.owner:
                 self._check_unknown(request)
             if request.status == 402 and request.budget > 100 * MAX_TURN_TOKENS:
                 self.violate("a turn within its budget is not refused for it", "answered 402", request.name)
@@ -192,7 +200,7 @@
                     or not all(self.faults.in_touch(request.gateway, request.ended_at) for request in tries):
                 return
             first_turns = [request for request in self.requests.values()
-                           if request.kind == "turns" and not request.previous and request.ended_at
+                           if request.kind == "turns" and is_usual(request) and not request.previous and request.ended_at
                            and tries[0].sent_at <= request.sent_at and request.ended_at <= tries[-1].ended_at]
             reached = sum(bool(self.runs[request.name]) for request in first_turns)
             if first_turns and reached >= SERVED_SHARE * len(first_turns):
@@ -202,10 +210,12 @@
 
     # Instances
 
-    def on_arrival(self, name, instance):
+    def on_arrival(self, name, instance, headers):
         """A request has reached an instance that is meant."""
         with self.lock:
             request = self.requests.get(name)
+            if request:
+                self.organisations.on_arrival(name, instance, headers)
             told_at = self.leaving.get((request.gateway, instance)) if request else None
             if told_at and request.sent_at > told_at + DRAIN_S and not self.faults.stopped(request.gateway, told_at):
                 self.violate("an instance that has said that it leaves gets no more requests",
@@ -222,6 +232,7 @@
             if request.status in NOT_RUN:
                 self.violate("what is refused as not run never runs",
                              f"answered {request.status}, ran at {instance} after that", name)
+            self.organisations.on_run(request, instance, headers)
             expected = self.prompts.get(name)
             if expected is not None and body != expected:
                 self.violate("a continued turn is sent with its whole chain",
@@ -254,6 +265,7 @@
         if resumed >= MIN_RESUMED and went_on < began / 2:
             self.violate("resumed streams go on half as often as new ones begin, at least",
                          f"{went_on:.2f} of {resumed}, new ones {began:.2f}")
+        self.organisations.finish(self.faults.store_unread(set(deployment.names("journal"))))
         logs = {name: deployment.log_of(name) for name in deployment.names("gateway")}
         for request in self.unanswered:
             waited_s = request.ended_at - request.sent_at
--- a/testsuite/soak/options.py
+++ b/testsuite/soak/options.py
@@ -20,7 +20,8 @@
     result.add_argument("--journals", type=int, default=3)
     result.add_argument("--tolerated", type=int, default=1, help="journals.tolerated_losses")
     result.add_argument("--callers", type=int, default=12)
-    result.add_argument("--only", choices=["planned", "links", "processes", "versions", "domains", "gateways", "disks", "mixed"],
+    result.add_argument("--only", choices=["planned", "links", "processes", "versions", "domains", "gateways", "disks", "mixed",
+                                           "organisations"],
                         help="one kind of episode (default: all kinds)")
     result.add_argument("--disks", metavar="FOLDER",
                         help="where logs and the journals' disks are (default: the system's temporary folder)")
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -13,6 +13,9 @@
 import faults as fault_series
 from callers import Caller, Callers
 from judge import Judge
+from organisationcallers import organisation_callers
+from organisationfaults import OrganisationInjector
+from organisationfaults import draw as draw_organisation_faults
 from standins import RETENTION_S, SoakDeployment
 
 # Everything is served again at the latest this long after the last fault.
@@ -40,6 +43,7 @@
             for name in deployment.processes:
                 links.name(name)
             callers = Callers(deployment, self.judge, self.options.seed, self.options.callers)
+            callers.callers += organisation_callers(callers, self.options.seed, self.options.callers)
             callers.start()
             try:
                 self._play(deployment, links)
@@ -55,10 +59,15 @@
 
     def _play(self, deployment, links):
         self.log.started = time.monotonic()
-        faults = fault_series.draw(self.options.seed, self.options.seconds, self.options.gateways, self.options.journals,
-                                   self.options.tolerated, deployment.instance_counts, self.options.only)
-        injector = fault_series.Injector(deployment, links, self.log)
-        injector.play(faults, self.log.started + self.options.seconds)
+        options = self.options
+        faults = []
+        if options.only != "organisations":
+            faults += fault_series.draw(options.seed, options.seconds, options.gateways, options.journals, options.tolerated,
+                                        deployment.instance_counts, options.only)
+        if options.only in (None, "organisations"):
+            faults += draw_organisation_faults(options.seed, options.seconds, options.gateways, options.journals)
+        injector = OrganisationInjector(deployment, links, self.log)
+        injector.play(sorted(faults, key=lambda fault: fault.at), self.log.started + self.options.seconds)
         for error in injector.errors:
             self.judge.violate("processes stop and start when told to", error)
 
@@ -125,6 +134,7 @@
             counts = {status: count for (status, where), count in judge.statuses.items() if where == near}
             if counts:
                 say(f"  answers {text}: " + ", ".join(f"{status} {counts[status]}" for status in sorted(counts, key=str)))
+        say(judge.organisations.report())
         if judge.violations:
             say("faults:\n" + self.log.text())
         traced = set()
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -7,12 +7,13 @@
 import threading
 import time
 
-from harness import expect, http
+from harness import expect, http, wait_until
 from linkproxy import ADMINISTRATION, loopback_host
 from platform_standins import Deployment, Server, Store, configuration, route
 
 from content import TOKENS_PER_EVENT, Plan
 from faults import DOMAINS
+from organisations import PUBLIC, REVOKE_S, STEADY
 
 RETENTION_S = 12.0
 ROUTES = [
@@ -22,6 +23,7 @@
     route("lone", "streaming", "llm", can_resume=True, goal_ms=1500, attempts=1),
     route("read", "safe", "app", goal_ms=400),
     route("write", "unsafe", "app", attempts=1, goal_ms=400),
+    route(PUBLIC, "safe", "app", goal_ms=400, public=True),
 ]
 
 
@@ -56,6 +58,19 @@
             request.connection.shutdown(socket.SHUT_RDWR)
 
 
+class StoreDoor(Server):
+    """The address at which one process reaches the store, so that it alone can be refused."""
+
+    def __init__(self, store):
+        self.store = store
+        self.is_refusing = False
+        super().__init__()
+        self.server.handle_error = lambda *_: None
+
+    def handle(self, request):
+        return request.answer(503) if self.is_refusing else self.store.handle(request)
+
+
 class Instance(Server):
     """An endpoint instance behind a proxy. It tells the judge of each call that it runs."""
 
@@ -147,7 +162,7 @@
         if request.headers.get("Expect-Instance", self.id) != self.id:
             return request.answer(421, headers={"Instance-Id": self.id})
         name = identity["Request-Id"]
-        self.judge.on_arrival(name, self.process())
+        self.judge.on_arrival(name, self.process(), request.headers)
         if self.is_leaving:
             identity["Server-Leaving"] = "1"
         if self.is_refusing:
@@ -220,11 +235,14 @@
         # Three instances in each failure domain, as small deployments have them.
         self.instance_counts = {"llm": 9 + options.gateways // 4, "app": 8 + options.gateways // 4}
         self.config_version = 1
+        self.config_lock = threading.Lock()
+        self.organisations = judge.organisations.organisations
+        # Process to the address at which it reaches the store.
+        self.doors = {}
         self.admin_addresses = {}
         super().__init__(build, options.gateways, options.journals, options.tolerated, links, options.disks)
         judge.serving = lambda version: sum(
             runner.service == "llm" and runner.version == version and runner.is_serving() for runner in self.runners)
-        self.change_configuration()
 
     def domain(self, name):
         return DOMAINS[int(name.rsplit("-", 1)[1]) % len(DOMAINS)]
@@ -234,19 +252,45 @@
             host = loopback_host(ADMINISTRATION, os.getpid())
             with socket.create_server((host, 0)) as free:
                 self.admin_addresses[name] = f"{host}:{free.getsockname()[1]}"
-        return f'[admin]\nlisten = "{self.admin_addresses[name]}"\n'
+        keys = f"[keys]\nmax_config_age_ms = {REVOKE_S * 1000:.0f}\n" if name.startswith("gateway") else ""
+        return f'{keys}[admin]\nlisten = "{self.admin_addresses[name]}"\n'
+
+    def start(self, program, name, settings):
+        if name not in self.doors:
+            self.doors[name] = StoreDoor(self.store)
+        return super().start(program, name, settings.replace(f'"{self.store.address}"', f'"{self.doors[name].address}"'))
+
+    def __exit__(self, *reason):
+        super().__exit__(*reason)
+        for door in self.doors.values():
+            door.close()
+
+    def wait_serving(self, gateway):
+        wait_until(lambda: self.turn(gateway, f"probe-{time.monotonic_ns()}", key=STEADY["north"][0]).status == 200,
+                   f"{gateway} serves a turn")
 
     def make_store(self):
         return FaultyStore()
 
     def make_runners(self):
+        # No process ever has a configuration without organisations.
+        self.change_configuration()
         return [Instance(self.store, self.judge, self.links, service, f"{service}-{number}", DOMAINS[number % 3])
                 for service, count in self.instance_counts.items() for number in range(1, count + 1)]
 
     def change_configuration(self, *more_routes):
         """Puts a higher version of the configuration in force. The routes that callers use stay."""
-        self.config_version += 1
-        self.store.put("config", "main", configuration(self.config_version, ROUTES + list(more_routes)))
+        self.change_organisations(lambda _: None, *more_routes)
+
+    def change_organisations(self, change, *more_routes):
+        """Changes the organisations by a function, and puts a higher version of the configuration in force."""
+        with self.config_lock:
+            change(self.organisations)
+            self.config_version += 1
+            began = time.monotonic()
+            self.store.put("config", "main",
+                           configuration(self.config_version, ROUTES + list(more_routes), self.organisations.entries()))
+            self.organisations.on_put(began)
 
     def names(self, kind):
         return [name for name in self.processes if name.startswith(kind)]
