--- a/testsuite/platform_standins.py
+++ b/testsuite/platform_standins.py
@@ -295,6 +295,8 @@
     With `links` (`LinkProxies`), all links to journals pass through proxies; the nodes keep their names there. `disks` is
     where the folder for logs, settings and disks is made, if not in the system's temporary folder."""
 
+    probe_key = None  # with which `wait_serving` asks, where the configuration has organisations
+
     def __init__(self, build, gateways=1, journals=3, tolerated_losses=1, links=None, disks=None):
         self.tolerated_losses = tolerated_losses
         self.links = links
@@ -415,7 +417,7 @@
 
     def wait_serving(self, gateway):
         """Waits until the gateway serves a turn, which requires its configuration, instances and journals."""
-        wait_until(lambda: self.turn(gateway, "probe-" + str(time.monotonic_ns())).status == 200,
+        wait_until(lambda: self.turn(gateway, "probe-" + str(time.monotonic_ns()), key=self.probe_key).status == 200,
                    f"{gateway} serves a turn")
 
     # Callers
--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -146,8 +146,8 @@
             self.press(after)
 
     def turn(self, program, budget, previous=None, gateway=None, key=None):
-        """Sends a turn. Returns its request, and a `Turn` if it was answered whole; others continue only those with usual keys."""
-        request = self.request("turns", gateway, program=program, budget=budget, key=key)
+        """Sends a turn. Returns its request, and a `Turn` if it was answered whole; others continue those with usual keys."""
+        request = self.request("turns", gateway, key, program=program, budget=budget)
         if previous:
             request.previous, request.previous_at = previous.name, previous.at
         chain = previous.chain if previous else b""
@@ -168,36 +168,36 @@
     def stream(self, gateway=None, key=None):
         """Sends a request for a stream, and resumes it at any gateways when it breaks. Returns the last request."""
         kind = self.chance.choice(STREAM_KINDS)
-        first = request = self.send(self.request(kind, gateway, key=key), "POST", b"stream", {"Model": "m"})
+        first = request = self.send(self.request(kind, gateway, key), "POST", b"stream", {"Model": "m"})
         received = whole_events(first.body)[1]
         deadline = first.sent_at + DEADLINE_S
         for _ in range(MAX_RESUMPTIONS):
             is_broken = request.status in (0, 502, 503) or not request.is_complete
             if not is_broken or not received or time.monotonic() > deadline or self.callers.stopping.is_set():
                 break
-            request = self.request(kind, None, stream=first.name, after=received, key=first.key)
+            request = self.request(kind, None, first.key, stream=first.name, after=received)
             headers = {"Model": "m", "Resumes": first.name, "Last-Event-Id": str(received)}
             self.send(request, "POST", b"stream", headers)
             received += whole_events(request.body)[1]
         return request
 
     def read(self, gateway=None, key=None, kind="read"):
-        return self.send(self.request(kind, gateway, key=key), "GET", None, {})
+        return self.send(self.request(kind, gateway, key), "GET", None, {})
 
     def write(self, gateway=None, key=None):
-        return self.send(self.request("write", gateway, key=key), "POST", b"slip", {})
+        return self.send(self.request("write", gateway, key), "POST", b"slip", {})
 
     # Requests
 
-    def request(self, kind, gateway, **fields):
+    def request(self, kind, gateway, key=None, **fields):
         gateway = gateway or self.chance.choice(self.callers.deployment.names("gateway"))
-        request = Request(f"r{next(self.callers.numbers)}.", kind, gateway, **fields)
-        if request.key is None:
-            request.key = usual_key(request.program or request.name, request.name)
-        return request
+        name = f"r{next(self.callers.numbers)}."
+        key = usual_key(fields.get("program", name), name) if key is None else key
+        return Request(name, kind, gateway, key, **fields)
 
     def send(self, request, method, body, headers, prompt=None):
-        headers = dict(headers, **key_headers(request), **{"Host": HOST, "Request-Id": request.name, "Deadline-Ms": str(int(DEADLINE_S * 1000))})
+        headers = {**headers, **key_headers(request), "Host": HOST, "Request-Id": request.name,
+                   "Deadline-Ms": str(int(DEADLINE_S * 1000))}
         request.sent_at = time.monotonic()
         self.judge.on_send(request, prompt)
         connection = None
--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -37,8 +37,6 @@
 REGISTRATION_S = 1.2
 OTHER_VERSION = {"v1": "v2", "v2": "v1"}
 STORE = ("store refuses", "store silent", "store loses answers")
-# While these are in force, no process can read the store.
-UNREAD = ("store refuses", "store silent")
 # Two versions of the engines side by side, while streams break.
 VERSIONS = ("roll out", "roll back", "instance restarts", "kill", "freeze", "instance reset", *["instance breaks streams"] * 4)
 # All gateways die at one moment beside a roll-out, while streams break.
@@ -168,9 +166,9 @@
         return any(entry[2].startswith(STOPS) for entry in self._naming(gateway, since))
 
     def store_unread(self, journals):
-        """Returns when none of these journals got an answer from the store."""
-        return [(began, ended) for began, ended, text, _ in self.entries if ended and (
-            text.startswith(UNREAD) or text.startswith("store-refusal") and journals <= set(text.split()))]
+        """Returns when the store answered none of these journals."""
+        return [(began, ended or began) for began, ended, text, _ in self.entries if text.startswith(("store refuses", "store silent"))
+                or text.startswith("refusal") and journals <= {*text.split()}]
 
     def text(self):
         return "\n".join(f"{began - self.started:8.3f} to {'     ...' if not ended else f'{ended - self.started:8.3f}'} "
@@ -205,7 +203,7 @@
 
     def _run(self, fault):
         is_exclusive = fault.kind not in LINKS or fault.kind in ("isolate", "narrow")
-        key = self.busy_key(fault)
+        key = "store" if fault.kind in STORE else (fault.nodes[0], fault.kind in LINKS)
         with self.lock:
             if is_exclusive and key in self.busy:
                 return
@@ -226,11 +224,8 @@
             with self.lock:
                 self.busy.discard(key)
 
-    def busy_key(self, fault):
-        return "store" if fault.kind in STORE else (fault.nodes[0], fault.kind in LINKS)
-
     def inject(self, fault):
-        name = fault.kind.replace(" ", "_").replace("-", "_")
+        name = fault.kind.replace(" ", "_")
         if fault.kind in STORE:
             self.store_fault(fault)
         elif fault.kind.startswith("instance") or fault.kind == "drain":
--- a/testsuite/soak/judge.py
+++ b/testsuite/soak/judge.py
@@ -34,6 +34,7 @@
     name: str
     kind: str  # turns, one of STREAM_KINDS, read or write
     gateway: str
+    key: str  # empty: the caller shows none
     program: str = ""
     budget: int = 0
     previous: str = ""
@@ -44,10 +45,7 @@
     after: int = 0
     # Sent to a gateway without faults near, while two instances of the stream's version serve.
     should_go_on: bool = False
-    # The key that the caller shows (empty: none); chosen by the request's name if it is not given.
-    key: str = None
-    # The other organisation that the previous turn belongs to, or empty.
-    owner: str = ""
+    owner: str = ""  # the other organisation that the previous turn belongs to
     sent_at: float = 0.0
     ended_at: float = 0.0
     # 0: no answer arrived.
@@ -214,8 +212,7 @@
         """A request has reached an instance that is meant."""
         with self.lock:
             request = self.requests.get(name)
-            if request:
-                self.organisations.on_arrival(name, instance, headers)
+            self.organisations.on_arrival(name, instance, headers)
             told_at = self.leaving.get((request.gateway, instance)) if request else None
             if told_at and request.sent_at > told_at + DRAIN_S and not self.faults.stopped(request.gateway, told_at):
                 self.violate("an instance that has said that it leaves gets no more requests",
--- a/testsuite/soak/soak.py
+++ b/testsuite/soak/soak.py
@@ -13,9 +13,7 @@
 import faults as fault_series
 from callers import Caller, Callers
 from judge import Judge
-from organisationcallers import organisation_callers
-from organisationfaults import OrganisationInjector
-from organisationfaults import draw as draw_organisation_faults
+from organisationload import OrganisationInjector, draw_organisation_faults, organisation_callers
 from standins import RETENTION_S, SoakDeployment
 
 # Everything is served again at the latest this long after the last fault.
@@ -60,10 +58,9 @@
     def _play(self, deployment, links):
         self.log.started = time.monotonic()
         options = self.options
-        faults = []
-        if options.only != "organisations":
-            faults += fault_series.draw(options.seed, options.seconds, options.gateways, options.journals, options.tolerated,
-                                        deployment.instance_counts, options.only)
+        faults = [] if options.only == "organisations" else fault_series.draw(
+            options.seed, options.seconds, options.gateways, options.journals, options.tolerated, deployment.instance_counts,
+            options.only)
         if options.only in (None, "organisations"):
             faults += draw_organisation_faults(options.seed, options.seconds, options.gateways, options.journals)
         injector = OrganisationInjector(deployment, links, self.log)
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -7,7 +7,7 @@
 import threading
 import time
 
-from harness import expect, http, wait_until
+from harness import expect, http
 from linkproxy import ADMINISTRATION, loopback_host
 from platform_standins import Deployment, Server, Store, configuration, route
 
@@ -65,7 +65,6 @@
         self.store = store
         self.is_refusing = False
         super().__init__()
-        self.server.handle_error = lambda *_: None
 
     def handle(self, request):
         return request.answer(503) if self.is_refusing else self.store.handle(request)
@@ -230,6 +229,8 @@
 class SoakDeployment(Deployment):
     """Gateways, journals and instances in three failure domains."""
 
+    probe_key = STEADY["north"][0]
+
     def __init__(self, build, judge, links, options):
         self.judge = judge
         # Three instances in each failure domain, as small deployments have them.
@@ -237,7 +238,6 @@
         self.config_version = 1
         self.config_lock = threading.Lock()
         self.organisations = judge.organisations.organisations
-        # Process to the address at which it reaches the store.
         self.doors = {}
         self.admin_addresses = {}
         super().__init__(build, options.gateways, options.journals, options.tolerated, links, options.disks)
@@ -265,10 +265,6 @@
         for door in self.doors.values():
             door.close()
 
-    def wait_serving(self, gateway):
-        wait_until(lambda: self.turn(gateway, f"probe-{time.monotonic_ns()}", key=STEADY["north"][0]).status == 200,
-                   f"{gateway} serves a turn")
-
     def make_store(self):
         return FaultyStore()
 
@@ -278,18 +274,14 @@
         return [Instance(self.store, self.judge, self.links, service, f"{service}-{number}", DOMAINS[number % 3])
                 for service, count in self.instance_counts.items() for number in range(1, count + 1)]
 
-    def change_configuration(self, *more_routes):
-        """Puts a higher version of the configuration in force. The routes that callers use stay."""
-        self.change_organisations(lambda _: None, *more_routes)
-
-    def change_organisations(self, change, *more_routes):
-        """Changes the organisations by a function, and puts a higher version of the configuration in force."""
+    def change_configuration(self, *more_routes, change=lambda _: None):
+        """Puts a higher version of the configuration in force, with changed organisations. The routes that callers use stay."""
         with self.config_lock:
             change(self.organisations)
             self.config_version += 1
             began = time.monotonic()
-            self.store.put("config", "main",
-                           configuration(self.config_version, ROUTES + list(more_routes), self.organisations.entries()))
+            self.store.put("config", "main", configuration(self.config_version, ROUTES + list(more_routes),
+                                                           self.organisations.entries()))
             self.organisations.on_put(began)
 
     def names(self, kind):
