--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -167,7 +167,8 @@
 
     def store_unread(self, journals):
         """Returns when the store answered none of these journals."""
-        return [(began, ended or began) for began, ended, text, _ in self.entries if text.startswith(("store refuses", "store silent"))
+        return [(began, ended or began) for began, ended, text, _ in self.entries
+                if text.startswith(("store refuses", "store silent"))
                 or text.startswith("refusal") and journals <= {*text.split()}]
 
     def text(self):
--- a/testsuite/soak/organisationload.py
+++ b/testsuite/soak/organisationload.py
@@ -8,14 +8,12 @@
 from organisations import (ALLOWANCE, HOLDERS, LENT, LIMITED, LOWERED_AFTER_S, LOWERED_ALLOWANCE, NEVER_HELD, PUBLIC, REVOKE_S,
                            STEADY, UNLIMITED, USUAL_RATE, WINDOW_S)
 
-LIMITED_CALLERS = 8
-# One caller with all kinds of keys for each so many ordinary ones.
-ORDINARY_CALLERS = 3
+# One caller with all kinds of keys for each so many ordinary ones; callers of the organisation with an allowance.
+ORDINARY_CALLERS, LIMITED_CALLERS = 3, 8
 # One of each of these begins in every such time.
 KEY_EVERY_S, HOT_EVERY_S, LOWERED_EVERY_S = 8.0, 12.0, 20.0
 # A hot organisation sends so many times its usual calls, for so long.
-HEAT = (3.0, 8.0)
-HOT_S = 6.0
+HEAT, HOT_S = (3.0, 8.0), 6.0
 # The part of the keys taken away while a gateway reaches neither the journals nor the store, which refuses others, too.
 CUT_OFF_PART = 0.6
 
