--- a/testsuite/soak/faults.py
+++ b/testsuite/soak/faults.py
@@ -165,6 +165,12 @@
         """Whether the process of the gateway was stopped, killed or frozen since then."""
         return any(entry[2].startswith(STOPS) for entry in self._naming(gateway, since))
 
+    def store_unread(self, journals):
+        """Returns when the store answered none of these journals."""
+        return [(began, ended or began) for began, ended, text, _ in self.entries
+                if text.startswith(("store refuses", "store silent"))
+                or text.startswith("refusal") and journals <= {*text.split()}]
+
     def text(self):
         return "\n".join(f"{began - self.started:8.3f} to {'     ...' if not ended else f'{ended - self.started:8.3f}'} "
                          f"{'planned ' if is_planned else ''}{text}"
