--- a/src/librattandeck/quotas/quotaholder_test.cpp
+++ b/src/librattandeck/quotas/quotaholder_test.cpp
@@ -97,7 +97,7 @@
     /// The issuer that gateway g0 asks first.
     static NodeId homeOf(QuotaWorld& world)
     {
-        std::map<NodeId, std::uint64_t> before;
+        std::map<NodeId, double> before;
         for (const auto& member : world.members)
             before[member.node] = world.issuer(member.node).counts().granted;
         world.call(node("g0"), "org");
