--- a/src/include/Rattandeck/configconfirmation.h
+++ b/src/include/Rattandeck/configconfirmation.h
@@ -38,6 +38,9 @@
 
 struct ConfigConfirmationLimits {
     Milliseconds askInterval { 500 };
+    /// As `askInterval`, while the last confirmation is older than `ownReadRatio` allows: after an outage of the store,
+    /// calls are refused until a question is answered.
+    Milliseconds lateAskInterval { 100 };
     /// Time after which another journal is asked.
     Milliseconds answerTimeout { 300 };
     /// Age, as a part of the bound that is applied, from which on the process reads the store itself: no journal that
--- a/src/librattandeck/gossip/configconfirmation.cpp
+++ b/src/librattandeck/gossip/configconfirmation.cpp
@@ -69,6 +69,8 @@
     void beginRound();
     void askNext();
     void onAnswer(const ConfigAgeAnswer& answer);
+    /// Whether the confirmation is so old that the store is read.
+    bool isLate() const;
     void readStoreIfLate();
     void take(const ConfigConfirmed& confirmed);
     void count(TimePoint at);
@@ -95,7 +97,9 @@
 void ConfigConfirmation::Impl::beginRound()
 {
     this->timers.cancel(this->roundTimer);
-    this->roundTimer = this->timers.subscribeAfter(this->limits.askInterval, [weak = this->weak_from_this()] {
+    const bool hasExpired = this->confirmedAt && this->isLate();
+    const Milliseconds interval = hasExpired ? this->limits.lateAskInterval : this->limits.askInterval;
+    this->roundTimer = this->timers.subscribeAfter(interval, [weak = this->weak_from_this()] {
         if (const auto self = weak.lock())
             self->beginRound();
     });
@@ -155,13 +159,17 @@
     }
 }
 
-void ConfigConfirmation::Impl::readStoreIfLate()
+bool ConfigConfirmation::Impl::isLate() const
 {
-    const TimePoint now = this->timers.now();
     const auto patience
         = std::chrono::duration_cast<Milliseconds>(this->maxAge * appliedConfigAgeRatio * this->limits.ownReadRatio);
-    const bool isLate = !this->confirmedAt || now - *this->confirmedAt > patience;
-    if (!isLate || now < this->nextReadAt)
+    return !this->confirmedAt || this->timers.now() - *this->confirmedAt > patience;
+}
+
+void ConfigConfirmation::Impl::readStoreIfLate()
+{
+    const TimePoint now = this->timers.now();
+    if (!this->isLate() || now < this->nextReadAt)
         return;
     const Milliseconds mean
         = std::max(this->limits.minReadInterval, this->limits.readIntervalPerGateway * this->io.gatewayCount());
--- a/src/librattandeck/turns/gatewayadmission_test.cpp
+++ b/src/librattandeck/turns/gatewayadmission_test.cpp
@@ -33,7 +33,7 @@
         return organisation;
     }
 
-    void start(GatewayLimits limits = {}, bool hasOrganisations = true)
+    void start(const GatewayLimits& limits = {}, bool hasOrganisations = true)
     {
         this->f = std::make_unique<GatewayFixture>(limits);
         RoutingConfig config;
