Place calls by learned speeds only where instances state that they differ

Cause: learned speeds, the random choice among near-equal instances and failures that count as faults took effect on all deployments. Change: they count only in services whose instances state their pace, or with placement.learn_everywhere. Tests of the core keep learning everywhere.

--- a/src/include/Rattandeck/endpoints.h
+++ b/src/include/Rattandeck/endpoints.h
@@ -161,6 +161,9 @@
     /// Instances whose cost exceeds the least one by no more than this are chosen from at random: processes that have
     /// seen the same reports must not all choose one.
     double nearEqualMs = 2;
+    /// Whether speeds, failures and near-equal costs count in all services. Otherwise they count only in services whose
+    /// instances state how long work takes: those are known to be unlike.
+    bool learnsEverywhere = true;
     /// Seed of that choice; 0: the first instance of least cost is chosen.
     std::uint64_t seed = 0;
     /// Share by which each other call in a batch lengthens the work of a call: about `batchedCallMs` of a turn that
@@ -220,7 +223,9 @@
     double onWork(const EndpointId& id, const ObservedWork& work, TimePoint now);
     /// A call to the instance was answered, or failed.
     void onOutcome(const EndpointId& id, bool isFailure, TimePoint now);
-    /// Time that work is expected to take at the instance, relative to the usual time.
+    /// Whether what was learned of the service's instances counts; see `EndpointCosts::learnsEverywhere`.
+    bool isLearned(const ServiceName& service) const;
+    /// Time that work is expected to take at the instance, relative to the usual time; 1 where it doesn't count.
     double workTime(const EndpointId& id, TimePoint now) const;
     /// Number of instances whose work is expected to take at least `factor` times the usual time.
     std::size_t slowInstances(double factor, TimePoint now) const;
--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -128,6 +128,8 @@
     /// Seed of the choice among instances that are expected to be equally fast; 0: the first one is chosen. That at the
     /// start holds.
     std::uint64_t placementSeed = 0;
+    /// See `EndpointCosts::learnsEverywhere`; that at the start holds.
+    bool learnsEverywhere = true;
     /// Settings of the permits for limited instances; those at the start hold.
     PermitSettings permits;
     /// Settings of the allowances of organisations; those at the start hold.
--- a/src/librattandeck/routing/endpointcosts.cpp
+++ b/src/librattandeck/routing/endpointcosts.cpp
@@ -13,6 +13,12 @@
 
 static double age(TimePoint since, TimePoint now) { return std::chrono::duration<double>(now - since).count(); }
 
+bool EndpointTable::Impl::isLearned(const ServiceName& service) const
+{
+    const auto known = this->work.find(service);
+    return this->costs.learnsEverywhere || (known != this->work.end() && known->second.statesPace);
+}
+
 ServiceLoad EndpointTable::Impl::loadOf(
     const ServiceName& name, const std::vector<InstanceState*>& instances, TimePoint now) const
 {
@@ -27,7 +33,7 @@
     const auto count = static_cast<double>(reports);
     const auto known = this->work.find(name);
     return { now, reports == 0 ? 0 : calls / count, calls / (count + reportsForTrust),
-        known == this->work.end() ? 0 : known->second.failureShare };
+        known == this->work.end() ? 0 : known->second.failureShare, this->isLearned(name) };
 }
 
 double EndpointTable::Impl::expectedLoad(const InstanceState& state, const ServiceLoad& service) const
@@ -99,7 +105,7 @@
     if (state.failedAt && service.now - *state.failedAt < this->costs.failurePenaltyPeriod)
         penalty += this->costs.recentFailureMs;
     const double excess = state.failureShare - this->costs.toleratedFailures - 2 * service.failureShare;
-    if (!state.outcomeAt || excess <= 0)
+    if (!service.isLearned || !state.outcomeAt || excess <= 0)
         return penalty;
     const double period = std::chrono::duration<double>(this->costs.failingPeriod).count();
     return penalty + excess * this->costs.failingMs * std::max(0.0, 1 - age(*state.outcomeAt, service.now) / period);
@@ -136,10 +142,14 @@
     share += serviceWeight * (outcome - share);
 }
 
+bool EndpointTable::isLearned(const ServiceName& service) const { return this->impl->isLearned(service); }
+
 double EndpointTable::workTime(const EndpointId& id, TimePoint now) const
 {
     const InstanceState* state = this->impl->find(id);
-    return state ? expectedWorkTime(state->speed, now, this->impl->costs.speed) : 1;
+    return state && this->impl->isLearned(state->instance.service)
+        ? expectedWorkTime(state->speed, now, this->impl->costs.speed)
+        : 1;
 }
 
 std::size_t EndpointTable::slowInstances(double factor, TimePoint now) const
--- a/src/librattandeck/routing/endpoints.cpp
+++ b/src/librattandeck/routing/endpoints.cpp
@@ -19,7 +19,8 @@
 }
 
 /// The instance that all processes prefer for the query's key; null if there is none.
-static const InstanceState* preferredInstance(const PlacementQuery& query, const std::vector<Candidate>& candidates)
+static const InstanceState* preferredInstance(
+    const PlacementQuery& query, const std::vector<Candidate>& candidates, bool isLearned)
 {
     if (query.prefixKey.empty() || query.prompt.empty())
         return nullptr;
@@ -33,7 +34,7 @@
             continue;
         std::uint64_t hash = rendezvousWeight(key, candidate.state->instance.id.value);
         // Weighted rendezvous hashing: with u uniform in 0 to 1, u^(1/w) is the highest of all in proportion to w.
-        if (const double share = programShare(*candidate.state); share < 1)
+        if (const double share = isLearned ? programShare(*candidate.state) : 1; share < 1)
             hash = static_cast<std::uint64_t>(
                        std::ldexp(std::pow(std::ldexp(static_cast<double>(hash >> 11U), -53), 1 / share), 53))
                 << 11U;
@@ -193,7 +194,7 @@
         if (self.mayGet(*state, query, now))
             candidates.push_back({ state, rooms ? rooms(state->instance.id) : LimitRoom() });
     }
-    const InstanceState* preferred = preferredInstance(query, candidates);
+    const InstanceState* preferred = preferredInstance(query, candidates, inputs.service.isLearned);
     std::erase_if(candidates,
         [&query](const Candidate& candidate) { return query.excluded.contains(candidate.state->instance.id); });
     Cheapest withRoom;
@@ -202,7 +203,8 @@
     for (Candidate& candidate : candidates) {
         const InstanceState& state = *candidate.state;
         candidate.load = self.expectedLoad(state, inputs.service);
-        candidate.workTime = expectedWorkTime(state.speed, now, self.costs.speed);
+        if (inputs.service.isLearned)
+            candidate.workTime = expectedWorkTime(state.speed, now, self.costs.speed);
         candidate.cost = self.cost(candidate, inputs, &state == preferred);
         withoutWait.consider(candidate, candidate.cost);
         if (!candidate.room.wait)
@@ -216,7 +218,7 @@
     if (!least.candidate)
         return std::nullopt;
     const Candidate* best = least.candidate;
-    if (self.costs.seed != 0)
+    if (self.costs.seed != 0 && inputs.service.isLearned)
         best = chooseNearEqual(candidates, least, self.costs, self.connections, preferred, self.draw());
     const InstanceState& state = *best->state;
     PlacementChoice choice;
@@ -264,8 +266,10 @@
         return;
     state->otherCalls = std::max(0.0, static_cast<double>(load.running) + load.waiting - state->ownCalls);
     state->reportedAt = now;
-    if (load.pace)
-        observePace(state->speed, *load.pace, now, this->impl->costs.speed);
+    if (!load.pace)
+        return;
+    this->impl->work[state->instance.service].statesPace = true;
+    observePace(state->speed, *load.pace, now, this->impl->costs.speed);
 }
 
 void EndpointTable::onFailure(const EndpointId& id, TimePoint now)
--- a/src/librattandeck/routing/endpointsimpl.h
+++ b/src/librattandeck/routing/endpointsimpl.h
@@ -72,12 +72,16 @@
     /// call it, too. Less than the mean while few have reported, which may be the busy ones.
     double unreportedCalls = 0;
     double failureShare = 0;
+    /// See `EndpointTable::isLearned`.
+    bool isLearned = true;
 };
 
 /// What is known of a service from all its instances.
 struct ServiceWork {
     WorkSpread spread;
     double failureShare = 0;
+    /// One of its instances has stated how long work takes.
+    bool statesPace = false;
 };
 
 /// An instance that may get a call.
@@ -136,6 +140,7 @@
         return found == this->instances.end() ? nullptr : &found->second;
     }
 
+    bool isLearned(const ServiceName& service) const;
     ServiceLoad loadOf(const ServiceName& name, const std::vector<InstanceState*>& instances, TimePoint now) const;
     double expectedLoad(const InstanceState& state, const ServiceLoad& service) const;
     /// Precondition: `partHashes` are those of the query's prompt.
--- a/src/librattandeck/turns/gatewaycosts.cpp
+++ b/src/librattandeck/turns/gatewaycosts.cpp
@@ -29,6 +29,7 @@
 {
     EndpointCosts costs;
     costs.seed = limits.placementSeed;
+    costs.learnsEverywhere = limits.learnsEverywhere;
     return costs;
 }
 
@@ -82,7 +83,8 @@
         ? Duration(this->limits.streamStallTimeout)
         : std::chrono::duration_cast<Duration>(call.route->objective * this->limits.stallTimeoutRatio);
     inputs.workTime = this->endpoints.workTime(call.endpoint, this->timers.now());
-    inputs.expectedMs = this->expectedProgressMs(call);
+    if (this->endpoints.isLearned(call.service))
+        inputs.expectedMs = this->expectedProgressMs(call);
     return stallTimeout(inputs);
 }
 
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -35,6 +35,8 @@
         "like max_load, for the first turn of a program");
     schema.addBoolean(
         "placement.priorities", s.limits.forwardsPriorities, "send the rank of a call's route to engines");
+    schema.addBoolean("placement.learn_everywhere", s.limits.learnsEverywhere,
+        "place calls by learned speeds also in services whose instances don't state how long work takes");
     schema.addNumber("placement.queue_part", s.limits.maxQueueWaitRatio, 0, 10,
         "maximum time in the queue, as a fraction of the route's objective");
     schema.addMilliseconds("keys.max_config_age_ms", s.limits.maxConfigAge, Milliseconds(0), Milliseconds(600000),
--- a/src/rattandeck-gateway/daemon.h
+++ b/src/rattandeck-gateway/daemon.h
@@ -15,7 +15,7 @@
     std::string objectStore;
     /// Number of journal disks that may be lost at the same time.
     std::int64_t toleratedLosses = 1;
-    Rattandeck::GatewayLimits limits;
+    Rattandeck::GatewayLimits limits { .learnsEverywhere = false };
     /// Maximum duration of a planned stop.
     Rattandeck::Milliseconds stopLimit { 8000 };
 };
