rattandeckctl check: typed errors of documents that can't be read

Cause: three functions returned their errors as bare strings. Change: a struct with the cause; the texts are made where they are printed, unchanged.

--- a/src/rattandeckctl/configcheck.cpp
+++ b/src/rattandeckctl/configcheck.cpp
@@ -59,26 +59,65 @@
     return std::to_string(line) + ":" + std::to_string(before.size() - lineStart + 1);
 }
 
-tl::expected<Json, std::string> readDocument(const std::string& path)
+/// Why there is nothing to check, or to compare with.
+struct UnreadableConfig {
+    enum class Cause {
+        CannotBeRead,
+        NestedTooDeeply,
+        NotJson,
+        NoStoreAddress,
+        StoreFailed,
+        NotAdopted,
+    };
+    Cause cause = Cause::CannotBeRead;
+    /// Path, with line and column where they are known; the store's error; or the field that keeps it from adoption.
+    std::string detail;
+};
+
+std::string describe(const UnreadableConfig& error)
+{
+    switch (error.cause) {
+    case UnreadableConfig::Cause::CannotBeRead:
+        return error.detail + ": can't be read";
+    case UnreadableConfig::Cause::NestedTooDeeply:
+        return error.detail + ": is nested too deeply";
+    case UnreadableConfig::Cause::NotJson:
+        return error.detail + ": is not JSON";
+    case UnreadableConfig::Cause::NoStoreAddress:
+        return "--against live needs --store, the address of the platform's store";
+    case UnreadableConfig::Cause::StoreFailed:
+        return "the configuration in force: " + error.detail;
+    case UnreadableConfig::Cause::NotAdopted:
+        return "the configuration in force: missing or invalid field " + error.detail;
+    }
+    return {};
+}
+
+tl::unexpected<UnreadableConfig> unreadable(UnreadableConfig::Cause cause, std::string detail = {})
+{
+    return tl::unexpected(UnreadableConfig { cause, std::move(detail) });
+}
+
+tl::expected<Json, UnreadableConfig> readDocument(const std::string& path)
 {
     std::ifstream file(path, std::ios::binary);
     std::ostringstream content;
     if (!file || !(content << file.rdbuf()))
-        return tl::unexpected(path + ": can't be read");
+        return unreadable(UnreadableConfig::Cause::CannotBeRead, path);
     const std::string text = content.str();
     Json document;
     PositionHandler handler(document);
     if (Json::sax_parse(text, &handler))
         return document;
     if (handler.position == 0)
-        return tl::unexpected(path + ": is nested too deeply");
-    return tl::unexpected(path + ":" + describePosition(text, handler.position) + ": is not JSON");
+        return unreadable(UnreadableConfig::Cause::NestedTooDeeply, path);
+    return unreadable(UnreadableConfig::Cause::NotJson, path + ":" + describePosition(text, handler.position));
 }
 
-tl::expected<Json, std::string> readLive(const std::optional<RattandeckNet::Address>& server)
+tl::expected<Json, UnreadableConfig> readLive(const std::optional<RattandeckNet::Address>& server)
 {
     if (!server)
-        return tl::unexpected(std::string("--against live needs --store, the address of the platform's store"));
+        return unreadable(UnreadableConfig::Cause::NoStoreAddress);
     RattandeckNet::EventLoop loop;
     Platform::ObjectStore store(loop, *server);
     tl::expected<Platform::StoredObject, Platform::StoreError> object = tl::unexpected(Platform::StoreError::NoAnswer);
@@ -88,7 +127,7 @@
     });
     loop.run();
     if (!object)
-        return tl::unexpected("the configuration in force: " + std::string(Platform::describe(object.error())));
+        return unreadable(UnreadableConfig::Cause::StoreFailed, std::string(Platform::describe(object.error())));
     return std::move(object->spec);
 }
 
@@ -127,14 +166,14 @@
 }
 
 /// Reads the spec in force, which has to be one that gateways adopt.
-tl::expected<Json, std::string> readInForce(const ConfigCheckOptions& options)
+tl::expected<Json, UnreadableConfig> readInForce(const ConfigCheckOptions& options)
 {
     auto spec = options.against == "live" ? readLive(options.store) : readDocument(options.against);
     if (!spec)
         return spec;
     const auto config = Platform::readConfig(*spec);
     if (!config)
-        return tl::unexpected("the configuration in force: missing or invalid field " + config.error().field);
+        return unreadable(UnreadableConfig::Cause::NotAdopted, config.error().field);
     return spec;
 }
 
@@ -179,7 +218,7 @@
         return reportUnreadable("--format is text or json");
     const auto document = readDocument(path);
     if (!document)
-        return reportUnreadable(document.error());
+        return reportUnreadable(describe(document.error()));
     DeploymentFacts facts = knownFacts(options);
     if (options.store) {
         facts.slots = readSlots(*options.store);
@@ -192,7 +231,7 @@
     } else {
         const auto inForce = readInForce(options);
         if (!inForce)
-            return reportUnreadable(inForce.error());
+            return reportUnreadable(describe(inForce.error()));
         report = Platform::checkConfigDocumentAgainst(*document, *inForce, facts);
     }
     if (options.format == "json")
