Review case 7: TROUBLE is read in its own folder

Cause: only the file that the scripts share read it, so the folder did not show that the case knows TROUBLE=0.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """A program's token budget over a restart of all journals, after journals have removed their oldest segment."""
 
 import itertools
+import os
 import pathlib
 import sys
 import threading
@@ -100,4 +101,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(__file__, play))
+    # TROUBLE=0 does the same without the disruption.
+    sys.exit(main(__file__, play, os.environ.get("TROUBLE", "1") != "0"))
--- a/review/platform2.py
+++ b/review/platform2.py
@@ -210,11 +210,11 @@
             self.file.flush()
 
 
-def main(script, play):
+def main(script, play, has_trouble):
     """Plays a case: `play(record, has_trouble)` returns a sentence that tells how the rule was broken, or nothing."""
     record = Record(script)
     try:
-        broken = play(record, os.environ.get("TROUBLE", "1") != "0")
+        broken = play(record, has_trouble)
     except (CannotRun, OSError) as error:
         record.note(f"could not run: {error}")
         print(f"could not run: {error}")
