Review case 8: TROUBLE is read in its own folder

Cause: only the file that the scripts share read it, so the folder did not show that the case knows TROUBLE=0.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,7 @@
 """A turn whose stream is taken up again after its channel was reset, and the turn that continues it."""
 
 import http.client
+import os
 import pathlib
 import socket
 import struct
@@ -89,4 +90,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(__file__, play))
+    # TROUBLE=0 does the same without the disruption.
+    sys.exit(main(__file__, play, os.environ.get("TROUBLE", "1") != "0"))
