Review case 10: TROUBLE is read in its own folder

Cause: only the file that the scripts share read it, so the folder did not show that the case knows TROUBLE=0.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
 """Requests that must not be repeated, at a runner that fails some of them with 503 after it has run them."""
 
 import itertools
+import os
 import pathlib
 import sys
 import threading
@@ -95,4 +96,5 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(__file__, play))
+    # TROUBLE=0 does the same without the disruption.
+    sys.exit(main(__file__, play, os.environ.get("TROUBLE", "1") != "0"))
