Review scripts: an error of a script exits with 2

Cause: Python ends with 1 after an error that nobody catches, and 1 says that the rule was broken.

Change: any error counts as a case that could not run.

--- a/review/platform2.py
+++ b/review/platform2.py
@@ -215,9 +215,9 @@
     record = Record(script)
     try:
         broken = play(record, has_trouble)
-    except (CannotRun, OSError) as error:
-        record.note(f"could not run: {error}")
-        print(f"could not run: {error}")
+    except Exception as error:  # An error of the script must not pass for a broken rule.
+        record.note(f"could not run: {error!r}")
+        print(f"could not run: {error!r}")
         return 2
     record.note(f"broken: {broken}" if broken else "held")
     print(f"broken: {broken}" if broken else "held")
