Keep a resumed turn with its first events

Cause: the output of a turn was gathered at the call that ends it. On a route that resumes and retains, the events before are known only to the gateway that relayed them, which may be dead.

Change: such a gateway tells the journals that know the stream's origin the data of each event before it passes the event on (streamoutputs.h). The gateway at which the stream is resumed gets it with the origin and stores the whole turn. Where it is not known, also on a route that retains and does not resume, the call is refused as not run.

--- a/src/include/Rattandeck/gatewaycalls.h
+++ b/src/include/Rattandeck/gatewaycalls.h
@@ -138,6 +138,8 @@
     AnswerLost,
     /// The call resumes a stream of which it is not known at which version of the endpoint's software it began.
     StreamUnknown,
+    /// The call resumes a turn that is to be retained, of which the events before are not known.
+    StreamOutputUnknown,
     /// No instance has the version at which the resumed stream began, or the route has left its service.
     StreamVersionGone,
     /// The request is quarantined: requests with the same content have crashed several instances.
--- a/src/include/Rattandeck/messages.h
+++ b/src/include/Rattandeck/messages.h
@@ -445,6 +445,7 @@
     ClaimsKnown, SettleClaim, StoreTurn, TurnStored, FetchTurn, TurnFetched, JournalSet, CopyRequest, CopyPage,
     TurnsRequest, TurnsPage, GossipOffers, GossipRequest, GossipItems, CrashReports, JournalInconclusive,
     JournalStanding, PermitRequests, PermitGrants, GatewaysLinked, StoreView, GossipNotice, GossipDigests, StreamBegun,
-    StreamOriginRequest, StreamOriginAnswer, QuotaRequests, QuotaGrants, ConfigAgeRequest, ConfigAgeAnswer>;
+    StreamPassedOn, StreamOriginRequest, StreamOriginAnswer, QuotaRequests, QuotaGrants, ConfigAgeRequest,
+    ConfigAgeAnswer>;
 
 }
--- a/src/include/Rattandeck/streamorigins.h
+++ b/src/include/Rattandeck/streamorigins.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Rattandeck/messages.h"
+#include "Rattandeck/streamoutputs.h"
 #include "Rattandeck/timer.h"
 
 #include <tl/expected.hpp>
@@ -30,6 +31,8 @@
     Milliseconds maxRetention { 300000 };
     /// Bound on the origins that one process keeps. Beyond it, those that expire first are dropped.
     std::size_t maxOrigins = 50000;
+    /// Bounds on what journals keep of streams whose turns are retained.
+    StreamOutputLimits outputs;
     /// As `JournalClientLimits::firstTicket`, for questions.
     std::optional<std::uint64_t> firstTicket;
 };
@@ -40,6 +43,8 @@
     Unknown,
     /// Some of them could not be asked, or have not answered in time.
     Unavailable,
+    /// The origin is known, but not the output of the stream up to the event that was asked for.
+    OutputUnknown,
 };
 
 std::string_view describe(StreamOriginError error);
@@ -47,7 +52,14 @@
 /// Members in the order in which they are told of a stream: by rendezvous hashing (Thaler and Ravishankar, 1998).
 std::vector<NodeId> originOrder(const std::vector<JournalMember>& members, const TurnId& request);
 
-/// Origins that one process knows. Entries expire after their retention.
+/// What is known of a stream that a caller resumes.
+struct KnownStream {
+    StreamOrigin origin;
+    /// The output of the stream up to the event after which it is resumed, if that was asked for.
+    std::string output;
+};
+
+/// Origins and outputs that one process knows. Entries expire after their retention.
 ///
 /// Thread safety: not synchronised; use from the thread that advances the timers.
 class StreamOriginTable {
@@ -61,6 +73,8 @@
     void put(const StreamBegun& begun);
     std::optional<StreamOrigin> find(const TurnId& request) const;
     std::size_t size() const;
+    /// The outputs of streams, see `streamoutputs.h`.
+    const StreamOutputTable& outputs() const;
 
     /// The part of a journal. Answers questions through `send`; ignores messages of other types.
     using Send = std::function<bool(const NodeId& node, const Message& message)>;
@@ -76,7 +90,7 @@
 /// Thread safety: not synchronised; use from the thread that advances the timers.
 class StreamOriginClient {
 public:
-    using Done = std::function<void(tl::expected<StreamOrigin, StreamOriginError>)>;
+    using Done = std::function<void(tl::expected<KnownStream, StreamOriginError>)>;
 
     StreamOriginClient(TimerService& timers, StreamOriginTable::Send send, StreamOriginLimits limits = {});
     ~StreamOriginClient();
@@ -92,8 +106,13 @@
 
     /// Tells `copies` linked journals, in several failure domains if there are.
     void record(const StreamBegun& begun);
-    /// Finds what the stream that `request` began has to go on at. `done` is called once, possibly before this returns.
-    void find(const TurnId& request, Done done);
+    /// Tells the same journals what a call is about to pass on, as far as they don't know it.
+    void recordOutput(const StreamOutput& output);
+    /// Nothing more will be recorded of this request's output.
+    void forgetOutput(const TurnId& request);
+    /// Finds what the stream that `request` began has to go on at, and, if `lastEvent` is set, its output up to that
+    /// event. `done` is called once, possibly before this returns.
+    void find(const TurnId& request, const std::string& lastEvent, Done done);
 
 private:
     struct Impl;
--- a/src/librattandeck/streams/streamorigins.cpp
+++ b/src/librattandeck/streams/streamorigins.cpp
@@ -17,6 +17,8 @@
         return "unknown stream";
     case StreamOriginError::Unavailable:
         return "too few journals answered";
+    case StreamOriginError::OutputUnknown:
+        return "unknown output";
     }
     return "unknown";
 }
@@ -53,6 +55,14 @@
     std::unordered_map<TurnId, KnownOrigin> origins;
     /// The requests in `origins`, by the time at which they expire.
     std::set<std::pair<TimePoint, TurnId>> expiries;
+    StreamOutputTable outputs;
+
+    Impl(TimerService& timers, const StreamOriginLimits& limits)
+        : timers(timers)
+        , limits(limits)
+        , outputs(timers, limits.outputs)
+    {
+    }
 
     void dropExpired()
     {
@@ -68,7 +78,7 @@
 };
 
 StreamOriginTable::StreamOriginTable(TimerService& timers, StreamOriginLimits limits)
-    : impl(std::make_unique<Impl>(Impl { timers, limits, {}, {} }))
+    : impl(std::make_unique<Impl>(timers, limits))
 {
 }
 
@@ -93,13 +103,22 @@
 
 std::size_t StreamOriginTable::size() const { return this->impl->origins.size(); }
 
+const StreamOutputTable& StreamOriginTable::outputs() const { return this->impl->outputs; }
+
 void StreamOriginTable::onMessage(const NodeId& from, const Message& message, const Send& send)
 {
     if (const auto* begun = std::get_if<StreamBegun>(&message)) {
         this->put(*begun);
+    } else if (const auto* passedOn = std::get_if<StreamPassedOn>(&message)) {
+        this->impl->outputs.put(*passedOn);
     } else if (const auto* request = std::get_if<StreamOriginRequest>(&message)) {
         const auto origin = this->find(request->request);
-        send(from, StreamOriginAnswer { request->ticket, origin.has_value(), origin.value_or(StreamOrigin()) });
+        StreamOriginAnswer answer { request->ticket, origin.has_value(), origin.value_or(StreamOrigin()), false, {} };
+        if (auto output = this->impl->outputs.find(request->request, request->lastEvent)) {
+            answer.isOutputKnown = true;
+            answer.output = std::move(*output);
+        }
+        send(from, answer);
     }
 }
 
@@ -109,12 +128,17 @@
 
     struct Question {
         TurnId request;
+        /// Empty if the output is not asked for.
+        std::string lastEvent;
         StreamOriginClient::Done done;
         std::set<NodeId> asked;
         std::set<NodeId> awaited;
         std::uint32_t rounds = 0;
         /// Every journal that was asked has answered.
         bool areAllAnswered = true;
+        /// What was learnt so far.
+        std::optional<StreamOrigin> origin;
+        std::optional<std::string> output;
         TimerId timer;
     };
 
@@ -126,6 +150,7 @@
         , send(std::move(send))
         , limits(limits)
         , own(timers, limits)
+        , outputs(this->send)
         , lastTicket(limits.firstTicket.value_or(drawTicket()))
     {
     }
@@ -137,12 +162,14 @@
     std::map<NodeId, FailureDomain> links;
     /// Streams that this gateway began.
     StreamOriginTable own;
+    StreamOutputSender outputs;
     std::map<JournalTicket, Question> questions;
     std::uint64_t lastTicket;
 
     std::vector<NodeId> nextJournals(const TurnId& request, const std::set<NodeId>& asked) const;
     void askMore(JournalTicket ticket);
-    void finish(JournalTicket ticket, tl::expected<StreamOrigin, StreamOriginError> outcome);
+    static StreamOriginError errorOf(const Question& question);
+    void finish(JournalTicket ticket, tl::expected<KnownStream, StreamOriginError> outcome);
     void onAnswer(const NodeId& from, const StreamOriginAnswer& answer);
 };
 
@@ -173,15 +200,14 @@
         ++question.rounds;
         for (const NodeId& node : this->nextJournals(question.request, question.asked)) {
             question.asked.insert(node);
-            if (this->send(node, StreamOriginRequest { ticket, question.request }))
+            if (this->send(node, StreamOriginRequest { ticket, question.request, question.lastEvent }))
                 question.awaited.insert(node);
         }
     } else {
         question.awaited.clear();
     }
     if (question.awaited.empty()) {
-        const bool isUnknown = question.areAllAnswered && !question.asked.empty();
-        this->finish(ticket, tl::unexpected(isUnknown ? StreamOriginError::Unknown : StreamOriginError::Unavailable));
+        this->finish(ticket, tl::unexpected(errorOf(question)));
         return;
     }
     question.timer = this->timers.subscribeAfter(this->limits.roundTimeout, [weak = this->weak_from_this(), ticket] {
@@ -190,7 +216,15 @@
     });
 }
 
-void StreamOriginClient::Impl::finish(JournalTicket ticket, tl::expected<StreamOrigin, StreamOriginError> outcome)
+/// Why a question is given up.
+StreamOriginError StreamOriginClient::Impl::errorOf(const Question& question)
+{
+    if (!question.areAllAnswered || question.asked.empty())
+        return StreamOriginError::Unavailable;
+    return question.origin ? StreamOriginError::OutputUnknown : StreamOriginError::Unknown;
+}
+
+void StreamOriginClient::Impl::finish(JournalTicket ticket, tl::expected<KnownStream, StreamOriginError> outcome)
 {
     const auto found = this->questions.find(ticket);
     const Question question = std::move(found->second);
@@ -205,8 +239,12 @@
     if (found == this->questions.end())
         return;
     Question& question = found->second;
-    if (answer.isKnown) {
-        this->finish(answer.ticket, answer.origin);
+    if (answer.isKnown && !question.origin)
+        question.origin = answer.origin;
+    if (answer.isOutputKnown)
+        question.output = answer.output;
+    if (question.origin && (question.output || question.lastEvent.empty())) {
+        this->finish(answer.ticket, KnownStream { *question.origin, question.output.value_or(std::string()) });
         return;
     }
     if (question.awaited.erase(from) > 0 && question.awaited.empty())
@@ -230,6 +268,7 @@
 void StreamOriginClient::onLinkDown(const NodeId& journal)
 {
     this->impl->links.erase(journal);
+    this->impl->outputs.onLinkDown(journal);
     std::vector<JournalTicket> unanswered;
     for (auto& [ticket, question] : this->impl->questions) {
         if (question.awaited.erase(journal) == 0)
@@ -257,15 +296,25 @@
         this->impl->send(node, begun);
 }
 
-void StreamOriginClient::find(const TurnId& request, Done done)
+void StreamOriginClient::recordOutput(const StreamOutput& output)
+{
+    this->impl->outputs.send(output, this->impl->nextJournals(output.stream, {}));
+}
+
+void StreamOriginClient::forgetOutput(const TurnId& request) { this->impl->outputs.forget(request); }
+
+void StreamOriginClient::find(const TurnId& request, const std::string& lastEvent, Done done)
 {
-    if (auto known = this->impl->own.find(request)) {
-        done(std::move(*known));
+    auto known = this->impl->own.find(request);
+    if (known && lastEvent.empty()) {
+        done(KnownStream { std::move(*known), {} });
         return;
     }
     const JournalTicket ticket(++this->impl->lastTicket);
     Question& question = this->impl->questions[ticket];
     question.request = request;
+    question.lastEvent = lastEvent;
+    question.origin = std::move(known);
     question.done = std::move(done);
     this->impl->askMore(ticket);
 }
--- a/src/librattandeck/streams/streamorigins_test.cpp
+++ b/src/librattandeck/streams/streamorigins_test.cpp
@@ -83,10 +83,11 @@
     }
 
     /// What a gateway finds out, within the time that all rounds take.
-    std::optional<tl::expected<StreamOrigin, StreamOriginError>> find(const char* gateway, const std::string& request)
+    std::optional<tl::expected<KnownStream, StreamOriginError>> find(
+        const char* gateway, const std::string& request, const std::string& lastEvent = {})
     {
-        std::optional<tl::expected<StreamOrigin, StreamOriginError>> result;
-        this->gateway(gateway).find(TurnId(request), [&](auto outcome) { result = std::move(outcome); });
+        std::optional<tl::expected<KnownStream, StreamOriginError>> result;
+        this->gateway(gateway).find(TurnId(request), lastEvent, [&](auto outcome) { result = std::move(outcome); });
         this->deliver();
         for (std::uint32_t round = 0; round < StreamOriginLimits().rounds && !result; ++round) {
             this->advance(StreamOriginLimits().roundTimeout);
@@ -97,6 +98,14 @@
 
     void advance(Milliseconds time) { this->timers.advanceTo(this->timers.now() + time); }
 
+    void recordOutput(
+        const char* gateway, const std::string& request, const std::string& text, const std::string& event)
+    {
+        const std::vector<StreamMark> events { { event, text.size() } };
+        this->gateway(gateway).recordOutput({ TurnId(request), TurnId(request), text, events, Milliseconds(3000) });
+        this->deliver();
+    }
+
     std::vector<NodeId> holders(const std::string& request) const
     {
         std::vector<NodeId> nodes;
@@ -125,6 +134,9 @@
     CPPUNIT_TEST(numberOfOriginsIsBounded);
     CPPUNIT_TEST(longRetentionDoesNotKeepOtherOrigins);
     CPPUNIT_TEST(answerToAnEarlierProcessIsIgnored);
+    CPPUNIT_TEST(outputIsKnownAtOtherGateways);
+    CPPUNIT_TEST(outputOutlivesAnyOfItsJournals);
+    CPPUNIT_TEST(missingOutputIsReportedAsSuch);
     CPPUNIT_TEST_SUITE_END();
 
     void originIsKnownAtOtherGateways()
@@ -132,8 +144,41 @@
         World world(3);
         world.record("r");
         CPPUNIT_ASSERT_EQUAL(std::size_t(2), world.holders("r").size());
-        CPPUNIT_ASSERT(world.find("g2", "r")->value() == someOrigin);
-        CPPUNIT_ASSERT(world.find("g1", "r")->value() == someOrigin);
+        CPPUNIT_ASSERT(world.find("g2", "r")->value().origin == someOrigin);
+        CPPUNIT_ASSERT(world.find("g1", "r")->value().origin == someOrigin);
+    }
+
+    void outputIsKnownAtOtherGateways()
+    {
+        World world(5);
+        world.record("r");
+        world.recordOutput("g1", "r", "one\n", "1");
+        for (const char* gateway : { "g1", "g2" }) {
+            const auto found = world.find(gateway, "r", "1");
+            CPPUNIT_ASSERT(found->value().origin == someOrigin);
+            CPPUNIT_ASSERT_EQUAL(std::string("one\n"), found->value().output);
+        }
+        CPPUNIT_ASSERT(world.find("g2", "r")->value().output.empty());
+    }
+
+    void outputOutlivesAnyOfItsJournals()
+    {
+        for (int lost = 0; lost < 2; ++lost) {
+            World world(5);
+            world.record("r");
+            world.recordOutput("g1", "r", "one\n", "1");
+            world.silent.insert(world.holders("r").at(static_cast<std::size_t>(lost)));
+            CPPUNIT_ASSERT_EQUAL(std::string("one\n"), world.find("g2", "r", "1")->value().output);
+        }
+    }
+
+    void missingOutputIsReportedAsSuch()
+    {
+        World world(3);
+        world.record("r");
+        for (const char* gateway : { "g1", "g2" })
+            CPPUNIT_ASSERT(world.find(gateway, "r", "1")->error() == StreamOriginError::OutputUnknown);
+        CPPUNIT_ASSERT(world.find("g2", "other", "1")->error() == StreamOriginError::Unknown);
     }
 
     /// Guards against a stream that goes on at the version of another one, about which the gateway had asked before it
@@ -142,7 +187,7 @@
     {
         World world(3);
         world.record("r");
-        world.gateway("g2").find(TurnId("r"), [](const auto&) {});
+        world.gateway("g2").find(TurnId("r"), {}, [](const auto&) {});
         world.addGateway(NodeId("g2"));
         CPPUNIT_ASSERT(world.find("g2", "never begun")->error() == StreamOriginError::Unknown);
     }
@@ -164,7 +209,7 @@
             World world(5);
             world.record("r");
             world.silent.insert(world.holders("r").at(static_cast<std::size_t>(lost)));
-            CPPUNIT_ASSERT(world.find("g2", "r")->value() == someOrigin);
+            CPPUNIT_ASSERT(world.find("g2", "r")->value().origin == someOrigin);
         }
     }
 
@@ -202,8 +247,8 @@
         world.record("r");
         for (const JournalMember& member : world.members)
             world.silent.insert(member.node);
-        std::optional<tl::expected<StreamOrigin, StreamOriginError>> result;
-        world.gateway("g2").find(TurnId("r"), [&](auto outcome) { result = std::move(outcome); });
+        std::optional<tl::expected<KnownStream, StreamOriginError>> result;
+        world.gateway("g2").find(TurnId("r"), {}, [&](auto outcome) { result = std::move(outcome); });
         for (const JournalMember& member : world.members)
             world.gateway("g2").onLinkDown(member.node);
         CPPUNIT_ASSERT(result && result->error() == StreamOriginError::Unavailable);
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -1,4 +1,5 @@
 #include "gatewayorganisations.h"
+#include "resumedturns.h"
 
 #include <algorithm>
 
@@ -29,6 +30,8 @@
         return "answer lost";
     case RejectionReason::StreamUnknown:
         return "version of the stream unknown";
+    case RejectionReason::StreamOutputUnknown:
+        return "first events of the turn unknown";
     case RejectionReason::StreamVersionGone:
         return "no instance of the stream's version";
     case RejectionReason::Quarantined:
@@ -313,6 +316,10 @@
 
 void Gateway::Impl::prepare(Call& call)
 {
+    if (lacksFirstEvents(call)) {
+        this->refuse(call, RejectionReason::StreamOutputUnknown);
+        return;
+    }
     const bool isTurn = call.route->safety == CallSafety::Stream && !call.call.program.value.empty();
     call.isClaimPending = isTurn && call.call.tokenLimit.has_value();
     call.isFetchPending = isTurn && !call.call.previousTurn.value.empty();
@@ -349,32 +356,45 @@
         this->refuse(call, RejectionReason::StreamUnknown);
         return;
     }
-    this->origins.find(
-        call.call.resumedRequest, [this, id = call.id](const tl::expected<StreamOrigin, StreamOriginError>& outcome) {
-            this->onOrigin(id, outcome);
-        });
+    this->origins.find(streamOf(call), retainsTurn(call) ? call.call.resumeAfter : std::string(),
+        [this, id = call.id](
+            tl::expected<KnownStream, StreamOriginError> outcome) { this->onOrigin(id, std::move(outcome)); });
+}
+
+static RejectionReason reasonFor(StreamOriginError error)
+{
+    switch (error) {
+    case StreamOriginError::Unknown:
+        return RejectionReason::StreamUnknown;
+    case StreamOriginError::OutputUnknown:
+        return RejectionReason::StreamOutputUnknown;
+    case StreamOriginError::Unavailable:
+        break;
+    }
+    return RejectionReason::JournalsUnavailable;
 }
 
-void Gateway::Impl::onOrigin(CallId id, const tl::expected<StreamOrigin, StreamOriginError>& outcome)
+void Gateway::Impl::onOrigin(CallId id, tl::expected<KnownStream, StreamOriginError> outcome)
 {
     Call* call = this->find(id);
     if (!call)
         return;
     if (!outcome) {
         ++this->counts.unknownStreams;
-        const bool isUnknown = outcome.error() == StreamOriginError::Unknown;
-        this->refuse(*call, isUnknown ? RejectionReason::StreamUnknown : RejectionReason::JournalsUnavailable);
+        this->refuse(*call, reasonFor(outcome.error()));
         return;
     }
+    const StreamOrigin& origin = outcome->origin;
     const bool isAllowed = std::ranges::any_of(call->route->services,
-        [&](const WeightedService& allowed) { return allowed.service == outcome->service && allowed.weight > 0; });
+        [&](const WeightedService& allowed) { return allowed.service == origin.service && allowed.weight > 0; });
     if (!isAllowed) {
         this->refuse(*call, RejectionReason::StreamVersionGone);
         return;
     }
-    call->service = outcome->service;
-    call->query.service = outcome->service;
-    call->query.version = outcome->version;
+    call->service = origin.service;
+    call->query.service = origin.service;
+    call->query.version = origin.version;
+    beginOutput(*call, std::move(outcome->output));
     call->isOriginPending = false;
     if (!this->isPreparing(*call))
         this->onPrepared(*call);
@@ -499,7 +519,7 @@
     refusal.mayHaveRun = call.runs > 0;
     const bool isFinal = reason == RejectionReason::BudgetSpent || reason == RejectionReason::UnknownTurn
         || reason == RejectionReason::TurnOwnerUnknown || reason == RejectionReason::StreamUnknown
-        || reason == RejectionReason::StreamVersionGone;
+        || reason == RejectionReason::StreamOutputUnknown || reason == RejectionReason::StreamVersionGone;
     if (!isFinal && !refusal.mayHaveRun)
         refusal.retryAfter = this->retryDelay(call, reason);
     ++this->counts.refused;
@@ -537,6 +557,8 @@
     this->dequeue(call);
     this->stopAwaiting(call);
     this->releaseToken(call);
+    if (retainsTurn(call))
+        this->origins.forgetOutput(recordedTurn(call, call.call.request));
     this->timers.cancel(call.deadlineTimer);
     this->timers.cancel(call.stallTimer);
     this->timers.cancel(call.storeTimer);
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -1,4 +1,5 @@
 #include "gatewayorganisations.h"
+#include "resumedturns.h"
 
 #include <algorithm>
 
@@ -200,12 +201,27 @@
     if (!call.query.version)
         return;
     StreamBegun begun;
-    begun.request = call.call.request;
+    begun.request = streamOf(call);
     begun.origin = { call.service, *call.query.version };
-    const Milliseconds elapsed = std::chrono::duration_cast<Milliseconds>(this->timers.now() - call.arrived);
-    begun.retention
-        = call.call.timeLeft.value_or(this->limits.defaultResumePeriod) - elapsed + this->limits.resumeMargin;
+    begun.retention = this->resumePeriod(call);
     this->origins.record(begun);
+    this->recordOutput(call);
+}
+
+Milliseconds Gateway::Impl::resumePeriod(const Call& call) const
+{
+    const Milliseconds elapsed = std::chrono::duration_cast<Milliseconds>(this->timers.now() - call.arrived);
+    return call.call.timeLeft.value_or(this->limits.defaultResumePeriod) - elapsed + this->limits.resumeMargin;
+}
+
+/// Tells journals what of a turn is about to be passed on, so that another request can finish the turn. While it is not
+/// known at which version the stream began, it can't be resumed.
+void Gateway::Impl::recordOutput(const Call& call)
+{
+    if (!retainsTurn(call) || !call.route->canResume || !call.query.version)
+        return;
+    this->origins.recordOutput({ streamOf(call), recordedTurn(call, call.call.request), call.output, call.outputEvents,
+        this->resumePeriod(call) });
 }
 
 void Gateway::Impl::forwardEvents(Call& call)
@@ -239,8 +255,8 @@
     if (!event.id.empty())
         call.lastEvent = event.id;
     if (call.route->retainsTurns) {
-        call.output += event.data;
-        call.output += '\n';
+        addToOutput(call, event);
+        this->recordOutput(call);
     }
     this->io.write(call.id, event.bytes);
 }
@@ -266,7 +282,7 @@
         this->io.begin(call.id, call.send);
     this->dropSend(call, false);
     this->settle(call);
-    if (call.route->retainsTurns && !call.call.program.value.empty()) {
+    if (retainsTurn(call)) {
         this->store(call);
         return;
     }
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -97,7 +97,9 @@
     /// Events since `workSince`, by which the speed of the instance is observed.
     std::uint64_t workEvents = 0;
     TimePoint workSince;
+    /// The data of all events of the turn, if it is retained, those included that earlier requests have brought.
     std::string output;
+    std::vector<StreamMark> outputEvents;
     RetainedTurn retained;
     std::optional<TimePoint> storeStarted;
     std::optional<TimePoint> storeEnded;
@@ -169,7 +171,7 @@
     void refuseUnrouted(CallId id, const GatewayCall& call, RejectionReason reason);
     void prepare(Call& call);
     void findOrigin(Call& call);
-    void onOrigin(CallId id, const tl::expected<StreamOrigin, StreamOriginError>& outcome);
+    void onOrigin(CallId id, tl::expected<KnownStream, StreamOriginError> outcome);
     bool isPreparing(const Call& call) const;
     void claim(Call& call);
     void fetch(Call& call);
@@ -303,6 +305,9 @@
     bool mustHold(Call& call);
     void release(Call& call);
     void noteOrigin(Call& call);
+    /// Time for which the caller may resume the stream.
+    Milliseconds resumePeriod(const Call& call) const;
+    void recordOutput(const Call& call);
     void forwardEvents(Call& call);
     void forwardEvent(Call& call, const StreamEvent& event);
     void onCompleteAnswer(Call& call);
--- a/src/librattandeck/wire_fields.h
+++ b/src/librattandeck/wire_fields.h
@@ -571,10 +571,27 @@
     visit("retention", m.retention);
 }
 
+template <typename Visitor> void visitFields(Visitor& visit, StreamMark& m)
+{
+    visit("event", m.event);
+    visit("end", m.end);
+}
+
+template <typename Visitor> void visitFields(Visitor& visit, StreamPassedOn& m)
+{
+    visit("stream", m.stream);
+    visit("request", m.request);
+    visit("offset", m.offset);
+    visit("text", m.text);
+    visit("events", m.events);
+    visit("retention", m.retention);
+}
+
 template <typename Visitor> void visitFields(Visitor& visit, StreamOriginRequest& m)
 {
     visit("ticket", m.ticket);
     visit("request", m.request);
+    visit("lastEvent", m.lastEvent);
 }
 
 template <typename Visitor> void visitFields(Visitor& visit, StreamOriginAnswer& m)
@@ -582,6 +599,8 @@
     visit("ticket", m.ticket);
     visit("isKnown", m.isKnown);
     visit("origin", m.origin);
+    visit("isOutputKnown", m.isOutputKnown);
+    visit("output", m.output);
 }
 
 // Tags ---------------------------------------------------------------------------------------------------------
@@ -633,6 +652,7 @@
 template <> inline constexpr const char* tag<GossipDigests> = "digests";
 template <> inline constexpr const char* tag<StoreView> = "storeView";
 template <> inline constexpr const char* tag<StreamBegun> = "streamBegun";
+template <> inline constexpr const char* tag<StreamPassedOn> = "passedOn";
 template <> inline constexpr const char* tag<StreamOriginRequest> = "originOf";
 template <> inline constexpr const char* tag<StreamOriginAnswer> = "origin";
 template <> inline constexpr const char* tag<QuotaRequests> = "quotasFor";
