--- a/src/librattandeck/turns/gatewayorganisations_test.cpp
+++ b/src/librattandeck/turns/gatewayorganisations_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(fingerprintsOfOrganisationsDiffer);
     CPPUNIT_TEST(turnIsContinuedByItsOrganisation);
     CPPUNIT_TEST(turnOfAnotherOrganisationIsUnknown);
+    CPPUNIT_TEST(streamOfAnotherOrganisationIsUnknown);
     CPPUNIT_TEST(turnWithoutAnOrganisationIsUnknownToOrganisations);
     CPPUNIT_TEST(turnStoredBeforeThereWereOrganisationsIsRefusedAsNotRun);
     CPPUNIT_TEST(plainIdThatCannotBeLookedUpIsRefusedAsUnavailable);
@@ -65,7 +66,9 @@
         open.isPublic = true;
         Route retained = GatewayFixture::route("retained", CallSafety::Stream);
         retained.retainsTurns = true;
-        config.routes = { plain, open, retained };
+        Route resumable = GatewayFixture::route("resumable", CallSafety::Stream);
+        resumable.canResume = true;
+        config.routes = { plain, open, retained, resumable };
         ServiceConfig service;
         service.name = ServiceName("service");
         config.services = { service };
@@ -342,6 +345,23 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(1), this->f->sends.size());
     }
 
+    /// Guards against an organisation that takes up a stranger's stream, and keeps its text as a turn of its own.
+    void streamOfAnotherOrganisationIsUnknown()
+    {
+        this->f->gateway.setJournals({ { NodeId("j1"), "j1:1" } });
+        this->f->gateway.onJournalUp(NodeId("j1"));
+        std::vector<TurnId> asked;
+        for (const char* organisation : { "north", "south" }) {
+            GatewayCall call = callOf(organisation, "resumable");
+            call.resumeAfter = "1";
+            call.resumedRequest = TurnId("r");
+            this->f->call(std::move(call));
+            asked.push_back(std::get<StreamOriginRequest>(this->f->aboutStreams.back().second).request);
+        }
+        CPPUNIT_ASSERT(asked[0] == scopedTurn(OrganisationId("north"), TurnId("r")));
+        CPPUNIT_ASSERT(asked[1] == scopedTurn(OrganisationId("south"), TurnId("r")));
+    }
+
     void turnWithoutAnOrganisationIsUnknownToOrganisations()
     {
         RoutingConfig config;
--- a/src/rattandeck-bench/originways.cpp
+++ b/src/rattandeck-bench/originways.cpp
@@ -56,7 +56,7 @@
         bool isKnown(const TurnId& request)
         {
             bool isKnown = false;
-            this->resuming->find(request, [&](const auto& outcome) { isKnown = outcome.has_value(); });
+            this->resuming->find(request, {}, [&](const auto& outcome) { isKnown = outcome.has_value(); });
             this->deliver();
             return isKnown;
         }
