Do not relay an instance's failure as a promise

Cause: complete failures were relayed whatever their status says to a caller; whether the instance had stated that it had not run the call decided only whether the call is placed elsewhere.

Change: what a status would tell the caller is decoded with the answer (StatusMeaning). An answer that means more than its instance has stated is retried where that is allowed, and else answered 502 by the gateway, without seal. The same for 402 on turns, and 404 and 410 on turns that continue one.

--- a/src/include/Rattandeck/gatewaycalls.h
+++ b/src/include/Rattandeck/gatewaycalls.h
@@ -85,9 +85,22 @@
     std::optional<OrganisationId> organisation;
 };
 
+/// What a caller would take from an answer's status, because the gateway's own refusals say it by that status.
+enum class StatusMeaning {
+    /// Nothing that the gateway would have to vouch for.
+    None,
+    /// The call has not run and will not run.
+    NotRun,
+    /// For a turn: its program's budget is spent, so it has not run and will not run.
+    BudgetSpent,
+    /// For a turn that continues another one: that one is not known.
+    UnknownTurn,
+};
+
 /// Status and headers of an instance's answer.
 struct EndpointAnswer {
     int status = 0;
+    StatusMeaning meaning = StatusMeaning::None;
     /// The instance states that it has not run the call and will not run it.
     bool isNotRun = false;
     /// The body is a stream of events.
@@ -136,6 +149,8 @@
     TimedOut,
     /// The call was sent and its answer was lost.
     AnswerLost,
+    /// The instance has answered with a status that would tell the caller what nobody knows; see `StatusMeaning`.
+    AnswerUnfounded,
     /// The call resumes a stream of which it is not known at which version of the endpoint's software it began.
     StreamUnknown,
     /// The call resumes a turn that is to be retained, of which the events before are not known.
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -28,6 +28,8 @@
         return "timed out";
     case RejectionReason::AnswerLost:
         return "answer lost";
+    case RejectionReason::AnswerUnfounded:
+        return "the instance failed";
     case RejectionReason::StreamUnknown:
         return "version of the stream unknown";
     case RejectionReason::StreamOutputUnknown:
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -51,7 +51,7 @@
 {
     auto& self = *this->impl;
     Impl::Call* call = self.findBySend(id);
-    if (!call || !call->head)
+    if (!call || !call->head || Impl::isUnfounded(*call))
         return;
     if (call->head->isEventStream && isSuccess(*call->head)) {
         call->splitter.add(bytes);
@@ -117,9 +117,31 @@
 
 // Complete answers ---------------------------------------------------------------------------------------------------
 
+bool Gateway::Impl::isUnfounded(const Call& call)
+{
+    const bool isTurn = call.route->safety == CallSafety::Stream && !call.call.program.value.empty();
+    switch (call.head->meaning) {
+    case StatusMeaning::None:
+        return false;
+    case StatusMeaning::NotRun:
+        return true;
+    case StatusMeaning::BudgetSpent:
+        return isTurn;
+    case StatusMeaning::UnknownTurn:
+        return isTurn && !call.call.previousTurn.value.empty();
+    }
+    return false;
+}
+
+bool Gateway::Impl::isFailedAnswer(const Call& call)
+{
+    constexpr int firstServerError = 500;
+    return call.head->status >= firstServerError || isUnfounded(call);
+}
+
 void Gateway::Impl::onCompleteAnswer(Call& call)
 {
-    const bool isFailure = call.head->status >= 500;
+    const bool isFailure = isFailedAnswer(call);
     if (isFailure && !call.hasAnswerBegun && this->canMove(call) && this->tryWithdrawRetry()) {
         call.query.excluded.insert(call.endpoint);
         this->dropSend(call, false);
@@ -131,6 +153,11 @@
         this->onSendInterrupted(call, SendFailureCause::Interrupted);
         return;
     }
+    if (isUnfounded(call)) {
+        this->dropSend(call, false);
+        this->refuse(call, RejectionReason::AnswerUnfounded);
+        return;
+    }
     ++this->counts.answered;
     if (call.hasAnswerBegun) {
         if (!call.body.empty())
--- a/src/librattandeck/turns/gatewaycosts.cpp
+++ b/src/librattandeck/turns/gatewaycosts.cpp
@@ -13,7 +13,6 @@
 constexpr std::uint64_t minObservedEvents = 4;
 /// As above, for the rest of a stream that ends.
 constexpr Milliseconds minObservedRest { 30 };
-constexpr int firstServerError = 500;
 constexpr int firstRedirection = 300;
 
 static double milliseconds(Duration time) { return std::chrono::duration<double, std::milli>(time).count(); }
@@ -122,7 +121,7 @@
 void Gateway::Impl::noteAnswerTime(Call& call)
 {
     const TimePoint now = this->timers.now();
-    const bool isFailure = call.head->status >= firstServerError;
+    const bool isFailure = isFailedAnswer(call);
     this->endpoints.onOutcome(call.endpoint, isFailure, now);
     // A refusal or an error takes no work.
     if (call.head->status >= firstRedirection)
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -301,6 +301,11 @@
     // gatewayanswers.cpp: relaying of answers
     void noteLeaving(const Call& call, const EndpointAnswer& answer);
     void onAnswerEnd(Call& call, SendOutcome outcome);
+    /// Whether the answer's status would tell the caller what the instance has not stated. Such an answer is not
+    /// relayed. Precondition: the head of an answer has arrived that does not state that the call has not run.
+    static bool isUnfounded(const Call& call);
+    /// Whether the instance has run the call and failed. Precondition: as for `isUnfounded`.
+    static bool isFailedAnswer(const Call& call);
     bool isProcessUntold(const Call& call) const;
     bool mustHold(Call& call);
     void release(Call& call);
--- a/src/platform/calls.cpp
+++ b/src/platform/calls.cpp
@@ -222,11 +222,30 @@
 
 // Answers ------------------------------------------------------------------------------------------------------------
 
+static StatusMeaning meaningOf(int status)
+{
+    switch (status) {
+    case 408:
+    case 421:
+    case 429:
+    case 503:
+        return StatusMeaning::NotRun;
+    case 402:
+        return StatusMeaning::BudgetSpent;
+    case 404:
+    case 410:
+        return StatusMeaning::UnknownTurn;
+    default:
+        return StatusMeaning::None;
+    }
+}
+
 EndpointAnswer readAnswer(int status, const HttpHeaders& headers)
 {
     constexpr int misdirected = 421;
     EndpointAnswer answer;
     answer.status = status;
+    answer.meaning = meaningOf(status);
     answer.isNotRun = status == misdirected || headers.contains(Names::notRun);
     answer.isSigned = headers.contains(Names::signature);
     answer.isEventStream = field(headers, "content-type").starts_with("text/event-stream");
--- a/src/platform/calls_test.cpp
+++ b/src/platform/calls_test.cpp
@@ -211,6 +211,13 @@
         CPPUNIT_ASSERT(readAnswer(503, { { "not-run", "1" } }).isNotRun);
         CPPUNIT_ASSERT(!readAnswer(503, {}).isNotRun);
         CPPUNIT_ASSERT(readAnswer(421, {}).isNotRun);
+        for (const int status : { 408, 421, 429, 503 })
+            CPPUNIT_ASSERT(readAnswer(status, {}).meaning == StatusMeaning::NotRun);
+        CPPUNIT_ASSERT(readAnswer(402, {}).meaning == StatusMeaning::BudgetSpent);
+        for (const int status : { 404, 410 })
+            CPPUNIT_ASSERT(readAnswer(status, {}).meaning == StatusMeaning::UnknownTurn);
+        for (const int status : { 200, 400, 401, 403, 413, 500, 502, 504 })
+            CPPUNIT_ASSERT(readAnswer(status, {}).meaning == StatusMeaning::None);
         CPPUNIT_ASSERT(!readAnswer(200, { { "server-load", "a,b" } }).load);
     }
 
