Soak: turns are taken up again, and instances fail in words of a refusal

Change: four programs in ten have turns whose broken streams their callers take up, and one request in a hundred runs and is answered 408, 429 or 503. The judge's checks are unchanged; the kinds of request that they apply to are more.

--- a/testsuite/soak/callers.py
+++ b/testsuite/soak/callers.py
@@ -10,7 +10,7 @@
 from platform_standins import HOST
 
 from content import MAX_TURN_TOKENS, output_in, whole_events
-from judge import GAVE_UP, STREAM_KINDS, Request
+from judge import GAVE_UP, RESUMED_KINDS, STREAM_KINDS, Request
 from organisations import HOLDERS, key_headers, usual_key
 from standins import RETENTION_S
 
@@ -29,12 +29,15 @@
 MAX_PAUSE_S = 5.0
 # How often a caller takes a broken stream up again.
 MAX_RESUMPTIONS = 3
+# The part of the programs whose turns may be taken up again.
+RESUMED_PROGRAMS = 0.4
 
 
 class Turn:
     """A retained turn that was answered whole, which others may continue."""
 
     def __init__(self, request, chain, program):
+        """`request` is the one that was answered whole."""
         self.name = request.name
         self.at = request.ended_at
         self.chain = chain
@@ -147,9 +150,12 @@
 
     def turn(self, program, budget, previous=None, gateway=None, key=None):
         """Sends a turn. Returns its request, and a `Turn` if it was answered whole; others continue those with usual keys."""
-        request = self.request("turns", gateway, key, program=program, budget=budget)
+        # Drawn apart, so that a seed's other choices don't depend on it.
+        kind = "kept" if random.Random(f"kind {program}").random() < RESUMED_PROGRAMS else "turns"
+        fields = {"program": program, "budget": budget}
         if previous:
-            request.previous, request.previous_at = previous.name, previous.at
+            fields.update(previous=previous.name, previous_at=previous.at)
+        request = self.request(kind, gateway, key, **fields)
         chain = previous.chain if previous else b""
         # Short inputs are alike in many programs.
         body = b"yes " if self.chance.random() < SHORT_INPUTS else b"input of %s " % request.name.encode()
@@ -158,9 +164,10 @@
         if previous:
             headers["Previous-Turn"] = previous.name
         self.send(request, "POST", body, headers, chain + body)
+        request, text = self.take_up(request, body, headers, chain + body, **fields)
         if request.status != 200 or not request.is_complete:
             return request, None
-        turn = Turn(request, chain + body + output_in(request.body), program)
+        turn = Turn(request, chain + body + output_in(text), program)
         if budget == AMPLE_BUDGET and key is None:
             self.callers.turns.append(turn)
         return request, turn
@@ -168,18 +175,25 @@
     def stream(self, gateway=None, key=None):
         """Sends a request for a stream, and resumes it at any gateways when it breaks. Returns the last request."""
         kind = self.chance.choice(STREAM_KINDS)
-        first = request = self.send(self.request(kind, gateway, key), "POST", b"stream", {"Model": "m"})
-        received = whole_events(first.body)[1]
+        first = self.send(self.request(kind, gateway, key), "POST", b"stream", {"Model": "m"})
+        return self.take_up(first, b"stream", {"Model": "m"})[0]
+
+    def take_up(self, first, body, headers, prompt=None, **fields):
+        """Takes a stream up again, at any gateways, while it breaks. Returns the last request, and the events of all of them."""
+        request = first
+        text, received = whole_events(first.body)
         deadline = first.sent_at + DEADLINE_S
-        for _ in range(MAX_RESUMPTIONS):
+        for _ in range(MAX_RESUMPTIONS if first.kind in RESUMED_KINDS else 0):
             is_broken = request.status in (0, 502, 503) or not request.is_complete
             if not is_broken or not received or time.monotonic() > deadline or self.callers.stopping.is_set():
                 break
-            request = self.request(kind, None, first.key, stream=first.name, after=received)
-            headers = {"Model": "m", "Resumes": first.name, "Last-Event-Id": str(received)}
-            self.send(request, "POST", b"stream", headers)
-            received += whole_events(request.body)[1]
-        return request
+            request = self.request(first.kind, None, first.key, stream=first.name, after=received, **fields)
+            resumption = {"Resumes": first.name, "Last-Event-Id": str(received)}
+            self.send(request, "POST", body, {**headers, **resumption}, prompt)
+            events, count = whole_events(request.body)
+            text += events
+            received += count
+        return request, text
 
     def read(self, gateway=None, key=None, kind="read"):
         return self.send(self.request(kind, gateway, key), "GET", None, {})
--- a/testsuite/soak/content.py
+++ b/testsuite/soak/content.py
@@ -7,6 +7,8 @@
 TOKENS_PER_EVENT = 10
 MAX_EVENTS = 12
 MAX_TURN_TOKENS = MAX_EVENTS * TOKENS_PER_EVENT
+# The part of the requests that an instance fails after it has run them.
+FAILURES = 0.01
 VERSION = re.compile(rb"@(v\d+)(?=\n)")
 
 
@@ -30,6 +32,13 @@
     return b"".join(line[len(b"data: "):] + b"\n" for line in body.split(b"\n") if line.startswith(b"data: "))
 
 
+def failure_of(request, instance):
+    """Returns the status with which the instance fails after it has run the request, which tells callers that it has not run; 0
+    for most requests."""
+    chance = random.Random(f"failure {request} {instance}")
+    return chance.choice((408, 429, 503)) if chance.random() < FAILURES else 0
+
+
 class Plan:
     """The answer to one request, and how long an instance takes for it."""
 
--- a/testsuite/soak/judge.py
+++ b/testsuite/soak/judge.py
@@ -11,6 +11,9 @@
 from standins import RETENTION_S
 
 STREAM_KINDS = ("streams", "lone")
+TURN_KINDS = ("turns", "kept")
+# Kinds whose broken streams their callers take up again.
+RESUMED_KINDS = (*STREAM_KINDS, "kept")
 # The failure of a request that its caller has broken off.
 GAVE_UP = "given up by its caller"
 NOT_RUN = (401, 402, 404, 429, 503)
@@ -32,7 +35,7 @@
 class Request:
     """One request of a caller, and what became of it."""
     name: str
-    kind: str  # turns, one of STREAM_KINDS, read or write
+    kind: str  # one of TURN_KINDS or STREAM_KINDS, read or write
     gateway: str
     key: str  # empty: the caller shows none
     program: str = ""
@@ -106,7 +109,7 @@
                 self.prompts[request.name] = prompt
             if request.budget:
                 self.budgets[request.program] = request.budget
-            if request.kind in STREAM_KINDS and is_usual(request) and self.faults.in_touch(request.gateway, request.sent_at):
+            if request.kind in RESUMED_KINDS and is_usual(request) and self.faults.in_touch(request.gateway, request.sent_at):
                 request.should_go_on = self._can_go_on(request)
 
     def _can_go_on(self, request):
@@ -129,7 +132,7 @@
                 self.violate("the status is one of the protocol's", f"answered {request.status}", request.name)
             if request.status == 200:
                 self._check_body(request)
-            if request.kind in (*STREAM_KINDS, "turns"):
+            if request.kind in (*STREAM_KINDS, *TURN_KINDS):
                 self._check_versions(request)
             if request.status in NOT_RUN and self.runs[request.name]:
                 self.violate("what is refused as not run has not run",
@@ -147,7 +150,7 @@
 
     def _check_body(self, request):
         plan = Plan(request.stream or request.name)
-        is_stream = request.kind in (*STREAM_KINDS, "turns")
+        is_stream = request.kind in (*STREAM_KINDS, *TURN_KINDS)
         expected = plan.stream_body(request.after) if is_stream else plan.plain_body
         body = without_marks(request.body) if is_stream else request.body
         if request.is_complete and body != expected:
@@ -198,7 +201,7 @@
                     or not all(self.faults.in_touch(request.gateway, request.ended_at) for request in tries):
                 return
             first_turns = [request for request in self.requests.values()
-                           if request.kind == "turns" and is_usual(request) and not request.previous and request.ended_at
+                           if request.kind in TURN_KINDS and is_usual(request) and not request.previous and request.ended_at
                            and tries[0].sent_at <= request.sent_at and request.ended_at <= tries[-1].ended_at]
             reached = sum(bool(self.runs[request.name]) for request in first_turns)
             if first_turns and reached >= SERVED_SHARE * len(first_turns):
--- a/testsuite/soak/standins.py
+++ b/testsuite/soak/standins.py
@@ -11,13 +11,15 @@
 from linkproxy import ADMINISTRATION, loopback_host
 from platform_standins import Deployment, Server, Store, configuration, route
 
-from content import TOKENS_PER_EVENT, Plan
+from content import TOKENS_PER_EVENT, Plan, failure_of
 from faults import DOMAINS
 from organisations import PUBLIC, REVOKE_S, STEADY
 
 RETENTION_S = 12.0
 ROUTES = [
     route("turns", "streaming", "llm", retain=True, retain_s=RETENTION_S, sticky=True, goal_ms=1500),
+    # Turns whose callers take a broken stream up again.
+    route("kept", "streaming", "llm", retain=True, retain_s=RETENTION_S, sticky=True, can_resume=True, goal_ms=1500, attempts=1),
     route("streams", "streaming", "llm", can_resume=True, goal_ms=1500),
     # A broken stream goes on only when its caller resumes it.
     route("lone", "streaming", "llm", can_resume=True, goal_ms=1500, attempts=1),
@@ -177,6 +179,9 @@
     def run(self, request, name, identity):
         self.judge.on_run(name, self.process(), request.headers, request.body)
         identity["Response-Seal"] = "seal-" + name
+        failure = failure_of(name, self.id)
+        if failure:
+            return request.answer(failure, b"failed\n", identity)
         plan = Plan(request.headers.get("Resumes") or name)
         if "Model" in request.headers:
             return self.stream(request, plan, identity)
