Write all claims again whose segment is removed

Cause: what a removed segment still holds is found by sequence numbers, and a budget had one number for all of its claims, that of its last change. Claims in the old segment of a budget that had got a later one were not written again; their only copy went. The check that lets a full disk drop segments erred likewise.

Change: each claim has a sequence number of its own, and what is written again gets a new one, so that it is written again once in the time for which segments are kept (at each removal before).

--- a/src/include/Rattandeck/journal.h
+++ b/src/include/Rattandeck/journal.h
@@ -84,6 +84,7 @@
     /// Removes records whose retention has passed.
     void expire();
     /// Appends the retained records up to this sequence number again, because their segments are about to be removed.
+    /// They get new sequence numbers, so that each is written once in the time for which a segment is kept.
     void rewriteThrough(std::uint64_t sequence);
 
     const JournalSet& set() const;
--- a/src/include/Rattandeck/journalstate.h
+++ b/src/include/Rattandeck/journalstate.h
@@ -77,7 +77,7 @@
     std::size_t bytes() const;
     /// The part of `bytes` that is held in memory because the turns are not known to be on disk.
     std::size_t bytesInMemory() const;
-    /// Sequence number of the record that was added or changed last. Sequence numbers increase.
+    /// Sequence number of the record that was added, changed or taken last. Sequence numbers increase.
     std::uint64_t lastSequence() const;
     std::size_t turnCount() const;
     std::size_t budgetCount() const;
@@ -89,8 +89,12 @@
     std::optional<RetainedTurn> turn(const TurnId& turn) const;
     /// As `turn`, and holds the text in memory until the next `onWritten`, because its segment is about to be removed.
     std::optional<RetainedTurn> loadIntoMemory(const TurnId& turn);
-    /// The records after `cursor` (0: from the start), in the order of their sequence numbers. A page holds about
-    /// `maxRecords` records at most; the claims of one budget are not split.
+    /// The oldest claims and turns, with sequence numbers up to `sequence`, `maxRecords` at most, and gives them new
+    /// numbers, because they are about to be written again.
+    CopyPage takeOldest(std::uint64_t sequence, std::size_t maxRecords);
+    /// Whether there is a claim or turn with a sequence number up to `sequence`.
+    bool hasThrough(std::uint64_t sequence) const;
+    /// The records after `cursor` (0: from the start), in the order of their sequence numbers, `maxRecords` at most.
     CopyPage page(std::uint64_t cursor, std::size_t maxRecords) const;
 
     /// Comparison with the records of another journal; see `RecordDigests`.
--- a/src/librattandeck/journals/journal.cpp
+++ b/src/librattandeck/journals/journal.cpp
@@ -378,30 +378,23 @@
     JournalState& state = this->impl->state;
     if (auto crashes = state.crashes(); !crashes.empty())
         this->impl->io.append(CrashReports { std::move(crashes) });
-    std::uint64_t cursor = 0;
-    while (cursor < sequence) {
-        const CopyPage page = state.page(cursor, pageRecords);
-        for (const SettleClaim& claim : page.claims)
+    while (state.hasThrough(sequence)) {
+        const CopyPage oldest = state.takeOldest(sequence, pageRecords);
+        for (const SettleClaim& claim : oldest.claims)
             this->impl->io.append(claim);
-        for (const TurnId& id : page.turns) {
+        for (const TurnId& id : oldest.turns) {
             if (const auto turn = state.loadIntoMemory(id))
                 this->impl->io.append(*turn);
             else
                 this->impl->io.logStep("turn can't be read", id.value + ", not rewritten to a new segment");
         }
-        if (page.isLast)
-            return;
-        cursor = page.cursor;
     }
 }
 
 bool Journal::hasRecordsThrough(std::uint64_t sequence) const
 {
     // Crash reports have no sequence number; those of any segment may be the only copy.
-    if (!this->impl->state.crashes().empty())
-        return true;
-    const CopyPage page = this->impl->state.page(0, 1);
-    return (!page.claims.empty() || !page.turns.empty()) && page.cursor <= sequence;
+    return !this->impl->state.crashes().empty() || this->impl->state.hasThrough(sequence);
 }
 
 const JournalSet& Journal::set() const { return this->impl->membership.set(); }
--- a/src/librattandeck/journals/journalstate.cpp
+++ b/src/librattandeck/journals/journalstate.cpp
@@ -26,11 +26,21 @@
         std::size_t bytes() const { return this->id.value.size() + this->previous.value.size() + this->textBytes; }
     };
 
+    struct ClaimEntry {
+        TokenClaim claim;
+        std::uint64_t sequence = 0;
+    };
+
     struct BudgetEntry {
-        std::map<TurnId, TokenClaim> claims;
+        BudgetId id;
+        std::map<TurnId, ClaimEntry> claims;
         Milliseconds retention { 0 };
         TimePoint expires;
-        std::uint64_t sequence = 0;
+    };
+
+    struct ClaimInBudget {
+        BudgetEntry* budget = nullptr;
+        ClaimEntry* claim = nullptr;
     };
 
     std::size_t textBytesOf(const RetainedTurn& turn) { return turn.input.size() + turn.output.size(); }
@@ -41,9 +51,9 @@
     TurnReader reader;
     std::unordered_map<TurnId, TurnEntry> turns;
     std::unordered_map<BudgetId, BudgetEntry> budgets;
-    /// Records by sequence number, which is assigned when a record is added and, for a budget, at each change.
-    std::map<std::uint64_t, const TurnEntry*> turnsBySequence;
-    std::map<std::uint64_t, const std::pair<const BudgetId, BudgetEntry>*> budgetsBySequence;
+    /// Records by sequence number, which is assigned when a record is added, changed or written again.
+    std::map<std::uint64_t, TurnEntry*> turnsBySequence;
+    std::map<std::uint64_t, ClaimInBudget> claimsBySequence;
     std::map<std::pair<Fingerprint, std::string>, std::pair<CrashReport, TimePoint>> crashes;
     /// Built at the first comparison and kept up to date from then on, so that a start reads its disk without them.
     std::optional<RecordDigests> digests;
@@ -57,10 +67,12 @@
     void releaseFromMemory(TurnEntry& known);
     std::optional<RetainedTurn> read(const TurnEntry& known) const;
     void renewChain(const TurnId& first, TimePoint expires);
+    void renumber(TurnEntry& turn);
+    void renumber(const ClaimInBudget& claim);
     RecordDigests& buildDigests();
     /// Updates the digests after a claim was added or settled.
     void digest(const BudgetId& budget, const TokenClaim& claim, bool isNew);
-    void removeDigests(const BudgetId& id, const BudgetEntry& budget);
+    void removeDigests(const BudgetEntry& budget);
     void addTo(CopyPage& page, const RecordReference& record) const;
 };
 
@@ -76,24 +88,63 @@
 
 bool JournalState::apply(const SettleClaim& claim, TimePoint now)
 {
-    const auto [entry, isNew] = this->impl->budgets.try_emplace(claim.budget);
-    BudgetEntry& budget = entry->second;
+    BudgetEntry& budget = this->impl->budgets[claim.budget];
+    budget.id = claim.budget;
     budget.retention = std::max(budget.retention, claim.retention);
     budget.expires = std::max(budget.expires, now + budget.retention);
-    const auto [known, isNewClaim] = budget.claims.try_emplace(claim.claim.turn, claim.claim);
-    const bool isSettlement = !known->second.isSettled && claim.claim.isSettled;
-    if (!isNewClaim && !isSettlement)
+    const auto [entry, isNew] = budget.claims.try_emplace(claim.claim.turn, ClaimEntry { claim.claim, 0 });
+    ClaimEntry& known = entry->second;
+    const bool isSettlement = !known.claim.isSettled && claim.claim.isSettled;
+    if (!isNew && !isSettlement)
         return false;
-    known->second = claim.claim;
-    this->impl->digest(entry->first, known->second, isNewClaim);
-    // A changed budget gets a new sequence number, so that journals that copy from a cursor receive the change.
-    if (!isNew)
-        this->impl->budgetsBySequence.erase(budget.sequence);
-    budget.sequence = ++this->impl->lastSequence;
-    this->impl->budgetsBySequence.emplace(budget.sequence, &*entry);
+    known.claim = claim.claim;
+    this->impl->digest(budget.id, known.claim, isNew);
+    // Each claim has a sequence number of its own, by which the segment is found that holds it. A changed one gets a
+    // new number, so that journals that copy from a cursor receive the change.
+    this->impl->renumber({ &budget, &known });
     return true;
 }
 
+void JournalState::Impl::renumber(TurnEntry& turn)
+{
+    this->turnsBySequence.erase(turn.sequence);
+    turn.sequence = ++this->lastSequence;
+    this->turnsBySequence.emplace(turn.sequence, &turn);
+}
+
+void JournalState::Impl::renumber(const ClaimInBudget& claim)
+{
+    this->claimsBySequence.erase(claim.claim->sequence);
+    claim.claim->sequence = ++this->lastSequence;
+    this->claimsBySequence.emplace(claim.claim->sequence, claim);
+}
+
+bool JournalState::hasThrough(std::uint64_t sequence) const
+{
+    const auto isWithin
+        = [sequence](const auto& records) { return !records.empty() && records.begin()->first <= sequence; };
+    return isWithin(this->impl->claimsBySequence) || isWithin(this->impl->turnsBySequence);
+}
+
+CopyPage JournalState::takeOldest(std::uint64_t sequence, std::size_t maxRecords)
+{
+    CopyPage taken;
+    auto& claims = this->impl->claimsBySequence;
+    while (taken.claims.size() < maxRecords && !claims.empty() && claims.begin()->first <= sequence) {
+        const ClaimInBudget oldest = claims.begin()->second;
+        taken.claims.push_back({ oldest.budget->id, oldest.claim->claim, oldest.budget->retention });
+        this->impl->renumber(oldest);
+    }
+    auto& turns = this->impl->turnsBySequence;
+    while (
+        taken.claims.size() + taken.turns.size() < maxRecords && !turns.empty() && turns.begin()->first <= sequence) {
+        TurnEntry& oldest = *turns.begin()->second;
+        taken.turns.push_back(oldest.id);
+        this->impl->renumber(oldest);
+    }
+    return taken;
+}
+
 std::pair<TurnEntry*, bool> JournalState::Impl::add(const TurnId& id, const TurnId& previous, std::size_t textBytes)
 {
     const auto [entry, isNew] = this->turns.try_emplace(id);
@@ -102,8 +153,7 @@
         known.id = id;
         known.previous = previous;
         known.textBytes = textBytes;
-        known.sequence = ++this->lastSequence;
-        this->turnsBySequence.emplace(known.sequence, &known);
+        this->renumber(known);
         if (this->digests)
             this->digests->add(nameOf(known.id), &known.id);
         this->bytes += known.bytes();
@@ -197,8 +247,8 @@
     if (found == this->impl->budgets.end())
         return claims;
     claims.reserve(found->second.claims.size());
-    for (const auto& [turn, claim] : found->second.claims)
-        claims.push_back(claim);
+    for (const auto& [turn, known] : found->second.claims)
+        claims.push_back(known.claim);
     return claims;
 }
 
@@ -273,8 +323,9 @@
             ++each;
             continue;
         }
-        this->impl->budgetsBySequence.erase(each->second.sequence);
-        this->impl->removeDigests(each->first, each->second);
+        for (const auto& [turn, known] : each->second.claims)
+            this->impl->claimsBySequence.erase(known.sequence);
+        this->impl->removeDigests(each->second);
         each = this->impl->budgets.erase(each);
     }
 }
@@ -316,27 +367,26 @@
     CopyPage page;
     page.cursor = cursor;
     auto turn = this->impl->turnsBySequence.upper_bound(cursor);
-    auto budget = this->impl->budgetsBySequence.upper_bound(cursor);
+    auto claim = this->impl->claimsBySequence.upper_bound(cursor);
     while (page.turns.size() + page.claims.size() < maxRecords) {
         const bool hasTurn = turn != this->impl->turnsBySequence.end();
-        const bool hasBudget = budget != this->impl->budgetsBySequence.end();
-        if (!hasTurn && !hasBudget) {
+        const bool hasClaim = claim != this->impl->claimsBySequence.end();
+        if (!hasTurn && !hasClaim) {
             page.isLast = true;
             page.crashes = this->crashes();
             break;
         }
-        if (hasTurn && (!hasBudget || turn->first < budget->first)) {
+        if (hasTurn && (!hasClaim || turn->first < claim->first)) {
             page.cursor = turn->first;
             page.turns.push_back(turn->second->id);
             page.turnBytes.push_back(turn->second->bytes());
             ++turn;
             continue;
         }
-        page.cursor = budget->first;
-        const auto& [id, known] = *budget->second;
-        for (const auto& [turnId, claim] : known.claims)
-            page.claims.push_back({ id, claim, known.retention });
-        ++budget;
+        page.cursor = claim->first;
+        const ClaimInBudget& known = claim->second;
+        page.claims.push_back({ known.budget->id, known.claim->claim, known.budget->retention });
+        ++claim;
     }
     return page;
 }
@@ -354,12 +404,12 @@
     this->digests->add(name, record);
 }
 
-void JournalState::Impl::removeDigests(const BudgetId& id, const BudgetEntry& budget)
+void JournalState::Impl::removeDigests(const BudgetEntry& budget)
 {
     if (!this->digests)
         return;
-    for (const auto& [turn, claim] : budget.claims)
-        this->digests->remove(nameOf(id, claim), ClaimReference { &id, &claim });
+    for (const auto& [turn, known] : budget.claims)
+        this->digests->remove(nameOf(budget.id, known.claim), ClaimReference { &budget.id, &known.claim });
 }
 
 RecordDigests& JournalState::Impl::buildDigests()
@@ -370,8 +420,8 @@
     for (const auto& [id, turn] : this->turns)
         this->digests->add(nameOf(id), &turn.id);
     for (const auto& [id, budget] : this->budgets) {
-        for (const auto& [turn, claim] : budget.claims)
-            this->digests->add(nameOf(id, claim), ClaimReference { &id, &claim });
+        for (const auto& [turn, known] : budget.claims)
+            this->digests->add(nameOf(budget.id, known.claim), ClaimReference { &budget.id, &known.claim });
     }
     for (const auto& [id, crash] : this->crashes)
         this->digests->add(nameOf(crash.first), &crash.first);
--- a/src/rattandeck-journal/daemon.cpp
+++ b/src/rattandeck-journal/daemon.cpp
@@ -6,6 +6,7 @@
 #include "platform/objectcodec.h"
 #include "platform/storegossip.h"
 #include "Rattandeck/journal.h"
+#include "Rattandeck/journalsegments.h"
 #include "Rattandeck/permitissuer.h"
 #include "Rattandeck/quotaissuer.h"
 #include "Rattandeck/streamorigins.h"
@@ -14,7 +15,6 @@
 #include "RattandeckNet/peer.h"
 
 #include <algorithm>
-#include <deque>
 #include <iterator>
 #include <utility>
 
@@ -49,9 +49,6 @@
 constexpr Milliseconds metadataRetryInterval { 200 };
 /// Delay before news of the store is synced to the disk, unless a record of the journal is synced sooner.
 constexpr Milliseconds newsSyncDelay { 100 };
-/// A closed segment is kept for twice the longest retention seen plus this margin, so that the oldest turns of a chain
-/// are rarely rewritten.
-constexpr Milliseconds segmentRetentionMargin { 60000 };
 
 // Daemon ---------------------------------------------------------------------------------------------------------
 
@@ -68,13 +65,6 @@
     int run();
 
 private:
-    struct Segment {
-        JournalDisk::SegmentNumber number = 0;
-        TimePoint startedAt;
-        /// Sequence number of the last record in earlier segments.
-        std::uint64_t lastSequenceBefore = 0;
-    };
-
     Hello hello(const std::string& address) const;
     PeerHandlers peerHandlers();
     void createJournal(const std::string& address);
@@ -92,8 +82,7 @@
     void updateLinks(const JournalSet& set);
 
     void expire();
-    void removeOldSegments();
-    void removeExpiredSegments(TimePoint now, Duration kept);
+    JournalSegments::Io segmentsIo();
 
     // Full disk
     void setMaxDiskBytes(std::int64_t maxBytes);
@@ -134,7 +123,7 @@
     JournalMetadata metadata;
     std::unique_ptr<Journal> journal;
     std::unique_ptr<JournalDisk> disk;
-    std::deque<Segment> segments;
+    std::unique_ptr<JournalSegments> segments;
     PeerNetwork network;
     /// Journals pass on what they read in the store, and use none of it themselves.
     Platform::StoreGossip storeNews { this->loop, NodeId(this->settings.instance.node), Role::Journal,
@@ -279,6 +268,7 @@
     JournalIo& io = *this;
     this->journal = std::make_unique<Journal>(
         this->loop.timers(), io, JournalMember { NodeId(this->settings.instance.node), address }, limits);
+    this->segments = std::make_unique<JournalSegments>(*this->journal, this->segmentsIo());
 }
 
 void Daemon::createStore(const Address& address)
@@ -394,41 +384,19 @@
 void Daemon::expire()
 {
     this->journal->expire();
-    this->removeOldSegments();
+    this->segments->removeOld(this->loop.timers().now(), this->wasWritable);
     this->loop.timers().subscribeAfter(expiryInterval, [this] { this->expire(); });
 }
 
-void Daemon::removeOldSegments()
-{
-    const TimePoint now = this->loop.timers().now();
-    const Duration kept = this->journal->longestTurnRetention() * 2 + segmentRetentionMargin;
-    if (!this->wasWritable) {
-        this->removeExpiredSegments(now, kept);
-        return;
-    }
-    const auto current = this->disk->currentSegment();
-    if (this->segments.empty() || this->segments.back().number != current) {
-        this->segments.push_back({ current, now, this->journal->state().lastSequence() });
-        // So that older segments can be removed.
-        this->disk->append(GossipItems { this->storeNews.items() });
-    }
-    // A segment has been closed since the start of the next one.
-    while (this->segments.size() > 1 && now - this->segments[1].startedAt > kept) {
-        this->journal->rewriteThrough(this->segments[1].lastSequenceBefore);
-        this->segments.pop_front();
-        this->disk->removeBefore(this->segments.front().number);
-    }
-}
-
-/// On a full disk only segments that hold nothing that is still needed can be removed: the rest of the others would
-/// have to be written again first.
-void Daemon::removeExpiredSegments(TimePoint now, Duration kept)
+JournalSegments::Io Daemon::segmentsIo()
 {
-    while (this->segments.size() > 1 && now - this->segments[1].startedAt > kept
-        && !this->journal->hasRecordsThrough(this->segments[1].lastSequenceBefore)) {
-        this->segments.pop_front();
-        this->disk->removeExpiredBefore(this->segments.front().number);
-    }
+    JournalSegments::Io segmentsIo;
+    segmentsIo.current = [this] { return this->disk->currentSegment(); };
+    segmentsIo.onBegun = [this] { this->disk->append(GossipItems { this->storeNews.items() }); };
+    segmentsIo.removeBefore = [this](JournalSegments::Number number) { this->disk->removeBefore(number); };
+    segmentsIo.removeExpiredBefore
+        = [this](JournalSegments::Number number) { this->disk->removeExpiredBefore(number); };
+    return segmentsIo;
 }
 
 // Full disk ----------------------------------------------------------------------------------------------------------
