Do not take an answer that is reset during the upload for whole

Cause: the write that is under way takes the socket's error, so the read after it sees an orderly end, which ends an answer without a length. Change: such an end counts only once the request is written whole. Evidence: HttpAnswersTest::answerThatIsResetDuringTheUploadIsNotWhole failed in 3 of 3 runs before and passes in 3 of 3. Tests that a refusal which an instance writes a second time is not taken for the answer to the next call passed on the code before.

--- a/src/librattandecknet/clientconnection.cpp
+++ b/src/librattandecknet/clientconnection.cpp
@@ -282,10 +282,11 @@
         this->fail(NetError::Broken);
         return;
     }
-    // A response without a length ends with the connection.
+    // A response without a length ends with the connection. While the request is being written, the end tells nothing:
+    // a write takes the error of a reset, after which a read finds an orderly end.
     ErrorCode parseError;
     this->parser->put_eof(parseError);
-    if (parseError || !this->parser->is_done()) {
+    if (parseError || !this->parser->is_done() || !this->isWritten) {
         this->client->noteLoss(true);
         this->fail(NetError::Broken);
     } else if (this->deliver())
