A status outside of 100 to 599 is no answer

Cause: the parser takes any three digits, and 000 was no interim answer, no success and no failure, so it was relayed. Change: the call has lost its answer, as with other bytes that are no answer (RFC 9110, 15). Evidence: HttpAnswersTest::statusThatIsNoneFailsTheCall (000, 001, 099, 600, 999) failed in 3 of 3 runs before and passes. Unit tests of the network library 105 of 105.

--- a/src/librattandecknet/clientconnection.cpp
+++ b/src/librattandecknet/clientconnection.cpp
@@ -24,6 +24,9 @@
 constexpr std::chrono::milliseconds keepAliveMargin { 600 };
 constexpr long long maxKeepAliveSeconds = 3600;
 constexpr std::string_view timeoutKey = "timeout=";
+/// RFC 9110, 15: a status is a number of three digits, of which the first one is the class.
+constexpr int minStatus = 100;
+constexpr int maxStatus = 599;
 
 ClientConnection::ClientConnection(std::shared_ptr<HttpClient::Impl> client)
     : client(std::move(client))
@@ -219,6 +222,10 @@
     if (!this->parser->is_header_done())
         return true;
     const auto status = static_cast<int>(this->parser->get().result_int());
+    if (status < minStatus || status > maxStatus) {
+        this->fail(NetError::Malformed);
+        return false;
+    }
     if (status >= 100 && status < 200 && this->parser->is_done()) {
         this->resetParser();
         this->parse();
--- a/src/librattandecknet/httpanswers_test.cpp
+++ b/src/librattandecknet/httpanswers_test.cpp
@@ -13,6 +13,7 @@
     CPPUNIT_TEST_SUITE(HttpAnswersTest);
     CPPUNIT_TEST(answerThatIsResetDuringTheUploadIsNotWhole);
     CPPUNIT_TEST(answerThatEndsWithItsConnectionIsWhole);
+    CPPUNIT_TEST(statusThatIsNoneFailsTheCall);
     CPPUNIT_TEST(copyOfAnEarlierRefusalIsSkipped);
     CPPUNIT_TEST(copyOfAnEarlierRefusalWithoutANameIsNotDelivered);
     CPPUNIT_TEST_SUITE_END();
@@ -104,6 +105,20 @@
         CPPUNIT_ASSERT_EQUAL(std::string("all"), outcome.body);
     }
 
+    /// Guards against a status that the protocol doesn't know and that is passed on as an answer.
+    void statusThatIsNoneFailsTheCall()
+    {
+        for (const char* status : { "000", "001", "099", "600", "999" }) {
+            Outcome& outcome = this->start("s");
+            const std::unique_ptr<RawSocket> socket = this->accept();
+            this->read(*socket, "\r\n\r\n");
+            socket->write("HTTP/1.1 " + std::string(status) + " Text\r\nName: s\r\nContent-Length: 2\r\n\r\nno");
+            this->waitForEnd(outcome);
+            CPPUNIT_ASSERT_MESSAGE(status, !outcome.end->has_value() && outcome.status == 0 && outcome.body.empty());
+            CPPUNIT_ASSERT(outcome.end->error() == NetError::Malformed);
+        }
+    }
+
     static std::string refusalOf(const std::string& name)
     {
         const std::string field = name.empty() ? "" : "Name: " + name + "\r\n";
