Refuse calls that can't be answered before a planned stop ends

Cause: a gateway that stops took what was received on an open connection at any time, and its end closed all connections. Change: from 2.5 s on a call whose deadline lies beyond the end is refused by its head, as not run. At the end calls without an answer get one, 503 or 502; those that wait are ended first, so that none is sent when others leave room. Evidence: the case platform-late-stop failed before (three writes taken at 3.2 to 4.8 s, run, and cut at 7.4 s) and passes: 503 within 0.0 s, 502 for the one that was taken early.

--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -229,6 +229,14 @@
     /// The caller disconnected. Ignored for calls that have ended.
     void onCallerDisconnected(CallId id);
 
+    /// A planned stop has begun: the process ends at `endsAt`. Calls that arrive later than `takesAllUntil` are refused
+    /// at once, as not run, if their deadline is later than the end. Those that arrive before it are taken, because
+    /// most are answered long before their deadline, and callers may not have been sent elsewhere yet.
+    void beginStop(TimePoint takesAllUntil, TimePoint endsAt);
+    /// Ends all open calls, because the process is about to end: refuses those without an answer, and aborts the
+    /// others.
+    void endOpenCalls();
+
     /// The call is about to be written to its connection. Until then it can't have run.
     void onSendWritten(SendId id);
     void onAnswerHead(SendId id, const EndpointAnswer& answer);
--- a/src/include/Rattandeck/gatewaycalls.h
+++ b/src/include/Rattandeck/gatewaycalls.h
@@ -147,6 +147,8 @@
     JournalsUnavailable,
     /// The caller's deadline or the route's timeout has passed.
     TimedOut,
+    /// The gateway ends, in a planned stop, before the call can be expected to be answered.
+    Stopping,
     /// The call was sent and its answer was lost.
     AnswerLost,
     /// The instance has answered with a status that would tell the caller what nobody knows; see `StatusMeaning`.
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -26,6 +26,8 @@
         return "journals unavailable";
     case RejectionReason::TimedOut:
         return "timed out";
+    case RejectionReason::Stopping:
+        return "the gateway is about to end";
     case RejectionReason::AnswerLost:
         return "answer lost";
     case RejectionReason::AnswerUnfounded:
@@ -222,7 +224,7 @@
     state->organisation = *organisation;
     state->service = chooseService(*route, call.program.value.empty() ? call.request.value : call.program.value);
     state->arrived = self.timers.now();
-    state->deadline = state->arrived + std::min(route->timeout, call.timeLeft.value_or(route->timeout));
+    state->deadline = self.deadlineOf(call, *route);
     state->query.service = state->service;
     const bool canResume = route->safety == CallSafety::Stream && route->canResume;
     state->isResumption = canResume && !(call.resumeAfter.empty() && call.resumedRequest.value.empty());
@@ -260,11 +262,45 @@
     const auto organisation = organisationOf(this->table->organisations(), *route, call.key);
     if (!organisation)
         return organisation.error();
+    if (this->isTooLateFor(call, *route))
+        return RejectionReason::Stopping;
     if (this->calls.size() >= this->limits.maxCalls)
         return RejectionReason::Overloaded;
     return std::nullopt;
 }
 
+TimePoint Gateway::Impl::deadlineOf(const GatewayCall& call, const Route& route) const
+{
+    return this->timers.now() + std::min(route.timeout, call.timeLeft.value_or(route.timeout));
+}
+
+bool Gateway::Impl::isTooLateFor(const GatewayCall& call, const Route& route) const
+{
+    if (!this->plannedStop)
+        return false;
+    const auto& [takesAllUntil, endsAt] = *this->plannedStop;
+    return this->timers.now() > std::min(takesAllUntil, endsAt) && this->deadlineOf(call, route) > endsAt;
+}
+
+void Gateway::beginStop(TimePoint takesAllUntil, TimePoint endsAt)
+{
+    this->impl->plannedStop = { takesAllUntil, endsAt };
+}
+
+void Gateway::endOpenCalls()
+{
+    std::vector<CallId> open;
+    for (const auto& [id, call] : this->impl->calls)
+        open.push_back(id);
+    // First those that wait for room, so that none is sent when others leave it.
+    std::ranges::partition(open, [this](CallId id) { return this->impl->find(id)->send.value == 0; });
+    // The end of one may end others.
+    for (const CallId id : open) {
+        if (Impl::Call* call = this->impl->find(id))
+            this->impl->failCall(*call, RejectionReason::Stopping);
+    }
+}
+
 void Gateway::onCallerDisconnected(CallId id)
 {
     Impl::Call* call = this->impl->find(id);
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -138,6 +138,12 @@
     FailureDomain domain;
     GatewayLimits limits;
     std::shared_ptr<const RouteTable> table;
+    /// Set in a planned stop; see `Gateway::beginStop`.
+    struct PlannedStop {
+        TimePoint takesAllUntil;
+        TimePoint endsAt;
+    };
+    std::optional<PlannedStop> plannedStop;
     /// A moment at which the configuration was the current one.
     std::optional<TimePoint> configConfirmedAt;
     EndpointTable endpoints;
@@ -182,6 +188,10 @@
     void onDeadline(CallId id);
     void onInstanceFailed(const EndpointId& id);
     std::optional<RejectionReason> refusalByHead(const GatewayCall& call) const;
+    /// When the call has to be answered at the latest if it arrives now.
+    TimePoint deadlineOf(const GatewayCall& call, const Route& route) const;
+    /// Whether the call comes too late in a planned stop to be taken.
+    bool isTooLateFor(const GatewayCall& call, const Route& route) const;
     std::optional<RejectionReason> admit(const GatewayCall& call, const Organisation* organisation);
     void refuse(Call& call, RejectionReason reason);
     /// Refuses the call, or aborts its answer if that has begun.
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -63,8 +63,13 @@
 /// Delay from the start of a planned stop until connections are no longer accepted: the load balancer removes the
 /// gateway only after two failed readiness checks.
 constexpr Milliseconds stopAcceptingDelay { 3500 };
+/// Delay from the start of a planned stop until calls are refused that may not be answered before its end. The load
+/// balancer still sends new connections here before that.
+constexpr Milliseconds stopTakingDelay { 2500 };
 /// Part of the stop limit that is reserved for sending the last bytes.
 constexpr Milliseconds stopReserve { 600 };
+/// Part of it in which the last answers are written.
+constexpr Milliseconds lastAnswersTime { 200 };
 
 // Daemon ---------------------------------------------------------------------------------------------------------
 
@@ -102,6 +107,7 @@
     void stop();
     void closeCallers();
     void endWhenDrained();
+    TimePoint stopEndsAt() const { return this->stopStartedAt + this->settings.stopLimit - stopReserve; }
 
     GatewaySettings settings;
     // Outlives the connections, the last of which end with the loop.
@@ -495,6 +501,7 @@
     this->stopStartedAt = this->loop.timers().now();
     logEvent("stop", "planned stop, " + std::to_string(this->relay.gateway().openCalls()) + " calls open");
     this->callers.closeAfterAnswers(true);
+    this->relay.gateway().beginStop(this->stopStartedAt + stopTakingDelay, this->stopEndsAt());
     this->loop.timers().subscribeAfter(stopAcceptingDelay, [this] { this->closeCallers(); });
 }
 
@@ -507,10 +514,11 @@
 void Daemon::endWhenDrained()
 {
     constexpr Milliseconds checkInterval { 50 };
-    const bool isTimeUp = this->loop.timers().now() - this->stopStartedAt >= this->settings.stopLimit - stopReserve;
+    const bool isTimeUp = this->loop.timers().now() >= this->stopEndsAt();
     if (this->callers.openConnections() == 0 || isTimeUp) {
-        logEvent("drained", std::to_string(this->relay.gateway().openCalls()) + " calls aborted");
-        this->loop.stop();
+        logEvent("drained", std::to_string(this->relay.gateway().openCalls()) + " calls ended");
+        this->relay.gateway().endOpenCalls();
+        this->loop.timers().subscribeAfter(isTimeUp ? lastAnswersTime : Milliseconds(0), [this] { this->loop.stop(); });
         return;
     }
     this->loop.timers().subscribeAfter(checkInterval, [this] { this->endWhenDrained(); });
