Bound the memory of all answers together

Other operators saw (LOST): a faulty instance sends bytes without end, the machine that called it keeps them and runs out of memory. A single such answer was bounded here; many at once were not.

Cause: each answer had a bound (8 MB for a retained turn), all of them together had none. Change: what answers hold is counted over all calls, a quarter of the machine's memory at most; beyond it the one that holds most is interrupted.

--- a/src/include/Rattandeck/eventstream.h
+++ b/src/include/Rattandeck/eventstream.h
@@ -27,6 +27,8 @@
     std::optional<StreamEvent> next();
     /// Number of bytes that belong to an incomplete event.
     std::size_t pendingBytes() const { return this->buffer.size() - this->consumed; }
+    /// Memory that is held for bytes, in bytes.
+    std::size_t heldBytes() const { return this->buffer.capacity(); }
 
 private:
     std::string buffer;
--- a/src/include/Rattandeck/gateway.h
+++ b/src/include/Rattandeck/gateway.h
@@ -116,6 +116,8 @@
     std::size_t maxEvent = 1024UL * 1024;
     /// Largest output of a turn that is retained; a longer one is interrupted.
     std::size_t maxRetainedOutput = 8UL * 1024 * 1024;
+    /// Memory that the answers of all open calls may hold together, in bytes. Beyond it, the largest is interrupted.
+    std::size_t maxAnswerBytes = 64UL * 1024 * 1024;
     /// Time for which the first event of a stream that may be resumed is held until the process that sent it has told
     /// which one it is. A stream that breaks before that can't be resumed.
     Milliseconds maxProcessWait { 60 };
--- a/src/include/Rattandeck/gatewaylog.h
+++ b/src/include/Rattandeck/gatewaylog.h
@@ -43,6 +43,8 @@
     Stalled,
     /// As `Stalled`, but no other instance could take the call, or no retry was allowed: it stays where it is.
     StalledAndKept,
+    /// Answers hold too much memory together, and this one holds most.
+    TooLarge,
 };
 
 std::string_view describe(SendFailureCause cause);
--- a/src/include/RattandeckApp/memory.h
+++ b/src/include/RattandeckApp/memory.h
@@ -19,6 +19,10 @@
 /// half is for everything else and for what the allocator can't reuse.
 std::size_t connectionMemory(std::int64_t limitMb);
 
+/// Bytes that the answers of instances may hold together while a gateway relays them: a quarter of `limitMb`, or of the
+/// machine's memory if that is 0.
+std::size_t answerMemory(std::int64_t limitMb);
+
 /// Sets up the allocator, so that memory of large buffers is returned to the machine as soon as it is freed.
 void limitHeap();
 
--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -69,6 +69,8 @@
         return "stalled";
     case SendFailureCause::StalledAndKept:
         return "stalled, kept";
+    case SendFailureCause::TooLarge:
+        return "too large";
     }
     return "unknown";
 }
@@ -595,6 +597,7 @@
     this->dequeue(call);
     this->stopAwaiting(call);
     this->releaseToken(call);
+    this->releaseAnswerMemory(call);
     if (retainsTurn(call))
         this->origins.forgetOutput(recordedTurn(call, call.call.request));
     this->timers.cancel(call.deadlineTimer);
--- a/src/librattandeck/turns/gateway_test.cpp
+++ b/src/librattandeck/turns/gateway_test.cpp
@@ -48,6 +48,8 @@
     CPPUNIT_TEST(answerOfAnotherInstanceDoesNotTellOfALeave);
     CPPUNIT_TEST(leaveThatCannotBeUnderstoodIsIgnored);
     CPPUNIT_TEST(loadReportThatCannotBeReadIsLogged);
+    CPPUNIT_TEST(answersStayWithinTheirMemoryTogether);
+    CPPUNIT_TEST(endedAnswersHoldNoMemory);
     CPPUNIT_TEST_SUITE_END();
 
     std::unique_ptr<GatewayFixture> f;
@@ -178,6 +180,54 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t(3), this->f->sends.size());
     }
 
+    /// Guards against a process that runs out of memory, and ends the calls of all callers, because many instances send
+    /// answers without end.
+    void answersStayWithinTheirMemoryTogether()
+    {
+        constexpr std::size_t most = 1000000;
+        GatewayLimits limits;
+        limits.maxAnswerBytes = most;
+        this->f = std::make_unique<GatewayFixture>(limits);
+        Route turns = GatewayFixture::route("turns", CallSafety::Stream);
+        turns.retainsTurns = true;
+        this->f->configure({ turns });
+        this->f->addInstance("e1", false, 16);
+        std::vector<CallId> calls;
+        for (int number = 0; number < 10; ++number) {
+            GatewayCall call = GatewayFixture::callOn("turns");
+            call.program = BudgetId("p" + std::to_string(number));
+            calls.push_back(this->f->call(std::move(call)));
+            this->f->head(this->lastSend(), 200, true);
+            this->f->event(this->lastSend(), 1);
+        }
+        // One is usual, the others never end.
+        const std::string event = "id: 2\ndata: " + std::string(10000, 'x') + "\n\n";
+        for (int round = 0; round < 100; ++round) {
+            for (std::size_t number = 1; number < calls.size(); ++number)
+                this->f->gateway.onAnswerData(this->f->sends[number].id, event);
+        }
+        for (std::size_t number = 1; number < calls.size(); ++number)
+            CPPUNIT_ASSERT(this->caller(calls[number]).isBroken);
+        CPPUNIT_ASSERT(this->f->failures.back().cause == SendFailureCause::TooLarge);
+        CPPUNIT_ASSERT(!this->caller(calls[0]).isBroken);
+    }
+
+    void endedAnswersHoldNoMemory()
+    {
+        GatewayLimits limits;
+        limits.maxAnswerBytes = 1000000;
+        this->f = std::make_unique<GatewayFixture>(limits);
+        this->f->configure({ GatewayFixture::route("safe", CallSafety::Safe) });
+        this->f->addInstance("e1");
+        for (int number = 0; number < 100; ++number) {
+            const CallId id = this->callOn("safe");
+            this->f->head(this->lastSend(), 200);
+            this->f->gateway.onAnswerData(this->lastSend().id, std::string(100000, 'x'));
+            this->f->end(this->lastSend());
+            CPPUNIT_ASSERT(this->caller(id).isEnded);
+        }
+    }
+
     void unsafeCallIsNotRetried()
     {
         const CallId id = this->callOn("unsafe");
--- a/src/librattandeck/turns/gatewayanswers.cpp
+++ b/src/librattandeck/turns/gatewayanswers.cpp
@@ -49,31 +49,37 @@
 
 void Gateway::onAnswerData(SendId id, std::string_view bytes)
 {
-    auto& self = *this->impl;
-    Impl::Call* call = self.findBySend(id);
+    Impl::Call* call = this->impl->findBySend(id);
     if (!call || !call->head || Impl::isUnfounded(*call))
         return;
-    if (call->head->isEventStream && isSuccess(*call->head)) {
-        call->splitter.add(bytes);
-        self.forwardEvents(*call);
-        if (call->splitter.pendingBytes() > self.limits.maxEvent || call->output.size() > self.limits.maxRetainedOutput)
-            self.onSendInterrupted(*call, SendFailureCause::Interrupted);
+    this->impl->onAnswerData(*call, bytes);
+    if (Impl::Call* open = this->impl->findBySend(id))
+        this->impl->boundAnswerMemory(*open);
+}
+
+void Gateway::Impl::onAnswerData(Call& call, std::string_view bytes)
+{
+    if (call.head->isEventStream && isSuccess(*call.head)) {
+        call.splitter.add(bytes);
+        this->forwardEvents(call);
+        if (call.splitter.pendingBytes() > this->limits.maxEvent || call.output.size() > this->limits.maxRetainedOutput)
+            this->onSendInterrupted(call, SendFailureCause::Interrupted);
         return;
     }
-    call->body += bytes;
-    if (call->route->safety == CallSafety::Stream && call->body.size() > self.limits.maxEvent) {
-        self.onSendInterrupted(*call, SendFailureCause::Interrupted);
+    call.body += bytes;
+    if (call.route->safety == CallSafety::Stream && call.body.size() > this->limits.maxEvent) {
+        this->onSendInterrupted(call, SendFailureCause::Interrupted);
         return;
     }
-    if (call->body.size() <= self.limits.maxBufferedAnswer || call->route->safety == CallSafety::Stream)
+    if (call.body.size() <= this->limits.maxBufferedAnswer || call.route->safety == CallSafety::Stream)
         return;
     // The answer exceeds the buffer limit and is streamed, after which it can't be replaced by that of a retry.
-    if (!call->hasAnswerBegun) {
-        call->hasAnswerBegun = true;
-        self.io.begin(call->id, id);
+    if (!call.hasAnswerBegun) {
+        call.hasAnswerBegun = true;
+        this->io.begin(call.id, call.send);
     }
-    self.io.write(call->id, call->body);
-    call->body.clear();
+    this->io.write(call.id, call.body);
+    call.body.clear();
 }
 
 bool Gateway::onAnswerEnd(SendId id, SendOutcome outcome)
--- a/src/librattandeck/turns/gatewayimpl.h
+++ b/src/librattandeck/turns/gatewayimpl.h
@@ -101,6 +101,8 @@
     std::string output;
     std::vector<StreamMark> outputEvents;
     RetainedTurn retained;
+    /// Memory of the answer that is counted in `Gateway::Impl::answerBytes`.
+    std::size_t answerBytes = 0;
     std::optional<TimePoint> storeStarted;
     std::optional<TimePoint> storeEnded;
     std::uint32_t storeRetries = 0;
@@ -157,6 +159,8 @@
     GatewayCounts counts;
     /// Retries that may be spent: see `GatewayLimits::retryRatio`.
     double retryBudget;
+    /// Memory that the answers of all open calls hold, in bytes.
+    std::size_t answerBytes = 0;
 
     std::unordered_map<CallId, std::unique_ptr<Call>> calls;
     std::unordered_map<SendId, CallId> callOfSend;
@@ -310,6 +314,7 @@
 
     // gatewayanswers.cpp: relaying of answers
     void noteLeaving(const Call& call, const EndpointAnswer& answer);
+    void onAnswerData(Call& call, std::string_view bytes);
     void onAnswerEnd(Call& call, SendOutcome outcome);
     /// Whether the answer's status would tell the caller what the instance has not stated. Such an answer is not
     /// relayed. Precondition: the head of an answer has arrived that does not state that the call has not run.
@@ -332,6 +337,11 @@
     void store(Call& call);
     void sendToStore(Call& call);
     void onStored(CallId id, const tl::expected<void, JournalError>& outcome);
+
+    // gatewayanswermemory.cpp: what answers hold
+    /// Counts the memory of a call's answer, and interrupts the largest answer if all hold too much.
+    void boundAnswerMemory(Call& call);
+    void releaseAnswerMemory(const Call& call);
 };
 
 }
--- a/src/librattandeckapp/memory.cpp
+++ b/src/librattandeckapp/memory.cpp
@@ -46,6 +46,8 @@
     return (stated > 0 && (machine == 0 || stated < machine) ? stated : machine) / 2;
 }
 
+std::size_t answerMemory(std::int64_t limitMb) { return connectionMemory(limitMb) / 2; }
+
 void limitHeap()
 {
     mallopt(M_MMAP_THRESHOLD, mappedBlockBytes);
--- a/src/rattandeck-gateway/daemon.cpp
+++ b/src/rattandeck-gateway/daemon.cpp
@@ -146,6 +146,7 @@
     limits.node = NodeId(settings.instance.node);
     limits.placementSeed = std::random_device {}() | 1U;
     limits.origins.copies = toleratedLosses(settings.toleratedLosses) + 1;
+    limits.maxAnswerBytes = answerMemory(settings.instance.memoryLimitMb);
     return limits;
 }
 
@@ -201,7 +202,9 @@
     this->settings.seeds = fresh.seeds;
     this->settings.stopLimit = fresh.stopLimit;
     this->memory.setLimit(connectionMemory(fresh.instance.memoryLimitMb));
-    this->relay.gateway().setLimits(fresh.limits);
+    GatewayLimits limits = fresh.limits;
+    limits.maxAnswerBytes = answerMemory(fresh.instance.memoryLimitMb);
+    this->relay.gateway().setLimits(limits);
     this->configAge.setMaxAge(fresh.limits.maxConfigAge);
     this->callers.setLimits(this->httpLimits());
     adjustLog(fresh.instance.log);
