Order the calls that end with the process by an algorithm that the linter's compiler knows

Cause: clang 14 can't compile std::ranges::partition of this standard library, which clang-tidy showed. Change: std::partition; the test's container has its size from the start.

--- a/src/librattandeck/turns/gateway.cpp
+++ b/src/librattandeck/turns/gateway.cpp
@@ -295,7 +295,7 @@
     for (const auto& [id, call] : this->impl->calls)
         open.push_back(id);
     // First those that wait for room, so that none is sent when others leave it.
-    std::ranges::partition(open, [this](CallId id) { return this->impl->find(id)->send.value == 0; });
+    std::partition(open.begin(), open.end(), [this](CallId id) { return this->impl->find(id)->send.value == 0; });
     // The end of one may end others.
     for (const CallId id : open) {
         if (Impl::Call* call = this->impl->find(id))
--- a/src/librattandeck/turns/gatewaystop_test.cpp
+++ b/src/librattandeck/turns/gatewaystop_test.cpp
@@ -91,9 +91,10 @@
 
     void waitingCallsAreNotSentAtTheEnd()
     {
-        std::vector<CallId> calls;
-        for (int number = 0; number < 5; ++number)
-            calls.push_back(this->callOn("stream"));
+        constexpr std::size_t count = 5;
+        std::vector<CallId> calls(count);
+        for (CallId& id : calls)
+            id = this->callOn("stream");
         const std::size_t sent = this->f.sends.size();
         CPPUNIT_ASSERT(sent < calls.size() && this->f.gateway.queuedCalls() == calls.size() - sent);
         this->f.gateway.endOpenCalls();
