Case quarantine: wait until a restarted entry serves a shard

The API allows that refusal (503, not-serving, retry after 500 ms); the case took it for a failure, though after the first start it waits for the same condition (start_small_system). Change: the case waits until every entry opens a program, as after the first start. All of its checks are as before.

--- a/testsuite/quarantine/case.py
+++ b/testsuite/quarantine/case.py
@@ -1,6 +1,6 @@
 """A request that crashes engines is quarantined at the crash limit and refused by every entry, also after a restart."""
 
-from harness import System, call, expect, open_program, start_small_system, wait_until
+from harness import System, call, can_open, expect, open_program, start_small_system, wait_until
 
 POISON = {"input": "crash-me", "max_tokens": 10, "idempotent": True}
 
@@ -32,6 +32,8 @@
         system.entries["entry-a"].kill()
         restarted = system.start_entry("entry-a", "a")
         wait_until(lambda: system.is_ready(restarted), "the restarted entry is ready")
+        # As after the first start: it may be ready some milliseconds before it serves a shard.
+        wait_until(lambda: can_open(system), "every entry opens a program")
         wait_until(lambda: poisoned_call(restarted.field("callers"))[2]["type"].endswith(":quarantined"),
                    "the request is quarantined at the restarted entry")
         expect(sum(not engine.running() for engine in engines(system)) == crashed,
