HttpAnswersTest: no word of the platform's wire

Cause: the test's refusal bore the platform's header name, which stays in src/platform/. Change: another name; the test doesn't read it, and its checks are as before.

--- a/src/librattandecknet/httpanswers_test.cpp
+++ b/src/librattandecknet/httpanswers_test.cpp
@@ -122,7 +122,7 @@
     static std::string refusalOf(const std::string& name)
     {
         const std::string field = name.empty() ? "" : "Name: " + name + "\r\n";
-        return "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n" + field + "Content-Length: 0\r\n\r\n";
+        return "HTTP/1.1 503 Full\r\nRefusal: 1\r\n" + field + "Content-Length: 0\r\n\r\n";
     }
 
     /// Guards against a call that is taken for refused, though it runs, by a second copy of the refusal of an earlier
