--- a/review/platform3.py
+++ b/review/platform3.py
@@ -36,6 +36,7 @@
 BOUNDS = {"contact_ms": 3000, "apply_ms": 2000, "revoke_ms": 5000, "strict_revoke": False, "grace_s": 8}
 EVENTS = 12
 TOKENS_PER_EVENT = 22
+RESTART_S = 0.3
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 
@@ -157,6 +158,8 @@
         self.starts = 0
         # Down by the case's will, or gone for good: not started again by the platform.
         self.is_held = False
+        self.ended_at = None
+        self.lock = threading.Lock()
 
     def address(self, port):
         return f"{self.ip}:{self.site.ports[port]}"
@@ -178,6 +181,7 @@
             self.popen = subprocess.Popen(command, cwd=ROOT, stdout=log, stderr=log, env={
                 name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ})
         self.starts += 1
+        self.ended_at = None
 
     def is_running(self):
         return self.popen is not None and self.popen.poll() is None
@@ -198,7 +202,8 @@
 
     def leave(self, limit_s=BOUNDS["grace_s"]):
         """The machine is removed for good, with SIGTERM, and SIGKILL after the time of grace."""
-        self.is_held = True
+        with self.lock:
+            self.is_held = True
         self.kill(signal.SIGTERM)
         try:
             self.popen.wait(limit_s)
@@ -208,7 +213,8 @@
 
     def lose_disk(self, down_s):
         """The machine loses power and its disk, and is back at its address with an empty folder."""
-        self.is_held = True
+        with self.lock:
+            self.is_held = True
         self.kill()
         self.popen.wait()
         shutil.rmtree(self.folder / "data")
@@ -218,10 +224,12 @@
         self.is_held = False
 
     def close(self):
-        if self.is_running():
-            os.kill(self.popen.pid, signal.SIGCONT)
-            os.kill(self.popen.pid, signal.SIGKILL)
-            self.popen.wait()
+        with self.lock:
+            self.is_held = True
+            if self.is_running():
+                os.kill(self.popen.pid, signal.SIGCONT)
+                os.kill(self.popen.pid, signal.SIGKILL)
+                self.popen.wait()
 
 
 class Site:
@@ -328,25 +336,30 @@
         restarted after a short delay (DEPLOY.md)."""
         while self.is_watching is not None:
             for machine in self.machines():
-                if machine.is_held:
-                    continue
-                if not machine.is_running():
-                    if self.is_watching is None:
-                        return
-                    self.note(f"{machine.name} has ended ({machine.popen.returncode}); started again")
-                    time.sleep(0.3)
-                    machine.start()
-                    continue
-                resident = machine.resident_kb()
-                machine.most_kb = max(machine.most_kb, resident)
-                if self.is_watching and resident > machine.memory_mb * 1024:
-                    self.note(f"{machine.name} uses {resident // 1024} MB, its machine has {machine.memory_mb} MB: "
-                              "killed by the platform")
-                    machine.kills += 1
-                    machine.kill()
-                    machine.popen.wait()
+                with machine.lock:
+                    self.look_at(machine)
             time.sleep(0.01)
 
+    def look_at(self, machine):
+        """Precondition: the machine's lock is held, so that nothing else starts or ends its process meanwhile."""
+        if machine.is_held or self.is_watching is None:
+            return
+        if not machine.is_running():
+            if machine.ended_at is None:
+                machine.ended_at = time.monotonic()
+                self.note(f"{machine.name} has ended ({machine.popen.returncode}); it is started again")
+            elif time.monotonic() - machine.ended_at >= RESTART_S:
+                machine.start()
+            return
+        resident = machine.resident_kb()
+        machine.most_kb = max(machine.most_kb, resident)
+        if self.is_watching and resident > machine.memory_mb * 1024:
+            self.note(f"{machine.name} uses {resident // 1024} MB, its machine has {machine.memory_mb} MB: "
+                      "killed by the platform")
+            machine.kills += 1
+            machine.kill()
+            machine.popen.wait()
+
     def wait(self, what, condition, limit_s):
         deadline = time.monotonic() + limit_s
         while time.monotonic() < deadline:
