Review cases 11 to 15: each names its record.txt, which has what was sent, answered and run

Cause: the shared stand-in wrote the file, with counts in place of the requests, answers and runs that the issue asks for. Change: each case passes the path of its record; every request, answer and run has a line with its time and id.

--- a/review/platform3.py
+++ b/review/platform3.py
@@ -37,6 +37,7 @@
 EVENTS = 12
 TOKENS_PER_EVENT = 22
 RESTART_S = 0.3
+ID_LENGTH = 16
 EXIT_HELD, EXIT_BROKEN, EXIT_NOT_RUN = 0, 1, 2
 
 
@@ -124,9 +125,13 @@
             with self.lock:
                 self.present -= 1
 
-    def run(self, request, fields):
+    def note_run(self, request, fields):
         with self.lock:
             self.ran.append((fields["Request-Id"], len(request.body)))
+        self.site.trace(f"run {fields['Request-Id'][:ID_LENGTH]} at {self.name}, {len(request.body)} bytes")
+
+    def run(self, request, fields):
+        self.note_run(request, fields)
         time.sleep(self.work_s)
         fields["Response-Seal"] = "seal-" + fields["Request-Id"]
         if "Model" not in request.headers:
@@ -303,10 +308,15 @@
         return self.journals + self.gateways
 
     def note(self, text):
-        line = f"{time.monotonic() - self.started_at:7.2f} s  {text}"
+        self.trace(text)
+        self.record.flush()
+
+    def trace(self, text):
+        """A line of the record: what was sent, answered or run. Flushed with the next note."""
+        line = f"{time.monotonic() - self.started_at:7.2f} s  {text}\n"
         with self.lock:
-            self.record.write(line + "\n")
-            self.record.flush()
+            if not self.record.closed:
+                self.record.write(line)
 
     # The platform
 
@@ -375,9 +385,17 @@
             self.last_request += 1
             return f"{os.getpid():08x}{self.last_request:08x}"
 
+    def exchange(self, address, data, limit_s=8):
+        """Sends one request on a new connection, and records it. Returns (status, head, body, whether the answer is
+        whole)."""
+        name = id_of(data)
+        self.trace(f"sent {name} {path_of(data)} to {address}")
+        answer = self.send(address, data, limit_s)
+        self.trace(f"answered {name} {answer[0]}{'' if answer[3] else ', not whole'}")
+        return answer
+
     @staticmethod
-    def exchange(address, data, limit_s=8):
-        """Sends one request on a new connection. Returns (status, head, body, whether the answer is whole)."""
+    def send(address, data, limit_s):
         host, port = address.rsplit(":", 1)
         received = b""
         try:
@@ -416,7 +434,16 @@
         return self.exchange(gateway.address("front"), self.turn_request(program, previous, **more))
 
     def is_ready(self, gateway):
-        return self.exchange(gateway.address("ready"), b"GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n", 1)[0] == 200
+        return self.send(gateway.address("ready"), b"GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n", 1)[0] == 200
+
+
+def id_of(request):
+    """The id of a request, of which the record has the first characters."""
+    return request.partition(b"Request-Id: ")[2][:ID_LENGTH].decode("latin-1").split("\r")[0]
+
+
+def path_of(request):
+    return request.split(b" ", 2)[1].decode("latin-1").split("?")[0]
 
 
 def parse_answer(data):
@@ -447,9 +474,8 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def main(folder, play):
-    """Runs `play(record)`, which returns a list of what broke the rule, and exits as the review asks."""
-    path = pathlib.Path(folder).resolve() / "record.txt"
+def main(path, play):
+    """Runs `play(record)` with the record at `path`. It returns a list of what broke the rule; exits as the review asks."""
     with open(path, "w") as record:
         record.write(f"TROUBLE={'1' if has_trouble() else '0'}\n")
         try:
